--- /dev/null
+++ b/lacewingspring_standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/lacewingspring_standins/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
