--- /dev/null
+++ b/lacewingspring_core/src/catalog.rs
@@ -0,0 +1,134 @@
+//! Resources of one generation, indexed for the request path.
+
+use std::{collections::HashMap, time::Duration};
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::{
+    names::{PoolName, ServiceName, TierName, WorkspaceName},
+    resources::{EnginePoolSpec, Resource, ServiceSpec, Spec, TierSpec, WorkspaceSpec},
+};
+
+/// Length of a credential digest, in bytes.
+const DIGEST_LEN: usize = 32;
+
+/// Bytes of a digest that select the candidates to compare.
+const BUCKET_LEN: usize = 4;
+
+/// Resources of one generation. It never changes; a new generation replaces it whole.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    /// Generation of the configuration.
+    pub generation: u64,
+    /// Tiers by name.
+    pub tiers: HashMap<TierName, TierSpec>,
+    /// Engine pools by name.
+    pub pools: HashMap<PoolName, EnginePoolSpec>,
+    /// Services by name.
+    pub services: HashMap<ServiceName, ServiceSpec>,
+    /// Workspaces by name.
+    pub workspaces: HashMap<WorkspaceName, WorkspaceSpec>,
+    credentials: HashMap<[u8; BUCKET_LEN], Vec<Credential>>,
+}
+
+/// Digest of a bearer token and the workspace it opens.
+#[derive(Debug)]
+struct Credential {
+    digest: [u8; DIGEST_LEN],
+    workspace: WorkspaceName,
+}
+
+/// A service with the tier it runs in.
+#[derive(Clone, Copy, Debug)]
+pub struct Route<'a> {
+    /// Declared service.
+    pub service: &'a ServiceSpec,
+    /// Tier of the service.
+    pub tier: &'a TierSpec,
+    /// Pool that runs it.
+    pub pool: &'a EnginePoolSpec,
+}
+
+impl Route<'_> {
+    /// Returns the longest wait before dispatch.
+    pub fn max_wait(&self) -> Duration {
+        Duration::from_millis(self.tier.max_wait_ms)
+    }
+}
+
+impl Catalog {
+    /// Indexes the resources of one generation.
+    pub fn new<'a, I>(generation: u64, resources: I) -> Self
+    where
+        I: IntoIterator<Item = &'a Resource>,
+    {
+        let mut catalog = Self { generation, ..Self::default() };
+        for resource in resources {
+            catalog.insert(resource);
+        }
+        catalog
+    }
+
+    /// Returns the workspace that a bearer token opens, comparing digests in constant time.
+    pub fn authenticate(&self, token: &str) -> Option<&WorkspaceName> {
+        let digest: [u8; DIGEST_LEN] = Sha256::digest(token.as_bytes()).into();
+        let bucket = self.credentials.get(&digest[..BUCKET_LEN])?;
+        let found = bucket.iter().find(|known| bool::from(known.digest.ct_eq(&digest)))?;
+        Some(&found.workspace)
+    }
+
+    /// Returns the service by name with its tier and pool.
+    pub fn route(&self, service: &str) -> Option<Route<'_>> {
+        let service = self.services.get(service)?;
+        let tier = self.tiers.get(&service.tier)?;
+        let pool = self.pools.get(&service.pool)?;
+        Some(Route { service, tier, pool })
+    }
+
+    fn insert(&mut self, resource: &Resource) {
+        let name = resource.name.as_str();
+        match &resource.spec {
+            Spec::Tier(spec) => {
+                self.tiers.insert(name.into(), spec.clone());
+            }
+            Spec::EnginePool(spec) => {
+                self.pools.insert(name.into(), spec.clone());
+            }
+            Spec::Service(spec) => {
+                self.services.insert(name.into(), spec.clone());
+            }
+            Spec::Workspace(spec) => {
+                self.insert_credentials(name.into(), spec);
+                self.workspaces.insert(name.into(), spec.clone());
+            }
+        }
+    }
+
+    fn insert_credentials(&mut self, workspace: WorkspaceName, spec: &WorkspaceSpec) {
+        for text in &spec.credentials {
+            let Some(digest) = parse_digest(text) else { continue };
+            let mut bucket = [0; BUCKET_LEN];
+            bucket.copy_from_slice(&digest[..BUCKET_LEN]);
+            let credential = Credential { digest, workspace: workspace.clone() };
+            self.credentials.entry(bucket).or_default().push(credential);
+        }
+    }
+}
+
+/// Reads a SHA-256 digest in hexadecimal; none when the text is not one.
+pub fn parse_digest(text: &str) -> Option<[u8; DIGEST_LEN]> {
+    if text.len() != DIGEST_LEN * 2 || !text.is_ascii() {
+        return None;
+    }
+    let mut digest = [0; DIGEST_LEN];
+    for (i, byte) in digest.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[i * 2..i * 2 + 2], 16).ok()?;
+    }
+    Some(digest)
+}
+
+/// Returns the SHA-256 digest of a token in hexadecimal.
+pub fn digest_hex(bytes: &[u8]) -> String {
+    Sha256::digest(bytes).iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- /dev/null
+++ b/lacewingspring_core/src/rendezvous.rs
@@ -0,0 +1,25 @@
+//! Rendezvous hashing: every instance derives the same role holder from the same view.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// Returns the weight of `candidate` for `role`; the highest weight holds the role.
+pub fn weight<R, C>(role: &R, candidate: &C) -> u64
+where
+    R: Hash,
+    C: Hash,
+{
+    let mut hasher = DefaultHasher::new();
+    role.hash(&mut hasher);
+    candidate.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Returns the candidate that holds `role`, or none when there are no candidates.
+pub fn holder<'a, R, C, I>(role: &R, candidates: I) -> Option<&'a C>
+where
+    R: Hash,
+    C: Hash + Ord,
+    I: IntoIterator<Item = &'a C>,
+{
+    candidates.into_iter().max_by_key(|candidate| (weight(role, *candidate), *candidate))
+}
--- /dev/null
+++ b/lacewingspring_core/src/resources/mod.rs
@@ -0,0 +1,101 @@
+//! Declared resources: services, workspaces, tiers and engine pools.
+
+use std::fmt::{self, Display, Formatter};
+
+use serde::{Deserialize, Serialize};
+
+pub use self::{
+    pool::{EnginePoolSpec, PoolKind, UpstreamSpec},
+    service::{ServiceKind, ServiceSpec},
+    tier::TierSpec,
+    workspace::{WorkspaceLimits, WorkspaceSpec},
+};
+
+mod pool;
+mod service;
+mod tier;
+mod workspace;
+
+/// Kind and name of a resource.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ResourceId {
+    /// Kind of the resource.
+    pub kind: ResourceKind,
+    /// Name, unique within the kind.
+    pub name: String,
+}
+
+impl Display for ResourceId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind.as_str(), self.name)
+    }
+}
+
+/// The kinds of resources.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ResourceKind {
+    /// A priority tier.
+    Tier,
+    /// A pool of engines or plain servers.
+    EnginePool,
+    /// A service that callers address.
+    Service,
+    /// A workspace, a customer.
+    Workspace,
+}
+
+impl ResourceKind {
+    /// Returns the kind as it is written in JSON and paths.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Tier => "tier",
+            Self::EnginePool => "engine_pool",
+            Self::Service => "service",
+            Self::Workspace => "workspace",
+        }
+    }
+}
+
+/// One declared resource.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Resource {
+    /// Name, unique within the kind.
+    pub name: String,
+    /// What the operator declared.
+    #[serde(flatten)]
+    pub spec: Spec,
+}
+
+impl Resource {
+    /// Returns kind and name.
+    pub fn id(&self) -> ResourceId {
+        ResourceId { kind: self.spec.kind(), name: self.name.clone() }
+    }
+}
+
+/// The declared part of a resource, by kind.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", content = "spec", rename_all = "snake_case")]
+pub enum Spec {
+    /// A priority tier.
+    Tier(TierSpec),
+    /// A pool of engines or plain servers.
+    EnginePool(EnginePoolSpec),
+    /// A service that callers address.
+    Service(ServiceSpec),
+    /// A workspace, a customer.
+    Workspace(WorkspaceSpec),
+}
+
+impl Spec {
+    /// Returns the kind of the resource.
+    pub const fn kind(&self) -> ResourceKind {
+        match self {
+            Self::Tier(_) => ResourceKind::Tier,
+            Self::EnginePool(_) => ResourceKind::EnginePool,
+            Self::Service(_) => ResourceKind::Service,
+            Self::Workspace(_) => ResourceKind::Workspace,
+        }
+    }
+}
