Add the client of the key-value service

The daemon needs create-if-absent, compare-and-swap, leases and watches. The client speaks the etcd v3 JSON gateway and retries nothing, since only the caller knows what a second attempt means.

Not run against a service yet; compiled and linted only.

--- /dev/null
+++ b/lacewingspring/src/lib.rs
@@ -0,0 +1,3 @@
+//! Daemon of lacewingspring.
+
+pub mod platform;
--- /dev/null
+++ b/lacewingspring/src/platform/key_value/mod.rs
@@ -0,0 +1,161 @@
+//! Typed client of the key-value service.
+//!
+//! It speaks the published etcd v3 JSON gateway over HTTP/1.1. Nothing is retried here: callers
+//! know what a second attempt would mean. Every call is counted by kind.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+
+pub use self::{
+    calls::{CallCounts, CallKind},
+    error::KeyValueError,
+    model::{Compare, Created, KeyValueEntry, LeaseId, Put, RangeReply, Revision, Swap},
+    watch::{Watch, WatchBatch, WatchEvent},
+};
+use self::{
+    transport::Transport,
+    wire::{
+        CompareWire, DeleteRequest, LeaseGrantReply, LeaseGrantRequest, LeaseKeepAliveReply,
+        LeaseRequest, PutRequest, RangeRequest, RangeResponse, RequestOp, Streamed, TxnRequest,
+        TxnResponse, WatchCreate, WatchRequest, WriteReply,
+    },
+};
+
+mod calls;
+mod error;
+mod model;
+mod transport;
+mod watch;
+mod wire;
+
+/// Client of the key-value service. Clones share connections and counters.
+#[derive(Clone, Debug)]
+pub struct KeyValue {
+    transport: Arc<Transport>,
+}
+
+impl KeyValue {
+    /// Returns a client of the service at `endpoints`; each call ends after `timeout`.
+    ///
+    /// One endpoint is used until it fails; the next call then goes to the next one.
+    pub fn new(endpoints: Vec<SocketAddr>, timeout: Duration) -> Self {
+        Self { transport: Arc::new(Transport::new(endpoints, timeout)) }
+    }
+
+    /// Returns how many calls were made, by kind.
+    pub fn calls(&self) -> CallCounts {
+        self.transport.calls()
+    }
+
+    /// Reads one key.
+    pub async fn get(&self, key: &str) -> Result<Option<KeyValueEntry>, KeyValueError> {
+        let reply = self.read(RangeRequest::key(key)).await?;
+        Ok(reply.entries.into_iter().next())
+    }
+
+    /// Reads every key that starts with `prefix`, at one revision.
+    pub async fn range(&self, prefix: &str) -> Result<RangeReply, KeyValueError> {
+        self.read(RangeRequest::prefix(prefix)).await
+    }
+
+    /// Creates `key` if it is absent.
+    pub async fn create<V>(&self, key: &str, value: V) -> Result<Created, KeyValueError>
+    where
+        V: Into<Bytes>,
+    {
+        self.create_entry(Put::new(key, value)).await
+    }
+
+    /// Creates the key of `put` if it is absent; the entry may belong to a lease.
+    pub async fn create_entry(&self, put: Put) -> Result<Created, KeyValueError> {
+        let compare = Compare::Absent(put.key.clone());
+        match self.compare_and_swap(vec![compare], vec![put], Vec::new()).await? {
+            Swap::Done(revision) => Ok(Created::Created(revision)),
+            Swap::Refused(entries) => match entries.into_iter().next() {
+                Some(entry) => Ok(Created::Exists(entry)),
+                None => Err(KeyValueError::Malformed("a refused create shows no entry".into())),
+            },
+        }
+    }
+
+    /// Writes `puts` and removes `deletes` together if every compare holds.
+    pub async fn compare_and_swap(
+        &self,
+        compares: Vec<Compare>,
+        puts: Vec<Put>,
+        deletes: Vec<String>,
+    ) -> Result<Swap, KeyValueError> {
+        let read_back = compares.iter().map(|compare| RequestOp::range(compare.key()));
+        let req = TxnRequest {
+            failure: read_back.collect(),
+            compare: compares.iter().map(CompareWire::from).collect(),
+            success: puts
+                .into_iter()
+                .map(RequestOp::put)
+                .chain(deletes.iter().map(|key| RequestOp::delete(key)))
+                .collect(),
+        };
+        let reply: TxnResponse = self.transport.call(CallKind::Txn, "/v3/kv/txn", &req).await?;
+        reply.into_swap()
+    }
+
+    /// Writes one entry, whatever was there.
+    pub async fn put(&self, put: Put) -> Result<Revision, KeyValueError> {
+        let req = PutRequest::from(put);
+        let reply: WriteReply = self.transport.call(CallKind::Put, "/v3/kv/put", &req).await?;
+        Ok(reply.header.revision)
+    }
+
+    /// Removes one key; returns whether it was there.
+    pub async fn delete(&self, key: &str) -> Result<bool, KeyValueError> {
+        let req = DeleteRequest::key(key);
+        let path = "/v3/kv/deleterange";
+        let reply: WriteReply = self.transport.call(CallKind::Delete, path, &req).await?;
+        Ok(reply.deleted > 0)
+    }
+
+    /// Grants a lease that lapses after `ttl` (whole seconds, at least one) without a keep-alive.
+    pub async fn lease_grant(&self, ttl: Duration) -> Result<LeaseId, KeyValueError> {
+        let req = LeaseGrantRequest { ttl: ttl.as_secs().max(1) as i64 };
+        let path = "/v3/lease/grant";
+        let reply: LeaseGrantReply = self.transport.call(CallKind::LeaseGrant, path, &req).await?;
+        Ok(LeaseId(reply.id))
+    }
+
+    /// Renews a lease; returns the time left, or none when the lease has lapsed.
+    pub async fn keep_alive(&self, lease: LeaseId) -> Result<Option<Duration>, KeyValueError> {
+        let req = LeaseRequest { id: lease.0 };
+        let path = "/v3/lease/keepalive";
+        let reply: Streamed<LeaseKeepAliveReply> =
+            self.transport.call_first(CallKind::KeepAlive, path, &req).await?;
+        let ttl = reply.into_result()?.ttl;
+        Ok(u64::try_from(ttl).ok().filter(|ttl| *ttl > 0).map(Duration::from_secs))
+    }
+
+    /// Revokes a lease and removes its entries.
+    pub async fn revoke(&self, lease: LeaseId) -> Result<(), KeyValueError> {
+        let req = LeaseRequest { id: lease.0 };
+        let path = "/v3/lease/revoke";
+        let _: WriteReply = self.transport.call(CallKind::Revoke, path, &req).await?;
+        Ok(())
+    }
+
+    /// Watches every key that starts with `prefix`, from `from_revision` on.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        from_revision: Revision,
+    ) -> Result<Watch, KeyValueError> {
+        let create_request = WatchCreate::prefix(prefix, from_revision);
+        let req = WatchRequest { create_request };
+        let stream = self.transport.open(CallKind::Watch, "/v3/watch", &req).await?;
+        Watch::accept(stream, self.transport.timeout()).await
+    }
+
+    async fn read(&self, req: RangeRequest) -> Result<RangeReply, KeyValueError> {
+        let reply: RangeResponse =
+            self.transport.call(CallKind::Range, "/v3/kv/range", &req).await?;
+        reply.into_reply()
+    }
+}
--- /dev/null
+++ b/lacewingspring/src/platform/mod.rs
@@ -0,0 +1,3 @@
+//! Clients of the platform's services.
+
+pub mod key_value;
