--- /dev/null
+++ b/lacewingspring/src/callers/auth.rs
@@ -0,0 +1,65 @@
+//! What a caller says in its headers: credential, key, timeout.
+
+use std::time::Duration;
+
+use http::{HeaderMap, header};
+use lacewingspring_core::{
+    catalog::Catalog,
+    error::ErrorKind,
+    names::{RequestKey, WorkspaceName},
+};
+
+use crate::entry::Refusal;
+
+/// Header with the idempotency key of a request.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Header with the longest wait before dispatch, in milliseconds.
+pub const REQUEST_TIMEOUT_MS: &str = "request-timeout-ms";
+
+/// Longest idempotency key, in bytes.
+const MAX_KEY_LEN: usize = 255;
+
+/// Returns the workspace that the credential opens.
+///
+/// # Errors
+///
+/// Refuses an absent or unknown credential.
+pub fn workspace(catalog: &Catalog, headers: &HeaderMap) -> Result<WorkspaceName, Refusal> {
+    let token = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let token = token.and_then(|value| value.strip_prefix("Bearer "));
+    let workspace = token.and_then(|token| catalog.authenticate(token));
+    workspace.cloned().ok_or(Refusal::last(ErrorKind::Unauthenticated))
+}
+
+/// Returns the caller's key, or none when it sent none.
+///
+/// # Errors
+///
+/// Refuses a key that is empty, too long or not printable ASCII.
+pub fn key(headers: &HeaderMap) -> Result<Option<RequestKey>, Refusal> {
+    let Some(value) = headers.get(IDEMPOTENCY_KEY) else { return Ok(None) };
+    let malformed = Refusal::last(ErrorKind::Malformed);
+    let text = value.to_str().map_err(|_| malformed)?;
+    if text.is_empty() || text.len() > MAX_KEY_LEN || !text.chars().all(|c| c.is_ascii_graphic()) {
+        return Err(malformed);
+    }
+    Ok(Some(RequestKey::from(text)))
+}
+
+/// Mints a key for a request that came without one.
+pub fn mint_key() -> RequestKey {
+    RequestKey::from(format!("{:032x}", rand::random::<u128>()))
+}
+
+/// Returns the caller's longest wait before dispatch.
+///
+/// # Errors
+///
+/// Refuses a value that is not a whole number of milliseconds above zero.
+pub fn timeout(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
+    let Some(value) = headers.get(REQUEST_TIMEOUT_MS) else { return Ok(None) };
+    let ms = value.to_str().ok().and_then(|text| text.parse::<u32>().ok()).filter(|ms| *ms > 0);
+    let ms = ms.ok_or(Refusal::last(ErrorKind::Malformed))?;
+    Ok(Some(Duration::from_millis(u64::from(ms))))
+}
--- /dev/null
+++ b/lacewingspring/src/callers/completions.rs
@@ -0,0 +1,171 @@
+//! OpenAI-style completions with server-sent events.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use lacewingspring_core::{
+    error::ErrorKind,
+    names::{RequestKey, ServiceName},
+    resources::ServiceKind,
+};
+use serde::{Deserialize, Serialize};
+
+use super::{Call, auth, reply::Reply};
+use crate::{
+    daemon::Node,
+    entry::{self, Body, Follower, Refusal, RunId},
+    peers::RunPart,
+};
+
+/// Output tokens of a request that names no maximum.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+#[derive(Deserialize)]
+struct CompletionRequest {
+    model: String,
+    prompt: String,
+    #[serde(default = "default_max_tokens")]
+    max_tokens: u32,
+    #[serde(default)]
+    stream: bool,
+}
+
+const fn default_max_tokens() -> u32 {
+    DEFAULT_MAX_TOKENS
+}
+
+#[derive(Serialize)]
+struct Chunk<'a> {
+    id: &'a RequestKey,
+    object: &'static str,
+    choices: [Choice<'a>; 1],
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    text: &'a str,
+    finish_reason: Option<&'a str>,
+}
+
+/// Takes a completion request and answers with its stream, or whole.
+///
+/// # Errors
+///
+/// Refuses what can't be accepted, and what is given up before its first token.
+pub async fn post(node: &Arc<Node>, call: &Call<'_>) -> Result<Reply, Refusal> {
+    let catalog = node.catalog();
+    let headers = call.head.headers();
+    let workspace = auth::workspace(&catalog, headers)?;
+    let req: CompletionRequest =
+        serde_json::from_slice(&call.body).map_err(|_| Refusal::last(ErrorKind::Malformed))?;
+    let service = ServiceName::from(req.model);
+    let key = auth::key(headers)?;
+    check_service(&catalog, &service, ServiceKind::Completions, key.is_some())?;
+    let id = RunId { workspace, key: key.unwrap_or_else(auth::mint_key) };
+    let body = Body::Completion { prompt: req.prompt, max_tokens: req.max_tokens };
+    let work = entry::work(&catalog, id.clone(), service, body, auth::timeout(headers)?)?;
+    let follower = entry::submit(node, work)?;
+    let reply = if req.stream { streamed(follower).await? } else { whole(follower).await? };
+    Ok(reply.with_key(&id))
+}
+
+/// Checks that a service speaks the protocol of the call and has the key it needs.
+///
+/// # Errors
+///
+/// Refuses an unknown service, another protocol, or a missing key.
+pub fn check_service(
+    catalog: &lacewingspring_core::catalog::Catalog,
+    service: &ServiceName,
+    protocol: ServiceKind,
+    has_key: bool,
+) -> Result<(), Refusal> {
+    let route = catalog.route(service.as_str());
+    let route = route.ok_or(Refusal::last(ErrorKind::NotFound))?;
+    if route.service.protocol != protocol {
+        return Err(Refusal::last(ErrorKind::NotFound));
+    }
+    if !route.service.idempotent && !has_key {
+        return Err(Refusal::last(ErrorKind::KeyMissing));
+    }
+    Ok(())
+}
+
+/// Answers with a stream once the first part is known, so that a refusal keeps its status.
+async fn streamed(mut follower: Follower) -> Result<Reply, Refusal> {
+    let first = follower.next().await.ok_or(Refusal::last(ErrorKind::Internal))?;
+    if let RunPart::Failed { kind, retry_after_ms } = first {
+        return Err(refusal(kind, retry_after_ms));
+    }
+    let state = Streaming { follower, ready: Some(first), index: 0 };
+    Ok(Reply::events(unfold(state, Streaming::step)))
+}
+
+async fn whole(mut follower: Follower) -> Result<Reply, Refusal> {
+    let key = follower.run().id.key.clone();
+    let mut answer = String::new();
+    while let Some(part) = follower.next().await {
+        match part {
+            RunPart::Text(text) => answer.push_str(&text),
+            RunPart::Failed { kind, retry_after_ms } => return Err(refusal(kind, retry_after_ms)),
+            RunPart::End { finish_reason } => {
+                return Ok(Reply::json(200, &chunk(&key, &answer, Some(&finish_reason))));
+            }
+            RunPart::Head { .. } => {}
+        }
+    }
+    Err(Refusal::last(ErrorKind::Internal))
+}
+
+/// Turns a failed part into a refusal.
+pub fn refusal(kind: ErrorKind, retry_after_ms: u64) -> Refusal {
+    Refusal::new(kind, std::time::Duration::from_millis(retry_after_ms))
+}
+
+fn chunk<'a>(key: &'a RequestKey, text: &'a str, finish_reason: Option<&'a str>) -> Chunk<'a> {
+    let choice = Choice { index: 0, text, finish_reason };
+    Chunk { id: key, object: "text_completion", choices: [choice] }
+}
+
+/// A stream of events on its way to a caller.
+struct Streaming {
+    follower: Follower,
+    ready: Option<RunPart>,
+    index: u64,
+}
+
+impl Streaming {
+    async fn step(mut self) -> Option<(Bytes, Self)> {
+        let part = match self.ready.take() {
+            Some(part) => part,
+            None => self.follower.next().await?,
+        };
+        let event = self.event(&part)?;
+        self.index += 1;
+        Some((event, self))
+    }
+
+    fn event(&self, part: &RunPart) -> Option<Bytes> {
+        let key = &self.follower.run().id.key;
+        let text = match part {
+            RunPart::Text(text) => event(self.index, &chunk(key, text, None)),
+            RunPart::End { finish_reason } => {
+                let last = event(self.index, &chunk(key, "", Some(finish_reason)));
+                format!("{last}data: [DONE]\n\n")
+            }
+            RunPart::Failed { kind, .. } => {
+                let error = serde_json::json!({ "error": kind, "run": kind.answer().run });
+                format!("event: error\ndata: {error}\n\n")
+            }
+            RunPart::Head { .. } => return None,
+        };
+        Some(text.into())
+    }
+}
+
+fn event(index: u64, chunk: &Chunk<'_>) -> String {
+    let data = serde_json::to_string(chunk).unwrap_or_default();
+    format!("id: {index}\ndata: {data}\n\n")
+}
--- /dev/null
+++ b/lacewingspring/src/callers/mod.rs
@@ -0,0 +1,123 @@
+//! HTTP for callers and operators.
+
+use std::{io, sync::Arc, thread, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::Method;
+use lacewingspring_core::error::ErrorKind;
+use tokio::time::timeout;
+use xitca_web::{
+    App,
+    body::{BodyExt, RequestBody},
+    handler::{body::Body, handler_service, state::StateRef},
+    http::{WebRequest, WebResponse},
+};
+
+use self::reply::Reply;
+use crate::{daemon::Node, entry::Refusal};
+
+mod addresses;
+mod auth;
+mod completions;
+mod keys;
+mod plain;
+mod reply;
+
+/// Largest request body, in bytes.
+const MAX_BODY_LEN: usize = 1024 * 1024;
+
+/// Largest request head, in bytes.
+const MAX_HEAD_LEN: usize = 16 * 1024;
+
+/// Most headers of a request.
+const MAX_HEADERS: usize = 64;
+
+/// Largest part of an answer that waits to be written, in bytes.
+const WRITE_BUF_LEN: usize = 64 * 1024;
+
+/// Threads that serve callers.
+const WORKERS: usize = 2;
+
+/// Path below which plain services are called.
+const SERVICES_PATH: &str = "/services/";
+
+/// Path below which the state of a key is read.
+const REQUESTS_PATH: &str = "/v1/requests/";
+
+/// One request as it was read.
+#[derive(Debug)]
+pub struct Call<'a> {
+    /// Head of the request.
+    pub head: &'a WebRequest<()>,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Starts serving in threads of their own.
+///
+/// # Errors
+///
+/// Fails when the address is taken.
+pub fn start(node: Arc<Node>) -> io::Result<()> {
+    let address = node.settings.listen.callers;
+    let read_timeout = Duration::from_millis(node.settings.timing.request_read_ms);
+    let server = App::new()
+        .with_state(node)
+        .at("/*path", handler_service(handle))
+        .serve()
+        .worker_threads(WORKERS)
+        .disable_signal()
+        .request_head_timeout(read_timeout)
+        .max_read_buf_size::<MAX_HEAD_LEN>()
+        .max_write_buf_size::<WRITE_BUF_LEN>()
+        .max_request_headers::<MAX_HEADERS>()
+        .bind(address)?
+        .run();
+    thread::Builder::new().name("callers".into()).spawn(move || server.wait())?;
+    Ok(())
+}
+
+async fn handle(
+    StateRef(node): StateRef<'_, Arc<Node>>,
+    head: &WebRequest<()>,
+    Body(body): Body<RequestBody>,
+) -> WebResponse {
+    let reply = match read(node, body).await {
+        Ok(body) => route(node, Call { head, body }).await,
+        Err(refusal) => Err(refusal),
+    };
+    reply.unwrap_or_else(Reply::problem).into_response()
+}
+
+/// Reads a body within its limits of size and time.
+async fn read(node: &Node, body: RequestBody) -> Result<Bytes, Refusal> {
+    let limit = Duration::from_millis(node.settings.timing.request_read_ms);
+    let reading = timeout(limit, collect(body)).await;
+    reading.map_err(|_| Refusal::last(ErrorKind::RequestTimeout))?
+}
+
+async fn collect(body: RequestBody) -> Result<Bytes, Refusal> {
+    let mut body = std::pin::pin!(body);
+    let mut buf = BytesMut::new();
+    while let Some(data) = body.as_mut().data().await {
+        let data = data.map_err(|_| Refusal::last(ErrorKind::Malformed))?;
+        if buf.len() + data.len() > MAX_BODY_LEN {
+            return Err(Refusal::last(ErrorKind::TooLarge));
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.freeze())
+}
+
+async fn route(node: &Arc<Node>, call: Call<'_>) -> Result<Reply, Refusal> {
+    let path = call.head.uri().path();
+    let method = call.head.method();
+    match (path, method) {
+        ("/v1/addresses", &Method::GET) => Ok(addresses::get(node)),
+        ("/v1/completions", &Method::POST) => completions::post(node, &call).await,
+        ("/v1/addresses" | "/v1/completions", _) => Err(Refusal::last(ErrorKind::MethodNotAllowed)),
+        _ if path.starts_with(SERVICES_PATH) => plain::call(node, &call).await,
+        _ if path.starts_with(REQUESTS_PATH) => keys::get(node, &call).await,
+        _ => Err(Refusal::last(ErrorKind::NotFound)),
+    }
+}
--- /dev/null
+++ b/lacewingspring/src/callers/reply.rs
@@ -0,0 +1,146 @@
+//! Replies to callers, problem details (RFC 9457) among them.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use futures_core::Stream;
+use http::{HeaderName, HeaderValue, StatusCode, header};
+use lacewingspring_core::error::RunState;
+use serde::Serialize;
+use xitca_web::{
+    body::{ResponseBody, StreamDataBody},
+    http::WebResponse,
+};
+
+use super::auth::IDEMPOTENCY_KEY;
+use crate::entry::{Refusal, RunId};
+
+/// Prefix of problem types.
+const PROBLEM_PREFIX: &str = "urn:lacewingspring:problem:";
+
+/// Header that says when to come back, in milliseconds.
+const RETRY_AFTER_MS: &str = "retry-after-ms";
+
+/// Bytes of an answer as they arrive.
+type ByteStream = Pin<Box<dyn Stream<Item = Bytes>>>;
+
+/// Body of a reply.
+enum Content {
+    Whole(Bytes),
+    Streamed(ByteStream),
+}
+
+/// Reply to a caller.
+pub struct Reply {
+    status: StatusCode,
+    content_type: HeaderValue,
+    headers: Vec<(HeaderName, HeaderValue)>,
+    content: Content,
+}
+
+/// Problem details of a refusal.
+#[derive(Serialize)]
+struct Problem {
+    #[serde(rename = "type")]
+    problem: String,
+    title: &'static str,
+    status: u16,
+    kind: lacewingspring_core::error::ErrorKind,
+    run: RunState,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+struct Infinite(ByteStream);
+
+impl Stream for Infinite {
+    type Item = Result<Bytes, Infallible>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.0.as_mut().poll_next(cx).map(|item| item.map(Ok))
+    }
+}
+
+impl Reply {
+    /// Makes a reply with a whole body.
+    pub fn whole(status: u16, content_type: &str, body: Bytes) -> Self {
+        Self::new(status, content_type, Content::Whole(body))
+    }
+
+    /// Makes a reply with a JSON body.
+    pub fn json<T>(status: u16, value: &T) -> Self
+    where
+        T: Serialize,
+    {
+        let body = serde_json::to_vec(value).unwrap_or_default();
+        Self::whole(status, "application/json", body.into())
+    }
+
+    /// Makes a reply with a body of server-sent events.
+    pub fn events<S>(events: S) -> Self
+    where
+        S: Stream<Item = Bytes> + 'static,
+    {
+        Self::new(200, "text/event-stream", Content::Streamed(Box::pin(events)))
+    }
+
+    /// Makes the problem details of a refusal, with when to come back.
+    pub fn problem(refusal: Refusal) -> Self {
+        let answer = refusal.kind.answer();
+        let retry_after_ms = answer.retry.then_some(refusal.retry_after.as_millis() as u64);
+        let problem = Problem {
+            problem: format!("{PROBLEM_PREFIX}{}", answer.problem),
+            title: answer.title,
+            status: answer.status,
+            kind: refusal.kind,
+            run: answer.run,
+            retry_after_ms,
+        };
+        let body = serde_json::to_vec(&problem).unwrap_or_default();
+        let reply = Self::whole(answer.status, "application/problem+json", body.into());
+        match retry_after_ms {
+            Some(ms) => reply
+                .with_number(header::RETRY_AFTER, ms.div_ceil(1_000))
+                .with_number(HeaderName::from_static(RETRY_AFTER_MS), ms),
+            None => reply,
+        }
+    }
+
+    /// Adds the key of the request.
+    pub fn with_key(mut self, id: &RunId) -> Self {
+        if let Ok(value) = HeaderValue::from_str(id.key.as_str()) {
+            self.headers.push((HeaderName::from_static(IDEMPOTENCY_KEY), value));
+        }
+        self
+    }
+
+    /// Turns the reply into the server's response.
+    pub fn into_response(self) -> WebResponse {
+        let body = match self.content {
+            Content::Whole(bytes) => ResponseBody::bytes(bytes),
+            Content::Streamed(stream) => ResponseBody::boxed(StreamDataBody::new(Infinite(stream))),
+        };
+        let mut response = WebResponse::new(body);
+        *response.status_mut() = self.status;
+        response.headers_mut().insert(header::CONTENT_TYPE, self.content_type);
+        response.headers_mut().extend(self.headers);
+        response
+    }
+
+    fn new(status: u16, content_type: &str, content: Content) -> Self {
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let content_type = HeaderValue::from_str(content_type);
+        let unknown = HeaderValue::from_static("application/octet-stream");
+        let content_type = content_type.unwrap_or(unknown);
+        Self { status, content_type, headers: Vec::new(), content }
+    }
+
+    fn with_number(mut self, name: HeaderName, number: u64) -> Self {
+        self.headers.push((name, HeaderValue::from(number)));
+        self
+    }
+}
--- /dev/null
+++ b/lacewingspring/src/clock.rs
@@ -0,0 +1,30 @@
+//! The one place that reads a clock.
+
+use std::{
+    sync::OnceLock,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use rustix::time::{ClockId, clock_gettime};
+
+static START: OnceLock<Duration> = OnceLock::new();
+
+/// Returns the time since the process first asked.
+///
+/// The clock counts the time that the machine was suspended, so that a pause shows as a jump.
+pub fn now() -> Duration {
+    let boot = read();
+    let start = *START.get_or_init(|| boot);
+    boot.saturating_sub(start)
+}
+
+/// Returns the time since the Unix epoch, for records that people read.
+#[allow(clippy::disallowed_methods)]
+pub fn wall() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
+fn read() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
+}
--- /dev/null
+++ b/lacewingspring/src/daemon.rs
@@ -0,0 +1,180 @@
+//! One instance: its parts, its start and its end.
+
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use lacewingspring_core::catalog::Catalog;
+use thiserror::Error;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::{interval, sleep},
+};
+
+use crate::{
+    callers, clock,
+    declared::DeclaredStore,
+    entry::{Claims, RunTable},
+    gates::GateHost,
+    membership::{Fleet, Member, follow_list},
+    peers::{Authority, AuthorityError, Exchange, Message, PeerError, Peers},
+    platform::key_value::KeyValue,
+    settings::Settings,
+};
+
+/// Time between two ticks of the gates.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time between two looks at whether all runs have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Why the daemon could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address could not be bound.
+    #[error("cannot listen: {0}")]
+    Listen(#[from] io::Error),
+    /// The authority is unsound.
+    #[error(transparent)]
+    Authority(#[from] AuthorityError),
+    /// The peers' endpoint could not be opened.
+    #[error(transparent)]
+    Peers(#[from] PeerError),
+}
+
+/// One instance with its parts.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings that the daemon was started with.
+    pub settings: Settings,
+    /// Random number drawn at the start.
+    pub incarnation: u64,
+    /// Declared resources in force.
+    pub declared: Arc<DeclaredStore>,
+    /// Fleet as this instance sees it.
+    pub fleet: Fleet,
+    /// Connections to the other instances.
+    pub peers: Arc<Peers>,
+    /// Gates that this instance holds.
+    pub gates: GateHost,
+    /// Runs of this instance.
+    pub runs: RunTable,
+    /// Claims of this incarnation.
+    pub claims: Claims,
+    leaving: AtomicBool,
+}
+
+impl Node {
+    /// Returns the resources in force.
+    pub fn catalog(&self) -> Arc<Catalog> {
+        self.declared.catalog()
+    }
+
+    /// Returns whether this instance is leaving.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+}
+
+/// Runs an instance until it is told to stop and has finished what runs.
+///
+/// # Errors
+///
+/// Fails when it can't start.
+pub async fn run(settings: Settings) -> Result<(), StartError> {
+    let node = build(settings)?;
+    log::info!(instance:% = node.settings.instance; "Starts.");
+    tokio::spawn(serve_peers(node.clone()));
+    tokio::spawn(tick(node.clone()));
+    tokio::spawn(follow_list(node.clone()));
+    callers::start(node.clone())?;
+    wait_for_stop().await?;
+    leave(&node).await;
+    Ok(())
+}
+
+fn build(settings: Settings) -> Result<Arc<Node>, StartError> {
+    let incarnation = rand::random();
+    let authority = Authority::read(&settings.authority.certificate, &settings.authority.key)?;
+    let peers = Peers::bind(settings.instance.clone(), settings.listen.peers, &authority)?;
+    let timeout = Duration::from_millis(settings.key_value.timeout_ms);
+    let store = KeyValue::new(settings.key_value.endpoints.clone(), timeout);
+    let prefix = settings.key_value.prefix.clone();
+    let claims = Claims::new(store.clone(), &prefix, settings.instance.clone(), incarnation);
+    let declared = DeclaredStore::start(store, &prefix);
+    let own = Member {
+        name: settings.instance.clone(),
+        data_centre: settings.data_centre.clone(),
+        callers: settings.listen.callers,
+        peers: settings.listen.peers,
+        leaving: false,
+    };
+    Ok(Arc::new(Node {
+        fleet: Fleet::new(own),
+        settings,
+        incarnation,
+        declared,
+        peers,
+        gates: GateHost::default(),
+        runs: RunTable::default(),
+        claims,
+        leaving: AtomicBool::new(false),
+    }))
+}
+
+async fn tick(node: Arc<Node>) {
+    let mut ticks = interval(TICK);
+    loop {
+        ticks.tick().await;
+        node.gates.tick(clock::now(), &node.catalog());
+    }
+}
+
+async fn serve_peers(node: Arc<Node>) {
+    let mut exchanges = node.peers.accept();
+    while let Some(exchange) = exchanges.recv().await {
+        tokio::spawn(serve_exchange(node.clone(), exchange));
+    }
+}
+
+async fn serve_exchange(node: Arc<Node>, mut exchange: Exchange) {
+    let catalog = node.catalog();
+    match exchange.rx.recv().await {
+        Some(Message::Ask(ask)) => {
+            node.gates.serve_ask(clock::now(), &catalog, ask, exchange).await;
+        }
+        Some(Message::Adopt { permit, upstream }) => {
+            node.gates.serve_adopt(&catalog, permit, upstream, exchange).await;
+        }
+        Some(Message::Follow { workspace, key }) => {
+            node.runs.serve_follow(workspace, key, &exchange).await;
+        }
+        _ => {}
+    }
+}
+
+async fn wait_for_stop() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Turns new requests away, finishes all that runs, and outlives the answers that name it.
+async fn leave(node: &Arc<Node>) {
+    log::info!(open = node.runs.open(); "Leaves.");
+    node.leaving.store(true, Ordering::Release);
+    sleep(node.settings.timing.address_ttl()).await;
+    while node.runs.open() > 0 {
+        sleep(DRAIN_POLL).await;
+    }
+    log::info!("Stops.");
+}
--- /dev/null
+++ b/lacewingspring/src/entry/claims.rs
@@ -0,0 +1,299 @@
+//! Claims in the key-value service: who may dispatch a non-idempotent request.
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use lacewingspring_core::{
+    claim::{ClaimRecord, ClaimState, ClaimVerdict, StoredAnswer, judge},
+    error::ErrorKind,
+    names::{InstanceName, RequestKey},
+};
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use super::{Refusal, Work, run::RunId};
+use crate::{
+    clock,
+    platform::key_value::{Compare, KeyValue, KeyValueEntry, KeyValueError, Put, Swap},
+};
+
+/// Longest time for which a claim is attempted while its permit is held.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// First wait between two attempts at the key-value service.
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
+
+/// Longest wait between two attempts at the key-value service.
+const MAX_BACKOFF: Duration = Duration::from_millis(2_000);
+
+/// When callers are told to come back while the key-value service is out.
+const OUTAGE_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// A claim that was won.
+#[derive(Debug)]
+pub struct WonClaim {
+    key: String,
+    act_key: Option<String>,
+    record: ClaimRecord,
+}
+
+/// What a claim attempt, or a look for an earlier one, came to.
+#[derive(Debug)]
+pub enum ClaimOutcome {
+    /// This attempt may dispatch.
+    Won(WonClaim),
+    /// The request ran; this is its answer.
+    Answered(StoredAnswer),
+    /// The key was settled as not run.
+    Voided,
+    /// The key belongs to another request.
+    Conflict,
+    /// Another attempt holds the claim.
+    Pending {
+        /// Instance that claimed.
+        instance: InstanceName,
+        /// Incarnation of that instance.
+        incarnation: u64,
+        /// Key under which it runs.
+        key: RequestKey,
+    },
+}
+
+/// Refers from an act to the request that performs it.
+#[derive(Serialize, Deserialize)]
+struct ActRecord {
+    key: RequestKey,
+}
+
+/// Claims in the key-value service.
+#[derive(Debug)]
+pub struct Claims {
+    store: KeyValue,
+    prefix: String,
+    instance: InstanceName,
+    incarnation: u64,
+    next_nonce: AtomicU64,
+}
+
+impl Claims {
+    /// Creates the claims of one incarnation of an instance.
+    pub fn new(store: KeyValue, prefix: &str, instance: InstanceName, incarnation: u64) -> Self {
+        let next_nonce = AtomicU64::new(rand::random());
+        Self { store, prefix: prefix.into(), instance, incarnation, next_nonce }
+    }
+
+    /// Looks for an earlier claim of the same request, waiting for the service until the deadline.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the service can't be read in time.
+    pub async fn look_up(
+        &self,
+        work: &Work,
+        deadline: Duration,
+    ) -> Result<Option<ClaimOutcome>, Refusal> {
+        let key = self.key(&work.id);
+        let record = self.record(work);
+        let mut backoff = FIRST_BACKOFF;
+        loop {
+            match self.store.get(&key).await {
+                Ok(Some(entry)) => return self.judge(&record, &entry, &work.id.key).map(Some),
+                Ok(None) => return Ok(None),
+                Err(e) => log::warn!(reason:% = e; "Could not look up a claim."),
+            }
+            if clock::now() + backoff >= deadline {
+                return Err(Refusal::new(ErrorKind::StoreUnavailable, OUTAGE_RETRY_AFTER));
+            }
+            sleep(backoff).await;
+            backoff = (backoff * 2).min(MAX_BACKOFF);
+        }
+    }
+
+    /// Creates the claim if it is absent; a lost reply is settled by reading back.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the service can't settle the claim in time; the claim is then given up.
+    pub async fn claim(&self, work: &Work) -> Result<ClaimOutcome, Refusal> {
+        let claim = WonClaim {
+            key: self.key(&work.id),
+            act_key: work.act().map(|act| self.act_key(work, &act)),
+            record: self.record(work),
+        };
+        let deadline = clock::now() + CLAIM_TIMEOUT;
+        let mut backoff = FIRST_BACKOFF;
+        loop {
+            match self.create(&claim, &work.id).await {
+                Ok(Swap::Done(_)) => return Ok(ClaimOutcome::Won(claim)),
+                Ok(Swap::Refused(entries)) => return self.refused(work, claim, &entries).await,
+                Err(e) => log::warn!(reason:% = e; "Could not claim a request."),
+            }
+            if clock::now() + backoff >= deadline {
+                self.abandon(claim);
+                return Err(Refusal::new(ErrorKind::StoreUnavailable, OUTAGE_RETRY_AFTER));
+            }
+            sleep(backoff).await;
+            backoff = (backoff * 2).min(MAX_BACKOFF);
+        }
+    }
+
+    /// Stores the outcome of a claimed request, trying until the service takes it.
+    pub fn finish(&self, claim: WonClaim, answer: StoredAnswer) {
+        let record = ClaimRecord { state: ClaimState::Done(answer), ..claim.record };
+        let Ok(value) = serde_json::to_vec(&record) else { return };
+        let store = self.store.clone();
+        let key = claim.key;
+        tokio::spawn(async move {
+            let mut backoff = FIRST_BACKOFF;
+            while let Err(e) = store.put(Put::new(key.clone(), value.clone())).await {
+                log::warn!(reason:% = e; "Could not store an outcome.");
+                sleep(backoff).await;
+                backoff = (backoff * 2).min(MAX_BACKOFF);
+            }
+        });
+    }
+
+    /// Removes a claim under which nothing was, or will be, dispatched.
+    pub fn abandon(&self, claim: WonClaim) {
+        let store = self.store.clone();
+        tokio::spawn(async move {
+            let mut backoff = FIRST_BACKOFF;
+            while let Err(e) = remove_own(&store, &claim).await {
+                log::warn!(reason:% = e; "Could not remove a claim.");
+                sleep(backoff).await;
+                backoff = (backoff * 2).min(MAX_BACKOFF);
+            }
+        });
+    }
+
+    /// Settles a key for a status query: an unknown key is voided and never runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the service can't be reached.
+    pub async fn settle(&self, id: &RunId) -> Result<ClaimRecord, KeyValueError> {
+        let key = self.key(id);
+        let void = ClaimRecord {
+            nonce: self.nonce(),
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            fingerprint: String::new(),
+            state: ClaimState::Void,
+        };
+        let value = serde_json::to_vec(&void).unwrap_or_default();
+        let compare = vec![Compare::Absent(key.clone())];
+        let swap = self.store.compare_and_swap(compare, vec![Put::new(key, value)], vec![]).await?;
+        match swap {
+            Swap::Done(_) => Ok(void),
+            Swap::Refused(entries) => {
+                let entry = entries.first().ok_or_else(unreadable)?;
+                parse(entry).ok_or_else(unreadable)
+            }
+        }
+    }
+
+    async fn create(&self, claim: &WonClaim, id: &RunId) -> Result<Swap, KeyValueError> {
+        let value = serde_json::to_vec(&claim.record).unwrap_or_default();
+        let mut compares = vec![Compare::Absent(claim.key.clone())];
+        let mut puts = vec![Put::new(claim.key.clone(), value)];
+        if let Some(act_key) = &claim.act_key {
+            let act = serde_json::to_vec(&ActRecord { key: id.key.clone() }).unwrap_or_default();
+            compares.push(Compare::Absent(act_key.clone()));
+            puts.push(Put::new(act_key.clone(), act));
+        }
+        self.store.compare_and_swap(compares, puts, vec![]).await
+    }
+
+    /// Judges what stood in the way of a claim: the claim itself, or another claim of the act.
+    async fn refused(
+        &self,
+        work: &Work,
+        claim: WonClaim,
+        entries: &[KeyValueEntry],
+    ) -> Result<ClaimOutcome, Refusal> {
+        if let Some(entry) = entries.iter().find(|entry| entry.key == claim.key) {
+            let own = parse(entry)
+                .is_some_and(|stored| judge(&claim.record, &stored) == ClaimVerdict::Won);
+            if own {
+                return Ok(ClaimOutcome::Won(claim));
+            }
+            return self.judge(&claim.record, entry, &work.id.key);
+        }
+        let unavailable = Refusal::new(ErrorKind::StoreUnavailable, OUTAGE_RETRY_AFTER);
+        let act = entries.iter().find(|entry| Some(&entry.key) == claim.act_key.as_ref());
+        let act: ActRecord = act
+            .and_then(|entry| serde_json::from_slice(&entry.value).ok())
+            .ok_or(Refusal::last(ErrorKind::Internal))?;
+        let first = RunId { workspace: work.id.workspace.clone(), key: act.key.clone() };
+        let entry = self.store.get(&self.key(&first)).await.map_err(|_| unavailable)?;
+        let entry = entry.ok_or(unavailable)?;
+        let stored = parse(&entry).ok_or(Refusal::last(ErrorKind::Internal))?;
+        // The act is the same though the body may be typed differently.
+        let record = ClaimRecord { fingerprint: stored.fingerprint, ..claim.record };
+        self.judge(&record, &entry, &act.key)
+    }
+
+    fn judge(
+        &self,
+        own: &ClaimRecord,
+        entry: &KeyValueEntry,
+        key: &RequestKey,
+    ) -> Result<ClaimOutcome, Refusal> {
+        let stored = parse(entry).ok_or(Refusal::last(ErrorKind::Internal))?;
+        Ok(match judge(own, &stored) {
+            ClaimVerdict::Won => return Err(Refusal::last(ErrorKind::Internal)),
+            ClaimVerdict::Conflict => ClaimOutcome::Conflict,
+            ClaimVerdict::Answered(answer) => ClaimOutcome::Answered(answer),
+            ClaimVerdict::Voided => ClaimOutcome::Voided,
+            ClaimVerdict::Pending(instance, incarnation) => {
+                ClaimOutcome::Pending { instance, incarnation, key: key.clone() }
+            }
+        })
+    }
+
+    fn record(&self, work: &Work) -> ClaimRecord {
+        ClaimRecord {
+            nonce: self.nonce(),
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            fingerprint: work.fingerprint.clone(),
+            state: ClaimState::Claimed,
+        }
+    }
+
+    fn nonce(&self) -> u64 {
+        self.next_nonce.fetch_add(1, Ordering::Relaxed)
+    }
+
+    fn key(&self, id: &RunId) -> String {
+        format!("{}claims/{}/{}", self.prefix, id.workspace, id.key)
+    }
+
+    fn act_key(&self, work: &Work, act: &str) -> String {
+        format!("{}acts/{}/{}/{act}", self.prefix, work.id.workspace, work.service_name)
+    }
+}
+
+fn parse(entry: &KeyValueEntry) -> Option<ClaimRecord> {
+    serde_json::from_slice(&entry.value).ok()
+}
+
+fn unreadable() -> KeyValueError {
+    KeyValueError::Malformed("a claim could not be read".into())
+}
+
+/// Removes a claim if it is still the one with this nonce.
+async fn remove_own(store: &KeyValue, claim: &WonClaim) -> Result<(), KeyValueError> {
+    let Some(entry) = store.get(&claim.key).await? else { return Ok(()) };
+    let own = parse(&entry).is_some_and(|stored| stored.nonce == claim.record.nonce);
+    if !own {
+        return Ok(());
+    }
+    let compares = vec![Compare::ModRevision(claim.key.clone(), entry.mod_revision)];
+    let mut deletes = vec![claim.key.clone()];
+    deletes.extend(claim.act_key.clone());
+    store.compare_and_swap(compares, Vec::<Put>::new(), deletes).await?;
+    Ok(())
+}
--- /dev/null
+++ b/lacewingspring/src/entry/completion.rs
@@ -0,0 +1,202 @@
+//! Runs a completion on an engine: streams it, resumes it after a cut, parks it on demand.
+
+use lacewingspring_core::{
+    error::ErrorKind,
+    request::{Claimed, Request},
+};
+
+use super::{Body, Refusal, drive::Drive, permit::Permit};
+use crate::{
+    clock,
+    peers::RunPart,
+    upstreams::{
+        DispatchError, UpstreamError,
+        completions::{CompletionCall, EngineRun, KvTransfer, Part, TokenStream},
+    },
+};
+
+/// Attempts to resume one stream in a row without a new token.
+const MAX_RESUMES: u32 = 5;
+
+/// Time between two attempts to resume a stream.
+const RESUME_INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
+
+/// Why a stretch of streaming ended.
+enum Stretch {
+    /// The whole answer arrived.
+    Whole,
+    /// The gate wants the run parked.
+    ParkWanted,
+    /// Nobody waits for the answer any more.
+    Orphaned,
+    /// The exchange failed.
+    Broken(UpstreamError),
+}
+
+/// Runs the completion; returns the request when no byte went out.
+///
+/// # Errors
+///
+/// Fails with `AnswerLost` when the run was cut and can't be resumed.
+pub async fn run(
+    drive: &Drive,
+    request: Request<Claimed>,
+    permit: Permit,
+) -> Result<Option<Request<Claimed>>, Refusal> {
+    let Some(mut engine) = engine(drive, &permit) else {
+        permit.release().await;
+        return Err(Refusal::last(ErrorKind::NoUpstream));
+    };
+    let deadline = request.facts().deadline;
+    let proof = request.permitted(permit.upstream.clone()).dispatch();
+    let mut stream = match engine.dispatch(proof, &call(drive, None, 0)).await {
+        Ok(stream) => Some(stream),
+        Err(DispatchError::NotSent(proof)) => {
+            permit.release().await;
+            return Ok(Some(proof.unsent()));
+        }
+        Err(DispatchError::Failed(e)) => {
+            log::warn!(key:% = drive.run.id.key, reason:% = e; "Lost the head of an answer.");
+            None
+        }
+    };
+    let mut progress = Progress::default();
+    let mut permit = permit;
+    loop {
+        let stretch = match stream.take() {
+            Some(stream) => progress.read(drive, &mut permit, stream).await,
+            None => Stretch::Broken(UpstreamError::Cut),
+        };
+        match stretch {
+            Stretch::Whole => {
+                permit.release().await;
+                return Ok(None);
+            }
+            Stretch::Orphaned => {
+                engine.cancel().await;
+                permit.release().await;
+                return Err(Refusal::last(ErrorKind::AnswerLost));
+            }
+            Stretch::ParkWanted => {
+                let parked = park(drive, &mut engine, permit, &progress, deadline).await?;
+                permit = parked.permit;
+                stream = parked.stream;
+            }
+            Stretch::Broken(e) => stream = Some(resume(&engine, &mut progress, e).await?),
+        }
+    }
+}
+
+/// How far an answer has come.
+#[derive(Debug, Default)]
+struct Progress {
+    tokens: u64,
+    resumes: u32,
+}
+
+impl Progress {
+    async fn read(
+        &mut self,
+        drive: &Drive,
+        permit: &mut Permit,
+        mut stream: TokenStream,
+    ) -> Stretch {
+        let orphan = drive.node.settings.timing.orphan();
+        let orphaned = drive.run.orphaned(orphan);
+        tokio::pin!(orphaned);
+        let cancels = drive.work.service.idempotent;
+        let mut finish = None;
+        loop {
+            let part = tokio::select! {
+                part = stream.next() => part,
+                () = permit.park_wanted() => return Stretch::ParkWanted,
+                () = &mut orphaned, if cancels => return Stretch::Orphaned,
+            };
+            match part {
+                Ok(Part::Token { text, finish_reason, .. }) => {
+                    self.tokens += 1;
+                    self.resumes = 0;
+                    drive.run.push(RunPart::Text(text));
+                    finish = finish_reason;
+                }
+                Ok(Part::Done) => {
+                    let finish_reason = finish.unwrap_or_default();
+                    drive.run.push(RunPart::End { finish_reason });
+                    return Stretch::Whole;
+                }
+                Err(e) => return Stretch::Broken(e),
+            }
+        }
+    }
+}
+
+fn engine(drive: &Drive, permit: &Permit) -> Option<EngineRun> {
+    let address = drive.work.address(&permit.upstream)?;
+    Some(EngineRun { address, id: drive.work.upstream_id() })
+}
+
+fn call(drive: &Drive, kv: Option<KvTransfer>, resume_from: u64) -> CompletionCall {
+    let (prompt, max_tokens) = match &drive.work.body {
+        Body::Completion { prompt, max_tokens } => (prompt.clone(), *max_tokens),
+        Body::Plain { .. } => (String::new(), 0),
+    };
+    CompletionCall {
+        model: drive.work.pool.model.clone(),
+        prompt,
+        max_tokens,
+        stream: true,
+        resume_from: kv.is_some().then_some(resume_from),
+        kv_transfer_params: kv,
+    }
+}
+
+async fn resume(
+    engine: &EngineRun,
+    progress: &mut Progress,
+    cause: UpstreamError,
+) -> Result<TokenStream, Refusal> {
+    let mut cause = cause;
+    while progress.resumes < MAX_RESUMES {
+        progress.resumes += 1;
+        log::warn!(run:% = engine.id, from = progress.tokens, reason:% = cause; "Resumes a stream.");
+        match engine.resume(progress.tokens).await {
+            Ok(stream) => return Ok(stream),
+            Err(UpstreamError::Unknown) => break,
+            Err(e) => cause = e,
+        }
+        tokio::time::sleep(RESUME_INTERVAL).await;
+    }
+    Err(Refusal::last(ErrorKind::AnswerLost))
+}
+
+/// A run after it was parked and permitted again.
+struct Parked {
+    permit: Permit,
+    stream: Option<TokenStream>,
+}
+
+/// Exports the run, gives the permit back, waits for another and imports the run there.
+async fn park(
+    drive: &Drive,
+    engine: &mut EngineRun,
+    permit: Permit,
+    progress: &Progress,
+    deadline: std::time::Duration,
+) -> Result<Parked, Refusal> {
+    let exported = match engine.export().await {
+        Ok(exported) => exported,
+        Err(e) => {
+            log::warn!(run:% = engine.id, reason:% = e; "Could not park a run.");
+            return Ok(Parked { permit, stream: None });
+        }
+    };
+    log::info!(run:% = engine.id, generated = exported.generated; "Parked a run.");
+    permit.release().await;
+    let deadline = deadline.max(clock::now() + drive.work.max_wait);
+    let permit = drive.permit(deadline).await?;
+    let address = drive.work.address(&permit.upstream);
+    engine.address = address.ok_or(Refusal::last(ErrorKind::NoUpstream))?;
+    let call = call(drive, Some(exported.kv_transfer_params), progress.tokens);
+    let stream = engine.import(&call).await.ok();
+    Ok(Parked { permit, stream })
+}
--- /dev/null
+++ b/lacewingspring/src/entry/drive.rs
@@ -0,0 +1,179 @@
+//! Drives a run from acceptance to its last part.
+
+use std::{sync::Arc, time::Duration};
+
+use lacewingspring_core::{
+    error::ErrorKind,
+    gate::Ask,
+    names::RequestKey,
+    request::{Accepted, ClaimProof, Claimed, Request, RequestFacts},
+};
+use tokio::time::sleep;
+
+use super::{
+    Body, Refusal, Run, Work,
+    claims::ClaimOutcome,
+    completion,
+    permit::{self, Permit},
+    plain,
+};
+use crate::{
+    clock,
+    daemon::Node,
+    peers::{Message, PeerAddress, RunPart},
+};
+
+/// A run with what it needs to go on.
+#[derive(Debug)]
+pub struct Drive {
+    /// This instance.
+    pub node: Arc<Node>,
+    /// Answer as it arrives.
+    pub run: Arc<Run>,
+    /// What is to be run.
+    pub work: Work,
+}
+
+/// Starts a run in a task of its own: it outlives the caller's connection.
+pub fn start(node: Arc<Node>, run: Arc<Run>, work: Work) {
+    tokio::spawn(async move {
+        let drive = Drive { node, run, work };
+        if let Err(refusal) = drive.to_end().await {
+            drive.run.fail(refusal);
+        }
+        drive.forget_later();
+    });
+}
+
+impl Drive {
+    async fn to_end(&self) -> Result<(), Refusal> {
+        let now = clock::now();
+        let request = Request::accept(RequestFacts {
+            workspace: self.work.id.workspace.clone(),
+            service: self.work.service_name.clone(),
+            key: self.work.id.key.clone(),
+            fingerprint: self.work.fingerprint.clone(),
+            deadline: now.saturating_add(self.work.max_wait),
+        });
+        if self.work.service.idempotent {
+            let claimed = request.claimed(ClaimProof::registered());
+            return self.run_idempotent(claimed).await;
+        }
+        self.run_once(request).await
+    }
+
+    async fn run_idempotent(&self, request: Request<Claimed>) -> Result<(), Refusal> {
+        let permit = self.permit(request.facts().deadline).await?;
+        let mut attempt = Some((request, permit));
+        while let Some((request, permit)) = attempt.take() {
+            if let Some(request) = self.dispatch(request, permit).await? {
+                let permit = self.permit(request.facts().deadline).await?;
+                attempt = Some((request, permit));
+            }
+        }
+        Ok(())
+    }
+
+    /// Hands the request to its upstream; returns it when no byte went out.
+    async fn dispatch(
+        &self,
+        request: Request<Claimed>,
+        permit: Permit,
+    ) -> Result<Option<Request<Claimed>>, Refusal> {
+        match &self.work.body {
+            Body::Completion { .. } => completion::run(self, request, permit).await,
+            Body::Plain { .. } => plain::run(self, request, permit).await,
+        }
+    }
+
+    /// Runs a non-idempotent request: looks for an earlier claim, waits, claims, dispatches.
+    async fn run_once(&self, request: Request<Accepted>) -> Result<(), Refusal> {
+        let claims = &self.node.claims;
+        let deadline = request.facts().deadline;
+        if let Some(outcome) = claims.look_up(&self.work, deadline).await? {
+            return self.settle(outcome).await;
+        }
+        let permit = self.permit(deadline).await?;
+        let claim = match claims.claim(&self.work).await {
+            Ok(ClaimOutcome::Won(claim)) => claim,
+            Ok(outcome) => {
+                permit.release().await;
+                return self.settle(outcome).await;
+            }
+            Err(refusal) => {
+                permit.release().await;
+                return Err(refusal);
+            }
+        };
+        let claimed = request.claimed(ClaimProof::won());
+        match self.dispatch(claimed, permit).await {
+            Ok(None) => {
+                claims.finish(claim, self.run.answer());
+                Ok(())
+            }
+            Ok(Some(_unsent)) => {
+                claims.abandon(claim);
+                Err(Refusal::new(ErrorKind::NoUpstream, Duration::from_secs(1)))
+            }
+            Err(refusal) => Err(refusal),
+        }
+    }
+
+    /// Answers from a claim that stood before.
+    async fn settle(&self, outcome: ClaimOutcome) -> Result<(), Refusal> {
+        match outcome {
+            ClaimOutcome::Answered(answer) => {
+                self.run.push_answer(answer);
+                Ok(())
+            }
+            ClaimOutcome::Voided => Err(Refusal::last(ErrorKind::Voided)),
+            ClaimOutcome::Conflict => Err(Refusal::last(ErrorKind::KeyConflict)),
+            ClaimOutcome::Pending { instance, incarnation, key } => {
+                let peer = self.node.fleet.live(&instance, incarnation);
+                let peer = peer.ok_or(Refusal::last(ErrorKind::OutcomeUnknown))?;
+                self.follow(&peer, key).await
+            }
+            ClaimOutcome::Won(_) => Err(Refusal::last(ErrorKind::Internal)),
+        }
+    }
+
+    /// Copies the parts of a run that another instance drives.
+    async fn follow(&self, peer: &PeerAddress, key: RequestKey) -> Result<(), Refusal> {
+        let unknown = Refusal::last(ErrorKind::OutcomeUnknown);
+        let workspace = self.work.id.workspace.clone();
+        let follow = Message::Follow { workspace, key };
+        let mut exchange = self.node.peers.open(peer, follow).await.map_err(|_| unknown)?;
+        while let Some(message) = exchange.rx.recv().await {
+            let Message::Part(part) = message else { return Err(unknown) };
+            let last = matches!(part, RunPart::End { .. } | RunPart::Failed { .. });
+            self.run.push(part);
+            if last {
+                return Ok(());
+            }
+        }
+        Err(unknown)
+    }
+
+    /// Waits for a permit until the deadline.
+    pub async fn permit(&self, deadline: Duration) -> Result<Permit, Refusal> {
+        let work = &self.work;
+        let ask = Ask {
+            rank: work.tier.rank,
+            workspace: work.id.workspace.clone(),
+            weight: work.weight,
+            cost: work.body.cost(&work.service),
+            max_wait: deadline.saturating_sub(clock::now()),
+            parkable: work.service.idempotent && matches!(work.body, Body::Completion { .. }),
+        };
+        permit::acquire(&self.node, &work.service.pool, &work.pool, ask).await
+    }
+
+    /// Keeps the answer for repeats, then forgets the run.
+    fn forget_later(self) {
+        let retention = self.node.settings.timing.answer_retention();
+        tokio::spawn(async move {
+            sleep(retention).await;
+            self.node.runs.remove(&self.run.id);
+        });
+    }
+}
--- /dev/null
+++ b/lacewingspring/src/entry/plain.rs
@@ -0,0 +1,49 @@
+//! Runs a plain call on its upstream.
+
+use lacewingspring_core::{
+    error::ErrorKind,
+    request::{Claimed, Request},
+};
+
+use super::{Body, Refusal, drive::Drive, permit::Permit};
+use crate::upstreams::{DispatchError, plain::PlainCall};
+
+/// Runs the call; returns the request when no byte went out.
+///
+/// # Errors
+///
+/// Fails with `AnswerLost` when the call may have run and its answer did not arrive whole.
+pub async fn run(
+    drive: &Drive,
+    request: Request<Claimed>,
+    permit: Permit,
+) -> Result<Option<Request<Claimed>>, Refusal> {
+    let Some(call) = call(drive, &permit) else {
+        permit.release().await;
+        return Err(Refusal::last(ErrorKind::NoUpstream));
+    };
+    let proof = request.permitted(permit.upstream.clone()).dispatch();
+    let answer = call.dispatch(proof).await;
+    permit.release().await;
+    match answer {
+        Ok(answer) => {
+            drive.run.push_answer(answer);
+            Ok(None)
+        }
+        Err(DispatchError::NotSent(proof)) => Ok(Some(proof.unsent())),
+        Err(DispatchError::Failed(e)) => {
+            log::warn!(key:% = drive.run.id.key, reason:% = e; "Lost the answer of a call.");
+            Err(Refusal::last(ErrorKind::AnswerLost))
+        }
+    }
+}
+
+fn call(drive: &Drive, permit: &Permit) -> Option<PlainCall> {
+    let address = drive.work.address(&permit.upstream)?;
+    let id = drive.work.upstream_id();
+    let key = drive.work.id.key.to_string();
+    let Body::Plain { method, path, content_type, bytes } = drive.work.body.clone() else {
+        return None;
+    };
+    Some(PlainCall { address, id, key, method, path, content_type, body: bytes })
+}
--- /dev/null
+++ b/lacewingspring/src/entry/run.rs
@@ -0,0 +1,176 @@
+//! A run: the answer of one request as it arrives, shared by all who wait for it.
+
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use lacewingspring_core::{
+    claim::StoredAnswer,
+    error::ErrorKind,
+    names::{RequestKey, WorkspaceName},
+};
+use tokio::sync::watch;
+
+use super::Refusal;
+use crate::peers::RunPart;
+
+/// Finish reason given with an answer that was stored.
+const STORED_FINISH_REASON: &str = "stop";
+
+/// Names a run: a key belongs to its workspace.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RunId {
+    /// Workspace of the request.
+    pub workspace: WorkspaceName,
+    /// Key of the request.
+    pub key: RequestKey,
+}
+
+/// The answer of one request as it arrives.
+#[derive(Debug)]
+pub struct Run {
+    /// Name of the run.
+    pub id: RunId,
+    /// Digest of service and body.
+    pub fingerprint: String,
+    parts: Mutex<Vec<RunPart>>,
+    len: watch::Sender<usize>,
+    followers: AtomicUsize,
+    follower_count: watch::Sender<usize>,
+}
+
+impl Run {
+    /// Creates a run without parts.
+    pub fn new(id: RunId, fingerprint: String) -> Arc<Self> {
+        Arc::new(Self {
+            id,
+            fingerprint,
+            parts: Mutex::default(),
+            len: watch::Sender::new(0),
+            followers: AtomicUsize::new(0),
+            follower_count: watch::Sender::new(0),
+        })
+    }
+
+    /// Adds a part and wakes all who follow.
+    pub fn push(&self, part: RunPart) {
+        let mut parts = self.parts.lock().unwrap_or_else(PoisonError::into_inner);
+        debug_assert!(!parts.last().is_some_and(is_last), "a part after the last part");
+        parts.push(part);
+        self.len.send_replace(parts.len());
+    }
+
+    /// Ends the run with a refusal.
+    pub fn fail(&self, refusal: Refusal) {
+        let retry_after_ms = refusal.retry_after.as_millis() as u64;
+        self.push(RunPart::Failed { kind: refusal.kind, retry_after_ms });
+    }
+
+    /// Adds a whole answer: its head when it has one, its text and its end.
+    pub fn push_answer(&self, answer: StoredAnswer) {
+        if !answer.content_type.is_empty() {
+            self.push(RunPart::Head { status: answer.status, content_type: answer.content_type });
+        }
+        self.push(RunPart::Text(answer.body));
+        self.push(RunPart::End { finish_reason: STORED_FINISH_REASON.into() });
+    }
+
+    /// Returns the whole answer; the media type is empty for completions.
+    pub fn answer(&self) -> StoredAnswer {
+        let mut answer =
+            StoredAnswer { status: 200, content_type: String::new(), body: String::new() };
+        for part in self.parts.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            match part {
+                RunPart::Head { status, content_type } => {
+                    answer.status = *status;
+                    answer.content_type.clone_from(content_type);
+                }
+                RunPart::Text(text) => answer.body.push_str(text),
+                RunPart::End { .. } | RunPart::Failed { .. } => {}
+            }
+        }
+        answer
+    }
+
+    /// Returns whether the last part was added.
+    pub fn ended(&self) -> bool {
+        let parts = self.parts.lock().unwrap_or_else(PoisonError::into_inner);
+        parts.last().is_some_and(is_last)
+    }
+
+    /// Returns the kind of the failure that ended the run.
+    pub fn failure(&self) -> Option<ErrorKind> {
+        let parts = self.parts.lock().unwrap_or_else(PoisonError::into_inner);
+        match parts.last() {
+            Some(RunPart::Failed { kind, .. }) => Some(*kind),
+            _ => None,
+        }
+    }
+
+    /// Follows the run from its first part.
+    pub fn follow(self: &Arc<Self>) -> Follower {
+        let count = self.followers.fetch_add(1, Ordering::AcqRel) + 1;
+        self.follower_count.send_replace(count);
+        Follower { run: self.clone(), next: 0, len: self.len.subscribe() }
+    }
+
+    /// Returns once nobody has followed the run for a while.
+    pub async fn orphaned(&self, after: Duration) {
+        let mut count = self.follower_count.subscribe();
+        loop {
+            if count.wait_for(|count| *count == 0).await.is_err() {
+                return;
+            }
+            let returned = tokio::time::timeout(after, count.wait_for(|count| *count > 0)).await;
+            if returned.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn part(&self, index: usize) -> Option<RunPart> {
+        let parts = self.parts.lock().unwrap_or_else(PoisonError::into_inner);
+        parts.get(index).cloned()
+    }
+}
+
+fn is_last(part: &RunPart) -> bool {
+    matches!(part, RunPart::End { .. } | RunPart::Failed { .. })
+}
+
+/// Reads the parts of a run in order.
+#[derive(Debug)]
+pub struct Follower {
+    run: Arc<Run>,
+    next: usize,
+    len: watch::Receiver<usize>,
+}
+
+impl Follower {
+    /// Returns the run that is followed.
+    pub fn run(&self) -> &Arc<Run> {
+        &self.run
+    }
+
+    /// Returns the next part; none after the last one.
+    pub async fn next(&mut self) -> Option<RunPart> {
+        if self.next > 0 && self.run.part(self.next - 1).as_ref().is_some_and(is_last) {
+            return None;
+        }
+        let next = self.next;
+        self.len.wait_for(|len| *len > next).await.ok()?;
+        self.next += 1;
+        self.run.part(next)
+    }
+}
+
+impl Drop for Follower {
+    fn drop(&mut self) {
+        let count = self.run.followers.fetch_sub(1, Ordering::AcqRel) - 1;
+        self.run.follower_count.send_replace(count);
+    }
+}
--- a/lacewingspring/src/lib.rs
+++ b/lacewingspring/src/lib.rs
@@ -1,3 +1,14 @@
-//! Daemon of lacewingspring.
+//! The lacewingspring daemon as a library, so that tests reach its parts.
 
+pub mod callers;
+pub mod clock;
+pub mod daemon;
+pub mod declared;
+pub mod entry;
+pub mod gates;
+pub mod logging;
+pub mod membership;
+pub mod peers;
 pub mod platform;
+pub mod settings;
+pub mod upstreams;
--- /dev/null
+++ b/lacewingspring/src/peers/message.rs
@@ -0,0 +1,90 @@
+//! Messages between instances.
+
+use lacewingspring_core::{
+    error::ErrorKind,
+    gate::Ask,
+    names::{DataCentreName, PoolName, RequestKey, UpstreamName, WorkspaceName},
+};
+use serde::{Deserialize, Serialize};
+
+/// Names a gate: one engine pool in one data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct GateId {
+    /// Engine pool.
+    pub pool: PoolName,
+    /// Data centre of the upstreams.
+    pub data_centre: DataCentreName,
+}
+
+/// Request for a permit at a gate.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitAsk {
+    /// Gate that is asked.
+    pub gate: GateId,
+    /// Work and standing of the request.
+    pub ask: Ask,
+}
+
+/// Part of an answer that another instance follows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RunPart {
+    /// Head of a plain answer.
+    Head {
+        /// HTTP status code.
+        status: u16,
+        /// Media type of the body.
+        content_type: String,
+    },
+    /// Text of one token, or a piece of a plain body.
+    Text(String),
+    /// The whole answer was sent.
+    End {
+        /// Why the engine stopped; empty for plain answers.
+        finish_reason: String,
+    },
+    /// The run was given up or failed.
+    Failed {
+        /// Kind of the failure.
+        kind: ErrorKind,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
+
+/// One message of an exchange.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Entry to gate: asks for a permit; the exchange lives as long as the permit.
+    Ask(PermitAsk),
+    /// Entry to gate: counts a permit that the gate's earlier holder granted.
+    Adopt {
+        /// Request for the permit as it was asked.
+        permit: PermitAsk,
+        /// Upstream that runs the request.
+        upstream: UpstreamName,
+    },
+    /// Gate to entry: the request may run.
+    Granted(UpstreamName),
+    /// Gate to entry: the request is given up.
+    Refused {
+        /// Kind of the refusal.
+        kind: ErrorKind,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// Gate to entry: park the run and ask again.
+    Park,
+    /// Entry to gate: the run ended or was parked.
+    Released,
+    /// Entry to entry: follow the run of a key from a part on.
+    Follow {
+        /// Workspace of the key.
+        workspace: WorkspaceName,
+        /// Key of the request.
+        key: RequestKey,
+    },
+    /// Entry to entry: one part of a followed run.
+    Part(RunPart),
+    /// Entry to entry: there is no such run here.
+    NoRun,
+}
--- /dev/null
+++ b/lacewingspring/src/peers/mod.rs
@@ -0,0 +1,216 @@
+//! Exchanges between instances over QUIC with mutual TLS.
+//!
+//! An exchange is one bidirectional stream of typed messages. An exchange with the own instance
+//! uses the same handler over in-process channels.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use lacewingspring_core::names::InstanceName;
+use quinn::{Connection, Endpoint, IdleTimeout, TransportConfig, VarInt};
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+pub use self::{
+    authority::{Authority, AuthorityError},
+    message::{GateId, Message, PermitAsk, RunPart},
+};
+
+mod authority;
+mod codec;
+mod message;
+mod pump;
+
+/// Messages that an exchange holds before its sender waits.
+const EXCHANGE_DEPTH: usize = 256;
+
+/// Silence after which a connection is closed, in milliseconds.
+const IDLE_TIMEOUT_MS: u32 = 3_000;
+
+/// Time between two keep-alive packets.
+const KEEP_ALIVE: Duration = Duration::from_millis(1_000);
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Why an exchange could not be opened.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// The socket could not be bound.
+    #[error("cannot listen for peers: {0}")]
+    Listen(#[from] io::Error),
+    /// The certificate could not be made or read.
+    #[error(transparent)]
+    Authority(#[from] AuthorityError),
+    /// The peer could not be reached.
+    #[error("peer {0} cannot be reached")]
+    Unreachable(InstanceName),
+}
+
+/// One end of an exchange.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Sends to the other end; dropping it ends the exchange.
+    pub tx: mpsc::Sender<Message>,
+    /// Receives from the other end; none when it ended.
+    pub rx: mpsc::Receiver<Message>,
+}
+
+impl Exchange {
+    /// Returns the two ends of an exchange within this process.
+    pub fn pair() -> ExchangePair {
+        let (a_tx, b_rx) = mpsc::channel(EXCHANGE_DEPTH);
+        let (b_tx, a_rx) = mpsc::channel(EXCHANGE_DEPTH);
+        ExchangePair { caller: Self { tx: a_tx, rx: a_rx }, handler: Self { tx: b_tx, rx: b_rx } }
+    }
+}
+
+/// Both ends of an exchange within this process.
+#[derive(Debug)]
+pub struct ExchangePair {
+    /// End that opened the exchange.
+    pub caller: Exchange,
+    /// End that answers it.
+    pub handler: Exchange,
+}
+
+/// Address of a peer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PeerAddress {
+    /// Name of the instance, checked against its certificate.
+    pub instance: InstanceName,
+    /// UDP address.
+    pub address: SocketAddr,
+}
+
+/// Connections to the other instances.
+#[derive(Debug)]
+pub struct Peers {
+    own: InstanceName,
+    endpoint: Endpoint,
+    connections: Mutex<HashMap<PeerAddress, Connection>>,
+    local: mpsc::UnboundedSender<Exchange>,
+    incoming: Mutex<Option<mpsc::UnboundedReceiver<Exchange>>>,
+}
+
+impl Peers {
+    /// Binds the endpoint. Must be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is taken or the authority's files are unsound.
+    pub fn bind(
+        own: InstanceName,
+        address: SocketAddr,
+        authority: &Authority,
+    ) -> Result<Arc<Self>, PeerError> {
+        let identity = authority.issue(&own)?;
+        let transport = Arc::new(transport());
+        let mut server = identity.server_config()?;
+        server.transport_config(transport.clone());
+        let mut client = identity.client_config()?;
+        client.transport_config(transport);
+        let mut endpoint = Endpoint::server(server, address)?;
+        endpoint.set_default_client_config(client);
+        let (local, incoming) = mpsc::unbounded_channel();
+        Ok(Arc::new(Self {
+            own,
+            endpoint,
+            connections: Mutex::default(),
+            local,
+            incoming: Mutex::new(Some(incoming)),
+        }))
+    }
+
+    /// Accepts connections and returns the exchanges that others, or this instance, open.
+    pub fn accept(self: &Arc<Self>) -> mpsc::UnboundedReceiver<Exchange> {
+        let peers = self.clone();
+        tokio::spawn(async move {
+            while let Some(incoming) = peers.endpoint.accept().await {
+                tokio::spawn(pump::serve_connection(incoming, peers.local.clone()));
+            }
+        });
+        let mut incoming = self.incoming.lock().unwrap_or_else(PoisonError::into_inner);
+        incoming.take().unwrap_or_else(|| mpsc::unbounded_channel().1)
+    }
+
+    /// Opens an exchange with an instance and sends the first message.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the peer can't be reached.
+    pub async fn open(&self, peer: &PeerAddress, first: Message) -> Result<Exchange, PeerError> {
+        let ExchangePair { caller, handler } = Exchange::pair();
+        let unreachable = || PeerError::Unreachable(peer.instance.clone());
+        if peer.instance == self.own {
+            self.local.send(handler).map_err(|_| unreachable())?;
+        } else {
+            let connection = self.connection(peer).await?;
+            let opened = connection.open_bi().await;
+            let (tx, rx) = opened.map_err(|_| unreachable())?;
+            pump::spawn(handler, tx, rx);
+        }
+        caller.tx.send(first).await.map_err(|_| unreachable())?;
+        Ok(caller)
+    }
+
+    /// Sends one message and waits for one answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the peer can't be reached or ends the exchange without an answer in time.
+    pub async fn call(
+        &self,
+        peer: &PeerAddress,
+        message: Message,
+        timeout: Duration,
+    ) -> Result<Message, PeerError> {
+        let unreachable = || PeerError::Unreachable(peer.instance.clone());
+        let exchange = async {
+            let mut exchange = self.open(peer, message).await?;
+            exchange.rx.recv().await.ok_or_else(unreachable)
+        };
+        tokio::time::timeout(timeout, exchange).await.map_err(|_| unreachable())?
+    }
+
+    async fn connection(&self, peer: &PeerAddress) -> Result<Connection, PeerError> {
+        if let Some(connection) = self.known(peer) {
+            return Ok(connection);
+        }
+        let unreachable = || PeerError::Unreachable(peer.instance.clone());
+        let connecting = self.endpoint.connect(peer.address, peer.instance.as_str());
+        let connecting = connecting.map_err(|_| unreachable())?;
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        let connection = connected.map_err(|_| unreachable())?.map_err(|_| unreachable())?;
+        let mut connections = self.lock();
+        connections.insert(peer.clone(), connection.clone());
+        Ok(connection)
+    }
+
+    fn known(&self, peer: &PeerAddress) -> Option<Connection> {
+        let mut connections = self.lock();
+        let connection = connections.get(peer)?;
+        if connection.close_reason().is_some() {
+            connections.remove(peer);
+            return None;
+        }
+        Some(connection.clone())
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<PeerAddress, Connection>> {
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn transport() -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))));
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(65_536));
+    transport
+}
--- /dev/null
+++ b/lacewingspring/src/platform/instance_list.rs
@@ -0,0 +1,106 @@
+//! Client of the platform's instance list: the Consul HTTP API, `/v1/health/service/{name}`.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::Uri;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use lacewingspring_core::names::{DataCentreName, InstanceName};
+use serde::Deserialize;
+use thiserror::Error;
+use tokio::time::timeout;
+
+use crate::membership::Member;
+
+/// Longest answer of the list, in bytes.
+const MAX_ANSWER_LEN: usize = 4 * 1024 * 1024;
+
+/// Longest wait for the list.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The list can't be read.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the instance list can't be read")]
+pub struct ListUnavailable;
+
+/// Client of the instance list.
+#[derive(Clone, Debug)]
+pub struct InstanceList {
+    client: Client<HttpConnector, Empty<Bytes>>,
+    uri: Uri,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Listed {
+    node: ListedNode,
+    service: ListedService,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ListedNode {
+    datacenter: String,
+}
+
+#[derive(Deserialize)]
+struct ListedService {
+    #[serde(rename = "ID")]
+    id: String,
+    #[serde(rename = "Address")]
+    address: String,
+    #[serde(rename = "Port")]
+    port: u16,
+    #[serde(rename = "Meta", default)]
+    meta: HashMap<String, String>,
+}
+
+impl InstanceList {
+    /// Creates a client for the instances listed under a service name.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the name can't stand in a path.
+    pub fn new(endpoint: SocketAddr, service: &str) -> Result<Self, ListUnavailable> {
+        let uri = format!("http://{endpoint}/v1/health/service/{service}");
+        let uri = uri.parse().map_err(|_| ListUnavailable)?;
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        Ok(Self { client, uri })
+    }
+
+    /// Reads the listed instances; entries without sound addresses are left out.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the list can't be read in time.
+    pub async fn read(&self) -> Result<Vec<Member>, ListUnavailable> {
+        let body = timeout(TIMEOUT, self.fetch()).await.map_err(|_| ListUnavailable)??;
+        let listed: Vec<Listed> = serde_json::from_slice(&body).map_err(|_| ListUnavailable)?;
+        Ok(listed.into_iter().filter_map(member).collect())
+    }
+
+    async fn fetch(&self) -> Result<Bytes, ListUnavailable> {
+        let response = self.client.get(self.uri.clone()).await.map_err(|_| ListUnavailable)?;
+        if !response.status().is_success() {
+            return Err(ListUnavailable);
+        }
+        let body = Limited::new(response.into_body(), MAX_ANSWER_LEN).collect().await;
+        Ok(body.map_err(|_| ListUnavailable)?.to_bytes())
+    }
+}
+
+fn member(listed: Listed) -> Option<Member> {
+    let service = listed.service;
+    let address = service.address.parse().ok()?;
+    Some(Member {
+        name: InstanceName::from(service.id),
+        data_centre: DataCentreName::from(listed.node.datacenter),
+        callers: SocketAddr::new(address, service.port),
+        peers: service.meta.get("peers")?.parse().ok()?,
+        leaving: service.meta.get("state").is_some_and(|state| state == "leaving"),
+    })
+}
--- a/lacewingspring/src/platform/mod.rs
+++ b/lacewingspring/src/platform/mod.rs
@@ -1,3 +1,4 @@
 //! Clients of the platform's services.
 
+pub mod instance_list;
 pub mod key_value;
--- /dev/null
+++ b/lacewingspring/src/settings/listen.rs
@@ -0,0 +1,24 @@
+//! Addresses that the daemon listens on.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+use super::{Fault, check_port};
+
+/// Addresses that the daemon listens on.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// TCP address for callers and operators.
+    pub callers: SocketAddr,
+    /// UDP address for other instances.
+    pub peers: SocketAddr,
+}
+
+impl ListenSettings {
+    pub(super) fn check(&self) -> Result<(), Fault> {
+        check_port("listen.callers", self.callers)?;
+        check_port("listen.peers", self.peers)
+    }
+}
--- /dev/null
+++ b/lacewingspring/src/settings/mod.rs
@@ -0,0 +1,186 @@
+//! Settings of one daemon, read once from a JSON file and checked whole before anything starts.
+
+use std::{
+    collections::HashSet,
+    fs, io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use lacewingspring_core::{
+    catalog,
+    names::{DataCentreName, InstanceName},
+};
+use serde::Deserialize;
+use thiserror::Error;
+
+pub use self::{
+    listen::ListenSettings,
+    log::{LogFormat, LogLevel, LogSettings},
+    operators::{BootstrapOperator, OperatorRole},
+    platform::{AuthoritySettings, InstanceListSettings, KeyValueSettings},
+    timing::TimingSettings,
+};
+
+mod listen;
+mod locate;
+mod log;
+mod operators;
+mod platform;
+mod timing;
+
+/// Settings of one daemon.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this instance, unique in the fleet.
+    pub instance: InstanceName,
+    /// Data centre of this instance.
+    pub data_centre: DataCentreName,
+    /// Addresses to listen on.
+    pub listen: ListenSettings,
+    /// The platform's key-value service.
+    pub key_value: KeyValueSettings,
+    /// The platform's list of instances.
+    pub instance_list: InstanceListSettings,
+    /// The authority that signs the certificates of instances.
+    pub authority: AuthoritySettings,
+    /// Operators known before any operator resource is declared.
+    #[serde(default)]
+    pub operators: Vec<BootstrapOperator>,
+    /// What is logged and how.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Intervals and limits of time.
+    #[serde(default)]
+    pub timing: TimingSettings,
+}
+
+/// Why settings were not accepted.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file could not be read.
+    #[error("cannot read {path}: {source}")]
+    Read {
+        /// Settings file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// A key is unknown, absent or of the wrong type.
+    #[error("line {line}: {key}: {reason}")]
+    Syntax {
+        /// Line in the file, from 1.
+        line: usize,
+        /// Path of the key.
+        key: String,
+        /// What is wrong and what is accepted.
+        reason: String,
+    },
+    /// A value is outside its range.
+    #[error("line {line}: {key}: {found} is not accepted; {accepted}")]
+    Value {
+        /// Line in the file, from 1.
+        line: usize,
+        /// Path of the key.
+        key: &'static str,
+        /// The value that was found.
+        found: String,
+        /// What is accepted.
+        accepted: &'static str,
+    },
+}
+
+/// A value that breaks its rule.
+#[derive(Debug)]
+pub(crate) struct Fault {
+    key: &'static str,
+    found: String,
+    accepted: &'static str,
+}
+
+impl Fault {
+    pub(crate) fn check(
+        sound: bool,
+        key: &'static str,
+        found: String,
+        accepted: &'static str,
+    ) -> Result<(), Self> {
+        if sound { Ok(()) } else { Err(Self { key, found, accepted }) }
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault, with its key and line.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = fs::read_to_string(path)
+            .map_err(|source| SettingsError::Read { path: path.into(), source })?;
+        Self::parse(&text)
+    }
+
+    /// Parses and checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault, with its key and line.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let mut de = serde_json::Deserializer::from_str(text);
+        let settings: Self =
+            serde_path_to_error::deserialize(&mut de).map_err(|e| SettingsError::Syntax {
+                line: e.inner().line(),
+                key: e.path().to_string(),
+                reason: e.inner().to_string(),
+            })?;
+        de.end().map_err(|e| SettingsError::Syntax {
+            line: e.line(),
+            key: ".".into(),
+            reason: e.to_string(),
+        })?;
+        settings.check().map_err(|fault| SettingsError::Value {
+            line: locate::line_of(text, fault.key),
+            key: fault.key,
+            found: fault.found,
+            accepted: fault.accepted,
+        })?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), Fault> {
+        check_name("instance", self.instance.as_str())?;
+        check_name("data_centre", self.data_centre.as_str())?;
+        self.listen.check()?;
+        self.key_value.check()?;
+        self.timing.check()?;
+        self.check_operators()
+    }
+
+    fn check_operators(&self) -> Result<(), Fault> {
+        let mut names = HashSet::new();
+        for operator in &self.operators {
+            let unique = names.insert(operator.name.as_str());
+            Fault::check(unique, "operators.name", operator.name.clone(), "each name once")?;
+            let digest = catalog::parse_digest(&operator.credential).is_some();
+            let accepted = "a SHA-256 digest as 64 hexadecimal digits";
+            Fault::check(digest, "operators.credential", operator.credential.clone(), accepted)?;
+        }
+        Ok(())
+    }
+}
+
+/// Longest name, in bytes.
+const MAX_NAME_LEN: usize = 63;
+
+fn check_name(key: &'static str, name: &str) -> Result<(), Fault> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_' || c == '.';
+    let sound = !name.is_empty() && name.len() <= MAX_NAME_LEN && name.chars().all(plain);
+    Fault::check(sound, key, format!("{name:?}"), "1 to 63 letters, digits, '-', '_' or '.'")
+}
+
+/// Checks that a port was chosen.
+pub(crate) fn check_port(key: &'static str, addr: SocketAddr) -> Result<(), Fault> {
+    Fault::check(addr.port() != 0, key, addr.to_string(), "an IP address with a port from 1")
+}
--- /dev/null
+++ b/lacewingspring/src/settings/platform.rs
@@ -0,0 +1,71 @@
+//! The platform's services and the authority of the instances.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use serde::Deserialize;
+
+use super::{Fault, check_port};
+
+/// The platform's key-value service.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct KeyValueSettings {
+    /// Addresses of the service, tried in turn.
+    pub endpoints: Vec<SocketAddr>,
+    /// Prefix of every key that this fleet uses.
+    #[serde(default = "default_prefix")]
+    pub prefix: String,
+    /// Longest wait for one answer, in milliseconds.
+    #[serde(default = "default_timeout_ms")]
+    pub timeout_ms: u64,
+}
+
+fn default_prefix() -> String {
+    "/lacewingspring/".into()
+}
+
+const fn default_timeout_ms() -> u64 {
+    1_000
+}
+
+impl KeyValueSettings {
+    pub(super) fn check(&self) -> Result<(), Fault> {
+        let count = self.endpoints.len();
+        let key = "key_value.endpoints";
+        Fault::check(count > 0, key, "an empty list".into(), "at least one IP:port")?;
+        for endpoint in &self.endpoints {
+            check_port(key, *endpoint)?;
+        }
+        let prefix = self.prefix.starts_with('/') && self.prefix.ends_with('/');
+        let accepted = "text that begins and ends with '/'";
+        Fault::check(prefix, "key_value.prefix", format!("{:?}", self.prefix), accepted)?;
+        let timeout = (10..=60_000).contains(&self.timeout_ms);
+        let found = self.timeout_ms.to_string();
+        Fault::check(timeout, "key_value.timeout_ms", found, "10 to 60000 milliseconds")
+    }
+}
+
+/// The platform's list of instances.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct InstanceListSettings {
+    /// Address of the service.
+    pub endpoint: SocketAddr,
+    /// Name under which the platform lists this fleet.
+    #[serde(default = "default_service")]
+    pub service: String,
+}
+
+fn default_service() -> String {
+    "lacewingspring".into()
+}
+
+/// The authority that signs the certificates of instances.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AuthoritySettings {
+    /// File with the authority's certificate in PEM.
+    pub certificate: PathBuf,
+    /// File with the authority's private key in PEM.
+    pub key: PathBuf,
+}
--- a/lacewingspring_core/src/request.rs
+++ b/lacewingspring_core/src/request.rs
@@ -52,6 +52,13 @@
     pub upstream: UpstreamName,
 }
 
+impl Dispatch {
+    /// Returns to the claimed state when no byte went out.
+    pub fn unsent(self) -> Request<Claimed> {
+        Request { facts: self.facts, state: Claimed(()) }
+    }
+}
+
 /// Proof that the key belongs to this attempt.
 #[derive(Debug)]
 pub struct ClaimProof(());
