--- a/lacewingspring_standins/src/main.rs
+++ b/lacewingspring_standins/src/main.rs
@@ -1,2 +1,69 @@
-//! Placeholder.
-fn main() {}
+//! Runs stand-ins for the systems around the scheduler.
+
+use std::{future::Future, io, net::SocketAddr};
+
+use clap::{Args, Parser, Subcommand};
+use tokio::{net::TcpListener, task::JoinSet};
+
+use lacewingspring_standins::{engine, key_value, plain};
+
+/// Stand-ins for the systems around the scheduler.
+#[derive(Parser)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Key-value service with the JSON gateway of etcd v3.
+    KeyValue(Instances<key_value::Settings>),
+    /// Engine with continuous batching behind OpenAI completions.
+    Engine(Instances<engine::Settings>),
+    /// Plain HTTP service that records its calls.
+    Plain(Instances<plain::Settings>),
+}
+
+#[derive(Args)]
+struct Instances<S>
+where
+    S: Args,
+{
+    /// Address to listen on; repeated for several independent ones, port 0 chooses a port.
+    #[arg(long, required = true)]
+    listen: Vec<SocketAddr>,
+    #[command(flatten)]
+    settings: S,
+}
+
+impl<S> Instances<S>
+where
+    S: Args + Clone,
+{
+    /// Serves all instances; returns the first error.
+    async fn run<F, Fut>(self, serve: F) -> io::Result<()>
+    where
+        F: Fn(TcpListener, S) -> Fut,
+        Fut: Future<Output = io::Result<()>> + Send + 'static,
+    {
+        let mut running = JoinSet::new();
+        for addr in self.listen {
+            let listener = TcpListener::bind(addr).await?;
+            println!("listening on {}", listener.local_addr()?);
+            running.spawn(serve(listener, self.settings.clone()));
+        }
+        match running.join_next().await {
+            Some(ended) => ended?,
+            None => Ok(()),
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() -> io::Result<()> {
+    match Cli::parse().command {
+        Command::KeyValue(instances) => instances.run(key_value::serve).await,
+        Command::Engine(instances) => instances.run(engine::serve).await,
+        Command::Plain(instances) => instances.run(plain::serve).await,
+    }
+}
--- /dev/null
+++ b/lacewingspring_standins/src/time.rs
@@ -0,0 +1,20 @@
+//! Time since the start of the process.
+
+use std::{
+    sync::OnceLock,
+    time::{Duration, Instant},
+};
+
+static START: OnceLock<Instant> = OnceLock::new();
+
+/// Milliseconds since the first call in this process.
+pub fn now_ms() -> u64 {
+    START.get_or_init(Instant::now).elapsed().as_millis() as u64
+}
+
+/// Sleeps for a number of milliseconds.
+pub async fn sleep_ms(ms: u64) {
+    if ms > 0 {
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+    }
+}
