--- a/lacewingspring_standins/src/lib.rs
+++ b/lacewingspring_standins/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod engine;
 pub mod faults;
 pub mod http;
+pub mod instance_list;
 pub mod key_value;
 pub mod plain;
 pub mod time;
+pub mod weights;
 
 /// First 8 hexadecimal digits of a digest.
 fn hex8(digest: &[u8]) -> String {
--- a/lacewingspring_standins/src/main.rs
+++ b/lacewingspring_standins/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{Args, Parser, Subcommand};
 use tokio::{net::TcpListener, task::JoinSet};
 
-use lacewingspring_standins::{engine, key_value, plain};
+use lacewingspring_standins::{engine, instance_list, key_value, plain, weights};
 
 /// Stand-ins for the systems around the scheduler.
 #[derive(Parser)]
@@ -22,6 +22,10 @@
     Engine(Instances<engine::Settings>),
     /// Plain HTTP service that records its calls.
     Plain(Instances<plain::Settings>),
+    /// Instance list with the HTTP API of Consul.
+    InstanceList(Instances<instance_list::Settings>),
+    /// Weight store with a rate limit.
+    Weights(Instances<weights::Settings>),
 }
 
 #[derive(Args)]
@@ -65,5 +69,7 @@
         Command::KeyValue(instances) => instances.run(key_value::serve).await,
         Command::Engine(instances) => instances.run(engine::serve).await,
         Command::Plain(instances) => instances.run(plain::serve).await,
+        Command::InstanceList(instances) => instances.run(instance_list::serve).await,
+        Command::Weights(instances) => instances.run(weights::serve).await,
     }
 }
