Drive the whole path with real processes

Cause: the path had no test. The first runs failed: the server's catch-all route is written /{*path}, and an engine that refuses a model was asked again for a stream it never had. Ruled out: the upstream client itself (the same calls answered once the model was named). Conclusion: an engine's refusal ends the run at once; only a cut is resumed.

--- a/lacewingspring/src/callers/mod.rs
+++ b/lacewingspring/src/callers/mod.rs
@@ -63,7 +63,7 @@
     let read_timeout = Duration::from_millis(node.settings.timing.request_read_ms);
     let server = App::new()
         .with_state(node)
-        .at("/*path", handler_service(handle))
+        .at("/{*path}", handler_service(handle))
         .serve()
         .worker_threads(WORKERS)
         .disable_signal()
--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -55,6 +55,11 @@
             permit.release().await;
             return Ok(Some(proof.unsent()));
         }
+        Err(DispatchError::Failed(e @ UpstreamError::Status(_))) => {
+            log::warn!(key:% = drive.run.id.key, reason:% = e; "An engine refused a request.");
+            permit.release().await;
+            return Err(Refusal::last(ErrorKind::AnswerLost));
+        }
         Err(DispatchError::Failed(e)) => {
             log::warn!(key:% = drive.run.id.key, reason:% = e; "Lost the head of an answer.");
             None
--- a/lacewingspring/src/upstreams/completions.rs
+++ b/lacewingspring/src/upstreams/completions.rs
@@ -217,7 +217,11 @@
             .header(REQUEST_ID, &self.id)
             .body(Full::new(Bytes::from(body)))
             .map_err(|_| UpstreamError::NotSent)?;
-        self.open(req, call.resume_from.unwrap_or(0)).await
+        let opened = self.open(req, call.resume_from.unwrap_or(0)).await;
+        opened.map_err(|e| match e {
+            UpstreamError::Unknown => UpstreamError::Status(404),
+            e => e,
+        })
     }
 
     /// Resumes the stream from a token on.
--- /dev/null
+++ b/lacewingspring/tests/support/http.rs
@@ -0,0 +1,120 @@
+//! A small HTTP client for tests.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::{net::TcpStream, time::timeout};
+
+/// Longest wait for one answer.
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The exchange failed before its answer was whole.
+#[derive(Debug)]
+pub struct Failed;
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status code.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body as text.
+    pub body: String,
+}
+
+impl Answer {
+    /// Returns the body as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).expect("JSON")
+    }
+
+    /// Returns the text of a stream of completion chunks that ended whole.
+    pub fn text(&self) -> Option<String> {
+        let mut text = String::new();
+        let mut done = false;
+        for data in self.body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+            if data == "[DONE]" {
+                done = true;
+                continue;
+            }
+            let chunk: Value = serde_json::from_str(data).expect("a chunk");
+            text.push_str(chunk["choices"][0]["text"].as_str().unwrap_or_default());
+        }
+        done.then_some(text)
+    }
+}
+
+/// An answer that is still arriving.
+#[derive(Debug)]
+pub struct Stream {
+    /// HTTP status code.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    body: Incoming,
+}
+
+impl Stream {
+    /// Returns the next bytes; none at the end.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Failed> {
+        let frame = timeout(TIMEOUT, self.body.frame()).await.map_err(|_| Failed)?;
+        let Some(frame) = frame else { return Ok(None) };
+        let frame = frame.map_err(|_| Failed)?;
+        Ok(Some(frame.into_data().unwrap_or_default()))
+    }
+
+    /// Reads the rest of the answer.
+    pub async fn whole(mut self) -> Result<Answer, Failed> {
+        let mut body = Vec::new();
+        while let Some(bytes) = self.next().await? {
+            body.extend_from_slice(&bytes);
+        }
+        let body = String::from_utf8(body).map_err(|_| Failed)?;
+        Ok(Answer { status: self.status, headers: self.headers, body })
+    }
+}
+
+/// Opens an exchange and returns once the head of the answer is there.
+pub async fn open(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, String)],
+    body: String,
+) -> Result<Stream, Failed> {
+    let stream = timeout(TIMEOUT, TcpStream::connect(address)).await.map_err(|_| Failed)?;
+    let stream = stream.map_err(|_| Failed)?;
+    let (mut sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|_| Failed)?;
+    tokio::spawn(connection);
+    let mut req = Request::builder().method(method).uri(path).header("host", address.to_string());
+    for (name, value) in headers {
+        req = req.header(*name, value);
+    }
+    let req = req.body(Full::new(Bytes::from(body))).map_err(|_| Failed)?;
+    let response = timeout(TIMEOUT, sender.send_request(req)).await.map_err(|_| Failed)?;
+    let (head, body) = response.map_err(|_| Failed)?.into_parts();
+    Ok(Stream { status: head.status.as_u16(), headers: head.headers, body })
+}
+
+/// Sends a request and reads the whole answer.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, String)],
+    body: String,
+) -> Result<Answer, Failed> {
+    open(address, method, path, headers, body).await?.whole().await
+}
+
+/// Reads a path.
+pub async fn get(address: SocketAddr, path: &str) -> Result<Answer, Failed> {
+    call(address, "GET", path, &[], String::new()).await
+}
--- /dev/null
+++ b/lacewingspring/tests/support/mod.rs
@@ -0,0 +1,361 @@
+//! A fleet of real processes on loopback for tests.
+
+#![allow(dead_code)]
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
+
+use lacewingspring::{
+    peers::Authority,
+    platform::key_value::{KeyValue, Put},
+};
+use lacewingspring_core::catalog::digest_hex;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::time::{sleep, timeout};
+
+pub use self::http::{call, get};
+
+pub mod http;
+
+/// Bearer token of the workspace `desk`.
+pub const DESK_TOKEN: &str = "desk-token";
+
+/// Bearer token of the workspace `bank`.
+pub const BANK_TOKEN: &str = "bank-token";
+
+/// Bearer token of the operator `root`.
+pub const OPERATOR_TOKEN: &str = "operator-token";
+
+/// Longest wait for a fleet to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+static FLEETS: AtomicU8 = AtomicU8::new(1);
+
+/// A process that is killed when dropped.
+#[derive(Debug)]
+pub struct Process(pub Child);
+
+impl Process {
+    /// Sends a signal by number.
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let pid = rustix::process::Pid::from_child(&self.0);
+        rustix::process::kill_process(pid, signal).expect("signals a process");
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// One instance of the fleet.
+#[derive(Debug)]
+pub struct Instance {
+    /// Name of the instance.
+    pub name: String,
+    /// Data centre of the instance.
+    pub data_centre: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other instances.
+    pub peers: SocketAddr,
+    /// The daemon's process.
+    pub process: Process,
+    settings: PathBuf,
+}
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Instances.
+    pub instances: usize,
+    /// Data centres, which instances and upstreams are spread over in turn.
+    pub data_centres: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Plain servers.
+    pub plain: usize,
+    /// Slots of each engine.
+    pub slots: u32,
+    /// Further flags of the engine stand-in.
+    pub engine_flags: Vec<String>,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            instances: 2,
+            data_centres: 1,
+            engines: 1,
+            plain: 1,
+            slots: 8,
+            engine_flags: Vec::new(),
+        }
+    }
+}
+
+/// A fleet with its stand-ins.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Address of the key-value stand-in.
+    pub key_value: SocketAddr,
+    /// Address of the instance list stand-in.
+    pub list: SocketAddr,
+    /// Addresses of the engines.
+    pub engines: Vec<SocketAddr>,
+    /// Addresses of the plain servers.
+    pub plain: Vec<SocketAddr>,
+    /// Instances by index.
+    pub instances: Vec<Instance>,
+    stand_ins: Vec<Process>,
+    ip: IpAddr,
+    folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every instance serves.
+    pub async fn start(plan: Plan) -> Self {
+        let ip = own_ip();
+        let folder = tempfile::tempdir().expect("makes a folder");
+        let at = |port| SocketAddr::new(ip, port);
+        let ports = |base: u16, count: usize| -> Vec<_> {
+            (0..count).map(|i| at(base + i as u16)).collect()
+        };
+        let mut fleet = Self {
+            key_value: at(2_379),
+            list: at(8_500),
+            engines: ports(9_000, plan.engines),
+            plain: ports(9_500, plan.plain),
+            instances: Vec::new(),
+            stand_ins: Vec::new(),
+            ip,
+            folder,
+        };
+        Authority::create().and_then(|ca| ca.write(fleet.folder.path())).expect("an authority");
+        fleet.stand_in("key-value", &[fleet.key_value], &[]);
+        fleet.stand_in("instance-list", &[fleet.list], &["--lag-ms".into(), "200".into()]);
+        let mut flags: Vec<String> = ["--slots", "64", "--model", "judge"].map(String::from).into();
+        flags.extend(plan.engine_flags.clone());
+        fleet.stand_in("engine", &fleet.engines.clone(), &flags);
+        fleet.stand_in("plain", &fleet.plain.clone(), &[]);
+        fleet.wait_for_stand_ins().await;
+        fleet.declare(resources(&fleet, &plan)).await;
+        for index in 0..plan.instances {
+            fleet.add_instance(index, format!("dc{}", index % plan.data_centres)).await;
+        }
+        fleet.wait_until_ready(plan.instances).await;
+        fleet
+    }
+
+    /// Starts a stand-in that listens on the addresses.
+    pub fn stand_in(&mut self, kind: &str, listen: &[SocketAddr], flags: &[String]) {
+        if listen.is_empty() {
+            return;
+        }
+        let mut command = Command::new(binary("lacewingspring_standins"));
+        command.arg(kind);
+        for address in listen {
+            command.arg("--listen").arg(address.to_string());
+        }
+        command.args(flags).stdout(Stdio::null());
+        self.stand_ins.push(Process(command.spawn().expect("starts a stand-in")));
+    }
+
+    /// Writes resources into the key-value service.
+    pub async fn declare(&self, resources: Vec<Value>) {
+        let store = KeyValue::new(vec![self.key_value], Duration::from_secs(2));
+        for resource in resources {
+            let (kind, name) = (&resource["kind"], &resource["name"]);
+            let key = format!(
+                "/lacewingspring/resources/{}/{}",
+                kind.as_str().expect("a kind"),
+                name.as_str().expect("a name")
+            );
+            store.put(Put::new(key, resource.to_string())).await.expect("writes a resource");
+        }
+    }
+
+    /// Starts one more instance and lists it.
+    pub async fn add_instance(&mut self, index: usize, data_centre: String) {
+        let name = format!("instance-{index}");
+        let callers = SocketAddr::new(self.ip, 7_000 + index as u16);
+        let peers = SocketAddr::new(self.ip, 7_500 + index as u16);
+        let settings = self.write_settings(&name, &data_centre, callers, peers);
+        self.list_instance(&name, &data_centre, callers, peers, "live").await;
+        let process = daemon(&settings);
+        self.instances.push(Instance { name, data_centre, callers, peers, process, settings });
+    }
+
+    /// Starts the daemon of an instance again, in a new incarnation.
+    pub fn restart(&mut self, index: usize) {
+        let instance = &mut self.instances[index];
+        instance.process.kill();
+        instance.process = daemon(&instance.settings);
+    }
+
+    /// Tells the instance list of an instance.
+    pub async fn list_instance(
+        &self,
+        name: &str,
+        data_centre: &str,
+        callers: SocketAddr,
+        peers: SocketAddr,
+        state: &str,
+    ) {
+        let body = json!({
+            "ID": name, "Name": "lacewingspring", "Address": callers.ip().to_string(),
+            "Port": callers.port(),
+            "Meta": { "peers": peers.to_string(), "data_centre": data_centre, "state": state }
+        });
+        let path = "/v1/agent/service/register";
+        let answer = call(self.list, "PUT", path, &[], body.to_string()).await;
+        assert!(answer.expect("lists an instance").status < 300);
+    }
+
+    /// Gives faults to a stand-in.
+    pub async fn fault(&self, stand_in: SocketAddr, faults: Value) {
+        let answer = call(stand_in, "PUT", "/faults", &[], faults.to_string()).await;
+        assert_eq!(answer.expect("gives faults").status, 200);
+    }
+
+    /// Returns the journal of a stand-in.
+    pub async fn journal(&self, stand_in: SocketAddr) -> Value {
+        get(stand_in, "/journal").await.expect("a journal").json()
+    }
+
+    /// Waits until the instances see each other and serve.
+    pub async fn wait_until_ready(&self, members: usize) {
+        timeout(READY_TIMEOUT, async {
+            for instance in &self.instances {
+                while !ready(instance.callers, members).await {
+                    sleep(Duration::from_millis(50)).await;
+                }
+            }
+        })
+        .await
+        .expect("the fleet is ready in time");
+    }
+
+    async fn wait_for_stand_ins(&self) {
+        let all = [self.key_value, self.list].into_iter().chain(self.engines.iter().copied());
+        timeout(READY_TIMEOUT, async {
+            for address in all.chain(self.plain.iter().copied()) {
+                while get(address, "/faults").await.is_err() {
+                    sleep(Duration::from_millis(20)).await;
+                }
+            }
+        })
+        .await
+        .expect("the stand-ins are ready in time");
+    }
+
+    fn write_settings(
+        &self,
+        name: &str,
+        data_centre: &str,
+        callers: SocketAddr,
+        peers: SocketAddr,
+    ) -> PathBuf {
+        let folder = self.folder.path();
+        let settings = json!({
+            "instance": name, "data_centre": data_centre,
+            "listen": { "callers": callers, "peers": peers },
+            "key_value": { "endpoints": [self.key_value], "timeout_ms": 500 },
+            "instance_list": { "endpoint": self.list },
+            "authority": {
+                "certificate": folder.join("authority.pem"), "key": folder.join("authority.key")
+            },
+            "operators": [{
+                "name": "root", "role": "change",
+                "credential": digest_hex(OPERATOR_TOKEN.as_bytes())
+            }],
+            "log": { "level": "warn" },
+            "timing": { "instance_list_ms": 200, "address_ttl_ms": 1000, "orphan_ms": 1000 }
+        });
+        let path = folder.join(format!("{name}.json"));
+        std::fs::write(&path, settings.to_string()).expect("writes settings");
+        path
+    }
+}
+
+/// Resources of a fleet: two tiers, three services, two workspaces.
+fn resources(fleet: &Fleet, plan: &Plan) -> Vec<Value> {
+    let upstream = |kind: &str, index: usize, address: &SocketAddr, slots: u32| {
+        json!({
+            "name": format!("{kind}-{index}"), "address": address.to_string(),
+            "data_centre": format!("dc{}", index % plan.data_centres), "slots": slots
+        })
+    };
+    let engines = fleet.engines.iter().enumerate();
+    let engines: Vec<_> = engines.map(|(i, at)| upstream("engine", i, at, plan.slots)).collect();
+    let plain = fleet.plain.iter().enumerate();
+    let plain: Vec<_> = plain.map(|(i, at)| upstream("plain", i, at, 8)).collect();
+    let workspace = |name: &str, token: &str| {
+        let credentials = [digest_hex(token.as_bytes())];
+        json!({ "kind": "workspace", "name": name, "spec": { "credentials": credentials } })
+    };
+    let service = |name: &str, protocol: &str, pool: &str, tier: &str, idempotent: bool| {
+        json!({ "kind": "service", "name": name, "spec": {
+            "protocol": protocol, "pool": pool, "tier": tier, "idempotent": idempotent
+        }})
+    };
+    let mut booking = service("booking", "plain", "plain", "counter", false);
+    booking["spec"]["act_fields"] = json!(["seat", "client"]);
+    vec![
+        json!({ "kind": "tier", "name": "counter", "spec": { "rank": 0 } }),
+        json!({ "kind": "tier", "name": "batch", "spec": { "rank": 1 } }),
+        json!({ "kind": "engine_pool", "name": "engines", "spec": {
+            "type": "engine", "model": "judge", "upstreams": engines } }),
+        json!({ "kind": "engine_pool", "name": "plain", "spec": {
+            "type": "plain", "upstreams": plain } }),
+        service("lookup", "completions", "engines", "counter", true),
+        service("summary", "completions", "engines", "batch", true),
+        service("roster", "plain", "plain", "counter", true),
+        booking,
+        workspace("desk", DESK_TOKEN),
+        workspace("bank", BANK_TOKEN),
+    ]
+}
+
+async fn ready(callers: SocketAddr, members: usize) -> bool {
+    let Ok(answer) = get(callers, "/v1/addresses").await else { return false };
+    if answer.status != 200 {
+        return false;
+    }
+    let seen = answer.json()["addresses"].as_array().map_or(0, Vec::len);
+    let auth = [("authorization", format!("Bearer {DESK_TOKEN}"))];
+    let body = json!({ "model": "lookup", "prompt": "ready", "max_tokens": 1 }).to_string();
+    let answer = call(callers, "POST", "/v1/completions", &auth, body).await;
+    seen == members && answer.is_ok_and(|answer| answer.status == 200)
+}
+
+fn daemon(settings: &PathBuf) -> Process {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lacewingspring"));
+    command.arg("--settings").arg(settings);
+    Process(command.spawn().expect("starts a daemon"))
+}
+
+/// Path of another binary of this workspace.
+fn binary(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_lacewingspring")).with_file_name(name)
+}
+
+/// Loopback address of its own for each fleet, so that fixed ports never meet.
+fn own_ip() -> IpAddr {
+    let pid = std::process::id();
+    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+    IpAddr::V4(Ipv4Addr::new(127, fleet, (pid >> 8) as u8, (pid as u8).max(1)))
+}
