--- a/lacewingspring/src/peers/mod.rs
+++ b/lacewingspring/src/peers/mod.rs
@@ -22,7 +22,7 @@
 };
 
 mod authority;
-mod codec;
+pub mod codec;
 mod message;
 mod pump;
 
--- a/lacewingspring/src/settings/mod.rs
+++ b/lacewingspring/src/settings/mod.rs
@@ -132,12 +132,12 @@
         let settings: Self =
             serde_path_to_error::deserialize(&mut de).map_err(|e| SettingsError::Syntax {
                 line: e.inner().line(),
-                key: e.path().to_string(),
+                key: key_of(e.path()),
                 reason: e.inner().to_string(),
             })?;
         de.end().map_err(|e| SettingsError::Syntax {
             line: e.line(),
-            key: ".".into(),
+            key: "(document)".into(),
             reason: e.to_string(),
         })?;
         settings.check().map_err(|fault| SettingsError::Value {
@@ -171,6 +171,12 @@
     }
 }
 
+/// Returns the path of a key as text; the root when the text ends before any key.
+fn key_of(path: &serde_path_to_error::Path) -> String {
+    let key = path.to_string();
+    if key.contains('?') { "(document)".to_owned() } else { key }
+}
+
 /// Longest name, in bytes.
 const MAX_NAME_LEN: usize = 63;
 
--- /dev/null
+++ b/lacewingspring/tests/bad_input.rs
@@ -0,0 +1,186 @@
+//! Bad input from callers: each gets its row of the error table, and nothing leaks.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+use crate::support::{
+    BANK_TOKEN, DESK_TOKEN, Fleet, Plan, call,
+    http::{Answer, open},
+};
+
+mod support;
+
+fn bearer(token: &str) -> (&'static str, String) {
+    ("authorization", format!("Bearer {token}"))
+}
+
+fn key(key: &str) -> (&'static str, String) {
+    ("idempotency-key", key.to_owned())
+}
+
+fn completion(model: &str, prompt: &str, max_tokens: u32) -> String {
+    json!({ "model": model, "prompt": prompt, "max_tokens": max_tokens, "stream": true })
+        .to_string()
+}
+
+/// Status, kind and run state of a refusal, as one line of a snapshot.
+fn row(name: &str, answer: &Answer) -> String {
+    let problem: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+    format!("{name}: {} {} run={}\n", answer.status, problem["kind"], problem["run"])
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_bad_input_by_the_table() {
+    let fleet = Fleet::start(Plan { instances: 1, ..Plan::default() }).await;
+    let at = fleet.instances[0].callers;
+    let desk = bearer(DESK_TOKEN);
+    let completions = "/v1/completions";
+    let good = completion("lookup", "plot seven", 2);
+    let large = completion("lookup", &"word ".repeat(300_000), 2);
+    let seat = json!({ "seat": 1, "client": "north" }).to_string();
+    let cases = [
+        ("malformed JSON", "POST", completions, vec![desk.clone()], "{\"model\":".to_owned()),
+        ("missing field", "POST", completions, vec![desk.clone()], "{}".to_owned()),
+        ("oversized body", "POST", completions, vec![desk.clone()], large),
+        ("unknown service", "POST", completions, vec![desk.clone()], completion("no", "x", 1)),
+        (
+            "plain service as model",
+            "POST",
+            completions,
+            vec![desk.clone()],
+            completion("roster", "x", 1),
+        ),
+        ("no credential", "POST", completions, vec![], good.clone()),
+        ("wrong credential", "POST", completions, vec![bearer("wrong")], good.clone()),
+        ("empty key", "POST", completions, vec![desk.clone(), key("")], good.clone()),
+        ("long key", "POST", completions, vec![desk.clone(), key(&"k".repeat(256))], good.clone()),
+        (
+            "bad timeout",
+            "POST",
+            completions,
+            vec![desk.clone(), ("request-timeout-ms", "0".into())],
+            good,
+        ),
+        ("missing key", "POST", "/services/booking/seats", vec![desk.clone()], seat),
+        ("wrong method", "DELETE", completions, vec![desk.clone()], String::new()),
+        ("unknown path", "GET", "/v2/nothing", vec![desk], String::new()),
+    ];
+    let mut table = String::new();
+    for (name, method, path, headers, body) in cases {
+        let answer = call(at, method, path, &headers, body).await.expect(name);
+        assert_eq!(answer.headers["content-type"], "application/problem+json", "{name}");
+        table.push_str(&row(name, &answer));
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn closes_on_oversized_heads_and_slow_callers() {
+    let fleet = Fleet::start(Plan { instances: 1, ..Plan::default() }).await;
+    let at = fleet.instances[0].callers;
+    let mut large = TcpStream::connect(at).await.unwrap();
+    let head =
+        format!("GET /v1/addresses HTTP/1.1\r\nhost: x\r\nx-long: {}\r\n\r\n", "a".repeat(40_000));
+    let _ = large.write_all(head.as_bytes()).await;
+    let mut answer = Vec::new();
+    let read = timeout(Duration::from_secs(10), large.read_to_end(&mut answer)).await;
+    assert!(read.is_ok(), "an oversized head ends the connection");
+    assert!(!String::from_utf8_lossy(&answer).starts_with("HTTP/1.1 200"));
+
+    let mut slow = TcpStream::connect(at).await.unwrap();
+    slow.write_all(b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n").await.unwrap();
+    let mut buf = [0; 512];
+    let read = timeout(Duration::from_secs(15), slow.read(&mut buf)).await;
+    assert!(read.is_ok(), "a head that never ends is cut off");
+
+    let mut slow = TcpStream::connect(at).await.unwrap();
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n{";
+    slow.write_all(head.as_bytes()).await.unwrap();
+    let read = timeout(Duration::from_secs(15), slow.read(&mut buf)).await;
+    let len = read.expect("a body that never ends is cut off").unwrap();
+    let answer = String::from_utf8_lossy(&buf[..len]).into_owned();
+    assert!(len == 0 || answer.starts_with("HTTP/1.1 408"), "{answer}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cancels_what_a_vanished_caller_left() {
+    let plan = Plan { instances: 1, ..Plan::default() };
+    let fleet = Fleet::start(plan).await;
+    let at = fleet.instances[0].callers;
+    let headers = [bearer(DESK_TOKEN), key("vanished")];
+    let body = completion("summary", "a long dossier", 2_000);
+    let mut stream = open(at, "POST", "/v1/completions", &headers, body).await.unwrap();
+    stream.next().await.unwrap();
+    drop(stream);
+    let cancelled = async {
+        loop {
+            let journal = fleet.journal(fleet.engines[0]).await;
+            let runs = journal["requests"].as_array().unwrap();
+            if runs.iter().any(|run| run["cancelled"] == true) {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(Duration::from_secs(10), cancelled).await.expect("the run is cancelled");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keeps_the_keys_of_workspaces_apart() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let at = fleet.instances[0].callers;
+    let seat = json!({ "seat": 1, "client": "north" }).to_string();
+    let path = "/services/booking/seats";
+    let desk = [bearer(DESK_TOKEN), key("same")];
+    let bank = [bearer(BANK_TOKEN), key("same")];
+    let first = call(at, "POST", path, &desk, seat.clone()).await.unwrap();
+    let other = call(at, "POST", path, &bank, seat.clone()).await.unwrap();
+    assert_eq!((first.status, other.status), (200, 200));
+    assert_ne!(first.body, other.body);
+    let changed = json!({ "seat": 2, "client": "north" }).to_string();
+    let conflict = call(at, "POST", path, &desk, changed).await.unwrap();
+    assert_eq!(conflict.status, 409, "{}", conflict.body);
+    let state = call(at, "GET", "/v1/requests/same", &desk, String::new()).await.unwrap();
+    assert_eq!(state.json()["state"], "ran");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_a_retyped_act_with_the_first_outcome() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let seat = json!({ "seat": 9, "client": "south" }).to_string();
+    let retyped = json!({ "client": "south", "seat": 9, "note": "again" }).to_string();
+    let path = "/services/booking/seats";
+    let one = [bearer(DESK_TOKEN), key("typed")];
+    let two = [bearer(DESK_TOKEN), key("retyped")];
+    let first = call(fleet.instances[0].callers, "POST", path, &one, seat).await.unwrap();
+    let again = call(fleet.instances[1].callers, "POST", path, &two, retyped).await.unwrap();
+    assert_eq!((first.status, &first.body), (again.status, &again.body));
+    let journal = fleet.journal(fleet.plain[0]).await;
+    assert_eq!(journal["calls"].as_array().unwrap().len(), 1, "{journal}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settles_an_unknown_key_as_not_run_for_ever() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let headers = [bearer(DESK_TOKEN), key("asked-first")];
+    let state = call(
+        fleet.instances[0].callers,
+        "GET",
+        "/v1/requests/asked-first",
+        &headers,
+        String::new(),
+    );
+    assert_eq!(state.await.unwrap().json()["state"], "not_run");
+    let seat = json!({ "seat": 3, "client": "east" }).to_string();
+    let late = call(fleet.instances[1].callers, "POST", "/services/booking/seats", &headers, seat);
+    let late = late.await.unwrap();
+    assert_eq!((late.status, late.json()["kind"].as_str()), (409, Some("voided")));
+    let journal = fleet.journal(fleet.plain[0]).await;
+    assert_eq!(journal["calls"].as_array().unwrap().len(), 0, "{journal}");
+}
