Measure goodput, wasted prefill and times by workspace and tier

Cause: nothing was measured inside the daemon; operators need histograms for each workspace. Ruled out: three significant digits in the histograms: 610 workspaces in 4 tiers would pass the 32 MB that a node may spend. Conclusion: one digit, at most 2,048 series, the rest counted together; statsd when an address is set.

--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -22,6 +22,7 @@
     entry::{Claims, RunTable},
     gates::GateHost,
     membership::{Fleet, Member, follow_list},
+    metrics::Metrics,
     peers::{Authority, AuthorityError, Exchange, Message, PeerError, Peers},
     platform::key_value::KeyValue,
     settings::Settings,
@@ -66,6 +67,8 @@
     pub runs: RunTable,
     /// Claims of this incarnation.
     pub claims: Claims,
+    /// Metrics of this instance.
+    pub metrics: Metrics,
     leaving: AtomicBool,
 }
 
@@ -106,6 +109,7 @@
     let store = KeyValue::new(settings.key_value.endpoints.clone(), timeout);
     let prefix = settings.key_value.prefix.clone();
     let claims = Claims::new(store.clone(), &prefix, settings.instance.clone(), incarnation);
+    let metrics = Metrics::start(settings.metrics.statsd)?;
     let declared = DeclaredStore::start(store, &prefix);
     let own = Member {
         name: settings.instance.clone(),
@@ -123,6 +127,7 @@
         gates: GateHost::default(),
         runs: RunTable::default(),
         claims,
+        metrics,
         leaving: AtomicBool::new(false),
     }))
 }
--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -1,5 +1,7 @@
 //! Runs a completion on an engine: streams it, resumes it after a cut, parks it on demand.
 
+use std::time::Duration;
+
 use lacewingspring_core::{
     error::ErrorKind,
     request::{Claimed, Request},
@@ -8,10 +10,11 @@
 use super::{Body, Refusal, drive::Drive, permit::Permit};
 use crate::{
     clock,
+    metrics::Timer,
     peers::RunPart,
     upstreams::{
         DispatchError, UpstreamError,
-        completions::{CompletionCall, EngineRun, KvTransfer, Part, TokenStream},
+        completions::{CompletionCall, EngineRun, KvTransfer, Part, TokenStream, Usage},
     },
 };
 
@@ -19,7 +22,7 @@
 const MAX_RESUMES: u32 = 5;
 
 /// Time between two attempts to resume a stream.
-const RESUME_INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
+const RESUME_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Why a stretch of streaming ended.
 enum Stretch {
@@ -74,10 +77,13 @@
         };
         match stretch {
             Stretch::Whole => {
+                drive.node.metrics.prefilled(&drive.series, progress.prefilled);
                 permit.release().await;
                 return Ok(None);
             }
             Stretch::Orphaned => {
+                let prompt = u64::from(drive.work.body.cost(&drive.work.service).prompt_tokens);
+                drive.node.metrics.wasted(&drive.series, prompt);
                 engine.cancel().await;
                 permit.release().await;
                 return Err(Refusal::last(ErrorKind::AnswerLost));
@@ -97,9 +103,29 @@
 struct Progress {
     tokens: u64,
     resumes: u32,
+    last_token: Option<Duration>,
+    prefilled: u64,
 }
 
 impl Progress {
+    fn count_token(&mut self, drive: &Drive, usage: Option<Usage>) {
+        let now = clock::now();
+        match self.last_token {
+            None => drive.time(Timer::FirstToken),
+            Some(last) => {
+                let gap = now.saturating_sub(last);
+                drive.node.metrics.time(Timer::BetweenTokens, &drive.series, gap);
+            }
+        }
+        self.last_token = Some(now);
+        self.tokens += 1;
+        self.resumes = 0;
+        if let Some(usage) = usage {
+            self.prefilled =
+                usage.prompt_tokens.saturating_sub(usage.prompt_tokens_details.cached_tokens);
+        }
+    }
+
     async fn read(
         &mut self,
         drive: &Drive,
@@ -118,9 +144,8 @@
                 () = &mut orphaned, if cancels => return Stretch::Orphaned,
             };
             match part {
-                Ok(Part::Token { text, finish_reason, .. }) => {
-                    self.tokens += 1;
-                    self.resumes = 0;
+                Ok(Part::Token { text, finish_reason, usage, .. }) => {
+                    self.count_token(drive, usage);
                     drive.run.push(RunPart::Text(text));
                     finish = finish_reason;
                 }
@@ -186,7 +211,7 @@
     engine: &mut EngineRun,
     permit: Permit,
     progress: &Progress,
-    deadline: std::time::Duration,
+    deadline: Duration,
 ) -> Result<Parked, Refusal> {
     let exported = match engine.export().await {
         Ok(exported) => exported,
@@ -195,6 +220,7 @@
             return Ok(Parked { permit, stream: None });
         }
     };
+    drive.node.metrics.parked(&drive.series);
     log::info!(run:% = engine.id, generated = exported.generated; "Parked a run.");
     permit.release().await;
     let deadline = deadline.max(clock::now() + drive.work.max_wait);
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -20,6 +20,7 @@
 use crate::{
     clock,
     daemon::Node,
+    metrics::{Series, Timer},
     peers::{Message, PeerAddress, RunPart},
 };
 
@@ -32,20 +33,43 @@
     pub run: Arc<Run>,
     /// What is to be run.
     pub work: Work,
+    /// Series that the request is measured in.
+    pub series: Series,
+    /// Time of acceptance.
+    pub accepted: Duration,
 }
 
 /// Starts a run in a task of its own: it outlives the caller's connection.
 pub fn start(node: Arc<Node>, run: Arc<Run>, work: Work) {
     tokio::spawn(async move {
-        let drive = Drive { node, run, work };
-        if let Err(refusal) = drive.to_end().await {
-            drive.run.fail(refusal);
+        let series = work.series();
+        let drive = Drive { node, run, work, series, accepted: clock::now() };
+        drive.node.metrics.accepted(&drive.series);
+        match drive.to_end().await {
+            Ok(()) => drive.answered(),
+            Err(refusal) => drive.refused(refusal),
         }
         drive.forget_later();
     });
 }
 
 impl Drive {
+    /// Records a time since acceptance.
+    pub fn time(&self, timer: Timer) {
+        let since = clock::now().saturating_sub(self.accepted);
+        self.node.metrics.time(timer, &self.series, since);
+    }
+
+    fn answered(&self) {
+        self.time(Timer::Total);
+        self.node.metrics.answered(&self.series);
+    }
+
+    fn refused(&self, refusal: Refusal) {
+        self.node.metrics.refused(&self.series, refusal.kind);
+        self.run.fail(refusal);
+    }
+
     async fn to_end(&self) -> Result<(), Refusal> {
         let now = clock::now();
         let request = Request::accept(RequestFacts {
@@ -165,7 +189,9 @@
             max_wait: deadline.saturating_sub(clock::now()),
             parkable: work.service.idempotent && matches!(work.body, Body::Completion { .. }),
         };
-        permit::acquire(&self.node, &work.service.pool, &work.pool, ask).await
+        let permit = permit::acquire(&self.node, &work.service.pool, &work.pool, ask).await;
+        self.time(Timer::Wait);
+        permit
     }
 
     /// Keeps the answer for repeats, then forgets the run.
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -17,7 +17,7 @@
     run::{Follower, Run, RunId},
     table::{RunTable, Submitted},
 };
-use crate::daemon::Node;
+use crate::{daemon::Node, metrics::Series};
 
 mod claims;
 mod completion;
@@ -130,6 +130,11 @@
         digest_hex(text.as_bytes())[..32].to_owned()
     }
 
+    /// Returns the series that the request is measured in.
+    pub fn series(&self) -> Series {
+        Series { workspace: self.id.workspace.clone(), tier: self.service.tier.clone() }
+    }
+
     /// Returns the address of an upstream of the pool.
     fn address(&self, name: &UpstreamName) -> Option<std::net::SocketAddr> {
         let upstream = self.pool.upstreams.iter().find(|upstream| upstream.name == *name)?;
--- a/lacewingspring/src/settings/mod.rs
+++ b/lacewingspring/src/settings/mod.rs
@@ -17,6 +17,7 @@
 pub use self::{
     listen::ListenSettings,
     log::{LogFormat, LogLevel, LogSettings},
+    metrics::MetricsSettings,
     operators::{BootstrapOperator, OperatorRole},
     platform::{AuthoritySettings, InstanceListSettings, KeyValueSettings},
     timing::TimingSettings,
@@ -25,6 +26,7 @@
 mod listen;
 mod locate;
 mod log;
+mod metrics;
 mod operators;
 mod platform;
 mod timing;
@@ -51,6 +53,9 @@
     /// What is logged and how.
     #[serde(default)]
     pub log: LogSettings,
+    /// Where metrics are sent.
+    #[serde(default)]
+    pub metrics: MetricsSettings,
     /// Intervals and limits of time.
     #[serde(default)]
     pub timing: TimingSettings,
