Note each decision about a request

Cause: an operator could not see why a request waited, was parked or was refused. Ruled out: log lines alone: they are apart from the run and at debug level. Figures: none; at most 64 steps of one word and one sentence are kept for each run. Conclusion: the steps live as long as the run and are read by key.

--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -7,7 +7,7 @@
     request::{Claimed, Request},
 };
 
-use super::{Body, Refusal, drive::Drive, permit::Permit};
+use super::{Body, Refusal, Step, drive::Drive, permit::Permit};
 use crate::{
     clock,
     metrics::Timer,
@@ -55,6 +55,7 @@
     let mut stream = match engine.dispatch(proof, &call(drive, None, 0)).await {
         Ok(stream) => Some(stream),
         Err(DispatchError::NotSent(proof)) => {
+            drive.run.note(Step::Unsent(permit.upstream.clone()));
             permit.release().await;
             return Ok(Some(proof.unsent()));
         }
@@ -83,6 +84,7 @@
             }
             Stretch::Orphaned => {
                 let prompt = u64::from(drive.work.body.cost(&drive.work.service).prompt_tokens);
+                drive.run.note(Step::Cancelled);
                 drive.node.metrics.wasted(&drive.series, prompt);
                 engine.cancel().await;
                 permit.release().await;
@@ -93,7 +95,10 @@
                 permit = parked.permit;
                 stream = parked.stream;
             }
-            Stretch::Broken(e) => stream = Some(resume(&engine, &mut progress, e).await?),
+            Stretch::Broken(e) => {
+                drive.run.note(Step::Cut);
+                stream = Some(resume(&engine, &mut progress, e).await?);
+            }
         }
     }
 }
@@ -220,6 +225,7 @@
             return Ok(Parked { permit, stream: None });
         }
     };
+    drive.run.note(Step::Parked);
     drive.node.metrics.parked(&drive.series);
     log::info!(run:% = engine.id, generated = exported.generated; "Parked a run.");
     permit.release().await;
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use super::{
-    Body, Refusal, Run, Work,
+    Body, Refusal, Run, Step, Work,
     claims::ClaimOutcome,
     completion,
     permit::{self, Permit},
@@ -44,6 +44,7 @@
     tokio::spawn(async move {
         let series = work.series();
         let drive = Drive { node, run, work, series, accepted: clock::now() };
+        drive.run.note(Step::Accepted);
         drive.node.metrics.accepted(&drive.series);
         match drive.to_end().await {
             Ok(()) => drive.answered(),
@@ -62,10 +63,12 @@
 
     fn answered(&self) {
         self.time(Timer::Total);
+        self.run.note(Step::Answered);
         self.node.metrics.answered(&self.series);
     }
 
     fn refused(&self, refusal: Refusal) {
+        self.run.note(Step::Refused(refusal.kind));
         self.node.metrics.refused(&self.series, refusal.kind);
         self.run.fail(refusal);
     }
@@ -129,6 +132,7 @@
                 return Err(refusal);
             }
         };
+        self.run.note(Step::Claimed);
         let claimed = request.claimed(ClaimProof::won());
         match self.dispatch(claimed, permit).await {
             Ok(None) => {
@@ -145,6 +149,7 @@
 
     /// Answers from a claim that stood before.
     async fn settle(&self, outcome: ClaimOutcome) -> Result<(), Refusal> {
+        self.run.note(Step::ClaimFound);
         match outcome {
             ClaimOutcome::Answered(answer) => {
                 self.run.push_answer(answer);
@@ -163,6 +168,7 @@
 
     /// Copies the parts of a run that another instance drives.
     async fn follow(&self, peer: &PeerAddress, key: RequestKey) -> Result<(), Refusal> {
+        self.run.note(Step::Followed);
         let unknown = Refusal::last(ErrorKind::OutcomeUnknown);
         let workspace = self.work.id.workspace.clone();
         let follow = Message::Follow { workspace, key };
@@ -190,8 +196,10 @@
             parkable: work.service.idempotent && matches!(work.body, Body::Completion { .. }),
         };
         let permit = permit::acquire(&self.node, &work.service.pool, &work.pool, ask).await;
+        let permit = permit?;
         self.time(Timer::Wait);
-        permit
+        self.run.note(Step::Permitted(permit.upstream.clone()));
+        Ok(permit)
     }
 
     /// Keeps the answer for repeats, then forgets the run.
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -15,6 +15,7 @@
 pub use self::{
     claims::Claims,
     run::{Follower, Run, RunId},
+    steps::{Step, StepReport},
     table::{RunTable, Submitted},
 };
 use crate::{daemon::Node, metrics::Series};
@@ -25,6 +26,7 @@
 mod permit;
 mod plain;
 mod run;
+mod steps;
 mod table;
 
 /// When callers of a leaving instance are told to come back, at another address.
@@ -164,7 +166,10 @@
         return Err(Refusal::new(ErrorKind::Leaving, LEAVING_RETRY_AFTER));
     }
     match node.runs.submit(work.id.clone(), work.fingerprint.clone()) {
-        Submitted::Joined(run) => Ok(run.follow()),
+        Submitted::Joined(run) => {
+            run.note(Step::Joined);
+            Ok(run.follow())
+        }
         Submitted::Conflict => Err(Refusal::last(ErrorKind::KeyConflict)),
         Submitted::New(run) => {
             let follower = run.follow();
--- a/lacewingspring/src/entry/plain.rs
+++ b/lacewingspring/src/entry/plain.rs
@@ -5,7 +5,7 @@
     request::{Claimed, Request},
 };
 
-use super::{Body, Refusal, drive::Drive, permit::Permit};
+use super::{Body, Refusal, Step, drive::Drive, permit::Permit};
 use crate::upstreams::{DispatchError, plain::PlainCall};
 
 /// Runs the call; returns the request when no byte went out.
@@ -22,7 +22,8 @@
         permit.release().await;
         return Err(Refusal::last(ErrorKind::NoUpstream));
     };
-    let proof = request.permitted(permit.upstream.clone()).dispatch();
+    let upstream = permit.upstream.clone();
+    let proof = request.permitted(upstream.clone()).dispatch();
     let answer = call.dispatch(proof).await;
     permit.release().await;
     match answer {
@@ -30,7 +31,10 @@
             drive.run.push_answer(answer);
             Ok(None)
         }
-        Err(DispatchError::NotSent(proof)) => Ok(Some(proof.unsent())),
+        Err(DispatchError::NotSent(proof)) => {
+            drive.run.note(Step::Unsent(upstream));
+            Ok(Some(proof.unsent()))
+        }
         Err(DispatchError::Failed(e)) => {
             log::warn!(key:% = drive.run.id.key, reason:% = e; "Lost the answer of a call.");
             Err(Refusal::last(ErrorKind::AnswerLost))
--- a/lacewingspring/src/entry/run.rs
+++ b/lacewingspring/src/entry/run.rs
@@ -15,12 +15,18 @@
 };
 use tokio::sync::watch;
 
-use super::Refusal;
-use crate::peers::RunPart;
+use super::{
+    Refusal,
+    steps::{Step, StepReport},
+};
+use crate::{clock, peers::RunPart};
 
 /// Finish reason given with an answer that was stored.
 const STORED_FINISH_REASON: &str = "stop";
 
+/// Most decisions kept of one run.
+const MAX_STEPS: usize = 64;
+
 /// Names a run: a key belongs to its workspace.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RunId {
@@ -38,6 +44,7 @@
     /// Digest of service and body.
     pub fingerprint: String,
     parts: Mutex<Vec<RunPart>>,
+    steps: Mutex<Vec<StepReport>>,
     len: watch::Sender<usize>,
     followers: AtomicUsize,
     follower_count: watch::Sender<usize>,
@@ -50,12 +57,26 @@
             id,
             fingerprint,
             parts: Mutex::default(),
+            steps: Mutex::default(),
             len: watch::Sender::new(0),
             followers: AtomicUsize::new(0),
             follower_count: watch::Sender::new(0),
         })
     }
 
+    /// Notes a decision; beyond the limit only the first ones are kept.
+    pub fn note(&self, step: Step) {
+        let mut steps = self.steps.lock().unwrap_or_else(PoisonError::into_inner);
+        if steps.len() < MAX_STEPS {
+            steps.push(step.report(clock::wall()));
+        }
+    }
+
+    /// Returns the decisions, oldest first.
+    pub fn steps(&self) -> Vec<StepReport> {
+        self.steps.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Adds a part and wakes all who follow.
     pub fn push(&self, part: RunPart) {
         let mut parts = self.parts.lock().unwrap_or_else(PoisonError::into_inner);
--- /dev/null
+++ b/lacewingspring/src/entry/steps.rs
@@ -0,0 +1,87 @@
+//! What was decided about a request, step by step.
+
+use std::time::Duration;
+
+use lacewingspring_core::{error::ErrorKind, names::UpstreamName};
+use serde::Serialize;
+
+/// One decision about a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// The request was accepted and waits for a permit.
+    Accepted,
+    /// Another caller sent the same request and follows the run.
+    Joined,
+    /// A gate granted a permit.
+    Permitted(UpstreamName),
+    /// The claim was won.
+    Claimed,
+    /// An earlier claim of the key or act decided the answer.
+    ClaimFound,
+    /// The run is driven by another instance and followed there.
+    Followed,
+    /// The upstream could not be reached; nothing was sent.
+    Unsent(UpstreamName),
+    /// The exchange with the upstream was cut and is resumed.
+    Cut,
+    /// The run gave way to a higher tier.
+    Parked,
+    /// Nobody waited any more and the run was cancelled.
+    Cancelled,
+    /// The request was given up.
+    Refused(ErrorKind),
+    /// The answer went out whole.
+    Answered,
+}
+
+/// A step with its time, as it is reported.
+#[derive(Clone, Debug, Serialize)]
+pub struct StepReport {
+    /// Time since the Unix epoch, in milliseconds.
+    pub at: u64,
+    /// Reason, one word.
+    pub reason: &'static str,
+    /// Reason, in a sentence.
+    pub message: String,
+}
+
+impl Step {
+    /// Reports the step with its time.
+    pub fn report(&self, at: Duration) -> StepReport {
+        StepReport { at: at.as_millis() as u64, reason: self.reason(), message: self.message() }
+    }
+
+    const fn reason(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Joined => "joined",
+            Self::Permitted(_) => "permitted",
+            Self::Claimed => "claimed",
+            Self::ClaimFound => "claim_found",
+            Self::Followed => "followed",
+            Self::Unsent(_) => "unsent",
+            Self::Cut => "cut",
+            Self::Parked => "parked",
+            Self::Cancelled => "cancelled",
+            Self::Refused(_) => "refused",
+            Self::Answered => "answered",
+        }
+    }
+
+    fn message(&self) -> String {
+        match self {
+            Self::Accepted => "The request waits for a permit.".into(),
+            Self::Joined => "A repeat of the request follows the run.".into(),
+            Self::Permitted(upstream) => format!("A gate permits the request on {upstream}."),
+            Self::Claimed => "The claim in the key-value service was won.".into(),
+            Self::ClaimFound => "An earlier claim of the key or act decides the answer.".into(),
+            Self::Followed => "Another instance drives the run.".into(),
+            Self::Unsent(upstream) => format!("{upstream} can't be reached; nothing was sent."),
+            Self::Cut => "The exchange with the upstream was cut and is resumed.".into(),
+            Self::Parked => "The run gave way to a higher tier.".into(),
+            Self::Cancelled => "Nobody waited any more.".into(),
+            Self::Refused(kind) => kind.answer().title.into(),
+            Self::Answered => "The answer went out whole.".into(),
+        }
+    }
+}
