Add the command-line tool

Cause: operators and callers need a tool that speaks the HTTP interface, with exit codes that scripts can use. Ruled out: retrying a sent change at the next address. Only an address that refused the connection, or an instance that is leaving and says that nothing was run, passes a request on. Ruled out: waiting for the server to mint the key. A lost answer would leave the caller without a key to ask after, so the tool mints one and prints it before it sends. Conclusion: a lost answer ends with 7 when the request only read and with 8 when it may have run; a stream without [DONE] ends with 8. The forms of the metrics and explain answers are assumptions until the daemon serves them.

--- /dev/null
+++ b/lacewingspring_ctl/src/cli.rs
@@ -0,0 +1,293 @@
+//! Command line: options, commands and their help.
+
+use std::{env, fs, net::SocketAddr, path::PathBuf, time::Duration};
+
+use clap::{ArgAction, Args, Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
+use lacewingspring_core::resources::ResourceKind;
+
+use crate::error::Error;
+
+/// Variable with the bearer token.
+const TOKEN_VARIABLE: &str = "LACEWINGSPRING_TOKEN";
+
+/// Shortest timeout that the command line takes.
+const MIN_TIMEOUT: Duration = Duration::from_millis(1);
+
+/// Longest timeout that the command line takes.
+const MAX_TIMEOUT: Duration = Duration::from_secs(86_400);
+
+/// Longest deadline that the command line takes, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 86_400_000;
+
+const AFTER_HELP: &str = "\
+EXIT STATUS:
+  0  Done.
+  1  The declared state differs, or is not in force everywhere.
+  2  The command line or a file cannot be used.
+  3  A constraint refuses the change or the request.
+  4  Another change or another request came first.
+  5  Not authorised.
+  6  Nothing by this name.
+  7  Unavailable or timed out; nothing was run, come back.
+  8  The request may have run; `request KEY` or `diff` tells more.
+
+ENVIRONMENT:
+  LACEWINGSPRING_ADDRESSES  Addresses, comma separated, when --address is absent.
+  LACEWINGSPRING_TOKEN      Bearer token, when --token-file is absent.
+
+EXAMPLES:
+  lacewingspring_ctl diff -f services.json
+  lacewingspring_ctl apply -f services.json workspaces.json --expect-generation 7 --wait
+  lacewingspring_ctl get service --output json | lacewingspring_ctl apply --dry-run -f -
+  lacewingspring_ctl ask tutor \"Where is the nearest exit?\" --deadline-ms 2000";
+
+/// Declares resources of a lacewingspring fleet, shows what it reports and asks its services.
+#[derive(Debug, Parser)]
+#[command(version, after_help = AFTER_HELP, max_term_width = 100)]
+pub struct Cli {
+    /// Options of all commands.
+    #[command(flatten)]
+    pub global: GlobalOptions,
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// Options of all commands.
+#[derive(Debug, Args)]
+pub struct GlobalOptions {
+    /// Address of an instance; the next one is tried when one refuses
+    #[arg(
+        long = "address",
+        value_name = "IP:PORT",
+        env = "LACEWINGSPRING_ADDRESSES",
+        value_delimiter = ',',
+        action = ArgAction::Append,
+        global = true,
+        hide_env = true
+    )]
+    pub addresses: Vec<SocketAddr>,
+    /// File with the bearer token
+    #[arg(long, value_name = "PATH", global = true)]
+    pub token_file: Option<PathBuf>,
+    /// Output format
+    #[arg(long, short, value_enum, default_value_t, global = true)]
+    pub output: Format,
+    /// Longest time to wait for an answer, in seconds
+    #[arg(
+        long,
+        value_name = "SECONDS",
+        default_value = "30",
+        value_parser = parse_seconds,
+        global = true
+    )]
+    pub timeout: Duration,
+}
+
+impl GlobalOptions {
+    /// Returns the bearer token; the file goes before the variable.
+    pub fn token(&self) -> Result<Option<String>, Error> {
+        let Some(path) = &self.token_file else {
+            return Ok(env::var(TOKEN_VARIABLE).ok());
+        };
+        let token = fs::read_to_string(path);
+        let token = token.map_err(|source| Error::Token { path: path.clone(), source })?;
+        Ok(Some(token))
+    }
+}
+
+/// Output formats.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
+pub enum Format {
+    /// Text for people.
+    #[default]
+    Table,
+    /// JSON for scripts.
+    Json,
+}
+
+/// Commands.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Declare the resources of files in one transaction
+    Apply(ApplyArgs),
+    /// Show what apply would change; exit status 1 when something differs
+    Diff(FileArgs),
+    /// List declared resources
+    Get(GetArgs),
+    /// Show declared state, reported state and why they differ
+    Describe(ResourceArgs),
+    /// Remove a resource
+    Delete(DeleteArgs),
+    /// Wait until every live instance applies a generation
+    Wait(WaitArgs),
+    /// Show instances and roles
+    Status,
+    /// Show the addresses that callers should use
+    Addresses,
+    /// Send a request to a service and print its answer as it arrives
+    Ask(AskArgs),
+    /// Show what became of the request of a key
+    Request(RequestArgs),
+    /// Show histograms by workspace and tier
+    Metrics,
+    /// Show what was decided about a request, and why
+    Explain(ExplainArgs),
+    /// Print a completion script
+    Completion(CompletionArgs),
+}
+
+/// Arguments of `apply`.
+#[derive(Debug, Args)]
+pub struct ApplyArgs {
+    /// What to declare.
+    #[command(flatten)]
+    pub input: FileArgs,
+    /// How to change it.
+    #[command(flatten)]
+    pub change: ChangeArgs,
+}
+
+/// Files of resources.
+#[derive(Debug, Args)]
+pub struct FileArgs {
+    /// JSON file with one resource, an array or {"resources": [..]}; - is standard input
+    #[arg(short = 'f', long = "file", value_name = "FILE", num_args = 1.., required = true)]
+    pub files: Vec<PathBuf>,
+}
+
+/// How a change is made.
+#[derive(Clone, Copy, Debug, Args)]
+pub struct ChangeArgs {
+    /// Check and compare only
+    #[arg(long)]
+    pub dry_run: bool,
+    /// Refuse the change unless this generation is the latest
+    #[arg(long, value_name = "N")]
+    pub expect_generation: Option<u64>,
+    /// Wait until every live instance applies the change
+    #[arg(long, conflicts_with = "dry_run")]
+    pub wait: bool,
+}
+
+/// Arguments of `get`.
+#[derive(Debug, Args)]
+pub struct GetArgs {
+    /// Kind of the resources
+    pub kind: Option<Kind>,
+    /// Name of one resource
+    pub name: Option<String>,
+}
+
+/// Kind and name of one resource.
+#[derive(Debug, Args)]
+pub struct ResourceArgs {
+    /// Kind of the resource
+    pub kind: Kind,
+    /// Name of the resource
+    pub name: String,
+}
+
+/// Arguments of `delete`.
+#[derive(Debug, Args)]
+pub struct DeleteArgs {
+    /// What to remove.
+    #[command(flatten)]
+    pub resource: ResourceArgs,
+    /// How to change it.
+    #[command(flatten)]
+    pub change: ChangeArgs,
+}
+
+/// Arguments of `wait`.
+#[derive(Debug, Args)]
+pub struct WaitArgs {
+    /// Generation to wait for; --timeout limits the wait
+    #[arg(long, value_name = "N")]
+    pub generation: u64,
+}
+
+/// Arguments of `ask`.
+#[derive(Debug, Args)]
+pub struct AskArgs {
+    /// Name of the service
+    pub service: String,
+    /// Prompt, or the JSON body for --plain; - is standard input
+    pub prompt: String,
+    /// Idempotency key; one is made and printed when absent
+    #[arg(long)]
+    pub key: Option<String>,
+    /// Most tokens to answer with
+    #[arg(long, value_name = "N", conflicts_with = "plain")]
+    pub max_tokens: Option<u32>,
+    /// Longest wait before dispatch, in milliseconds; the default is --timeout
+    #[arg(
+        long,
+        value_name = "MS",
+        value_parser = clap::value_parser!(u64).range(1..=MAX_DEADLINE_MS)
+    )]
+    pub deadline_ms: Option<u64>,
+    /// Call this path of a plain service
+    #[arg(long, value_name = "PATH")]
+    pub plain: Option<String>,
+}
+
+/// Arguments of `request`.
+#[derive(Debug, Args)]
+pub struct RequestArgs {
+    /// Idempotency key
+    pub key: String,
+}
+
+/// Arguments of `explain`.
+#[derive(Debug, Args)]
+pub struct ExplainArgs {
+    /// Workspace of the request
+    pub workspace: String,
+    /// Idempotency key
+    pub key: String,
+}
+
+/// Arguments of `completion`.
+#[derive(Debug, Args)]
+pub struct CompletionArgs {
+    /// Shell to complete for
+    pub shell: Shell,
+}
+
+/// Kinds of resources on the command line.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum Kind {
+    /// A priority tier
+    #[value(alias = "tiers")]
+    Tier,
+    /// A pool of engines or plain servers
+    #[value(name = "engine_pool", aliases = ["engine_pools", "engine-pool", "pool", "pools"])]
+    EnginePool,
+    /// A service that callers address
+    #[value(alias = "services")]
+    Service,
+    /// A workspace
+    #[value(alias = "workspaces")]
+    Workspace,
+}
+
+impl From<Kind> for ResourceKind {
+    fn from(kind: Kind) -> Self {
+        match kind {
+            Kind::Tier => Self::Tier,
+            Kind::EnginePool => Self::EnginePool,
+            Kind::Service => Self::Service,
+            Kind::Workspace => Self::Workspace,
+        }
+    }
+}
+
+fn parse_seconds(text: &str) -> Result<Duration, String> {
+    let seconds = text.parse().ok().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    match seconds {
+        Some(timeout) if (MIN_TIMEOUT..=MAX_TIMEOUT).contains(&timeout) => Ok(timeout),
+        _ => Err("expected seconds from 0.001 to 86400".to_owned()),
+    }
+}
--- /dev/null
+++ b/lacewingspring_ctl/src/commands/ask/plain.rs
@@ -0,0 +1,38 @@
+//! Answers of plain services, passed on as they are.
+
+use std::io::{self, Write};
+
+use http_body_util::BodyExt;
+use tokio::time::timeout;
+
+use crate::{
+    api::Problem,
+    client::{Call, Client, Effect},
+    error::{Error, StreamError},
+    exit::Exit,
+};
+
+/// Sends the request and prints the body as it arrives.
+pub async fn run(client: &Client, call: Call) -> Result<Exit, Error> {
+    let answer = client.send_plain(call).await?;
+    let status = answer.response.status();
+    let idle = answer.timeout;
+    let mut body = answer.response.into_body();
+    let mut out = io::stdout().lock();
+    loop {
+        let frame = timeout(idle, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| StreamError::TimedOut)? else { break };
+        let frame = frame.map_err(|err| StreamError::Broken(err.into()))?;
+        let data = frame.into_data().unwrap_or_default();
+        out.write_all(&data).map_err(StreamError::from)?;
+        out.flush().map_err(StreamError::from)?;
+    }
+    if status.is_server_error() {
+        return Err(StreamError::ServiceFailed { status: status.as_u16() }.into());
+    }
+    if !status.is_success() {
+        let problem = Box::new(Problem::from_status(status.as_u16()));
+        return Err(Error::Refused { problem, effect: Effect::Write });
+    }
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/lacewingspring_ctl/src/commands/explain.rs
@@ -0,0 +1,29 @@
+//! `explain`: shows what was decided about a request, and why.
+
+use std::fmt::{self, Formatter};
+
+use crate::{
+    api::Explanation,
+    cli::{ExplainArgs, Format},
+    client::{Call, Client, encode},
+    commands::describe::events,
+    error::Error,
+    exit::Exit,
+    output::{self, Render},
+};
+
+/// Runs the command.
+pub async fn run(client: &Client, format: Format, args: &ExplainArgs) -> Result<Exit, Error> {
+    let (workspace, key) = (encode(&args.workspace), encode(&args.key));
+    let path = format!("/operator/v1/explain?workspace={workspace}&key={key}");
+    let explanation: Explanation = client.fetch(Call::get(&path)?).await?;
+    output::print(format, &explanation)?;
+    Ok(Exit::Done)
+}
+
+impl Render for Explanation {
+    fn render(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(f, "request {} of {}\n", self.key, self.workspace)?;
+        write!(f, "{}", events(&self.steps))
+    }
+}
--- /dev/null
+++ b/lacewingspring_ctl/src/commands/transaction.rs
@@ -0,0 +1,67 @@
+//! Transactions, as `apply`, `diff` and `delete` send them.
+
+use std::fmt::{self, Formatter};
+
+use serde::Serialize;
+
+use crate::{
+    api::{Change, Transaction, TransactionResult, WaitResult},
+    cli::{ChangeArgs, Format},
+    client::{Call, Client, Effect},
+    commands::wait,
+    error::Error,
+    exit::Exit,
+    output::{self, Render},
+};
+
+/// What a transaction changed and whether it is in force.
+#[derive(Debug, Serialize)]
+struct Outcome {
+    /// What changed, or would change.
+    #[serde(flatten)]
+    result: TransactionResult,
+    /// Whether it is in force; none when not waited for.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    wait: Option<WaitResult>,
+}
+
+impl Render for Outcome {
+    fn render(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        self.result.render(f)?;
+        match &self.wait {
+            Some(wait) => wait.render(f),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Sends the changes, waits when asked to, and prints the outcome.
+pub async fn run(
+    client: &Client,
+    format: Format,
+    changes: Vec<Change>,
+    args: ChangeArgs,
+) -> Result<Exit, Error> {
+    let expect_generation = args.expect_generation;
+    let transaction = Transaction { changes, expect_generation, dry_run: args.dry_run };
+    let result = send(client, &transaction).await?;
+    if !args.wait {
+        output::print(format, &Outcome { result, wait: None })?;
+        return Ok(Exit::Done);
+    }
+    let waited = wait::fetch(client, result.generation).await;
+    let (wait, failure) = match waited {
+        Ok(wait) => (Some(wait), None),
+        Err(err) => (None, Some(err)),
+    };
+    let exit = wait.as_ref().map_or(Exit::Done, wait::exit);
+    // The change is made even when the wait fails, so it is printed first.
+    output::print(format, &Outcome { result, wait })?;
+    failure.map_or(Ok(exit), Err)
+}
+
+/// Sends a transaction.
+pub async fn send(client: &Client, transaction: &Transaction) -> Result<TransactionResult, Error> {
+    let effect = if transaction.dry_run { Effect::Read } else { Effect::Write };
+    client.fetch(Call::post("/operator/v1/transactions", effect, transaction)?).await
+}
--- /dev/null
+++ b/lacewingspring_ctl/src/files.rs
@@ -0,0 +1,111 @@
+//! Files of resources and prompts.
+
+use std::{
+    collections::HashSet,
+    fs,
+    io::{self, Read},
+    path::{Path, PathBuf},
+};
+
+use lacewingspring_core::resources::{Resource, ResourceId};
+use serde::Deserialize;
+use serde_json::Value;
+use thiserror::Error;
+
+/// Name that stands for standard input.
+pub const STDIN: &str = "-";
+
+/// Why a file cannot be used.
+#[derive(Debug, Error)]
+pub enum FileError {
+    /// The file cannot be read.
+    #[error("{path}: {source}")]
+    Read {
+        /// Path of the file.
+        path: PathBuf,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The file is not JSON of the expected form.
+    #[error("{path}: {source}")]
+    Parse {
+        /// Path of the file.
+        path: PathBuf,
+        /// What the parser reported, with line and column.
+        source: serde_json::Error,
+    },
+    /// The JSON is neither an object nor an array.
+    #[error("{path}: expected one resource, an array of them or {{\"resources\": [..]}}")]
+    Shape {
+        /// Path of the file.
+        path: PathBuf,
+    },
+    /// One transaction would declare a resource twice.
+    #[error("{path}: {id} is declared twice")]
+    Twice {
+        /// Path of the file with the second declaration.
+        path: PathBuf,
+        /// The resource.
+        id: ResourceId,
+    },
+    /// The files declare nothing.
+    #[error("the files declare no resource")]
+    Empty,
+}
+
+/// A list of resources as `get --output json` prints it.
+#[derive(Deserialize)]
+struct ResourceFile {
+    resources: Vec<Resource>,
+}
+
+/// Reads the resources of all files, each resource once.
+pub fn read_resources(paths: &[PathBuf]) -> Result<Vec<Resource>, FileError> {
+    let mut resources = Vec::new();
+    let mut seen = HashSet::new();
+    for path in paths {
+        for resource in parse_resources(path, &read_text(path)?)? {
+            if !seen.insert(resource.id()) {
+                return Err(FileError::Twice { path: path.clone(), id: resource.id() });
+            }
+            resources.push(resource);
+        }
+    }
+    if resources.is_empty() {
+        return Err(FileError::Empty);
+    }
+    Ok(resources)
+}
+
+/// Reads a file as text; `-` is standard input.
+pub fn read_text(path: &Path) -> Result<String, FileError> {
+    let text = if path.as_os_str() == STDIN {
+        let mut buf = String::new();
+        io::stdin().read_to_string(&mut buf).map(|_| buf)
+    } else {
+        fs::read_to_string(path)
+    };
+    text.map_err(|source| FileError::Read { path: path.to_owned(), source })
+}
+
+/// Checks that a text is JSON.
+pub fn check_json(path: &Path, text: &str) -> Result<(), FileError> {
+    match serde_json::from_str::<Value>(text) {
+        Ok(_) => Ok(()),
+        Err(source) => Err(FileError::Parse { path: path.to_owned(), source }),
+    }
+}
+
+fn parse_resources(path: &Path, text: &str) -> Result<Vec<Resource>, FileError> {
+    let parse_error = |source| FileError::Parse { path: path.to_owned(), source };
+    // The text is parsed again by shape, because only then do errors name line and column.
+    match serde_json::from_str(text).map_err(parse_error)? {
+        Value::Array(_) => serde_json::from_str(text).map_err(parse_error),
+        Value::Object(fields) if fields.contains_key("resources") => {
+            let file: ResourceFile = serde_json::from_str(text).map_err(parse_error)?;
+            Ok(file.resources)
+        }
+        Value::Object(_) => serde_json::from_str(text).map(|one| vec![one]).map_err(parse_error),
+        _ => Err(FileError::Shape { path: path.to_owned() }),
+    }
+}
--- a/lacewingspring_ctl/src/main.rs
+++ b/lacewingspring_ctl/src/main.rs
@@ -1,2 +1,31 @@
-//! Placeholder.
-fn main() {}
+//! Command-line tool of lacewingspring: declares resources, shows what the fleet reports and asks
+//! services.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use crate::{cli::Cli, exit::Exit};
+
+mod api;
+mod cli;
+mod client;
+mod commands;
+mod error;
+mod exit;
+mod files;
+mod output;
+mod sse;
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let format = cli.global.output;
+    let exit = match commands::run(cli) {
+        Ok(exit) => exit,
+        Err(err) => {
+            output::print_error(format, &err);
+            Exit::from(&err)
+        }
+    };
+    exit.into()
+}
--- /dev/null
+++ b/lacewingspring_ctl/tests/exit_codes.rs
@@ -0,0 +1,140 @@
+//! Exit codes of every kind of end, and which address is tried next.
+
+use crate::support::{REFUSING, Reply, Responder, run};
+
+mod support;
+
+const TIER: &str = r#"{"kind":"tier","name":"counter","spec":{"rank":0}}"#;
+const TIER_FILE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/tier.json");
+const APPLY: &[&str] = &["apply", "-f", "-"];
+const DIFF_NONE: &str = r#"{"generation":7,"diff":[{"resource":"tier/counter","action":"none"}]}"#;
+const DIFF_SOME: &str =
+    r#"{"generation":8,"diff":[{"resource":"tier/counter","action":"change"}]}"#;
+const IN_FORCE: &str = r#"{"in_force":true,"generation":8}"#;
+const LAGGING: &str = r#"{"in_force":false,"generation":8,"laggards":[{"instance":"b2"}]}"#;
+
+fn apply_code(reply: Reply) -> i32 {
+    Responder::start([reply]).run_stdin(APPLY, TIER).code
+}
+
+fn get_code(reply: Reply) -> i32 {
+    Responder::start([reply]).run(&["get", "--timeout", "0.5"]).code
+}
+
+#[test]
+fn diff_tells_by_its_code_whether_states_differ() {
+    for (answer, code) in [(DIFF_NONE, 0), (DIFF_SOME, 1)] {
+        let responder = Responder::start([Reply::json(200, answer)]);
+        assert_eq!(responder.run_stdin(&["diff", "-f", "-"], TIER).code, code);
+        assert!(responder.request().contains(r#""dry_run":true"#));
+    }
+}
+
+#[test]
+fn apply_waits_until_the_change_is_in_force() {
+    for (answer, code) in [(IN_FORCE, 0), (LAGGING, 1)] {
+        let responder = Responder::start([Reply::json(200, DIFF_SOME), Reply::json(200, answer)]);
+        assert_eq!(responder.run_stdin(&["apply", "-f", "-", "--wait"], TIER).code, code);
+        responder.request();
+        assert!(responder.request().starts_with("GET /operator/v1/wait?generation=8&"));
+    }
+}
+
+#[test]
+fn a_failed_wait_still_prints_the_change() {
+    let responder = Responder::start([Reply::json(200, DIFF_SOME), Reply::nothing()]);
+    let run = responder.run_stdin(&["apply", "-f", "-", "--wait"], TIER);
+    assert_eq!(run.code, 7);
+    assert!(run.stdout.contains("~ tier/counter"), "{}", run.stdout);
+}
+
+#[test]
+fn unusable_command_lines_and_files_end_with_2() {
+    let twice = format!("[{TIER},{TIER}]");
+    let unknown = TIER.replace("rank", "rang");
+    for stdin in ["", "{", "3", "[]", "{}", &twice, &unknown] {
+        let run = Responder::start([]).run_stdin(APPLY, stdin);
+        assert_eq!(run.code, 2, "{stdin}: {}", run.stderr);
+    }
+    for args in [
+        &["get"][..],
+        &["get", "engine"],
+        &["--address", "localhost:1", "get"],
+        &["--timeout", "0", "get"],
+        &["--address", REFUSING, "--token-file", "/nonexistent", "get"],
+        &["--address", REFUSING, "ask", "booking", "no json", "--plain", "seats"],
+        &["--address", REFUSING, "apply", "-f", "/nonexistent"],
+    ] {
+        assert_eq!(run(args).code, 2, "{args:?}");
+    }
+}
+
+#[test]
+fn problems_end_by_their_kind() {
+    for (status, fields, code) in [
+        (400, r#""kind":"malformed","run":"not_run""#, 2),
+        (422, r#""kind":"invalid","run":"not_run""#, 3),
+        (413, r#""kind":"too_large","run":"not_run""#, 3),
+        (409, r#""kind":"change_conflict","run":"not_run""#, 4),
+        (409, r#""kind":"voided","run":"not_run""#, 4),
+        (401, r#""kind":"unauthenticated","run":"not_run""#, 5),
+        (403, r#""kind":"forbidden","run":"not_run""#, 5),
+        (404, r#""kind":"not_found","run":"not_run""#, 6),
+        (429, r#""kind":"limit_reached","run":"not_run""#, 7),
+        (503, r#""kind":"store_unavailable","run":"not_run""#, 7),
+        (504, r#""kind":"deadline_exceeded","run":"not_run""#, 7),
+        (409, r#""kind":"in_progress","run":"may_have_run""#, 8),
+        (409, r#""kind":"outcome_unknown""#, 8),
+        (502, r#""kind":"answer_lost","run":"ran""#, 8),
+        (503, r#""kind":"of a later version","run":"not_run""#, 7),
+        (500, r#""kind":"internal","run":"may_have_run""#, 8),
+    ] {
+        assert_eq!(apply_code(Reply::problem(status, fields)), code, "{fields}");
+    }
+}
+
+#[test]
+fn a_lost_answer_leaves_a_change_open_but_not_a_read() {
+    assert_eq!(apply_code(Reply::nothing()), 8);
+    assert_eq!(get_code(Reply::nothing()), 7);
+    assert_eq!(apply_code(Reply::json(200, "{")), 8);
+    assert_eq!(get_code(Reply::json(200, "{")), 7);
+    assert_eq!(apply_code(Reply::json(500, "")), 8);
+    assert_eq!(get_code(Reply::json(500, "")), 7);
+    assert_eq!(get_code(Reply::Silence), 7);
+    let silent = Responder::start([Reply::Silence]);
+    assert_eq!(silent.run_stdin(&["apply", "-f", "-", "--timeout", "0.5"], TIER).code, 8);
+}
+
+#[test]
+fn the_next_address_is_tried_when_nothing_was_sent() {
+    let leaving = Responder::start([Reply::problem(503, r#""kind":"leaving","run":"not_run""#)]);
+    let live = Responder::start([Reply::json(200, DIFF_SOME)]);
+    let addresses = format!("{REFUSING},{},{}", leaving.address, live.address);
+    assert_eq!(run(&["apply", "--address", &addresses, "-f", TIER_FILE]).code, 0);
+    assert_eq!(run(&["get", "--address", REFUSING]).code, 7);
+}
+
+#[test]
+fn a_sent_change_is_not_sent_to_the_next_address() {
+    let breaking = Responder::start([Reply::nothing()]);
+    let other = Responder::start([Reply::json(200, DIFF_SOME)]);
+    let addresses = format!("{},{}", breaking.address, other.address);
+    assert_eq!(run(&["apply", "--address", &addresses, "-f", TIER_FILE]).code, 8);
+}
+
+#[test]
+fn violations_and_conflicts_are_named() {
+    let fields = r#""kind":"invalid","run":"not_run","retry_after_ms":20,
+        "violations":[{"resource":"service/lookup","field":"tier","rule":"must name a tier"}],
+        "conflict":{"generation":9,"changed":["tier/counter"]}"#;
+    let run = Responder::start([Reply::problem(422, fields)]).run_stdin(APPLY, TIER);
+    insta::assert_snapshot!(run.stderr);
+}
+
+#[test]
+fn completion_needs_no_server() {
+    let run = run(&["completion", "bash"]);
+    assert_eq!(run.code, 0);
+    assert!(run.stdout.contains("_lacewingspring_ctl()"));
+}
