Say truthfully what became of a request in the tool

A change that was made could end with 7 when only its wait failed, a plain service's own 429 ended with 7 although nothing proves that it did not run, output that broke after a change ended with 2, and a closed pipe made `completion` panic. Ruled out: exit code 8 for a change whose wait failed; the change is known to be made, only whether it is in force is open, which is 1. Conclusion: errors of writes end with a line on what became of the work where the server says so.

--- a/lacewingspring_ctl/src/cli.rs
+++ b/lacewingspring_ctl/src/cli.rs
@@ -29,7 +29,7 @@
   4  Another change or another request came first.
   5  Not authorised.
   6  Nothing by this name.
-  7  Unavailable or timed out; nothing was run, come back.
+  7  Unavailable or timed out; nothing was run or changed, come back.
   8  The request may have run; `request KEY` or `diff` tells more.
 
 ENVIRONMENT:
@@ -89,7 +89,7 @@
     /// Returns the bearer token; the file goes before the variable.
     pub fn token(&self) -> Result<Option<String>, Error> {
         let Some(path) = &self.token_file else {
-            return Ok(env::var(TOKEN_VARIABLE).ok());
+            return Ok(env::var(TOKEN_VARIABLE).ok().filter(|token| !token.is_empty()));
         };
         let token = fs::read_to_string(path);
         let token = token.map_err(|source| Error::Token { path: path.clone(), source })?;
--- a/lacewingspring_ctl/src/commands/ask/completion.rs
+++ b/lacewingspring_ctl/src/commands/ask/completion.rs
@@ -57,7 +57,7 @@
     let body = answer.response.into_body();
     let mut stream = Stream { body, parser: SseParser::default(), idle };
     let whole = stream.read(format, key).await?;
-    output::print(format, &whole)?;
+    output::print_outcome(format, &whole)?;
     Ok(Exit::Done)
 }
 
--- a/lacewingspring_ctl/src/commands/ask/plain.rs
+++ b/lacewingspring_ctl/src/commands/ask/plain.rs
@@ -6,8 +6,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    api::Problem,
-    client::{Call, Client, Effect},
+    client::{Call, Client},
     error::{Error, StreamError},
     exit::Exit,
 };
@@ -27,12 +26,8 @@
         out.write_all(&data).map_err(StreamError::from)?;
         out.flush().map_err(StreamError::from)?;
     }
-    if status.is_server_error() {
-        return Err(StreamError::ServiceFailed { status: status.as_u16() }.into());
-    }
     if !status.is_success() {
-        let problem = Box::new(Problem::from_status(status.as_u16()));
-        return Err(Error::Refused { problem, effect: Effect::Write });
+        return Err(Error::Service { status: status.as_u16() });
     }
     Ok(Exit::Done)
 }
--- a/lacewingspring_ctl/src/commands/metrics.rs
+++ b/lacewingspring_ctl/src/commands/metrics.rs
@@ -29,12 +29,17 @@
                 &it.workspace,
                 &it.tier,
                 &it.count,
-                &it.p50,
-                &it.p90,
-                &it.p99,
-                &it.max,
+                &rounded(it.p50),
+                &rounded(it.p90),
+                &rounded(it.p99),
+                &rounded(it.max),
             ]);
         }
         write!(f, "{table}")
     }
 }
+
+/// Rounds a value to one decimal place.
+fn rounded(value: f64) -> f64 {
+    (value * 10.0).round() / 10.0
+}
--- a/lacewingspring_ctl/src/commands/mod.rs
+++ b/lacewingspring_ctl/src/commands/mod.rs
@@ -1,6 +1,5 @@
 //! Commands, one module each.
 
-use clap::CommandFactory;
 use tokio::runtime::Builder;
 
 use crate::{
@@ -13,6 +12,7 @@
 mod addresses;
 mod apply;
 mod ask;
+mod completion;
 mod delete;
 mod describe;
 mod diff;
@@ -27,10 +27,7 @@
 /// Runs the command of a command line.
 pub fn run(cli: Cli) -> Result<Exit, Error> {
     if let Command::Completion(args) = cli.command {
-        let mut command = Cli::command();
-        let name = command.get_name().to_owned();
-        clap_complete::generate(args.shell, &mut command, name, &mut std::io::stdout());
-        return Ok(Exit::Done);
+        return completion::run(args.shell);
     }
     let runtime = Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(run_remote(&cli.global, cli.command))
--- a/lacewingspring_ctl/src/commands/transaction.rs
+++ b/lacewingspring_ctl/src/commands/transaction.rs
@@ -20,6 +20,8 @@
     /// What changed, or would change.
     #[serde(flatten)]
     result: TransactionResult,
+    /// Whether nothing was changed.
+    dry_run: bool,
     /// Whether it is in force; none when not waited for.
     #[serde(skip_serializing_if = "Option::is_none")]
     wait: Option<WaitResult>,
@@ -28,6 +30,9 @@
 impl Render for Outcome {
     fn render(&self, f: &mut Formatter<'_>) -> fmt::Result {
         self.result.render(f)?;
+        if self.dry_run {
+            writeln!(f, "dry run: nothing was changed")?;
+        }
         match &self.wait {
             Some(wait) => wait.render(f),
             None => Ok(()),
@@ -45,19 +50,26 @@
     let expect_generation = args.expect_generation;
     let transaction = Transaction { changes, expect_generation, dry_run: args.dry_run };
     let result = send(client, &transaction).await?;
+    if args.dry_run {
+        output::print(format, &Outcome { result, dry_run: true, wait: None })?;
+        return Ok(Exit::Done);
+    }
     if !args.wait {
-        output::print(format, &Outcome { result, wait: None })?;
+        output::print_outcome(format, &Outcome { result, dry_run: false, wait: None })?;
         return Ok(Exit::Done);
     }
-    let waited = wait::fetch(client, result.generation).await;
-    let (wait, failure) = match waited {
+    let generation = result.generation;
+    let (wait, failure) = match wait::fetch(client, generation).await {
         Ok(wait) => (Some(wait), None),
         Err(err) => (None, Some(err)),
     };
-    let exit = wait.as_ref().map_or(Exit::Done, wait::exit);
+    let exit = wait.as_ref().map_or(Exit::Differs, wait::exit);
     // The change is made even when the wait fails, so it is printed first.
-    output::print(format, &Outcome { result, wait })?;
-    failure.map_or(Ok(exit), Err)
+    output::print_outcome(format, &Outcome { result, dry_run: false, wait })?;
+    match failure {
+        Some(err) => Err(Error::WaitFailed { generation, source: Box::new(err) }),
+        None => Ok(exit),
+    }
 }
 
 /// Sends a transaction.
--- a/lacewingspring_ctl/src/error.rs
+++ b/lacewingspring_ctl/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr, path::PathBuf};
 
+use lacewingspring_core::error::RunState;
 use thiserror::Error;
 
 use crate::{api::Problem, client::Effect, files::FileError};
@@ -9,6 +10,9 @@
 /// Source of an error of another library.
 pub type Source = Box<dyn std::error::Error + Send + Sync>;
 
+/// Note on a request whose end is open.
+const MAY_HAVE_RUN: &str = "\n  it may have run";
+
 /// Ends a command.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -38,7 +42,7 @@
         source: Source,
     },
     /// The server answered with a problem.
-    #[error("{problem}")]
+    #[error("{problem}{}", run_note(*effect, problem.said_run()))]
     Refused {
         /// The server's problem details.
         problem: Box<Problem>,
@@ -49,8 +53,25 @@
     #[error(transparent)]
     Lost(#[from] Lost),
     /// The answer stream ended before its end.
-    #[error("the answer is not whole: {0}")]
+    #[error("the answer is not whole: {0}{note}", note = MAY_HAVE_RUN)]
     Stream(#[from] StreamError),
+    /// A plain service answered with an error of its own.
+    #[error("the service answered with status {status}")]
+    Service {
+        /// HTTP status code.
+        status: u16,
+    },
+    /// A change was made and the wait for it failed.
+    #[error("the change is accepted as generation {generation}; the wait for it failed: {source}")]
+    WaitFailed {
+        /// Generation of the change.
+        generation: u64,
+        /// How the wait failed.
+        source: Box<Error>,
+    },
+    /// The request ran and its outcome cannot be printed.
+    #[error("the request ran; its outcome cannot be printed: {0}")]
+    Unprinted(io::Error),
     /// Standard output cannot be written.
     #[error("cannot write the output: {0}")]
     Output(#[from] io::Error),
@@ -58,7 +79,7 @@
 
 /// A request that was sent and whose answer was lost.
 #[derive(Debug, Error)]
-#[error("{address}: {reason}")]
+#[error("{address}: {reason}{}", run_note(*effect, Some(RunState::MayHaveRun)))]
 pub struct Lost {
     /// Address that the request was sent to.
     pub address: SocketAddr,
@@ -106,13 +127,17 @@
     /// A line of the stream is longer than the limit.
     #[error("a line of the stream is too long")]
     LineTooLong,
-    /// The plain service itself answered with a server error.
-    #[error("the service answered with status {status}")]
-    ServiceFailed {
-        /// HTTP status code.
-        status: u16,
-    },
     /// The answer arrived and cannot be written.
     #[error("cannot write the output: {0}")]
     Output(#[from] io::Error),
 }
+
+/// Returns the line that says what became of a request; reads have none.
+const fn run_note(effect: Effect, run: Option<RunState>) -> &'static str {
+    match (effect, run) {
+        (Effect::Read, _) | (_, None) => "",
+        (Effect::Write, Some(RunState::NotRun)) => "\n  nothing was run",
+        (Effect::Write, Some(RunState::Ran)) => "\n  it ran",
+        (Effect::Write, Some(RunState::MayHaveRun)) => MAY_HAVE_RUN,
+    }
+}
--- a/lacewingspring_ctl/src/exit.rs
+++ b/lacewingspring_ctl/src/exit.rs
@@ -50,7 +50,10 @@
             Error::Unreachable { .. } => Self::Unavailable,
             Error::Refused { problem, effect } => from_problem(problem, *effect),
             Error::Lost(Lost { effect, .. }) => from_lost(*effect),
-            Error::Stream(_) => Self::MayHaveRun,
+            Error::Stream(_) | Error::Unprinted(_) => Self::MayHaveRun,
+            Error::Service { status } => from_service(*status),
+            // The change is made, so the failure of the wait says nothing about it.
+            Error::WaitFailed { .. } => Self::Differs,
         }
     }
 }
@@ -81,6 +84,16 @@
     }
 }
 
+/// Returns the exit code of a plain service's own status, which never proves that nothing ran.
+const fn from_service(status: u16) -> Exit {
+    match status {
+        408 => Exit::MayHaveRun,
+        429 => Exit::Refused,
+        400..=499 => from_status(status),
+        _ => Exit::MayHaveRun,
+    }
+}
+
 const fn from_status(status: u16) -> Exit {
     match status {
         401 | 403 => Exit::NotAuthorised,
--- a/lacewingspring_ctl/src/output/changes.rs
+++ b/lacewingspring_ctl/src/output/changes.rs
@@ -45,7 +45,7 @@
 fn counts(diffs: &[ResourceDiff]) -> String {
     let count = |action| diffs.iter().filter(|diff| diff.action == action).count();
     format!(
-        "{} to create, {} to change, {} to delete, {} the same",
+        "create {}, change {}, delete {}, same {}",
         count(Action::Create),
         count(Action::Change),
         count(Action::Delete),
--- a/lacewingspring_ctl/src/output/mod.rs
+++ b/lacewingspring_ctl/src/output/mod.rs
@@ -22,6 +22,21 @@
 
 /// Prints an answer to standard output.
 pub fn print<T>(format: Format, answer: &T) -> Result<(), Error>
+where
+    T: Render,
+{
+    Ok(write(format, answer)?)
+}
+
+/// Prints the outcome of a request that ran, which a failure to print must not hide.
+pub fn print_outcome<T>(format: Format, outcome: &T) -> Result<(), Error>
+where
+    T: Render,
+{
+    write(format, outcome).map_err(Error::Unprinted)
+}
+
+fn write<T>(format: Format, answer: &T) -> io::Result<()>
 where
     T: Render,
 {
@@ -30,8 +45,7 @@
         Format::Table => write!(out, "{}", Text(answer))?,
         Format::Json => json::write(&mut out, answer)?,
     }
-    out.flush()?;
-    Ok(())
+    out.flush()
 }
 
 /// Prints an error to standard error; a problem of the server stays JSON for scripts.
