Refuse answers to another key in the tool

Cause: in a trial against two daemons, `request k/1` was answered for the key "k%2F1", which the daemon takes from the path as it is and settles as not run. The tool would have said "not run" of a booking that ran. Ruled out: sending the key unencoded; a key may hold characters that a path cannot. Conclusion: an answer that names another key ends with 8 and is not printed. The daemon still has to decode the path; until then `request` cannot ask after such keys. The tool also reads the error event as the daemon streams it.

--- a/lacewingspring_ctl/src/api/problem.rs
+++ b/lacewingspring_ctl/src/api/problem.rs
@@ -24,7 +24,7 @@
     #[serde(alias = "message")]
     pub detail: String,
     /// Kind of the error; none when this tool does not know it.
-    #[serde(deserialize_with = "known_kind")]
+    #[serde(alias = "error", deserialize_with = "known_kind")]
     pub kind: Option<ErrorKind>,
     /// What became of the work.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -50,6 +50,15 @@
         }
     }
 
+    /// Returns the title, of the kind when the server sends none.
+    fn title(&self) -> &str {
+        match self.kind {
+            _ if !self.title.is_empty() => &self.title,
+            Some(kind) => kind.answer().title,
+            None => "The server refused.",
+        }
+    }
+
     /// Returns what became of the work as far as the server says.
     pub fn said_run(&self) -> Option<RunState> {
         self.run.or(self.kind.map(|kind| kind.answer().run))
@@ -66,7 +75,7 @@
 
 impl Display for Problem {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        f.write_str(if self.title.is_empty() { "The server refused." } else { &self.title })?;
+        f.write_str(self.title())?;
         if !self.detail.is_empty() {
             write!(f, " {}", self.detail)?;
         }
--- a/lacewingspring_ctl/src/cli.rs
+++ b/lacewingspring_ctl/src/cli.rs
@@ -128,7 +128,7 @@
     Addresses,
     /// Send a request to a service and print its answer as it arrives
     Ask(AskArgs),
-    /// Show what became of the request of a key
+    /// Show what became of the request of a key; one that is unknown is settled as not run
     Request(RequestArgs),
     /// Show histograms by workspace and tier
     Metrics,
--- a/lacewingspring_ctl/src/client.rs
+++ b/lacewingspring_ctl/src/client.rs
@@ -146,8 +146,21 @@
 
     /// Returns the content type; empty for none.
     pub fn content_type(&self) -> &str {
-        let value = self.response.headers().get(CONTENT_TYPE);
-        value.and_then(|value| value.to_str().ok()).unwrap_or_default()
+        self.header(CONTENT_TYPE.as_str()).unwrap_or_default()
+    }
+
+    /// Checks that the answer is to the request of a key.
+    pub fn check_key(&self, asked: &str) -> Result<(), Error> {
+        match self.header(IDEMPOTENCY_KEY) {
+            Some(answered) if answered != asked => {
+                Err(Error::OtherKey { asked: asked.to_owned(), answered: answered.to_owned() })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn header(&self, name: &str) -> Option<&str> {
+        self.response.headers().get(name)?.to_str().ok()
     }
 }
 
--- a/lacewingspring_ctl/src/commands/ask/completion.rs
+++ b/lacewingspring_ctl/src/commands/ask/completion.rs
@@ -49,6 +49,7 @@
 /// Sends the request and prints the answer as it arrives; in JSON, once it is whole.
 pub async fn run(client: &Client, format: Format, call: Call, key: String) -> Result<Exit, Error> {
     let answer = client.send(call).await?;
+    answer.check_key(&key)?;
     if !answer.content_type().starts_with("text/event-stream") {
         let content_type = answer.content_type().to_owned();
         return Err(StreamError::NotAStream { content_type }.into());
--- a/lacewingspring_ctl/src/commands/ask/mod.rs
+++ b/lacewingspring_ctl/src/commands/ask/mod.rs
@@ -25,7 +25,7 @@
     // The key comes first, so that a lost answer can still be asked after.
     eprintln!("key: {key}");
     match args.plain {
-        Some(_) => plain::run(client, call).await,
+        Some(_) => plain::run(client, call, &key).await,
         None => completion::run(client, format, call, key).await,
     }
 }
--- a/lacewingspring_ctl/src/commands/ask/plain.rs
+++ b/lacewingspring_ctl/src/commands/ask/plain.rs
@@ -12,8 +12,9 @@
 };
 
 /// Sends the request and prints the body as it arrives.
-pub async fn run(client: &Client, call: Call) -> Result<Exit, Error> {
+pub async fn run(client: &Client, call: Call, key: &str) -> Result<Exit, Error> {
     let answer = client.send_plain(call).await?;
+    answer.check_key(key)?;
     let status = answer.response.status();
     let idle = answer.timeout;
     let mut body = answer.response.into_body();
--- a/lacewingspring_ctl/src/commands/request.rs
+++ b/lacewingspring_ctl/src/commands/request.rs
@@ -15,6 +15,10 @@
 pub async fn run(client: &Client, format: Format, args: &RequestArgs) -> Result<Exit, Error> {
     let path = format!("/v1/requests/{}", encode(&args.key));
     let status: RequestStatus = client.fetch(Call::get(&path)?).await?;
+    // A server that reads the path otherwise would vouch for a key that nobody used.
+    if status.key != args.key {
+        return Err(Error::OtherKey { asked: args.key.clone(), answered: status.key });
+    }
     output::print(format, &status)?;
     Ok(match status.state {
         KeyState::NotRun | KeyState::Ran | KeyState::InProgress => Exit::Done,
--- a/lacewingspring_ctl/src/error.rs
+++ b/lacewingspring_ctl/src/error.rs
@@ -55,6 +55,14 @@
     /// The answer stream ended before its end.
     #[error("the answer is not whole: {0}{note}", note = MAY_HAVE_RUN)]
     Stream(#[from] StreamError),
+    /// The answer is to another request.
+    #[error("the answer is to the key {answered:?}, not to {asked:?}")]
+    OtherKey {
+        /// Key of the request.
+        asked: String,
+        /// Key of the answer.
+        answered: String,
+    },
     /// A plain service answered with an error of its own.
     #[error("the service answered with status {status}")]
     Service {
--- a/lacewingspring_ctl/src/exit.rs
+++ b/lacewingspring_ctl/src/exit.rs
@@ -51,6 +51,7 @@
             Error::Refused { problem, effect } => from_problem(problem, *effect),
             Error::Lost(Lost { effect, .. }) => from_lost(*effect),
             Error::Stream(_) | Error::Unprinted(_) => Self::MayHaveRun,
+            Error::OtherKey { .. } => Self::MayHaveRun,
             Error::Service { status } => from_service(*status),
             // The change is made, so the failure of the wait says nothing about it.
             Error::WaitFailed { .. } => Self::Differs,
--- a/lacewingspring_ctl/tests/ask.rs
+++ b/lacewingspring_ctl/tests/ask.rs
@@ -51,8 +51,12 @@
     let error = |fields: &str| format!("{FIRST}data: {{\"error\":{{{fields}}}}}\n\n{END}");
     assert_eq!(ask(Reply::stream(&error(r#""message":"engine gone""#))).0, 8);
     assert_eq!(ask(Reply::stream(&error(r#""kind":"overloaded","run":"not_run""#))).0, 7);
-    let event = format!("{FIRST}event: error\ndata: {{\"kind\":\"answer_lost\"}}\n\n{END}");
-    assert_eq!(ask(Reply::stream(&event)).0, 8);
+    let event = |kind: &str, run: &str| {
+        let data = format!(r#"{{"error":"{kind}","run":"{run}"}}"#);
+        ask(Reply::stream(&format!("{FIRST}event: error\ndata: {data}\n\n{END}"))).0
+    };
+    assert_eq!(event("answer_lost", "may_have_run"), 8);
+    assert_eq!(event("deadline_exceeded", "not_run"), 7);
 }
 
 #[test]
@@ -94,6 +98,16 @@
     assert_eq!((run.code, run.stdout.as_str()), (7, ""));
 }
 
+#[test]
+fn an_answer_to_another_request_is_not_printed() {
+    for (args, body) in [(ASK, END), (PLAIN, "{}")] {
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nidempotency-key: k2";
+        let bytes = format!("{head}\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+        let run = Responder::start([Reply::Bytes(bytes)]).run(args);
+        assert_eq!((run.code, run.stdout.as_str()), (8, ""));
+    }
+}
+
 #[test]
 fn a_cut_plain_answer_is_an_error() {
     let cut = "HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{\"seat\"";
--- a/lacewingspring_ctl/tests/exit_codes.rs
+++ b/lacewingspring_ctl/tests/exit_codes.rs
@@ -93,6 +93,21 @@
     }
 }
 
+#[test]
+fn the_state_of_a_key_ends_by_what_is_known() {
+    for (key, state, code) in [
+        ("k/1", "not_run", 0),
+        ("k/1", "ran", 0),
+        ("k/1", "in_progress", 0),
+        ("k/1", "may_have_run", 8),
+        ("k%2F1", "not_run", 8),
+    ] {
+        let answer = format!(r#"{{"key":"{key}","state":"{state}"}}"#);
+        let run = Responder::start([Reply::json(200, &answer)]).run(&["request", "k/1"]);
+        assert_eq!(run.code, code, "{answer}");
+    }
+}
+
 #[test]
 fn a_lost_answer_leaves_a_change_open_but_not_a_read() {
     assert_eq!(apply_code(Reply::nothing()), 8);
