--- /dev/null
+++ b/lacewingspring_ctl/src/commands/ask/plain.rs
@@ -0,0 +1,34 @@
+//! Answers of plain services, passed on as they are.
+
+use std::io::{self, Write};
+
+use http_body_util::BodyExt;
+use tokio::time::timeout;
+
+use crate::{
+    client::{Call, Client},
+    error::{Error, StreamError},
+    exit::Exit,
+};
+
+/// Sends the request and prints the body as it arrives.
+pub async fn run(client: &Client, call: Call, key: &str) -> Result<Exit, Error> {
+    let answer = client.send_plain(call).await?;
+    answer.check_key(key)?;
+    let status = answer.response.status();
+    let idle = answer.timeout;
+    let mut body = answer.response.into_body();
+    let mut out = io::stdout().lock();
+    loop {
+        let frame = timeout(idle, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| StreamError::TimedOut)? else { break };
+        let frame = frame.map_err(|err| StreamError::Broken(err.into()))?;
+        let data = frame.into_data().unwrap_or_default();
+        out.write_all(&data).map_err(StreamError::from)?;
+        out.flush().map_err(StreamError::from)?;
+    }
+    if !status.is_success() {
+        return Err(Error::Service { status: status.as_u16() });
+    }
+    Ok(Exit::Done)
+}
