Decide a repeat of a refused request anew, and tell incarnations apart

Cause: a test that froze the dispatching instance for 5 s got 'may have run' for a repeat after the outcome was known, because the other instance kept its refusal for a minute; a test that killed and restarted the instance hung for 60 s, because the new incarnation followed itself. A trial of the command-line tool found that keys in a path weren't decoded, so another key was settled. Ruled out: the claim in the key-value service: its record was right in both runs. Conclusion: a refusal is kept only where it must stop a second dispatch; a follow names the incarnation that it expects.

--- a/lacewingspring/src/callers/keys.rs
+++ b/lacewingspring/src/callers/keys.rs
@@ -8,6 +8,7 @@
     error::{ErrorKind, RunState},
     names::RequestKey,
 };
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 
 use super::{Call, REQUESTS_PATH, auth, reply::Reply};
@@ -45,7 +46,8 @@
     }
     let workspace = auth::workspace(&node.catalog(), call.head.headers())?;
     let key = call.head.uri().path().strip_prefix(REQUESTS_PATH).unwrap_or_default();
-    let id = RunId { workspace, key: RequestKey::from(key) };
+    let key = percent_decode_str(key).decode_utf8().map_err(|_| malformed())?;
+    let id = RunId { workspace, key: RequestKey::from(&*key) };
     let state = state(node, &id).await?;
     Ok(Reply::json(200, &KeyState { key: id.key, state }))
 }
@@ -64,12 +66,16 @@
         ClaimState::Void => State::NotRun,
         ClaimState::Done(_) => State::Ran,
         ClaimState::Claimed => {
-            let live = node.fleet.live(&record.instance, record.incarnation);
+            let live = node.fleet.live(&record.instance);
             if live.is_some() { State::InProgress } else { State::MayHaveRun }
         }
     })
 }
 
+fn malformed() -> Refusal {
+    Refusal::last(ErrorKind::Malformed)
+}
+
 fn from_run(run: RunState) -> State {
     match run {
         RunState::NotRun => State::NotRun,
--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -19,7 +19,7 @@
 use crate::{
     callers, clock,
     declared::DeclaredStore,
-    entry::{Claims, RunTable},
+    entry::{Claims, RunId, RunTable, serve_follow},
     gates::GateHost,
     membership::{Fleet, Member, follow_list},
     metrics::Metrics,
@@ -156,8 +156,10 @@
         Some(Message::Adopt { permit, upstream }) => {
             node.gates.serve_adopt(&catalog, permit, upstream, exchange).await;
         }
-        Some(Message::Follow { workspace, key }) => {
-            node.runs.serve_follow(workspace, key, &exchange).await;
+        Some(Message::Follow { workspace, key, incarnation }) => {
+            let run = node.runs.get(&RunId { workspace, key });
+            let run = run.filter(|_| incarnation == node.incarnation);
+            serve_follow(run, &exchange).await;
         }
         _ => {}
     }
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use lacewingspring_core::{
-    error::ErrorKind,
+    error::{ErrorKind, RunState},
     gate::Ask,
     names::RequestKey,
     request::{Accepted, ClaimProof, Claimed, Request, RequestFacts},
@@ -50,7 +50,7 @@
             Ok(()) => drive.answered(),
             Err(refusal) => drive.refused(refusal),
         }
-        drive.forget_later();
+        drive.forget();
     });
 }
 
@@ -158,20 +158,29 @@
             ClaimOutcome::Voided => Err(Refusal::last(ErrorKind::Voided)),
             ClaimOutcome::Conflict => Err(Refusal::last(ErrorKind::KeyConflict)),
             ClaimOutcome::Pending { instance, incarnation, key } => {
-                let peer = self.node.fleet.live(&instance, incarnation);
-                let peer = peer.ok_or(Refusal::last(ErrorKind::OutcomeUnknown))?;
-                self.follow(&peer, key).await
+                let unknown = Refusal::last(ErrorKind::OutcomeUnknown);
+                if incarnation == self.node.incarnation && key == self.work.id.key {
+                    // This incarnation drove the run before and no longer knows its end.
+                    return Err(unknown);
+                }
+                let peer = self.node.fleet.live(&instance).ok_or(unknown)?;
+                self.follow(&peer, key, incarnation).await
             }
             ClaimOutcome::Won(_) => Err(Refusal::last(ErrorKind::Internal)),
         }
     }
 
     /// Copies the parts of a run that another instance drives.
-    async fn follow(&self, peer: &PeerAddress, key: RequestKey) -> Result<(), Refusal> {
+    async fn follow(
+        &self,
+        peer: &PeerAddress,
+        key: RequestKey,
+        incarnation: u64,
+    ) -> Result<(), Refusal> {
         self.run.note(Step::Followed);
         let unknown = Refusal::last(ErrorKind::OutcomeUnknown);
         let workspace = self.work.id.workspace.clone();
-        let follow = Message::Follow { workspace, key };
+        let follow = Message::Follow { workspace, key, incarnation };
         let mut exchange = self.node.peers.open(peer, follow).await.map_err(|_| unknown)?;
         while let Some(message) = exchange.rx.recv().await {
             let Message::Part(part) = message else { return Err(unknown) };
@@ -202,12 +211,22 @@
         Ok(permit)
     }
 
-    /// Keeps the answer for repeats, then forgets the run.
-    fn forget_later(self) {
+    /// Forgets the run: at once when a repeat may ask anew, else once its answer was kept.
+    fn forget(self) {
+        if self.may_ask_anew() {
+            self.node.runs.remove(&self.run.id);
+            return;
+        }
         let retention = self.node.settings.timing.answer_retention();
         tokio::spawn(async move {
             sleep(retention).await;
             self.node.runs.remove(&self.run.id);
         });
     }
+
+    /// Returns whether a repeat is to be decided anew: nothing ran, or the claim decides.
+    fn may_ask_anew(&self) -> bool {
+        let Some(kind) = self.run.failure() else { return false };
+        kind.answer().run == RunState::NotRun || !self.work.service.idempotent
+    }
 }
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -14,7 +14,7 @@
 
 pub use self::{
     claims::Claims,
-    run::{Follower, Run, RunId},
+    run::{Follower, Run, RunId, serve_follow},
     steps::{Step, StepReport},
     table::{RunTable, Submitted},
 };
--- a/lacewingspring/src/entry/run.rs
+++ b/lacewingspring/src/entry/run.rs
@@ -19,7 +19,10 @@
     Refusal,
     steps::{Step, StepReport},
 };
-use crate::{clock, peers::RunPart};
+use crate::{
+    clock,
+    peers::{Exchange, Message, RunPart},
+};
 
 /// Finish reason given with an answer that was stored.
 const STORED_FINISH_REASON: &str = "stop";
@@ -195,3 +198,17 @@
         self.run.follower_count.send_replace(count);
     }
 }
+
+/// Sends the parts of a run to another instance, until its last part.
+pub async fn serve_follow(run: Option<Arc<Run>>, end: &Exchange) {
+    let Some(run) = run else {
+        let _ = end.tx.send(Message::NoRun).await;
+        return;
+    };
+    let mut follower = run.follow();
+    while let Some(part) = follower.next().await {
+        if end.tx.send(Message::Part(part)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/lacewingspring/src/entry/table.rs
+++ b/lacewingspring/src/entry/table.rs
@@ -5,10 +5,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use lacewingspring_core::names::{RequestKey, WorkspaceName};
-
 use super::run::{Run, RunId};
-use crate::peers::{Exchange, Message};
 
 /// What a submission under a key came to.
 #[derive(Debug)]
@@ -53,20 +50,6 @@
         self.lock().remove(id);
     }
 
-    /// Sends the parts of a run to another instance, until its last part.
-    pub async fn serve_follow(&self, workspace: WorkspaceName, key: RequestKey, end: &Exchange) {
-        let Some(run) = self.get(&RunId { workspace, key }) else {
-            let _ = end.tx.send(Message::NoRun).await;
-            return;
-        };
-        let mut follower = run.follow();
-        while let Some(part) = follower.next().await {
-            if end.tx.send(Message::Part(part)).await.is_err() {
-                return;
-            }
-        }
-    }
-
     /// Returns the number of runs that have not ended.
     pub fn open(&self) -> usize {
         self.lock().values().filter(|run| !run.ended()).count()
--- a/lacewingspring/src/membership/mod.rs
+++ b/lacewingspring/src/membership/mod.rs
@@ -75,8 +75,8 @@
         members.iter().find(|member| member.name == *holder).map(Member::peer)
     }
 
-    /// Returns the address of a live instance in a given incarnation.
-    pub fn live(&self, instance: &InstanceName, _incarnation: u64) -> Option<PeerAddress> {
+    /// Returns the address of a live instance.
+    pub fn live(&self, instance: &InstanceName) -> Option<PeerAddress> {
         let members = self.members.load();
         members.iter().find(|member| member.name == *instance).map(Member::peer)
     }
--- a/lacewingspring/src/peers/message.rs
+++ b/lacewingspring/src/peers/message.rs
@@ -82,6 +82,8 @@
         workspace: WorkspaceName,
         /// Key of the request.
         key: RequestKey,
+        /// Incarnation that is expected to drive the run.
+        incarnation: u64,
     },
     /// Entry to entry: one part of a followed run.
     Part(RunPart),
--- a/lacewingspring/tests/bad_input.rs
+++ b/lacewingspring/tests/bad_input.rs
@@ -148,6 +148,11 @@
     assert_eq!(conflict.status, 409, "{}", conflict.body);
     let state = call(at, "GET", "/v1/requests/same", &desk, String::new()).await.unwrap();
     assert_eq!(state.json()["state"], "ran");
+    let slash = [bearer(DESK_TOKEN), key("k/1")];
+    let seat = json!({ "seat": 3, "client": "north" }).to_string();
+    assert_eq!(call(at, "POST", path, &slash, seat).await.unwrap().status, 200);
+    let state = call(at, "GET", "/v1/requests/k%2F1", &desk, String::new()).await.unwrap();
+    assert_eq!((&state.json()["key"], &state.json()["state"]), (&json!("k/1"), &json!("ran")));
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/lacewingspring/tests/peers.rs
+++ b/lacewingspring/tests/peers.rs
@@ -7,7 +7,11 @@
 use quickcheck::{Gen, QuickCheck};
 
 fn message() -> Message {
-    Message::Follow { workspace: WorkspaceName::from("desk"), key: RequestKey::from("key") }
+    Message::Follow {
+        workspace: WorkspaceName::from("desk"),
+        key: RequestKey::from("key"),
+        incarnation: 7,
+    }
 }
 
 fn peer(name: &str, port: u16) -> PeerAddress {
--- /dev/null
+++ b/lacewingspring/tests/support/caller.rs
@@ -0,0 +1,92 @@
+//! Callers of a test fleet: bookings, completions and key states, told as a history tells them.
+
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+
+use super::{
+    DESK_TOKEN, Fleet, call,
+    history::{Runs, Told},
+    http::Answer,
+};
+
+/// Credential header of the workspace `desk`.
+pub fn desk() -> (&'static str, String) {
+    ("authorization", format!("Bearer {DESK_TOKEN}"))
+}
+
+/// Header with the key of a request.
+pub fn key(key: &str) -> (&'static str, String) {
+    ("idempotency-key", key.to_owned())
+}
+
+/// Books a seat.
+pub async fn book(at: SocketAddr, request_key: &str, seat: u64) -> Told {
+    let body = json!({ "seat": seat, "client": "north" }).to_string();
+    let headers = [desk(), key(request_key)];
+    match call(at, "POST", "/services/booking/seats", &headers, body).await {
+        Ok(answer) => told(answer),
+        Err(_) => Told::Nothing,
+    }
+}
+
+/// Asks for a completion and returns its text.
+pub async fn complete(
+    at: SocketAddr,
+    service: &str,
+    request_key: &str,
+    prompt: &str,
+    tokens: u32,
+) -> Told {
+    let body = json!({ "model": service, "prompt": prompt, "max_tokens": tokens, "stream": true });
+    let headers = [desk(), key(request_key)];
+    let answer = call(at, "POST", "/v1/completions", &headers, body.to_string()).await;
+    match answer {
+        Ok(answer) if answer.status == 200 && !answer.body.contains("event: error") => {
+            answer.text().map_or(Told::Nothing, Told::Answer)
+        }
+        Ok(answer) if answer.status == 200 => Told::MayHaveRun,
+        Ok(answer) => told(answer),
+        Err(_) => Told::Nothing,
+    }
+}
+
+/// Asks what became of a key.
+pub async fn state(at: SocketAddr, request_key: &str) -> Option<String> {
+    let path = format!("/v1/requests/{request_key}");
+    let answer = call(at, "GET", &path, &[desk()], String::new()).await.ok()?;
+    Some(answer.json()["state"].as_str()?.to_owned())
+}
+
+fn told(answer: Answer) -> Told {
+    if answer.status == 200 {
+        return Told::Answer(answer.body);
+    }
+    match answer.json()["run"].as_str() {
+        Some("not_run") => Told::NotRun,
+        _ => Told::MayHaveRun,
+    }
+}
+
+/// Counts the calls of each key at the plain servers.
+pub async fn plain_runs(fleet: &Fleet) -> Runs {
+    let mut runs = Runs::default();
+    for server in &fleet.plain {
+        let journal = fleet.journal(*server).await;
+        for call in journal["calls"].as_array().into_iter().flatten() {
+            let key = call["idempotency_key"].as_str().unwrap_or_default();
+            *runs.0.entry(key.to_owned()).or_default() += 1;
+        }
+    }
+    runs
+}
+
+/// Returns the runs that the engines journalled.
+pub async fn engine_runs(fleet: &Fleet) -> Vec<Value> {
+    let mut runs = Vec::new();
+    for engine in &fleet.engines {
+        let journal = fleet.journal(*engine).await;
+        runs.extend(journal["requests"].as_array().cloned().unwrap_or_default());
+    }
+    runs
+}
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -21,6 +21,8 @@
 
 pub use self::http::{call, get};
 
+pub mod caller;
+pub mod history;
 pub mod http;
 
 /// Bearer token of the workspace `desk`.
