Check transactions over declared resources

Racing operators could each be valid alone and break a constraint together, and a state that misses an event could pass for whole.

New: the kind operator (credentials, role read or change). Upstream names and addresses are unique over all pools, since gates count by upstream. No existing field changed.

--- a/lacewingspring_core/src/catalog.rs
+++ b/lacewingspring_core/src/catalog.rs
@@ -102,6 +102,8 @@
                 self.insert_credentials(name.into(), spec);
                 self.workspaces.insert(name.into(), spec.clone());
             }
+            // Operators are not on the request path.
+            Spec::Operator(_) => {}
         }
     }
 
--- /dev/null
+++ b/lacewingspring_core/src/config/diff.rs
@@ -0,0 +1,119 @@
+//! Differences between two states, field by field.
+
+use std::collections::BTreeMap;
+
+use serde::{Serialize, Serializer};
+use serde_json::Value;
+
+use super::{declared::Declared, transaction::Transaction};
+use crate::resources::{Resource, ResourceId};
+
+/// What a transaction does to one resource.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ResourceDiff {
+    /// The resource.
+    #[serde(serialize_with = "text")]
+    pub resource: ResourceId,
+    /// What happens to it.
+    pub action: DiffAction,
+    /// Fields that differ.
+    pub fields: Vec<FieldDiff>,
+}
+
+/// What happens to a resource.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DiffAction {
+    /// It did not exist.
+    Create,
+    /// Some fields differ.
+    Change,
+    /// It is removed.
+    Delete,
+    /// It stays as it is.
+    None,
+}
+
+/// One field that differs. A side where the field is missing is null.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct FieldDiff {
+    /// Path of the field, such as `spec.limits.concurrency`.
+    pub path: String,
+    /// Value before.
+    pub before: Value,
+    /// Value after.
+    pub after: Value,
+}
+
+/// Returns what happens to each resource that `transaction` names.
+pub fn diff(before: &Declared, after: &Declared, transaction: &Transaction) -> Vec<ResourceDiff> {
+    let ids = transaction.ids().into_iter();
+    ids.map(|id| resource_diff(before.resources.get(&id), after.resources.get(&id), id)).collect()
+}
+
+fn resource_diff(
+    before: Option<&Resource>,
+    after: Option<&Resource>,
+    resource: ResourceId,
+) -> ResourceDiff {
+    let action = match (before, after) {
+        (None, Some(_)) => DiffAction::Create,
+        (Some(_), None) => DiffAction::Delete,
+        (before, after) if before == after => DiffAction::None,
+        _ => DiffAction::Change,
+    };
+    ResourceDiff { resource, action, fields: field_diffs(&leaves(before), &leaves(after)) }
+}
+
+fn field_diffs(
+    before: &BTreeMap<String, Value>,
+    after: &BTreeMap<String, Value>,
+) -> Vec<FieldDiff> {
+    let mut paths: Vec<&String> = before.keys().chain(after.keys()).collect();
+    paths.sort();
+    paths.dedup();
+    let side = |leaves: &BTreeMap<String, Value>, path| leaves.get(path).cloned();
+    let fields = paths.into_iter().map(|path| FieldDiff {
+        path: path.clone(),
+        before: side(before, path).unwrap_or_default(),
+        after: side(after, path).unwrap_or_default(),
+    });
+    fields.filter(|field| field.before != field.after).collect()
+}
+
+/// Returns the values of a resource by path.
+fn leaves(resource: Option<&Resource>) -> BTreeMap<String, Value> {
+    let mut leaves = BTreeMap::new();
+    if let Some(Ok(Value::Object(fields))) = resource.map(serde_json::to_value) {
+        let spec = fields.into_iter().find(|(name, _)| name == "spec");
+        if let Some((name, spec)) = spec {
+            collect(name, spec, &mut leaves);
+        }
+    }
+    leaves
+}
+
+fn collect(path: String, value: Value, leaves: &mut BTreeMap<String, Value>) {
+    match value {
+        Value::Object(fields) => {
+            for (name, value) in fields {
+                collect(format!("{path}.{name}"), value, leaves);
+            }
+        }
+        Value::Array(items) => {
+            for (i, value) in items.into_iter().enumerate() {
+                collect(format!("{path}[{i}]"), value, leaves);
+            }
+        }
+        value => {
+            leaves.insert(path, value);
+        }
+    }
+}
+
+fn text<S>(id: &ResourceId, serializer: S) -> Result<S::Ok, S::Error>
+where
+    S: Serializer,
+{
+    serializer.collect_str(id)
+}
--- /dev/null
+++ b/lacewingspring_core/src/config/transaction.rs
@@ -0,0 +1,45 @@
+//! Changes to several resources that take effect together.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::resources::{Resource, ResourceId};
+
+/// Changes that are checked and committed together.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Transaction {
+    /// Changes; each resource is named at most once.
+    pub changes: Vec<Change>,
+    /// Generation that the operator read; the commit is refused when it isn't the present one.
+    #[serde(default)]
+    pub expect_generation: Option<u64>,
+}
+
+impl Transaction {
+    /// Returns the resources that the transaction names.
+    pub fn ids(&self) -> BTreeSet<ResourceId> {
+        self.changes.iter().map(Change::id).collect()
+    }
+}
+
+/// One change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// Creates or replaces a resource.
+    Put(Resource),
+    /// Removes a resource.
+    Delete(ResourceId),
+}
+
+impl Change {
+    /// Returns the resource that the change names.
+    pub fn id(&self) -> ResourceId {
+        match self {
+            Self::Put(resource) => resource.id(),
+            Self::Delete(id) => id.clone(),
+        }
+    }
+}
--- a/lacewingspring_core/src/lib.rs
+++ b/lacewingspring_core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod catalog;
 pub mod claim;
+pub mod config;
 pub mod error;
 pub mod gate;
 pub mod names;
--- a/lacewingspring_core/src/resources/mod.rs
+++ b/lacewingspring_core/src/resources/mod.rs
@@ -1,16 +1,22 @@
-//! Declared resources: services, workspaces, tiers and engine pools.
+//! Declared resources: services, workspaces, tiers, engine pools and operators.
 
-use std::fmt::{self, Display, Formatter};
+use std::{
+    fmt::{self, Display, Formatter},
+    str::FromStr,
+};
 
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 pub use self::{
+    operator::{OperatorRole, OperatorSpec},
     pool::{EnginePoolSpec, PoolKind, UpstreamSpec},
     service::{ServiceKind, ServiceSpec},
     tier::TierSpec,
     workspace::{WorkspaceLimits, WorkspaceSpec},
 };
 
+mod operator;
 mod pool;
 mod service;
 mod tier;
@@ -43,9 +49,15 @@
     Service,
     /// A workspace, a customer.
     Workspace,
+    /// An operator, who reads or changes resources.
+    Operator,
 }
 
 impl ResourceKind {
+    /// All kinds, in their order.
+    pub const ALL: [Self; 5] =
+        [Self::Tier, Self::EnginePool, Self::Service, Self::Workspace, Self::Operator];
+
     /// Returns the kind as it is written in JSON and paths.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -53,10 +65,25 @@
             Self::EnginePool => "engine_pool",
             Self::Service => "service",
             Self::Workspace => "workspace",
+            Self::Operator => "operator",
         }
     }
 }
 
+impl FromStr for ResourceKind {
+    type Err = UnknownKind;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let kind = Self::ALL.into_iter().find(|kind| kind.as_str() == text);
+        kind.ok_or_else(|| UnknownKind(text.to_owned()))
+    }
+}
+
+/// The text names no kind of resource.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("there is no resource kind `{0}`")]
+pub struct UnknownKind(pub String);
+
 /// One declared resource.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Resource {
@@ -86,6 +113,8 @@
     Service(ServiceSpec),
     /// A workspace, a customer.
     Workspace(WorkspaceSpec),
+    /// An operator, who reads or changes resources.
+    Operator(OperatorSpec),
 }
 
 impl Spec {
@@ -96,6 +125,7 @@
             Self::EnginePool(_) => ResourceKind::EnginePool,
             Self::Service(_) => ResourceKind::Service,
             Self::Workspace(_) => ResourceKind::Workspace,
+            Self::Operator(_) => ResourceKind::Operator,
         }
     }
 }
--- a/lacewingspring_core/src/resources/pool.rs
+++ b/lacewingspring_core/src/resources/pool.rs
@@ -38,9 +38,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct UpstreamSpec {
-    /// Name, unique within the pool.
+    /// Name, unique over all pools.
     pub name: UpstreamName,
-    /// Address as `IP:port`.
+    /// Address as `IP:port`, unique over all pools.
     pub address: String,
     /// Data centre of the upstream.
     pub data_centre: DataCentreName,
