Add the interface for operators

Operators need to declare, dry-run, commit, describe and wait, with errors that name resource, field and rule.

--- a/lacewingspring/src/lib.rs
+++ b/lacewingspring/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod gates;
 pub mod logging;
 pub mod membership;
+pub mod operators;
 pub mod peers;
 pub mod platform;
 pub mod settings;
--- /dev/null
+++ b/lacewingspring/src/operators/query.rs
@@ -0,0 +1,35 @@
+//! Parameters of a query.
+
+use std::str::FromStr;
+
+use lacewingspring_core::error::ErrorKind;
+
+use super::problem::Failure;
+
+/// Query of a request. Names and values hold no characters that need escapes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Query<'a>(&'a str);
+
+impl<'a> Query<'a> {
+    pub(super) fn new(query: Option<&'a str>) -> Self {
+        Self(query.unwrap_or_default())
+    }
+
+    /// Returns a parameter as text.
+    pub(super) fn get(self, name: &str) -> Option<&'a str> {
+        let pairs = self.0.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+    }
+
+    /// Returns a parameter, or none when it is absent.
+    pub(super) fn parse<T>(self, name: &str) -> Result<Option<T>, Failure>
+    where
+        T: FromStr,
+    {
+        let Some(text) = self.get(name) else { return Ok(None) };
+        let malformed = |_| {
+            Failure::of(ErrorKind::Malformed).with_detail(format!("`{name}` can't be {text:?}."))
+        };
+        text.parse().map(Some).map_err(malformed)
+    }
+}
--- a/lacewingspring_core/src/config/violation.rs
+++ b/lacewingspring_core/src/config/violation.rs
@@ -5,6 +5,9 @@
 
 use crate::resources::{ResourceId, ResourceKind};
 
+/// What stands for the transaction as a whole in place of a resource.
+const WHOLE: &str = "transaction";
+
 /// A broken constraint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Violation {
@@ -84,6 +87,6 @@
 {
     match id {
         Some(id) => serializer.collect_str(id),
-        None => serializer.serialize_none(),
+        None => serializer.serialize_str(WHOLE),
     }
 }
