--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use super::{
-    Body, Refusal, Run, Work,
+    Body, Refusal, Run, Step, Work,
     claims::ClaimOutcome,
     completion,
     permit::{self, Permit},
@@ -20,6 +20,7 @@
 use crate::{
     clock,
     daemon::Node,
+    metrics::{Series, Timer},
     peers::{Message, PeerAddress, RunPart},
 };
 
@@ -32,20 +33,46 @@
     pub run: Arc<Run>,
     /// What is to be run.
     pub work: Work,
+    /// Series that the request is measured in.
+    pub series: Series,
+    /// Time of acceptance.
+    pub accepted: Duration,
 }
 
 /// Starts a run in a task of its own: it outlives the caller's connection.
 pub fn start(node: Arc<Node>, run: Arc<Run>, work: Work) {
     tokio::spawn(async move {
-        let drive = Drive { node, run, work };
-        if let Err(refusal) = drive.to_end().await {
-            drive.run.fail(refusal);
+        let series = work.series();
+        let drive = Drive { node, run, work, series, accepted: clock::now() };
+        drive.run.note(Step::Accepted);
+        drive.node.metrics.accepted(&drive.series);
+        match drive.to_end().await {
+            Ok(()) => drive.answered(),
+            Err(refusal) => drive.refused(refusal),
         }
         drive.forget_later();
     });
 }
 
 impl Drive {
+    /// Records a time since acceptance.
+    pub fn time(&self, timer: Timer) {
+        let since = clock::now().saturating_sub(self.accepted);
+        self.node.metrics.time(timer, &self.series, since);
+    }
+
+    fn answered(&self) {
+        self.time(Timer::Total);
+        self.run.note(Step::Answered);
+        self.node.metrics.answered(&self.series);
+    }
+
+    fn refused(&self, refusal: Refusal) {
+        self.run.note(Step::Refused(refusal.kind));
+        self.node.metrics.refused(&self.series, refusal.kind);
+        self.run.fail(refusal);
+    }
+
     async fn to_end(&self) -> Result<(), Refusal> {
         let now = clock::now();
         let request = Request::accept(RequestFacts {
@@ -105,6 +132,7 @@
                 return Err(refusal);
             }
         };
+        self.run.note(Step::Claimed);
         let claimed = request.claimed(ClaimProof::won());
         match self.dispatch(claimed, permit).await {
             Ok(None) => {
@@ -121,6 +149,7 @@
 
     /// Answers from a claim that stood before.
     async fn settle(&self, outcome: ClaimOutcome) -> Result<(), Refusal> {
+        self.run.note(Step::ClaimFound);
         match outcome {
             ClaimOutcome::Answered(answer) => {
                 self.run.push_answer(answer);
@@ -139,6 +168,7 @@
 
     /// Copies the parts of a run that another instance drives.
     async fn follow(&self, peer: &PeerAddress, key: RequestKey) -> Result<(), Refusal> {
+        self.run.note(Step::Followed);
         let unknown = Refusal::last(ErrorKind::OutcomeUnknown);
         let workspace = self.work.id.workspace.clone();
         let follow = Message::Follow { workspace, key };
@@ -165,7 +195,11 @@
             max_wait: deadline.saturating_sub(clock::now()),
             parkable: work.service.idempotent && matches!(work.body, Body::Completion { .. }),
         };
-        permit::acquire(&self.node, &work.service.pool, &work.pool, ask).await
+        let permit = permit::acquire(&self.node, &work.service.pool, &work.pool, ask).await;
+        let permit = permit?;
+        self.time(Timer::Wait);
+        self.run.note(Step::Permitted(permit.upstream.clone()));
+        Ok(permit)
     }
 
     /// Keeps the answer for repeats, then forgets the run.
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -15,9 +15,10 @@
 pub use self::{
     claims::Claims,
     run::{Follower, Run, RunId},
+    steps::{Step, StepReport},
     table::{RunTable, Submitted},
 };
-use crate::daemon::Node;
+use crate::{daemon::Node, metrics::Series};
 
 mod claims;
 mod completion;
@@ -25,6 +26,7 @@
 mod permit;
 mod plain;
 mod run;
+mod steps;
 mod table;
 
 /// When callers of a leaving instance are told to come back, at another address.
@@ -130,6 +132,11 @@
         digest_hex(text.as_bytes())[..32].to_owned()
     }
 
+    /// Returns the series that the request is measured in.
+    pub fn series(&self) -> Series {
+        Series { workspace: self.id.workspace.clone(), tier: self.service.tier.clone() }
+    }
+
     /// Returns the address of an upstream of the pool.
     fn address(&self, name: &UpstreamName) -> Option<std::net::SocketAddr> {
         let upstream = self.pool.upstreams.iter().find(|upstream| upstream.name == *name)?;
@@ -159,7 +166,10 @@
         return Err(Refusal::new(ErrorKind::Leaving, LEAVING_RETRY_AFTER));
     }
     match node.runs.submit(work.id.clone(), work.fingerprint.clone()) {
-        Submitted::Joined(run) => Ok(run.follow()),
+        Submitted::Joined(run) => {
+            run.note(Step::Joined);
+            Ok(run.follow())
+        }
         Submitted::Conflict => Err(Refusal::last(ErrorKind::KeyConflict)),
         Submitted::New(run) => {
             let follower = run.follow();
