--- a/lacewingspring/src/lib.rs
+++ b/lacewingspring/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod logging;
 pub mod membership;
 pub mod metrics;
+pub mod operators;
 pub mod peers;
 pub mod platform;
 pub mod settings;
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -11,8 +11,9 @@
 };
 
 use lacewingspring::{
+    declared::{Author, DeclaredPolicy, DeclaredStore},
     peers::Authority,
-    platform::key_value::{KeyValue, Put},
+    platform::key_value::KeyValue,
 };
 use lacewingspring_core::catalog::digest_hex;
 use serde_json::{Value, json};
@@ -176,18 +177,15 @@
         self.stand_ins.push(Process(command.spawn().expect("starts a stand-in")));
     }
 
-    /// Writes resources into the key-value service.
+    /// Declares resources in one transaction, as an operator would.
     pub async fn declare(&self, resources: Vec<Value>) {
-        let store = KeyValue::new(vec![self.key_value], Duration::from_secs(2));
-        for resource in resources {
-            let (kind, name) = (&resource["kind"], &resource["name"]);
-            let key = format!(
-                "/lacewingspring/resources/{}/{}",
-                kind.as_str().expect("a kind"),
-                name.as_str().expect("a name")
-            );
-            store.put(Put::new(key, resource.to_string())).await.expect("writes a resource");
-        }
+        let client = KeyValue::new(vec![self.key_value], Duration::from_secs(2));
+        let store = DeclaredStore::new(client, "/lacewingspring/", DeclaredPolicy::default());
+        let changes: Vec<Value> = resources.into_iter().map(|it| json!({ "put": it })).collect();
+        let transaction = serde_json::from_value(json!({ "changes": changes }));
+        let transaction = transaction.expect("resources of known kinds");
+        let author = Author { operator: "root", at_ms: 0 };
+        store.commit(&transaction, author).await.expect("commits the resources");
     }
 
     /// Starts one more instance and lists it.
