--- a/lacewingspring_standins/src/engine/completions.rs
+++ b/lacewingspring_standins/src/engine/completions.rs
@@ -104,10 +104,9 @@
 
 /// Answers `DELETE /v1/completions/{id}`.
 pub fn cancel(engine: &Engine, id: &str) -> Reply {
-    if lock(&engine.sim).cancel(id) {
-        json(200, &json!({ "id": id, "cancelled": true }))
-    } else {
-        error(404, "unknown request")
+    match lock(&engine.sim).cancel(id) {
+        Some(cancelled) => json(200, &json!({ "id": id, "cancelled": cancelled })),
+        None => error(404, "unknown request"),
     }
 }
 
--- a/lacewingspring_standins/src/engine/sim.rs
+++ b/lacewingspring_standins/src/engine/sim.rs
@@ -110,13 +110,15 @@
         self.runs.get(self.latest.get(id)?)
     }
 
-    /// Ends the latest run of a request before its time; returns false when it is unknown.
-    pub fn cancel(&mut self, id: &str) -> bool {
-        let Some(&number) = self.latest.get(id) else { return false };
-        if self.end(number, End::Cancelled) {
+    /// Ends the latest run of a request before its time; returns whether it did, and none when
+    /// the request is unknown.
+    pub fn cancel(&mut self, id: &str) -> Option<bool> {
+        let &number = self.latest.get(id)?;
+        let cancelled = self.end(number, End::Cancelled);
+        if cancelled {
             self.journal.change(id, |entry| entry.cancelled = true);
         }
-        true
+        Some(cancelled)
     }
 
     /// Stops the latest run of a request and returns the name of its handle; none when it is
--- a/lacewingspring_standins/tests/engine.rs
+++ b/lacewingspring_standins/tests/engine.rs
@@ -158,7 +158,10 @@
         async move { streamed(&peer, "r2", body("a b", 5000)).await }
     });
     tokio::time::sleep(Duration::from_millis(100)).await;
-    peer.ok("DELETE", "/v1/completions/r2", json!({})).await;
+    let reply = peer.ok("DELETE", "/v1/completions/r2", json!({})).await;
+    assert_eq!(reply["cancelled"], true);
+    let reply = peer.ok("DELETE", "/v1/completions/r2", json!({})).await;
+    assert_eq!(reply["cancelled"], false);
     let (ended, whole) = long.await.expect("no panic");
     assert!(whole);
     assert_eq!(ended[ended.len() - 2].data["choices"][0]["finish_reason"], "abort");
