Give unnamed requests distinct identifiers and end readers that left

Two requests of one millisecond shared an identifier. A reader whose client had gone waited for the next token, and kept its engine alive after an in-process server was dropped.

--- a/lacewingspring_standins/src/engine/completions.rs
+++ b/lacewingspring_standins/src/engine/completions.rs
@@ -1,6 +1,9 @@
 //! Completions of an engine: streams, whole answers, resumption, cancellation and export.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
 
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -12,10 +15,10 @@
     handles,
     run::{End, Progress, Request},
 };
-use crate::{
-    http::{Call, CutError, Reply, StreamSender, cut, error, json, lock, send, stream},
-    time::now_ms,
-};
+use crate::http::{Call, CutError, Reply, StreamSender, cut, error, json, lock, send, stream};
+
+/// Requests that came without an identifier.
+static UNNAMED: AtomicU64 = AtomicU64::new(0);
 
 /// Body of a completion request.
 #[derive(Debug, Deserialize)]
@@ -78,8 +81,9 @@
         return Ok(refusal);
     }
     let streamed = body.stream;
-    let id =
-        call.header("x-request-id").map_or_else(|| format!("cmpl-{}", now_ms()), str::to_owned);
+    let id = call
+        .header("x-request-id")
+        .map_or_else(|| format!("cmpl-{}", UNNAMED.fetch_add(1, Ordering::Relaxed)), str::to_owned);
     let req = match request(&engine, id, body) {
         Ok(req) => Arc::new(req),
         Err(refusal) => return Ok(*refusal),
@@ -218,9 +222,12 @@
             match progress.end {
                 Some(End::Lost) => return cut(&tx).await,
                 Some(end) => return self.send_end(end, &progress, &tx).await,
-                None if self.progress.changed().await.is_err() => return cut(&tx).await,
                 None => {}
             }
+            tokio::select! {
+                changed = self.progress.changed() => if changed.is_err() { return cut(&tx).await },
+                () = tx.closed() => return,
+            }
         }
     }
 
