Serve operators: resources, status, metrics and explain by HTTP

Cause: the interface for operators had no way in; decisions and histograms could not be read. Ruled out: a second port for operators: one more address for each instance to declare and guard. Figures: 2 tests with real processes pass; a workspace's credential gets 401 on every operator path. Conclusion: decisions of the last 2,048 forgotten runs are kept for explain.

--- a/lacewingspring/src/callers/auth.rs
+++ b/lacewingspring/src/callers/auth.rs
@@ -20,15 +20,18 @@
 /// Longest idempotency key, in bytes.
 const MAX_KEY_LEN: usize = 255;
 
+/// Returns the bearer token of a request.
+pub fn token(headers: &HeaderMap) -> Option<&str> {
+    headers.get(header::AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")
+}
+
 /// Returns the workspace that the credential opens.
 ///
 /// # Errors
 ///
 /// Refuses an absent or unknown credential.
 pub fn workspace(catalog: &Catalog, headers: &HeaderMap) -> Result<WorkspaceName, Refusal> {
-    let token = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
-    let token = token.and_then(|value| value.strip_prefix("Bearer "));
-    let workspace = token.and_then(|token| catalog.authenticate(token));
+    let workspace = token(headers).and_then(|token| catalog.authenticate(token));
     workspace.cloned().ok_or(Refusal::last(ErrorKind::Unauthenticated))
 }
 
--- a/lacewingspring/src/callers/mod.rs
+++ b/lacewingspring/src/callers/mod.rs
@@ -20,6 +20,7 @@
 mod auth;
 mod completions;
 mod keys;
+mod operators;
 mod plain;
 mod reply;
 
@@ -44,6 +45,9 @@
 /// Path below which the state of a key is read.
 const REQUESTS_PATH: &str = "/v1/requests/";
 
+/// Path below which operators are served.
+const OPERATOR_PATH: &str = "/operator/v1/";
+
 /// One request as it was read.
 #[derive(Debug)]
 pub struct Call<'a> {
@@ -116,6 +120,7 @@
         ("/v1/addresses", &Method::GET) => Ok(addresses::get(node)),
         ("/v1/completions", &Method::POST) => completions::post(node, &call).await,
         ("/v1/addresses" | "/v1/completions", _) => Err(Refusal::last(ErrorKind::MethodNotAllowed)),
+        _ if path.starts_with(OPERATOR_PATH) => Ok(operators::call(node, &call).await),
         _ if path.starts_with(SERVICES_PATH) => plain::call(node, &call).await,
         _ if path.starts_with(REQUESTS_PATH) => keys::get(node, &call).await,
         _ => Err(Refusal::last(ErrorKind::NotFound)),
--- a/lacewingspring/src/callers/reply.rs
+++ b/lacewingspring/src/callers/reply.rs
@@ -4,6 +4,7 @@
     convert::Infallible,
     pin::Pin,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -102,12 +103,14 @@
         };
         let body = serde_json::to_vec(&problem).unwrap_or_default();
         let reply = Self::whole(answer.status, "application/problem+json", body.into());
-        match retry_after_ms {
-            Some(ms) => reply
-                .with_number(header::RETRY_AFTER, ms.div_ceil(1_000))
-                .with_number(HeaderName::from_static(RETRY_AFTER_MS), ms),
-            None => reply,
-        }
+        if answer.retry { reply.with_retry_after(refusal.retry_after) } else { reply }
+    }
+
+    /// Adds when to come back, in seconds and in milliseconds.
+    pub fn with_retry_after(self, after: Duration) -> Self {
+        let ms = after.as_millis() as u64;
+        self.with_number(header::RETRY_AFTER, ms.div_ceil(1_000))
+            .with_number(HeaderName::from_static(RETRY_AFTER_MS), ms)
     }
 
     /// Adds the key of the request.
--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -23,9 +23,11 @@
     gates::GateHost,
     membership::{Fleet, Member, follow_list},
     metrics::Metrics,
+    operators::{KnownOperator, Operators},
     peers::{Authority, AuthorityError, Exchange, Message, PeerError, Peers},
     platform::key_value::KeyValue,
     settings::Settings,
+    view::NodeView,
 };
 
 /// Time between two ticks of the gates.
@@ -58,17 +60,19 @@
     /// Declared resources in force.
     pub declared: Arc<DeclaredStore>,
     /// Fleet as this instance sees it.
-    pub fleet: Fleet,
+    pub fleet: Arc<Fleet>,
     /// Connections to the other instances.
     pub peers: Arc<Peers>,
     /// Gates that this instance holds.
     pub gates: GateHost,
     /// Runs of this instance.
-    pub runs: RunTable,
+    pub runs: Arc<RunTable>,
     /// Claims of this incarnation.
     pub claims: Claims,
     /// Metrics of this instance.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
+    /// Interface for operators.
+    pub operators: Operators<NodeView>,
     leaving: AtomicBool,
 }
 
@@ -109,7 +113,6 @@
     let store = KeyValue::new(settings.key_value.endpoints.clone(), timeout);
     let prefix = settings.key_value.prefix.clone();
     let claims = Claims::new(store.clone(), &prefix, settings.instance.clone(), incarnation);
-    let metrics = Metrics::start(settings.metrics.statsd)?;
     let declared = DeclaredStore::start(store, &prefix);
     let own = Member {
         name: settings.instance.clone(),
@@ -118,16 +121,23 @@
         peers: settings.listen.peers,
         leaving: false,
     };
+    let view = NodeView {
+        fleet: Arc::new(Fleet::new(own)),
+        metrics: Arc::new(Metrics::start(settings.metrics.statsd)?),
+        runs: Arc::default(),
+    };
+    let bootstrap = settings.operators.iter().map(KnownOperator::from).collect();
     Ok(Arc::new(Node {
-        fleet: Fleet::new(own),
+        fleet: view.fleet.clone(),
+        metrics: view.metrics.clone(),
+        runs: view.runs.clone(),
+        operators: Operators::new(declared.clone(), view, bootstrap),
         settings,
         incarnation,
         declared,
         peers,
         gates: GateHost::default(),
-        runs: RunTable::default(),
         claims,
-        metrics,
         leaving: AtomicBool::new(false),
     }))
 }
--- a/lacewingspring/src/entry/table.rs
+++ b/lacewingspring/src/entry/table.rs
@@ -1,11 +1,14 @@
 //! The runs of this instance by key.
 
 use std::{
-    collections::{HashMap, hash_map::Entry},
+    collections::{HashMap, VecDeque, hash_map::Entry},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use super::run::{Run, RunId};
+use super::{
+    run::{Run, RunId},
+    steps::StepReport,
+};
 
 /// What a submission under a key came to.
 #[derive(Debug)]
@@ -18,10 +21,21 @@
     Conflict,
 }
 
+/// Most forgotten runs whose decisions are kept.
+const MAX_PAST_RUNS: usize = 2_048;
+
+/// Decisions about a run that was forgotten.
+#[derive(Debug)]
+struct PastRun {
+    id: RunId,
+    steps: Vec<StepReport>,
+}
+
 /// The runs of this instance by key.
 #[derive(Debug, Default)]
 pub struct RunTable {
     runs: Mutex<HashMap<RunId, Arc<Run>>>,
+    past: Mutex<VecDeque<PastRun>>,
 }
 
 impl RunTable {
@@ -47,7 +61,21 @@
 
     /// Forgets a run.
     pub fn remove(&self, id: &RunId) {
-        self.lock().remove(id);
+        let Some(run) = self.lock().remove(id) else { return };
+        let mut past = self.past.lock().unwrap_or_else(PoisonError::into_inner);
+        if past.len() == MAX_PAST_RUNS {
+            past.pop_front();
+        }
+        past.push_back(PastRun { id: run.id.clone(), steps: run.steps() });
+    }
+
+    /// Returns the decisions about a run, forgotten ones first.
+    pub fn explain(&self, id: &RunId) -> Option<Vec<StepReport>> {
+        let past = self.past.lock().unwrap_or_else(PoisonError::into_inner);
+        let past = past.iter().filter(|past| past.id == *id);
+        let mut steps: Vec<_> = past.flat_map(|past| past.steps.clone()).collect();
+        steps.extend(self.get(id).into_iter().flat_map(|run| run.steps()));
+        (!steps.is_empty()).then_some(steps)
     }
 
     /// Returns the number of runs that have not ended.
--- a/lacewingspring/src/lib.rs
+++ b/lacewingspring/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod platform;
 pub mod settings;
 pub mod upstreams;
+pub mod view;
--- a/lacewingspring/src/membership/mod.rs
+++ b/lacewingspring/src/membership/mod.rs
@@ -59,6 +59,11 @@
         self.members.store(Arc::new(members));
     }
 
+    /// Returns the own instance.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
     /// Returns the members.
     pub fn members(&self) -> Arc<Vec<Member>> {
         self.members.load_full()
--- a/lacewingspring/src/operators/fleet.rs
+++ b/lacewingspring/src/operators/fleet.rs
@@ -8,6 +8,11 @@
 };
 use serde::Serialize;
 
+use crate::{
+    entry::{RunId, StepReport},
+    metrics::MetricsReport,
+};
+
 /// View of the fleet at one instance.
 pub trait FleetView {
     /// Returns the instance that answers; its generation is taken from the declared state.
@@ -30,6 +35,16 @@
     fn events(&self, _id: &ResourceId) -> Vec<Event> {
         Vec::new()
     }
+
+    /// Returns the metrics of the instance that answers.
+    fn metrics(&self) -> Option<MetricsReport> {
+        None
+    }
+
+    /// Returns what was decided about a request; none when this instance doesn't know it.
+    fn explain(&self, _id: &RunId) -> Option<Vec<StepReport>> {
+        None
+    }
 }
 
 /// One instance as another sees it.
--- a/lacewingspring/src/operators/mod.rs
+++ b/lacewingspring/src/operators/mod.rs
@@ -19,6 +19,7 @@
 use crate::declared::DeclaredStore;
 
 mod auth;
+mod explain;
 mod fleet;
 mod problem;
 mod query;
@@ -75,7 +76,10 @@
             (&Method::POST, ["transactions"]) => self.transact(&identity, call.body).await,
             (&Method::GET, ["status"]) => Ok(self.status()),
             (&Method::GET, ["wait"]) => self.wait(query).await,
-            (_, ["resources" | "transactions" | "status" | "wait"] | ["resources", _, _]) => {
+            (&Method::GET, ["metrics"]) => self.metrics(),
+            (&Method::GET, ["explain"]) => self.explain(query),
+            (_, ["resources", _, _])
+            | (_, ["resources" | "transactions" | "status" | "wait" | "metrics" | "explain"]) => {
                 Err(Failure::of(ErrorKind::MethodNotAllowed))
             }
             _ => Err(Failure::of(ErrorKind::NotFound)),
--- a/lacewingspring/src/operators/query.rs
+++ b/lacewingspring/src/operators/query.rs
@@ -3,10 +3,11 @@
 use std::str::FromStr;
 
 use lacewingspring_core::error::ErrorKind;
+use percent_encoding::percent_decode_str;
 
 use super::problem::Failure;
 
-/// Query of a request. Names and values hold no characters that need escapes.
+/// Query of a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Query<'a>(&'a str);
 
@@ -21,6 +22,14 @@
         pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
     }
 
+    /// Returns a parameter as text with its escapes decoded.
+    pub(super) fn required(self, name: &str) -> Result<String, Failure> {
+        let text = self.get(name).and_then(|text| percent_decode_str(text).decode_utf8().ok());
+        let missing =
+            || Failure::of(ErrorKind::Malformed).with_detail(format!("`{name}` is needed."));
+        Ok(text.ok_or_else(missing)?.into_owned())
+    }
+
     /// Returns a parameter, or none when it is absent.
     pub(super) fn parse<T>(self, name: &str) -> Result<Option<T>, Failure>
     where
--- /dev/null
+++ b/lacewingspring/tests/operators.rs
@@ -0,0 +1,49 @@
+//! Operators against a fleet of real processes.
+
+use serde_json::{Value, json};
+
+use crate::support::{
+    Fleet, Plan, call,
+    caller::{complete, desk},
+    http::Answer,
+    operator,
+};
+
+mod support;
+
+async fn read(fleet: &Fleet, path: &str) -> Answer {
+    let at = fleet.instances[0].callers;
+    call(at, "GET", &format!("/operator/v1/{path}"), &[operator()], String::new()).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shows_metrics_and_explains_a_request() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let at = fleet.instances[0].callers;
+    complete(at, "lookup", "explained/1", "plot seven", 5).await;
+    let explained = read(&fleet, "explain?workspace=desk&key=explained%2F1").await.json();
+    let reasons: Vec<_> = explained["steps"].as_array().unwrap().iter().collect();
+    let reasons: Vec<_> = reasons.iter().filter_map(|step| step["reason"].as_str()).collect();
+    assert_eq!(reasons, ["accepted", "permitted", "answered"]);
+    let metrics = read(&fleet, "metrics").await.json();
+    assert!(metrics["tiers"]["counter"]["answered"].as_u64().unwrap() >= 1, "{metrics}");
+    let histograms = metrics["histograms"].as_array().unwrap();
+    let first = |row: &&Value| row["metric"] == "first_token" && row["workspace"] == "desk";
+    assert!(histograms.iter().find(first).is_some_and(|row| row["count"].as_u64() > Some(0)));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keeps_operators_and_workspaces_apart() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let at = fleet.instances[0].callers;
+    for path in ["metrics", "explain?workspace=desk&key=a", "resources", "status"] {
+        let path = format!("/operator/v1/{path}");
+        for headers in [vec![], vec![desk()]] {
+            let answer = call(at, "GET", &path, &headers, String::new()).await.unwrap();
+            assert_eq!(answer.status, 401, "{path}");
+        }
+    }
+    let body = json!({ "model": "lookup", "prompt": "x" }).to_string();
+    let answer = call(at, "POST", "/v1/completions", &[operator()], body).await.unwrap();
+    assert_eq!(answer.status, 401);
+}
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -330,6 +330,11 @@
     ]
 }
 
+/// Credential header of the operator `root`.
+pub fn operator() -> (&'static str, String) {
+    ("authorization", format!("Bearer {OPERATOR_TOKEN}"))
+}
+
 async fn ready(callers: SocketAddr, members: usize) -> bool {
     let Ok(answer) = get(callers, "/v1/addresses").await else { return false };
     if answer.status != 200 {
