--- /dev/null
+++ b/lacewingspring_core/src/gate/affinity.rs
@@ -0,0 +1,191 @@
+//! Cached prefixes by upstream, from the gate's own dispatch history and cache events.
+
+use std::collections::{HashMap, VecDeque};
+
+use super::work::{CacheChange, CacheEvent, Prefix};
+
+/// Part of a cached prefix that counts while cache events are missing.
+const UNSURE_SHARE: f64 = 0.5;
+
+/// Upstreams remembered for one prefix.
+const MAX_HOLDERS: usize = 8;
+
+/// Part of the KV memory taken to hold prefixes of past requests.
+const CACHE_SHARE: f64 = 0.5;
+
+/// Tokens that one remembered prefix adds to those before it.
+const TOKENS_PER_PREFIX: f64 = 512.0;
+
+/// An upstream that holds a prefix.
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    upstream: usize,
+    stamp: u64,
+}
+
+/// Use of a prefix on an upstream; stale once the holder has a newer stamp.
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    hash: u64,
+    stamp: u64,
+}
+
+/// Prefixes of one upstream in the order of use.
+#[derive(Debug)]
+struct History {
+    uses: VecDeque<Use>,
+    live: usize,
+    capacity: usize,
+    next_sequence: Option<u64>,
+    unsure: bool,
+}
+
+/// Cached prefixes of all upstreams of a gate.
+#[derive(Debug, Default)]
+pub(super) struct Affinity {
+    holders: HashMap<u64, Vec<Holder>>,
+    histories: Vec<History>,
+    stamp: u64,
+    cached: Vec<u32>,
+    touched: Vec<usize>,
+}
+
+impl Affinity {
+    /// Starts empty for upstreams with these numbers of KV tokens.
+    pub fn new<I>(kv_tokens: I) -> Self
+    where
+        I: IntoIterator<Item = u64>,
+    {
+        let histories: Vec<_> = kv_tokens
+            .into_iter()
+            .map(|tokens| {
+                let blocks = tokens as f64 * CACHE_SHARE / TOKENS_PER_PREFIX;
+                History {
+                    uses: VecDeque::new(),
+                    live: 0,
+                    capacity: (blocks as usize).max(1),
+                    next_sequence: None,
+                    unsure: false,
+                }
+            })
+            .collect();
+        let cached = vec![0; histories.len()];
+        Self { histories, cached, ..Self::default() }
+    }
+
+    /// Renumbers the upstreams: `numbers[old]` is the new number, none for a removed one.
+    pub fn renumber(&mut self, mut earlier: Self, numbers: &[Option<usize>]) {
+        let moved = earlier.histories.drain(..).zip(numbers);
+        for (history, number) in moved {
+            if let Some(number) = number {
+                self.histories[*number] = history;
+            }
+        }
+        self.stamp = earlier.stamp;
+        self.holders = earlier.holders;
+        self.holders.retain(|_, holders| {
+            holders.retain_mut(|holder| match numbers[holder.upstream] {
+                Some(number) => {
+                    holder.upstream = number;
+                    true
+                }
+                None => false,
+            });
+            !holders.is_empty()
+        });
+    }
+
+    /// Returns the cached tokens of the prompt for each upstream.
+    pub fn lookup(&mut self, prefixes: &[Prefix]) -> &[u32] {
+        for upstream in self.touched.drain(..) {
+            self.cached[upstream] = 0;
+        }
+        for prefix in prefixes {
+            for holder in self.holders.get(&prefix.hash).into_iter().flatten() {
+                let share = if self.histories[holder.upstream].unsure { UNSURE_SHARE } else { 1.0 };
+                let tokens = (f64::from(prefix.tokens) * share) as u32;
+                let cached = &mut self.cached[holder.upstream];
+                *cached = tokens.max(*cached);
+                self.touched.push(holder.upstream);
+            }
+        }
+        &self.cached
+    }
+
+    /// Remembers that a prompt with these prefixes was sent to the upstream.
+    pub fn dispatched(&mut self, upstream: usize, prefixes: &[Prefix]) {
+        for prefix in prefixes {
+            self.store(upstream, *prefix);
+        }
+    }
+
+    /// Applies a cache event; a gap in the numbers makes the view unsure, not empty.
+    pub fn event(&mut self, upstream: usize, event: CacheEvent) {
+        let history = &mut self.histories[upstream];
+        if history.next_sequence.is_some_and(|next| event.sequence < next) {
+            return;
+        }
+        if history.next_sequence.is_some_and(|next| event.sequence > next) {
+            history.unsure = true;
+        }
+        history.next_sequence = Some(event.sequence.saturating_add(1));
+        match event.change {
+            CacheChange::Stored(prefix) => self.store(upstream, prefix),
+            CacheChange::Evicted(hash) => self.evict(upstream, hash),
+            CacheChange::Cleared => self.clear(upstream),
+        }
+    }
+
+    /// Forgets all prefixes of an upstream that restarted.
+    pub fn clear(&mut self, upstream: usize) {
+        let uses = std::mem::take(&mut self.histories[upstream].uses);
+        for used in uses {
+            self.evict(upstream, used.hash);
+        }
+        self.histories[upstream].unsure = false;
+    }
+
+    fn store(&mut self, upstream: usize, prefix: Prefix) {
+        self.stamp += 1;
+        let stamp = self.stamp;
+        let holders = self.holders.entry(prefix.hash).or_default();
+        if let Some(holder) = holders.iter_mut().find(|holder| holder.upstream == upstream) {
+            holder.stamp = stamp;
+        } else {
+            if holders.len() >= MAX_HOLDERS {
+                let oldest = holders.remove(0);
+                self.histories[oldest.upstream].live -= 1;
+            }
+            holders.push(Holder { upstream, stamp });
+            self.histories[upstream].live += 1;
+        }
+        self.histories[upstream].uses.push_back(Use { hash: prefix.hash, stamp });
+        self.trim(upstream);
+    }
+
+    fn trim(&mut self, upstream: usize) {
+        loop {
+            let history = &mut self.histories[upstream];
+            let full = history.live > history.capacity;
+            if !full && history.uses.len() <= 2 * history.capacity {
+                return;
+            }
+            let Some(used) = history.uses.pop_front() else { return };
+            let current = self.holders.get(&used.hash).into_iter().flatten();
+            let mut current = current.filter(|holder| holder.upstream == upstream);
+            if current.any(|holder| holder.stamp == used.stamp) {
+                self.evict(upstream, used.hash);
+            }
+        }
+    }
+
+    fn evict(&mut self, upstream: usize, hash: u64) {
+        let Some(holders) = self.holders.get_mut(&hash) else { return };
+        let before = holders.len();
+        holders.retain(|holder| holder.upstream != upstream);
+        self.histories[upstream].live -= before - holders.len();
+        if holders.is_empty() {
+            self.holders.remove(&hash);
+        }
+    }
+}
--- /dev/null
+++ b/lacewingspring_core/src/gate/feedback.rs
@@ -0,0 +1,114 @@
+//! What entries and upstreams tell the gate about work that runs.
+
+use std::time::Duration;
+
+use super::{
+    Gate,
+    work::{CacheEvent, Decision, LoadReport, Outcome, Ticket},
+};
+use crate::names::UpstreamName;
+
+impl Gate {
+    /// Takes the arrival of a run's first token.
+    pub fn first_token(&mut self, now: Duration, ticket: Ticket) -> Vec<Decision> {
+        let Some(run) = self.runs.get_mut(&ticket) else { return Vec::new() };
+        if run.first_token_at.is_some() {
+            return Vec::new();
+        }
+        run.first_token_at = Some(now);
+        let Some(upstream) = self.fleet.get_mut(&run.upstream) else { return Vec::new() };
+        upstream.end_prefill(&run.load);
+        if let Some(granted_at) = run.granted_at {
+            let observed = now.saturating_sub(granted_at).as_secs_f64();
+            upstream.prefill.observe(observed, run.load.first_token_seconds);
+        }
+        if upstream.is_down() {
+            upstream.probed(now, ticket, true);
+            self.fleet.refresh();
+        } else if self.policy.probation {
+            upstream.judge(now);
+        }
+        // The end of a long prefill may let another one in.
+        self.settle(now)
+    }
+
+    /// Ends a ticket and learns from its run.
+    pub fn ended(&mut self, now: Duration, ticket: Ticket, outcome: Outcome) -> Vec<Decision> {
+        self.parked_sequences.remove(&ticket);
+        if self.queue.remove(ticket).is_some() {
+            return self.settle(now);
+        }
+        if let Some(run) = self.runs.get(&ticket) {
+            let upstream = self.fleet.number(&run.upstream);
+            match (outcome, upstream) {
+                (Outcome::Finished(tokens), Some(upstream)) => {
+                    self.learn(now, ticket, upstream, tokens);
+                }
+                (Outcome::Failed, Some(upstream)) => {
+                    self.fleet.upstreams[upstream].probe_failed(now, ticket);
+                }
+                _ => {}
+            }
+        }
+        self.end_run(now, ticket);
+        self.settle(now)
+    }
+
+    /// Closes an upstream that crashed; it is tried again with a single probe after a while.
+    ///
+    /// The ends of its runs are told by the entries that hold them.
+    pub fn upstream_failed(&mut self, now: Duration, name: &UpstreamName) {
+        let Some(number) = self.fleet.number(name) else { return };
+        self.fleet.upstreams[number].fail(now);
+        self.affinity.clear(number);
+        self.fleet.refresh();
+    }
+
+    /// Takes a load report of an upstream.
+    pub fn report(
+        &mut self,
+        now: Duration,
+        name: &UpstreamName,
+        report: LoadReport,
+    ) -> Vec<Decision> {
+        let Some(upstream) = self.fleet.get_mut(name) else { return Vec::new() };
+        upstream.report(now, report);
+        self.settle(now)
+    }
+
+    /// Takes a cache event of an upstream.
+    pub fn cache_event(&mut self, name: &UpstreamName, event: CacheEvent) {
+        if let Some(number) = self.fleet.number(name) {
+            self.affinity.event(number, event);
+        }
+    }
+
+    /// Learns from runs whose first token is late, as a stopped upstream ends none.
+    pub(super) fn learn_from_late(&mut self, now: Duration) {
+        for run in self.runs.values_mut() {
+            let Some(waited) = run.newly_late(now) else { continue };
+            let Some(upstream) = self.fleet.get_mut(&run.upstream) else { continue };
+            upstream.prefill.observe_at_least(waited, run.load.first_token_seconds);
+            if self.policy.probation {
+                upstream.judge(now);
+            }
+        }
+    }
+
+    fn learn(&mut self, now: Duration, ticket: Ticket, upstream: usize, tokens: u32) {
+        let upstream = &mut self.fleet.upstreams[upstream];
+        let Some(run) = self.runs.get(&ticket) else { return };
+        let Some(granted_at) = run.granted_at else { return };
+        let decode = f64::from(tokens) * upstream.declared_decode(upstream.running);
+        if let Some(first_token_at) = run.first_token_at {
+            let observed = now.saturating_sub(first_token_at).as_secs_f64();
+            upstream.decode.observe(observed, decode);
+        }
+        let observed = now.saturating_sub(granted_at).as_secs_f64();
+        let is_fast = upstream.is_fast(observed, run.load.first_token_seconds, decode);
+        upstream.probed(now, ticket, is_fast);
+        if self.policy.probation {
+            upstream.judge(now);
+        }
+    }
+}
--- a/lacewingspring_core/src/gate/mod.rs
+++ b/lacewingspring_core/src/gate/mod.rs
@@ -4,106 +4,71 @@
 //! because upstreams know no tiers. It grants permits, evicts waiting work, and parks running work
 //! of lower tiers when a higher tier would otherwise wait.
 
-use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
-    time::Duration,
-};
-
-use serde::{Deserialize, Serialize};
+use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
-use crate::{
-    error::ErrorKind,
-    names::{UpstreamName, WorkspaceName},
-    resources::UpstreamSpec,
+use self::{
+    affinity::Affinity,
+    fleet::{Blocked, Choice, Fleet, Limits},
+    parking::{ParkIndex, ParkKey},
+    queue::{Head, Place, Queue, Waiting},
+    recovery::Recovery,
+    reserve::Reserve,
+    retry_after::RetryLedger,
+    run::Run,
+    upstream::{Load, Need, Room},
 };
+pub use self::{
+    policy::GatePolicy,
+    summary::{GateSummary, TierSummary, UpstreamSummary},
+    work::{
+        Ask, CacheChange, CacheEvent, Cost, Decision, LoadReport, Outcome, Prefix, Resume, Ticket,
+    },
+};
+use crate::{names::UpstreamName, resources::UpstreamSpec};
 
-/// Waiting requests that a gate holds at most for each slot of its upstreams.
-const QUEUE_PER_SLOT: usize = 8;
-
-/// Shortest time after which a refused caller is told to come back.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
-
-/// Names one request at one gate.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Ticket(pub u64);
-
-/// Work of one request.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Cost {
-    /// Prompt tokens.
-    pub prompt_tokens: u32,
-    /// Output tokens expected.
-    pub output_tokens: u32,
-}
-
-/// A request for a permit.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Ask {
-    /// Rank of the tier; 0 is served first.
-    pub rank: u8,
-    /// Workspace that sent the request.
-    pub workspace: WorkspaceName,
-    /// Weight of the workspace within its tier.
-    pub weight: u32,
-    /// Work of the request.
-    pub cost: Cost,
-    /// Longest wait in the queue.
-    pub max_wait: Duration,
-    /// Whether the run can be parked.
-    pub parkable: bool,
-}
-
-/// What the gate decided for a ticket.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Decision {
-    /// The request may run on the upstream.
-    Granted(Ticket, UpstreamName),
-    /// The request is given up, with when to come back.
-    Refused(Ticket, ErrorKind, Duration),
-    /// The running request is to be parked and asked for again.
-    Park(Ticket),
-}
-
-#[derive(Debug)]
-struct Waiting {
-    ticket: Ticket,
-    ask: Ask,
-    deadline: Duration,
-}
+mod affinity;
+mod feedback;
+mod fleet;
+mod parking;
+mod policy;
+mod queue;
+mod recovery;
+mod reserve;
+mod retry_after;
+mod run;
+mod shedding;
+mod speed;
+mod summary;
+mod upstream;
+mod work;
 
-#[derive(Debug)]
-struct Running {
-    ask: Ask,
-    upstream: UpstreamName,
-    parking: bool,
-}
+/// Time after a short request for which long prefills are bounded.
+const SHORT_WORK_MEMORY: Duration = Duration::from_secs(10);
 
-#[derive(Debug)]
-struct Upstream {
-    spec: UpstreamSpec,
-    running: u32,
-}
+/// Part of its longest wait after which a long prefill is passed no more for want of memory.
+const LONG_PATIENCE: f64 = 0.5;
 
-impl Upstream {
-    fn free(&self) -> u32 {
-        if self.spec.leaving { 0 } else { self.spec.slots.saturating_sub(self.running) }
-    }
-
-    /// Seconds that the work would take on this upstream at its present load.
-    fn seconds(&self, cost: Cost) -> f64 {
-        let prefill = f64::from(cost.prompt_tokens) / self.spec.prefill_tokens_per_second;
-        let decode = f64::from(cost.output_tokens) * self.spec.decode_ms / 1_000.0;
-        let load = f64::from(self.running) / f64::from(self.spec.slots.max(1));
-        (prefill + decode) * (1.0 + load)
-    }
-}
+/// Part of the slots, one in this many, for parked work whose deadline passed.
+const OVERDUE_SLOTS: u32 = 8;
 
 /// Gate of one engine pool in one data centre.
 #[derive(Debug, Default)]
 pub struct Gate {
-    upstreams: BTreeMap<UpstreamName, Upstream>,
-    waiting: BTreeMap<u8, VecDeque<Waiting>>,
-    running: HashMap<Ticket, Running>,
+    policy: GatePolicy,
+    fleet: Fleet,
+    queue: Queue,
+    runs: HashMap<Ticket, Run>,
+    overdue_runs: u32,
+    parks: ParkIndex,
+    parked_sequences: HashMap<Ticket, u64>,
+    affinity: Affinity,
+    reserve: Reserve,
+    retries: RetryLedger,
+    recovery: Recovery,
+    next_sequence: u64,
+    short_work_at: Option<Duration>,
+    ticked_at: Option<Duration>,
+    violations: u64,
 }
 
 impl Gate {
@@ -112,154 +77,279 @@
     where
         I: IntoIterator<Item = UpstreamSpec>,
     {
-        let mut gate = Self::default();
+        Self::with_policy(GatePolicy::default(), upstreams)
+    }
+
+    /// Creates a gate with some mechanisms switched off.
+    pub fn with_policy<I>(policy: GatePolicy, upstreams: I) -> Self
+    where
+        I: IntoIterator<Item = UpstreamSpec>,
+    {
+        let mut gate = Self { policy, ..Self::default() };
         gate.set_upstreams(upstreams);
         gate
     }
 
+    /// Creates the gate of a new holder of the role.
+    ///
+    /// For `window` it grants nothing beyond the free room that upstreams report, while entries
+    /// tell it the permits of its predecessor by [`Gate::adopt`].
+    pub fn recovering<I>(now: Duration, window: Duration, upstreams: I) -> Self
+    where
+        I: IntoIterator<Item = UpstreamSpec>,
+    {
+        let mut gate = Self::new(upstreams);
+        gate.recovery = Recovery::start(now + window);
+        gate.fleet.set_room(Room::Unknown);
+        gate
+    }
+
     /// Replaces the declared upstreams; work that runs on them stays counted.
     pub fn set_upstreams<I>(&mut self, upstreams: I)
     where
         I: IntoIterator<Item = UpstreamSpec>,
     {
-        self.upstreams = upstreams
-            .into_iter()
-            .map(|spec| (spec.name.clone(), Upstream { spec, running: 0 }))
-            .collect();
-        for running in self.running.values() {
-            if let Some(upstream) = self.upstreams.get_mut(&running.upstream) {
-                upstream.running += 1;
+        let mut fleet = Fleet::new(upstreams);
+        for upstream in &mut fleet.upstreams {
+            match self.fleet.get(&upstream.spec.name) {
+                Some(earlier) => upstream.learn_from(earlier),
+                None if self.recovery.is_pending() => upstream.room = Room::Unknown,
+                None => {}
+            }
+        }
+        for run in self.runs.values() {
+            if let Some(upstream) = fleet.get_mut(&run.upstream) {
+                upstream.carry(&run.load, run.first_token_at.is_none());
             }
         }
+        fleet.refresh();
+        let names = self.fleet.upstreams.iter().map(|upstream| &upstream.spec.name);
+        let numbers: Vec<_> = names.map(|name| fleet.number(name)).collect();
+        let memory = fleet.upstreams.iter().map(|upstream| upstream.spec.kv_tokens);
+        let earlier = std::mem::replace(&mut self.affinity, Affinity::new(memory));
+        self.affinity.renumber(earlier, &numbers);
+        self.fleet = fleet;
     }
 
-    /// Takes a request for a permit.
+    /// Takes a request for a permit. A repeat of a granted ask is granted again, the same.
     pub fn ask(&mut self, now: Duration, ticket: Ticket, ask: Ask) -> Vec<Decision> {
-        let deadline = now + ask.max_wait;
-        let rank = ask.rank;
-        self.waiting.entry(rank).or_default().push_back(Waiting { ticket, ask, deadline });
-        let mut decisions = self.grant_all();
-        self.evict_excess(&mut decisions);
-        self.park_for_waiting(&mut decisions);
+        if let Some(run) = self.runs.get(&ticket) {
+            if ask.resume.is_none() || !self.parks.is_ordered(ticket) {
+                return vec![Decision::Granted(ticket, run.upstream.clone())];
+            }
+            self.end_parked(now, ticket);
+        }
+        if self.queue.contains(ticket) {
+            return Vec::new();
+        }
+        self.enqueue(now, ticket, ask);
+        let mut decisions = self.settle(now);
+        self.refuse_hopeless(now, ticket, &mut decisions);
         decisions
     }
 
     /// Counts a permit that an earlier holder of this role granted.
     pub fn adopt(&mut self, ticket: Ticket, ask: Ask, upstream: UpstreamName) {
-        if let Some(known) = self.upstreams.get_mut(&upstream) {
-            known.running += 1;
+        if self.runs.contains_key(&ticket) {
+            return;
+        }
+        self.queue.remove(ticket);
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        self.reserve.started(ask.rank);
+        let need = Need::new(&ask, false);
+        let Some(known) = self.fleet.get_mut(&upstream) else {
+            // Its upstream is no longer declared; no slot is left to count.
+            let run = Run::adopted(ask, upstream, Load::default(), sequence);
+            self.runs.insert(ticket, run);
+            return;
+        };
+        let load = known.adopt(&need);
+        let loss = known.declared_prefill(ask.cost.prompt_tokens);
+        let mut run = Run::adopted(ask, upstream, load, sequence);
+        if run.ask.parkable {
+            let key = park_key(ticket, run.ask.rank, loss, false);
+            self.parks.insert(key);
+            run.park_key = Some(key);
         }
-        self.running.insert(ticket, Running { ask, upstream, parking: false });
+        self.runs.insert(ticket, run);
     }
 
     /// Ends a ticket: its run ended, was parked, or its caller no longer waits.
-    pub fn release(&mut self, ticket: Ticket) -> Vec<Decision> {
-        if let Some(running) = self.running.remove(&ticket) {
-            if let Some(upstream) = self.upstreams.get_mut(&running.upstream) {
-                upstream.running = upstream.running.saturating_sub(1);
-            }
-        } else {
-            self.forget_waiting(ticket);
-        }
-        self.grant_all()
+    ///
+    /// [`Gate::ended`] and [`Gate::parked`] tell more and are better where the end is known.
+    pub fn release(&mut self, now: Duration, ticket: Ticket) -> Vec<Decision> {
+        self.ended(now, ticket, Outcome::Cancelled)
     }
 
-    /// Refuses what has waited too long.
-    pub fn tick(&mut self, now: Duration) -> Vec<Decision> {
-        let retry_after = self.retry_after();
-        let mut decisions = Vec::new();
-        for queue in self.waiting.values_mut() {
-            queue.retain(|waiting| {
-                let keep = waiting.deadline > now;
-                if !keep {
-                    let kind = ErrorKind::DeadlineExceeded;
-                    decisions.push(Decision::Refused(waiting.ticket, kind, retry_after));
-                }
-                keep
-            });
-        }
-        decisions
+    /// Frees the slot of a run that was parked; it keeps its place until it asks again.
+    pub fn parked(&mut self, now: Duration, ticket: Ticket) -> Vec<Decision> {
+        self.end_parked(now, ticket);
+        self.settle(now)
     }
 
     /// Returns the number of requests that wait.
     pub fn waiting_len(&self) -> usize {
-        self.waiting.values().map(VecDeque::len).sum()
+        self.queue.len()
     }
 
     /// Returns the number of permits in use.
     pub fn running_len(&self) -> usize {
-        self.running.len()
+        self.runs.len()
     }
 
-    fn grant_all(&mut self) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        while let Some(decision) = self.grant_next() {
-            decisions.push(decision);
+    fn enqueue(&mut self, now: Duration, ticket: Ticket, ask: Ask) {
+        let seconds = self.fleet.seconds(&ask);
+        let long = self.fleet.is_long(&ask);
+        let fresh = ask.resume.is_none();
+        if fresh {
+            let slots = self.fleet.draining_slots();
+            self.reserve.arrived(now, ask.rank, seconds, slots);
         }
-        decisions
+        if !long {
+            self.short_work_at = Some(now);
+        }
+        let sequence = self.parked_sequences.remove(&ticket).unwrap_or(self.next_sequence);
+        self.next_sequence += 1;
+        let deadline = now + ask.max_wait;
+        let place = Place { fresh, sequence };
+        self.queue.push(Waiting { ticket, ask, place, deadline, seconds, long });
     }
 
-    fn grant_next(&mut self) -> Option<Decision> {
-        let rank = *self.waiting.iter().find(|(_, queue)| !queue.is_empty())?.0;
-        let cost = self.waiting[&rank].front()?.ask.cost;
-        let name = self.best_upstream(cost)?;
-        let waiting = self.waiting.get_mut(&rank)?.pop_front()?;
-        self.upstreams.get_mut(&name)?.running += 1;
-        let running = Running { ask: waiting.ask, upstream: name.clone(), parking: false };
-        self.running.insert(waiting.ticket, running);
-        Some(Decision::Granted(waiting.ticket, name))
+    /// Brings the queue and the upstreams in order after any change.
+    fn settle(&mut self, now: Duration) -> Vec<Decision> {
+        if self.recovery.end(now) {
+            self.fleet.set_room(Room::Counted);
+        }
+        let mut decisions = Vec::new();
+        let passed = self.grant_all(now, &mut decisions);
+        self.park_for_waiting(now, passed, &mut decisions);
+        self.shed_excess(now, &mut decisions);
+        decisions
     }
 
-    fn best_upstream(&self, cost: Cost) -> Option<UpstreamName> {
-        let open = self.upstreams.values().filter(|upstream| upstream.free() > 0);
-        let best = open.min_by(|a, b| a.seconds(cost).total_cmp(&b.seconds(cost)))?;
-        Some(best.spec.name.clone())
+    /// Grants what can run now, highest tier first.
+    ///
+    /// Returns the highest rank of which long prefills had to be passed over.
+    fn grant_all(&mut self, now: Duration, decisions: &mut Vec<Decision>) -> Option<u8> {
+        let mut passed = None;
+        let mut overdue_too = true;
+        while let Some(head) = self.next_head(overdue_too, passed) {
+            match self.place(now, &head) {
+                Ok(choice) => decisions.extend(self.grant(now, &head, choice)),
+                Err(Blocked::Slots | Blocked::Reserve) => break,
+                Err(_) if head.overdue => overdue_too = false,
+                Err(blocked) if self.may_be_passed(now, &head, blocked) => passed = Some(head.rank),
+                Err(_) => break,
+            }
+        }
+        passed
     }
 
-    fn evict_excess(&mut self, decisions: &mut Vec<Decision>) {
-        let slots: u32 = self.upstreams.values().map(|upstream| upstream.spec.slots).sum();
-        let limit = slots as usize * QUEUE_PER_SLOT;
-        while self.waiting_len() > limit {
-            let retry_after = self.retry_after();
-            let Some(waiting) = self.pop_lowest() else { return };
-            let kind = if slots == 0 { ErrorKind::NoUpstream } else { ErrorKind::Overloaded };
-            decisions.push(Decision::Refused(waiting.ticket, kind, retry_after));
+    fn next_head(&mut self, overdue_too: bool, passed: Option<u8>) -> Option<Head> {
+        let most = (self.fleet.declared_slots() / OVERDUE_SLOTS).max(1);
+        if overdue_too && self.overdue_runs < most {
+            let overdue = self.queue.next_overdue();
+            if overdue.is_some() {
+                return overdue;
+            }
         }
+        self.queue.next(self.policy.fair_share, passed)
     }
 
-    fn pop_lowest(&mut self) -> Option<Waiting> {
-        self.waiting.values_mut().rev().find_map(VecDeque::pop_back)
+    /// Returns whether short work may go before a long prefill that waits for something else.
+    fn may_be_passed(&self, now: Duration, head: &Head, blocked: Blocked) -> bool {
+        if !head.long || blocked == Blocked::LongPrefill {
+            return head.long;
+        }
+        let Some(waiting) = self.queue.get(head.ticket) else { return false };
+        let left = waiting.deadline.saturating_sub(now);
+        left > waiting.ask.max_wait.mul_f64(1.0 - LONG_PATIENCE)
     }
 
-    fn park_for_waiting(&mut self, decisions: &mut Vec<Decision>) {
-        let parking = self.running.values().filter(|running| running.parking).count();
-        let Some((rank, waiting)) = self.waiting.iter().find(|(_, queue)| !queue.is_empty()) else {
-            return;
+    fn place(&mut self, now: Duration, head: &Head) -> Result<Choice, Blocked> {
+        let Some(waiting) = self.queue.get(head.ticket) else { return Err(Blocked::Slots) };
+        let need = Need::new(&waiting.ask, head.long);
+        let mixed = self.is_mixed(now, head.rank);
+        let kept = if self.policy.reserve && !head.overdue {
+            self.reserve.kept_from(head.rank)
+        } else {
+            0
         };
-        if waiting.len() <= parking {
-            return;
-        }
-        let lower = self
-            .running
-            .iter_mut()
-            .filter(|(_, run)| run.ask.rank > *rank && run.ask.parkable && !run.parking);
-        let Some((ticket, run)) = lower.max_by_key(|(ticket, run)| (run.ask.rank, **ticket)) else {
-            return;
+        let limits = Limits {
+            kept,
+            bound_long: self.policy.prefill_bound && mixed && !head.overdue,
+            probe_first: self.reserve.busy_above(head.rank),
         };
-        run.parking = true;
-        decisions.push(Decision::Park(*ticket));
+        let cached: &[u32] = if self.policy.affinity && waiting.ask.resume.is_none() {
+            self.affinity.lookup(&waiting.ask.prefixes)
+        } else {
+            &[]
+        };
+        self.fleet.choose(now, &need, cached, limits, self.policy)
     }
 
-    fn forget_waiting(&mut self, ticket: Ticket) {
-        for queue in self.waiting.values_mut() {
-            queue.retain(|waiting| waiting.ticket != ticket);
+    /// Returns whether short or higher work came beside that of `rank` lately.
+    fn is_mixed(&self, now: Duration, rank: u8) -> bool {
+        let short = self.short_work_at.is_some_and(|at| now < at + SHORT_WORK_MEMORY);
+        short || self.reserve.busy_above(rank)
+    }
+
+    fn grant(&mut self, now: Duration, head: &Head, choice: Choice) -> Option<Decision> {
+        let ticket = head.ticket;
+        let Waiting { ask, place, .. } = self.queue.remove(ticket)?;
+        let need = Need::new(&ask, head.long);
+        let upstream = &mut self.fleet.upstreams[choice.upstream];
+        let load = upstream.start(&need, choice.cached_tokens);
+        upstream.start_probe(ticket);
+        let name = upstream.spec.name.clone();
+        let loss = upstream.declared_prefill(ask.cost.prompt_tokens);
+        if place.fresh {
+            // Parked work was charged in full when it was first granted.
+            self.queue.charge(ask.rank, &ask.workspace, choice.seconds);
+        }
+        if self.policy.affinity {
+            self.affinity.dispatched(choice.upstream, &ask.prefixes);
         }
+        self.reserve.started(ask.rank);
+        self.overdue_runs += u32::from(head.overdue);
+        let mut run = Run::granted(now, ask, name.clone(), load, place.sequence);
+        run.overdue = head.overdue;
+        if run.ask.parkable {
+            let key = park_key(ticket, run.ask.rank, loss, head.overdue);
+            self.parks.insert(key);
+            run.park_key = Some(key);
+        }
+        self.runs.insert(ticket, run);
+        Some(Decision::Granted(ticket, name))
     }
 
-    fn retry_after(&self) -> Duration {
-        let slots: u32 = self.upstreams.values().map(|upstream| upstream.spec.slots).sum();
-        let waiting = self.waiting_len() as f64;
-        let seconds = waiting / f64::from(slots.max(1));
-        MIN_RETRY_AFTER + Duration::from_secs_f64(seconds)
+    fn end_parked(&mut self, now: Duration, ticket: Ticket) {
+        if let Some(run) = self.end_run(now, ticket) {
+            self.parked_sequences.insert(ticket, run.sequence);
+        }
     }
+
+    /// Takes a run out of all counts.
+    fn end_run(&mut self, now: Duration, ticket: Ticket) -> Option<Run> {
+        let run = self.runs.remove(&ticket)?;
+        if let Some(key) = run.park_key {
+            self.parks.remove(key);
+        }
+        self.reserve.ended(run.ask.rank);
+        self.overdue_runs -= u32::from(run.overdue);
+        if let Some(upstream) = self.fleet.get_mut(&run.upstream) {
+            if run.first_token_at.is_none() {
+                upstream.end_prefill(&run.load);
+            }
+            upstream.end(&run.load);
+            upstream.forget_probe(now, ticket);
+        }
+        Some(run)
+    }
+}
+
+fn park_key(ticket: Ticket, rank: u8, loss_seconds: f64, overdue: bool) -> ParkKey {
+    let loss_us = (loss_seconds * 1e6) as u64;
+    ParkKey { overdue, rank: Reverse(rank), loss_us, ticket }
 }
--- /dev/null
+++ b/lacewingspring_core/src/gate/reserve.rs
@@ -0,0 +1,106 @@
+//! Room kept for the top tier, sized by its observed arrivals (Little's law).
+
+use std::{collections::BTreeMap, time::Duration};
+
+/// Time constant with which arrivals are forgotten, in seconds.
+const ARRIVALS_MEMORY: f64 = 10.0;
+
+/// Weight of a new sample in the mean service time.
+const SERVICE_WEIGHT: f64 = 0.1;
+
+/// Offered load below which a tier counts as idle, in slots.
+const IDLE_LOAD: f64 = 0.05;
+
+/// Largest part of all slots that is kept for the top tier.
+const MAX_SHARE: f64 = 0.5;
+
+/// Arrivals and service time of one tier.
+#[derive(Debug, Default)]
+struct TierLoad {
+    recent_arrivals: f64,
+    service_seconds: f64,
+    updated_at: Duration,
+    running: u32,
+}
+
+impl TierLoad {
+    /// Returns the offered load: arrival rate times service time, in slots.
+    fn offered(&self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.updated_at).as_secs_f64();
+        let arrivals = self.recent_arrivals * (-passed / ARRIVALS_MEMORY).exp();
+        arrivals / ARRIVALS_MEMORY * self.service_seconds
+    }
+}
+
+/// Offered load by tier and the room that follows from it.
+#[derive(Debug, Default)]
+pub(super) struct Reserve {
+    tiers: BTreeMap<u8, TierLoad>,
+    top: Option<u8>,
+    slots: u32,
+}
+
+impl Reserve {
+    /// Counts a new request with its expected service time in seconds.
+    pub fn arrived(&mut self, now: Duration, rank: u8, seconds: f64, total_slots: u32) {
+        let tier = self.tiers.entry(rank).or_default();
+        let passed = now.saturating_sub(tier.updated_at).as_secs_f64();
+        tier.recent_arrivals = tier.recent_arrivals * (-passed / ARRIVALS_MEMORY).exp() + 1.0;
+        tier.updated_at = now;
+        if tier.service_seconds == 0.0 {
+            tier.service_seconds = seconds;
+        } else {
+            tier.service_seconds += SERVICE_WEIGHT * (seconds - tier.service_seconds);
+        }
+        self.refresh(now, total_slots);
+    }
+
+    /// Counts a run that starts.
+    pub fn started(&mut self, rank: u8) {
+        self.tiers.entry(rank).or_default().running += 1;
+    }
+
+    /// Counts a run that ended.
+    pub fn ended(&mut self, rank: u8) {
+        if let Some(tier) = self.tiers.get_mut(&rank) {
+            tier.running = tier.running.saturating_sub(1);
+        }
+    }
+
+    /// Sizes the room again; an idle tier loses it.
+    pub fn refresh(&mut self, now: Duration, total_slots: u32) {
+        let loads = self.tiers.iter().map(|(rank, tier)| (*rank, tier.offered(now)));
+        let Some((rank, load)) = loads.into_iter().find(|(_, load)| *load > IDLE_LOAD) else {
+            self.top = None;
+            self.slots = 0;
+            return;
+        };
+        let most = (f64::from(total_slots) * MAX_SHARE).floor();
+        self.top = Some(rank);
+        self.slots = (load + load.sqrt()).ceil().min(most) as u32;
+    }
+
+    /// Returns the slots that work of `rank` must leave free.
+    pub fn kept_from(&self, rank: u8) -> u32 {
+        match self.top {
+            Some(top) if rank > top => self.slots.saturating_sub(self.running(top)),
+            _ => 0,
+        }
+    }
+
+    /// Returns the slots kept for the top tier, in use or not.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns the number of runs of a tier.
+    pub fn running(&self, rank: u8) -> u32 {
+        self.tiers.get(&rank).map_or(0, |tier| tier.running)
+    }
+
+    /// Returns whether a tier above `rank` has work now or had some lately.
+    pub fn busy_above(&self, rank: u8) -> bool {
+        self.top.is_some_and(|top| top < rank)
+            || self.tiers.range(..rank).any(|(_, tier)| tier.running > 0)
+    }
+}
--- /dev/null
+++ b/lacewingspring_core/src/gate/run.rs
@@ -0,0 +1,78 @@
+//! A permit in use.
+
+use std::time::Duration;
+
+use super::{parking::ParkKey, upstream::Load, work::Ask};
+use crate::names::UpstreamName;
+
+/// Declared times of a run without a first token after which it counts as late.
+const LATE_FACTOR: f64 = 4.0;
+
+/// Time added to every declared time before a run counts as late, in seconds.
+const LATE_MARGIN: f64 = 0.5;
+
+/// A permit in use.
+#[derive(Debug)]
+pub(super) struct Run {
+    /// What was asked for.
+    pub ask: Ask,
+    /// Upstream that runs it.
+    pub upstream: UpstreamName,
+    /// What it takes there.
+    pub load: Load,
+    /// When it was granted; none for an adopted run.
+    pub granted_at: Option<Duration>,
+    /// When its first token came.
+    pub first_token_at: Option<Duration>,
+    /// Order of first arrival, kept while it is parked.
+    pub sequence: u64,
+    /// Key in the index of parkable work.
+    pub park_key: Option<ParkKey>,
+    /// Whether its deadline passed while it was parked.
+    pub overdue: bool,
+    late_after: f64,
+}
+
+impl Run {
+    /// Starts a run.
+    pub fn granted(
+        now: Duration,
+        ask: Ask,
+        upstream: UpstreamName,
+        load: Load,
+        sequence: u64,
+    ) -> Self {
+        let mut run = Self::adopted(ask, upstream, load, sequence);
+        run.granted_at = Some(now);
+        run
+    }
+
+    /// Takes over a run whose start was not seen.
+    pub fn adopted(ask: Ask, upstream: UpstreamName, load: Load, sequence: u64) -> Self {
+        Self {
+            ask,
+            upstream,
+            load,
+            granted_at: None,
+            first_token_at: None,
+            sequence,
+            park_key: None,
+            overdue: false,
+            late_after: LATE_FACTOR * load.first_token_seconds + LATE_MARGIN,
+        }
+    }
+
+    /// Returns the seconds without a first token when they are newly late; each report doubles
+    /// the time to the next.
+    pub fn newly_late(&mut self, now: Duration) -> Option<f64> {
+        if self.first_token_at.is_some() {
+            return None;
+        }
+        let waited = now.saturating_sub(self.granted_at?).as_secs_f64();
+        if waited < self.late_after {
+            return None;
+        }
+        self.late_after *= 2.0;
+        Some(waited)
+    }
+}
--- /dev/null
+++ b/lacewingspring_core/src/gate/shedding.rs
@@ -0,0 +1,183 @@
+//! What yields under pressure: waiting work is evicted, running work is parked.
+
+use std::time::Duration;
+
+use super::{
+    Gate,
+    retry_after::spread,
+    work::{Decision, Ticket},
+};
+use crate::error::ErrorKind;
+
+/// New requests that wait at most for each declared slot.
+const QUEUE_PER_SLOT: usize = 8;
+
+/// Expected wait, in parts of the time left, from which a request is refused at once.
+const HOPELESS_FACTOR: f64 = 1.25;
+
+impl Gate {
+    /// Does what is due with time: deadlines, probes, repeats of orders to park.
+    pub fn tick(&mut self, now: Duration) -> Vec<Decision> {
+        self.learn_from_late(now);
+        self.relax_speeds(now);
+        self.fleet.refresh();
+        self.reserve.refresh(now, self.fleet.draining_slots());
+        let mut decisions = self.settle(now);
+        self.expire(now, &mut decisions);
+        self.refuse_all_hopeless(now, &mut decisions);
+        let repeats = self.parks.repeats(now);
+        decisions.extend(repeats.into_iter().map(Decision::Park));
+        decisions
+    }
+
+    /// Parks running work of lower tiers for waiting work that no slot is being freed for.
+    pub(super) fn park_for_waiting(
+        &mut self,
+        now: Duration,
+        passed: Option<u8>,
+        decisions: &mut Vec<Decision>,
+    ) {
+        if !self.policy.parking {
+            return;
+        }
+        for rank in self.queue.ranks() {
+            while self.queue.waiting_up_to(rank, passed) > self.parks.ordered_len() {
+                let Some(ticket) = self.park_below(now, rank, false) else { break };
+                decisions.push(Decision::Park(ticket));
+            }
+        }
+    }
+
+    /// Evicts waiting work until the queue is within its bound, lowest tier first.
+    pub(super) fn shed_excess(&mut self, now: Duration, decisions: &mut Vec<Decision>) {
+        let bound = self.fleet.declared_slots() as usize * QUEUE_PER_SLOT;
+        while self.queue.fresh_len() > bound + self.parks.ordered_len() {
+            let Some(ticket) = self.next_victim() else { return };
+            let rank = self.queue.get(ticket).map_or(u8::MAX, |waiting| waiting.ask.rank);
+            if self.policy.parking
+                && let Some(parked) = self.park_below(now, rank, true)
+            {
+                decisions.push(Decision::Park(parked));
+                continue;
+            }
+            let none = self.fleet.declared_slots() == 0;
+            let kind = if none { ErrorKind::NoUpstream } else { ErrorKind::Overloaded };
+            self.refuse(now, ticket, kind, decisions);
+        }
+    }
+
+    /// Refuses a request at once when it is of the lowest tier and cannot meet its deadline.
+    ///
+    /// Work of a higher tier is kept: what waits or runs below it has to yield first.
+    pub(super) fn refuse_hopeless(
+        &mut self,
+        now: Duration,
+        ticket: Ticket,
+        decisions: &mut Vec<Decision>,
+    ) -> bool {
+        if !self.policy.early_refusal || !self.is_hopeless(now, ticket) {
+            return false;
+        }
+        self.refuse(now, ticket, ErrorKind::Overloaded, decisions);
+        true
+    }
+
+    fn refuse_all_hopeless(&mut self, now: Duration, decisions: &mut Vec<Decision>) {
+        loop {
+            let Some(rank) = self.queue.lowest_rank() else { return };
+            let newest = self.queue.newest(rank);
+            let mut refused = false;
+            for ticket in newest {
+                refused |= self.refuse_hopeless(now, ticket, decisions);
+            }
+            if !refused {
+                return;
+            }
+        }
+    }
+
+    fn is_hopeless(&self, now: Duration, ticket: Ticket) -> bool {
+        let Some(waiting) = self.queue.get(ticket) else { return false };
+        let slots = f64::from(self.fleet.draining_slots());
+        let rank = waiting.ask.rank;
+        if slots == 0.0 || !waiting.place.fresh || self.has_lower(rank) {
+            return false;
+        }
+        let ahead = self.queue.seconds_ahead(waiting) - waiting.seconds;
+        let left = waiting.deadline.saturating_sub(now).as_secs_f64();
+        self.parks.ordered_len() == 0 && ahead / slots > left * HOPELESS_FACTOR
+    }
+
+    /// Ends the wait of requests whose deadline passed; parked ones go ahead of all others.
+    fn expire(&mut self, now: Duration, decisions: &mut Vec<Decision>) {
+        while let Some(ticket) = self.queue.expired(now) {
+            let fresh = self.queue.get(ticket).is_some_and(|waiting| waiting.place.fresh);
+            if fresh {
+                self.refuse(now, ticket, ErrorKind::DeadlineExceeded, decisions);
+            } else {
+                self.queue.promote(ticket);
+            }
+        }
+    }
+
+    fn next_victim(&self) -> Option<Ticket> {
+        if self.policy.eviction_order {
+            self.queue.victim(self.queue.lowest_rank()?)
+        } else {
+            self.queue.newest_of_all()
+        }
+    }
+
+    /// Orders the least loss among runs below `rank` to be parked.
+    fn park_below(&mut self, now: Duration, rank: u8, to_save_refusal: bool) -> Option<Ticket> {
+        let key = self.parks.below(rank, to_save_refusal).find(|key| {
+            let run = self.runs.get(&key.ticket);
+            let upstream = run.and_then(|run| self.fleet.get(&run.upstream));
+            to_save_refusal || upstream.is_some_and(|upstream| upstream.is_usable())
+        });
+        let key = *key?;
+        self.parks.order(now, key);
+        Some(key.ticket)
+    }
+
+    /// Returns whether new work of a tier below `rank` waits, or parkable work of one runs.
+    pub fn has_lower(&self, rank: u8) -> bool {
+        self.queue.lowest_rank().is_some_and(|lowest| lowest > rank)
+            || self.parks.below(rank, true).next().is_some()
+    }
+
+    fn refuse(
+        &mut self,
+        now: Duration,
+        ticket: Ticket,
+        kind: ErrorKind,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let Some(waiting) = self.queue.get(ticket) else { return };
+        let rank = waiting.ask.rank;
+        let seconds = waiting.seconds;
+        let ahead = self.queue.seconds_ahead(waiting);
+        if kind == ErrorKind::Overloaded && self.has_lower(rank) {
+            self.violations += 1;
+            let guarded = self.policy.eviction_order && self.policy.parking;
+            debug_assert!(!guarded, "a request is refused while lower work waits or runs");
+        }
+        let slots = f64::from(self.fleet.draining_slots());
+        let after = self.retries.refuse(now, ahead, seconds, slots);
+        let after = if self.policy.retry_spread { spread(after, ticket) } else { after };
+        self.queue.remove(ticket);
+        decisions.push(Decision::Refused(ticket, kind, after));
+    }
+
+    fn relax_speeds(&mut self, now: Duration) {
+        let earlier = self.ticked_at.replace(now).unwrap_or(now);
+        let seconds = now.saturating_sub(earlier).as_secs_f64();
+        for upstream in &mut self.fleet.upstreams {
+            if upstream.is_healthy() && upstream.running == 0 {
+                upstream.prefill.relax(seconds);
+                upstream.decode.relax(seconds);
+                upstream.set_share();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lacewingspring_core/src/gate/upstream.rs
@@ -0,0 +1,446 @@
+//! One upstream of a gate: slots, KV memory, prefills in flight, speed and health.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    gate::{
+        speed::{Ratio, SLOW_SCORE},
+        work::{Ask, LoadReport, Ticket},
+    },
+    resources::UpstreamSpec,
+};
+
+/// Growth of the time between tokens from an idle to a full batch.
+const BATCH_SLOPE: f64 = 0.5;
+
+/// Score from which an upstream gets single probes only.
+const PROBATION_SCORE: f64 = 4.0;
+
+/// Score up to which a probe counts as fast.
+const FAST_PROBE_SCORE: f64 = 1.5;
+
+/// Fast probes in a row after which an upstream is healthy again.
+const FAST_PROBES: u32 = 3;
+
+/// Time between probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for which a due probe waits for work below the top tier.
+const PROBE_PATIENCE: Duration = Duration::from_secs(4);
+
+/// First time without grants after a crash.
+const MIN_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Longest time without grants after a crash.
+const MAX_BACKOFF: Duration = Duration::from_secs(30);
+
+/// Age at which a load report no longer counts.
+const REPORT_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Largest part of the KV memory that a load report can take away.
+const MAX_REPORTED_KV: f64 = 0.5;
+
+/// Health of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Health {
+    /// It takes work.
+    Healthy,
+    /// It is far slower than normal and takes probes from `next` on.
+    Probation { next: Duration, fast: u32 },
+    /// It crashed and takes one probe from `until` on.
+    Down { until: Duration, backoff: Duration },
+}
+
+/// Room of an upstream beyond the count of the gate's own runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Room {
+    /// The gate counts all that runs.
+    Counted,
+    /// A new holder does not know yet what runs.
+    Unknown,
+    /// A new holder may grant this many requests beyond what was reported.
+    Reported(u32),
+}
+
+/// What an upstream can take now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Opening {
+    /// No work.
+    Closed,
+    /// This many requests.
+    Slots(u32),
+    /// A single probe, due since the given time.
+    Probe(Duration),
+}
+
+/// Work of one request as an upstream sees it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Need {
+    /// Rank of the tier.
+    pub rank: u8,
+    /// Tokens to prefill.
+    pub prefill_tokens: u32,
+    /// Output tokens to come.
+    pub decode_tokens: u32,
+    /// KV tokens at the end.
+    pub kv_tokens: u64,
+    /// Whether the prefill is long.
+    pub long: bool,
+}
+
+impl Need {
+    /// Takes the work of an ask.
+    pub fn new(ask: &Ask, long: bool) -> Self {
+        Self {
+            rank: ask.rank,
+            prefill_tokens: ask.prefill_tokens(),
+            decode_tokens: ask.decode_tokens(),
+            kv_tokens: ask.kv_tokens(),
+            long,
+        }
+    }
+}
+
+/// What a run takes from its upstream until it ends.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Load {
+    /// Rank of the tier.
+    pub rank: u8,
+    /// KV tokens counted.
+    pub kv_tokens: u64,
+    /// Declared seconds of its own prefill.
+    pub prefill_seconds: f64,
+    /// Declared seconds to the first token, with the prefills before it.
+    pub first_token_seconds: f64,
+    /// Whether the prefill is long.
+    pub long: bool,
+}
+
+/// A load report and when it came.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    at: Duration,
+    unknown_kv: u64,
+}
+
+/// One upstream of a gate.
+#[derive(Debug)]
+pub(super) struct Upstream {
+    /// What the operator declared.
+    pub spec: UpstreamSpec,
+    /// Requests that run.
+    pub running: u32,
+    /// Ratio of observed to declared seconds until the first token.
+    pub prefill: Ratio,
+    /// Ratio of observed to declared seconds between tokens.
+    pub decode: Ratio,
+    /// Room for grants beyond the count of the gate's own runs.
+    pub room: Room,
+    slots: u32,
+    kv_used: u64,
+    prefill_backlog: f64,
+    long_prefills: BTreeMap<u8, u32>,
+    longest_rank: u8,
+    health: Health,
+    probe: Option<Ticket>,
+    report: Option<Report>,
+}
+
+impl Upstream {
+    /// Creates an upstream on which nothing runs.
+    pub fn new(spec: UpstreamSpec) -> Self {
+        Self {
+            slots: spec.slots,
+            spec,
+            running: 0,
+            prefill: Ratio::default(),
+            decode: Ratio::default(),
+            room: Room::Counted,
+            kv_used: 0,
+            prefill_backlog: 0.0,
+            long_prefills: BTreeMap::new(),
+            longest_rank: u8::MAX,
+            health: Health::Healthy,
+            probe: None,
+            report: None,
+        }
+    }
+
+    /// Returns what the upstream can take now.
+    pub fn opening(&self, now: Duration) -> Opening {
+        let free = self.slots.saturating_sub(self.running);
+        let free = match self.room {
+            Room::Counted => free,
+            Room::Unknown => 0,
+            Room::Reported(room) => room.min(free),
+        };
+        if self.spec.leaving || free == 0 {
+            return Opening::Closed;
+        }
+        let due = match self.health {
+            Health::Healthy => return Opening::Slots(free),
+            Health::Probation { next, .. } => next,
+            Health::Down { until, .. } => until,
+        };
+        if self.probe.is_none() && now >= due { Opening::Probe(due) } else { Opening::Closed }
+    }
+
+    /// Sets the slots in use at most: fewer for a slow upstream, never more than declared.
+    pub fn set_share(&mut self) {
+        let score = self.score();
+        self.slots = if score < SLOW_SCORE {
+            self.spec.slots
+        } else {
+            ((f64::from(self.spec.slots) / score) as u32).max(1)
+        };
+    }
+
+    /// Returns the slots that drain the queue.
+    pub fn draining_slots(&self) -> u32 {
+        let healthy = self.health == Health::Healthy && !self.spec.leaving;
+        if healthy { self.slots } else { 0 }
+    }
+
+    /// Returns whether the upstream takes work beyond probes.
+    pub fn is_healthy(&self) -> bool {
+        self.health == Health::Healthy
+    }
+
+    /// Returns whether a slot that is freed here can be granted again.
+    pub fn is_usable(&self) -> bool {
+        self.is_healthy() && !self.spec.leaving && self.running <= self.slots
+    }
+
+    /// Returns how many times slower than normal the upstream is.
+    pub fn score(&self) -> f64 {
+        self.prefill.score().max(self.decode.score())
+    }
+
+    /// Returns whether the KV memory holds the request to its end beside what runs.
+    pub fn fits(&self, now: Duration, kv_tokens: u64) -> bool {
+        let fresh = self.report.filter(|report| now.saturating_sub(report.at) < REPORT_LIFETIME);
+        let unknown = fresh.map_or(0, |report| report.unknown_kv);
+        let needed = kv_tokens.min(self.spec.kv_tokens);
+        self.running == 0 || self.kv_used + unknown + needed <= self.spec.kv_tokens
+    }
+
+    /// Returns whether a long prefill of this rank or a higher one is in flight.
+    pub fn has_long_prefill(&self, rank: u8) -> bool {
+        self.longest_rank <= rank
+    }
+
+    /// Returns the seconds until the last token, were the request granted now.
+    pub fn seconds(&self, need: &Need, cached_tokens: u32) -> f64 {
+        let prefill = self.declared_prefill(need.prefill_tokens.saturating_sub(cached_tokens));
+        let decode = f64::from(need.decode_tokens) * self.declared_decode(self.running + 1);
+        (self.prefill_backlog + prefill) * self.prefill.factor() + decode * self.decode.factor()
+    }
+
+    /// Returns the declared seconds of a prefill.
+    pub fn declared_prefill(&self, tokens: u32) -> f64 {
+        f64::from(tokens) / self.spec.prefill_tokens_per_second.max(1.0)
+    }
+
+    /// Returns the declared seconds between tokens at a batch size.
+    pub fn declared_decode(&self, batch: u32) -> f64 {
+        let fill = f64::from(batch) / f64::from(self.spec.slots.max(1));
+        self.spec.decode_ms / 1_000.0 * (1.0 + BATCH_SLOPE * fill)
+    }
+
+    /// Counts a run that starts.
+    pub fn start(&mut self, need: &Need, cached_tokens: u32) -> Load {
+        let tokens = need.prefill_tokens.saturating_sub(cached_tokens);
+        let prefill_seconds = self.declared_prefill(tokens);
+        self.running += 1;
+        if let Room::Reported(room) = &mut self.room {
+            *room = room.saturating_sub(1);
+        }
+        let kv_tokens = need.kv_tokens.min(self.spec.kv_tokens);
+        self.kv_used += kv_tokens;
+        self.prefill_backlog += prefill_seconds;
+        if need.long {
+            *self.long_prefills.entry(need.rank).or_default() += 1;
+            self.longest_rank = self.longest_rank.min(need.rank);
+        }
+        Load {
+            rank: need.rank,
+            kv_tokens,
+            prefill_seconds,
+            first_token_seconds: self.prefill_backlog,
+            long: need.long,
+        }
+    }
+
+    /// Counts a run that an earlier holder started; its prefill is not known to be in flight.
+    pub fn adopt(&mut self, need: &Need) -> Load {
+        self.running += 1;
+        let kv_tokens = need.kv_tokens.min(self.spec.kv_tokens);
+        self.kv_used += kv_tokens;
+        Load {
+            rank: need.rank,
+            kv_tokens,
+            prefill_seconds: 0.0,
+            first_token_seconds: 0.0,
+            long: false,
+        }
+    }
+
+    /// Takes over the count of a run when the declared upstreams change.
+    pub fn carry(&mut self, load: &Load, in_prefill: bool) {
+        self.running += 1;
+        self.kv_used += load.kv_tokens;
+        if in_prefill {
+            self.prefill_backlog += load.prefill_seconds;
+            if load.long {
+                *self.long_prefills.entry(load.rank).or_default() += 1;
+                self.longest_rank = self.longest_rank.min(load.rank);
+            }
+        }
+    }
+
+    /// Takes over what was learned when the declared upstreams change.
+    pub fn learn_from(&mut self, earlier: &Self) {
+        self.prefill = earlier.prefill;
+        self.decode = earlier.decode;
+        self.health = earlier.health;
+        self.probe = earlier.probe;
+        self.report = earlier.report;
+        self.room = earlier.room;
+        if earlier.slots < earlier.spec.slots {
+            self.set_share();
+        }
+    }
+
+    /// Ends the prefill of a run.
+    pub fn end_prefill(&mut self, load: &Load) {
+        self.prefill_backlog = (self.prefill_backlog - load.prefill_seconds).max(0.0);
+        if !load.long {
+            return;
+        }
+        if let Some(count) = self.long_prefills.get_mut(&load.rank) {
+            *count -= 1;
+            if *count == 0 {
+                self.long_prefills.remove(&load.rank);
+            }
+        }
+        self.longest_rank = self.long_prefills.keys().next().copied().unwrap_or(u8::MAX);
+    }
+
+    /// Ends a run.
+    pub fn end(&mut self, load: &Load) {
+        self.running = self.running.saturating_sub(1);
+        self.kv_used = self.kv_used.saturating_sub(load.kv_tokens);
+        if let Room::Reported(room) = &mut self.room {
+            *room = room.saturating_add(1);
+        }
+        if self.running == 0 {
+            self.prefill_backlog = 0.0;
+        }
+    }
+
+    /// Marks a run as the probe.
+    pub fn start_probe(&mut self, ticket: Ticket) {
+        if !self.is_healthy() {
+            self.probe = Some(ticket);
+        }
+    }
+
+    /// Judges the upstream after a sample.
+    pub fn judge(&mut self, now: Duration) {
+        self.set_share();
+        if self.is_healthy() && self.score() >= PROBATION_SCORE {
+            self.health = Health::Probation { next: now + PROBE_INTERVAL, fast: 0 };
+        }
+    }
+
+    /// Takes the result of a probe.
+    pub fn probed(&mut self, now: Duration, ticket: Ticket, is_fast: bool) {
+        if self.probe != Some(ticket) {
+            return;
+        }
+        self.probe = None;
+        let next = now + PROBE_INTERVAL;
+        self.health = match self.health {
+            Health::Probation { fast, .. } if is_fast && fast + 1 >= FAST_PROBES => {
+                self.prefill.reset();
+                self.decode.reset();
+                self.set_share();
+                Health::Healthy
+            }
+            Health::Probation { fast, .. } if is_fast => Health::Probation { next, fast: fast + 1 },
+            Health::Probation { .. } => Health::Probation { next, fast: 0 },
+            Health::Down { .. } if self.score() >= PROBATION_SCORE => {
+                Health::Probation { next, fast: 0 }
+            }
+            Health::Down { .. } | Health::Healthy => Health::Healthy,
+        };
+    }
+
+    /// Returns whether a run that took `observed` seconds was as fast as normal.
+    pub fn is_fast(&self, observed: f64, prefill: f64, decode: f64) -> bool {
+        let normal = prefill * self.prefill.normal() + decode * self.decode.normal();
+        observed <= normal * FAST_PROBE_SCORE
+    }
+
+    /// Returns whether the upstream crashed and has not answered since.
+    pub fn is_down(&self) -> bool {
+        matches!(self.health, Health::Down { .. })
+    }
+
+    /// Takes the failure of a run; a failed probe closes the upstream for longer.
+    pub fn probe_failed(&mut self, now: Duration, ticket: Ticket) {
+        if self.probe != Some(ticket) {
+            return;
+        }
+        if self.is_down() {
+            self.fail(now);
+        } else {
+            self.probed(now, ticket, false);
+        }
+    }
+
+    /// Gives up a probe without a result, so that another can be sent.
+    pub fn forget_probe(&mut self, now: Duration, ticket: Ticket) {
+        if self.probe != Some(ticket) {
+            return;
+        }
+        self.probe = None;
+        if let Health::Probation { next, .. } = &mut self.health {
+            *next = now + PROBE_INTERVAL;
+        }
+    }
+
+    /// Closes the upstream after a crash; each crash in a row doubles the time.
+    pub fn fail(&mut self, now: Duration) {
+        self.probe = None;
+        let backoff = match self.health {
+            Health::Down { until, backoff } if now < until => backoff,
+            Health::Down { backoff, .. } => (backoff * 2).min(MAX_BACKOFF),
+            _ => MIN_BACKOFF,
+        };
+        self.health = Health::Down { until: now + backoff, backoff };
+    }
+
+    /// Returns whether the top tier may serve as the probe that is due since `due`.
+    pub fn probe_is_overdue(now: Duration, due: Duration) -> bool {
+        now >= due + PROBE_PATIENCE
+    }
+
+    /// Takes a load report; it corrects the count of KV memory, and gives the room while a new
+    /// holder learns. The gate's own count of runs is exact and stays.
+    pub fn report(&mut self, now: Duration, report: LoadReport) {
+        let unknown = report.kv_tokens_used.saturating_sub(self.kv_used);
+        let most = (self.spec.kv_tokens as f64 * MAX_REPORTED_KV) as u64;
+        let unknown_kv = if report.running > self.running { unknown.min(most) } else { 0 };
+        self.report = Some(Report { at: now, unknown_kv });
+        if self.room == Room::Unknown {
+            let busy = report.running.saturating_add(report.queued);
+            self.room = Room::Reported(self.spec.slots.saturating_sub(busy));
+        }
+    }
+
+    /// Returns the KV tokens counted.
+    pub fn kv_used(&self) -> u64 {
+        self.kv_used
+    }
+}
--- /dev/null
+++ b/lacewingspring_core/tests/gate_runs.rs
@@ -0,0 +1,176 @@
+//! Properties of the gate that hold in any run: long random runs in virtual time.
+
+use std::time::Duration;
+
+use lacewingspring_core::gate::{Gate, GatePolicy, Outcome, Ticket};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+use self::gate_model::{Job, Random, World, spec, specs};
+
+mod gate_model;
+
+const WORKSPACES: [&str; 5] = ["bailiffs", "credit", "notaries", "south", "west"];
+
+#[derive(Clone, Debug)]
+struct Scenario {
+    seed: u64,
+    upstreams: usize,
+    rate: f64,
+    seconds: f64,
+}
+
+impl Arbitrary for Scenario {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self {
+            seed: u64::arbitrary(g),
+            upstreams: 1 + usize::arbitrary(g) % 5,
+            rate: 2.0 + f64::from(u8::arbitrary(g)) / 2.0,
+            seconds: 5.0 + f64::from(u8::arbitrary(g) % 40),
+        }
+    }
+}
+
+impl Scenario {
+    fn jobs(&self) -> Vec<Job> {
+        let mut random = Random::new(self.seed);
+        gate_model::poisson(&mut random, 0.0, self.seconds, self.rate, |random, at| {
+            let workspace = WORKSPACES[random.below(5) as usize];
+            let rank = random.below(3) as u8;
+            let is_long = random.below(4) == 0;
+            let prompt =
+                if is_long { 4_000 + random.below(30_000) } else { 50 + random.below(500) };
+            let output = if is_long { 100 + random.below(600) } else { 5 + random.below(40) };
+            let mut job = Job::new(at, rank, workspace, prompt, output);
+            job.parkable = random.below(5) != 0;
+            job.max_wait = 1.0 + f64::from(random.below(20));
+            job
+        })
+    }
+
+    fn world(&self, policy: GatePolicy) -> World {
+        let upstreams = (0..self.upstreams)
+            .map(|i| spec(&format!("up{i}"), 4 + i as u32 * 2, 8e3 * (i + 1) as f64, 12.0, 60_000));
+        let mut world = World::new(policy, upstreams.collect(), self.jobs());
+        if self.seed % 3 == 0 {
+            world.slow_down(self.seconds / 3.0, 0, 8.0);
+            world.slow_down(self.seconds / 1.5, 0, 1.0);
+        }
+        world.run()
+    }
+}
+
+fn check<F>(seed: u64, tests: u64, property: F)
+where
+    F: Fn(Scenario) -> bool + Send + Sync + 'static,
+{
+    // The generator's size does not matter here: scenarios bound themselves.
+    let mut quick = QuickCheck::new().rng(Gen::from_size_and_seed(64, seed)).tests(tests);
+    quick.quickcheck(Property(property));
+}
+
+struct Property<F>(F);
+
+impl<F> quickcheck::Testable for Property<F>
+where
+    F: Fn(Scenario) -> bool + 'static,
+{
+    fn result(&self, g: &mut Gen) -> quickcheck::TestResult {
+        let scenario = Scenario::arbitrary(g);
+        let holds = (self.0)(scenario.clone());
+        if holds {
+            quickcheck::TestResult::passed()
+        } else {
+            quickcheck::TestResult::error(format!("{scenario:?}"))
+        }
+    }
+}
+
+#[test]
+fn every_request_gets_one_answer_and_nothing_leaks() {
+    check(1, 60, |scenario| {
+        let world = scenario.world(GatePolicy::default());
+        let once = world.answers.iter().all(|answer| answer.answers == 1);
+        once && world.gate.waiting_len() == 0
+            && world.gate.running_len() == 0
+            && world.gate.summary().upstreams.iter().all(|u| u.running == 0 && u.kv_tokens == 0)
+            && world.gate.summary().parking == 0
+    });
+}
+
+#[test]
+fn slots_and_memory_are_never_exceeded() {
+    check(2, 60, |scenario| {
+        let world = scenario.world(GatePolicy::default());
+        world.over_slots == 0 && world.over_memory == 0
+    });
+}
+
+#[test]
+fn memory_is_exceeded_without_the_count() {
+    let policy = GatePolicy { kv_count: false, ..GatePolicy::default() };
+    let jobs = (0..8).map(|i| Job::new(f64::from(i) * 0.1, 0, "south", 20_000, 100)).collect();
+    let upstream = vec![spec("up0", 8, 20_000.0, 10.0, 60_000)];
+    let without = World::new(policy, upstream.clone(), jobs).run();
+    assert!(without.over_memory > 0, "the model would show an eviction");
+    let with = World::new(GatePolicy::default(), upstream, without.jobs.clone()).run();
+    assert_eq!(with.over_memory, 0);
+}
+
+#[test]
+fn no_request_is_shed_while_lower_work_runs_or_waits() {
+    check(3, 60, |scenario| scenario.world(GatePolicy::default()).gate.violations() == 0);
+}
+
+#[test]
+fn lower_work_outlives_higher_without_the_eviction_order_or_parking() {
+    let flood = |policy| {
+        let mut jobs: Vec<_> =
+            (0..40).map(|i| Job::new(f64::from(i) * 0.01, 2, "notaries", 100, 400)).collect();
+        jobs.extend((0..60).map(|i| Job::new(1.0 + f64::from(i) * 0.01, 0, "credit", 100, 400)));
+        World::new(policy, specs(1, 4), jobs).run().gate.violations()
+    };
+    assert_eq!(flood(GatePolicy::default()), 0);
+    assert!(flood(GatePolicy { eviction_order: false, ..GatePolicy::default() }) > 0);
+    assert!(flood(GatePolicy { parking: false, ..GatePolicy::default() }) > 0);
+}
+
+#[test]
+fn parked_work_is_resumed_whole_and_never_refused() {
+    check(4, 60, |scenario| {
+        let world = scenario.world(GatePolicy::default());
+        let whole = world.jobs.iter().zip(&world.answers).all(|(job, answer)| {
+            let parked_ends = answer.parks == 0 || answer.finished.is_some();
+            parked_ends && (answer.finished.is_none() || answer.tokens == job.output)
+        });
+        whole && world.resumed_refused == 0
+    });
+}
+
+#[test]
+fn higher_work_waits_without_parking() {
+    let first_token = |policy| {
+        let mut jobs: Vec<_> =
+            (0..4).map(|i| Job::new(f64::from(i) * 0.01, 1, "notaries", 100, 2_000)).collect();
+        jobs.push(Job::new(1.0, 0, "credit", 100, 10));
+        let world = World::new(policy, specs(1, 4), jobs).run();
+        assert_eq!(world.finished(|_| true), 5);
+        world.first_token_seconds(|job| job.rank == 0)[0]
+    };
+    assert!(first_token(GatePolicy::default()) < 0.1);
+    assert!(first_token(GatePolicy { parking: false, ..GatePolicy::default() }) > 10.0);
+}
+
+#[test]
+fn release_at_any_time_leaves_nothing() {
+    let mut gate = Gate::new(specs(2, 2));
+    let now = Duration::from_secs(1);
+    for i in 0..20 {
+        gate.ask(now, Ticket(i), Job::new(1.0, (i % 3) as u8, "south", 100, 10).ask());
+    }
+    for i in 0..20 {
+        gate.release(now, Ticket(i));
+        gate.ended(now, Ticket(i), Outcome::Failed);
+    }
+    assert_eq!((gate.waiting_len(), gate.running_len()), (0, 0));
+    assert!(gate.summary().upstreams.iter().all(|u| u.running == 0 && u.kv_tokens == 0));
+}
