--- /dev/null
+++ b/lacewingspring_core/tests/membership_fleet.rs
@@ -0,0 +1,345 @@
+//! Membership among several members over a lossy network in virtual time.
+
+mod support;
+
+use std::{net::SocketAddr, time::Duration};
+
+use lacewingspring_core::membership::{
+    Digest, ListedInstance, Member, MemberState, Membership, MembershipConfig, MembershipPolicy,
+    View,
+};
+use quickcheck::{Gen, QuickCheck};
+
+use support::Wire;
+
+const PERIOD: Duration = Duration::from_millis(200);
+
+struct Node {
+    membership: Membership,
+    up: bool,
+    next_round: Duration,
+}
+
+struct Fleet {
+    cfg: MembershipConfig,
+    centres: usize,
+    now: Duration,
+    nodes: Vec<Node>,
+    wire: Wire<Digest>,
+}
+
+fn address(i: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 1_000 + i as u16))
+}
+
+fn member(i: usize, centres: usize, incarnation: u64) -> Member {
+    Member {
+        name: format!("i{i:03}").as_str().into(),
+        data_centre: format!("dc{}", i % centres).as_str().into(),
+        callers: address(i),
+        peers: address(i),
+        incarnation,
+    }
+}
+
+fn listed(i: usize, centres: usize) -> ListedInstance {
+    let Member { name, data_centre, callers, peers, .. } = member(i, centres, 0);
+    ListedInstance { name, data_centre, callers, peers, leaving: false }
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+impl Fleet {
+    fn new(size: usize, centres: usize, seed: u64, policy: MembershipPolicy) -> Self {
+        let cfg = MembershipConfig { policy, ..MembershipConfig::default() };
+        let mut wire = Wire::new(seed);
+        let mut nodes = Vec::new();
+        for i in 0..size {
+            let own = member(i, centres, 1);
+            let mut membership = Membership::new(cfg.clone(), own, wire.rng.next());
+            membership
+                .observe_list(Duration::ZERO, (0..size).map(|j| listed(j, centres)).collect());
+            let next_round = Duration::from_micros(wire.rng.below(200_000));
+            nodes.push(Node { membership, up: true, next_round });
+        }
+        let mut fleet = Self { cfg, centres, now: Duration::ZERO, nodes, wire };
+        fleet.run(ms(4_000));
+        fleet
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += ms(1);
+            self.deliver();
+            for i in 0..self.nodes.len() {
+                self.round(i);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(delivery) = self.wire.next_until(self.now) {
+            let node = &mut self.nodes[delivery.to];
+            if !node.up {
+                continue;
+            }
+            let reply = node.membership.receive(self.now, delivery.message);
+            if let Some(reply) = reply {
+                self.wire.send(self.now, delivery.to, delivery.from, reply);
+            }
+        }
+    }
+
+    fn round(&mut self, i: usize) {
+        let node = &mut self.nodes[i];
+        if !node.up || node.next_round > self.now {
+            return;
+        }
+        node.next_round = self.now + PERIOD;
+        for outgoing in node.membership.round(self.now) {
+            let to = usize::from(outgoing.to.port()) - 1_000;
+            self.wire.send(self.now, i, to, outgoing.digest);
+        }
+    }
+
+    fn view(&self, i: usize) -> View {
+        self.nodes[i].membership.view(self.now)
+    }
+
+    fn state(&self, observer: usize, subject: usize) -> MemberState {
+        self.view(observer).member(&format!("i{subject:03}")).expect("known").state
+    }
+
+    fn observers(&self, subject: usize) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|i| *i != subject && self.nodes[*i].up).collect()
+    }
+
+    /// Runs until all others see the member in the state; none when that takes too long.
+    fn time_until(&mut self, subject: usize, state: MemberState, limit: u64) -> Option<Duration> {
+        let start = self.now;
+        while self.now < start + ms(limit) {
+            if self.observers(subject).iter().all(|i| self.state(*i, subject) == state) {
+                return Some(self.now - start);
+            }
+            self.run(ms(10));
+        }
+        None
+    }
+
+    /// Returns whether nobody ever sees one of the subjects as anything but live.
+    fn stays_live(&mut self, subjects: &[usize], millis: u64) -> bool {
+        for _ in 0..millis / 10 {
+            self.run(ms(10));
+            for subject in subjects {
+                let live = |i: &usize| self.state(*i, *subject) == MemberState::Live;
+                if !self.observers(*subject).iter().all(live) {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    fn restart(&mut self, i: usize, incarnation: u64) {
+        let own = member(i, self.centres, incarnation);
+        let mut membership = Membership::new(self.cfg.clone(), own, self.wire.rng.next());
+        let all = 0..self.nodes.len();
+        membership.observe_list(self.now, all.map(|j| listed(j, self.centres)).collect());
+        self.nodes[i] = Node { membership, up: true, next_round: self.now };
+    }
+}
+
+fn check<A>(tests: u64, property: A)
+where
+    A: quickcheck::Testable,
+{
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 0x6d65_6d62))
+        .tests(tests)
+        .quickcheck(property);
+}
+
+fn on() -> MembershipPolicy {
+    MembershipPolicy::default()
+}
+
+#[test]
+fn killed_member_is_suspected_within_a_second_and_a_half() {
+    fn property(seed: u64, victim: u8, centres: u8) -> bool {
+        let mut fleet = Fleet::new(9, 3 + usize::from(centres % 2), seed, on());
+        fleet.wire.loss_percent = 2;
+        let victim = usize::from(victim) % 9;
+        fleet.nodes[victim].up = false;
+        fleet.time_until(victim, MemberState::Suspect, 1_500).is_some()
+    }
+    check(60, property as fn(u64, u8, u8) -> bool);
+}
+
+fn survives_one_way_cuts(seed: u64, policy: MembershipPolicy) -> bool {
+    let mut fleet = Fleet::new(9, 3, seed, policy);
+    let from = fleet.wire.rng.below(9) as usize;
+    let to = (from + 1 + fleet.wire.rng.below(8) as usize) % 9;
+    fleet.wire.cuts.insert((from, to));
+    fleet.wire.loss_percent = 2;
+    fleet.stays_live(&[from, to], 10_000)
+}
+
+#[test]
+fn one_way_cut_between_two_members_suspects_nobody() {
+    check(30, (|seed| survives_one_way_cuts(seed, on())) as fn(u64) -> bool);
+}
+
+#[test]
+fn one_way_cut_is_noticed_without_the_indirect_path() {
+    let policy = MembershipPolicy { indirect: false, ..on() };
+    assert!((0..10).any(|seed| !survives_one_way_cuts(seed, policy)));
+}
+
+fn restarted_member_replaces_the_old(seed: u64, policy: MembershipPolicy) -> bool {
+    let mut fleet = Fleet::new(9, 3, seed, policy);
+    fleet.wire.loss_percent = 5;
+    let victim = (seed % 9) as usize;
+    fleet.nodes[victim].up = false;
+    let pause = fleet.wire.rng.below(3_000);
+    fleet.run(ms(pause));
+    fleet.restart(victim, 2);
+    fleet.run(ms(2_500));
+    fleet.observers(victim).iter().all(|i| {
+        let view = fleet.view(*i);
+        let seen = view.member(&format!("i{victim:03}")).expect("known");
+        seen.incarnation == 2 && seen.state == MemberState::Live
+    })
+}
+
+#[test]
+fn restarted_member_replaces_the_old_run() {
+    check(40, (|seed| restarted_member_replaces_the_old(seed, on())) as fn(u64) -> bool);
+    let policy = MembershipPolicy { replace: false, ..on() };
+    assert!(!restarted_member_replaces_the_old(1, policy));
+}
+
+#[test]
+fn older_run_of_a_restarted_member_is_told_to_stop() {
+    let mut fleet = Fleet::new(9, 3, 5, on());
+    let node = Node { up: false, ..fleet.nodes.swap_remove(8) };
+    fleet.nodes.push(node);
+    fleet.restart(8, 2);
+    fleet.run(ms(2_000));
+    fleet.restart(8, 1);
+    fleet.run(ms(2_000));
+    assert!(fleet.view(8).superseded);
+}
+
+fn thaws(seed: u64, policy: MembershipPolicy) -> bool {
+    let mut fleet = Fleet::new(9, 3, seed, policy);
+    let victim = (seed % 9) as usize;
+    fleet.nodes[victim].up = false;
+    let frozen = 1_500 + fleet.wire.rng.below(90_000);
+    fleet.run(ms(frozen));
+    fleet.nodes[victim].up = true;
+    fleet.run(ms(210));
+    let others = fleet.observers(victim);
+    let trusts = others.iter().all(|i| fleet.state(victim, *i) == MemberState::Live);
+    trusts && fleet.time_until(victim, MemberState::Live, 2_500).is_some()
+}
+
+#[test]
+fn frozen_member_comes_back_and_blames_nobody() {
+    check(12, (|seed| thaws(seed, on())) as fn(u64) -> bool);
+    let policy = MembershipPolicy { freeze_grace: false, ..on() };
+    assert!((0..5).any(|seed| !thaws(seed, policy)));
+}
+
+#[test]
+fn thawed_member_revalidates_before_it_counts_as_such() {
+    let mut fleet = Fleet::new(9, 3, 7, on());
+    fleet.nodes[0].up = false;
+    fleet.run(ms(5_000));
+    fleet.nodes[0].up = true;
+    fleet.nodes[0].membership.round(fleet.now);
+    assert!(!fleet.view(0).revalidated);
+    fleet.run(ms(500));
+    assert!(fleet.view(0).revalidated);
+}
+
+fn leave_is_known(seed: u64, policy: MembershipPolicy) -> bool {
+    let mut fleet = Fleet::new(9, 3, seed, policy);
+    fleet.wire.loss_percent = 30;
+    let victim = (seed % 9) as usize;
+    fleet.nodes[victim].membership.leave(fleet.now);
+    fleet.time_until(victim, MemberState::Leaving, 2_500).is_some()
+}
+
+#[test]
+fn leaving_is_known_to_all_through_loss() {
+    check(40, (|seed| leave_is_known(seed, on())) as fn(u64) -> bool);
+    let policy = MembershipPolicy { acknowledge: false, ..on() };
+    assert!((0..40).any(|seed| !leave_is_known(seed, policy)));
+}
+
+#[test]
+fn generation_reaches_every_view() {
+    let mut fleet = Fleet::new(40, 9, 3, on());
+    for node in &mut fleet.nodes {
+        node.membership.set_applied_generation(7);
+    }
+    fleet.run(ms(5_000));
+    for i in 0..40 {
+        assert!(fleet.view(i).members.iter().all(|member| member.applied_generation == 7));
+    }
+}
+
+#[test]
+fn parted_data_centre_is_lost_and_found() {
+    for (size, centres) in [(9, 3), (40, 9)] {
+        let mut fleet = Fleet::new(size, centres, 11, on());
+        let inside: Vec<usize> = (0..size).filter(|i| i % centres == 0).collect();
+        let outside: Vec<usize> = (0..size).filter(|i| i % centres != 0).collect();
+        for i in &inside {
+            fleet.wire.cuts.extend(outside.iter().flat_map(|o| [(*i, *o), (*o, *i)]));
+        }
+        fleet.run(ms(12_000));
+        assert_eq!(fleet.state(1, 0), MemberState::Gone);
+        assert_eq!(fleet.state(0, centres), MemberState::Live);
+        fleet.wire.cuts.clear();
+        fleet.run(ms(6_000));
+        let all: Vec<usize> = (0..size).collect();
+        assert!(fleet.stays_live(&all, 2_000), "{size} members");
+    }
+}
+
+#[test]
+fn large_fleet_suspects_only_the_killed() {
+    let mut fleet = Fleet::new(120, 9, 13, on());
+    fleet.wire.loss_percent = 1;
+    fleet.run(ms(6_000));
+    let all: Vec<usize> = (0..120).collect();
+    assert!(fleet.stays_live(&all, 3_000));
+    fleet.nodes[17].up = false;
+    assert!(fleet.time_until(17, MemberState::Suspect, 4_000).is_some());
+    let others: Vec<usize> = all.into_iter().filter(|i| *i != 17).collect();
+    assert!(fleet.stays_live(&others, 2_000));
+}
+
+fn false_verdict_is_refuted(policy: MembershipPolicy) -> bool {
+    let mut fleet = Fleet::new(40, 9, 17, policy);
+    fleet.run(ms(3_000));
+    // A relay of the subject's data centre that hears nobody near blames them all.
+    let near: Vec<usize> = (0..40).filter(|i| i % 9 == 0).collect();
+    for i in &near[1..] {
+        fleet.wire.cuts.insert((*i, near[0]));
+    }
+    fleet.run(ms(4_000));
+    fleet.wire.cuts.clear();
+    fleet.run(ms(4_000));
+    let far = fleet.observers(near[1]);
+    far.iter().all(|i| fleet.state(*i, near[1]) == MemberState::Live)
+}
+
+#[test]
+fn false_verdict_of_a_relay_is_refuted() {
+    assert!(false_verdict_is_refuted(on()));
+}
