--- a/lacewingspring_core/src/lib.rs
+++ b/lacewingspring_core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod error;
 pub mod gate;
+pub mod membership;
 pub mod names;
 pub mod rendezvous;
 pub mod request;
