Hold gates, roles and addresses by heartbeats; park and resume by the gate

Cause: the lagging list named dead instances for seconds: a key whose instance was killed was said to be in progress, and a role stayed with the dead. Ruled out: probing the claimer for each status query: one more round trip, and a frozen one looks dead. Conclusion: permits follow their gate to its new holder at the change of the view; connections to members that are down are closed at once; declared state is fetched from a newer peer.

--- a/lacewingspring/src/callers/addresses.rs
+++ b/lacewingspring/src/callers/addresses.rs
@@ -5,14 +5,11 @@
 use lacewingspring_core::names::DataCentreName;
 use serde::Serialize;
 
-use super::reply::Reply;
+use super::{Call, reply::Reply};
 use crate::daemon::Node;
 
-/// Weight of an instance of the asked data centre.
-const NEAR_WEIGHT: u32 = 100;
-
-/// Weight of an instance of another data centre.
-const FAR_WEIGHT: u32 = 1;
+/// Query parameter that names the caller's data centre.
+const DATA_CENTRE: &str = "data_centre=";
 
 #[derive(Serialize)]
 struct Addresses {
@@ -27,15 +24,16 @@
     weight: u32,
 }
 
-/// Answers with the addresses of the instances that stay, the near ones preferred.
-pub fn get(node: &Node) -> Reply {
-    let near = &node.settings.data_centre;
-    let members = node.fleet.members();
-    let staying = members.iter().filter(|member| !member.leaving);
-    let addresses = staying.map(|member| Address {
-        address: member.callers,
-        data_centre: member.data_centre.clone(),
-        weight: if member.data_centre == *near { NEAR_WEIGHT } else { FAR_WEIGHT },
+/// Answers with the addresses of the instances that stay, those of the caller's data centre
+/// preferred; a caller that names none is taken to be in this instance's.
+pub fn get(node: &Node, call: &Call<'_>) -> Reply {
+    let named = call.head.uri().query().unwrap_or_default().split('&');
+    let named = named.filter_map(|pair| pair.strip_prefix(DATA_CENTRE)).next();
+    let near = named.map_or_else(|| node.settings.data_centre.clone(), DataCentreName::from);
+    let addresses = node.fleet.addresses(&near).into_iter().map(|found| Address {
+        address: found.address,
+        data_centre: found.data_centre,
+        weight: found.weight,
     });
     let ttl_ms = node.settings.timing.address_ttl_ms;
     Reply::json(200, &Addresses { ttl_ms, addresses: addresses.collect() })
--- a/lacewingspring/src/callers/keys.rs
+++ b/lacewingspring/src/callers/keys.rs
@@ -66,7 +66,7 @@
         ClaimState::Void => State::NotRun,
         ClaimState::Done(_) => State::Ran,
         ClaimState::Claimed => {
-            let live = node.fleet.live(&record.instance);
+            let live = node.fleet.live(&record.instance, record.incarnation);
             if live.is_some() { State::InProgress } else { State::MayHaveRun }
         }
     })
--- a/lacewingspring/src/callers/mod.rs
+++ b/lacewingspring/src/callers/mod.rs
@@ -117,7 +117,7 @@
     let path = call.head.uri().path();
     let method = call.head.method();
     match (path, method) {
-        ("/v1/addresses", &Method::GET) => Ok(addresses::get(node)),
+        ("/v1/addresses", &Method::GET) => Ok(addresses::get(node, &call)),
         ("/v1/completions", &Method::POST) => completions::post(node, &call).await,
         ("/v1/addresses" | "/v1/completions", _) => Err(Refusal::last(ErrorKind::MethodNotAllowed)),
         _ if path.starts_with(OPERATOR_PATH) => Ok(operators::call(node, &call).await),
--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use lacewingspring_core::catalog::Catalog;
+use lacewingspring_core::{catalog::Catalog, membership::Member};
 use thiserror::Error;
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -21,7 +21,7 @@
     declared::DeclaredStore,
     entry::{Claims, RunId, RunTable, serve_follow},
     gates::GateHost,
-    membership::{Fleet, Member, follow_list},
+    membership::{Fleet, follow_list, gossip},
     metrics::Metrics,
     operators::{KnownOperator, Operators},
     peers::{Authority, AuthorityError, Exchange, Message, PeerError, Peers},
@@ -55,7 +55,7 @@
 pub struct Node {
     /// Settings that the daemon was started with.
     pub settings: Settings,
-    /// Random number drawn at the start.
+    /// Time of the start since the Unix epoch, in milliseconds; it grows with each start.
     pub incarnation: u64,
     /// Declared resources in force.
     pub declared: Arc<DeclaredStore>,
@@ -99,6 +99,7 @@
     tokio::spawn(serve_peers(node.clone()));
     tokio::spawn(tick(node.clone()));
     tokio::spawn(follow_list(node.clone()));
+    tokio::spawn(gossip(node.clone()));
     callers::start(node.clone())?;
     wait_for_stop().await?;
     leave(&node).await;
@@ -106,7 +107,7 @@
 }
 
 fn build(settings: Settings) -> Result<Arc<Node>, StartError> {
-    let incarnation = rand::random();
+    let incarnation = clock::wall().as_millis() as u64;
     let authority = Authority::read(&settings.authority.certificate, &settings.authority.key)?;
     let peers = Peers::bind(settings.instance.clone(), settings.listen.peers, &authority)?;
     let timeout = Duration::from_millis(settings.key_value.timeout_ms);
@@ -119,10 +120,11 @@
         data_centre: settings.data_centre.clone(),
         callers: settings.listen.callers,
         peers: settings.listen.peers,
-        leaving: false,
+        incarnation,
     };
+    let period = Duration::from_millis(settings.timing.heartbeat_ms);
     let view = NodeView {
-        fleet: Arc::new(Fleet::new(own)),
+        fleet: Arc::new(Fleet::new(own, period, clock::now())),
         metrics: Arc::new(Metrics::start(settings.metrics.statsd)?),
         runs: Arc::default(),
     };
@@ -164,7 +166,17 @@
             node.gates.serve_ask(clock::now(), &catalog, ask, exchange).await;
         }
         Some(Message::Adopt { permit, upstream }) => {
-            node.gates.serve_adopt(&catalog, permit, upstream, exchange).await;
+            node.gates.serve_adopt(clock::now(), &catalog, permit, upstream, exchange).await;
+        }
+        Some(Message::Heartbeat(digest)) => {
+            if let Some(reply) = node.fleet.receive(clock::now(), *digest) {
+                let _ = exchange.tx.send(Message::Heartbeat(Box::new(reply))).await;
+            }
+        }
+        Some(Message::FetchDeclared) => {
+            if let Some(bytes) = node.declared.encode_snapshot() {
+                let _ = exchange.tx.send(Message::Declared(bytes.to_vec())).await;
+            }
         }
         Some(Message::Follow { workspace, key, incarnation }) => {
             let run = node.runs.get(&RunId { workspace, key });
@@ -189,6 +201,7 @@
 async fn leave(node: &Arc<Node>) {
     log::info!(open = node.runs.open(); "Leaves.");
     node.leaving.store(true, Ordering::Release);
+    node.fleet.leave(clock::now());
     sleep(node.settings.timing.address_ttl()).await;
     while node.runs.open() > 0 {
         sleep(DRAIN_POLL).await;
--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -4,6 +4,7 @@
 
 use lacewingspring_core::{
     error::ErrorKind,
+    gate::{Outcome, Resume},
     request::{Claimed, Request},
 };
 
@@ -44,24 +45,23 @@
 pub async fn run(
     drive: &Drive,
     request: Request<Claimed>,
-    permit: Permit,
+    mut permit: Permit,
 ) -> Result<Option<Request<Claimed>>, Refusal> {
     let Some(mut engine) = engine(drive, &permit) else {
-        permit.release().await;
+        permit.release(Outcome::Cancelled);
         return Err(Refusal::last(ErrorKind::NoUpstream));
     };
-    let deadline = request.facts().deadline;
     let proof = request.permitted(permit.upstream.clone()).dispatch();
     let mut stream = match engine.dispatch(proof, &call(drive, None, 0)).await {
         Ok(stream) => Some(stream),
         Err(DispatchError::NotSent(proof)) => {
             drive.run.note(Step::Unsent(permit.upstream.clone()));
-            permit.release().await;
+            permit.unreachable();
             return Ok(Some(proof.unsent()));
         }
         Err(DispatchError::Failed(e @ UpstreamError::Status(_))) => {
             log::warn!(key:% = drive.run.id.key, reason:% = e; "An engine refused a request.");
-            permit.release().await;
+            permit.release(Outcome::Failed);
             return Err(Refusal::last(ErrorKind::AnswerLost));
         }
         Err(DispatchError::Failed(e)) => {
@@ -70,7 +70,6 @@
         }
     };
     let mut progress = Progress::default();
-    let mut permit = permit;
     loop {
         let stretch = match stream.take() {
             Some(stream) => progress.read(drive, &mut permit, stream).await,
@@ -79,7 +78,7 @@
         match stretch {
             Stretch::Whole => {
                 drive.node.metrics.prefilled(&drive.series, progress.prefilled);
-                permit.release().await;
+                permit.release(Outcome::Finished(progress.tokens as u32));
                 return Ok(None);
             }
             Stretch::Orphaned => {
@@ -87,17 +86,23 @@
                 drive.run.note(Step::Cancelled);
                 drive.node.metrics.wasted(&drive.series, prompt);
                 engine.cancel().await;
-                permit.release().await;
+                permit.release(Outcome::Cancelled);
                 return Err(Refusal::last(ErrorKind::AnswerLost));
             }
             Stretch::ParkWanted => {
-                let parked = park(drive, &mut engine, permit, &progress, deadline).await?;
+                let parked = park(drive, &mut engine, permit, &progress).await?;
                 permit = parked.permit;
                 stream = parked.stream;
             }
             Stretch::Broken(e) => {
                 drive.run.note(Step::Cut);
-                stream = Some(resume(&engine, &mut progress, e).await?);
+                match resume(&engine, &mut progress, e).await {
+                    Ok(resumed) => stream = Some(resumed),
+                    Err(refusal) => {
+                        permit.unreachable();
+                        return Err(refusal);
+                    }
+                }
             }
         }
     }
@@ -150,6 +155,9 @@
             };
             match part {
                 Ok(Part::Token { text, finish_reason, usage, .. }) => {
+                    if self.tokens == 0 {
+                        permit.first_token();
+                    }
                     self.count_token(drive, usage);
                     drive.run.push(RunPart::Text(text));
                     finish = finish_reason;
@@ -210,13 +218,12 @@
     stream: Option<TokenStream>,
 }
 
-/// Exports the run, gives the permit back, waits for another and imports the run there.
+/// Exports the run, frees its room, waits at the gate and imports the run where it may go on.
 async fn park(
     drive: &Drive,
     engine: &mut EngineRun,
     permit: Permit,
     progress: &Progress,
-    deadline: Duration,
 ) -> Result<Parked, Refusal> {
     let exported = match engine.export().await {
         Ok(exported) => exported,
@@ -228,9 +235,13 @@
     drive.run.note(Step::Parked);
     drive.node.metrics.parked(&drive.series);
     log::info!(run:% = engine.id, generated = exported.generated; "Parked a run.");
-    permit.release().await;
-    let deadline = deadline.max(clock::now() + drive.work.max_wait);
-    let permit = drive.permit(deadline).await?;
+    let generated_tokens = progress.tokens as u32;
+    let resume = Resume { kv_exported: true, generated_tokens };
+    let permit = match permit.ask_again(resume).await {
+        Ok(permit) => permit,
+        Err(_) => drive.permit_to_resume(resume).await?,
+    };
+    drive.run.note(Step::Permitted(permit.upstream.clone()));
     let address = drive.work.address(&permit.upstream);
     engine.address = address.ok_or(Refusal::last(ErrorKind::NoUpstream))?;
     let call = call(drive, Some(exported.kv_transfer_params), progress.tokens);
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -4,7 +4,7 @@
 
 use lacewingspring_core::{
     error::{ErrorKind, RunState},
-    gate::Ask,
+    gate::{Ask, Outcome, Resume},
     names::RequestKey,
     request::{Accepted, ClaimProof, Claimed, Request, RequestFacts},
 };
@@ -124,11 +124,11 @@
         let claim = match claims.claim(&self.work).await {
             Ok(ClaimOutcome::Won(claim)) => claim,
             Ok(outcome) => {
-                permit.release().await;
+                permit.release(Outcome::Cancelled);
                 return self.settle(outcome).await;
             }
             Err(refusal) => {
-                permit.release().await;
+                permit.release(Outcome::Cancelled);
                 return Err(refusal);
             }
         };
@@ -163,7 +163,7 @@
                     // This incarnation drove the run before and no longer knows its end.
                     return Err(unknown);
                 }
-                let peer = self.node.fleet.live(&instance).ok_or(unknown)?;
+                let peer = self.node.fleet.live(&instance, incarnation).ok_or(unknown)?;
                 self.follow(&peer, key, incarnation).await
             }
             ClaimOutcome::Won(_) => Err(Refusal::last(ErrorKind::Internal)),
@@ -195,6 +195,19 @@
 
     /// Waits for a permit until the deadline.
     pub async fn permit(&self, deadline: Duration) -> Result<Permit, Refusal> {
+        self.permit_to(deadline, None).await
+    }
+
+    /// Waits for a permit to go on with a parked run, when its gate died.
+    pub async fn permit_to_resume(&self, resume: Resume) -> Result<Permit, Refusal> {
+        self.permit_to(clock::now().saturating_add(self.work.max_wait), Some(resume)).await
+    }
+
+    async fn permit_to(
+        &self,
+        deadline: Duration,
+        resume: Option<Resume>,
+    ) -> Result<Permit, Refusal> {
         let work = &self.work;
         let ask = Ask {
             rank: work.tier.rank,
@@ -203,6 +216,8 @@
             cost: work.body.cost(&work.service),
             max_wait: deadline.saturating_sub(clock::now()),
             parkable: work.service.idempotent && matches!(work.body, Body::Completion { .. }),
+            prefixes: work.body.prefixes(),
+            resume,
         };
         let permit = permit::acquire(&self.node, &work.service.pool, &work.pool, ask).await;
         let permit = permit?;
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -1,13 +1,17 @@
 //! Entry: takes a request, holds it while it waits, dispatches it and streams the answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::Method;
 use lacewingspring_core::{
     catalog::{Catalog, digest_hex},
     error::ErrorKind,
-    gate::Cost,
+    gate::{Cost, Prefix},
     names::{ServiceName, UpstreamName},
     resources::{EnginePoolSpec, ServiceSpec, TierSpec},
 };
@@ -32,6 +36,9 @@
 /// When callers of a leaving instance are told to come back, at another address.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(10);
 
+/// Length of the shortest prefix that is told apart, in tokens.
+const FIRST_PREFIX_TOKENS: usize = 64;
+
 /// A request that was given up, with when to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -90,6 +97,22 @@
         digest_hex(text.as_bytes())
     }
 
+    /// Returns the leading parts of a prompt at doubling lengths, shortest first.
+    pub fn prefixes(&self) -> Vec<Prefix> {
+        let Self::Completion { prompt, .. } = self else { return Vec::new() };
+        let mut hasher = DefaultHasher::new();
+        let mut prefixes = Vec::new();
+        let mut next = FIRST_PREFIX_TOKENS;
+        for (i, word) in prompt.split_ascii_whitespace().enumerate() {
+            word.hash(&mut hasher);
+            if i + 1 == next {
+                prefixes.push(Prefix { hash: hasher.finish(), tokens: next as u32 });
+                next *= 2;
+            }
+        }
+        prefixes
+    }
+
     /// Returns the work of the request; a token is about a word.
     pub fn cost(&self, service: &ServiceSpec) -> Cost {
         match self {
--- a/lacewingspring/src/entry/permit.rs
+++ b/lacewingspring/src/entry/permit.rs
@@ -4,16 +4,20 @@
 
 use lacewingspring_core::{
     error::ErrorKind,
-    gate::Ask,
+    gate::{Ask, Outcome, Resume},
     names::{DataCentreName, PoolName, UpstreamName},
     resources::EnginePoolSpec,
 };
-use tokio::{task::JoinSet, time::sleep};
+use tokio::{
+    task::JoinSet,
+    time::{sleep, timeout},
+};
 
 use super::Refusal;
 use crate::{
+    clock,
     daemon::Node,
-    peers::{Exchange, GateId, Message, PermitAsk},
+    peers::{Exchange, GateId, Message, PeerAddress, PermitAsk},
 };
 
 /// Wait at the nearest gate before the other data centres' gates are asked too.
@@ -22,15 +26,32 @@
 /// Time between attempts to reach a gate.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Attempts to reach a gate before it counts as unreachable.
+const MAX_ATTEMPTS: u32 = 20;
+
 /// When callers are told to come back if no gate can be reached.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// An exchange with a gate; the gate is told when it is dropped.
+#[derive(Debug)]
+struct GateExchange {
+    exchange: Exchange,
+    peer: PeerAddress,
+    outcome: Outcome,
+}
+
+impl Drop for GateExchange {
+    fn drop(&mut self) {
+        let _ = self.exchange.tx.try_send(Message::Ended(self.outcome));
+    }
+}
+
 /// Permit to run one request on one upstream.
 #[derive(Debug)]
 pub struct Permit {
     node: Arc<Node>,
     ask: PermitAsk,
-    exchange: Exchange,
+    gate: GateExchange,
     /// Upstream that runs the request.
     pub upstream: UpstreamName,
 }
@@ -38,33 +59,90 @@
 impl Permit {
     /// Returns once the gate wants the run parked.
     ///
-    /// A gate that dies is replaced: the permit is counted by its successor.
+    /// A gate that dies or moves is replaced: the permit is counted by its successor.
     pub async fn park_wanted(&mut self) {
+        let mut changes = self.node.fleet.changes();
         loop {
-            match self.exchange.rx.recv().await {
-                Some(Message::Park) => return,
+            tokio::select! {
+                message = self.gate.exchange.rx.recv() => match message {
+                    Some(Message::Park) => return,
+                    Some(_) => {}
+                    None => self.adopt().await,
+                },
+                changed = changes.changed() => {
+                    if changed.is_err() {
+                        return std::future::pending().await;
+                    }
+                    if self.moved() {
+                        self.adopt().await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Tells the gate that the first token arrived.
+    pub fn first_token(&self) {
+        let _ = self.gate.exchange.tx.try_send(Message::FirstToken);
+    }
+
+    /// Tells the gate that the upstream can't be reached.
+    pub fn unreachable(&mut self) {
+        let message = Message::Unreachable(self.upstream.clone());
+        let _ = self.gate.exchange.tx.try_send(message);
+        self.gate.outcome = Outcome::Failed;
+    }
+
+    /// Gives the permit back.
+    pub fn release(mut self, outcome: Outcome) {
+        self.gate.outcome = outcome;
+    }
+
+    /// Gives up the room of a parked run and waits at the same gate to go on.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the gate refuses or dies.
+    pub async fn ask_again(mut self, resume: Resume) -> Result<Self, Refusal> {
+        let gone = Refusal::new(ErrorKind::NoUpstream, UNREACHABLE_RETRY_AFTER);
+        self.ask.ask.resume = Some(resume);
+        let tx = &self.gate.exchange.tx;
+        tx.send(Message::Parked).await.map_err(|_| gone)?;
+        tx.send(Message::AskAgain(self.ask.ask.clone())).await.map_err(|_| gone)?;
+        loop {
+            match self.gate.exchange.rx.recv().await {
+                Some(Message::Granted(upstream)) => {
+                    self.upstream = upstream;
+                    return Ok(self);
+                }
+                Some(Message::Refused { kind, retry_after_ms }) => {
+                    return Err(Refusal::new(kind, Duration::from_millis(retry_after_ms)));
+                }
                 Some(_) => {}
-                None => self.adopt().await,
+                None => return Err(gone),
             }
         }
     }
 
+    fn moved(&self) -> bool {
+        let holder = self.node.fleet.gate_holder(&self.ask.gate);
+        holder.is_some_and(|holder| holder != self.gate.peer)
+    }
+
     async fn adopt(&mut self) {
         loop {
+            if let Some(peer) = self.node.fleet.gate_holder(&self.ask.gate) {
+                let permit = self.ask.clone();
+                let message = Message::Adopt { permit, upstream: self.upstream.clone() };
+                if let Ok(exchange) = self.node.peers.open(&peer, message).await {
+                    let outcome = Outcome::Cancelled;
+                    self.gate = GateExchange { exchange, peer, outcome };
+                    return;
+                }
+            }
             sleep(RETRY_INTERVAL).await;
-            let Some(peer) = self.node.fleet.gate_holder(&self.ask.gate) else { continue };
-            let permit = self.ask.clone();
-            let message = Message::Adopt { permit, upstream: self.upstream.clone() };
-            let Ok(exchange) = self.node.peers.open(&peer, message).await else { continue };
-            self.exchange = exchange;
-            return;
         }
     }
-
-    /// Gives the permit back.
-    pub async fn release(self) {
-        let _ = self.exchange.tx.send(Message::Released).await;
-    }
 }
 
 /// Outcome of asking one gate.
@@ -84,12 +162,12 @@
     pool: &EnginePoolSpec,
     ask: Ask,
 ) -> Result<Permit, Refusal> {
-    let deadline = tokio::time::sleep(ask.max_wait);
-    tokio::pin!(deadline);
+    let deadline = clock::now() + ask.max_wait;
     let mut centres = data_centres(node, pool).into_iter();
     let mut asking = JoinSet::new();
     let mut refusal = Refusal::new(ErrorKind::NoUpstream, UNREACHABLE_RETRY_AFTER);
     let mut spread = Box::pin(sleep(Duration::ZERO));
+    let mut late = Box::pin(sleep(ask.max_wait));
     loop {
         tokio::select! {
             biased;
@@ -101,7 +179,7 @@
                 }
                 Err(_) => {}
             },
-            () = &mut deadline => {
+            () = &mut late => {
                 return Err(Refusal::new(ErrorKind::DeadlineExceeded, refusal.retry_after));
             }
             () = &mut spread => {
@@ -113,7 +191,9 @@
                     continue;
                 };
                 let gate = GateId { pool: pool_name.clone(), data_centre };
-                asking.spawn(ask_gate(node.clone(), PermitAsk { gate, ask: ask.clone() }));
+                let max_wait = deadline.saturating_sub(clock::now());
+                let ask = Ask { max_wait, ..ask.clone() };
+                asking.spawn(ask_gate(node.clone(), PermitAsk { gate, ask }));
                 spread = Box::pin(sleep(SPREAD_AFTER));
             }
         }
@@ -130,21 +210,43 @@
     centres
 }
 
+/// Asks one gate, and its next holder when the gate dies or moves.
 async fn ask_gate(node: Arc<Node>, ask: PermitAsk) -> Reply {
-    let unreachable = Refusal::new(ErrorKind::NoUpstream, UNREACHABLE_RETRY_AFTER);
-    let Some(peer) = node.fleet.gate_holder(&ask.gate) else {
-        return Reply::Refused(unreachable);
-    };
-    let Ok(mut exchange) = node.peers.open(&peer, Message::Ask(ask.clone())).await else {
-        return Reply::Refused(unreachable);
-    };
-    match exchange.rx.recv().await {
-        Some(Message::Granted(upstream)) => {
-            Reply::Granted(Box::new(Permit { node, ask, exchange, upstream }))
-        }
-        Some(Message::Refused { kind, retry_after_ms }) => {
-            Reply::Refused(Refusal::new(kind, Duration::from_millis(retry_after_ms)))
+    let mut changes = node.fleet.changes();
+    for _ in 0..MAX_ATTEMPTS {
+        if let Some(reply) = ask_holder(&node, &ask).await {
+            return reply;
         }
-        _ => Reply::Refused(unreachable),
+        let _ = timeout(RETRY_INTERVAL, changes.changed()).await;
+    }
+    Reply::Refused(Refusal::new(ErrorKind::NoUpstream, UNREACHABLE_RETRY_AFTER))
+}
+
+/// Asks the present holder of a gate; none when it died or the gate moved.
+async fn ask_holder(node: &Arc<Node>, ask: &PermitAsk) -> Option<Reply> {
+    let peer = node.fleet.gate_holder(&ask.gate)?;
+    let exchange = node.peers.open(&peer, Message::Ask(ask.clone())).await.ok()?;
+    let mut gate = GateExchange { exchange, peer, outcome: Outcome::Cancelled };
+    let mut changes = node.fleet.changes();
+    loop {
+        let message = tokio::select! {
+            message = gate.exchange.rx.recv() => message,
+            _ = changes.changed() => {
+                if node.fleet.gate_holder(&ask.gate).is_some_and(|holder| holder != gate.peer) {
+                    return None;
+                }
+                continue;
+            }
+        };
+        return match message? {
+            Message::Granted(upstream) => {
+                let permit = Permit { node: node.clone(), ask: ask.clone(), gate, upstream };
+                Some(Reply::Granted(Box::new(permit)))
+            }
+            Message::Refused { kind, retry_after_ms } => {
+                Some(Reply::Refused(Refusal::new(kind, Duration::from_millis(retry_after_ms))))
+            }
+            _ => None,
+        };
     }
 }
--- a/lacewingspring/src/entry/plain.rs
+++ b/lacewingspring/src/entry/plain.rs
@@ -2,6 +2,7 @@
 
 use lacewingspring_core::{
     error::ErrorKind,
+    gate::Outcome,
     request::{Claimed, Request},
 };
 
@@ -16,26 +17,28 @@
 pub async fn run(
     drive: &Drive,
     request: Request<Claimed>,
-    permit: Permit,
+    mut permit: Permit,
 ) -> Result<Option<Request<Claimed>>, Refusal> {
     let Some(call) = call(drive, &permit) else {
-        permit.release().await;
+        permit.release(Outcome::Cancelled);
         return Err(Refusal::last(ErrorKind::NoUpstream));
     };
     let upstream = permit.upstream.clone();
     let proof = request.permitted(upstream.clone()).dispatch();
     let answer = call.dispatch(proof).await;
-    permit.release().await;
     match answer {
         Ok(answer) => {
+            permit.release(Outcome::Finished(1));
             drive.run.push_answer(answer);
             Ok(None)
         }
         Err(DispatchError::NotSent(proof)) => {
+            permit.unreachable();
             drive.run.note(Step::Unsent(upstream));
             Ok(Some(proof.unsent()))
         }
         Err(DispatchError::Failed(e)) => {
+            permit.release(Outcome::Failed);
             log::warn!(key:% = drive.run.id.key, reason:% = e; "Lost the answer of a call.");
             Err(Refusal::last(ErrorKind::AnswerLost))
         }
--- a/lacewingspring/src/gates.rs
+++ b/lacewingspring/src/gates.rs
@@ -11,12 +11,23 @@
 
 use lacewingspring_core::{
     catalog::Catalog,
-    gate::{Decision, Gate, Ticket},
+    gate::{Decision, Gate, Outcome, Ticket},
+    names::UpstreamName,
     resources::UpstreamSpec,
 };
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::sleep};
 
-use crate::peers::{Exchange, GateId, Message, PermitAsk};
+use crate::{
+    clock,
+    peers::{Exchange, GateId, Message, PermitAsk},
+};
+
+/// Time in which a new holder of a gate learns the open permits of its predecessor.
+const LEARNING_WINDOW: Duration = Duration::from_millis(400);
+
+/// Time for which the permit of an entry that died is still counted: its run goes on at the
+/// upstream.
+const ORPHAN_PERMIT: Duration = Duration::from_secs(2);
 
 /// The gates that this instance holds.
 #[derive(Debug, Default)]
@@ -33,16 +44,30 @@
 }
 
 impl HeldGate {
-    fn new() -> Self {
-        Self { gate: Gate::default(), generation: 0, tickets: HashMap::new() }
+    fn new(now: Duration, id: &GateId, catalog: &Catalog) -> Self {
+        let gate = Gate::recovering(now, LEARNING_WINDOW, upstreams(id, catalog));
+        Self { gate, generation: catalog.generation, tickets: HashMap::new() }
     }
 
     fn refresh(&mut self, id: &GateId, catalog: &Catalog) {
-        if self.generation == catalog.generation && self.generation > 0 {
-            return;
+        if self.generation != catalog.generation {
+            self.generation = catalog.generation;
+            self.gate.set_upstreams(upstreams(id, catalog));
+        }
+    }
+
+    fn take(&mut self, now: Duration, ticket: Ticket, message: Message) -> Vec<Decision> {
+        match message {
+            Message::FirstToken => self.gate.first_token(now, ticket),
+            Message::Parked => self.gate.parked(now, ticket),
+            Message::AskAgain(ask) => self.gate.ask(now, ticket, ask),
+            Message::Ended(outcome) => self.gate.ended(now, ticket, outcome),
+            Message::Unreachable(upstream) => {
+                self.gate.upstream_failed(now, &upstream);
+                Vec::new()
+            }
+            _ => Vec::new(),
         }
-        self.generation = catalog.generation;
-        self.gate.set_upstreams(upstreams(id, catalog));
     }
 
     fn deliver(&mut self, decisions: Vec<Decision>) {
@@ -68,8 +93,7 @@
         let ticket = self.ticket();
         {
             let mut gates = self.lock();
-            let held = gates.entry(ask.gate.clone()).or_insert_with(HeldGate::new);
-            held.refresh(&ask.gate, catalog);
+            let held = held(&mut gates, now, &ask.gate, catalog);
             held.tickets.insert(ticket, end.tx);
             let decisions = held.gate.ask(now, ticket, ask.ask);
             held.deliver(decisions);
@@ -80,16 +104,16 @@
     /// Serves one exchange that brings a permit of the gate's earlier holder.
     pub async fn serve_adopt(
         &self,
+        now: Duration,
         catalog: &Catalog,
         permit: PermitAsk,
-        upstream: lacewingspring_core::names::UpstreamName,
+        upstream: UpstreamName,
         end: Exchange,
     ) {
         let ticket = self.ticket();
         {
             let mut gates = self.lock();
-            let held = gates.entry(permit.gate.clone()).or_insert_with(HeldGate::new);
-            held.refresh(&permit.gate, catalog);
+            let held = held(&mut gates, now, &permit.gate, catalog);
             held.tickets.insert(ticket, end.tx);
             held.gate.adopt(ticket, permit.ask, upstream);
         }
@@ -105,19 +129,41 @@
         }
     }
 
+    /// Forgets the gates for which `keep` is false and that have no tickets: another holds them.
+    pub fn retain<F>(&self, keep: F)
+    where
+        F: Fn(&GateId) -> bool,
+    {
+        self.lock().retain(|id, held| keep(id) || !held.tickets.is_empty());
+    }
+
     async fn hold(&self, gate: &GateId, ticket: Ticket, mut rx: mpsc::Receiver<Message>) {
         while let Some(message) = rx.recv().await {
-            if message == Message::Released {
-                break;
+            let ended = matches!(message, Message::Ended(_));
+            self.take(gate, ticket, message);
+            if ended {
+                return self.forget(gate, ticket);
             }
         }
+        // The entry died without a word; what it ran goes on at the upstream for a while.
+        sleep(ORPHAN_PERMIT).await;
+        self.take(gate, ticket, Message::Ended(Outcome::Cancelled));
+        self.forget(gate, ticket);
+    }
+
+    fn take(&self, gate: &GateId, ticket: Ticket, message: Message) {
         let mut gates = self.lock();
         let Some(held) = gates.get_mut(gate) else { return };
-        held.tickets.remove(&ticket);
-        let decisions = held.gate.release(ticket);
+        let decisions = held.take(clock::now(), ticket, message);
         held.deliver(decisions);
     }
 
+    fn forget(&self, gate: &GateId, ticket: Ticket) {
+        if let Some(held) = self.lock().get_mut(gate) {
+            held.tickets.remove(&ticket);
+        }
+    }
+
     fn ticket(&self) -> Ticket {
         Ticket(self.next_ticket.fetch_add(1, Ordering::Relaxed))
     }
@@ -127,6 +173,17 @@
     }
 }
 
+fn held<'a>(
+    gates: &'a mut HashMap<GateId, HeldGate>,
+    now: Duration,
+    id: &GateId,
+    catalog: &Catalog,
+) -> &'a mut HeldGate {
+    let held = gates.entry(id.clone()).or_insert_with(|| HeldGate::new(now, id, catalog));
+    held.refresh(id, catalog);
+    held
+}
+
 fn upstreams(id: &GateId, catalog: &Catalog) -> Vec<UpstreamSpec> {
     let Some(pool) = catalog.pools.get(&id.pool) else { return Vec::new() };
     let own = pool.upstreams.iter().filter(|upstream| upstream.data_centre == id.data_centre);
--- /dev/null
+++ b/lacewingspring/src/membership/follow.rs
@@ -0,0 +1,25 @@
+//! Follows the platform's instance list.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::interval;
+
+use crate::{clock, daemon::Node, platform::instance_list::InstanceList};
+
+/// Reads the list at its interval and hands it to the membership.
+pub async fn follow_list(node: Arc<Node>) {
+    let settings = &node.settings;
+    let list = InstanceList::new(settings.instance_list.endpoint, &settings.instance_list.service);
+    let Ok(list) = list else {
+        log::error!("The instance list can't be named.");
+        return;
+    };
+    let mut ticks = interval(Duration::from_millis(settings.timing.instance_list_ms));
+    loop {
+        ticks.tick().await;
+        match list.read().await {
+            Ok(listed) => node.fleet.observe_list(clock::now(), listed),
+            Err(e) => log::warn!(reason:% = e; "Could not read the instance list."),
+        }
+    }
+}
--- a/lacewingspring/src/membership/mod.rs
+++ b/lacewingspring/src/membership/mod.rs
@@ -1,62 +1,51 @@
 //! The fleet as this instance sees it: live members, role holders, caller addresses.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use arc_swap::ArcSwap;
 use lacewingspring_core::{
+    membership::{
+        CallerAddress, Digest, FreezeGuard, ListedInstance, Member, MemberState, Membership,
+        MembershipConfig, Outgoing, View, ViewMember,
+    },
     names::{DataCentreName, InstanceName},
-    rendezvous,
 };
-use tokio::time::interval;
+use tokio::sync::watch;
 
-use crate::{
-    daemon::Node,
-    peers::{GateId, PeerAddress},
-    platform::instance_list::InstanceList,
-};
+use crate::peers::{GateId, PeerAddress};
 
-/// One live member of the fleet.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Member {
-    /// Name of the instance.
-    pub name: InstanceName,
-    /// Data centre of the instance.
-    pub data_centre: DataCentreName,
-    /// TCP address for callers.
-    pub callers: SocketAddr,
-    /// UDP address for other instances.
-    pub peers: SocketAddr,
-    /// Whether the instance is leaving.
-    pub leaving: bool,
-}
+pub use self::{follow::follow_list, gossip::gossip};
 
-impl Member {
-    /// Returns the address that exchanges are opened to.
-    pub fn peer(&self) -> PeerAddress {
-        PeerAddress { instance: self.name.clone(), address: self.peers }
-    }
-}
+mod follow;
+mod gossip;
 
 /// The fleet as this instance sees it.
 #[derive(Debug)]
 pub struct Fleet {
     own: Member,
-    members: ArcSwap<Vec<Member>>,
+    membership: Mutex<Membership>,
+    freeze: Mutex<FreezeGuard>,
+    view: ArcSwap<View>,
+    changes: watch::Sender<u64>,
 }
 
 impl Fleet {
     /// Starts with the own instance alone.
-    pub fn new(own: Member) -> Self {
-        Self { members: ArcSwap::from_pointee(vec![own.clone()]), own }
-    }
-
-    /// Replaces the other members by those that are listed.
-    pub fn set_listed(&self, listed: Vec<Member>) {
-        let mut members: Vec<_> =
-            listed.into_iter().filter(|member| member.name != self.own.name).collect();
-        members.push(self.own.clone());
-        members.sort();
-        self.members.store(Arc::new(members));
+    pub fn new(own: Member, period: Duration, now: Duration) -> Self {
+        let cfg = MembershipConfig { period, ..MembershipConfig::default() };
+        let freeze = FreezeGuard::new(cfg.freeze_bound);
+        let membership = Membership::new(cfg, own.clone(), own.incarnation);
+        Self {
+            own,
+            view: ArcSwap::from_pointee(membership.view(now)),
+            membership: Mutex::new(membership),
+            freeze: Mutex::new(freeze),
+            changes: watch::Sender::new(0),
+        }
     }
 
     /// Returns the own instance.
@@ -64,43 +53,113 @@
         &self.own
     }
 
-    /// Returns the members.
-    pub fn members(&self) -> Arc<Vec<Member>> {
-        self.members.load_full()
+    /// Returns the present view.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Returns a receiver that sees each change of a member's state.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Returns the addresses that callers of a data centre may use.
+    pub fn addresses(&self, data_centre: &DataCentreName) -> Vec<CallerAddress> {
+        self.view.load().addresses(Some(data_centre))
     }
 
     /// Returns the instance that holds a gate: one of its data centre, or of any when none lives.
     pub fn gate_holder(&self, gate: &GateId) -> Option<PeerAddress> {
-        let members = self.members.load();
-        let staying = || members.iter().filter(|member| !member.leaving);
-        let near = staying().filter(|member| member.data_centre == gate.data_centre);
-        let holder = rendezvous::holder(gate, near.map(|member| &member.name));
-        let holder =
-            holder.or_else(|| rendezvous::holder(gate, staying().map(|member| &member.name)))?;
-        members.iter().find(|member| member.name == *holder).map(Member::peer)
+        self.view.load().holder(gate, Some(&gate.data_centre)).map(peer)
     }
 
-    /// Returns the address of a live instance.
-    pub fn live(&self, instance: &InstanceName) -> Option<PeerAddress> {
-        let members = self.members.load();
-        members.iter().find(|member| member.name == *instance).map(Member::peer)
+    /// Returns the address of a run of an instance, while that run lives.
+    pub fn live(&self, instance: &InstanceName, incarnation: u64) -> Option<PeerAddress> {
+        let view = self.view.load();
+        let member = view.member(instance.as_str())?;
+        (member.incarnation == incarnation && is_up(member)).then(|| peer(member))
+    }
+
+    /// Returns the instance that answers at a peer address.
+    pub fn at(&self, address: SocketAddr) -> Option<PeerAddress> {
+        let view = self.view.load();
+        view.members.iter().find(|member| member.peers == address).map(peer)
+    }
+
+    /// Returns the members that are not up.
+    pub fn down(&self) -> Vec<InstanceName> {
+        let view = self.view.load();
+        let down = view.members.iter().filter(|member| !is_up(member));
+        down.map(|member| member.name.clone()).collect()
+    }
+
+    /// Returns whether a dispatch may go out: this process wasn't just frozen, or has heard from a
+    /// peer since.
+    pub fn may_dispatch(&self, now: Duration) -> bool {
+        let frozen = self.freeze.lock().unwrap_or_else(PoisonError::into_inner).is_frozen(now);
+        !frozen && self.view.load().revalidated
+    }
+
+    /// Takes the platform's list.
+    pub fn observe_list(&self, now: Duration, listed: Vec<ListedInstance>) {
+        let mut membership = self.lock();
+        membership.observe_list(now, listed);
+        self.refresh(&membership, now);
+    }
+
+    /// Makes one round of heartbeats and returns the digests to send.
+    pub fn round(&self, now: Duration, generation: u64) -> Vec<Outgoing> {
+        let mut membership = self.lock();
+        membership.set_applied_generation(generation);
+        let outgoing = membership.round(now);
+        let frozen = self.freeze.lock().unwrap_or_else(PoisonError::into_inner).tick(now);
+        if let Some(freeze) = frozen {
+            log::warn!(gap_ms = freeze.gap.as_millis() as u64; "This process was frozen.");
+        }
+        self.refresh(&membership, now);
+        outgoing
+    }
+
+    /// Takes a digest and returns the reply.
+    pub fn receive(&self, now: Duration, digest: Digest) -> Option<Digest> {
+        let mut membership = self.lock();
+        let reply = membership.receive(now, digest);
+        self.refresh(&membership, now);
+        reply
+    }
+
+    /// Says that this instance leaves.
+    pub fn leave(&self, now: Duration) {
+        let mut membership = self.lock();
+        membership.leave(now);
+        self.refresh(&membership, now);
     }
-}
 
-/// Follows the platform's instance list.
-pub async fn follow_list(node: Arc<Node>) {
-    let settings = &node.settings;
-    let list = InstanceList::new(settings.instance_list.endpoint, &settings.instance_list.service);
-    let Ok(list) = list else {
-        log::error!("The instance list can't be named.");
-        return;
-    };
-    let mut ticks = interval(Duration::from_millis(settings.timing.instance_list_ms));
-    loop {
-        ticks.tick().await;
-        match list.read().await {
-            Ok(members) => node.fleet.set_listed(members),
-            Err(e) => log::warn!(reason:% = e; "Could not read the instance list."),
+    fn refresh(&self, membership: &Membership, now: Duration) {
+        let view = Arc::new(membership.view(now));
+        let before = self.view.swap(view.clone());
+        if !same_states(&before, &view) {
+            self.changes.send_modify(|count| *count += 1);
         }
     }
+
+    fn lock(&self) -> MutexGuard<'_, Membership> {
+        self.membership.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the address that exchanges with a member are opened to.
+pub fn peer(member: &ViewMember) -> PeerAddress {
+    PeerAddress { instance: member.name.clone(), address: member.peers }
+}
+
+/// Returns whether a member serves what it has.
+pub fn is_up(member: &ViewMember) -> bool {
+    matches!(member.state, MemberState::Live | MemberState::Leaving)
+}
+
+fn same_states(a: &View, b: &View) -> bool {
+    let state = |member: &ViewMember| (member.name.clone(), member.incarnation, member.state);
+    a.members.len() == b.members.len()
+        && a.members.iter().zip(&b.members).all(|(a, b)| state(a) == state(b))
 }
--- a/lacewingspring/src/peers/message.rs
+++ b/lacewingspring/src/peers/message.rs
@@ -2,7 +2,8 @@
 
 use lacewingspring_core::{
     error::ErrorKind,
-    gate::Ask,
+    gate::{Ask, Outcome},
+    membership::Digest,
     names::{DataCentreName, PoolName, RequestKey, UpstreamName, WorkspaceName},
 };
 use serde::{Deserialize, Serialize};
@@ -74,8 +75,16 @@
     },
     /// Gate to entry: park the run and ask again.
     Park,
-    /// Entry to gate: the run ended or was parked.
-    Released,
+    /// Entry to gate: the first token arrived.
+    FirstToken,
+    /// Entry to gate: the run was parked and its room is free.
+    Parked,
+    /// Entry to gate: the parked run asks to go on.
+    AskAgain(Ask),
+    /// Entry to gate: the upstream can't be reached.
+    Unreachable(UpstreamName),
+    /// Entry to gate: the run ended.
+    Ended(Outcome),
     /// Entry to entry: follow the run of a key from a part on.
     Follow {
         /// Workspace of the key.
@@ -89,4 +98,10 @@
     Part(RunPart),
     /// Entry to entry: there is no such run here.
     NoRun,
+    /// Member to member: a heartbeat, or the reply to one.
+    Heartbeat(Box<Digest>),
+    /// Member to member: asks for the declared state in force.
+    FetchDeclared,
+    /// Member to member: the declared state in force, encoded.
+    Declared(Vec<u8>),
 }
--- a/lacewingspring/src/peers/mod.rs
+++ b/lacewingspring/src/peers/mod.rs
@@ -178,6 +178,17 @@
         tokio::time::timeout(timeout, exchange).await.map_err(|_| unreachable())?
     }
 
+    /// Closes the connections to an instance; its exchanges end at once.
+    pub fn close(&self, instance: &InstanceName) {
+        self.lock().retain(|peer, connection| {
+            let keep = peer.instance != *instance;
+            if !keep {
+                connection.close(VarInt::from_u32(0), b"not up");
+            }
+            keep
+        });
+    }
+
     async fn connection(&self, peer: &PeerAddress) -> Result<Connection, PeerError> {
         if let Some(connection) = self.known(peer) {
             return Ok(connection);
--- a/lacewingspring/src/platform/instance_list.rs
+++ b/lacewingspring/src/platform/instance_list.rs
@@ -9,13 +9,14 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use lacewingspring_core::names::{DataCentreName, InstanceName};
+use lacewingspring_core::{
+    membership::ListedInstance,
+    names::{DataCentreName, InstanceName},
+};
 use serde::Deserialize;
 use thiserror::Error;
 use tokio::time::timeout;
 
-use crate::membership::Member;
-
 /// Longest answer of the list, in bytes.
 const MAX_ANSWER_LEN: usize = 4 * 1024 * 1024;
 
@@ -77,7 +78,7 @@
     /// # Errors
     ///
     /// Fails when the list can't be read in time.
-    pub async fn read(&self) -> Result<Vec<Member>, ListUnavailable> {
+    pub async fn read(&self) -> Result<Vec<ListedInstance>, ListUnavailable> {
         let body = timeout(TIMEOUT, self.fetch()).await.map_err(|_| ListUnavailable)??;
         let listed: Vec<Listed> = serde_json::from_slice(&body).map_err(|_| ListUnavailable)?;
         Ok(listed.into_iter().filter_map(member).collect())
@@ -93,10 +94,10 @@
     }
 }
 
-fn member(listed: Listed) -> Option<Member> {
+fn member(listed: Listed) -> Option<ListedInstance> {
     let service = listed.service;
     let address = service.address.parse().ok()?;
-    Some(Member {
+    Some(ListedInstance {
         name: InstanceName::from(service.id),
         data_centre: DataCentreName::from(listed.node.datacenter),
         callers: SocketAddr::new(address, service.port),
--- a/lacewingspring/src/view.rs
+++ b/lacewingspring/src/view.rs
@@ -1,10 +1,12 @@
 //! The fleet, metrics and decisions as operators see them.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
+
+use lacewingspring_core::membership::{MemberState, ViewMember};
 
 use crate::{
     entry::{RunId, RunTable, StepReport},
-    membership::{Fleet, Member},
+    membership::Fleet,
     metrics::{Metrics, MetricsReport},
     operators::{FleetView, InstanceState, InstanceView},
 };
@@ -22,12 +24,23 @@
 
 impl FleetView for NodeView {
     fn own(&self) -> InstanceView {
-        view(self.fleet.own())
+        let view = self.fleet.view();
+        let own = self.fleet.own();
+        let state = view.member(own.name.as_str()).map_or(InstanceState::Live, state);
+        InstanceView {
+            name: own.name.clone(),
+            data_centre: own.data_centre.clone(),
+            address: own.callers,
+            state,
+            generation: None,
+            heartbeat_age: Some(Duration::ZERO),
+        }
     }
 
     fn others(&self) -> Vec<InstanceView> {
-        let own = &self.fleet.own().name;
-        self.fleet.members().iter().filter(|member| member.name != *own).map(view).collect()
+        let view = self.fleet.view();
+        let others = view.members.iter().filter(|member| member.name != view.own);
+        others.filter(|member| member.state != MemberState::Gone).map(instance).collect()
     }
 
     fn metrics(&self) -> Option<MetricsReport> {
@@ -39,13 +52,21 @@
     }
 }
 
-fn view(member: &Member) -> InstanceView {
+fn instance(member: &ViewMember) -> InstanceView {
     InstanceView {
         name: member.name.clone(),
         data_centre: member.data_centre.clone(),
         address: member.callers,
-        state: if member.leaving { InstanceState::Leaving } else { InstanceState::Live },
-        generation: None,
-        heartbeat_age: None,
+        state: state(member),
+        generation: member.heartbeat_age.map(|_| member.applied_generation),
+        heartbeat_age: member.heartbeat_age,
+    }
+}
+
+fn state(member: &ViewMember) -> InstanceState {
+    match member.state {
+        MemberState::Live => InstanceState::Live,
+        MemberState::Leaving => InstanceState::Leaving,
+        MemberState::Suspect | MemberState::Gone => InstanceState::Suspect,
     }
 }
