Restart all instances in turn without a cut

Cause: a leaving instance turned requests away without saying where to go, and could exit while the last bytes of an answer were on their way; a thawed process could dispatch before it had heard from a peer. Ruled out: a deadline on the drain: it would cut what still runs. Conclusion: the process ends when no run is open and no answer is being read.

--- a/lacewingspring/src/callers/mod.rs
+++ b/lacewingspring/src/callers/mod.rs
@@ -90,7 +90,17 @@
         Ok(body) => route(node, Call { head, body }).await,
         Err(refusal) => Err(refusal),
     };
-    reply.unwrap_or_else(Reply::problem).into_response()
+    reply.unwrap_or_else(|refusal| problem(node, refusal)).into_response()
+}
+
+/// Answers a refusal; a leaving instance names the addresses that stay.
+fn problem(node: &Node, refusal: Refusal) -> Reply {
+    let mut addresses = Vec::new();
+    if refusal.kind == ErrorKind::Leaving {
+        let staying = node.fleet.addresses(&node.settings.data_centre);
+        addresses.extend(staying.into_iter().map(|found| found.address));
+    }
+    Reply::problem(refusal, addresses)
 }
 
 /// Reads a body within its limits of size and time.
--- a/lacewingspring/src/callers/reply.rs
+++ b/lacewingspring/src/callers/reply.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    net::SocketAddr,
     pin::Pin,
     task::{Context, Poll},
     time::Duration,
@@ -54,6 +55,8 @@
     run: RunState,
     #[serde(skip_serializing_if = "Option::is_none")]
     retry_after_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    addresses: Vec<SocketAddr>,
 }
 
 struct Infinite(ByteStream);
@@ -89,8 +92,9 @@
         Self::new(200, "text/event-stream", Content::Streamed(Box::pin(events)))
     }
 
-    /// Makes the problem details of a refusal, with when to come back.
-    pub fn problem(refusal: Refusal) -> Self {
+    /// Makes the problem details of a refusal, with when to come back and, from a leaving
+    /// instance, where to go.
+    pub fn problem(refusal: Refusal, addresses: Vec<SocketAddr>) -> Self {
         let answer = refusal.kind.answer();
         let retry_after_ms = answer.retry.then_some(refusal.retry_after.as_millis() as u64);
         let problem = Problem {
@@ -100,6 +104,7 @@
             kind: refusal.kind,
             run: answer.run,
             retry_after_ms,
+            addresses,
         };
         let body = serde_json::to_vec(&problem).unwrap_or_default();
         let reply = Self::whole(answer.status, "application/problem+json", body.into());
--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -36,6 +36,9 @@
 /// Time between two looks at whether all runs have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// Time for the last bytes of answers to leave.
+const FLUSH: Duration = Duration::from_millis(200);
+
 /// Why the daemon could not start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -203,8 +206,10 @@
     node.leaving.store(true, Ordering::Release);
     node.fleet.leave(clock::now());
     sleep(node.settings.timing.address_ttl()).await;
-    while node.runs.open() > 0 {
+    while node.runs.open() > 0 || node.runs.followers() > 0 {
         sleep(DRAIN_POLL).await;
     }
+    // The last bytes of an answer may still be on their way to the socket.
+    sleep(FLUSH).await;
     log::info!("Stops.");
 }
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -24,6 +24,9 @@
     peers::{Message, PeerAddress, RunPart},
 };
 
+/// Time between two looks at whether a dispatch may go out.
+const SOUND_POLL: Duration = Duration::from_millis(20);
+
 /// A run with what it needs to go on.
 #[derive(Debug)]
 pub struct Drive {
@@ -107,12 +110,20 @@
         request: Request<Claimed>,
         permit: Permit,
     ) -> Result<Option<Request<Claimed>>, Refusal> {
+        self.wait_until_sound().await;
         match &self.work.body {
             Body::Completion { .. } => completion::run(self, request, permit).await,
             Body::Plain { .. } => plain::run(self, request, permit).await,
         }
     }
 
+    /// Holds a dispatch after a freeze of this process until a peer has been heard from.
+    async fn wait_until_sound(&self) {
+        while !self.node.fleet.may_dispatch(clock::now()) {
+            sleep(SOUND_POLL).await;
+        }
+    }
+
     /// Runs a non-idempotent request: looks for an earlier claim, waits, claims, dispatches.
     async fn run_once(&self, request: Request<Accepted>) -> Result<(), Refusal> {
         let claims = &self.node.claims;
--- a/lacewingspring/src/entry/run.rs
+++ b/lacewingspring/src/entry/run.rs
@@ -142,6 +142,11 @@
         Follower { run: self.clone(), next: 0, len: self.len.subscribe() }
     }
 
+    /// Returns the number of those who follow.
+    pub fn followers(&self) -> usize {
+        self.followers.load(Ordering::Acquire)
+    }
+
     /// Returns once nobody has followed the run for a while.
     pub async fn orphaned(&self, after: Duration) {
         let mut count = self.follower_count.subscribe();
--- a/lacewingspring/src/entry/table.rs
+++ b/lacewingspring/src/entry/table.rs
@@ -83,6 +83,11 @@
         self.lock().values().filter(|run| !run.ended()).count()
     }
 
+    /// Returns the number of callers that still read an answer.
+    pub fn followers(&self) -> usize {
+        self.lock().values().map(|run| run.followers()).sum()
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<RunId, Arc<Run>>> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/lacewingspring/tests/graceful_stop.rs
@@ -0,0 +1,113 @@
+//! Every planned stop is graceful: instances are restarted in turn under load.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use rustix::process::Signal;
+use serde_json::json;
+use tokio::time::{sleep, timeout};
+
+use crate::support::{
+    Fleet, Plan, call,
+    caller::{complete, desk, key},
+    get,
+    history::Told,
+};
+
+mod support;
+
+/// Rounds in which each instance is restarted once.
+const ROUNDS: usize = 2;
+
+/// A caller that keeps an answer with addresses for its time to live.
+async fn caller(id: usize, first: SocketAddr, stop: Arc<AtomicBool>, done: Arc<AtomicU64>) {
+    let mut addresses = vec![first];
+    let mut n = 0;
+    while !stop.load(Ordering::Relaxed) {
+        n += 1;
+        let at = addresses[n % addresses.len()];
+        let prompt = format!("dossier {id} {n}");
+        let tokens = 40;
+        let request_key = format!("caller-{id}-{n}");
+        let told = complete(at, "lookup", &request_key, &prompt, tokens).await;
+        match told {
+            Told::Answer(text) => {
+                assert_eq!(
+                    text,
+                    lacewingspring_standins::engine::answer(&prompt, u64::from(tokens))
+                );
+                done.fetch_add(1, Ordering::Relaxed);
+            }
+            Told::NotRun => {}
+            told => panic!("{request_key} at {at}: {told:?}"),
+        }
+        let answer = get(at, "/v1/addresses").await.expect("a listener that is still named");
+        let listed = answer.json()["addresses"].as_array().cloned().unwrap_or_default();
+        let listed = listed.iter().filter(|found| found["weight"] != 0);
+        let listed: Vec<_> =
+            listed.filter_map(|found| found["address"].as_str()?.parse().ok()).collect();
+        assert!(!listed.is_empty());
+        addresses = listed;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cuts_nothing_when_all_instances_are_restarted_in_turn() {
+    let plan = Plan { instances: 3, engines: 2, ..Plan::default() };
+    let mut fleet = Fleet::start(plan).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let done = Arc::new(AtomicU64::new(0));
+    let first = fleet.instances[0].callers;
+    let callers: Vec<_> =
+        (0..6).map(|id| tokio::spawn(caller(id, first, stop.clone(), done.clone()))).collect();
+    for _ in 0..ROUNDS {
+        for index in 0..fleet.instances.len() {
+            sleep(Duration::from_millis(500)).await;
+            fleet.instances[index].process.signal(Signal::TERM);
+            let process = &mut fleet.instances[index].process;
+            let ended = async {
+                while process.0.try_wait().expect("waits").is_none() {
+                    sleep(Duration::from_millis(20)).await;
+                }
+            };
+            timeout(Duration::from_secs(15), ended).await.expect("the instance stops");
+            assert!(process.0.wait().expect("a status").success());
+            fleet.restart(index);
+            fleet.wait_until_ready(3).await;
+        }
+    }
+    stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.await.expect("no caller was cut");
+    }
+    assert!(done.load(Ordering::Relaxed) > 50, "{done:?} requests were answered");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn turns_new_work_away_with_another_address_and_finishes_the_old() {
+    let plan = Plan { instances: 2, ..Plan::default() };
+    let mut fleet = Fleet::start(plan).await;
+    let at = fleet.instances[0].callers;
+    let other = fleet.instances[1].callers;
+    let running = tokio::spawn(complete(at, "summary", "long", "a long dossier", 300));
+    sleep(Duration::from_millis(800)).await;
+    fleet.instances[0].process.signal(Signal::TERM);
+    sleep(Duration::from_millis(300)).await;
+    let body = json!({ "model": "lookup", "prompt": "x", "max_tokens": 2 }).to_string();
+    let answer = call(at, "POST", "/v1/completions", &[desk(), key("late")], body).await.unwrap();
+    assert_eq!((answer.status, answer.json()["kind"].as_str()), (503, Some("leaving")));
+    assert_eq!(answer.json()["addresses"], json!([other.to_string()]));
+    let named = get(other, "/v1/addresses").await.unwrap().body;
+    assert!(!named.contains(&at.to_string()), "{named}");
+    let told = running.await.unwrap();
+    assert!(matches!(told, Told::Answer(_)), "{told:?}");
+    let process = &mut fleet.instances[0].process;
+    let status = tokio::task::block_in_place(|| process.0.wait()).unwrap();
+    assert!(status.success());
+}
