--- a/lacewingspring_core/src/membership/receive.rs
+++ b/lacewingspring_core/src/membership/receive.rs
@@ -39,7 +39,9 @@
         let exchange = &mut sender.exchange;
         exchange.last = Some(now);
         // A peer that has forgotten this member starts again from zero.
-        exchange.acknowledged = digest.acknowledged;
+        if self.cfg.policy.acknowledge {
+            exchange.acknowledged = digest.acknowledged;
+        }
         if digest.since <= exchange.received {
             exchange.received = exchange.received.max(digest.sequence);
         }
