Add the index of request keys

Cause: a repeat of an idempotent request must join the run that exists, and its dispatch needs one gate that a replaced runner can't pass. Ruled out: numbers of moves for each key (a late announcement is bounded by the learning time), and answering absent keys as new right after a move (the previous home may know them). Conclusion: in work; tests follow.

--- /dev/null
+++ b/lacewingspring_core/src/key_index/hand_over.rs
@@ -0,0 +1,138 @@
+//! How keys move from one home to the next.
+
+use std::time::Duration;
+
+use super::{
+    Announcement, HandOver, KeyId, KeyIndex, Outcome, Progress,
+    entry::{OpenRun, Settled, Settlement},
+};
+
+impl KeyIndex {
+    /// Hands a key over to its new home and refuses it from then on.
+    ///
+    /// Asked again, it answers the same.
+    pub fn hand_over(&mut self, now: Duration, id: &KeyId) -> HandOver {
+        self.expire(now);
+        if let Some(settled) = self.settled.get(id) {
+            return settled.hand_over();
+        }
+        let run = self.open.get(id).map(|run| run.announcement(id));
+        if self.cfg.policy.refuse_moved {
+            self.settle(now, id, Settlement::Moved { run: run.clone(), at: now });
+        }
+        run.map_or(HandOver::Absent, HandOver::Open)
+    }
+
+    /// Hands all open runs over, when this instance leaves.
+    pub fn export(&mut self, now: Duration) -> Vec<Announcement> {
+        let mut runs = Vec::new();
+        let ids: Vec<KeyId> = self.open.keys().cloned().collect();
+        for id in ids {
+            if let HandOver::Open(run) = self.hand_over(now, &id) {
+                runs.push(run);
+            }
+        }
+        runs
+    }
+
+    /// Takes what all previous homes of a key handed over; a registration is answered then.
+    ///
+    /// With one of them silent it must not be called; the end of the learning time decides.
+    pub fn adopt<I>(&mut self, now: Duration, id: &KeyId, answers: I)
+    where
+        I: IntoIterator<Item = HandOver>,
+    {
+        for answer in answers {
+            match answer {
+                HandOver::Absent => {}
+                HandOver::Open(run) => self.announce(now, run),
+                HandOver::Finished { fingerprint, runner, outcome } => {
+                    let settlement = Settlement::Finished { runner, outcome };
+                    self.adopt_settled(now, id, fingerprint, settlement);
+                }
+                HandOver::Voided => self.adopt_settled(now, id, None, Settlement::Void),
+            }
+        }
+        self.drop_stale_marker(id);
+        if !self.open.contains_key(id) && !self.settled.contains_key(id) && self.make_room() {
+            self.settle(now, id, Settlement::Fresh);
+        }
+    }
+
+    /// Takes runs that their runners or the previous home announce.
+    pub fn merge<I>(&mut self, now: Duration, announcements: I)
+    where
+        I: IntoIterator<Item = Announcement>,
+    {
+        for announcement in announcements {
+            self.announce(now, announcement);
+        }
+    }
+
+    /// Takes a run that its runner or the previous home announces.
+    ///
+    /// Of two runs of one key the dispatched one stays. The runner of the other is told so when it
+    /// asks to dispatch.
+    pub fn announce(&mut self, now: Duration, announcement: Announcement) {
+        self.expire(now);
+        let Announcement { id, fingerprint, runner, progress } = announcement;
+        self.drop_stale_marker(&id);
+        match self.settled.get(&id).map(|settled| &settled.settlement) {
+            Some(Settlement::Fresh) => drop(self.settled.remove(&id)),
+            Some(_) => return self.count_late(&id, &progress),
+            None => {}
+        }
+        let Some(known) = self.open.get_mut(&id) else {
+            self.open.insert(id, OpenRun { fingerprint, runner, progress });
+            return;
+        };
+        let dispatched = progress != Progress::Waiting;
+        if dispatched && known.progress == Progress::Waiting {
+            *known = OpenRun { fingerprint, runner, progress };
+        } else if dispatched && known.progress != progress {
+            self.violations += 1;
+        }
+    }
+
+    /// Counts a dispatched run of a key that this index has told to be not run.
+    fn count_late(&mut self, id: &KeyId, progress: &Progress) {
+        let settled = self.settled.get(id).map(|settled| &settled.settlement);
+        let not_run = match settled {
+            Some(Settlement::Void) => true,
+            Some(Settlement::Finished { outcome, .. }) => *outcome == Outcome::NotRun,
+            _ => false,
+        };
+        if not_run && *progress != Progress::Waiting {
+            self.violations += 1;
+        }
+    }
+
+    fn adopt_settled(
+        &mut self,
+        now: Duration,
+        id: &KeyId,
+        fingerprint: Option<crate::names::Fingerprint>,
+        settlement: Settlement,
+    ) {
+        self.drop_stale_marker(id);
+        if self.settled.contains_key(id) || !self.make_room() {
+            return;
+        }
+        self.settle(now, id, settlement);
+        if let Some(settled) = self.settled.get_mut(id) {
+            settled.fingerprint = fingerprint;
+        }
+    }
+
+    /// Drops the mark that a key was handed over, when this instance took the role again since.
+    pub(super) fn drop_stale_marker(&mut self, id: &KeyId) {
+        let taken = self.role_taken_at;
+        let is_stale = |settled: &Settled| match settled.settlement {
+            Settlement::Moved { at, .. } => at < taken,
+            _ => false,
+        };
+        if self.settled.get(id).is_some_and(is_stale) {
+            self.settled.remove(id);
+        }
+    }
+}
--- a/lacewingspring_core/src/lib.rs
+++ b/lacewingspring_core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod claim;
 pub mod error;
 pub mod gate;
+pub mod key_index;
 pub mod membership;
 pub mod names;
 pub mod rendezvous;
--- a/lacewingspring_core/src/names.rs
+++ b/lacewingspring_core/src/names.rs
@@ -67,4 +67,6 @@
     PoolName,
     /// Idempotency key of a request, unique within its workspace.
     RequestKey,
+    /// Digest of service and body, which tells a repeat from another request.
+    Fingerprint,
 }
