--- a/lacewingspring/src/callers/completions.rs
+++ b/lacewingspring/src/callers/completions.rs
@@ -6,6 +6,7 @@
 use futures_util::stream::unfold;
 use lacewingspring_core::{
     error::ErrorKind,
+    key_index::KeyId,
     names::{RequestKey, ServiceName},
     resources::ServiceKind,
 };
@@ -14,7 +15,7 @@
 use super::{Call, auth, reply::Reply};
 use crate::{
     daemon::Node,
-    entry::{self, Body, Follower, Refusal, RunId},
+    entry::{self, Body, Follower, Refusal, Work},
     peers::RunPart,
 };
 
@@ -63,10 +64,11 @@
     let service = ServiceName::from(req.model);
     let key = auth::key(headers)?;
     check_service(&catalog, &service, ServiceKind::Completions, key.is_some())?;
-    let id = RunId { workspace, key: key.unwrap_or_else(auth::mint_key) };
+    let minted = key.is_none();
+    let id = KeyId { workspace, key: key.unwrap_or_else(auth::mint_key) };
     let body = Body::Completion { prompt: req.prompt, max_tokens: req.max_tokens };
     let work = entry::work(&catalog, id.clone(), service, body, auth::timeout(headers)?)?;
-    let follower = entry::submit(node, work)?;
+    let follower = entry::submit(node, Work { minted, ..work })?;
     let reply = if req.stream { streamed(follower).await? } else { whole(follower).await? };
     Ok(reply.with_key(&id))
 }
@@ -97,7 +99,7 @@
 async fn streamed(mut follower: Follower) -> Result<Reply, Refusal> {
     let first = follower.next().await.ok_or(Refusal::last(ErrorKind::Internal))?;
     if let RunPart::Failed { kind, retry_after_ms } = first {
-        return Err(refusal(kind, retry_after_ms));
+        return Err(Refusal::from_ms(kind, retry_after_ms));
     }
     let state = Streaming { follower, ready: Some(first), index: 0 };
     Ok(Reply::events(unfold(state, Streaming::step)))
@@ -109,7 +111,9 @@
     while let Some(part) = follower.next().await {
         match part {
             RunPart::Text(text) => answer.push_str(&text),
-            RunPart::Failed { kind, retry_after_ms } => return Err(refusal(kind, retry_after_ms)),
+            RunPart::Failed { kind, retry_after_ms } => {
+                return Err(Refusal::from_ms(kind, retry_after_ms));
+            }
             RunPart::End { finish_reason } => {
                 return Ok(Reply::json(200, &chunk(&key, &answer, Some(&finish_reason))));
             }
@@ -119,11 +123,6 @@
     Err(Refusal::last(ErrorKind::Internal))
 }
 
-/// Turns a failed part into a refusal.
-pub fn refusal(kind: ErrorKind, retry_after_ms: u64) -> Refusal {
-    Refusal::new(kind, std::time::Duration::from_millis(retry_after_ms))
-}
-
 fn chunk<'a>(key: &'a RequestKey, text: &'a str, finish_reason: Option<&'a str>) -> Chunk<'a> {
     let choice = Choice { index: 0, text, finish_reason };
     Chunk { id: key, object: "text_completion", choices: [choice] }
--- a/lacewingspring/src/callers/keys.rs
+++ b/lacewingspring/src/callers/keys.rs
@@ -6,20 +6,21 @@
 use lacewingspring_core::{
     claim::ClaimState,
     error::{ErrorKind, RunState},
+    key_index::{KeyId, Outcome, VoidVerdict},
     names::RequestKey,
 };
 use percent_encoding::percent_decode_str;
 use serde::Serialize;
 
 use super::{Call, REQUESTS_PATH, auth, reply::Reply};
-use crate::{
-    daemon::Node,
-    entry::{Refusal, RunId},
-};
+use crate::{clock, daemon::Node, entry::Refusal, homes::Homes};
 
 /// When callers are told to ask again while the key-value service is out.
 const OUTAGE_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Longest wait for the home of a key.
+const HOME_TIMEOUT: Duration = Duration::from_secs(4);
+
 #[derive(Serialize)]
 struct KeyState {
     key: RequestKey,
@@ -47,17 +48,18 @@
     let workspace = auth::workspace(&node.catalog(), call.head.headers())?;
     let key = call.head.uri().path().strip_prefix(REQUESTS_PATH).unwrap_or_default();
     let key = percent_decode_str(key).decode_utf8().map_err(|_| malformed())?;
-    let id = RunId { workspace, key: RequestKey::from(&*key) };
+    let id = KeyId { workspace, key: RequestKey::from(&*key) };
     let state = state(node, &id).await?;
     Ok(Reply::json(200, &KeyState { key: id.key, state }))
 }
 
-async fn state(node: &Arc<Node>, id: &RunId) -> Result<State, Refusal> {
-    if let Some(run) = node.runs.get(id) {
-        return Ok(run.failure().map_or_else(
-            || if run.ended() { State::Ran } else { State::InProgress },
-            |kind| from_run(kind.answer().run),
-        ));
+async fn state(node: &Arc<Node>, id: &KeyId) -> Result<State, Refusal> {
+    if let Some(state) = known_here(node, id) {
+        return Ok(state);
+    }
+    let deadline = clock::now() + HOME_TIMEOUT;
+    if let Some(state) = from_home(Homes::new(node).void(id, deadline).await?) {
+        return Ok(state);
     }
     let record = node.claims.settle(id).await;
     let record =
@@ -72,14 +74,31 @@
     })
 }
 
-fn malformed() -> Refusal {
-    Refusal::last(ErrorKind::Malformed)
+/// State of a run that this instance knows.
+fn known_here(node: &Node, id: &KeyId) -> Option<State> {
+    let run = node.runs.get(id)?;
+    if !run.ended() {
+        return Some(State::InProgress);
+    }
+    match run.failure().map(|kind| kind.answer().run) {
+        None | Some(RunState::Ran) => Some(State::Ran),
+        Some(RunState::MayHaveRun) => Some(State::MayHaveRun),
+        // A repeat may have run elsewhere since; the home and the claim decide.
+        Some(RunState::NotRun) => None,
+    }
 }
 
-fn from_run(run: RunState) -> State {
-    match run {
-        RunState::NotRun => State::NotRun,
-        RunState::Ran => State::Ran,
-        RunState::MayHaveRun => State::MayHaveRun,
+/// State of an idempotent run; none when the home settled that there is none.
+fn from_home(verdict: VoidVerdict) -> Option<State> {
+    match verdict {
+        VoidVerdict::Running { .. } => Some(State::InProgress),
+        VoidVerdict::Finished { outcome: Outcome::Answered, .. } => Some(State::Ran),
+        VoidVerdict::Finished { outcome: Outcome::MayHaveRun, .. } => Some(State::MayHaveRun),
+        VoidVerdict::Finished { outcome: Outcome::NotRun, .. } => Some(State::NotRun),
+        VoidVerdict::Voided | VoidVerdict::Moved | VoidVerdict::Unknown | VoidVerdict::Full => None,
     }
 }
+
+fn malformed() -> Refusal {
+    Refusal::last(ErrorKind::Malformed)
+}
--- a/lacewingspring/src/callers/plain.rs
+++ b/lacewingspring/src/callers/plain.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 
 use http::{Method, header};
-use lacewingspring_core::{error::ErrorKind, names::ServiceName, resources::ServiceKind};
+use lacewingspring_core::{
+    error::ErrorKind, key_index::KeyId, names::ServiceName, resources::ServiceKind,
+};
 
 use super::{Call, SERVICES_PATH, auth, completions::check_service, reply::Reply};
 use crate::{
-    callers::completions::refusal,
     daemon::Node,
-    entry::{self, Body, Follower, Refusal, RunId},
+    entry::{self, Body, Follower, Refusal, Work},
     peers::RunPart,
 };
 
@@ -29,7 +30,8 @@
     let key = auth::key(headers)?;
     let reads = call.head.method() == Method::GET;
     check_service(&catalog, &service, ServiceKind::Plain, key.is_some() || reads)?;
-    let id = RunId { workspace, key: key.unwrap_or_else(auth::mint_key) };
+    let minted = key.is_none();
+    let id = KeyId { workspace, key: key.unwrap_or_else(auth::mint_key) };
     let content_type = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
     let body = Body::Plain {
         method: call.head.method().clone(),
@@ -38,7 +40,7 @@
         bytes: call.body.clone(),
     };
     let work = entry::work(&catalog, id.clone(), service, body, auth::timeout(headers)?)?;
-    let follower = entry::submit(node, work)?;
+    let follower = entry::submit(node, Work { minted, ..work })?;
     Ok(whole(follower).await?.with_key(&id))
 }
 
@@ -49,7 +51,9 @@
         match part {
             RunPart::Head { status, content_type } => head = Some((status, content_type)),
             RunPart::Text(text) => body.push_str(&text),
-            RunPart::Failed { kind, retry_after_ms } => return Err(refusal(kind, retry_after_ms)),
+            RunPart::Failed { kind, retry_after_ms } => {
+                return Err(Refusal::from_ms(kind, retry_after_ms));
+            }
             RunPart::End { .. } => {}
         }
     }
--- a/lacewingspring/src/callers/reply.rs
+++ b/lacewingspring/src/callers/reply.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use futures_core::Stream;
 use http::{HeaderName, HeaderValue, StatusCode, header};
-use lacewingspring_core::error::RunState;
+use lacewingspring_core::{error::RunState, key_index::KeyId};
 use serde::Serialize;
 use xitca_web::{
     body::{ResponseBody, StreamDataBody},
@@ -19,7 +19,7 @@
 };
 
 use super::auth::IDEMPOTENCY_KEY;
-use crate::entry::{Refusal, RunId};
+use crate::entry::Refusal;
 
 /// Prefix of problem types.
 const PROBLEM_PREFIX: &str = "urn:lacewingspring:problem:";
@@ -119,7 +119,7 @@
     }
 
     /// Adds the key of the request.
-    pub fn with_key(mut self, id: &RunId) -> Self {
+    pub fn with_key(mut self, id: &KeyId) -> Self {
         if let Ok(value) = HeaderValue::from_str(id.key.as_str()) {
             self.headers.push((HeaderName::from_static(IDEMPOTENCY_KEY), value));
         }
--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use lacewingspring_core::{catalog::Catalog, membership::Member};
+use lacewingspring_core::{catalog::Catalog, key_index::KeyId, membership::Member};
 use thiserror::Error;
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -19,8 +19,9 @@
 use crate::{
     callers, clock,
     declared::DeclaredStore,
-    entry::{Claims, RunId, RunTable, serve_follow},
+    entry::{Claims, RunTable, serve_follow},
     gates::GateHost,
+    homes::{self, KeyHome, announce_on_change},
     membership::{Fleet, follow_list, gossip},
     metrics::Metrics,
     operators::{KnownOperator, Operators},
@@ -68,6 +69,8 @@
     pub peers: Arc<Peers>,
     /// Gates that this instance holds.
     pub gates: GateHost,
+    /// Keys whose home this instance is.
+    pub home: KeyHome,
     /// Runs of this instance.
     pub runs: Arc<RunTable>,
     /// Claims of this incarnation.
@@ -103,6 +106,7 @@
     tokio::spawn(tick(node.clone()));
     tokio::spawn(follow_list(node.clone()));
     tokio::spawn(gossip(node.clone()));
+    tokio::spawn(announce_on_change(node.clone()));
     callers::start(node.clone())?;
     wait_for_stop().await?;
     leave(&node).await;
@@ -142,6 +146,7 @@
         declared,
         peers,
         gates: GateHost::default(),
+        home: KeyHome::new(clock::now()),
         claims,
         leaving: AtomicBool::new(false),
     }))
@@ -176,13 +181,17 @@
                 let _ = exchange.tx.send(Message::Heartbeat(Box::new(reply))).await;
             }
         }
+        Some(Message::Key(call)) => {
+            let reply = homes::serve(&node, call).await;
+            let _ = exchange.tx.send(Message::KeyReply(reply)).await;
+        }
         Some(Message::FetchDeclared) => {
             if let Some(bytes) = node.declared.encode_snapshot() {
                 let _ = exchange.tx.send(Message::Declared(bytes.to_vec())).await;
             }
         }
         Some(Message::Follow { workspace, key, incarnation }) => {
-            let run = node.runs.get(&RunId { workspace, key });
+            let run = node.runs.get(&KeyId { workspace, key });
             let run = run.filter(|_| incarnation == node.incarnation);
             serve_follow(run, &exchange).await;
         }
--- a/lacewingspring/src/entry/claims.rs
+++ b/lacewingspring/src/entry/claims.rs
@@ -8,12 +8,13 @@
 use lacewingspring_core::{
     claim::{ClaimRecord, ClaimState, ClaimVerdict, StoredAnswer, judge},
     error::ErrorKind,
+    key_index::KeyId,
     names::{InstanceName, RequestKey},
 };
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use super::{Refusal, Work, run::RunId};
+use super::{Refusal, Work};
 use crate::{
     clock,
     platform::key_value::{Compare, KeyValue, KeyValueEntry, KeyValueError, Put, Swap},
@@ -173,7 +174,7 @@
     /// # Errors
     ///
     /// Fails when the service can't be reached.
-    pub async fn settle(&self, id: &RunId) -> Result<ClaimRecord, KeyValueError> {
+    pub async fn settle(&self, id: &KeyId) -> Result<ClaimRecord, KeyValueError> {
         let key = self.key(id);
         let void = ClaimRecord {
             nonce: self.nonce(),
@@ -194,7 +195,7 @@
         }
     }
 
-    async fn create(&self, claim: &WonClaim, id: &RunId) -> Result<Swap, KeyValueError> {
+    async fn create(&self, claim: &WonClaim, id: &KeyId) -> Result<Swap, KeyValueError> {
         let value = serde_json::to_vec(&claim.record).unwrap_or_default();
         let mut compares = vec![Compare::Absent(claim.key.clone())];
         let mut puts = vec![Put::new(claim.key.clone(), value)];
@@ -226,7 +227,7 @@
         let act: ActRecord = act
             .and_then(|entry| serde_json::from_slice(&entry.value).ok())
             .ok_or(Refusal::last(ErrorKind::Internal))?;
-        let first = RunId { workspace: work.id.workspace.clone(), key: act.key.clone() };
+        let first = KeyId { workspace: work.id.workspace.clone(), key: act.key.clone() };
         let entry = self.store.get(&self.key(&first)).await.map_err(|_| unavailable)?;
         let entry = entry.ok_or(unavailable)?;
         let stored = parse(&entry).ok_or(Refusal::last(ErrorKind::Internal))?;
@@ -258,7 +259,7 @@
             nonce: self.nonce(),
             instance: self.instance.clone(),
             incarnation: self.incarnation,
-            fingerprint: work.fingerprint.clone(),
+            fingerprint: work.fingerprint.to_string(),
             state: ClaimState::Claimed,
         }
     }
@@ -267,7 +268,7 @@
         self.next_nonce.fetch_add(1, Ordering::Relaxed)
     }
 
-    fn key(&self, id: &RunId) -> String {
+    fn key(&self, id: &KeyId) -> String {
         format!("{}claims/{}/{}", self.prefix, id.workspace, id.key)
     }
 
--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -5,6 +5,7 @@
 use lacewingspring_core::{
     error::ErrorKind,
     gate::{Outcome, Resume},
+    names::UpstreamName,
     request::{Claimed, Request},
 };
 
@@ -47,12 +48,12 @@
     request: Request<Claimed>,
     mut permit: Permit,
 ) -> Result<Option<Request<Claimed>>, Refusal> {
-    let Some(mut engine) = engine(drive, &permit) else {
+    let Some(engine) = engine(drive, &permit) else {
         permit.release(Outcome::Cancelled);
         return Err(Refusal::last(ErrorKind::NoUpstream));
     };
     let proof = request.permitted(permit.upstream.clone()).dispatch();
-    let mut stream = match engine.dispatch(proof, &call(drive, None, 0)).await {
+    let stream = match engine.dispatch(proof, &call(drive, None, 0)).await {
         Ok(stream) => Some(stream),
         Err(DispatchError::NotSent(proof)) => {
             drive.run.note(Step::Unsent(permit.upstream.clone()));
@@ -69,7 +70,35 @@
             None
         }
     };
-    let mut progress = Progress::default();
+    stream_to_end(drive, engine, permit, stream, Progress::default()).await?;
+    Ok(None)
+}
+
+/// Goes on with a run whose runner died, from the token that is not here yet.
+///
+/// # Errors
+///
+/// Fails with `AnswerLost` when the run can't be resumed at its upstream.
+pub async fn take_over(drive: &Drive, upstream: UpstreamName) -> Result<(), Refusal> {
+    let lost = Refusal::last(ErrorKind::AnswerLost);
+    if matches!(drive.work.body, Body::Plain { .. }) {
+        return Err(lost);
+    }
+    let permit = drive.adopt_permit(upstream).await;
+    let engine = engine(drive, &permit).ok_or(lost)?;
+    let mut progress = Progress { tokens: drive.run.texts(), ..Progress::default() };
+    let stream = resume(&engine, &mut progress, UpstreamError::Cut).await?;
+    stream_to_end(drive, engine, permit, Some(stream), progress).await
+}
+
+/// Streams an answer to its end, over cuts and parking.
+async fn stream_to_end(
+    drive: &Drive,
+    mut engine: EngineRun,
+    mut permit: Permit,
+    mut stream: Option<TokenStream>,
+    mut progress: Progress,
+) -> Result<(), Refusal> {
     loop {
         let stretch = match stream.take() {
             Some(stream) => progress.read(drive, &mut permit, stream).await,
@@ -79,7 +108,7 @@
             Stretch::Whole => {
                 drive.node.metrics.prefilled(&drive.series, progress.prefilled);
                 permit.release(Outcome::Finished(progress.tokens as u32));
-                return Ok(None);
+                return Ok(());
             }
             Stretch::Orphaned => {
                 let prompt = u64::from(drive.work.body.cost(&drive.work.service).prompt_tokens);
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -3,17 +3,15 @@
 use std::{sync::Arc, time::Duration};
 
 use lacewingspring_core::{
-    error::{ErrorKind, RunState},
-    gate::{Ask, Outcome, Resume},
-    names::RequestKey,
-    request::{Accepted, ClaimProof, Claimed, Request, RequestFacts},
+    error::RunState,
+    gate::{Ask, Resume},
+    names::UpstreamName,
+    request::{Claimed, Request, RequestFacts},
 };
 use tokio::time::sleep;
 
 use super::{
-    Body, Refusal, Run, Step, Work,
-    claims::ClaimOutcome,
-    completion,
+    Body, Refusal, Run, Step, Work, completion,
     permit::{self, Permit},
     plain,
 };
@@ -21,7 +19,6 @@
     clock,
     daemon::Node,
     metrics::{Series, Timer},
-    peers::{Message, PeerAddress, RunPart},
 };
 
 /// Time between two looks at whether a dispatch may go out.
@@ -86,26 +83,13 @@
             deadline: now.saturating_add(self.work.max_wait),
         });
         if self.work.service.idempotent {
-            let claimed = request.claimed(ClaimProof::registered());
-            return self.run_idempotent(claimed).await;
+            return self.run_idempotent(request).await;
         }
         self.run_once(request).await
     }
 
-    async fn run_idempotent(&self, request: Request<Claimed>) -> Result<(), Refusal> {
-        let permit = self.permit(request.facts().deadline).await?;
-        let mut attempt = Some((request, permit));
-        while let Some((request, permit)) = attempt.take() {
-            if let Some(request) = self.dispatch(request, permit).await? {
-                let permit = self.permit(request.facts().deadline).await?;
-                attempt = Some((request, permit));
-            }
-        }
-        Ok(())
-    }
-
     /// Hands the request to its upstream; returns it when no byte went out.
-    async fn dispatch(
+    pub(super) async fn dispatch(
         &self,
         request: Request<Claimed>,
         permit: Permit,
@@ -118,92 +102,12 @@
     }
 
     /// Holds a dispatch after a freeze of this process until a peer has been heard from.
-    async fn wait_until_sound(&self) {
+    pub(super) async fn wait_until_sound(&self) {
         while !self.node.fleet.may_dispatch(clock::now()) {
             sleep(SOUND_POLL).await;
         }
     }
 
-    /// Runs a non-idempotent request: looks for an earlier claim, waits, claims, dispatches.
-    async fn run_once(&self, request: Request<Accepted>) -> Result<(), Refusal> {
-        let claims = &self.node.claims;
-        let deadline = request.facts().deadline;
-        if let Some(outcome) = claims.look_up(&self.work, deadline).await? {
-            return self.settle(outcome).await;
-        }
-        let permit = self.permit(deadline).await?;
-        let claim = match claims.claim(&self.work).await {
-            Ok(ClaimOutcome::Won(claim)) => claim,
-            Ok(outcome) => {
-                permit.release(Outcome::Cancelled);
-                return self.settle(outcome).await;
-            }
-            Err(refusal) => {
-                permit.release(Outcome::Cancelled);
-                return Err(refusal);
-            }
-        };
-        self.run.note(Step::Claimed);
-        let claimed = request.claimed(ClaimProof::won());
-        match self.dispatch(claimed, permit).await {
-            Ok(None) => {
-                claims.finish(claim, self.run.answer());
-                Ok(())
-            }
-            Ok(Some(_unsent)) => {
-                claims.abandon(claim);
-                Err(Refusal::new(ErrorKind::NoUpstream, Duration::from_secs(1)))
-            }
-            Err(refusal) => Err(refusal),
-        }
-    }
-
-    /// Answers from a claim that stood before.
-    async fn settle(&self, outcome: ClaimOutcome) -> Result<(), Refusal> {
-        self.run.note(Step::ClaimFound);
-        match outcome {
-            ClaimOutcome::Answered(answer) => {
-                self.run.push_answer(answer);
-                Ok(())
-            }
-            ClaimOutcome::Voided => Err(Refusal::last(ErrorKind::Voided)),
-            ClaimOutcome::Conflict => Err(Refusal::last(ErrorKind::KeyConflict)),
-            ClaimOutcome::Pending { instance, incarnation, key } => {
-                let unknown = Refusal::last(ErrorKind::OutcomeUnknown);
-                if incarnation == self.node.incarnation && key == self.work.id.key {
-                    // This incarnation drove the run before and no longer knows its end.
-                    return Err(unknown);
-                }
-                let peer = self.node.fleet.live(&instance, incarnation).ok_or(unknown)?;
-                self.follow(&peer, key, incarnation).await
-            }
-            ClaimOutcome::Won(_) => Err(Refusal::last(ErrorKind::Internal)),
-        }
-    }
-
-    /// Copies the parts of a run that another instance drives.
-    async fn follow(
-        &self,
-        peer: &PeerAddress,
-        key: RequestKey,
-        incarnation: u64,
-    ) -> Result<(), Refusal> {
-        self.run.note(Step::Followed);
-        let unknown = Refusal::last(ErrorKind::OutcomeUnknown);
-        let workspace = self.work.id.workspace.clone();
-        let follow = Message::Follow { workspace, key, incarnation };
-        let mut exchange = self.node.peers.open(peer, follow).await.map_err(|_| unknown)?;
-        while let Some(message) = exchange.rx.recv().await {
-            let Message::Part(part) = message else { return Err(unknown) };
-            let last = matches!(part, RunPart::End { .. } | RunPart::Failed { .. });
-            self.run.push(part);
-            if last {
-                return Ok(());
-            }
-        }
-        Err(unknown)
-    }
-
     /// Waits for a permit until the deadline.
     pub async fn permit(&self, deadline: Duration) -> Result<Permit, Refusal> {
         self.permit_to(deadline, None).await
@@ -211,7 +115,7 @@
 
     /// Waits for a permit to go on with a parked run, when its gate died.
     pub async fn permit_to_resume(&self, resume: Resume) -> Result<Permit, Refusal> {
-        self.permit_to(clock::now().saturating_add(self.work.max_wait), Some(resume)).await
+        self.permit_to(self.fresh_deadline(), Some(resume)).await
     }
 
     async fn permit_to(
@@ -220,7 +124,23 @@
         resume: Option<Resume>,
     ) -> Result<Permit, Refusal> {
         let work = &self.work;
-        let ask = Ask {
+        let ask = self.ask(deadline, resume);
+        let permit = permit::acquire(&self.node, &work.service.pool, &work.pool, ask).await;
+        let permit = permit?;
+        self.time(Timer::Wait);
+        self.run.note(Step::Permitted(permit.upstream.clone()));
+        Ok(permit)
+    }
+
+    /// Counts a run that another instance dispatched as a permit of this one.
+    pub async fn adopt_permit(&self, upstream: UpstreamName) -> Permit {
+        let ask = self.ask(self.fresh_deadline(), None);
+        permit::adopt(&self.node, &self.work.service.pool, &self.work.pool, ask, upstream).await
+    }
+
+    fn ask(&self, deadline: Duration, resume: Option<Resume>) -> Ask {
+        let work = &self.work;
+        Ask {
             rank: work.tier.rank,
             workspace: work.id.workspace.clone(),
             weight: work.weight,
@@ -229,12 +149,7 @@
             parkable: work.service.idempotent && matches!(work.body, Body::Completion { .. }),
             prefixes: work.body.prefixes(),
             resume,
-        };
-        let permit = permit::acquire(&self.node, &work.service.pool, &work.pool, ask).await;
-        let permit = permit?;
-        self.time(Timer::Wait);
-        self.run.note(Step::Permitted(permit.upstream.clone()));
-        Ok(permit)
+        }
     }
 
     /// Forgets the run: at once when a repeat may ask anew, else once its answer was kept.
--- /dev/null
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -0,0 +1,222 @@
+//! Idempotent requests: registered with the home of their key, permitted, dispatched once.
+
+use std::time::Duration;
+
+use lacewingspring_core::{
+    error::{ErrorKind, RunState},
+    gate,
+    key_index::{DispatchVerdict, Outcome, Progress, RegisterVerdict, Runner, TakeOverVerdict},
+    names::UpstreamName,
+    request::{Accepted, ClaimProof, Request},
+};
+use tokio::time::sleep;
+
+use super::{Ownership, Refusal, Step, completion, drive::Drive, follow::Followed, permit::Permit};
+use crate::{clock, homes::Homes};
+
+/// Time between two looks at a run whose runner can't be followed and doesn't count as dead.
+const RUNNER_POLL: Duration = Duration::from_millis(100);
+
+/// When callers are told to come back if the home can hold no more keys.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// What follows from asking the home to dispatch.
+enum Leave {
+    /// The request may be dispatched.
+    Granted(ClaimProof),
+    /// Another instance runs the request.
+    Taken(Runner),
+    /// The home doesn't know the run and is to be asked anew.
+    Again,
+}
+
+impl Drive {
+    /// Runs an idempotent request, or follows the run that exists.
+    pub(super) async fn run_idempotent(&self, request: Request<Accepted>) -> Result<(), Refusal> {
+        let homes = Homes::new(&self.node);
+        let ended = self.register_and_run(&homes, request).await;
+        if self.run.ownership() == Ownership::None {
+            return ended;
+        }
+        match &ended {
+            Ok(()) => homes.finished(&self.run.id, Outcome::Answered),
+            Err(refusal) if refusal.kind.answer().run == RunState::NotRun => {
+                homes.release(&self.run.id);
+            }
+            Err(_) => homes.finished(&self.run.id, Outcome::MayHaveRun),
+        }
+        ended
+    }
+
+    async fn register_and_run(
+        &self,
+        homes: &Homes,
+        request: Request<Accepted>,
+    ) -> Result<(), Refusal> {
+        let deadline = request.facts().deadline;
+        let verdict = self.register(homes, deadline).await?;
+        match verdict {
+            RegisterVerdict::Registered => {
+                self.own(Progress::Waiting);
+                self.run_as_runner(homes, request).await
+            }
+            RegisterVerdict::Joined { runner, progress } => {
+                if runner == homes.runner() && progress == Progress::Waiting {
+                    self.own(Progress::Waiting);
+                    return self.run_as_runner(homes, request).await;
+                }
+                self.follow_or_take_over(homes, request, runner).await
+            }
+            RegisterVerdict::Finished { runner, outcome } => self.answer_of(runner, outcome).await,
+            RegisterVerdict::Conflict => Err(Refusal::last(ErrorKind::KeyConflict)),
+            RegisterVerdict::Voided => Err(Refusal::last(ErrorKind::Voided)),
+            RegisterVerdict::Full => Err(Refusal::new(ErrorKind::Overloaded, FULL_RETRY_AFTER)),
+            RegisterVerdict::Moved | RegisterVerdict::Unknown => {
+                Err(Refusal::last(ErrorKind::Internal))
+            }
+        }
+    }
+
+    /// Waits for a permit, asks the home for leave, dispatches; another upstream is tried when no
+    /// byte went out.
+    async fn run_as_runner(
+        &self,
+        homes: &Homes,
+        request: Request<Accepted>,
+    ) -> Result<(), Refusal> {
+        let deadline = request.facts().deadline;
+        let mut request = request;
+        loop {
+            let permit = self.permit(deadline).await?;
+            self.wait_until_sound().await;
+            match self.ask_leave(homes, &permit, deadline).await? {
+                Leave::Granted(proof) => {
+                    let claimed = request.claimed(proof);
+                    let Some(unsent) = self.dispatch(claimed, permit).await? else { return Ok(()) };
+                    request = self.take_back(homes, unsent.reopened(), deadline).await?;
+                }
+                Leave::Taken(runner) => {
+                    permit.release(gate::Outcome::Cancelled);
+                    self.run.set_ownership(Ownership::None);
+                    return Box::pin(self.follow_or_take_over(homes, request, runner)).await;
+                }
+                Leave::Again => {
+                    permit.release(gate::Outcome::Cancelled);
+                    self.register(homes, deadline).await?;
+                }
+            }
+        }
+    }
+
+    async fn ask_leave(
+        &self,
+        homes: &Homes,
+        permit: &Permit,
+        deadline: Duration,
+    ) -> Result<Leave, Refusal> {
+        let verdict = homes.dispatching(&self.run.id, &permit.upstream, deadline).await?;
+        if let Some(proof) = ClaimProof::from_home(&verdict) {
+            self.own(Progress::Dispatched { upstream: permit.upstream.clone() });
+            return Ok(Leave::Granted(proof));
+        }
+        match verdict {
+            DispatchVerdict::TakenOver { runner } => Ok(Leave::Taken(runner)),
+            DispatchVerdict::Settled => Err(Refusal::last(ErrorKind::Voided)),
+            _ => Ok(Leave::Again),
+        }
+    }
+
+    /// Takes back a dispatch of which no byte went out.
+    async fn take_back(
+        &self,
+        homes: &Homes,
+        request: Request<Accepted>,
+        deadline: Duration,
+    ) -> Result<Request<Accepted>, Refusal> {
+        if !homes.not_sent(&self.run.id, deadline).await {
+            return Err(Refusal::last(ErrorKind::AnswerLost));
+        }
+        self.own(Progress::Waiting);
+        Ok(request)
+    }
+
+    /// Follows the runner of the key; a runner that died is replaced.
+    async fn follow_or_take_over(
+        &self,
+        homes: &Homes,
+        request: Request<Accepted>,
+        runner: Runner,
+    ) -> Result<(), Refusal> {
+        let deadline = request.facts().deadline;
+        loop {
+            if runner == homes.runner() {
+                // This incarnation dispatched the request before and no longer knows its end.
+                return Err(Refusal::last(ErrorKind::AnswerLost));
+            }
+            if let Some(peer) = self.node.fleet.live(&runner.instance, runner.incarnation) {
+                let key = self.run.id.key.clone();
+                match self.follow(&peer, key, runner.incarnation).await {
+                    Followed::Whole => return Ok(()),
+                    Followed::Failed(refusal) => return Err(refusal),
+                    Followed::NoRun => return Err(Refusal::last(ErrorKind::AnswerGone)),
+                    Followed::Cut => sleep(RUNNER_POLL).await,
+                }
+                continue;
+            }
+            let verdict = homes.take_over(&self.run.id, &runner, deadline).await?;
+            return match verdict {
+                TakeOverVerdict::NotDispatched => {
+                    self.own(Progress::Waiting);
+                    Box::pin(self.run_as_runner(homes, request)).await
+                }
+                TakeOverVerdict::Resume { upstream } => self.resume_at(upstream).await,
+                TakeOverVerdict::Refused => Box::pin(self.register_and_run(homes, request)).await,
+            };
+        }
+    }
+
+    /// Resumes a run at its upstream after its runner died.
+    async fn resume_at(&self, upstream: UpstreamName) -> Result<(), Refusal> {
+        self.own(Progress::Dispatched { upstream: upstream.clone() });
+        self.run.note(Step::TakenOver(upstream.clone()));
+        completion::take_over(self, upstream).await
+    }
+
+    /// Fetches the answer of a run that ended.
+    async fn answer_of(&self, runner: Runner, outcome: Outcome) -> Result<(), Refusal> {
+        match outcome {
+            Outcome::NotRun => return Err(Refusal::last(ErrorKind::Voided)),
+            Outcome::MayHaveRun => return Err(Refusal::last(ErrorKind::AnswerLost)),
+            Outcome::Answered => {}
+        }
+        let gone = Refusal::last(ErrorKind::AnswerGone);
+        let peer = self.node.fleet.live(&runner.instance, runner.incarnation).ok_or(gone)?;
+        if runner.incarnation == self.node.incarnation {
+            return Err(gone);
+        }
+        let key = self.run.id.key.clone();
+        match self.follow(&peer, key, runner.incarnation).await {
+            Followed::Whole => Ok(()),
+            Followed::Failed(refusal) => Err(refusal),
+            Followed::NoRun | Followed::Cut => Err(gone),
+        }
+    }
+
+    async fn register(
+        &self,
+        homes: &Homes,
+        deadline: Duration,
+    ) -> Result<RegisterVerdict, Refusal> {
+        let work = &self.work;
+        homes.register(&work.id, &work.fingerprint, work.minted, deadline).await
+    }
+
+    fn own(&self, progress: Progress) {
+        self.run.set_ownership(Ownership::Runner(progress));
+    }
+
+    /// Returns the time until which a request of this tier may wait from now on.
+    pub(super) fn fresh_deadline(&self) -> Duration {
+        clock::now().saturating_add(self.work.max_wait)
+    }
+}
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -12,13 +12,14 @@
     catalog::{Catalog, digest_hex},
     error::ErrorKind,
     gate::{Cost, Prefix},
-    names::{ServiceName, UpstreamName},
+    key_index::KeyId,
+    names::{Fingerprint, ServiceName, UpstreamName},
     resources::{EnginePoolSpec, ServiceSpec, TierSpec},
 };
 
 pub use self::{
     claims::Claims,
-    run::{Follower, Run, RunId, serve_follow},
+    run::{Follower, Ownership, Run, serve_follow},
     steps::{Step, StepReport},
     table::{RunTable, Submitted},
 };
@@ -27,6 +28,9 @@
 mod claims;
 mod completion;
 mod drive;
+mod follow;
+mod idempotent;
+mod once;
 mod permit;
 mod plain;
 mod run;
@@ -54,6 +58,11 @@
         Self { kind, retry_after }
     }
 
+    /// Makes a refusal as peers tell it, in milliseconds.
+    pub const fn from_ms(kind: ErrorKind, retry_after_ms: u64) -> Self {
+        Self::new(kind, Duration::from_millis(retry_after_ms))
+    }
+
     /// Makes a refusal that is final.
     pub const fn last(kind: ErrorKind) -> Self {
         Self::new(kind, Duration::ZERO)
@@ -85,7 +94,7 @@
 
 impl Body {
     /// Returns the digest that tells a repeat from another request.
-    pub fn fingerprint(&self, service: &ServiceName) -> String {
+    pub fn fingerprint(&self, service: &ServiceName) -> Fingerprint {
         let text = match self {
             Self::Completion { prompt, max_tokens } => {
                 format!("{service}\0{max_tokens}\0{prompt}")
@@ -94,7 +103,7 @@
                 format!("{service}\0{method}\0{path}\0{}", digest_hex(bytes))
             }
         };
-        digest_hex(text.as_bytes())
+        Fingerprint::from(digest_hex(text.as_bytes()))
     }
 
     /// Returns the leading parts of a prompt at doubling lengths, shortest first.
@@ -129,9 +138,9 @@
 #[derive(Clone, Debug)]
 pub struct Work {
     /// Name of the run.
-    pub id: RunId,
+    pub id: KeyId,
     /// Digest of service and body.
-    pub fingerprint: String,
+    pub fingerprint: Fingerprint,
     /// Name of the service.
     pub service_name: ServiceName,
     /// Service that was named.
@@ -146,6 +155,8 @@
     pub body: Body,
     /// Longest wait before dispatch.
     pub max_wait: Duration,
+    /// Whether the key was minted for this request.
+    pub minted: bool,
 }
 
 impl Work {
@@ -209,7 +220,7 @@
 /// Refuses when the service is unknown.
 pub fn work(
     catalog: &Catalog,
-    id: RunId,
+    id: KeyId,
     service_name: ServiceName,
     body: Body,
     timeout: Option<Duration>,
@@ -228,5 +239,6 @@
         weight,
         body,
         max_wait,
+        minted: false,
     })
 }
--- a/lacewingspring/src/entry/permit.rs
+++ b/lacewingspring/src/entry/permit.rs
@@ -116,7 +116,7 @@
                     return Ok(self);
                 }
                 Some(Message::Refused { kind, retry_after_ms }) => {
-                    return Err(Refusal::new(kind, Duration::from_millis(retry_after_ms)));
+                    return Err(Refusal::from_ms(kind, retry_after_ms));
                 }
                 Some(_) => {}
                 None => return Err(gone),
@@ -130,18 +130,7 @@
     }
 
     async fn adopt(&mut self) {
-        loop {
-            if let Some(peer) = self.node.fleet.gate_holder(&self.ask.gate) {
-                let permit = self.ask.clone();
-                let message = Message::Adopt { permit, upstream: self.upstream.clone() };
-                if let Ok(exchange) = self.node.peers.open(&peer, message).await {
-                    let outcome = Outcome::Cancelled;
-                    self.gate = GateExchange { exchange, peer, outcome };
-                    return;
-                }
-            }
-            sleep(RETRY_INTERVAL).await;
-        }
+        self.gate = open_adopted(&self.node, &self.ask, &self.upstream).await;
     }
 }
 
@@ -200,6 +189,36 @@
     }
 }
 
+/// Counts a run that goes on at an upstream as a permit.
+pub async fn adopt(
+    node: &Arc<Node>,
+    pool_name: &PoolName,
+    pool: &EnginePoolSpec,
+    ask: Ask,
+    upstream: UpstreamName,
+) -> Permit {
+    let spec = pool.upstreams.iter().find(|spec| spec.name == upstream);
+    let own = &node.settings.data_centre;
+    let data_centre = spec.map_or(own, |spec| &spec.data_centre).clone();
+    let gate = GateId { pool: pool_name.clone(), data_centre };
+    let ask = PermitAsk { gate, ask };
+    let (gate, ask) = (open_adopted(node, &ask, &upstream).await, ask);
+    Permit { node: node.clone(), ask, gate, upstream }
+}
+
+/// Tells the present holder of a gate of a permit, until one takes it.
+async fn open_adopted(node: &Arc<Node>, ask: &PermitAsk, upstream: &UpstreamName) -> GateExchange {
+    loop {
+        if let Some(peer) = node.fleet.gate_holder(&ask.gate) {
+            let message = Message::Adopt { permit: ask.clone(), upstream: upstream.clone() };
+            if let Ok(exchange) = node.peers.open(&peer, message).await {
+                return GateExchange { exchange, peer, outcome: Outcome::Cancelled };
+            }
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+}
+
 /// Data centres of a pool's upstreams, the own one first.
 fn data_centres(node: &Node, pool: &EnginePoolSpec) -> Vec<DataCentreName> {
     let own = &node.settings.data_centre;
@@ -244,7 +263,7 @@
                 Some(Reply::Granted(Box::new(permit)))
             }
             Message::Refused { kind, retry_after_ms } => {
-                Some(Reply::Refused(Refusal::new(kind, Duration::from_millis(retry_after_ms))))
+                Some(Reply::Refused(Refusal::from_ms(kind, retry_after_ms)))
             }
             _ => None,
         };
--- a/lacewingspring/src/entry/run.rs
+++ b/lacewingspring/src/entry/run.rs
@@ -11,7 +11,8 @@
 use lacewingspring_core::{
     claim::StoredAnswer,
     error::ErrorKind,
-    names::{RequestKey, WorkspaceName},
+    key_index::{KeyId, Progress},
+    names::Fingerprint,
 };
 use tokio::sync::watch;
 
@@ -30,24 +31,26 @@
 /// Most decisions kept of one run.
 const MAX_STEPS: usize = 64;
 
-/// Names a run: a key belongs to its workspace.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct RunId {
-    /// Workspace of the request.
-    pub workspace: WorkspaceName,
-    /// Key of the request.
-    pub key: RequestKey,
+/// Whether this instance is the runner of a key, and how far the run is.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Ownership {
+    /// The key's home knows no run here: another instance runs it, or none does yet.
+    #[default]
+    None,
+    /// This instance is the runner.
+    Runner(Progress),
 }
 
 /// The answer of one request as it arrives.
 #[derive(Debug)]
 pub struct Run {
     /// Name of the run.
-    pub id: RunId,
+    pub id: KeyId,
     /// Digest of service and body.
-    pub fingerprint: String,
+    pub fingerprint: Fingerprint,
     parts: Mutex<Vec<RunPart>>,
     steps: Mutex<Vec<StepReport>>,
+    ownership: Mutex<Ownership>,
     len: watch::Sender<usize>,
     followers: AtomicUsize,
     follower_count: watch::Sender<usize>,
@@ -55,12 +58,13 @@
 
 impl Run {
     /// Creates a run without parts.
-    pub fn new(id: RunId, fingerprint: String) -> Arc<Self> {
+    pub fn new(id: KeyId, fingerprint: Fingerprint) -> Arc<Self> {
         Arc::new(Self {
             id,
             fingerprint,
             parts: Mutex::default(),
             steps: Mutex::default(),
+            ownership: Mutex::default(),
             len: watch::Sender::new(0),
             followers: AtomicUsize::new(0),
             follower_count: watch::Sender::new(0),
@@ -75,6 +79,32 @@
         }
     }
 
+    /// Sets whether this instance is the runner.
+    pub fn set_ownership(&self, ownership: Ownership) {
+        *self.ownership.lock().unwrap_or_else(PoisonError::into_inner) = ownership;
+    }
+
+    /// Returns whether this instance is the runner, and how far the run is.
+    pub fn ownership(&self) -> Ownership {
+        self.ownership.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns the number of parts that arrived.
+    pub fn len(&self) -> usize {
+        *self.len.borrow()
+    }
+
+    /// Returns whether no part has arrived.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the number of text parts that arrived.
+    pub fn texts(&self) -> u64 {
+        let parts = self.parts.lock().unwrap_or_else(PoisonError::into_inner);
+        parts.iter().filter(|part| matches!(part, RunPart::Text(_))).count() as u64
+    }
+
     /// Returns the decisions, oldest first.
     pub fn steps(&self) -> Vec<StepReport> {
         self.steps.lock().unwrap_or_else(PoisonError::into_inner).clone()
--- a/lacewingspring/src/entry/steps.rs
+++ b/lacewingspring/src/entry/steps.rs
@@ -20,6 +20,8 @@
     ClaimFound,
     /// The run is driven by another instance and followed there.
     Followed,
+    /// The runner died; the run goes on from the upstream here.
+    TakenOver(UpstreamName),
     /// The upstream could not be reached; nothing was sent.
     Unsent(UpstreamName),
     /// The exchange with the upstream was cut and is resumed.
@@ -59,6 +61,7 @@
             Self::Claimed => "claimed",
             Self::ClaimFound => "claim_found",
             Self::Followed => "followed",
+            Self::TakenOver(_) => "taken_over",
             Self::Unsent(_) => "unsent",
             Self::Cut => "cut",
             Self::Parked => "parked",
@@ -76,6 +79,9 @@
             Self::Claimed => "The claim in the key-value service was won.".into(),
             Self::ClaimFound => "An earlier claim of the key or act decides the answer.".into(),
             Self::Followed => "Another instance drives the run.".into(),
+            Self::TakenOver(upstream) => {
+                format!("Its runner died; the run goes on from {upstream} here.")
+            }
             Self::Unsent(upstream) => format!("{upstream} can't be reached; nothing was sent."),
             Self::Cut => "The exchange with the upstream was cut and is resumed.".into(),
             Self::Parked => "The run gave way to a higher tier.".into(),
--- a/lacewingspring/src/entry/table.rs
+++ b/lacewingspring/src/entry/table.rs
@@ -5,10 +5,9 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use super::{
-    run::{Run, RunId},
-    steps::StepReport,
-};
+use lacewingspring_core::{key_index::KeyId, names::Fingerprint};
+
+use super::{run::Run, steps::StepReport};
 
 /// What a submission under a key came to.
 #[derive(Debug)]
@@ -27,20 +26,20 @@
 /// Decisions about a run that was forgotten.
 #[derive(Debug)]
 struct PastRun {
-    id: RunId,
+    id: KeyId,
     steps: Vec<StepReport>,
 }
 
 /// The runs of this instance by key.
 #[derive(Debug, Default)]
 pub struct RunTable {
-    runs: Mutex<HashMap<RunId, Arc<Run>>>,
+    runs: Mutex<HashMap<KeyId, Arc<Run>>>,
     past: Mutex<VecDeque<PastRun>>,
 }
 
 impl RunTable {
     /// Adds a run, or finds the one that exists.
-    pub fn submit(&self, id: RunId, fingerprint: String) -> Submitted {
+    pub fn submit(&self, id: KeyId, fingerprint: Fingerprint) -> Submitted {
         match self.lock().entry(id) {
             Entry::Occupied(entry) if entry.get().fingerprint == fingerprint => {
                 Submitted::Joined(entry.get().clone())
@@ -55,12 +54,12 @@
     }
 
     /// Finds a run.
-    pub fn get(&self, id: &RunId) -> Option<Arc<Run>> {
+    pub fn get(&self, id: &KeyId) -> Option<Arc<Run>> {
         self.lock().get(id).cloned()
     }
 
     /// Forgets a run.
-    pub fn remove(&self, id: &RunId) {
+    pub fn remove(&self, id: &KeyId) {
         let Some(run) = self.lock().remove(id) else { return };
         let mut past = self.past.lock().unwrap_or_else(PoisonError::into_inner);
         if past.len() == MAX_PAST_RUNS {
@@ -70,7 +69,7 @@
     }
 
     /// Returns the decisions about a run, forgotten ones first.
-    pub fn explain(&self, id: &RunId) -> Option<Vec<StepReport>> {
+    pub fn explain(&self, id: &KeyId) -> Option<Vec<StepReport>> {
         let past = self.past.lock().unwrap_or_else(PoisonError::into_inner);
         let past = past.iter().filter(|past| past.id == *id);
         let mut steps: Vec<_> = past.flat_map(|past| past.steps.clone()).collect();
@@ -78,6 +77,11 @@
         (!steps.is_empty()).then_some(steps)
     }
 
+    /// Returns all runs that are kept.
+    pub fn all(&self) -> Vec<Arc<Run>> {
+        self.lock().values().cloned().collect()
+    }
+
     /// Returns the number of runs that have not ended.
     pub fn open(&self) -> usize {
         self.lock().values().filter(|run| !run.ended()).count()
@@ -88,7 +92,7 @@
         self.lock().values().map(|run| run.followers()).sum()
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<RunId, Arc<Run>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<KeyId, Arc<Run>>> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- /dev/null
+++ b/lacewingspring/src/homes/mod.rs
@@ -0,0 +1,223 @@
+//! Homes of request keys: which instance knows the run of a key, asked and answered.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use lacewingspring_core::key_index::{
+    DispatchVerdict, HandOver, KeyId, KeyIndex, KeyIndexConfig, RegisterVerdict, Tenure,
+    VoidVerdict,
+};
+
+use crate::{
+    clock,
+    daemon::Node,
+    membership::{is_up, peer},
+    peers::{KeyCall, KeyReply, Message, PeerAddress, Told},
+};
+
+pub use self::{announce::announce_on_change, client::Homes};
+
+mod announce;
+mod client;
+
+/// Longest wait for the answer of a previous home.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Longest wait for the backup of a key.
+const COPY_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time in which a new home waits for announcements before it holds a key to be new. The backup
+/// knows what was dispatched, so that only runs that wait are announced.
+const LEARNING: Duration = Duration::from_millis(400);
+
+/// The keys whose home this instance is.
+#[derive(Debug)]
+pub struct KeyHome {
+    index: Mutex<KeyIndex>,
+}
+
+impl KeyHome {
+    /// Creates an empty home.
+    pub fn new(now: Duration) -> Self {
+        let cfg = KeyIndexConfig { learning: LEARNING, ..KeyIndexConfig::default() };
+        Self { index: Mutex::new(KeyIndex::new(cfg, now)) }
+    }
+
+    /// Notes that this instance may have become the home of further keys.
+    pub fn role_taken(&self, now: Duration) {
+        self.lock().role_taken(now);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, KeyIndex> {
+        self.index.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Answers a question about a key.
+pub async fn serve(node: &Arc<Node>, call: KeyCall) -> KeyReply {
+    if let Some(id) = asked(&call)
+        && !is_home(node, id)
+    {
+        return KeyReply::NotHome;
+    }
+    let reply = answer(node, &call);
+    copy_to_backup(node, &call, &reply).await;
+    if !is_unknown(&reply) {
+        return reply;
+    }
+    let Some(id) = asked(&call) else { return reply };
+    if adopt_from_previous(node, id).await { answer(node, &call) } else { reply }
+}
+
+/// Key of a call that only the present home answers.
+fn asked(call: &KeyCall) -> Option<&KeyId> {
+    match call {
+        KeyCall::Register { id, .. }
+        | KeyCall::Dispatching { id, .. }
+        | KeyCall::NotSent { id, .. }
+        | KeyCall::TakeOver { id, .. }
+        | KeyCall::Finished { id, .. }
+        | KeyCall::Release { id, .. }
+        | KeyCall::Void { id } => Some(id),
+        KeyCall::HandOver { .. } | KeyCall::Announce(_) | KeyCall::Copy(_) => None,
+    }
+}
+
+/// Tells the backup of a key, its second holder, what the home has taken.
+///
+/// The backup becomes the home when the home dies. Without it, the death of one instance that is
+/// both the runner and the home of a key would lose the run. A dispatch waits for the copy.
+async fn copy_to_backup(node: &Arc<Node>, call: &KeyCall, reply: &KeyReply) {
+    let Some(id) = asked(call) else { return };
+    let Some(copy) = copy(node, call, reply) else { return };
+    let view = node.fleet.view();
+    let Some(backup) = view.holders(id, 2, None).get(1).map(|member| peer(member)) else { return };
+    if let KeyReply::Dispatch(_) = reply {
+        let _ = node.peers.call(&backup, Message::Key(copy), COPY_TIMEOUT).await;
+        return;
+    }
+    let node = node.clone();
+    tokio::spawn(async move {
+        let _ = node.peers.call(&backup, Message::Key(copy), COPY_TIMEOUT).await;
+    });
+}
+
+/// What the backup is told; nothing when it need not know.
+fn copy(node: &Node, call: &KeyCall, reply: &KeyReply) -> Option<KeyCall> {
+    match (call, reply) {
+        (KeyCall::Dispatching { id, .. }, KeyReply::Dispatch(DispatchVerdict::Proceed)) => {
+            let run = node.home.lock().open_run(id)?;
+            Some(KeyCall::Announce(vec![Told::Open(run)]))
+        }
+        (KeyCall::NotSent { .. } | KeyCall::Finished { .. } | KeyCall::TakeOver { .. }, _) => {
+            Some(KeyCall::Copy(Box::new(call.clone())))
+        }
+        _ => None,
+    }
+}
+
+fn is_home(node: &Node, id: &KeyId) -> bool {
+    let view = node.fleet.view();
+    view.holder(id, None).is_some_and(|holder| holder.name == node.settings.instance)
+}
+
+fn is_unknown(reply: &KeyReply) -> bool {
+    matches!(
+        reply,
+        KeyReply::Register(RegisterVerdict::Unknown) | KeyReply::Void(VoidVerdict::Unknown)
+    )
+}
+
+fn answer(node: &Node, call: &KeyCall) -> KeyReply {
+    let now = clock::now();
+    let tenure = asked(call).map_or(Tenure::Settled, |id| tenure(node, id));
+    let mut index = node.home.lock();
+    match call.clone() {
+        KeyCall::Register { id, fingerprint, runner, minted } => {
+            let tenure = if minted { Tenure::Settled } else { tenure };
+            KeyReply::Register(index.register(now, id, fingerprint, runner, tenure))
+        }
+        KeyCall::Dispatching { id, runner, upstream } => {
+            let verdict = index.dispatching(now, &id, &runner, upstream);
+            debug_assert_eq!(index.violations(), 0, "a key was dispatched twice");
+            KeyReply::Dispatch(verdict)
+        }
+        KeyCall::NotSent { id, runner } => {
+            index.not_sent(&id, &runner);
+            KeyReply::Done
+        }
+        KeyCall::TakeOver { id, new_runner, dead_runner } => {
+            KeyReply::TakeOver(index.take_over(now, &id, &new_runner, &dead_runner))
+        }
+        KeyCall::Finished { id, runner, outcome } => {
+            index.finished(now, &id, &runner, outcome);
+            KeyReply::Done
+        }
+        KeyCall::Release { id, runner } => {
+            index.release(&id, &runner);
+            KeyReply::Done
+        }
+        KeyCall::Void { id } => KeyReply::Void(index.void(now, &id, tenure)),
+        KeyCall::HandOver { id } => KeyReply::HandOver(index.hand_over(now, &id)),
+        KeyCall::Announce(told) => {
+            for run in told {
+                announce(&mut index, now, run);
+            }
+            KeyReply::Done
+        }
+        KeyCall::Copy(call) => {
+            take_copy(&mut index, now, *call);
+            KeyReply::Done
+        }
+    }
+}
+
+/// Takes what the home of a key took already.
+fn take_copy(index: &mut KeyIndex, now: Duration, call: KeyCall) {
+    match call {
+        KeyCall::NotSent { id, runner } => {
+            index.not_sent(&id, &runner);
+        }
+        KeyCall::Finished { id, runner, outcome } => {
+            index.finished(now, &id, &runner, outcome);
+        }
+        KeyCall::TakeOver { id, new_runner, dead_runner } => {
+            index.take_over(now, &id, &new_runner, &dead_runner);
+        }
+        _ => {}
+    }
+}
+
+fn announce(index: &mut KeyIndex, now: Duration, told: Told) {
+    match told {
+        Told::Open(run) => index.announce(now, run),
+        Told::Ended { id, known } => index.adopt(now, &id, [known]),
+    }
+}
+
+/// Returns whether a previous home may know the key.
+fn tenure(node: &Node, id: &KeyId) -> Tenure {
+    let view = node.fleet.view();
+    if view.previous_holders(id, None).is_empty() { Tenure::Settled } else { Tenure::New }
+}
+
+/// Asks every previous home for the key; false when one is silent.
+async fn adopt_from_previous(node: &Arc<Node>, id: &KeyId) -> bool {
+    let view = node.fleet.view();
+    let previous = view.previous_holders(id, None);
+    if previous.iter().any(|member| !is_up(member)) {
+        return false;
+    }
+    let previous: Vec<PeerAddress> = previous.into_iter().map(peer).collect();
+    let mut known: Vec<HandOver> = Vec::new();
+    for home in previous {
+        let call = Message::Key(KeyCall::HandOver { id: id.clone() });
+        let reply = node.peers.call(&home, call, HAND_OVER_TIMEOUT).await;
+        let Ok(Message::KeyReply(KeyReply::HandOver(answer))) = reply else { return false };
+        known.push(answer);
+    }
+    node.home.lock().adopt(clock::now(), id, known);
+    true
+}
--- a/lacewingspring/src/lib.rs
+++ b/lacewingspring/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod declared;
 pub mod entry;
 pub mod gates;
+pub mod homes;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
--- a/lacewingspring/src/operators/explain.rs
+++ b/lacewingspring/src/operators/explain.rs
@@ -2,12 +2,13 @@
 
 use lacewingspring_core::{
     error::ErrorKind,
+    key_index::KeyId,
     names::{RequestKey, WorkspaceName},
 };
 use serde::Serialize;
 
 use super::{Operators, fleet::FleetView, problem::Failure, query::Query, reply::OperatorReply};
-use crate::entry::{RunId, StepReport};
+use crate::entry::StepReport;
 
 #[derive(Serialize)]
 struct Explanation {
@@ -30,7 +31,7 @@
     pub(super) fn explain(&self, query: Query<'_>) -> Result<OperatorReply, Failure> {
         let workspace = query.required("workspace")?;
         let key = query.required("key")?;
-        let id = RunId { workspace: workspace.into(), key: key.into() };
+        let id = KeyId { workspace: workspace.into(), key: key.into() };
         let detail = "This instance has not seen the request, or forgot it.";
         let unknown = || Failure::of(ErrorKind::NotFound).with_detail(detail);
         let steps = self.fleet.explain(&id).ok_or_else(unknown)?;
--- a/lacewingspring/src/operators/fleet.rs
+++ b/lacewingspring/src/operators/fleet.rs
@@ -3,15 +3,13 @@
 use std::{net::SocketAddr, time::Duration};
 
 use lacewingspring_core::{
+    key_index::KeyId,
     names::{DataCentreName, InstanceName},
     resources::ResourceId,
 };
 use serde::Serialize;
 
-use crate::{
-    entry::{RunId, StepReport},
-    metrics::MetricsReport,
-};
+use crate::{entry::StepReport, metrics::MetricsReport};
 
 /// View of the fleet at one instance.
 pub trait FleetView {
@@ -42,7 +40,7 @@
     }
 
     /// Returns what was decided about a request; none when this instance doesn't know it.
-    fn explain(&self, _id: &RunId) -> Option<Vec<StepReport>> {
+    fn explain(&self, _id: &KeyId) -> Option<Vec<StepReport>> {
         None
     }
 }
--- a/lacewingspring/src/peers/message.rs
+++ b/lacewingspring/src/peers/message.rs
@@ -8,6 +8,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use super::keys::{KeyCall, KeyReply};
+
 /// Names a gate: one engine pool in one data centre.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct GateId {
@@ -98,6 +100,10 @@
     Part(RunPart),
     /// Entry to entry: there is no such run here.
     NoRun,
+    /// Entry to key home: a question about a key.
+    Key(KeyCall),
+    /// Key home to entry: the answer.
+    KeyReply(KeyReply),
     /// Member to member: a heartbeat, or the reply to one.
     Heartbeat(Box<Digest>),
     /// Member to member: asks for the declared state in force.
--- a/lacewingspring/src/peers/mod.rs
+++ b/lacewingspring/src/peers/mod.rs
@@ -18,11 +18,13 @@
 
 pub use self::{
     authority::{Authority, AuthorityError},
+    keys::{KeyCall, KeyReply, Told},
     message::{GateId, Message, PermitAsk, RunPart},
 };
 
 mod authority;
 pub mod codec;
+mod keys;
 mod message;
 mod pump;
 
--- a/lacewingspring/src/view.rs
+++ b/lacewingspring/src/view.rs
@@ -2,10 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lacewingspring_core::membership::{MemberState, ViewMember};
+use lacewingspring_core::{
+    key_index::KeyId,
+    membership::{MemberState, ViewMember},
+};
 
 use crate::{
-    entry::{RunId, RunTable, StepReport},
+    entry::{RunTable, StepReport},
     membership::Fleet,
     metrics::{Metrics, MetricsReport},
     operators::{FleetView, InstanceState, InstanceView},
@@ -47,7 +50,7 @@
         Some(self.metrics.report(self.fleet.own().name.as_str()))
     }
 
-    fn explain(&self, id: &RunId) -> Option<Vec<StepReport>> {
+    fn explain(&self, id: &KeyId) -> Option<Vec<StepReport>> {
         self.runs.explain(id)
     }
 }
--- /dev/null
+++ b/lacewingspring/tests/whole_answers.rs
@@ -0,0 +1,151 @@
+//! Each caller gets the whole answer to its own request, and a completion is dispatched once.
+
+use std::{net::SocketAddr, time::Duration};
+
+use lacewingspring_standins::engine::answer;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use crate::support::{
+    Fleet, Plan,
+    caller::{complete, engine_runs, state},
+    history::Told,
+};
+
+mod support;
+
+const PROMPT: &str = "which judgments bind plot seven of the old cadastre";
+
+/// Runs of a fleet that were not made by its readiness check.
+async fn runs(fleet: &Fleet) -> Vec<Value> {
+    let mut runs = engine_runs(fleet).await;
+    runs.retain(|run| run["prompt_tokens"] != 1);
+    runs
+}
+
+fn whole(tokens: u32) -> Told {
+    Told::Answer(answer(PROMPT, u64::from(tokens)))
+}
+
+/// Waits until the answer to a key is under way at an engine.
+async fn wait_for_token(fleet: &Fleet) {
+    for _ in 0..200 {
+        if runs(fleet).await.iter().any(|run| run["generated"].as_u64() > Some(3)) {
+            return;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("no run started");
+}
+
+async fn ask(at: SocketAddr, key: &str, tokens: u32) -> Told {
+    complete(at, "lookup", key, PROMPT, tokens).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn resumes_cut_truncated_mislabelled_and_repeated_streams() {
+    let fleet = Fleet::start(Plan { instances: 1, ..Plan::default() }).await;
+    let at = fleet.instances[0].callers;
+    let faults = [
+        ("cut", json!({ "cut_after_tokens": 5, "cut_streams": 1 })),
+        ("truncate", json!({ "truncate": 1 })),
+        ("mislabel", json!({ "mislabel": 1 })),
+        ("duplicate_events", json!({ "duplicate_events": 1 })),
+    ];
+    for (name, fault) in faults {
+        fleet.fault(fleet.engines[0], fault).await;
+        assert_eq!(ask(at, name, 20).await, whole(20), "{name}");
+    }
+    for run in runs(&fleet).await {
+        assert_eq!(run["dispatches"], 1, "{run}");
+        assert!(run["prefilled_tokens"].as_u64() <= run["prompt_tokens"].as_u64(), "{run}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn joins_a_repeat_at_another_instance() {
+    let fleet = Fleet::start(Plan { instances: 3, ..Plan::default() }).await;
+    let asks: Vec<_> =
+        (0..6).map(|i| tokio::spawn(ask(fleet.instances[i % 3].callers, "joined", 40))).collect();
+    for ask in asks {
+        assert_eq!(ask.await.unwrap(), whole(40));
+    }
+    let runs = runs(&fleet).await;
+    assert_eq!(runs.len(), 1, "{runs:?}");
+    assert_eq!(runs[0]["dispatches"], 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn resumes_a_stream_whose_instance_was_killed_without_a_second_prefill() {
+    let mut fleet = Fleet::start(Plan { instances: 3, engines: 2, ..Plan::default() }).await;
+    let first = tokio::spawn(ask(fleet.instances[0].callers, "killed", 200));
+    wait_for_token(&fleet).await;
+    fleet.instances[0].process.kill();
+    assert_eq!(first.await.unwrap(), Told::Nothing);
+    assert_eq!(ask(fleet.instances[1].callers, "killed", 200).await, whole(200));
+    assert_eq!(ask(fleet.instances[2].callers, "killed", 200).await, whole(200));
+    let runs = runs(&fleet).await;
+    assert_eq!(runs.len(), 1, "{runs:?}");
+    assert_eq!(runs[0]["dispatches"], 1);
+    assert_eq!(runs[0]["prefilled_tokens"], runs[0]["prompt_tokens"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn follows_a_run_to_its_end_when_its_instance_dies_midway() {
+    let mut fleet = Fleet::start(Plan { instances: 3, ..Plan::default() }).await;
+    let first = tokio::spawn(ask(fleet.instances[0].callers, "midway", 200));
+    wait_for_token(&fleet).await;
+    let second = tokio::spawn(ask(fleet.instances[1].callers, "midway", 200));
+    sleep(Duration::from_millis(200)).await;
+    fleet.instances[0].process.kill();
+    assert_eq!(first.await.unwrap(), Told::Nothing);
+    assert_eq!(second.await.unwrap(), whole(200));
+    let runs = runs(&fleet).await;
+    assert_eq!((runs.len(), &runs[0]["dispatches"]), (1, &json!(1)), "{runs:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keeps_a_stream_whose_key_home_and_gate_die() {
+    let mut fleet = Fleet::start(Plan { instances: 3, ..Plan::default() }).await;
+    let first = tokio::spawn(ask(fleet.instances[0].callers, "roles", 300));
+    wait_for_token(&fleet).await;
+    fleet.instances[1].process.kill();
+    sleep(Duration::from_millis(1_800)).await;
+    // Whichever roles the dead instance held, a repeat finds the run.
+    let again = ask(fleet.instances[2].callers, "roles", 300).await;
+    assert_eq!(again, whole(300));
+    assert_eq!(first.await.unwrap(), whole(300));
+    let runs = runs(&fleet).await;
+    assert_eq!((runs.len(), &runs[0]["dispatches"]), (1, &json!(1)), "{runs:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn never_dispatches_twice_when_the_runner_is_frozen() {
+    let fleet = Fleet::start(Plan { instances: 3, ..Plan::default() }).await;
+    let first = tokio::spawn(ask(fleet.instances[0].callers, "frozen", 150));
+    wait_for_token(&fleet).await;
+    fleet.instances[0].process.signal(Signal::STOP);
+    assert_eq!(ask(fleet.instances[1].callers, "frozen", 150).await, whole(150));
+    fleet.instances[0].process.signal(Signal::CONT);
+    assert_eq!(first.await.unwrap(), whole(150));
+    let runs = runs(&fleet).await;
+    assert_eq!((runs.len(), &runs[0]["dispatches"]), (1, &json!(1)), "{runs:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn says_what_became_of_a_completion_at_every_instance() {
+    let fleet = Fleet::start(Plan { instances: 3, ..Plan::default() }).await;
+    let first = tokio::spawn(ask(fleet.instances[0].callers, "state", 100));
+    wait_for_token(&fleet).await;
+    for instance in &fleet.instances {
+        assert_eq!(state(instance.callers, "state").await.as_deref(), Some("in_progress"));
+    }
+    assert_eq!(first.await.unwrap(), whole(100));
+    sleep(Duration::from_millis(200)).await;
+    for instance in &fleet.instances {
+        assert_eq!(state(instance.callers, "state").await.as_deref(), Some("ran"));
+    }
+    assert_eq!(state(fleet.instances[2].callers, "never").await.as_deref(), Some("not_run"));
+    assert_eq!(ask(fleet.instances[0].callers, "never", 5).await, Told::NotRun);
+}
--- a/lacewingspring_core/src/error.rs
+++ b/lacewingspring_core/src/error.rs
@@ -102,6 +102,8 @@
     AnswerLost => 502, "answer-lost", "The answer was lost on the way.", MayHaveRun, false;
     /// The claim exists without an outcome and its dispatcher is gone.
     OutcomeUnknown => 409, "outcome-unknown", "The request may have run.", MayHaveRun, false;
+    /// The request ran and its answer is no longer kept.
+    AnswerGone => 410, "answer-gone", "The request ran; its answer is no longer kept.", Ran, false;
     /// A status query settled that the key will never run.
     Voided => 409, "voided", "The key was settled as not run.", NotRun, false;
     /// A fault of the system itself.
--- a/lacewingspring_core/src/key_index/mod.rs
+++ b/lacewingspring_core/src/key_index/mod.rs
@@ -210,6 +210,11 @@
         VoidVerdict::Voided
     }
 
+    /// Returns an open run as it is announced.
+    pub fn open_run(&self, id: &KeyId) -> Option<Announcement> {
+        self.open.get(id).map(|run| run.announcement(id))
+    }
+
     /// Returns the open keys that an instance runs.
     pub fn entries_of(&self, instance: &InstanceName) -> Vec<Announcement> {
         let runs = self.open.iter().filter(|(_, run)| run.runner.instance == *instance);
--- a/lacewingspring_core/src/request.rs
+++ b/lacewingspring_core/src/request.rs
@@ -5,7 +5,10 @@
 
 use std::time::Duration;
 
-use crate::names::{RequestKey, ServiceName, UpstreamName, WorkspaceName};
+use crate::{
+    key_index::DispatchVerdict,
+    names::{Fingerprint, RequestKey, ServiceName, UpstreamName, WorkspaceName},
+};
 
 /// Facts of a request that never change.
 #[derive(Clone, Debug)]
@@ -17,7 +20,7 @@
     /// Idempotency key, the caller's or minted.
     pub key: RequestKey,
     /// Digest of service and body.
-    pub fingerprint: String,
+    pub fingerprint: Fingerprint,
     /// Time at which it is given up when still waiting.
     pub deadline: Duration,
 }
@@ -69,9 +72,15 @@
         Self(())
     }
 
-    /// The service is idempotent and the key's home registered this run as the only one.
-    pub fn registered() -> Self {
-        Self(())
+    /// The home of the key decided; only its leave to proceed is a proof.
+    ///
+    /// `Repeated` proves it too: the home answers the same runner again when its first answer was
+    /// lost, and a runner asks only before it dispatches.
+    pub fn from_home(verdict: &DispatchVerdict) -> Option<Self> {
+        match verdict {
+            DispatchVerdict::Proceed | DispatchVerdict::Repeated { .. } => Some(Self(())),
+            _ => None,
+        }
     }
 }
 
@@ -95,6 +104,11 @@
 }
 
 impl Request<Claimed> {
+    /// Returns to the accepted state once the claim was taken back.
+    pub fn reopened(self) -> Request<Accepted> {
+        Request::accept(self.facts)
+    }
+
     /// Moves on with a permit for one upstream.
     pub fn permitted(self, upstream: UpstreamName) -> Request<Permitted> {
         Request { facts: self.facts, state: Permitted { upstream } }
