Settle idempotent dispatches by claim while views may differ

Ruled out: a majority of three homes (a replicated store of our own); asking the engines before each dispatch (a call to each upstream of the pool). Keys that the entry minted need no claim. Two members suspected at once by one view, and none by the other, remain.

--- a/lacewingspring/src/entry/claims.rs
+++ b/lacewingspring/src/entry/claims.rs
@@ -9,7 +9,7 @@
     claim::{ClaimRecord, ClaimState, ClaimVerdict, StoredAnswer, judge},
     error::ErrorKind,
     key_index::KeyId,
-    names::{InstanceName, RequestKey},
+    names::{InstanceName, RequestKey, UpstreamName},
 };
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
@@ -59,6 +59,8 @@
         incarnation: u64,
         /// Key under which it runs.
         key: RequestKey,
+        /// Upstream of an idempotent run.
+        upstream: Option<UpstreamName>,
     },
 }
 
@@ -123,7 +125,30 @@
             act_key: work.act().map(|act| self.act_key(work, &act)),
             record: self.record(work),
         };
-        let deadline = clock::now() + CLAIM_TIMEOUT;
+        self.settle_claim(work, claim, clock::now() + CLAIM_TIMEOUT).await
+    }
+
+    /// Creates the claim of an idempotent request, when the views of the members may differ.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the service can't settle the claim in time; the claim is then given up.
+    pub async fn claim_run(
+        &self,
+        work: &Work,
+        upstream: &UpstreamName,
+    ) -> Result<ClaimOutcome, Refusal> {
+        let record = ClaimRecord { upstream: Some(upstream.clone()), ..self.record(work) };
+        let claim = WonClaim { key: self.key(&work.id), act_key: None, record };
+        self.settle_claim(work, claim, clock::now() + CLAIM_TIMEOUT).await
+    }
+
+    async fn settle_claim(
+        &self,
+        work: &Work,
+        claim: WonClaim,
+        deadline: Duration,
+    ) -> Result<ClaimOutcome, Refusal> {
         let mut backoff = FIRST_BACKOFF;
         loop {
             match self.create(&claim, &work.id).await {
@@ -181,6 +206,7 @@
             instance: self.instance.clone(),
             incarnation: self.incarnation,
             fingerprint: String::new(),
+            upstream: None,
             state: ClaimState::Void,
         };
         let value = serde_json::to_vec(&void).unwrap_or_default();
@@ -248,9 +274,12 @@
             ClaimVerdict::Conflict => ClaimOutcome::Conflict,
             ClaimVerdict::Answered(answer) => ClaimOutcome::Answered(answer),
             ClaimVerdict::Voided => ClaimOutcome::Voided,
-            ClaimVerdict::Pending(instance, incarnation) => {
-                ClaimOutcome::Pending { instance, incarnation, key: key.clone() }
-            }
+            ClaimVerdict::Pending(record) => ClaimOutcome::Pending {
+                instance: record.instance,
+                incarnation: record.incarnation,
+                key: key.clone(),
+                upstream: record.upstream,
+            },
         })
     }
 
@@ -260,6 +289,7 @@
             instance: self.instance.clone(),
             incarnation: self.incarnation,
             fingerprint: work.fingerprint.to_string(),
+            upstream: None,
             state: ClaimState::Claimed,
         }
     }
--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -11,7 +11,14 @@
 };
 use tokio::time::sleep;
 
-use super::{Ownership, Refusal, Step, completion, drive::Drive, follow::Followed, permit::Permit};
+use super::{
+    Ownership, Refusal, Step,
+    claims::{ClaimOutcome, WonClaim},
+    completion,
+    drive::Drive,
+    follow::Followed,
+    permit::Permit,
+};
 use crate::{clock, homes::Homes};
 
 /// Time between two looks at a run whose runner can't be followed and doesn't count as dead.
@@ -30,6 +37,14 @@
     Again,
 }
 
+/// Who holds the claim of a request.
+enum Claimed {
+    /// This instance; without a record when none was needed.
+    Won(Option<WonClaim>),
+    /// Another runner, whose upstream may be known.
+    By(Runner, Option<UpstreamName>),
+}
+
 impl Drive {
     /// Runs an idempotent request, or follows the run that exists.
     pub(super) async fn run_idempotent(&self, request: Request<Accepted>) -> Result<(), Refusal> {
@@ -91,9 +106,25 @@
             self.wait_until_sound().await;
             match self.ask_leave(homes, &permit, deadline).await? {
                 Leave::Granted(proof) => {
+                    let claim = match self.claim_if_unsettled(&permit).await {
+                        Ok(Claimed::Won(claim)) => claim,
+                        Ok(Claimed::By(runner, upstream)) => {
+                            permit.release(gate::Outcome::Cancelled);
+                            return self.yield_to(runner, upstream).await;
+                        }
+                        Err(refusal) => {
+                            permit.release(gate::Outcome::Cancelled);
+                            self.take_back(homes, deadline).await?;
+                            return Err(refusal);
+                        }
+                    };
                     let claimed = request.claimed(proof);
                     let Some(unsent) = self.dispatch(claimed, permit).await? else { return Ok(()) };
-                    request = self.take_back(homes, unsent.reopened(), deadline).await?;
+                    if let Some(claim) = claim {
+                        self.node.claims.abandon(claim);
+                    }
+                    self.take_back(homes, deadline).await?;
+                    request = unsent.reopened();
                 }
                 Leave::Taken(runner) => {
                     permit.release(gate::Outcome::Cancelled);
@@ -127,17 +158,47 @@
     }
 
     /// Takes back a dispatch of which no byte went out.
-    async fn take_back(
-        &self,
-        homes: &Homes,
-        request: Request<Accepted>,
-        deadline: Duration,
-    ) -> Result<Request<Accepted>, Refusal> {
+    async fn take_back(&self, homes: &Homes, deadline: Duration) -> Result<(), Refusal> {
         if !homes.not_sent(&self.run.id, deadline).await {
             return Err(Refusal::last(ErrorKind::AnswerLost));
         }
         self.own(Progress::Waiting);
-        Ok(request)
+        Ok(())
+    }
+
+    /// Claims the request in the key-value service too, when the views of the members may differ
+    /// and so may their homes of the key. Nobody else can know a minted key.
+    async fn claim_if_unsettled(&self, permit: &Permit) -> Result<Claimed, Refusal> {
+        if self.work.minted || self.node.fleet.settled() {
+            return Ok(Claimed::Won(None));
+        }
+        match self.node.claims.claim_run(&self.work, &permit.upstream).await? {
+            ClaimOutcome::Won(claim) => Ok(Claimed::Won(Some(claim))),
+            ClaimOutcome::Pending { instance, incarnation, upstream, .. } => {
+                Ok(Claimed::By(Runner { instance, incarnation }, upstream))
+            }
+            ClaimOutcome::Conflict => Err(Refusal::last(ErrorKind::KeyConflict)),
+            ClaimOutcome::Voided => Err(Refusal::last(ErrorKind::Voided)),
+            ClaimOutcome::Answered(_) => Err(Refusal::last(ErrorKind::AnswerGone)),
+        }
+    }
+
+    /// Gives way to the runner that holds the claim: follows it, or resumes its run if it died.
+    async fn yield_to(
+        &self,
+        runner: Runner,
+        upstream: Option<UpstreamName>,
+    ) -> Result<(), Refusal> {
+        let lost = Refusal::last(ErrorKind::AnswerLost);
+        if let Some(peer) = self.node.fleet.live(&runner.instance, runner.incarnation) {
+            let key = self.run.id.key.clone();
+            match self.follow(&peer, key, runner.incarnation).await {
+                Followed::Whole => return Ok(()),
+                Followed::Failed(refusal) => return Err(refusal),
+                Followed::NoRun | Followed::Cut => {}
+            }
+        }
+        self.resume_at(upstream.ok_or(lost)?).await
     }
 
     /// Follows the runner of the key; a runner that died is replaced.
--- a/lacewingspring/src/entry/once.rs
+++ b/lacewingspring/src/entry/once.rs
@@ -58,7 +58,7 @@
             }
             ClaimOutcome::Voided => Err(Refusal::last(ErrorKind::Voided)),
             ClaimOutcome::Conflict => Err(Refusal::last(ErrorKind::KeyConflict)),
-            ClaimOutcome::Pending { instance, incarnation, key } => {
+            ClaimOutcome::Pending { instance, incarnation, key, .. } => {
                 let unknown = Refusal::last(ErrorKind::OutcomeUnknown);
                 if incarnation == self.node.incarnation && key == self.work.id.key {
                     // This incarnation drove the run before and no longer knows its end.
--- a/lacewingspring/src/homes/mod.rs
+++ b/lacewingspring/src/homes/mod.rs
@@ -63,7 +63,9 @@
         return KeyReply::NotHome;
     }
     let reply = answer(node, &call);
-    copy_to_backup(node, &call, &reply).await;
+    if !copy_to_backup(node, &call, &reply).await {
+        return KeyReply::NotHome;
+    }
     if !is_unknown(&reply) {
         return reply;
     }
@@ -88,26 +90,34 @@
 /// Tells the backup of a key, its second holder, what the home has taken.
 ///
 /// The backup becomes the home when the home dies. Without it, the death of one instance that is
-/// both the runner and the home of a key would lose the run. A dispatch waits for the copy.
-async fn copy_to_backup(node: &Arc<Node>, call: &KeyCall, reply: &KeyReply) {
-    let Some(id) = asked(call) else { return };
-    let Some(copy) = copy(node, call, reply) else { return };
+/// both the runner and the home of a key would lose the run. A dispatch waits for the copy; false
+/// when there is a backup that did not take it.
+async fn copy_to_backup(node: &Arc<Node>, call: &KeyCall, reply: &KeyReply) -> bool {
+    let Some(id) = asked(call) else { return true };
+    let Some(copy) = copy(node, call, reply) else { return true };
     let view = node.fleet.view();
-    let Some(backup) = view.holders(id, 2, None).get(1).map(|member| peer(member)) else { return };
+    let Some(backup) = view.holders(id, 2, None).get(1).map(|member| peer(member)) else {
+        return true;
+    };
+    let message = Message::Key(copy);
     if let KeyReply::Dispatch(_) = reply {
-        let _ = node.peers.call(&backup, Message::Key(copy), COPY_TIMEOUT).await;
-        return;
+        let taken = node.peers.call(&backup, message, COPY_TIMEOUT).await;
+        return matches!(taken, Ok(Message::KeyReply(KeyReply::Done)));
     }
     let node = node.clone();
     tokio::spawn(async move {
-        let _ = node.peers.call(&backup, Message::Key(copy), COPY_TIMEOUT).await;
+        let _ = node.peers.call(&backup, message, COPY_TIMEOUT).await;
     });
+    true
 }
 
 /// What the backup is told; nothing when it need not know.
 fn copy(node: &Node, call: &KeyCall, reply: &KeyReply) -> Option<KeyCall> {
     match (call, reply) {
-        (KeyCall::Dispatching { id, .. }, KeyReply::Dispatch(DispatchVerdict::Proceed)) => {
+        (
+            KeyCall::Dispatching { id, .. },
+            KeyReply::Dispatch(DispatchVerdict::Proceed | DispatchVerdict::Repeated { .. }),
+        ) => {
             let run = node.home.lock().open_run(id)?;
             Some(KeyCall::Announce(vec![Told::Open(run)]))
         }
--- a/lacewingspring/src/membership/mod.rs
+++ b/lacewingspring/src/membership/mod.rs
@@ -100,6 +100,13 @@
         !frozen && self.view.load().revalidated
     }
 
+    /// Returns whether all known members are up and none has come or gone of late, so that the
+    /// views of all members agree.
+    pub fn settled(&self) -> bool {
+        let view = self.view.load();
+        view.members.iter().all(is_up) && !view.changed_lately()
+    }
+
     /// Takes the platform's list.
     pub fn observe_list(&self, now: Duration, listed: Vec<ListedInstance>) {
         let mut membership = self.lock();
--- a/lacewingspring_core/src/claim.rs
+++ b/lacewingspring_core/src/claim.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::names::InstanceName;
+use crate::names::{InstanceName, UpstreamName};
 
 /// Claim as it is stored under the key of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,6 +18,9 @@
     pub incarnation: u64,
     /// Digest of the service and body, to tell a repeat from a conflict.
     pub fingerprint: String,
+    /// Upstream of an idempotent run, which another instance may resume.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub upstream: Option<UpstreamName>,
     /// What came of the request so far.
     pub state: ClaimState,
 }
@@ -57,7 +60,7 @@
     /// The key was settled as not run.
     Voided,
     /// Another attempt holds the claim and has stored no outcome.
-    Pending(InstanceName, u64),
+    Pending(Box<ClaimRecord>),
 }
 
 /// Judges the stored claim after a create-if-absent, whose reply may have been lost.
@@ -69,7 +72,7 @@
         return ClaimVerdict::Conflict;
     }
     match &stored.state {
-        ClaimState::Claimed => ClaimVerdict::Pending(stored.instance.clone(), stored.incarnation),
+        ClaimState::Claimed => ClaimVerdict::Pending(Box::new(stored.clone())),
         ClaimState::Void => ClaimVerdict::Voided,
         ClaimState::Done(answer) => ClaimVerdict::Answered(answer.clone()),
     }
--- a/lacewingspring_core/src/membership/view.rs
+++ b/lacewingspring_core/src/membership/view.rs
@@ -105,6 +105,11 @@
             .max_by_key(|member| rendezvous::weight(role, &member.name))
     }
 
+    /// Returns whether the members that may hold roles have changed in the last seconds.
+    pub fn changed_lately(&self) -> bool {
+        !self.past.is_empty()
+    }
+
     /// Returns the first `n` holders of a role, best first.
     pub fn holders<R>(
         &self,
