--- /dev/null
+++ b/lacewingspring_core/src/limits/ledger.rs
@@ -0,0 +1,173 @@
+//! The home's side of the limits of one workspace.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{names::InstanceName, resources::WorkspaceLimits};
+
+use super::{Demand, Share, ShareConfig, account::Account};
+
+/// Sums of rates may differ from the limit by this much, in requests a second.
+const RATE_ERROR: f64 = 1e-6;
+
+/// Shares of the limits of one workspace, kept by its home.
+///
+/// A new home first only confirms what instances report to hold. It gives out more when all that
+/// the old home gave out has run out. This presumes that the old home stops within the time that a
+/// share holds, since it is dead or its view has changed.
+#[derive(Debug)]
+pub struct ShareLedger {
+    cfg: ShareConfig,
+    limits: WorkspaceLimits,
+    reachable: usize,
+    known: usize,
+    quiet_until: Duration,
+    accounts: BTreeMap<InstanceName, Account>,
+    violations: u64,
+}
+
+impl ShareLedger {
+    /// Creates the ledger of a home that has just taken its role.
+    pub fn new(cfg: ShareConfig, limits: WorkspaceLimits, now: Duration) -> Self {
+        let wait = cfg.policy.wait_for_old_shares;
+        let quiet = if wait { cfg.valid_for + cfg.clock_slack } else { Duration::ZERO };
+        Self {
+            cfg,
+            limits,
+            reachable: 1,
+            known: 1,
+            quiet_until: now + quiet,
+            accounts: BTreeMap::new(),
+            violations: 0,
+        }
+    }
+
+    /// Replaces the declared limits; shares in force run out first.
+    pub fn set_limits(&mut self, limits: WorkspaceLimits) {
+        self.limits = limits;
+    }
+
+    /// Notes how many of the known members can be reached.
+    ///
+    /// The others may be parted from here and have a home of their own, so only this side's part of
+    /// the limit is given out.
+    pub fn observe_reach(&mut self, reachable: usize, known: usize) {
+        self.reachable = reachable.max(1);
+        self.known = known.max(self.reachable);
+    }
+
+    /// Forgets an instance that has surely stopped.
+    pub fn stopped(&mut self, instance: &InstanceName) {
+        self.accounts.remove(instance);
+    }
+
+    /// Gives an instance its share.
+    pub fn grant(&mut self, now: Duration, instance: &InstanceName, demand: Demand) -> Share {
+        let cfg = &self.cfg;
+        self.accounts.retain(|_, account| account.expire(now, cfg));
+        let (rate_before, concurrency_before) = self.sums();
+        let mut account = self.accounts.remove(instance).unwrap_or_else(|| Account::new(demand));
+        account.observe(now, demand, &self.cfg);
+        let mut rate = self.rate_target(&demand).min(self.free_rate());
+        let mut concurrency = self.concurrency_target(&demand).min(self.free_concurrency());
+        if now < self.quiet_until {
+            rate = rate.min(account.rate());
+            concurrency = concurrency.min(account.concurrency());
+        }
+        let valid_for = self.cfg.valid_for;
+        let share = Share { ask: demand.ask, rate, concurrency, valid_for };
+        account.add(now, share, &self.cfg);
+        self.accounts.insert(instance.clone(), account);
+        self.check(rate_before, concurrency_before);
+        share
+    }
+
+    /// Returns how often what instances may hold came to exceed the limit. It must be zero.
+    ///
+    /// It counts too when instances report shares of two homes that together exceed it.
+    pub fn violations(&self) -> u64 {
+        self.violations
+    }
+
+    fn check(&mut self, rate_before: f64, concurrency_before: u32) {
+        let (rate, concurrency) = self.sums();
+        let rate_limit = f64::from(self.limits.requests_per_second).max(rate_before);
+        let concurrency_limit = self.limits.concurrency.max(concurrency_before);
+        if rate > rate_limit + RATE_ERROR || concurrency > concurrency_limit {
+            self.violations += 1;
+        }
+    }
+
+    /// Returns what all instances may hold.
+    fn sums(&self) -> (f64, u32) {
+        let rate = self.accounts.values().map(Account::rate).sum();
+        let concurrency = self.accounts.values().map(Account::concurrency).sum();
+        (rate, concurrency)
+    }
+
+    /// Rate for an instance: a floor, and the rest by demand.
+    fn rate_target(&self, demand: &Demand) -> f64 {
+        let others: f64 = self.demands().map(|other| other.rate).sum();
+        self.target(self.rate_limit(), demand.rate, others)
+    }
+
+    fn concurrency_target(&self, demand: &Demand) -> u32 {
+        let others: u32 = self.demands().map(|other| other.concurrency).sum();
+        let limit = f64::from(self.concurrency_limit());
+        let target = self.target(limit, f64::from(demand.concurrency), f64::from(others)) as u32;
+        // A limit below the number of instances goes to those that need it.
+        target.max(demand.concurrency.min(1))
+    }
+
+    fn target(&self, limit: f64, demand: f64, others: f64) -> f64 {
+        let floor = self.floor(limit);
+        let instances = self.instances() as f64;
+        let total = demand + others;
+        let part = if total > 0.0 { demand / total } else { 1.0 / instances };
+        floor + (limit - floor * instances) * part
+    }
+
+    fn floor(&self, limit: f64) -> f64 {
+        limit * self.cfg.floor_fraction / self.instances() as f64
+    }
+
+    /// Instances that may ask, this one included though it has no account at the moment.
+    fn instances(&self) -> usize {
+        self.reachable.max(self.accounts.len() + 1)
+    }
+
+    /// Instances that haven't asked yet and whose floor is kept free.
+    fn absent(&self) -> usize {
+        self.instances() - self.accounts.len() - 1
+    }
+
+    fn demands(&self) -> impl Iterator<Item = &Demand> {
+        self.accounts.values().filter_map(Account::demand)
+    }
+
+    fn free_rate(&self) -> f64 {
+        let limit = self.rate_limit();
+        let kept = self.floor(limit) * self.absent() as f64;
+        (limit - self.sums().0 - kept).max(0.0)
+    }
+
+    fn free_concurrency(&self) -> u32 {
+        let limit = self.concurrency_limit();
+        let kept = self.floor(f64::from(limit)) as u32 * self.absent() as u32;
+        limit.saturating_sub(self.sums().1).saturating_sub(kept)
+    }
+
+    fn rate_limit(&self) -> f64 {
+        f64::from(self.limits.requests_per_second) * self.reach()
+    }
+
+    fn concurrency_limit(&self) -> u32 {
+        (f64::from(self.limits.concurrency) * self.reach()) as u32
+    }
+
+    fn reach(&self) -> f64 {
+        if !self.cfg.policy.scale_by_reach {
+            return 1.0;
+        }
+        self.reachable as f64 / self.known as f64
+    }
+}
