Add the watch for requests that crash upstreams

Cause: the reports of a crash alone can't stop copies that are dispatched before they arrive. Ruled out: counting crashes from reports only; with copies in several data centres at once each takes down its own upstream.

--- /dev/null
+++ b/lacewingspring_core/src/poison/verdicts.rs
@@ -0,0 +1,119 @@
+//! Verdicts on fingerprints, merged over the fleet.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::{FingerprintId, PoisonConfig, Report, Verdict};
+
+/// A verdict and when it came to be.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    version: u32,
+    verdict: Verdict,
+    since: Duration,
+}
+
+/// Verdicts on fingerprints.
+///
+/// Each change raises the version. Of two verdicts the one of higher version counts, and of equal
+/// versions the graver one, so instances agree in whatever order the reports come.
+#[derive(Debug)]
+pub(super) struct Verdicts {
+    suspect_for: Duration,
+    quarantine_for: Duration,
+    max: usize,
+    entries: BTreeMap<FingerprintId, Entry>,
+    changed: BTreeSet<FingerprintId>,
+}
+
+impl Verdicts {
+    pub(super) fn new(cfg: &PoisonConfig) -> Self {
+        Self {
+            suspect_for: cfg.suspect_for,
+            quarantine_for: cfg.quarantine_for,
+            max: cfg.max_verdicts,
+            entries: BTreeMap::new(),
+            changed: BTreeSet::new(),
+        }
+    }
+
+    pub(super) fn get(&mut self, now: Duration, id: FingerprintId) -> Verdict {
+        let Some(entry) = self.entries.get_mut(&id) else { return Verdict::Clear };
+        let age = now.saturating_sub(entry.since);
+        match entry.verdict {
+            Verdict::Quarantined if age >= self.quarantine_for => {
+                entry.verdict = Verdict::Suspect;
+                entry.since = now;
+            }
+            Verdict::Suspect if age >= self.suspect_for => {
+                entry.verdict = Verdict::Clear;
+                entry.since = now;
+            }
+            Verdict::Clear | Verdict::Suspect | Verdict::Quarantined => {}
+        }
+        entry.verdict
+    }
+
+    pub(super) fn suspect(&mut self, now: Duration, id: FingerprintId) {
+        if self.get(now, id) != Verdict::Quarantined {
+            self.set(now, id, Verdict::Suspect);
+        }
+    }
+
+    pub(super) fn quarantine(&mut self, now: Duration, id: FingerprintId) {
+        self.set(now, id, Verdict::Quarantined);
+    }
+
+    pub(super) fn clear(&mut self, now: Duration, id: FingerprintId) {
+        if self.get(now, id) == Verdict::Suspect {
+            self.set(now, id, Verdict::Clear);
+        }
+    }
+
+    pub(super) fn merge(&mut self, now: Duration, report: Report) {
+        let known = self.entries.get(&report.fingerprint);
+        let known = known.map(|entry| (entry.version, entry.verdict));
+        if known.is_some_and(|known| known >= (report.version, report.verdict)) {
+            return;
+        }
+        let Report { fingerprint, version, verdict } = report;
+        self.insert(fingerprint, Entry { version, verdict, since: now });
+    }
+
+    pub(super) fn take_changes(&mut self) -> Vec<Report> {
+        let changed = std::mem::take(&mut self.changed);
+        changed.into_iter().filter_map(|id| self.report(id)).collect()
+    }
+
+    pub(super) fn all(&self) -> Vec<Report> {
+        self.entries.keys().filter_map(|id| self.report(*id)).collect()
+    }
+
+    fn report(&self, fingerprint: FingerprintId) -> Option<Report> {
+        let entry = self.entries.get(&fingerprint)?;
+        Some(Report { fingerprint, version: entry.version, verdict: entry.verdict })
+    }
+
+    fn set(&mut self, now: Duration, id: FingerprintId, verdict: Verdict) {
+        let version = self.entries.get(&id).map_or(0, |entry| entry.version) + 1;
+        self.insert(id, Entry { version, verdict, since: now });
+    }
+
+    fn insert(&mut self, id: FingerprintId, entry: Entry) {
+        self.entries.insert(id, entry);
+        self.changed.insert(id);
+        if self.entries.len() > self.max {
+            self.drop_least();
+        }
+    }
+
+    /// Drops the least grave verdict, of these the oldest.
+    fn drop_least(&mut self) {
+        let least = self.entries.iter().min_by_key(|(_, entry)| (entry.verdict, entry.since));
+        let Some(id) = least.map(|(id, _)| *id) else { return };
+        self.entries.remove(&id);
+        self.changed.remove(&id);
+    }
+}
