Let a choice read a small view of each upstream; long prefills press

Cause: a choice walked whole upstream aggregates; and long prefills held back by their bound could fill the queue while lower work kept running, so that the queue's bound shed higher work. Ruled out: scanning the index of parkable runs past those on unhealthy upstreams (linear in runs); they are set aside when an upstream turns.

--- a/lacewingspring_core/src/gate/feedback.rs
+++ b/lacewingspring_core/src/gate/feedback.rs
@@ -16,7 +16,7 @@
             return Vec::new();
         }
         run.first_token_at = Some(now);
-        let Some(upstream) = self.fleet.get_mut(&run.upstream) else { return Vec::new() };
+        let Some(mut upstream) = self.fleet.get_mut(&run.upstream) else { return Vec::new() };
         upstream.end_prefill(&run.load);
         if let Some(granted_at) = run.granted_at {
             let observed = now.saturating_sub(granted_at).as_secs_f64();
@@ -24,10 +24,10 @@
         }
         if upstream.is_down() {
             upstream.probed(now, ticket, true);
-            self.fleet.refresh();
         } else if self.policy.probation {
             upstream.judge(now);
         }
+        drop(upstream);
         // The end of a long prefill may let another one in.
         self.settle(now)
     }
@@ -45,7 +45,7 @@
                     self.learn(now, ticket, upstream, tokens);
                 }
                 (Outcome::Failed, Some(upstream)) => {
-                    self.fleet.upstreams[upstream].probe_failed(now, ticket);
+                    self.fleet.change(upstream).probe_failed(now, ticket);
                 }
                 _ => {}
             }
@@ -59,7 +59,7 @@
     /// The ends of its runs are told by the entries that hold them.
     pub fn upstream_failed(&mut self, now: Duration, name: &UpstreamName) {
         let Some(number) = self.fleet.number(name) else { return };
-        self.fleet.upstreams[number].fail(now);
+        self.fleet.change(number).fail(now);
         self.affinity.clear(number);
         self.fleet.refresh();
     }
@@ -71,8 +71,9 @@
         name: &UpstreamName,
         report: LoadReport,
     ) -> Vec<Decision> {
-        let Some(upstream) = self.fleet.get_mut(name) else { return Vec::new() };
+        let Some(mut upstream) = self.fleet.get_mut(name) else { return Vec::new() };
         upstream.report(now, report);
+        drop(upstream);
         self.settle(now)
     }
 
@@ -87,7 +88,7 @@
     pub(super) fn learn_from_late(&mut self, now: Duration) {
         for run in self.runs.values_mut() {
             let Some(waited) = run.newly_late(now) else { continue };
-            let Some(upstream) = self.fleet.get_mut(&run.upstream) else { continue };
+            let Some(mut upstream) = self.fleet.get_mut(&run.upstream) else { continue };
             upstream.prefill.observe_at_least(waited, run.load.first_token_seconds);
             if self.policy.probation {
                 upstream.judge(now);
@@ -96,7 +97,7 @@
     }
 
     fn learn(&mut self, now: Duration, ticket: Ticket, upstream: usize, tokens: u32) {
-        let upstream = &mut self.fleet.upstreams[upstream];
+        let mut upstream = self.fleet.change(upstream);
         let Some(run) = self.runs.get(&ticket) else { return };
         let Some(granted_at) = run.granted_at else { return };
         let decode = f64::from(tokens) * upstream.declared_decode(upstream.running);
--- a/lacewingspring_core/src/gate/fleet.rs
+++ b/lacewingspring_core/src/gate/fleet.rs
@@ -1,11 +1,16 @@
 //! Upstreams of a gate and the choice among them.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::HashMap,
+    ops::{Deref, DerefMut},
+    time::Duration,
+};
 
 use crate::{
     gate::{
         policy::GatePolicy,
-        upstream::{Need, Opening, Room, Upstream},
+        upstream::{Need, Room, Upstream},
+        view::{Opening, View},
         work::Ask,
     },
     names::UpstreamName,
@@ -59,8 +64,9 @@
 /// Upstreams of a gate.
 #[derive(Debug, Default)]
 pub(super) struct Fleet {
-    /// The upstreams by number.
-    pub upstreams: Vec<Upstream>,
+    upstreams: Vec<Upstream>,
+    views: Vec<View>,
+    turned: Vec<usize>,
     numbers: HashMap<UpstreamName, usize>,
     declared_slots: u32,
     draining_slots: u32,
@@ -77,7 +83,9 @@
         let mut fleet = Self::default();
         for spec in specs {
             fleet.numbers.insert(spec.name.clone(), fleet.upstreams.len());
-            fleet.upstreams.push(Upstream::new(spec));
+            let upstream = Upstream::new(spec);
+            fleet.views.push(upstream.view());
+            fleet.upstreams.push(upstream);
         }
         fleet.refresh();
         fleet
@@ -88,10 +96,9 @@
         self.numbers.get(name).copied()
     }
 
-    /// Returns an upstream by name.
-    pub fn get_mut(&mut self, name: &UpstreamName) -> Option<&mut Upstream> {
-        let number = self.number(name)?;
-        self.upstreams.get_mut(number)
+    /// Returns the upstreams by number.
+    pub fn upstreams(&self) -> &[Upstream] {
+        &self.upstreams
     }
 
     /// Returns an upstream by name.
@@ -99,6 +106,37 @@
         self.upstreams.get(self.number(name)?)
     }
 
+    /// Returns an upstream by name, to be changed.
+    pub fn get_mut(&mut self, name: &UpstreamName) -> Option<Change<'_>> {
+        let number = self.number(name)?;
+        Some(self.change(number))
+    }
+
+    /// Returns an upstream by number, to be changed.
+    pub fn change(&mut self, number: usize) -> Change<'_> {
+        Change {
+            number,
+            upstream: &mut self.upstreams[number],
+            view: &mut self.views[number],
+            turned: &mut self.turned,
+        }
+    }
+
+    /// Changes every upstream.
+    pub fn change_all<F>(&mut self, mut change: F)
+    where
+        F: FnMut(&mut Upstream),
+    {
+        for number in 0..self.upstreams.len() {
+            change(&mut self.change(number));
+        }
+    }
+
+    /// Takes the upstreams whose health changed since the last call.
+    pub fn take_turned(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.turned)
+    }
+
     /// Returns the slots of the upstreams that are not leaving.
     pub fn declared_slots(&self) -> u32 {
         self.declared_slots
@@ -147,9 +185,7 @@
 
     /// Opens or closes all upstreams for grants beyond what is known to run.
     pub fn set_room(&mut self, room: Room) {
-        for upstream in &mut self.upstreams {
-            upstream.room = room;
-        }
+        self.change_all(|upstream| upstream.room = room);
     }
 
     /// Chooses the upstream with the least expected seconds, or a probe that is due.
@@ -162,19 +198,51 @@
         policy: GatePolicy,
     ) -> Result<Choice, Blocked> {
         let mut scan = Scan::default();
-        for (number, upstream) in self.upstreams.iter().enumerate() {
-            let cached_tokens = cached.get(number).copied().unwrap_or(0).min(need.prefill_tokens);
-            scan.visit(now, Candidate { number, upstream, cached_tokens }, need, limits, policy);
+        for (number, view) in self.views.iter().enumerate() {
+            let cached_tokens = cached.get(number).copied().unwrap_or(0);
+            scan.visit(now, Candidate { number, view, cached_tokens }, need, limits, policy);
         }
         scan.finish(need, limits)
     }
 }
 
+/// An upstream that is being changed; its view follows when the change ends.
+pub(super) struct Change<'a> {
+    number: usize,
+    upstream: &'a mut Upstream,
+    view: &'a mut View,
+    turned: &'a mut Vec<usize>,
+}
+
+impl Deref for Change<'_> {
+    type Target = Upstream;
+
+    fn deref(&self) -> &Upstream {
+        self.upstream
+    }
+}
+
+impl DerefMut for Change<'_> {
+    fn deref_mut(&mut self) -> &mut Upstream {
+        self.upstream
+    }
+}
+
+impl Drop for Change<'_> {
+    fn drop(&mut self) {
+        let was_healthy = self.view.is_healthy;
+        *self.view = self.upstream.view();
+        if was_healthy != self.view.is_healthy {
+            self.turned.push(self.number);
+        }
+    }
+}
+
 /// An upstream under consideration.
 #[derive(Clone, Copy)]
 struct Candidate<'a> {
     number: usize,
-    upstream: &'a Upstream,
+    view: &'a View,
     cached_tokens: u32,
 }
 
@@ -199,27 +267,25 @@
         limits: Limits,
         policy: GatePolicy,
     ) {
-        let Candidate { number, upstream, cached_tokens } = candidate;
-        let has_long = need.long && upstream.has_long_prefill(need.rank);
-        self.usable += u32::from(upstream.is_healthy());
+        let Candidate { number, view, cached_tokens } = candidate;
+        let has_long = need.long && view.has_long_prefill(need.rank);
+        self.usable += u32::from(view.is_healthy);
         self.with_long += u32::from(has_long);
-        let opening = upstream.opening(now);
-        if let Opening::Slots(slots) = opening {
-            self.free += slots;
-        }
-        if opening == Opening::Closed {
-            return;
+        match view.opening {
+            Opening::Slots(slots) => self.free += slots,
+            Opening::Probe(due) if now >= due => {}
+            _ => return,
         }
-        if policy.kv_count && !upstream.fits(now, need.kv_tokens) {
+        if policy.kv_count && !view.fits(need.kv_tokens) {
             self.short_of_memory = true;
             return;
         }
         if has_long && limits.bound_long {
             return;
         }
-        let seconds = upstream.seconds(need, cached_tokens);
+        let seconds = view.seconds(need, cached_tokens);
         let choice = Choice { upstream: number, seconds, cached_tokens };
-        match opening {
+        match view.opening {
             Opening::Probe(due) => {
                 let at_once = limits.probe_first || Upstream::probe_is_overdue(now, due);
                 if at_once && !need.long {
--- a/lacewingspring_core/src/gate/mod.rs
+++ b/lacewingspring_core/src/gate/mod.rs
@@ -40,12 +40,13 @@
 mod speed;
 mod summary;
 mod upstream;
+mod view;
 mod work;
 
 /// Time after a short request for which long prefills are bounded.
 const SHORT_WORK_MEMORY: Duration = Duration::from_secs(10);
 
-/// Part of its longest wait after which a long prefill is passed no more for want of memory.
+/// Part of its longest wait after which a long prefill yields to short work no more.
 const LONG_PATIENCE: f64 = 0.5;
 
 /// Part of the slots, one in this many, for parked work whose deadline passed.
@@ -110,25 +111,26 @@
         I: IntoIterator<Item = UpstreamSpec>,
     {
         let mut fleet = Fleet::new(upstreams);
-        for upstream in &mut fleet.upstreams {
-            match self.fleet.get(&upstream.spec.name) {
-                Some(earlier) => upstream.learn_from(earlier),
-                None if self.recovery.is_pending() => upstream.room = Room::Unknown,
-                None => {}
-            }
-        }
+        fleet.change_all(|upstream| match self.fleet.get(&upstream.spec.name) {
+            Some(earlier) => upstream.learn_from(earlier),
+            None if self.recovery.is_pending() => upstream.room = Room::Unknown,
+            None => {}
+        });
         for run in self.runs.values() {
-            if let Some(upstream) = fleet.get_mut(&run.upstream) {
+            if let Some(mut upstream) = fleet.get_mut(&run.upstream) {
                 upstream.carry(&run.load, run.first_token_at.is_none());
             }
         }
         fleet.refresh();
-        let names = self.fleet.upstreams.iter().map(|upstream| &upstream.spec.name);
+        let names = self.fleet.upstreams().iter().map(|upstream| &upstream.spec.name);
         let numbers: Vec<_> = names.map(|name| fleet.number(name)).collect();
-        let memory = fleet.upstreams.iter().map(|upstream| upstream.spec.kv_tokens);
+        let memory = fleet.upstreams().iter().map(|upstream| upstream.spec.kv_tokens);
         let earlier = std::mem::replace(&mut self.affinity, Affinity::new(memory));
         self.affinity.renumber(earlier, &numbers);
         self.fleet = fleet;
+        for number in 0..self.fleet.upstreams().len() {
+            self.set_parkable_aside(number);
+        }
     }
 
     /// Takes a request for a permit. A repeat of a granted ask is granted again, the same.
@@ -158,7 +160,7 @@
         self.next_sequence += 1;
         self.reserve.started(ask.rank);
         let need = Need::new(&ask, false);
-        let Some(known) = self.fleet.get_mut(&upstream) else {
+        let Some(mut known) = self.fleet.get_mut(&upstream) else {
             // Its upstream is no longer declared; no slot is left to count.
             let run = Run::adopted(ask, upstream, Load::default(), sequence);
             self.runs.insert(ticket, run);
@@ -166,10 +168,11 @@
         };
         let load = known.adopt(&need);
         let loss = known.declared_prefill(ask.cost.prompt_tokens);
+        drop(known);
         let mut run = Run::adopted(ask, upstream, load, sequence);
         if run.ask.parkable {
-            let key = park_key(ticket, run.ask.rank, loss, false);
-            self.parks.insert(key);
+            let key = park_key(ticket, run.ask.rank, loss);
+            self.parks.insert(key, false);
             run.park_key = Some(key);
         }
         self.runs.insert(ticket, run);
@@ -221,6 +224,9 @@
         if self.recovery.end(now) {
             self.fleet.set_room(Room::Counted);
         }
+        for number in self.fleet.take_turned() {
+            self.set_parkable_aside(number);
+        }
         let mut decisions = Vec::new();
         let passed = self.grant_all(now, &mut decisions);
         self.park_for_waiting(now, passed, &mut decisions);
@@ -262,9 +268,15 @@
         if !head.long || blocked == Blocked::LongPrefill {
             return head.long;
         }
-        let Some(waiting) = self.queue.get(head.ticket) else { return false };
+        self.queue.get(head.ticket).is_some_and(|waiting| !self.is_pressing(now, waiting))
+    }
+
+    /// Returns whether a long prefill can yield to short work no more, as half of its longest
+    /// wait is over or the queue is half full. Else lower work would run while it is shed.
+    fn is_pressing(&self, now: Duration, waiting: &Waiting) -> bool {
         let left = waiting.deadline.saturating_sub(now);
-        left > waiting.ask.max_wait.mul_f64(1.0 - LONG_PATIENCE)
+        left <= waiting.ask.max_wait.mul_f64(1.0 - LONG_PATIENCE)
+            || self.queue.fresh_len() > self.queue_bound() / 2
     }
 
     fn place(&mut self, now: Duration, head: &Head) -> Result<Choice, Blocked> {
@@ -278,7 +290,10 @@
         };
         let limits = Limits {
             kept,
-            bound_long: self.policy.prefill_bound && mixed && !head.overdue,
+            bound_long: self.policy.prefill_bound
+                && mixed
+                && !head.overdue
+                && !self.is_pressing(now, waiting),
             probe_first: self.reserve.busy_above(head.rank),
         };
         let cached: &[u32] = if self.policy.affinity && waiting.ask.resume.is_none() {
@@ -299,11 +314,13 @@
         let ticket = head.ticket;
         let Waiting { ask, place, .. } = self.queue.remove(ticket)?;
         let need = Need::new(&ask, head.long);
-        let upstream = &mut self.fleet.upstreams[choice.upstream];
+        let mut upstream = self.fleet.change(choice.upstream);
         let load = upstream.start(&need, choice.cached_tokens);
         upstream.start_probe(ticket);
         let name = upstream.spec.name.clone();
         let loss = upstream.declared_prefill(ask.cost.prompt_tokens);
+        let is_healthy = upstream.is_healthy();
+        drop(upstream);
         if place.fresh {
             // Parked work was charged in full when it was first granted.
             self.queue.charge(ask.rank, &ask.workspace, choice.seconds);
@@ -316,14 +333,25 @@
         let mut run = Run::granted(now, ask, name.clone(), load, place.sequence);
         run.overdue = head.overdue;
         if run.ask.parkable {
-            let key = park_key(ticket, run.ask.rank, loss, head.overdue);
-            self.parks.insert(key);
+            let key = park_key(ticket, run.ask.rank, loss);
+            self.parks.insert(key, head.overdue || !is_healthy);
             run.park_key = Some(key);
         }
         self.runs.insert(ticket, run);
         Some(Decision::Granted(ticket, name))
     }
 
+    /// Sets the runs of an upstream that turned unhealthy aside, as a slot freed there is no use.
+    fn set_parkable_aside(&mut self, number: usize) {
+        let upstream = &self.fleet.upstreams()[number];
+        let aside = !upstream.is_healthy();
+        for run in self.runs.values().filter(|run| run.upstream == upstream.spec.name) {
+            if let Some(key) = run.park_key {
+                self.parks.set_aside(key, aside || run.overdue);
+            }
+        }
+    }
+
     fn end_parked(&mut self, now: Duration, ticket: Ticket) {
         if let Some(run) = self.end_run(now, ticket) {
             self.parked_sequences.insert(ticket, run.sequence);
@@ -338,7 +366,7 @@
         }
         self.reserve.ended(run.ask.rank);
         self.overdue_runs -= u32::from(run.overdue);
-        if let Some(upstream) = self.fleet.get_mut(&run.upstream) {
+        if let Some(mut upstream) = self.fleet.get_mut(&run.upstream) {
             if run.first_token_at.is_none() {
                 upstream.end_prefill(&run.load);
             }
@@ -349,7 +377,6 @@
     }
 }
 
-fn park_key(ticket: Ticket, rank: u8, loss_seconds: f64, overdue: bool) -> ParkKey {
-    let loss_us = (loss_seconds * 1e6) as u64;
-    ParkKey { overdue, rank: Reverse(rank), loss_us, ticket }
+fn park_key(ticket: Ticket, rank: u8, loss_seconds: f64) -> ParkKey {
+    ParkKey { rank: Reverse(rank), loss_us: (loss_seconds * 1e6) as u64, ticket }
 }
--- a/lacewingspring_core/src/gate/parking.rs
+++ b/lacewingspring_core/src/gate/parking.rs
@@ -14,8 +14,6 @@
 /// Order in which running work is parked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct ParkKey {
-    /// Work whose deadline passed while parked is parked again only to save a refusal.
-    pub overdue: bool,
     /// Rank of the tier; the lowest tier comes first.
     pub rank: Reverse<u8>,
     /// Prefill that would be lost, in microseconds of its upstream.
@@ -28,31 +26,41 @@
 #[derive(Debug, Default)]
 pub(super) struct ParkIndex {
     candidates: BTreeSet<ParkKey>,
+    aside: BTreeSet<ParkKey>,
     ordered: HashMap<Ticket, Duration>,
 }
 
 impl ParkIndex {
-    /// Adds running work.
-    pub fn insert(&mut self, key: ParkKey) {
-        self.candidates.insert(key);
+    /// Adds running work. Work that is set aside is parked only to save a refusal.
+    pub fn insert(&mut self, key: ParkKey, aside: bool) {
+        let set = if aside { &mut self.aside } else { &mut self.candidates };
+        set.insert(key);
     }
 
     /// Removes work that ended.
     pub fn remove(&mut self, key: ParkKey) {
         self.candidates.remove(&key);
+        self.aside.remove(&key);
         self.ordered.remove(&key.ticket);
     }
 
-    /// Returns the candidates below `rank`, least loss first.
-    pub fn below(&self, rank: u8, with_overdue: bool) -> impl Iterator<Item = &ParkKey> {
-        let in_time = self.candidates.range(first_key(false, u8::MAX)..first_key(false, rank));
-        let overdue = self.candidates.range(first_key(true, u8::MAX)..first_key(true, rank));
-        in_time.chain(overdue.filter(move |_| with_overdue))
+    /// Sets a candidate aside, or takes it back.
+    pub fn set_aside(&mut self, key: ParkKey, aside: bool) {
+        if self.candidates.remove(&key) || self.aside.remove(&key) {
+            self.insert(key, aside);
+        }
+    }
+
+    /// Returns the candidate below `rank` with the least loss.
+    pub fn below(&self, rank: u8, to_save_refusal: bool) -> Option<ParkKey> {
+        let range = first_key(u8::MAX)..first_key(rank);
+        let aside = to_save_refusal.then(|| self.aside.range(range.clone()).next()).flatten();
+        self.candidates.range(range).next().or(aside).copied()
     }
 
     /// Moves a candidate to the orders.
     pub fn order(&mut self, now: Duration, key: ParkKey) {
-        self.candidates.remove(&key);
+        self.remove(key);
         self.ordered.insert(key.ticket, now);
     }
 
@@ -81,6 +89,6 @@
 }
 
 /// Returns the key before all others of a rank.
-fn first_key(overdue: bool, rank: u8) -> ParkKey {
-    ParkKey { overdue, rank: Reverse(rank), loss_us: 0, ticket: Ticket(0) }
+fn first_key(rank: u8) -> ParkKey {
+    ParkKey { rank: Reverse(rank), loss_us: 0, ticket: Ticket(0) }
 }
--- a/lacewingspring_core/src/gate/queue.rs
+++ b/lacewingspring_core/src/gate/queue.rs
@@ -80,6 +80,7 @@
 struct Flow {
     weight: f64,
     deficit: f64,
+    busy_period: u64,
     short: BTreeMap<Place, Waiting>,
     long: BTreeMap<Place, Waiting>,
     seconds: f64,
@@ -90,6 +91,7 @@
         Self {
             weight: f64::from(weight.max(1)),
             deficit: 0.0,
+            busy_period: 0,
             short: BTreeMap::new(),
             long: BTreeMap::new(),
             seconds: 0.0,
@@ -136,6 +138,7 @@
 struct Tier {
     flows: HashMap<WorkspaceName, Flow>,
     ring: VecDeque<WorkspaceName>,
+    busy_period: u64,
     seconds: f64,
     fresh: usize,
     short: usize,
@@ -233,6 +236,11 @@
         let Some(flow) = tier.flows.get_mut(&waiting.ask.workspace) else { return };
         if flow.is_empty() {
             tier.ring.push_back(waiting.ask.workspace.clone());
+            if flow.busy_period != tier.busy_period {
+                // The tier was idle since, so no workspace is owed anything.
+                flow.busy_period = tier.busy_period;
+                flow.deficit = 0.0;
+            }
         }
         flow.weight = f64::from(waiting.ask.weight.max(1));
         flow.seconds += waiting.seconds;
@@ -301,7 +309,8 @@
             Line::Long => tier.long -= 1,
         }
         if tier.is_empty() {
-            self.tiers.remove(&rank);
+            tier.busy_period += 1;
+            tier.seconds = 0.0;
         }
         Some(waiting)
     }
@@ -397,7 +406,8 @@
 
     /// Returns the ranks of the tiers that wait, highest tier first.
     pub fn ranks(&self) -> Vec<u8> {
-        self.tiers.keys().copied().collect()
+        let waiting = self.tiers.iter().filter(|(_, tier)| !tier.is_empty());
+        waiting.map(|(rank, _)| *rank).collect()
     }
 
     /// Returns the number of requests that wait in a tier.
--- a/lacewingspring_core/src/gate/shedding.rs
+++ b/lacewingspring_core/src/gate/shedding.rs
@@ -19,7 +19,7 @@
     /// Does what is due with time: deadlines, probes, repeats of orders to park.
     pub fn tick(&mut self, now: Duration) -> Vec<Decision> {
         self.learn_from_late(now);
-        self.relax_speeds(now);
+        self.refresh_upstreams(now);
         self.fleet.refresh();
         self.reserve.refresh(now, self.fleet.draining_slots());
         let mut decisions = self.settle(now);
@@ -50,8 +50,7 @@
 
     /// Evicts waiting work until the queue is within its bound, lowest tier first.
     pub(super) fn shed_excess(&mut self, now: Duration, decisions: &mut Vec<Decision>) {
-        let bound = self.fleet.declared_slots() as usize * QUEUE_PER_SLOT;
-        while self.queue.fresh_len() > bound + self.parks.ordered_len() {
+        while self.queue.fresh_len() > self.queue_bound() + self.parks.ordered_len() {
             let Some(ticket) = self.next_victim() else { return };
             let rank = self.queue.get(ticket).map_or(u8::MAX, |waiting| waiting.ask.rank);
             if self.policy.parking
@@ -120,6 +119,11 @@
         }
     }
 
+    /// Returns the number of new requests that may wait.
+    pub(super) fn queue_bound(&self) -> usize {
+        self.fleet.declared_slots() as usize * QUEUE_PER_SLOT
+    }
+
     fn next_victim(&self) -> Option<Ticket> {
         if self.policy.eviction_order {
             self.queue.victim(self.queue.lowest_rank()?)
@@ -130,12 +134,7 @@
 
     /// Orders the least loss among runs below `rank` to be parked.
     fn park_below(&mut self, now: Duration, rank: u8, to_save_refusal: bool) -> Option<Ticket> {
-        let key = self.parks.below(rank, to_save_refusal).find(|key| {
-            let run = self.runs.get(&key.ticket);
-            let upstream = run.and_then(|run| self.fleet.get(&run.upstream));
-            to_save_refusal || upstream.is_some_and(|upstream| upstream.is_usable())
-        });
-        let key = *key?;
+        let key = self.parks.below(rank, to_save_refusal)?;
         self.parks.order(now, key);
         Some(key.ticket)
     }
@@ -143,7 +142,7 @@
     /// Returns whether new work of a tier below `rank` waits, or parkable work of one runs.
     pub fn has_lower(&self, rank: u8) -> bool {
         self.queue.lowest_rank().is_some_and(|lowest| lowest > rank)
-            || self.parks.below(rank, true).next().is_some()
+            || self.parks.below(rank, true).is_some()
     }
 
     fn refuse(
@@ -169,15 +168,14 @@
         decisions.push(Decision::Refused(ticket, kind, after));
     }
 
-    fn relax_speeds(&mut self, now: Duration) {
+    fn refresh_upstreams(&mut self, now: Duration) {
         let earlier = self.ticked_at.replace(now).unwrap_or(now);
         let seconds = now.saturating_sub(earlier).as_secs_f64();
-        for upstream in &mut self.fleet.upstreams {
+        self.fleet.change_all(|upstream| {
+            upstream.expire_report(now);
             if upstream.is_healthy() && upstream.running == 0 {
-                upstream.prefill.relax(seconds);
-                upstream.decode.relax(seconds);
-                upstream.set_share();
+                upstream.relax(seconds);
             }
-        }
+        });
     }
 }
--- a/lacewingspring_core/src/gate/summary.rs
+++ b/lacewingspring_core/src/gate/summary.rs
@@ -62,7 +62,7 @@
             waiting: self.queue.tier_len(rank),
             running: self.reserve.running(rank),
         });
-        let upstreams = self.fleet.upstreams.iter().map(|upstream| UpstreamSummary {
+        let upstreams = self.fleet.upstreams().iter().map(|upstream| UpstreamSummary {
             name: upstream.spec.name.clone(),
             running: upstream.running,
             kv_tokens: upstream.kv_used(),
--- a/lacewingspring_core/src/gate/upstream.rs
+++ b/lacewingspring_core/src/gate/upstream.rs
@@ -5,6 +5,7 @@
 use crate::{
     gate::{
         speed::{Ratio, SLOW_SCORE},
+        view::{Opening, View},
         work::{Ask, LoadReport, Ticket},
     },
     resources::UpstreamSpec,
@@ -62,17 +63,6 @@
     Reported(u32),
 }
 
-/// What an upstream can take now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Opening {
-    /// No work.
-    Closed,
-    /// This many requests.
-    Slots(u32),
-    /// A single probe, due since the given time.
-    Probe(Duration),
-}
-
 /// Work of one request as an upstream sees it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Need {
@@ -166,23 +156,36 @@
         }
     }
 
-    /// Returns what the upstream can take now.
-    pub fn opening(&self, now: Duration) -> Opening {
+    /// Returns what a choice reads of the upstream.
+    pub fn view(&self) -> View {
+        let unknown_kv = self.report.map_or(0, |report| report.unknown_kv);
+        View {
+            opening: self.opening(),
+            kv_free: self.spec.kv_tokens.saturating_sub(self.kv_used + unknown_kv),
+            backlog_seconds: self.prefill_backlog * self.prefill.factor(),
+            prefill_seconds: self.declared_prefill(1) * self.prefill.factor(),
+            decode_seconds: self.declared_decode(self.running + 1) * self.decode.factor(),
+            longest_rank: self.longest_rank,
+            is_healthy: self.is_healthy(),
+            is_idle: self.running == 0,
+        }
+    }
+
+    fn opening(&self) -> Opening {
         let free = self.slots.saturating_sub(self.running);
         let free = match self.room {
             Room::Counted => free,
             Room::Unknown => 0,
             Room::Reported(room) => room.min(free),
         };
-        if self.spec.leaving || free == 0 {
-            return Opening::Closed;
+        let probing = self.probe.is_some();
+        match self.health {
+            _ if self.spec.leaving || free == 0 => Opening::Closed,
+            Health::Healthy => Opening::Slots(free),
+            _ if probing => Opening::Closed,
+            Health::Probation { next, .. } => Opening::Probe(next),
+            Health::Down { until, .. } => Opening::Probe(until),
         }
-        let due = match self.health {
-            Health::Healthy => return Opening::Slots(free),
-            Health::Probation { next, .. } => next,
-            Health::Down { until, .. } => until,
-        };
-        if self.probe.is_none() && now >= due { Opening::Probe(due) } else { Opening::Closed }
     }
 
     /// Sets the slots in use at most: fewer for a slow upstream, never more than declared.
@@ -197,18 +200,12 @@
 
     /// Returns the slots that drain the queue.
     pub fn draining_slots(&self) -> u32 {
-        let healthy = self.health == Health::Healthy && !self.spec.leaving;
-        if healthy { self.slots } else { 0 }
+        if self.is_healthy() { self.slots } else { 0 }
     }
 
     /// Returns whether the upstream takes work beyond probes.
     pub fn is_healthy(&self) -> bool {
-        self.health == Health::Healthy
-    }
-
-    /// Returns whether a slot that is freed here can be granted again.
-    pub fn is_usable(&self) -> bool {
-        self.is_healthy() && !self.spec.leaving && self.running <= self.slots
+        self.health == Health::Healthy && !self.spec.leaving
     }
 
     /// Returns how many times slower than normal the upstream is.
@@ -216,26 +213,6 @@
         self.prefill.score().max(self.decode.score())
     }
 
-    /// Returns whether the KV memory holds the request to its end beside what runs.
-    pub fn fits(&self, now: Duration, kv_tokens: u64) -> bool {
-        let fresh = self.report.filter(|report| now.saturating_sub(report.at) < REPORT_LIFETIME);
-        let unknown = fresh.map_or(0, |report| report.unknown_kv);
-        let needed = kv_tokens.min(self.spec.kv_tokens);
-        self.running == 0 || self.kv_used + unknown + needed <= self.spec.kv_tokens
-    }
-
-    /// Returns whether a long prefill of this rank or a higher one is in flight.
-    pub fn has_long_prefill(&self, rank: u8) -> bool {
-        self.longest_rank <= rank
-    }
-
-    /// Returns the seconds until the last token, were the request granted now.
-    pub fn seconds(&self, need: &Need, cached_tokens: u32) -> f64 {
-        let prefill = self.declared_prefill(need.prefill_tokens.saturating_sub(cached_tokens));
-        let decode = f64::from(need.decode_tokens) * self.declared_decode(self.running + 1);
-        (self.prefill_backlog + prefill) * self.prefill.factor() + decode * self.decode.factor()
-    }
-
     /// Returns the declared seconds of a prefill.
     pub fn declared_prefill(&self, tokens: u32) -> f64 {
         f64::from(tokens) / self.spec.prefill_tokens_per_second.max(1.0)
@@ -340,7 +317,7 @@
 
     /// Marks a run as the probe.
     pub fn start_probe(&mut self, ticket: Ticket) {
-        if !self.is_healthy() {
+        if self.health != Health::Healthy {
             self.probe = Some(ticket);
         }
     }
@@ -439,6 +416,18 @@
         }
     }
 
+    /// Moves the speed of an idle upstream back to normal.
+    pub fn relax(&mut self, seconds: f64) {
+        self.prefill.relax(seconds);
+        self.decode.relax(seconds);
+        self.set_share();
+    }
+
+    /// Drops a load report that is too old.
+    pub fn expire_report(&mut self, now: Duration) {
+        self.report = self.report.filter(|report| now < report.at + REPORT_LIFETIME);
+    }
+
     /// Returns the KV tokens counted.
     pub fn kv_used(&self) -> u64 {
         self.kv_used
--- a/lacewingspring_core/tests/gate_model/mod.rs
+++ b/lacewingspring_core/tests/gate_model/mod.rs
@@ -249,7 +249,7 @@
         let ticket = Ticket(i as u64);
         // Entries may tell the parking by itself or with the ask that follows it.
         let mut decisions =
-            if i % 2 == 0 { self.gate.parked(self.time(), ticket) } else { Vec::new() };
+            if i.is_multiple_of(2) { self.gate.parked(self.time(), ticket) } else { Vec::new() };
         decisions.extend(self.gate.ask(self.time(), ticket, ask));
         decisions
     }
--- a/lacewingspring_core/tests/gate_runs.rs
+++ b/lacewingspring_core/tests/gate_runs.rs
@@ -51,7 +51,7 @@
         let upstreams = (0..self.upstreams)
             .map(|i| spec(&format!("up{i}"), 4 + i as u32 * 2, 8e3 * (i + 1) as f64, 12.0, 60_000));
         let mut world = World::new(policy, upstreams.collect(), self.jobs());
-        if self.seed % 3 == 0 {
+        if self.seed.is_multiple_of(3) {
             world.slow_down(self.seconds / 3.0, 0, 8.0);
             world.slow_down(self.seconds / 1.5, 0, 1.0);
         }
