--- a/lacewingspring/tests/declared_common/mod.rs
+++ b/lacewingspring/tests/declared_common/mod.rs
@@ -15,6 +15,7 @@
 };
 use lacewingspring_core::config::Transaction;
 use lacewingspring_standins::key_value::{Settings, serve};
+use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::{
     net::TcpListener,
@@ -27,6 +28,14 @@
 /// Prefix of all keys.
 pub const PREFIX: &str = "/test/";
 
+/// Calls that the service counted.
+#[derive(Debug, Deserialize)]
+pub struct Calls {
+    pub reads: u64,
+    pub writes: u64,
+    pub watches: u64,
+}
+
 /// One key-value service.
 #[derive(Clone, Copy)]
 pub struct Service(pub SocketAddr);
@@ -53,6 +62,11 @@
         self.call("GET", "/faults", json!({})).await[name].clone()
     }
 
+    /// Returns the calls that the service counted.
+    pub async fn calls(self) -> Calls {
+        serde_json::from_value(self.call("GET", "/calls", json!({})).await).unwrap()
+    }
+
     pub fn store(self, policy: DeclaredPolicy) -> Arc<DeclaredStore> {
         DeclaredStore::start_with(self.client(), PREFIX, policy)
     }
