--- a/lacewingspring/src/membership/mod.rs
+++ b/lacewingspring/src/membership/mod.rs
@@ -59,6 +59,11 @@
         self.members.store(Arc::new(members));
     }
 
+    /// Returns the own instance.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
     /// Returns the members.
     pub fn members(&self) -> Arc<Vec<Member>> {
         self.members.load_full()
@@ -75,8 +80,8 @@
         members.iter().find(|member| member.name == *holder).map(Member::peer)
     }
 
-    /// Returns the address of a live instance in a given incarnation.
-    pub fn live(&self, instance: &InstanceName, _incarnation: u64) -> Option<PeerAddress> {
+    /// Returns the address of a live instance.
+    pub fn live(&self, instance: &InstanceName) -> Option<PeerAddress> {
         let members = self.members.load();
         members.iter().find(|member| member.name == *instance).map(Member::peer)
     }
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -22,6 +22,8 @@
 
 pub use self::http::{call, get};
 
+pub mod caller;
+pub mod history;
 pub mod http;
 
 /// Bearer token of the workspace `desk`.
@@ -328,6 +330,11 @@
     ]
 }
 
+/// Credential header of the operator `root`.
+pub fn operator() -> (&'static str, String) {
+    ("authorization", format!("Bearer {OPERATOR_TOKEN}"))
+}
+
 async fn ready(callers: SocketAddr, members: usize) -> bool {
     let Ok(answer) = get(callers, "/v1/addresses").await else { return false };
     if answer.status != 200 {
