Choose two watching instances a data centre

The service counts a waiting watch as a call and its rates grow more slowly than the fleet, so watches and reads of the head must grow with data centres. Two instances of each, by rendezvous over its live ones, are to watch; two and not one, so that a death leaves a watcher until the view moves.

A test counts the calls of a commit at the stand-in: one read and one write, with two watching instances.

--- a/lacewingspring/tests/declared_follow.rs
+++ b/lacewingspring/tests/declared_follow.rs
@@ -168,3 +168,16 @@
     assert!(storm > most, "{storm} calls");
     println!("calls over an outage: {calls} with backoff, {storm} without");
 }
+
+#[tokio::test]
+async fn a_commit_costs_one_read_and_one_write_whoever_watches() {
+    let quiet = DeclaredPolicy { refresh: Duration::from_secs(3_600), ..policy() };
+    let (service, one, two) = pair(quiet).await;
+    let before = service.calls().await;
+    commit(&one, &[tier("b", 1)]).await.unwrap();
+    assert!(within(IN_FORCE, || two.generation() == 2).await);
+    sleep(Duration::from_millis(300)).await;
+    let after = service.calls().await;
+    let calls = [after.reads - before.reads, after.writes - before.writes];
+    assert_eq!((calls, after.watches), ([1, 1], before.watches));
+}
--- a/lacewingspring_core/src/config/mod.rs
+++ b/lacewingspring_core/src/config/mod.rs
@@ -4,6 +4,7 @@
     declared::{Declared, DeclaredResource, IncompleteState},
     diff::{DiffAction, FieldDiff, ResourceDiff, diff},
     head::Head,
+    relay::watches,
     transaction::{Change, Transaction},
     violation::{Rule, Violation},
 };
@@ -12,5 +13,6 @@
 mod declared;
 mod diff;
 mod head;
+mod relay;
 mod transaction;
 mod violation;
--- a/lacewingspring_core/tests/config_histories.rs
+++ b/lacewingspring_core/tests/config_histories.rs
@@ -1,10 +1,11 @@
 //! Random histories of transactions: accepted states are sound, and a state that lacks any part of
 //! a commit is recognised.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 
 use lacewingspring_core::{
-    config::{Change, Declared, DeclaredResource, Head, Transaction},
+    config::{Change, Declared, DeclaredResource, Head, Transaction, watches},
+    names::InstanceName,
     resources::{Resource, ResourceId, ResourceKind, Spec},
 };
 use quickcheck::{Arbitrary, Gen, quickcheck};
@@ -121,4 +122,10 @@
         }
         true
     }
+
+    fn two_instances_of_a_data_centre_watch(names: BTreeSet<u8>) -> bool {
+        let names: Vec<InstanceName> = names.iter().map(|n| n.to_string().into()).collect();
+        let watching = |own: &&InstanceName| watches(&"east".into(), own, &names);
+        names.iter().filter(watching).count() == names.len().min(2)
+    }
 }
