Bound what a transaction writes and what a state holds

The key-value service bounds a request, and a refusal for size would have been answered as an outage. A transaction may write 1 MiB of JSON and a state hold 16 MiB, which also bounds what instances read and hand on as one message.

An instance whose first read is an old one is tested too: it has the newest generation within two seconds, by the watch or by the read of the head.

--- a/lacewingspring/tests/declared_follow.rs
+++ b/lacewingspring/tests/declared_follow.rs
@@ -120,6 +120,16 @@
     assert!(within(IN_FORCE, || born.generation() == 2).await);
 }
 
+#[tokio::test]
+async fn an_instance_whose_first_read_is_old_catches_up() {
+    let (service, one, _) = pair(policy()).await;
+    commit(&one, &[tier("b", 1)]).await.unwrap();
+    service.faults(json!({"old_reads": 1})).await;
+    let born = service.store(policy());
+    assert!(within(IN_FORCE, || born.generation() == 2).await);
+    assert_eq!(service.fault("old_reads").await, 0, "the fault was met");
+}
+
 #[tokio::test]
 async fn an_instance_that_does_not_watch_learns_from_its_peers() {
     let (service, one, two) = pair(policy()).await;
--- a/lacewingspring_core/src/config/constraints.rs
+++ b/lacewingspring_core/src/config/constraints.rs
@@ -24,6 +24,12 @@
 /// Largest resource as JSON, in bytes.
 const MAX_RESOURCE_BYTES: usize = 256 << 10;
 
+/// Most bytes of JSON that one transaction writes; the key-value service bounds a request.
+const MAX_WRITTEN_BYTES: usize = 1 << 20;
+
+/// Most bytes of JSON of all resources, which instances read and hand on as one message.
+const MAX_STATE_BYTES: usize = 16 << 20;
+
 /// Longest name, in bytes.
 const MAX_NAME: usize = 63;
 
@@ -69,6 +75,13 @@
     if transaction.changes.len() > MAX_CHANGES {
         whole(Rule::TooMany(MAX_CHANGES));
     }
+    let written = transaction.changes.iter().map(|change| match change {
+        Change::Put(resource) => json_len(resource),
+        Change::Delete(_) => 0,
+    });
+    if written.fold(0, usize::saturating_add) > MAX_WRITTEN_BYTES {
+        whole(Rule::TooLarge(MAX_WRITTEN_BYTES));
+    }
     let mut seen = BTreeSet::new();
     for change in &transaction.changes {
         let id = change.id();
@@ -85,7 +98,7 @@
 /// Returns the constraints that a state breaks. Resources in `deleted` were removed just now.
 pub(super) fn state(declared: &Declared, deleted: &BTreeSet<&ResourceId>) -> Vec<Violation> {
     let mut checker = Checker { declared, deleted, violations: Vec::new() };
-    checker.counts();
+    checker.whole();
     for (id, resource) in &declared.resources {
         checker.resource(id, resource);
     }
@@ -93,6 +106,11 @@
     checker.violations
 }
 
+/// Returns the length of a resource as JSON, in bytes.
+fn json_len(resource: &Resource) -> usize {
+    serde_json::to_vec(resource).map_or(usize::MAX, |json| json.len())
+}
+
 struct Checker<'a> {
     declared: &'a Declared,
     deleted: &'a BTreeSet<&'a ResourceId>,
@@ -107,7 +125,7 @@
         self.violations.push(Violation::of(id, field, rule));
     }
 
-    fn counts(&mut self) {
+    fn whole(&mut self) {
         let resources = &self.declared.resources;
         let mut whole = |rule| {
             self.violations.push(Violation { resource: None, field: String::new(), rule });
@@ -115,6 +133,9 @@
         if resources.len() > MAX_RESOURCES {
             whole(Rule::TooMany(MAX_RESOURCES));
         }
+        if resources.values().map(json_len).fold(0, usize::saturating_add) > MAX_STATE_BYTES {
+            whole(Rule::TooLarge(MAX_STATE_BYTES));
+        }
         if !resources.keys().any(|id| id.kind == ResourceKind::Tier) {
             whole(Rule::LastOfKind(ResourceKind::Tier));
         }
@@ -122,8 +143,7 @@
 
     fn resource(&mut self, id: &ResourceId, resource: &Resource) {
         self.name(id, "name", &id.name);
-        let size = serde_json::to_vec(resource).map_or(usize::MAX, |json| json.len());
-        if size > MAX_RESOURCE_BYTES {
+        if json_len(resource) > MAX_RESOURCE_BYTES {
             self.add(id, "", Rule::TooLarge(MAX_RESOURCE_BYTES));
         }
         match &resource.spec {
--- a/lacewingspring_core/tests/config_constraints.rs
+++ b/lacewingspring_core/tests/config_constraints.rs
@@ -131,6 +131,8 @@
     assert_snapshot!(broken(many), @"- changes: there may be at most 100 of these");
     let large = json!({"protocol": "plain", "pool": "plain", "tier": "low", "idempotent": false,
         "act_fields": ["x".repeat(256 << 10)]});
+    let five = (0..5).map(|i| put(&format!("s{i}"), "service", large.clone())).collect();
+    assert!(broken(five).starts_with("- changes: it may be at most 1048576 bytes as JSON"));
     assert_snapshot!(broken(vec![put("s", "service", large)]),
         @"service/s : it may be at most 262144 bytes as JSON");
 }
