--- a/lacewingspring/src/callers/mod.rs
+++ b/lacewingspring/src/callers/mod.rs
@@ -90,7 +90,17 @@
         Ok(body) => route(node, Call { head, body }).await,
         Err(refusal) => Err(refusal),
     };
-    reply.unwrap_or_else(Reply::problem).into_response()
+    reply.unwrap_or_else(|refusal| problem(node, refusal)).into_response()
+}
+
+/// Answers a refusal; a leaving instance names the addresses that stay.
+fn problem(node: &Node, refusal: Refusal) -> Reply {
+    let mut addresses = Vec::new();
+    if refusal.kind == ErrorKind::Leaving {
+        let staying = node.fleet.addresses(&node.settings.data_centre);
+        addresses.extend(staying.into_iter().map(|found| found.address));
+    }
+    Reply::problem(refusal, addresses)
 }
 
 /// Reads a body within its limits of size and time.
@@ -117,7 +127,7 @@
     let path = call.head.uri().path();
     let method = call.head.method();
     match (path, method) {
-        ("/v1/addresses", &Method::GET) => Ok(addresses::get(node)),
+        ("/v1/addresses", &Method::GET) => Ok(addresses::get(node, &call)),
         ("/v1/completions", &Method::POST) => completions::post(node, &call).await,
         ("/v1/addresses" | "/v1/completions", _) => Err(Refusal::last(ErrorKind::MethodNotAllowed)),
         _ if path.starts_with(OPERATOR_PATH) => Ok(operators::call(node, &call).await),
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -4,7 +4,7 @@
 
 use lacewingspring_core::{
     error::{ErrorKind, RunState},
-    gate::Ask,
+    gate::{Ask, Outcome, Resume},
     names::RequestKey,
     request::{Accepted, ClaimProof, Claimed, Request, RequestFacts},
 };
@@ -24,6 +24,9 @@
     peers::{Message, PeerAddress, RunPart},
 };
 
+/// Time between two looks at whether a dispatch may go out.
+const SOUND_POLL: Duration = Duration::from_millis(20);
+
 /// A run with what it needs to go on.
 #[derive(Debug)]
 pub struct Drive {
@@ -107,12 +110,20 @@
         request: Request<Claimed>,
         permit: Permit,
     ) -> Result<Option<Request<Claimed>>, Refusal> {
+        self.wait_until_sound().await;
         match &self.work.body {
             Body::Completion { .. } => completion::run(self, request, permit).await,
             Body::Plain { .. } => plain::run(self, request, permit).await,
         }
     }
 
+    /// Holds a dispatch after a freeze of this process until a peer has been heard from.
+    async fn wait_until_sound(&self) {
+        while !self.node.fleet.may_dispatch(clock::now()) {
+            sleep(SOUND_POLL).await;
+        }
+    }
+
     /// Runs a non-idempotent request: looks for an earlier claim, waits, claims, dispatches.
     async fn run_once(&self, request: Request<Accepted>) -> Result<(), Refusal> {
         let claims = &self.node.claims;
@@ -124,11 +135,11 @@
         let claim = match claims.claim(&self.work).await {
             Ok(ClaimOutcome::Won(claim)) => claim,
             Ok(outcome) => {
-                permit.release().await;
+                permit.release(Outcome::Cancelled);
                 return self.settle(outcome).await;
             }
             Err(refusal) => {
-                permit.release().await;
+                permit.release(Outcome::Cancelled);
                 return Err(refusal);
             }
         };
@@ -163,7 +174,7 @@
                     // This incarnation drove the run before and no longer knows its end.
                     return Err(unknown);
                 }
-                let peer = self.node.fleet.live(&instance).ok_or(unknown)?;
+                let peer = self.node.fleet.live(&instance, incarnation).ok_or(unknown)?;
                 self.follow(&peer, key, incarnation).await
             }
             ClaimOutcome::Won(_) => Err(Refusal::last(ErrorKind::Internal)),
@@ -195,6 +206,19 @@
 
     /// Waits for a permit until the deadline.
     pub async fn permit(&self, deadline: Duration) -> Result<Permit, Refusal> {
+        self.permit_to(deadline, None).await
+    }
+
+    /// Waits for a permit to go on with a parked run, when its gate died.
+    pub async fn permit_to_resume(&self, resume: Resume) -> Result<Permit, Refusal> {
+        self.permit_to(clock::now().saturating_add(self.work.max_wait), Some(resume)).await
+    }
+
+    async fn permit_to(
+        &self,
+        deadline: Duration,
+        resume: Option<Resume>,
+    ) -> Result<Permit, Refusal> {
         let work = &self.work;
         let ask = Ask {
             rank: work.tier.rank,
@@ -203,6 +227,8 @@
             cost: work.body.cost(&work.service),
             max_wait: deadline.saturating_sub(clock::now()),
             parkable: work.service.idempotent && matches!(work.body, Body::Completion { .. }),
+            prefixes: work.body.prefixes(),
+            resume,
         };
         let permit = permit::acquire(&self.node, &work.service.pool, &work.pool, ask).await;
         let permit = permit?;
