Let an import carry only the prefill that was computed

The engine stand-in let a run that was exported during its prefill, or before it, go on elsewhere as though the prompt had been computed whole. A handle now holds the tokens left to compute; a run that held no memory is computed anew.

--- a/lacewingspring_standins/src/engine/completions.rs
+++ b/lacewingspring_standins/src/engine/completions.rs
@@ -137,13 +137,15 @@
     if body.resume_from >= max_tokens {
         return Err(Box::new(error(400, "resume_from is beyond max_tokens")));
     }
+    let mut import_left = None;
     if let Some(params) = &body.kv_transfer_params {
-        let fits = handles::find(&params.handle).is_some_and(|handle| {
+        let handle = handles::find(&params.handle).filter(|handle| {
             handle.prompt_sha8 == prompt_sha8 && handle.generated >= body.resume_from
         });
-        if !fits {
+        let Some(handle) = handle else {
             return Err(Box::new(error(409, "the handle is unknown or of another prompt")));
-        }
+        };
+        import_left = handle.prefill_left;
     }
     Ok(Request {
         id,
@@ -153,7 +155,8 @@
         prompt_tokens,
         max_tokens,
         resume_from: body.resume_from,
-        imported: body.kv_transfer_params.is_some(),
+        resumed: body.kv_transfer_params.is_some() || body.resume_from > 0,
+        import_left,
     })
 }
 
--- a/lacewingspring_standins/src/engine/handles.rs
+++ b/lacewingspring_standins/src/engine/handles.rs
@@ -27,6 +27,8 @@
     pub prompt_sha8: String,
     /// Tokens generated before the export.
     pub generated: u64,
+    /// Tokens left to compute before the next one; none when nothing was held in memory.
+    pub prefill_left: Option<u64>,
     /// Time at which it is forgotten, in milliseconds since process start.
     pub expires_ms: u64,
 }
--- a/lacewingspring_standins/src/engine/mod.rs
+++ b/lacewingspring_standins/src/engine/mod.rs
@@ -25,7 +25,7 @@
     time::{Instant, sleep_until},
 };
 
-pub use self::answer::{answer, block_hashes};
+pub use self::answer::{answer, block_hashes, sha8};
 use self::{report::Reports, sim::Sim, state::ModelState};
 use crate::{
     faults::Faults,
--- a/lacewingspring_standins/src/engine/run.rs
+++ b/lacewingspring_standins/src/engine/run.rs
@@ -45,8 +45,10 @@
     pub max_tokens: u64,
     /// First token to generate.
     pub resume_from: u64,
-    /// Whether the cache of the run comes from an export.
-    pub imported: bool,
+    /// Whether the request goes on with an earlier run.
+    pub resumed: bool,
+    /// Tokens left to compute of an imported run; none when nothing is imported.
+    pub import_left: Option<u64>,
 }
 
 /// Run of a request.
--- a/lacewingspring_standins/src/engine/sim.rs
+++ b/lacewingspring_standins/src/engine/sim.rs
@@ -90,15 +90,16 @@
     /// Queues a request and returns its progress.
     pub fn add(&mut self, req: Arc<Request>) -> watch::Receiver<Progress> {
         self.forget_old();
-        self.journal.arrive(&req.id, req.prompt_tokens, &req.prompt_sha8);
+        self.journal.arrive(&req);
         let generated = req.resume_from;
         let (progress, rx) = watch::channel(Progress { generated, ..Progress::default() });
         let number = self.next_run;
         self.next_run += 1;
         self.latest.insert(req.id.clone(), number);
         let hashes = block_hashes(&req.prompt);
-        let import_due = req.imported;
-        let run = Run { req, hashes, prefill_left: 0, import_due, progress, ended_ms: None };
+        let import_due = req.import_left.is_some();
+        let prefill_left = req.import_left.unwrap_or(0);
+        let run = Run { req, hashes, prefill_left, import_due, progress, ended_ms: None };
         self.runs.insert(number, run);
         self.waiting.push_back(number);
         rx
@@ -123,6 +124,7 @@
     /// unknown or has ended.
     pub fn export(&mut self, id: &str) -> Option<(String, Handle)> {
         let &number = self.latest.get(id)?;
+        let prefill_left = self.held_prefill(number);
         if !self.end(number, End::Exported) {
             return None;
         }
@@ -131,11 +133,19 @@
             engine: self.number,
             prompt_sha8: run.req.prompt_sha8.clone(),
             generated: run.generated(),
+            prefill_left,
             expires_ms: now_ms() + self.settings.retention_ms,
         };
         Some((handles::insert(handle.clone()), handle))
     }
 
+    /// Tokens left to compute of a run that holds memory, or is to import it; none for others.
+    fn held_prefill(&self, number: u64) -> Option<u64> {
+        let run = self.runs.get(&number)?;
+        let held = run.import_due || self.running.contains(&number);
+        held.then_some(run.prefill_left)
+    }
+
     /// Loses all runs and the cache.
     pub fn crash(&mut self) {
         let numbers: Vec<u64> = self.runs.keys().copied().collect();
@@ -210,6 +220,12 @@
                 // At least the last token is computed, as its output gives the next one.
                 run.prefill_left = run.held_tokens().saturating_sub(cached).max(1);
                 run.progress.send_modify(|p| p.cached_tokens = cached);
+                let needed = run.prefill_left;
+                self.journal.change(&run.req.id, |entry| {
+                    if entry.needed_tokens == 0 {
+                        entry.needed_tokens = needed;
+                    }
+                });
             }
             self.waiting.pop_front();
             self.running.push(number);
--- a/lacewingspring_standins/tests/engine.rs
+++ b/lacewingspring_standins/tests/engine.rs
@@ -111,6 +111,32 @@
     assert_eq!(refused.0, 409);
 }
 
+#[tokio::test]
+async fn import_of_an_unfinished_prefill_computes_the_rest() {
+    let slow = Settings { prefill_tokens_per_second: 5_000.0, ..fast() };
+    let (from, to) = (engine(slow.clone()).await, engine(slow).await);
+    let prompt = "word ".repeat(5_000);
+    let begun = tokio::spawn({
+        let (from, body) = (from.clone(), body(&prompt, 3));
+        async move { streamed(&from, "r1", body).await }
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let export = from.ok("POST", "/v1/completions/r1/export", json!({})).await;
+    assert_eq!(export["generated"], 0);
+    assert_eq!(joined(&begun.await.expect("no panic").0), "");
+    let mut import = body(&prompt, 3);
+    import["kv_transfer_params"] = json!({ "handle": export["kv_transfer_params"]["handle"] });
+    let (after, _) = streamed(&to, "r1", import).await;
+    assert_eq!(joined(&after), answer(&prompt, 3));
+    let moved = entry(&to, "r1").await;
+    assert_eq!((&moved["resumptions"], &moved["dispatches"]), (&json!(1), &json!(1)));
+    let rest = moved["prefilled_tokens"].as_u64().expect("a number");
+    assert!(rest > 0 && rest < 5_000, "{rest}");
+    // A chunk that was being computed at the export is lost.
+    let first = entry(&from, "r1").await["prefilled_tokens"].as_u64().expect("a number");
+    assert!((5_000..=5_512).contains(&(first + rest)), "{first} and {rest}");
+}
+
 #[tokio::test]
 async fn poison_crashes_and_the_engine_comes_back_cold() {
     let peer = engine(fast()).await;
