--- a/lacewingspring_standins/src/lib.rs
+++ b/lacewingspring_standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod instance_list;
 pub mod key_value;
+pub mod load;
 pub mod plain;
 pub mod time;
 pub mod weights;
--- a/lacewingspring_standins/src/main.rs
+++ b/lacewingspring_standins/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{Args, Parser, Subcommand};
 use tokio::{net::TcpListener, task::JoinSet};
 
-use lacewingspring_standins::{engine, instance_list, key_value, plain, weights};
+use lacewingspring_standins::{engine, instance_list, key_value, load, plain, weights};
 
 /// Stand-ins for the systems around the scheduler.
 #[derive(Parser)]
@@ -26,6 +26,12 @@
     InstanceList(Instances<instance_list::Settings>),
     /// Weight store with a rate limit.
     Weights(Instances<weights::Settings>),
+    /// Runs a load on a deployment.
+    Load(load::LoadArgs),
+    /// Sets up the deployment of a scenario, in steps.
+    Deploy(load::DeployArgs),
+    /// Prints reports of loads side by side.
+    Compare(load::CompareArgs),
 }
 
 #[derive(Args)]
@@ -71,5 +77,8 @@
         Command::Plain(instances) => instances.run(plain::serve).await,
         Command::InstanceList(instances) => instances.run(instance_list::serve).await,
         Command::Weights(instances) => instances.run(weights::serve).await,
+        Command::Load(args) => load::load(args).await,
+        Command::Deploy(args) => load::deploy(args).await,
+        Command::Compare(args) => load::compare(&args),
     }
 }
