--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use lacewingspring_core::catalog::Catalog;
+use lacewingspring_core::{catalog::Catalog, membership::Member};
 use thiserror::Error;
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -19,13 +19,15 @@
 use crate::{
     callers, clock,
     declared::DeclaredStore,
-    entry::{Claims, RunTable},
+    entry::{Claims, RunId, RunTable, serve_follow},
     gates::GateHost,
-    membership::{Fleet, Member, follow_list},
+    membership::{Fleet, follow_list, gossip},
     metrics::Metrics,
+    operators::{KnownOperator, Operators},
     peers::{Authority, AuthorityError, Exchange, Message, PeerError, Peers},
     platform::key_value::KeyValue,
     settings::Settings,
+    view::NodeView,
 };
 
 /// Time between two ticks of the gates.
@@ -53,22 +55,24 @@
 pub struct Node {
     /// Settings that the daemon was started with.
     pub settings: Settings,
-    /// Random number drawn at the start.
+    /// Time of the start since the Unix epoch, in milliseconds; it grows with each start.
     pub incarnation: u64,
     /// Declared resources in force.
     pub declared: Arc<DeclaredStore>,
     /// Fleet as this instance sees it.
-    pub fleet: Fleet,
+    pub fleet: Arc<Fleet>,
     /// Connections to the other instances.
     pub peers: Arc<Peers>,
     /// Gates that this instance holds.
     pub gates: GateHost,
     /// Runs of this instance.
-    pub runs: RunTable,
+    pub runs: Arc<RunTable>,
     /// Claims of this incarnation.
     pub claims: Claims,
     /// Metrics of this instance.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
+    /// Interface for operators.
+    pub operators: Operators<NodeView>,
     leaving: AtomicBool,
 }
 
@@ -95,6 +99,7 @@
     tokio::spawn(serve_peers(node.clone()));
     tokio::spawn(tick(node.clone()));
     tokio::spawn(follow_list(node.clone()));
+    tokio::spawn(gossip(node.clone()));
     callers::start(node.clone())?;
     wait_for_stop().await?;
     leave(&node).await;
@@ -102,32 +107,39 @@
 }
 
 fn build(settings: Settings) -> Result<Arc<Node>, StartError> {
-    let incarnation = rand::random();
+    let incarnation = clock::wall().as_millis() as u64;
     let authority = Authority::read(&settings.authority.certificate, &settings.authority.key)?;
     let peers = Peers::bind(settings.instance.clone(), settings.listen.peers, &authority)?;
     let timeout = Duration::from_millis(settings.key_value.timeout_ms);
     let store = KeyValue::new(settings.key_value.endpoints.clone(), timeout);
     let prefix = settings.key_value.prefix.clone();
     let claims = Claims::new(store.clone(), &prefix, settings.instance.clone(), incarnation);
-    let metrics = Metrics::start(settings.metrics.statsd)?;
     let declared = DeclaredStore::start(store, &prefix);
     let own = Member {
         name: settings.instance.clone(),
         data_centre: settings.data_centre.clone(),
         callers: settings.listen.callers,
         peers: settings.listen.peers,
-        leaving: false,
+        incarnation,
+    };
+    let period = Duration::from_millis(settings.timing.heartbeat_ms);
+    let view = NodeView {
+        fleet: Arc::new(Fleet::new(own, period, clock::now())),
+        metrics: Arc::new(Metrics::start(settings.metrics.statsd)?),
+        runs: Arc::default(),
     };
+    let bootstrap = settings.operators.iter().map(KnownOperator::from).collect();
     Ok(Arc::new(Node {
-        fleet: Fleet::new(own),
+        fleet: view.fleet.clone(),
+        metrics: view.metrics.clone(),
+        runs: view.runs.clone(),
+        operators: Operators::new(declared.clone(), view, bootstrap),
         settings,
         incarnation,
         declared,
         peers,
         gates: GateHost::default(),
-        runs: RunTable::default(),
         claims,
-        metrics,
         leaving: AtomicBool::new(false),
     }))
 }
@@ -154,10 +166,22 @@
             node.gates.serve_ask(clock::now(), &catalog, ask, exchange).await;
         }
         Some(Message::Adopt { permit, upstream }) => {
-            node.gates.serve_adopt(&catalog, permit, upstream, exchange).await;
+            node.gates.serve_adopt(clock::now(), &catalog, permit, upstream, exchange).await;
+        }
+        Some(Message::Heartbeat(digest)) => {
+            if let Some(reply) = node.fleet.receive(clock::now(), *digest) {
+                let _ = exchange.tx.send(Message::Heartbeat(Box::new(reply))).await;
+            }
+        }
+        Some(Message::FetchDeclared) => {
+            if let Some(bytes) = node.declared.encode_snapshot() {
+                let _ = exchange.tx.send(Message::Declared(bytes.to_vec())).await;
+            }
         }
-        Some(Message::Follow { workspace, key }) => {
-            node.runs.serve_follow(workspace, key, &exchange).await;
+        Some(Message::Follow { workspace, key, incarnation }) => {
+            let run = node.runs.get(&RunId { workspace, key });
+            let run = run.filter(|_| incarnation == node.incarnation);
+            serve_follow(run, &exchange).await;
         }
         _ => {}
     }
@@ -177,6 +201,7 @@
 async fn leave(node: &Arc<Node>) {
     log::info!(open = node.runs.open(); "Leaves.");
     node.leaving.store(true, Ordering::Release);
+    node.fleet.leave(clock::now());
     sleep(node.settings.timing.address_ttl()).await;
     while node.runs.open() > 0 {
         sleep(DRAIN_POLL).await;
--- a/lacewingspring_ctl/src/cli.rs
+++ b/lacewingspring_ctl/src/cli.rs
@@ -271,6 +271,9 @@
     /// A workspace
     #[value(alias = "workspaces")]
     Workspace,
+    /// An operator
+    #[value(alias = "operators")]
+    Operator,
 }
 
 impl From<Kind> for ResourceKind {
@@ -280,6 +283,7 @@
             Kind::EnginePool => Self::EnginePool,
             Kind::Service => Self::Service,
             Kind::Workspace => Self::Workspace,
+            Kind::Operator => Self::Operator,
         }
     }
 }
--- a/lacewingspring_ctl/src/commands/get.rs
+++ b/lacewingspring_ctl/src/commands/get.rs
@@ -15,8 +15,7 @@
 };
 
 /// Kinds in the order of the output.
-const KINDS: [ResourceKind; 4] =
-    [ResourceKind::Tier, ResourceKind::EnginePool, ResourceKind::Service, ResourceKind::Workspace];
+const KINDS: [ResourceKind; 5] = ResourceKind::ALL;
 
 /// Runs the command.
 pub async fn run(client: &Client, format: Format, args: GetArgs) -> Result<Exit, Error> {
@@ -77,6 +76,7 @@
         ResourceKind::Workspace => {
             &["WORKSPACE", "WEIGHT", "REQUESTS/S", "CONCURRENCY", "CREDENTIALS"]
         }
+        ResourceKind::Operator => &["OPERATOR", "ROLE", "CREDENTIALS"],
     }
 }
 
@@ -98,6 +98,7 @@
             let (rate, concurrency) = (limits.requests_per_second, limits.concurrency);
             table.row([name, &spec.weight, &rate, &concurrency, &credentials]);
         }
+        Spec::Operator(spec) => table.row([name, &word(&spec.role), &spec.credentials.len()]),
     }
 }
 
