--- a/lacewingspring_standins/src/load/addresses.rs
+++ b/lacewingspring_standins/src/load/addresses.rs
@@ -47,6 +47,8 @@
 #[derive(Debug)]
 pub struct AddressBooks {
     books: Vec<Mutex<Book>>,
+    /// Names of the data centres.
+    data_centres: Vec<String>,
     /// Instances by data centre, which callers know beforehand.
     listed: Vec<(SocketAddr, usize)>,
 }
@@ -60,6 +62,7 @@
         let listed = instances.iter().filter_map(|i| Some((i.address, centre_of(i.data_centre)?)));
         Self {
             books: deployment.data_centres.iter().map(|_| empty()).collect(),
+            data_centres: deployment.data_centres.clone(),
             listed: listed.collect(),
         }
     }
@@ -100,7 +103,7 @@
         asked.shuffle(rng);
         asked.sort_by_key(|(_, centre)| *centre != home);
         for (address, _) in asked {
-            let Some(told) = lookup(address).await else { continue };
+            let Some(told) = lookup(address, &self.data_centres[home]).await else { continue };
             book.known = told.addresses;
             book.expires = Instant::now() + Duration::from_millis(told.ttl_ms);
             return;
@@ -109,9 +112,9 @@
     }
 }
 
-async fn lookup(address: SocketAddr) -> Option<Told> {
-    let reply: Option<Value> =
-        timeout(LOOKUP_TIMEOUT, control(address, Send::new("GET", "/v1/addresses"))).await.ok()?;
+async fn lookup(address: SocketAddr, data_centre: &str) -> Option<Told> {
+    let send = Send::new("GET", format!("/v1/addresses?data_centre={data_centre}"));
+    let reply: Option<Value> = timeout(LOOKUP_TIMEOUT, control(address, send)).await.ok()?;
     let told: Told = serde_json::from_value(reply?).ok()?;
     (!told.addresses.is_empty()).then_some(told)
 }
--- a/lacewingspring_standins/src/load/deploy.rs
+++ b/lacewingspring_standins/src/load/deploy.rs
@@ -7,7 +7,6 @@
     time::{Duration, Instant},
 };
 
-use base64::{Engine as _, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use tokio::{net::TcpListener, task::JoinSet, time::sleep};
@@ -22,6 +21,12 @@
 /// Bearer token of the operator.
 const OPERATOR_TOKEN: &str = "operator-token";
 
+/// File with the resources.
+const RESOURCES: &str = "resources.json";
+
+/// Path at which instances are listed.
+const REGISTER_PATH: &str = "/v1/agent/service/register";
+
 /// Longest wait for the fleet to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -53,7 +58,7 @@
     running.join_next().await.map_or(Ok(()), |ended| ended?)
 }
 
-/// Writes the settings of each daemon into a folder that holds the authority.
+/// Writes the settings of each daemon and the resources into a folder that holds the authority.
 ///
 /// # Errors
 ///
@@ -76,23 +81,16 @@
         let path = folder.join(format!("{}.json", placed.name));
         fs::write(path, serde_json::to_string_pretty(&settings)?)?;
     }
-    Ok(())
+    let resources = json!({ "resources": resources(deployment) });
+    fs::write(folder.join(RESOURCES), serde_json::to_string_pretty(&resources)?)
 }
 
-/// Writes the resources into the key-value service and the instances into the list.
+/// Writes the instances into the instance list.
 ///
 /// # Errors
 ///
-/// Fails when a stand-in refuses.
-pub async fn declare(deployment: &Deployment) -> io::Result<()> {
-    for resource in resources(deployment) {
-        let (kind, name) = (resource["kind"].as_str(), resource["name"].as_str());
-        let (kind, name) = (kind.unwrap_or_default(), name.unwrap_or_default());
-        let key = format!("/lacewingspring/resources/{kind}/{name}");
-        let (key, value) = (STANDARD.encode(key), STANDARD.encode(resource.to_string()));
-        let body = json!({ "key": key, "value": value });
-        put(deployment.key_value(), "POST", "/v3/kv/put", body).await?;
-    }
+/// Fails when the list refuses.
+pub async fn list(deployment: &Deployment) -> io::Result<()> {
     for (index, placed) in deployment.instances().iter().enumerate() {
         let body = json!({
             "ID": placed.name, "Name": "lacewingspring",
@@ -102,7 +100,9 @@
                 "data_centre": placed.data_centre, "state": "live"
             }
         });
-        put(deployment.list(), "PUT", "/v1/agent/service/register", body).await?;
+        let send = Send { body: body.to_string(), ..Send::new("PUT", REGISTER_PATH) };
+        let listed = control(deployment.list(), send).await;
+        listed.ok_or_else(|| io::Error::other("the instance list refuses"))?;
     }
     Ok(())
 }
@@ -147,17 +147,6 @@
         && open(instance, &probe).await.is_ok_and(|answer| answer.status == 200)
 }
 
-async fn put(
-    stand_in: SocketAddr,
-    method: &'static str,
-    path: &str,
-    body: Value,
-) -> io::Result<()> {
-    let send = Send { body: body.to_string(), ..Send::new(method, path) };
-    let done = control(stand_in, send).await;
-    done.map(|_| ()).ok_or_else(|| io::Error::other(format!("{stand_in} refused {path}")))
-}
-
 fn resources(deployment: &Deployment) -> Vec<Value> {
     let tiers = deployment.tiers.iter().map(|tier| {
         let spec = json!({ "rank": tier.rank, "max_wait_ms": tier.max_wait_ms });
--- a/lacewingspring_standins/src/load/mod.rs
+++ b/lacewingspring_standins/src/load/mod.rs
@@ -92,10 +92,10 @@
 pub enum DeployStep {
     /// Serves the stand-ins until stopped.
     Serve,
-    /// Writes the settings of the daemons.
+    /// Writes the settings of the daemons and the resources to declare.
     Settings,
-    /// Declares resources and lists the instances.
-    Declare,
+    /// Lists the instances.
+    List,
     /// Waits until the fleet serves.
     Ready,
     /// Prints a line for each instance to kill: the seconds after the one before, and its name.
@@ -141,7 +141,7 @@
         DeployStep::Settings => {
             deploy::write_settings(deployment, &args.folder.unwrap_or_default())
         }
-        DeployStep::Declare => deploy::declare(deployment).await,
+        DeployStep::List => deploy::list(deployment).await,
         DeployStep::Ready => deploy::wait_until_ready(deployment).await,
         DeployStep::Kills => {
             print_kills(&scenario);
--- a/run-scenario.sh
+++ b/run-scenario.sh
@@ -20,7 +20,7 @@
 done
 ((${#scenarios[@]})) || { echo "no scenario is given" >&2; exit 2; }
 
-(cd "$root" && cargo build --release --locked -p lacewingspring -p lacewingspring_standins)
+(cd "$root" && cargo build --release --locked --workspace)
 bin="${CARGO_TARGET_DIR:-$root/target}/release"
 work="$(mktemp -d)"
 # shellcheck source=scripts/fleet.sh
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -14,14 +14,14 @@
     return 1
 }
 
-# Declares resources, writes settings and starts the daemons of a scenario, one process each.
+# Writes settings, starts the daemons of a scenario, one process each, and declares resources.
 start_daemons() {
     if [[ ! -e "$work/authority.pem" ]]; then
         "$bin/lacewingspring" --make-authority "$work"
     fi
     rm -f "$work"/instance-*.json
     "$bin/lacewingspring_standins" deploy --scenario "$1" settings --folder "$work"
-    declare_resources "$1"
+    "$bin/lacewingspring_standins" deploy --scenario "$1" list
     local settings name
     for settings in "$work"/instance-*.json; do
         name="$(basename "$settings" .json)"
@@ -29,12 +29,21 @@
         daemons[$name]=$!
         pids+=($!)
     done
+    declare_resources
     "$bin/lacewingspring_standins" deploy --scenario "$1" ready
 }
 
-# Writes the resources into the key-value service and the instances into the instance list.
+# Declares the resources, as an operator would, once an instance takes them.
 declare_resources() {
-    "$bin/lacewingspring_standins" deploy --scenario "$1" declare
+    local address
+    address="$(sed -n 's/.*"callers": "\([^"]*\)".*/\1/p' "$work/instance-0.json")"
+    for _ in $(seq 50); do
+        LACEWINGSPRING_TOKEN=operator-token "$bin/lacewingspring_ctl" --address "$address" \
+            apply --file "$work/resources.json" > "$work/apply.log" 2>&1 && return
+        sleep 0.2
+    done
+    cat "$work/apply.log" >&2
+    return 1
 }
 
 # Kills instances at the times that the scenario names, once the load has started.
