--- a/lacewingspring_standins/src/load/deploy.rs
+++ b/lacewingspring_standins/src/load/deploy.rs
@@ -165,12 +165,11 @@
     let engines = deployment.engines();
     let upstream = engines.iter().map(|placed| {
         let group = placed.group;
-        let others = f64::from(group.slots.saturating_sub(1));
         json!({
             "name": placed.name, "address": placed.address.to_string(),
             "data_centre": placed.data_centre, "slots": group.slots,
             "prefill_tokens_per_second": group.prefill_tokens_per_second,
-            "decode_ms": group.decode_ms + group.decode_ms_per_sequence * others,
+            "decode_ms": group.decode_ms,
             "kv_tokens": group.kv_tokens
         })
     });
