--- a/lacewingspring_core/tests/gate_runs.rs
+++ b/lacewingspring_core/tests/gate_runs.rs
@@ -1,8 +1,14 @@
 //! Properties of the gate that hold in any run: long random runs in virtual time.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
 
-use lacewingspring_core::gate::{Gate, GatePolicy, Outcome, Ticket};
+use lacewingspring_core::{
+    gate::{Ask, Decision, Gate, GatePolicy, Outcome, Resume, Ticket},
+    names::UpstreamName,
+};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 use self::gate_model::{Job, Random, World, spec, specs};
@@ -185,3 +191,142 @@
     assert_eq!((gate.waiting_len(), gate.running_len()), (0, 0));
     assert!(gate.summary().upstreams.iter().all(|u| u.running == 0 && u.kv_tokens == 0));
 }
+
+/// One call to a gate, for runs without a model of upstreams.
+#[derive(Clone, Copy, Debug)]
+enum Call {
+    Ask(u8, u32),
+    FirstToken(u64),
+    End(u64, Outcome),
+    Park(u64),
+    Fail(usize),
+    Declare(usize),
+    Tick(u64),
+}
+
+impl Arbitrary for Call {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let pick = u64::arbitrary(g);
+        let outcomes = [Outcome::Finished(20), Outcome::Cancelled, Outcome::Failed];
+        match u8::arbitrary(g) % 20 {
+            0..=7 => Self::Ask(pick as u8 % 3, 100 + (pick >> 8) as u32 % 20_000),
+            8..=10 => Self::FirstToken(pick),
+            11..=14 => Self::End(pick, *g.choose(&outcomes).unwrap()),
+            15..=16 => Self::Park(pick),
+            17 => Self::Fail(pick as usize % 4),
+            18 => Self::Declare(pick as usize % 4 + 1),
+            _ => Self::Tick(pick % 3_000),
+        }
+    }
+}
+
+/// What the callers of a gate know.
+#[derive(Default)]
+struct Callers {
+    asks: HashMap<Ticket, Ask>,
+    running: BTreeMap<Ticket, UpstreamName>,
+    waiting: BTreeSet<Ticket>,
+    to_park: Vec<Ticket>,
+    resumed: BTreeSet<Ticket>,
+}
+
+impl Callers {
+    /// Takes decisions; false when one contradicts what is known.
+    fn take(&mut self, decisions: Vec<Decision>) -> bool {
+        decisions.into_iter().all(|decision| match decision {
+            Decision::Granted(ticket, name) => {
+                self.running.insert(ticket, name);
+                self.waiting.remove(&ticket)
+            }
+            Decision::Refused(ticket, ..) => {
+                self.waiting.remove(&ticket) && !self.resumed.contains(&ticket)
+            }
+            Decision::Park(ticket) => {
+                self.to_park.push(ticket);
+                self.running.contains_key(&ticket) && self.asks[&ticket].parkable
+            }
+        })
+    }
+
+    fn agree(&self, gate: &Gate) -> bool {
+        gate.running_len() == self.running.len() && gate.waiting_len() == self.waiting.len()
+    }
+
+    fn nth_running(&self, pick: u64) -> Option<Ticket> {
+        let len = self.running.len().max(1);
+        self.running.keys().nth(pick as usize % len).copied()
+    }
+}
+
+fn apply(gate: &mut Gate, callers: &mut Callers, now: &mut Duration, call: Call) -> bool {
+    let decisions = match call {
+        Call::Ask(rank, prompt) => {
+            let ticket = Ticket(callers.asks.len() as u64);
+            let workspace = WORKSPACES[prompt as usize % 5];
+            let mut job = Job::new(0.0, rank, workspace, prompt, 50);
+            job.parkable = !prompt.is_multiple_of(3);
+            job.max_wait = 3.0;
+            callers.asks.insert(ticket, job.ask());
+            callers.waiting.insert(ticket);
+            gate.ask(*now, ticket, job.ask())
+        }
+        Call::FirstToken(pick) => match callers.nth_running(pick) {
+            Some(ticket) => gate.first_token(*now, ticket),
+            None => Vec::new(),
+        },
+        Call::End(pick, outcome) => {
+            let waiting = callers.waiting.first().copied().filter(|_| pick.is_multiple_of(5));
+            let Some(ticket) = waiting.or_else(|| callers.nth_running(pick)) else { return true };
+            callers.running.remove(&ticket);
+            callers.waiting.remove(&ticket);
+            gate.ended(*now, ticket, outcome)
+        }
+        Call::Park(pick) => {
+            let Some(ticket) = callers.to_park.pop() else { return true };
+            if callers.running.remove(&ticket).is_none() {
+                return true;
+            }
+            callers.waiting.insert(ticket);
+            callers.resumed.insert(ticket);
+            let resume = Some(Resume { kv_exported: pick.is_multiple_of(2), generated_tokens: 3 });
+            let again = Ask { resume, ..callers.asks[&ticket].clone() };
+            gate.ask(*now, ticket, again)
+        }
+        Call::Fail(upstream) => {
+            gate.upstream_failed(*now, &specs(4, 3)[upstream].name);
+            Vec::new()
+        }
+        Call::Declare(count) => {
+            gate.set_upstreams(specs(count, 3));
+            Vec::new()
+        }
+        Call::Tick(millis) => {
+            *now += Duration::from_millis(millis);
+            gate.tick(*now)
+        }
+    };
+    callers.take(decisions) && callers.agree(gate)
+}
+
+#[test]
+fn callers_and_gate_agree_through_crashes_and_changes_of_declaration() {
+    fn property(calls: Vec<Call>) -> bool {
+        let mut gate = Gate::new(specs(4, 3));
+        let mut callers = Callers::default();
+        let mut now = Duration::from_secs(1);
+        let agreed = calls.into_iter().all(|call| {
+            apply(&mut gate, &mut callers, &mut now, call)
+                && gate.summary().upstreams.iter().all(|upstream| upstream.running <= 3)
+        });
+        let left: Vec<_> = callers.running.keys().chain(&callers.waiting).copied().collect();
+        for ticket in left {
+            gate.release(now, ticket);
+        }
+        agreed
+            && gate.violations() == 0
+            && (gate.running_len(), gate.waiting_len(), gate.summary().parking) == (0, 0, 0)
+            && gate.summary().upstreams.iter().all(|u| u.running == 0 && u.kv_tokens == 0)
+    }
+    let mut quick = QuickCheck::new().rng(Gen::from_size_and_seed(2_000, 6)).tests(150);
+    quick.quickcheck(property as fn(Vec<Call>) -> bool);
+}
