Send membership changes only to those that lack them

Cause: each pair of members kept its own cursor, so each peer sent all introductions once more. Ruled out: a longer digest; it only sends the same faster. Conclusion: a checksum of the table in each digest lets equal peers skip their cursors.

--- a/lacewingspring_core/src/membership/config.rs
+++ b/lacewingspring_core/src/membership/config.rs
@@ -57,10 +57,19 @@
     pub replace: bool,
     /// Send a change again until the peer acknowledges it.
     pub acknowledge: bool,
+    /// Spare a peer the changes that it has heard from others.
+    pub compare_tables: bool,
 }
 
 impl Default for MembershipPolicy {
     fn default() -> Self {
-        Self { indirect: true, refute: true, freeze_grace: true, replace: true, acknowledge: true }
+        Self {
+            indirect: true,
+            refute: true,
+            freeze_grace: true,
+            replace: true,
+            acknowledge: true,
+            compare_tables: true,
+        }
     }
 }
--- a/lacewingspring_core/src/membership/digest.rs
+++ b/lacewingspring_core/src/membership/digest.rs
@@ -47,6 +47,23 @@
     }
 }
 
+/// Checksum of the members that are held to be live and of their statuses.
+///
+/// Of two members with equal checksums, neither has anything to tell the other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TableSum([u8; 8]);
+
+impl TableSum {
+    /// Adds a member, in any order.
+    pub(super) fn add(&mut self, status: &Status) {
+        let mut hasher = DefaultHasher::new();
+        (status.id, status.applied_generation, status.leaving).hash(&mut hasher);
+        let sum = u64::from_le_bytes(self.0) ^ hasher.finish();
+        self.0 = sum.to_le_bytes();
+    }
+}
+
 /// Heartbeat of a third member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
@@ -95,6 +112,8 @@
     pub sequence: u64,
     /// Number of the receiver's change up to which the sender has them all.
     pub acknowledged: u64,
+    /// Checksum of all that the sender holds to be live, with their statuses.
+    pub table: TableSum,
     /// Heartbeats of third members.
     pub beats: Vec<Beat>,
     /// Changed statuses.
--- a/lacewingspring_core/src/membership/judge.rs
+++ b/lacewingspring_core/src/membership/judge.rs
@@ -49,7 +49,7 @@
     }
 
     /// Returns the age at which a heartbeat makes its member suspect.
-    fn suspect_after(&self) -> Duration {
+    pub(super) fn suspect_after(&self) -> Duration {
         let own = &self.own_data_centre;
         let near = self.records.values().filter(|record| record.member.data_centre == *own);
         let near = near.filter(|record| record.down_since.is_none()).count();
@@ -89,6 +89,7 @@
         let down = record.suspect || silent || self.is_parted(now, record);
         if let Some(record) = self.records.get_mut(&id) {
             record.suspect |= silent;
+            self.holders_changed |= record.down_since.is_some() != down;
             record.down_since = down.then(|| record.down_since.unwrap_or(now));
         }
         if newly_suspect {
@@ -122,6 +123,8 @@
     /// Drops a run; one that was replaced never comes back.
     pub(super) fn retire(&mut self, now: Duration, id: MemberId, replaced: bool) {
         let Some(record) = self.records.remove(&id) else { return };
+        self.sequence += 1;
+        self.holders_changed = true;
         if self.names.get(&record.member.name) == Some(&id) {
             self.names.remove(&record.member.name);
         }
--- a/lacewingspring_core/src/membership/mod.rs
+++ b/lacewingspring_core/src/membership/mod.rs
@@ -18,7 +18,9 @@
 
 pub use self::{
     config::{MembershipConfig, MembershipPolicy},
-    digest::{Beat, Digest, Introduction, ListedInstance, Member, MemberId, Outgoing, Status},
+    digest::{
+        Beat, Digest, Introduction, ListedInstance, Member, MemberId, Outgoing, Status, TableSum,
+    },
     freeze::{Freeze, FreezeGuard},
     view::{CallerAddress, MemberState, View, ViewMember},
 };
@@ -26,6 +28,7 @@
 use self::{record::Record, rng::SmallRng, view::PastHolders};
 
 mod address;
+mod changes;
 mod config;
 mod digest;
 mod freeze;
@@ -75,6 +78,10 @@
     beats: u64,
     rounds: u32,
     urgent: bool,
+    /// Whether the set of possible role holders may have changed.
+    holders_changed: bool,
+    /// Checksum of the table, with the number of the change at which it was made.
+    table: Option<(u64, TableSum)>,
     last_active: Option<Duration>,
     revalidation: Option<Revalidation>,
     past: Vec<PastHolders>,
@@ -103,6 +110,8 @@
             beats: 0,
             rounds: 0,
             urgent: false,
+            holders_changed: true,
+            table: None,
             last_active: None,
             revalidation: None,
             past: Vec::new(),
@@ -127,6 +136,7 @@
     pub fn observe_list(&mut self, now: Duration, list: Vec<ListedInstance>) {
         self.listed = list.into_iter().map(|listed| (listed.name.clone(), listed)).collect();
         self.listed.remove(&self.own_name);
+        self.holders_changed = true;
         self.note_holders(now);
     }
 
@@ -176,10 +186,14 @@
         record.changed_source = source;
         record.urgent_until = now + URGENT_FOR;
         self.urgent = true;
+        self.holders_changed = true;
     }
 
     /// Keeps the set of possible role holders that a change has just replaced.
     fn note_holders(&mut self, now: Duration) {
+        if !std::mem::take(&mut self.holders_changed) {
+            return;
+        }
         let eligible = self.eligible_now();
         self.past.retain(|past| past.until > now);
         if eligible == self.eligible {
--- a/lacewingspring_core/src/membership/receive.rs
+++ b/lacewingspring_core/src/membership/receive.rs
@@ -28,6 +28,7 @@
         for status in &digest.statuses {
             self.learn_status(now, digest.from, *status);
         }
+        self.compare_tables(&digest);
         self.note_answer(&digest);
         self.note_holders(now);
         digest.answers.is_none().then(|| self.reply(now, digest.from, digest.heartbeat))
@@ -48,6 +49,17 @@
         exchange.wanted = digest.wanted.clone();
     }
 
+    /// Spares a peer that holds the same table the changes that led to it.
+    fn compare_tables(&mut self, digest: &Digest) {
+        if digest.table != self.table_sum() || !self.cfg.policy.compare_tables {
+            return;
+        }
+        let sequence = self.sequence;
+        let Some(sender) = self.records.get_mut(&digest.from) else { return };
+        sender.exchange.acknowledged = sequence;
+        sender.exchange.received = sender.exchange.received.max(digest.sequence);
+    }
+
     /// A reply to a digest sent after a freeze shows that the messages are no longer stale.
     fn note_answer(&mut self, digest: &Digest) {
         let Some(revalidation) = self.revalidation else { return };
@@ -101,6 +113,7 @@
         record.suspect = introduction.status.suspect;
         record.down_since = record.suspect.then_some(now);
         record.changed_source = Some(from);
+        self.holders_changed = true;
         self.unknown.remove(&id);
         self.retired.remove(&id);
         self.contacts.entry(record.member.data_centre.clone()).or_insert(now);
@@ -130,7 +143,7 @@
         record.beat = self.beats;
         record.beat_source = source;
         let recovered = std::mem::take(&mut record.suspect);
-        record.down_since = None;
+        self.holders_changed |= record.down_since.take().is_some();
         self.contacts.insert(record.member.data_centre.clone(), now);
         if recovered {
             self.note_change(now, id, None);
@@ -147,8 +160,7 @@
         if status.id == self.own {
             return self.learn_own_status(now, status);
         }
-        let verdict = self.takes_verdict(from, status.id);
-        self.learn_verdict(now, from, status, verdict);
+        self.learn_verdict(now, from, status);
         let Some(record) = self.records.get_mut(&status.id) else {
             return self.want(status.id, status.heartbeat);
         };
@@ -178,28 +190,40 @@
         }
     }
 
-    /// Whether a verdict counts: of another data centre's members only, and not in a small fleet.
-    fn takes_verdict(&self, from: MemberId, id: MemberId) -> bool {
-        let Some(record) = self.records.get(&id) else { return false };
+    fn learn_verdict(&mut self, now: Duration, from: MemberId, status: Status) {
+        let Some(record) = self.records.get(&status.id) else { return };
+        let (known, was_suspect) = (record.heartbeat, record.suspect);
+        let by_heartbeat = self.judges_by_heartbeat(record);
+        if status.suspect && status.heartbeat < known {
+            if !was_suspect && self.may_refute(from, record) {
+                self.note_change(now, status.id, None);
+            }
+        } else if status.suspect && by_heartbeat {
+            self.agree(now, from, status);
+        } else {
+            self.learn_beat(now, Some(from), status.id, status.heartbeat);
+            if status.suspect {
+                self.adopt_suspicion(now, from, status.id, was_suspect);
+            }
+        }
+    }
+
+    /// Whether to answer the suspicion of a member that this one knows to be up.
+    ///
+    /// Within a data centre, and in a small fleet, the member's heartbeats are answer enough.
+    fn may_refute(&self, from: MemberId, record: &Record) -> bool {
         let from = self.records.get(&from).map(|sender| &sender.member.data_centre);
-        let data_centre = &record.member.data_centre;
-        !self.flat && (*data_centre != self.own_data_centre || from != Some(data_centre))
+        let is_near = from == Some(&record.member.data_centre);
+        self.cfg.policy.refute && !self.flat && !is_near
     }
 
-    fn learn_verdict(&mut self, now: Duration, from: MemberId, status: Status, verdict: bool) {
+    /// Joins a peer in suspecting a member that this one hasn't heard from for a while either.
+    fn agree(&mut self, now: Duration, from: MemberId, status: Status) {
+        let limit = self.suspect_after() / 2;
         let Some(record) = self.records.get_mut(&status.id) else { return };
-        let (known, was_suspect) = (record.heartbeat, record.suspect);
-        if status.heartbeat > known {
-            self.learn_beat(now, Some(from), status.id, status.heartbeat);
-        }
-        if !verdict || !status.suspect {
-            return;
-        }
-        let own = self.records.get(&status.id).is_some_and(|r| self.judges_by_heartbeat(r));
-        if status.heartbeat >= known && !own {
-            self.adopt_suspicion(now, from, status.id, was_suspect);
-        } else if status.heartbeat < known && !was_suspect && self.cfg.policy.refute {
-            self.note_change(now, status.id, None);
+        record.heartbeat = status.heartbeat;
+        if !record.suspect && now.saturating_sub(record.advanced) >= limit {
+            self.adopt_suspicion(now, from, status.id, false);
         }
     }
 
@@ -207,6 +231,7 @@
         let Some(record) = self.records.get_mut(&id) else { return };
         record.suspect = true;
         record.down_since = Some(record.down_since.unwrap_or(now));
+        self.holders_changed = true;
         if !known {
             self.note_change(now, id, Some(from));
         }
--- a/lacewingspring_core/src/membership/round.rs
+++ b/lacewingspring_core/src/membership/round.rs
@@ -4,7 +4,7 @@
 
 use crate::{names::DataCentreName, rendezvous};
 
-use super::{Beat, Digest, Introduction, MemberId, Membership, Outgoing, Status, record::Record};
+use super::{Beat, Digest, MemberId, Membership, Outgoing, TableSum, record::Record};
 
 /// Members of each data centre that exchange digests with others.
 const RELAYS: usize = 3;
@@ -33,20 +33,6 @@
 /// Heartbeats in a digest.
 const MAX_BEATS: usize = 24;
 
-/// Changes in a digest.
-const MAX_CHANGES: usize = 16;
-
-/// Urgent changes sent ahead of their turn in a digest.
-const MAX_URGENT: usize = 4;
-
-/// Changes in a digest, and the numbers between which they are complete.
-struct Changes {
-    since: u64,
-    sequence: u64,
-    statuses: Vec<Status>,
-    introductions: Vec<Introduction>,
-}
-
 /// Whom to send a digest.
 #[derive(Clone, Copy)]
 struct Target {
@@ -138,7 +124,7 @@
         centres.iter().map(|relays| relays[self.rng.below(relays.len())]).collect()
     }
 
-    fn is_gone(&self, now: Duration, record: &Record) -> bool {
+    pub(super) fn is_gone(&self, now: Duration, record: &Record) -> bool {
         record.down_since.is_some_and(|since| now.saturating_sub(since) >= self.cfg.gone_after)
     }
 
@@ -179,6 +165,7 @@
             since: changes.since,
             sequence: changes.sequence,
             acknowledged: received,
+            table: self.table_sum(),
             beats,
             statuses: changes.statuses,
             introductions: changes.introductions,
@@ -186,6 +173,20 @@
         }
     }
 
+    /// Returns the checksum of the members that are not suspect.
+    pub(super) fn table_sum(&mut self) -> TableSum {
+        match self.table {
+            Some((sequence, sum)) if sequence == self.sequence => return sum,
+            _ => {}
+        }
+        let mut sum = TableSum::default();
+        for record in self.records.values().filter(|record| !record.suspect) {
+            sum.add(&record.status());
+        }
+        self.table = Some((self.sequence, sum));
+        sum
+    }
+
     /// The freshest heartbeats that the peer may not have.
     fn beats_for(&mut self, to: Option<MemberId>) -> Vec<Beat> {
         let Some(peer) = to.and_then(|id| self.records.get(&id)) else { return Vec::new() };
@@ -229,47 +230,6 @@
         kept.extend(latest.into_values());
         kept
     }
-
-    /// The oldest changes that the peer hasn't acknowledged, and urgent ones ahead of their turn.
-    fn changes_for(&mut self, now: Duration, to: Option<MemberId>) -> Changes {
-        let exchange = to.and_then(|id| self.records.get_mut(&id)).map(|peer| &mut peer.exchange);
-        let since = exchange.as_ref().map_or(0, |exchange| exchange.acknowledged);
-        let wanted = exchange.map(|ex| std::mem::take(&mut ex.wanted)).unwrap_or_default();
-        let is_news = |record: &&Record| {
-            record.changed > since && (to.is_none() || record.changed_source != to)
-        };
-        let mut news: Vec<&Record> = self.records.values().filter(is_news).collect();
-        news.retain(|record| !self.is_gone(now, record));
-        news.sort_by_key(|record| record.changed);
-        let later = news.split_off(news.len().min(MAX_CHANGES));
-        let complete = later.is_empty();
-        let sequence = match news.last() {
-            Some(last) if !complete => last.changed,
-            _ => self.sequence,
-        };
-        let urgent = later.into_iter().rev().filter(|record| record.urgent_until > now);
-        news.extend(urgent.take(MAX_URGENT));
-        let asked: Vec<&Record> = wanted.iter().filter_map(|id| self.records.get(id)).collect();
-        let is_new = |record: &&&Record| record.introduced > since;
-        let statuses = news.iter().filter(|record| !is_new(record)).map(|r| r.status());
-        let introduced = news.iter().filter(is_new).chain(&asked).map(|r| r.introduction());
-        let changes = Changes {
-            since,
-            sequence,
-            statuses: statuses.collect(),
-            introductions: introduced.collect(),
-        };
-        if !self.cfg.policy.acknowledge {
-            self.assume_acknowledged(to, sequence);
-        }
-        changes
-    }
-
-    fn assume_acknowledged(&mut self, to: Option<MemberId>, sequence: u64) {
-        if let Some(peer) = to.and_then(|id| self.records.get_mut(&id)) {
-            peer.exchange.acknowledged = sequence;
-        }
-    }
 }
 
 fn target_of(record: &Record) -> Target {
