--- a/lacewingspring_standins/src/load/deploy.rs
+++ b/lacewingspring_standins/src/load/deploy.rs
@@ -142,9 +142,30 @@
 async fn ready(deployment: &Deployment, instance: SocketAddr) -> bool {
     let told = control(instance, Send::new("GET", "/v1/addresses")).await.unwrap_or_default();
     let seen = told["addresses"].as_array().map_or(0, Vec::len);
-    let Some(probe) = probe(deployment, "ready") else { return false };
-    seen == deployment.instances
-        && open(instance, &probe).await.is_ok_and(|answer| answer.status == 200)
+    if seen != deployment.instances {
+        return false;
+    }
+    let probes = [probe(deployment, "ready"), plain_probe(deployment, instance)];
+    for probe in probes.into_iter().flatten() {
+        let answer = open(instance, &probe).await;
+        if !answer.is_ok_and(|answer| answer.status == 200) {
+            return false;
+        }
+    }
+    true
+}
+
+/// Makes a plain call through an instance, so that the gates before plain servers are held too.
+fn plain_probe(deployment: &Deployment, instance: SocketAddr) -> Option<Send> {
+    let mut classes = deployment.classes.iter();
+    let class = classes.find(|class| matches!(class.body, ClassBody::Plain))?;
+    let token = &deployment.workspaces.first()?.token;
+    let headers = vec![
+        ("authorization", format!("Bearer {token}")),
+        ("idempotency-key", format!("ready-{instance}")),
+    ];
+    let body = json!({ "seat": format!("ready-{instance}"), "client": "ready" }).to_string();
+    Some(Send { method: "POST", path: format!("/services/{}/act", class.name), headers, body })
 }
 
 fn resources(deployment: &Deployment) -> Vec<Value> {
