--- a/lacewingspring/src/entry/claims.rs
+++ b/lacewingspring/src/entry/claims.rs
@@ -8,12 +8,13 @@
 use lacewingspring_core::{
     claim::{ClaimRecord, ClaimState, ClaimVerdict, StoredAnswer, judge},
     error::ErrorKind,
-    names::{InstanceName, RequestKey},
+    key_index::KeyId,
+    names::{InstanceName, RequestKey, UpstreamName},
 };
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use super::{Refusal, Work, run::RunId};
+use super::{Refusal, Work};
 use crate::{
     clock,
     platform::key_value::{Compare, KeyValue, KeyValueEntry, KeyValueError, Put, Swap},
@@ -58,6 +59,8 @@
         incarnation: u64,
         /// Key under which it runs.
         key: RequestKey,
+        /// Upstream of an idempotent run.
+        upstream: Option<UpstreamName>,
     },
 }
 
@@ -122,7 +125,30 @@
             act_key: work.act().map(|act| self.act_key(work, &act)),
             record: self.record(work),
         };
-        let deadline = clock::now() + CLAIM_TIMEOUT;
+        self.settle_claim(work, claim, clock::now() + CLAIM_TIMEOUT).await
+    }
+
+    /// Creates the claim of an idempotent request, when the views of the members may differ.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the service can't settle the claim in time; the claim is then given up.
+    pub async fn claim_run(
+        &self,
+        work: &Work,
+        upstream: &UpstreamName,
+    ) -> Result<ClaimOutcome, Refusal> {
+        let record = ClaimRecord { upstream: Some(upstream.clone()), ..self.record(work) };
+        let claim = WonClaim { key: self.key(&work.id), act_key: None, record };
+        self.settle_claim(work, claim, clock::now() + CLAIM_TIMEOUT).await
+    }
+
+    async fn settle_claim(
+        &self,
+        work: &Work,
+        claim: WonClaim,
+        deadline: Duration,
+    ) -> Result<ClaimOutcome, Refusal> {
         let mut backoff = FIRST_BACKOFF;
         loop {
             match self.create(&claim, &work.id).await {
@@ -173,13 +199,14 @@
     /// # Errors
     ///
     /// Fails when the service can't be reached.
-    pub async fn settle(&self, id: &RunId) -> Result<ClaimRecord, KeyValueError> {
+    pub async fn settle(&self, id: &KeyId) -> Result<ClaimRecord, KeyValueError> {
         let key = self.key(id);
         let void = ClaimRecord {
             nonce: self.nonce(),
             instance: self.instance.clone(),
             incarnation: self.incarnation,
             fingerprint: String::new(),
+            upstream: None,
             state: ClaimState::Void,
         };
         let value = serde_json::to_vec(&void).unwrap_or_default();
@@ -194,7 +221,7 @@
         }
     }
 
-    async fn create(&self, claim: &WonClaim, id: &RunId) -> Result<Swap, KeyValueError> {
+    async fn create(&self, claim: &WonClaim, id: &KeyId) -> Result<Swap, KeyValueError> {
         let value = serde_json::to_vec(&claim.record).unwrap_or_default();
         let mut compares = vec![Compare::Absent(claim.key.clone())];
         let mut puts = vec![Put::new(claim.key.clone(), value)];
@@ -226,7 +253,7 @@
         let act: ActRecord = act
             .and_then(|entry| serde_json::from_slice(&entry.value).ok())
             .ok_or(Refusal::last(ErrorKind::Internal))?;
-        let first = RunId { workspace: work.id.workspace.clone(), key: act.key.clone() };
+        let first = KeyId { workspace: work.id.workspace.clone(), key: act.key.clone() };
         let entry = self.store.get(&self.key(&first)).await.map_err(|_| unavailable)?;
         let entry = entry.ok_or(unavailable)?;
         let stored = parse(&entry).ok_or(Refusal::last(ErrorKind::Internal))?;
@@ -247,9 +274,12 @@
             ClaimVerdict::Conflict => ClaimOutcome::Conflict,
             ClaimVerdict::Answered(answer) => ClaimOutcome::Answered(answer),
             ClaimVerdict::Voided => ClaimOutcome::Voided,
-            ClaimVerdict::Pending(instance, incarnation) => {
-                ClaimOutcome::Pending { instance, incarnation, key: key.clone() }
-            }
+            ClaimVerdict::Pending(record) => ClaimOutcome::Pending {
+                instance: record.instance,
+                incarnation: record.incarnation,
+                key: key.clone(),
+                upstream: record.upstream,
+            },
         })
     }
 
@@ -258,7 +288,8 @@
             nonce: self.nonce(),
             instance: self.instance.clone(),
             incarnation: self.incarnation,
-            fingerprint: work.fingerprint.clone(),
+            fingerprint: work.fingerprint.to_string(),
+            upstream: None,
             state: ClaimState::Claimed,
         }
     }
@@ -267,7 +298,7 @@
         self.next_nonce.fetch_add(1, Ordering::Relaxed)
     }
 
-    fn key(&self, id: &RunId) -> String {
+    fn key(&self, id: &KeyId) -> String {
         format!("{}claims/{}/{}", self.prefix, id.workspace, id.key)
     }
 
--- a/lacewingspring_core/src/gate/fleet.rs
+++ b/lacewingspring_core/src/gate/fleet.rs
@@ -1,11 +1,16 @@
 //! Upstreams of a gate and the choice among them.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::HashMap,
+    ops::{Deref, DerefMut},
+    time::Duration,
+};
 
 use crate::{
     gate::{
         policy::GatePolicy,
-        upstream::{Need, Opening, Room, Upstream},
+        upstream::{Need, Room, Upstream},
+        view::{Opening, View},
         work::Ask,
     },
     names::UpstreamName,
@@ -56,14 +61,42 @@
     LongPrefill,
 }
 
+/// What all upstreams together can take.
+#[derive(Debug, Default)]
+struct Open {
+    slots: u32,
+    probes: u32,
+}
+
+impl Open {
+    fn add(&mut self, view: &View) {
+        match view.opening {
+            Opening::Closed => {}
+            Opening::Slots(slots) => self.slots += slots,
+            Opening::Probe(_) => self.probes += 1,
+        }
+    }
+
+    fn subtract(&mut self, view: &View) {
+        match view.opening {
+            Opening::Closed => {}
+            Opening::Slots(slots) => self.slots -= slots,
+            Opening::Probe(_) => self.probes -= 1,
+        }
+    }
+}
+
 /// Upstreams of a gate.
 #[derive(Debug, Default)]
 pub(super) struct Fleet {
-    /// The upstreams by number.
-    pub upstreams: Vec<Upstream>,
+    upstreams: Vec<Upstream>,
+    views: Vec<View>,
+    open: Open,
+    turned: Vec<usize>,
     numbers: HashMap<UpstreamName, usize>,
     declared_slots: u32,
     draining_slots: u32,
+    long_limit: u32,
     prefill_seconds_per_token: f64,
     decode_seconds_per_token: f64,
 }
@@ -77,7 +110,10 @@
         let mut fleet = Self::default();
         for spec in specs {
             fleet.numbers.insert(spec.name.clone(), fleet.upstreams.len());
-            fleet.upstreams.push(Upstream::new(spec));
+            let upstream = Upstream::new(spec);
+            fleet.open.add(&upstream.view());
+            fleet.views.push(upstream.view());
+            fleet.upstreams.push(upstream);
         }
         fleet.refresh();
         fleet
@@ -88,10 +124,9 @@
         self.numbers.get(name).copied()
     }
 
-    /// Returns an upstream by name.
-    pub fn get_mut(&mut self, name: &UpstreamName) -> Option<&mut Upstream> {
-        let number = self.number(name)?;
-        self.upstreams.get_mut(number)
+    /// Returns the upstreams by number.
+    pub fn upstreams(&self) -> &[Upstream] {
+        &self.upstreams
     }
 
     /// Returns an upstream by name.
@@ -99,11 +134,48 @@
         self.upstreams.get(self.number(name)?)
     }
 
+    /// Returns an upstream by name, to be changed.
+    pub fn get_mut(&mut self, name: &UpstreamName) -> Option<Change<'_>> {
+        let number = self.number(name)?;
+        Some(self.change(number))
+    }
+
+    /// Returns an upstream by number, to be changed.
+    pub fn change(&mut self, number: usize) -> Change<'_> {
+        Change {
+            number,
+            upstream: &mut self.upstreams[number],
+            view: &mut self.views[number],
+            open: &mut self.open,
+            turned: &mut self.turned,
+        }
+    }
+
+    /// Changes every upstream.
+    pub fn change_all<F>(&mut self, mut change: F)
+    where
+        F: FnMut(&mut Upstream),
+    {
+        for number in 0..self.upstreams.len() {
+            change(&mut self.change(number));
+        }
+    }
+
+    /// Takes the upstreams whose health changed since the last call.
+    pub fn take_turned(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.turned)
+    }
+
     /// Returns the slots of the upstreams that are not leaving.
     pub fn declared_slots(&self) -> u32 {
         self.declared_slots
     }
 
+    /// Returns the long prefills that can start at once beside short work.
+    pub fn long_limit(&self) -> u32 {
+        self.long_limit
+    }
+
     /// Returns the slots that drain the queue now.
     pub fn draining_slots(&self) -> u32 {
         self.draining_slots
@@ -114,6 +186,8 @@
         let staying = || self.upstreams.iter().filter(|upstream| !upstream.spec.leaving);
         self.declared_slots = staying().map(|upstream| upstream.spec.slots).sum();
         self.draining_slots = staying().map(Upstream::draining_slots).sum();
+        let healthy = staying().filter(|upstream| upstream.is_healthy()).count();
+        self.long_limit = long_limit(healthy as u32);
         let mut slots = 0.0;
         let mut prefill = 0.0;
         let mut decode = 0.0;
@@ -147,9 +221,7 @@
 
     /// Opens or closes all upstreams for grants beyond what is known to run.
     pub fn set_room(&mut self, room: Room) {
-        for upstream in &mut self.upstreams {
-            upstream.room = room;
-        }
+        self.change_all(|upstream| upstream.room = room);
     }
 
     /// Chooses the upstream with the least expected seconds, or a probe that is due.
@@ -161,20 +233,69 @@
         limits: Limits,
         policy: GatePolicy,
     ) -> Result<Choice, Blocked> {
+        if !need.long && self.open.probes == 0 {
+            // Most asks under load end here, without a look at each upstream.
+            if self.open.slots == 0 {
+                return Err(Blocked::Slots);
+            }
+            if self.open.slots <= limits.kept {
+                return Err(Blocked::Reserve);
+            }
+        }
         let mut scan = Scan::default();
-        for (number, upstream) in self.upstreams.iter().enumerate() {
-            let cached_tokens = cached.get(number).copied().unwrap_or(0).min(need.prefill_tokens);
-            scan.visit(now, Candidate { number, upstream, cached_tokens }, need, limits, policy);
+        for (number, view) in self.views.iter().enumerate() {
+            let cached_tokens = cached.get(number).copied().unwrap_or(0);
+            scan.visit(now, Candidate { number, view, cached_tokens }, need, limits, policy);
         }
         scan.finish(need, limits)
     }
 }
 
+/// Returns the upstreams that long prefills may use at once.
+fn long_limit(usable: u32) -> u32 {
+    ((f64::from(usable) * LONG_PREFILL_SHARE) as u32).max(1)
+}
+
+/// An upstream that is being changed; its view follows when the change ends.
+pub(super) struct Change<'a> {
+    number: usize,
+    upstream: &'a mut Upstream,
+    view: &'a mut View,
+    open: &'a mut Open,
+    turned: &'a mut Vec<usize>,
+}
+
+impl Deref for Change<'_> {
+    type Target = Upstream;
+
+    fn deref(&self) -> &Upstream {
+        self.upstream
+    }
+}
+
+impl DerefMut for Change<'_> {
+    fn deref_mut(&mut self) -> &mut Upstream {
+        self.upstream
+    }
+}
+
+impl Drop for Change<'_> {
+    fn drop(&mut self) {
+        let was_healthy = self.view.is_healthy;
+        self.open.subtract(self.view);
+        *self.view = self.upstream.view();
+        self.open.add(self.view);
+        if was_healthy != self.view.is_healthy {
+            self.turned.push(self.number);
+        }
+    }
+}
+
 /// An upstream under consideration.
 #[derive(Clone, Copy)]
 struct Candidate<'a> {
     number: usize,
-    upstream: &'a Upstream,
+    view: &'a View,
     cached_tokens: u32,
 }
 
@@ -199,27 +320,25 @@
         limits: Limits,
         policy: GatePolicy,
     ) {
-        let Candidate { number, upstream, cached_tokens } = candidate;
-        let has_long = need.long && upstream.has_long_prefill(need.rank);
-        self.usable += u32::from(upstream.is_healthy());
+        let Candidate { number, view, cached_tokens } = candidate;
+        let has_long = need.long && view.has_long_prefill(need.rank);
+        self.usable += u32::from(view.is_healthy);
         self.with_long += u32::from(has_long);
-        let opening = upstream.opening(now);
-        if let Opening::Slots(slots) = opening {
-            self.free += slots;
+        match view.opening {
+            Opening::Slots(slots) => self.free += slots,
+            Opening::Probe(due) if now >= due => {}
+            _ => return,
         }
-        if opening == Opening::Closed {
-            return;
-        }
-        if policy.kv_count && !upstream.fits(now, need.kv_tokens) {
+        if policy.kv_count && !view.fits(need.kv_tokens) {
             self.short_of_memory = true;
             return;
         }
         if has_long && limits.bound_long {
             return;
         }
-        let seconds = upstream.seconds(need, cached_tokens);
+        let seconds = view.seconds(need, cached_tokens);
         let choice = Choice { upstream: number, seconds, cached_tokens };
-        match opening {
+        match view.opening {
             Opening::Probe(due) => {
                 let at_once = limits.probe_first || Upstream::probe_is_overdue(now, due);
                 if at_once && !need.long {
@@ -239,16 +358,16 @@
         if self.usable == 0 {
             return self.last_probe.ok_or(Blocked::Slots);
         }
+        // The bound goes before the slots: parking frees a slot, which would not help.
+        if need.long && limits.bound_long && self.with_long >= long_limit(self.usable) {
+            return Err(Blocked::LongPrefill);
+        }
         if self.free == 0 {
             return Err(Blocked::Slots);
         }
         if self.free <= limits.kept {
             return Err(Blocked::Reserve);
         }
-        let most = (f64::from(self.usable) * LONG_PREFILL_SHARE).max(1.0);
-        if need.long && limits.bound_long && f64::from(self.with_long + 1) > most {
-            return Err(Blocked::LongPrefill);
-        }
         let other = if self.short_of_memory { Blocked::Memory } else { Blocked::LongPrefill };
         self.best.ok_or(other)
     }
