Judge a straggler against its peers, with time for batch steps and round trips

Short prompts are declared to take 3 ms and take 30: they wait for a step of the batch and for the network; and a loaded batch is slower for all. Conclusion: the pool's lower median score is its pace, and only what is beyond it counts.

--- a/lacewingspring_core/src/gate/fleet.rs
+++ b/lacewingspring_core/src/gate/fleet.rs
@@ -164,6 +164,19 @@
         Some(self.change(number))
     }
 
+    /// Tells each upstream how slow the lower half of the pool is.
+    fn compare_peers(&mut self) {
+        let healthy = self.upstreams.iter().filter(|upstream| upstream.is_healthy());
+        let mut scores: Vec<f64> = healthy.map(Upstream::own_score).collect();
+        let pace = match scores.len() {
+            0 | 1 => 1.0,
+            len => *scores.select_nth_unstable_by((len - 1) / 2, f64::total_cmp).1,
+        };
+        for upstream in &mut self.upstreams {
+            upstream.set_pace(pace);
+        }
+    }
+
     /// Returns an upstream by number, to be changed.
     pub fn change(&mut self, number: usize) -> Change<'_> {
         Change {
@@ -207,6 +220,7 @@
 
     /// Works out the sums again after a change of declaration, health or speed.
     pub fn refresh(&mut self) {
+        self.compare_peers();
         let staying = || self.upstreams.iter().filter(|upstream| !upstream.spec.leaving);
         self.declared_slots = staying().map(|upstream| upstream.spec.slots).sum();
         self.draining_slots = staying().map(Upstream::draining_slots).sum();
--- a/lacewingspring_core/src/gate/speed.rs
+++ b/lacewingspring_core/src/gate/speed.rs
@@ -10,7 +10,7 @@
 const NORMAL_WEIGHT: f64 = 0.05;
 
 /// Declared seconds at which a sample counts half; shorter ones say more of the network.
-const HALF_WEIGHT_SECONDS: f64 = 0.05;
+const HALF_WEIGHT_SECONDS: f64 = 0.2;
 
 /// Bounds of the normal ratio; an upstream beyond them is judged against its declaration.
 const NORMAL_BOUNDS: (f64, f64) = (0.25, 3.0);
--- a/lacewingspring_core/src/gate/upstream.rs
+++ b/lacewingspring_core/src/gate/upstream.rs
@@ -14,6 +14,12 @@
 /// Growth of the time between tokens from an idle to a full batch.
 const BATCH_SLOPE: f64 = 0.5;
 
+/// Seconds from a grant until the engine has the request, and from the first token to the gate.
+const ROUND_TRIP_SECONDS: f64 = 0.02;
+
+/// Prompt tokens that an engine computes between two steps of its batch.
+const STEP_TOKENS: u32 = 512;
+
 /// Score from which an upstream gets single probes only.
 const PROBATION_SCORE: f64 = 4.0;
 
@@ -134,6 +140,7 @@
     health: Health,
     probe: Option<Ticket>,
     report: Option<Report>,
+    pace: f64,
 }
 
 impl Upstream {
@@ -153,6 +160,7 @@
             health: Health::Healthy,
             probe: None,
             report: None,
+            pace: 1.0,
         }
     }
 
@@ -208,11 +216,22 @@
         self.health == Health::Healthy && !self.spec.leaving
     }
 
-    /// Returns how many times slower than normal the upstream is.
+    /// Returns how many times slower than normal, and than its peers, the upstream is.
     pub fn score(&self) -> f64 {
+        self.own_score() / self.pace
+    }
+
+    /// Returns how many times slower than its own normal the upstream is.
+    pub fn own_score(&self) -> f64 {
         self.prefill.score().max(self.decode.score())
     }
 
+    /// Sets the slowness that all upstreams of the pool share: it comes from the load or from what
+    /// was declared, and tells no straggler.
+    pub fn set_pace(&mut self, pace: f64) {
+        self.pace = pace.max(1.0);
+    }
+
     /// Returns the declared seconds of a prefill.
     pub fn declared_prefill(&self, tokens: u32) -> f64 {
         f64::from(tokens) / self.spec.prefill_tokens_per_second.max(1.0)
@@ -228,6 +247,9 @@
     pub fn start(&mut self, need: &Need, cached_tokens: u32) -> Load {
         let tokens = need.prefill_tokens.saturating_sub(cached_tokens);
         let prefill_seconds = self.declared_prefill(tokens);
+        // A prefill shares its steps with the batch that runs.
+        let steps = f64::from(tokens / STEP_TOKENS + 1);
+        let step_seconds = self.declared_decode(self.running) * steps;
         self.running += 1;
         if let Room::Reported(room) = &mut self.room {
             *room = room.saturating_sub(1);
@@ -243,7 +265,7 @@
             rank: need.rank,
             kv_tokens,
             prefill_seconds,
-            first_token_seconds: self.prefill_backlog,
+            first_token_seconds: self.prefill_backlog + step_seconds + ROUND_TRIP_SECONDS,
             long: need.long,
         }
     }
@@ -282,6 +304,7 @@
         self.health = earlier.health;
         self.probe = earlier.probe;
         self.report = earlier.report;
+        self.pace = earlier.pace;
         self.room = earlier.room;
         if earlier.slots < earlier.spec.slots {
             self.set_share();
