Let a tier's long prefills press together; park for memory at once

Cause: requests whose deadline passed in the queue were not held against the promise that nothing is shed while lower work runs. A long prefill that pressed could stand behind one that did not, and one blocked by memory was passed while lower work held that memory. Failed try: none counted before; the queue's bound alone was asserted.

--- a/lacewingspring_core/src/gate/mod.rs
+++ b/lacewingspring_core/src/gate/mod.rs
@@ -73,6 +73,7 @@
     short_work_at: Option<Duration>,
     ticked_at: Option<Duration>,
     violations: u64,
+    late_beside_lower: u64,
 }
 
 impl Gate {
@@ -218,8 +219,9 @@
         let sequence = self.parked_sequences.remove(&ticket).unwrap_or(self.next_sequence);
         self.next_sequence += 1;
         let deadline = now + ask.max_wait;
+        let press_at = now + ask.max_wait.mul_f64(LONG_PATIENCE);
         let place = Place { fresh, sequence };
-        self.queue.push(Waiting { ticket, ask, place, deadline, seconds, long });
+        self.queue.push(Waiting { ticket, ask, place, deadline, seconds, long, press_at });
     }
 
     /// Brings the queue and the upstreams in order after any change.
@@ -271,13 +273,15 @@
         if !head.long || blocked == Blocked::LongPrefill {
             return head.long;
         }
-        self.queue.get(head.ticket).is_some_and(|waiting| !self.is_pressing(now, waiting))
+        // Lower work that could be parked holds the memory; it is parked instead.
+        let lower = self.policy.parking && self.parks.below(head.rank, false).is_some();
+        !lower && !self.is_pressing(now, head.rank)
     }
 
     /// Returns the bound on a long prefill; it widens the longer the request waits.
     fn long_bound(&self, now: Duration, waiting: &Waiting, head: &Head) -> LongBound {
         let bounded = self.policy.prefill_bound && head.long && !head.overdue;
-        if !bounded || !self.is_mixed(now, head.rank) || self.is_pressing(now, waiting) {
+        if !bounded || !self.is_mixed(now, head.rank) || self.is_pressing(now, head.rank) {
             return LongBound::Unbounded;
         }
         let waited = (now + waiting.ask.max_wait).saturating_sub(waiting.deadline).as_secs_f64();
@@ -288,12 +292,10 @@
         }
     }
 
-    /// Returns whether a long prefill can yield to short work no more, as half of its longest
-    /// wait is over or the queue is half full. Else lower work would run while it is shed.
-    fn is_pressing(&self, now: Duration, waiting: &Waiting) -> bool {
-        let left = waiting.deadline.saturating_sub(now);
-        left <= waiting.ask.max_wait.mul_f64(1.0 - LONG_PATIENCE)
-            || self.queue.fresh_len() > self.queue_bound() / 2
+    /// Returns whether long prefills of a tier yield to short work no more, as half of the longest
+    /// wait of one is over or the queue is half full. Else lower work would run while one is shed.
+    fn is_pressing(&self, now: Duration, rank: u8) -> bool {
+        self.queue.is_pressing(now, rank) || self.queue.fresh_len() > self.queue_bound() / 2
     }
 
     fn place(&mut self, now: Duration, head: &Head, passed: Option<u8>) -> Result<Choice, Blocked> {
--- a/lacewingspring_core/src/gate/queue.rs
+++ b/lacewingspring_core/src/gate/queue.rs
@@ -35,6 +35,8 @@
     pub seconds: f64,
     /// Whether its prefill is long.
     pub long: bool,
+    /// Time from which its long prefill yields to short work no more.
+    pub press_at: Duration,
 }
 
 /// Line of a workspace; long prefills stand in a line of their own, so that short work never
@@ -143,6 +145,7 @@
     fresh: usize,
     short: usize,
     long: usize,
+    press_times: BTreeSet<(Duration, Ticket)>,
 }
 
 impl Tier {
@@ -228,7 +231,10 @@
         tier.fresh += usize::from(waiting.place.fresh);
         match line {
             Line::Short => tier.short += 1,
-            Line::Long => tier.long += 1,
+            Line::Long => {
+                tier.long += 1;
+                tier.press_times.insert((waiting.press_at, waiting.ticket));
+            }
         }
         if !tier.flows.contains_key(&waiting.ask.workspace) {
             tier.flows.insert(waiting.ask.workspace.clone(), Flow::new(waiting.ask.weight));
@@ -306,7 +312,10 @@
         tier.fresh -= usize::from(waiting.place.fresh);
         match position.line {
             Line::Short => tier.short -= 1,
-            Line::Long => tier.long -= 1,
+            Line::Long => {
+                tier.long -= 1;
+                tier.press_times.remove(&(waiting.press_at, waiting.ticket));
+            }
         }
         if tier.is_empty() {
             tier.busy_period += 1;
@@ -405,6 +414,12 @@
         counts.sum()
     }
 
+    /// Returns whether a long prefill of a tier yields to short work no more.
+    pub fn is_pressing(&self, now: Duration, rank: u8) -> bool {
+        let first = self.tiers.get(&rank).and_then(|tier| tier.press_times.first());
+        first.is_some_and(|(press_at, _)| *press_at <= now)
+    }
+
     /// Returns the number of long prefills that wait above a rank.
     pub fn long_above(&self, rank: u8) -> usize {
         self.tiers.range(..rank).map(|(_, tier)| tier.long).sum()
--- a/lacewingspring_core/src/gate/shedding.rs
+++ b/lacewingspring_core/src/gate/shedding.rs
@@ -162,6 +162,9 @@
             let guarded = self.policy.eviction_order && self.policy.parking;
             debug_assert!(!guarded, "a request is refused while lower work waits or runs");
         }
+        if kind == ErrorKind::DeadlineExceeded && self.parks.below(rank, false).is_some() {
+            self.late_beside_lower += 1;
+        }
         let slots = f64::from(self.fleet.draining_slots());
         let after = self.retries.refuse(now, ahead, seconds, slots);
         let after = if self.policy.retry_spread { spread(after, ticket) } else { after };
--- a/lacewingspring_core/src/gate/summary.rs
+++ b/lacewingspring_core/src/gate/summary.rs
@@ -22,6 +22,8 @@
     pub parking: usize,
     /// Requests refused as overloaded while lower work waited or ran.
     pub violations: u64,
+    /// Requests whose deadline passed in the queue while lower work ran that could be parked.
+    pub late_beside_lower: u64,
 }
 
 /// Requests of one tier.
@@ -44,6 +46,8 @@
     pub running: u32,
     /// KV tokens counted.
     pub kv_tokens: u64,
+    /// Long prefills in flight.
+    pub long_prefills: u32,
     /// How many times slower than normal it is.
     pub score: f64,
     /// Whether it takes work beyond probes.
@@ -66,6 +70,7 @@
             name: upstream.spec.name.clone(),
             running: upstream.running,
             kv_tokens: upstream.kv_used(),
+            long_prefills: upstream.long_prefills(),
             score: upstream.score(),
             healthy: upstream.is_healthy(),
         });
@@ -77,6 +82,7 @@
             reserved_slots: self.reserve.slots(),
             parking: self.parks.ordered_len(),
             violations: self.violations,
+            late_beside_lower: self.late_beside_lower,
         }
     }
 
--- a/lacewingspring_core/src/gate/upstream.rs
+++ b/lacewingspring_core/src/gate/upstream.rs
@@ -427,6 +427,11 @@
         self.report = self.report.filter(|report| now < report.at + REPORT_LIFETIME);
     }
 
+    /// Returns the long prefills in flight.
+    pub fn long_prefills(&self) -> u32 {
+        self.long_prefills.values().sum()
+    }
+
     /// Returns the KV tokens counted.
     pub fn kv_used(&self) -> u64 {
         self.kv_used
--- a/lacewingspring_core/tests/gate_policy.rs
+++ b/lacewingspring_core/tests/gate_policy.rs
@@ -250,3 +250,19 @@
     let granted = gate.ended(late, Ticket(3), Outcome::Finished(50));
     assert_eq!(granted, vec![Decision::Granted(Ticket(1), name.into())]);
 }
+
+#[test]
+fn parked_work_keeps_its_original_order() {
+    let mut gate = Gate::with_policy(GatePolicy { reserve: false, ..ON }, specs(1, 2));
+    let now = Duration::from_secs(1);
+    let ask = |rank| Job::new(0.0, rank, "south", 100, 50).ask();
+    for (id, rank) in [(1, 2), (2, 2), (3, 0), (4, 0)] {
+        gate.ask(now, Ticket(id), ask(rank));
+    }
+    let resume = Some(Resume { kv_exported: true, generated_tokens: 5 });
+    for id in [2, 1] {
+        gate.ask(now, Ticket(id), Ask { resume, ..ask(2) });
+    }
+    let granted = gate.ended(now, Ticket(3), Outcome::Finished(50));
+    assert_eq!(granted, vec![Decision::Granted(Ticket(1), "up000".into())]);
+}
