Let a lower tier's pressing prefill widen the bound above it

Cause: a higher tier's long prefill that waited for its bound hid the long prefills of lower tiers, which expired while work below them ran. Ruled out: passing over long prefills tier by tier (the lower one would go first).

--- a/lacewingspring_core/src/gate/mod.rs
+++ b/lacewingspring_core/src/gate/mod.rs
@@ -294,8 +294,12 @@
 
     /// Returns whether long prefills of a tier yield to short work no more, as half of the longest
     /// wait of one is over or the queue is half full. Else lower work would run while one is shed.
+    ///
+    /// One of a lower tier counts too when work below it runs, since higher tiers go before it.
     fn is_pressing(&self, now: Duration, rank: u8) -> bool {
-        self.queue.is_pressing(now, rank) || self.queue.fresh_len() > self.queue_bound() / 2
+        let mut pressing = self.queue.pressing_from(now, rank);
+        self.queue.fresh_len() > self.queue_bound() / 2
+            || pressing.any(|other| other == rank || self.parks.below(other, false).is_some())
     }
 
     fn place(&mut self, now: Duration, head: &Head, passed: Option<u8>) -> Result<Choice, Blocked> {
--- a/lacewingspring_core/src/gate/queue.rs
+++ b/lacewingspring_core/src/gate/queue.rs
@@ -414,10 +414,13 @@
         counts.sum()
     }
 
-    /// Returns whether a long prefill of a tier yields to short work no more.
-    pub fn is_pressing(&self, now: Duration, rank: u8) -> bool {
-        let first = self.tiers.get(&rank).and_then(|tier| tier.press_times.first());
-        first.is_some_and(|(press_at, _)| *press_at <= now)
+    /// Returns the ranks, from `rank` on, with a long prefill that yields to short work no more.
+    pub fn pressing_from(&self, now: Duration, rank: u8) -> impl Iterator<Item = u8> {
+        let tiers = self.tiers.range(rank..);
+        let pressing = tiers.filter(move |(_, tier)| {
+            tier.press_times.first().is_some_and(|(press_at, _)| *press_at <= now)
+        });
+        pressing.map(|(rank, _)| *rank)
     }
 
     /// Returns the number of long prefills that wait above a rank.
