Park for memory on one upstream; no request expires beside lower work

A large request that lacked KV memory had the least loss of all upstreams parked for it, which freed a little memory everywhere and enough nowhere; and lower work took it back. Now runs are parked on the first upstream that then holds the request, lower tiers wait for that memory, and a lower tier's pressing prefill widens the bound above it while there is work below.

--- a/lacewingspring_core/src/gate/mod.rs
+++ b/lacewingspring_core/src/gate/mod.rs
@@ -29,6 +29,7 @@
 mod affinity;
 mod feedback;
 mod fleet;
+mod memory;
 mod parking;
 mod policy;
 mod queue;
@@ -55,6 +56,16 @@
 /// Part of the slots, one in this many, for parked work whose deadline passed.
 const OVERDUE_SLOTS: u32 = 8;
 
+/// Why grants stopped.
+#[derive(Debug, Default)]
+struct Stop {
+    /// Highest rank of which long prefills were passed over.
+    passed: Option<u8>,
+    /// Request that no upstream with a free slot has the memory for; work of lower tiers waits
+    /// until it runs, as it would take the memory that is being freed.
+    short_of_memory: Option<Head>,
+}
+
 /// Gate of one engine pool in one data centre.
 #[derive(Debug, Default)]
 pub struct Gate {
@@ -233,28 +244,38 @@
             self.set_parkable_aside(number);
         }
         let mut decisions = Vec::new();
-        let passed = self.grant_all(now, &mut decisions);
-        self.park_for_waiting(now, passed, &mut decisions);
+        let stop = self.grant_all(now, &mut decisions);
+        self.park_for_waiting(now, &stop, &mut decisions);
         self.shed_excess(now, &mut decisions);
         decisions
     }
 
     /// Grants what can run now, highest tier first.
-    ///
-    /// Returns the highest rank of which long prefills had to be passed over.
-    fn grant_all(&mut self, now: Duration, decisions: &mut Vec<Decision>) -> Option<u8> {
-        let mut passed = None;
+    fn grant_all(&mut self, now: Duration, decisions: &mut Vec<Decision>) -> Stop {
+        let mut stop = Stop::default();
         let mut overdue_too = true;
-        while let Some(head) = self.next_head(overdue_too, passed) {
-            match self.place(now, &head, passed) {
+        while let Some(head) = self.next_head(overdue_too, stop.passed) {
+            let below = stop.short_of_memory.as_ref().is_some_and(|short| head.rank > short.rank);
+            if below && !head.overdue {
+                break;
+            }
+            match self.place(now, &head, stop.passed) {
                 Ok(choice) => decisions.extend(self.grant(now, &head, choice)),
                 Err(Blocked::Slots | Blocked::Reserve) => break,
                 Err(_) if head.overdue => overdue_too = false,
-                Err(blocked) if self.may_be_passed(now, &head, blocked) => passed = Some(head.rank),
-                Err(_) => break,
+                Err(blocked) if self.may_be_passed(now, &head, blocked) => {
+                    stop.passed = Some(head.rank);
+                    if blocked == Blocked::Memory && self.can_free_memory(head.rank) {
+                        stop.short_of_memory.get_or_insert(head);
+                    }
+                }
+                Err(_) => {
+                    stop.short_of_memory.get_or_insert(head);
+                    break;
+                }
             }
         }
-        passed
+        stop
     }
 
     fn next_head(&mut self, overdue_too: bool, passed: Option<u8>) -> Option<Head> {
@@ -273,9 +294,14 @@
         if !head.long || blocked == Blocked::LongPrefill {
             return head.long;
         }
-        // Lower work that could be parked holds the memory; it is parked instead.
-        let lower = self.policy.parking && self.parks.below(head.rank, false).is_some();
-        !lower && !self.is_pressing(now, head.rank)
+        !self.is_pressing(now, head.rank)
+    }
+
+    /// Returns whether lower work that holds memory is or can be parked; it must not take the
+    /// memory back.
+    fn can_free_memory(&self, rank: u8) -> bool {
+        let parked = self.parks.ordered_len() > 0 || self.parks.below(rank, false).is_some();
+        self.policy.parking && parked
     }
 
     /// Returns the bound on a long prefill; it widens the longer the request waits.
@@ -295,11 +321,16 @@
     /// Returns whether long prefills of a tier yield to short work no more, as half of the longest
     /// wait of one is over or the queue is half full. Else lower work would run while one is shed.
     ///
-    /// One of a lower tier counts too when work below it runs, since higher tiers go before it.
+    /// One of a lower tier counts too when there is work below it, since higher tiers go before it.
     fn is_pressing(&self, now: Duration, rank: u8) -> bool {
         let mut pressing = self.queue.pressing_from(now, rank);
         self.queue.fresh_len() > self.queue_bound() / 2
-            || pressing.any(|other| other == rank || self.parks.below(other, false).is_some())
+            || pressing.any(|other| other == rank || self.has_work_below(other))
+    }
+
+    /// Returns whether work of a lower tier waits or runs, parked or not.
+    fn has_work_below(&self, rank: u8) -> bool {
+        self.queue.waits_below(rank) || self.reserve.runs_below(rank)
     }
 
     fn place(&mut self, now: Duration, head: &Head, passed: Option<u8>) -> Result<Choice, Blocked> {
--- a/lacewingspring_core/src/gate/parking.rs
+++ b/lacewingspring_core/src/gate/parking.rs
@@ -51,6 +51,16 @@
         }
     }
 
+    /// Returns the candidates below `rank`, least loss first.
+    pub fn all_below(&self, rank: u8) -> impl Iterator<Item = &ParkKey> {
+        self.candidates.range(first_key(u8::MAX)..first_key(rank))
+    }
+
+    /// Returns the runs that were told to park.
+    pub fn ordered(&self) -> impl Iterator<Item = &Ticket> {
+        self.ordered.keys()
+    }
+
     /// Returns the candidate below `rank` with the least loss.
     pub fn below(&self, rank: u8, to_save_refusal: bool) -> Option<ParkKey> {
         let range = first_key(u8::MAX)..first_key(rank);
--- a/lacewingspring_core/src/gate/queue.rs
+++ b/lacewingspring_core/src/gate/queue.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    ops::Bound,
     time::Duration,
 };
 
@@ -423,6 +424,12 @@
         pressing.map(|(rank, _)| *rank)
     }
 
+    /// Returns whether a request of a lower tier waits.
+    pub fn waits_below(&self, rank: u8) -> bool {
+        let (from, to) = (Bound::Excluded(rank), Bound::Unbounded);
+        self.tiers.range((from, to)).any(|(_, tier)| !tier.is_empty())
+    }
+
     /// Returns the number of long prefills that wait above a rank.
     pub fn long_above(&self, rank: u8) -> usize {
         self.tiers.range(..rank).map(|(_, tier)| tier.long).sum()
--- a/lacewingspring_core/src/gate/reserve.rs
+++ b/lacewingspring_core/src/gate/reserve.rs
@@ -101,6 +101,11 @@
         self.tiers.get(&rank).map_or(0, |tier| tier.running)
     }
 
+    /// Returns whether work of a lower tier runs.
+    pub fn runs_below(&self, rank: u8) -> bool {
+        self.tiers.iter().rev().take_while(|(lower, _)| **lower > rank).any(|(_, t)| t.running > 0)
+    }
+
     /// Returns whether a tier above `rank` has work now or had some lately.
     pub fn busy_above(&self, rank: u8) -> bool {
         self.top.is_some_and(|top| top < rank)
--- a/lacewingspring_core/src/gate/shedding.rs
+++ b/lacewingspring_core/src/gate/shedding.rs
@@ -3,8 +3,13 @@
 use std::time::Duration;
 
 use super::{
-    Gate,
+    Gate, Stop,
+    fleet::LongBound,
+    memory::Shortfall,
+    parking::ParkKey,
+    queue::Head,
     retry_after::spread,
+    upstream::Need,
     work::{Decision, Ticket},
 };
 use crate::error::ErrorKind;
@@ -34,21 +39,62 @@
     pub(super) fn park_for_waiting(
         &mut self,
         now: Duration,
-        passed: Option<u8>,
+        stop: &Stop,
         decisions: &mut Vec<Decision>,
     ) {
         if !self.policy.parking {
             return;
         }
+        if let Some(head) = &stop.short_of_memory
+            && self.park_for_memory(now, head, decisions)
+        {
+            return;
+        }
         let long_limit = self.fleet.long_limit() as usize;
         for rank in self.queue.ranks() {
-            while self.queue.waiting_up_to(rank, passed, long_limit) > self.parks.ordered_len() {
+            while self.queue.waiting_up_to(rank, stop.passed, long_limit) > self.parks.ordered_len()
+            {
                 let Some(ticket) = self.park_below(now, rank, false) else { break };
                 decisions.push(Decision::Park(ticket));
             }
         }
     }
 
+    /// Parks running work of lower tiers on the upstream that then has the memory for a request;
+    /// false when no upstream would.
+    fn park_for_memory(
+        &mut self,
+        now: Duration,
+        head: &Head,
+        decisions: &mut Vec<Decision>,
+    ) -> bool {
+        let Some(keys) = self.runs_to_park_for_memory(now, head) else { return false };
+        for key in keys {
+            self.parks.order(now, key);
+            decisions.push(Decision::Park(key.ticket));
+        }
+        true
+    }
+
+    fn runs_to_park_for_memory(&self, now: Duration, head: &Head) -> Option<Vec<ParkKey>> {
+        let waiting = self.queue.get(head.ticket)?;
+        let need = Need::new(&waiting.ask, head.long);
+        let bounded = self.long_bound(now, waiting, head) != LongBound::Unbounded;
+        let mut shortfall = Shortfall::new(&self.fleet, &need, bounded);
+        for ticket in self.parks.ordered() {
+            let Some(run) = self.runs.get(ticket) else { continue };
+            if shortfall.ordered(&self.fleet, run) {
+                return Some(Vec::new());
+            }
+        }
+        let keys = self.parks.all_below(head.rank);
+        let mut enough = keys.filter_map(|key| {
+            let run = self.runs.get(&key.ticket)?;
+            shortfall.candidate(&self.fleet, run, *key)
+        });
+        enough.next()
+    }
+
     /// Evicts waiting work until the queue is within its bound, lowest tier first.
     pub(super) fn shed_excess(&mut self, now: Duration, decisions: &mut Vec<Decision>) {
         while self.queue.fresh_len() > self.queue_bound() + self.parks.ordered_len() {
--- a/lacewingspring_core/tests/gate_runs.rs
+++ b/lacewingspring_core/tests/gate_runs.rs
@@ -132,8 +132,7 @@
 fn no_request_is_shed_while_lower_work_runs_or_waits() {
     check(3, 60, |scenario| {
         let summary = scenario.world(GatePolicy::default()).gate.summary();
-        println!("late beside lower {}", summary.late_beside_lower);
-        summary.violations == 0
+        (summary.violations, summary.late_beside_lower) == (0, 0)
     });
 }
 
