Park work whose cache can be exported before a prefill is cut

Cause: the index of parkable runs kept the loss of their grant, so a run in its prefill, whose cache can't be exported yet, was parked before one that loses nothing. Engines that export no cache need a flag in the ask, not yet there.

--- a/lacewingspring_core/src/gate/feedback.rs
+++ b/lacewingspring_core/src/gate/feedback.rs
@@ -16,6 +16,11 @@
             return Vec::new();
         }
         run.first_token_at = Some(now);
+        if let Some(key) = run.park_key
+            && self.parks.replace(key, key.after_prefill())
+        {
+            run.park_key = Some(key.after_prefill());
+        }
         let Some(mut upstream) = self.fleet.get_mut(&run.upstream) else { return Vec::new() };
         upstream.end_prefill(&run.load);
         if let Some(granted_at) = run.granted_at {
--- a/lacewingspring_core/src/gate/parking.rs
+++ b/lacewingspring_core/src/gate/parking.rs
@@ -11,6 +11,9 @@
 /// Time after which an unanswered order to park is repeated.
 const REPEAT_AFTER: Duration = Duration::from_secs(1);
 
+/// How many times less is lost by parking once the KV cache can be exported.
+const EXPORT_GAIN: u64 = 20;
+
 /// Order in which running work is parked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct ParkKey {
@@ -22,6 +25,13 @@
     pub ticket: Ticket,
 }
 
+impl ParkKey {
+    /// Returns the key of the run once its prefill has ended and its KV cache can be exported.
+    pub fn after_prefill(self) -> Self {
+        Self { loss_us: self.loss_us / EXPORT_GAIN, ..self }
+    }
+}
+
 /// Running work that can be parked, and orders to park that are not carried out yet.
 #[derive(Debug, Default)]
 pub(super) struct ParkIndex {
@@ -51,6 +61,18 @@
         }
     }
 
+    /// Replaces the key of a candidate; false when it is none.
+    pub fn replace(&mut self, key: ParkKey, new: ParkKey) -> bool {
+        let set = if self.candidates.remove(&key) {
+            &mut self.candidates
+        } else if self.aside.remove(&key) {
+            &mut self.aside
+        } else {
+            return false;
+        };
+        set.insert(new)
+    }
+
     /// Returns the candidates below `rank`, least loss first.
     pub fn all_below(&self, rank: u8) -> impl Iterator<Item = &ParkKey> {
         self.candidates.range(first_key(u8::MAX)..first_key(rank))
--- a/lacewingspring_core/tests/gate_policy.rs
+++ b/lacewingspring_core/tests/gate_policy.rs
@@ -266,3 +266,14 @@
     let granted = gate.ended(now, Ticket(3), Outcome::Finished(50));
     assert_eq!(granted, vec![Decision::Granted(Ticket(1), "up000".into())]);
 }
+
+#[test]
+fn work_whose_cache_can_be_exported_is_parked_before_a_prefill_is_cut() {
+    let mut gate = Gate::new(specs(1, 2));
+    let now = Duration::from_secs(1);
+    gate.ask(now, Ticket(1), Job::new(0.0, 1, "south", 4_000, 50).ask());
+    gate.first_token(now + Duration::from_millis(200), Ticket(1));
+    gate.ask(now, Ticket(2), Job::new(0.0, 1, "south", 2_000, 50).ask());
+    let decisions = gate.ask(now, Ticket(3), Job::new(0.0, 0, "west", 100, 50).ask());
+    assert_eq!(decisions, vec![Decision::Park(Ticket(1))]);
+}
