--- /dev/null
+++ b/lacewingspring/src/daemon.rs
@@ -0,0 +1,225 @@
+//! One instance: its parts, its start and its end.
+
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use lacewingspring_core::{catalog::Catalog, key_index::KeyId, membership::Member};
+use thiserror::Error;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::{interval, sleep},
+};
+
+use crate::{
+    callers, clock,
+    declared::DeclaredStore,
+    entry::{Claims, RunTable, serve_follow},
+    gates::GateHost,
+    homes::{self, KeyHome, announce_on_change},
+    membership::{Fleet, follow_list, gossip},
+    metrics::Metrics,
+    operators::{KnownOperator, Operators},
+    peers::{Authority, AuthorityError, Exchange, Message, PeerError, Peers},
+    platform::key_value::KeyValue,
+    settings::Settings,
+    view::NodeView,
+};
+
+/// Time between two ticks of the gates.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time between two looks at whether all runs have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Time for the last bytes of answers to leave.
+const FLUSH: Duration = Duration::from_millis(200);
+
+/// Why the daemon could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address could not be bound.
+    #[error("cannot listen: {0}")]
+    Listen(#[from] io::Error),
+    /// The authority is unsound.
+    #[error(transparent)]
+    Authority(#[from] AuthorityError),
+    /// The peers' endpoint could not be opened.
+    #[error(transparent)]
+    Peers(#[from] PeerError),
+}
+
+/// One instance with its parts.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings that the daemon was started with.
+    pub settings: Settings,
+    /// Time of the start since the Unix epoch, in milliseconds; it grows with each start.
+    pub incarnation: u64,
+    /// Declared resources in force.
+    pub declared: Arc<DeclaredStore>,
+    /// Fleet as this instance sees it.
+    pub fleet: Arc<Fleet>,
+    /// Connections to the other instances.
+    pub peers: Arc<Peers>,
+    /// Gates that this instance holds.
+    pub gates: Arc<GateHost>,
+    /// Keys whose home this instance is.
+    pub home: KeyHome,
+    /// Runs of this instance.
+    pub runs: Arc<RunTable>,
+    /// Claims of this incarnation.
+    pub claims: Claims,
+    /// Metrics of this instance.
+    pub metrics: Arc<Metrics>,
+    /// Interface for operators.
+    pub operators: Operators<NodeView>,
+    leaving: AtomicBool,
+}
+
+impl Node {
+    /// Returns the resources in force.
+    pub fn catalog(&self) -> Arc<Catalog> {
+        self.declared.catalog()
+    }
+
+    /// Returns whether this instance is leaving.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+}
+
+/// Runs an instance until it is told to stop and has finished what runs.
+///
+/// # Errors
+///
+/// Fails when it can't start.
+pub async fn run(settings: Settings) -> Result<(), StartError> {
+    let node = build(settings)?;
+    log::info!(instance:% = node.settings.instance; "Starts.");
+    tokio::spawn(serve_peers(node.clone()));
+    tokio::spawn(tick(node.clone()));
+    tokio::spawn(follow_list(node.clone()));
+    tokio::spawn(gossip(node.clone()));
+    tokio::spawn(announce_on_change(node.clone()));
+    callers::start(node.clone())?;
+    wait_for_stop().await?;
+    leave(&node).await;
+    Ok(())
+}
+
+fn build(settings: Settings) -> Result<Arc<Node>, StartError> {
+    let incarnation = clock::wall().as_millis() as u64;
+    let authority = Authority::read(&settings.authority.certificate, &settings.authority.key)?;
+    let peers = Peers::bind(settings.instance.clone(), settings.listen.peers, &authority)?;
+    let timeout = Duration::from_millis(settings.key_value.timeout_ms);
+    let store = KeyValue::new(settings.key_value.endpoints.clone(), timeout);
+    let prefix = settings.key_value.prefix.clone();
+    let claims = Claims::new(store.clone(), &prefix, settings.instance.clone(), incarnation);
+    let declared = DeclaredStore::start(store, &prefix);
+    let own = Member {
+        name: settings.instance.clone(),
+        data_centre: settings.data_centre.clone(),
+        callers: settings.listen.callers,
+        peers: settings.listen.peers,
+        incarnation,
+    };
+    let period = Duration::from_millis(settings.timing.heartbeat_ms);
+    let view = NodeView {
+        fleet: Arc::new(Fleet::new(own, period, clock::now())),
+        metrics: Arc::new(Metrics::start(settings.metrics.statsd)?),
+        runs: Arc::default(),
+        gates: Arc::default(),
+    };
+    let bootstrap = settings.operators.iter().map(KnownOperator::from).collect();
+    Ok(Arc::new(Node {
+        fleet: view.fleet.clone(),
+        gates: view.gates.clone(),
+        metrics: view.metrics.clone(),
+        runs: view.runs.clone(),
+        operators: Operators::new(declared.clone(), view, bootstrap),
+        settings,
+        incarnation,
+        declared,
+        peers,
+        home: KeyHome::new(clock::now()),
+        claims,
+        leaving: AtomicBool::new(false),
+    }))
+}
+
+async fn tick(node: Arc<Node>) {
+    let mut ticks = interval(TICK);
+    loop {
+        ticks.tick().await;
+        node.gates.tick(clock::now(), &node.catalog());
+    }
+}
+
+async fn serve_peers(node: Arc<Node>) {
+    let mut exchanges = node.peers.accept();
+    while let Some(exchange) = exchanges.recv().await {
+        tokio::spawn(serve_exchange(node.clone(), exchange));
+    }
+}
+
+async fn serve_exchange(node: Arc<Node>, mut exchange: Exchange) {
+    let catalog = node.catalog();
+    match exchange.rx.recv().await {
+        Some(Message::Ask(ask)) => {
+            node.gates.serve_ask(clock::now(), &catalog, ask, exchange).await;
+        }
+        Some(Message::Adopt { permit, upstream }) => {
+            node.gates.serve_adopt(clock::now(), &catalog, permit, upstream, exchange).await;
+        }
+        Some(Message::Heartbeat(digest)) => {
+            if let Some(reply) = node.fleet.receive(clock::now(), *digest) {
+                let _ = exchange.tx.send(Message::Heartbeat(Box::new(reply))).await;
+            }
+        }
+        Some(Message::Key(call)) => {
+            let reply = homes::serve(&node, call).await;
+            let _ = exchange.tx.send(Message::KeyReply(reply)).await;
+        }
+        Some(Message::FetchDeclared) => {
+            if let Some(bytes) = node.declared.encode_snapshot() {
+                let _ = exchange.tx.send(Message::Declared(bytes.to_vec())).await;
+            }
+        }
+        Some(Message::Follow { workspace, key, incarnation }) => {
+            let run = node.runs.get(&KeyId { workspace, key });
+            let run = run.filter(|_| incarnation == node.incarnation);
+            serve_follow(run, &exchange).await;
+        }
+        _ => {}
+    }
+}
+
+async fn wait_for_stop() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Turns new requests away, finishes all that runs, and outlives the answers that name it.
+async fn leave(node: &Arc<Node>) {
+    log::info!(open = node.runs.open(); "Leaves.");
+    node.leaving.store(true, Ordering::Release);
+    node.fleet.leave(clock::now());
+    sleep(node.settings.timing.address_ttl()).await;
+    while node.runs.open() > 0 || node.runs.followers() > 0 {
+        sleep(DRAIN_POLL).await;
+    }
+    // The last bytes of an answer may still be on their way to the socket.
+    sleep(FLUSH).await;
+    log::info!("Stops.");
+}
--- /dev/null
+++ b/lacewingspring/src/entry/drive.rs
@@ -0,0 +1,173 @@
+//! Drives a run from acceptance to its last part.
+
+use std::{sync::Arc, time::Duration};
+
+use lacewingspring_core::{
+    error::RunState,
+    gate::{Ask, Resume},
+    names::UpstreamName,
+    request::{Claimed, Request, RequestFacts},
+};
+use tokio::time::sleep;
+
+use super::{
+    Body, Refusal, Run, Step, Work, completion,
+    permit::{self, Permit},
+    plain,
+};
+use crate::{
+    clock,
+    daemon::Node,
+    metrics::{Series, Timer},
+};
+
+/// Time between two looks at whether a dispatch may go out.
+const SOUND_POLL: Duration = Duration::from_millis(20);
+
+/// A run with what it needs to go on.
+#[derive(Debug)]
+pub struct Drive {
+    /// This instance.
+    pub node: Arc<Node>,
+    /// Answer as it arrives.
+    pub run: Arc<Run>,
+    /// What is to be run.
+    pub work: Work,
+    /// Series that the request is measured in.
+    pub series: Series,
+    /// Time of acceptance.
+    pub accepted: Duration,
+}
+
+/// Starts a run in a task of its own: it outlives the caller's connection.
+pub fn start(node: Arc<Node>, run: Arc<Run>, work: Work) {
+    tokio::spawn(async move {
+        let series = work.series();
+        let drive = Drive { node, run, work, series, accepted: clock::now() };
+        drive.run.note(Step::Accepted);
+        drive.node.metrics.accepted(&drive.series);
+        match drive.to_end().await {
+            Ok(()) => drive.answered(),
+            Err(refusal) => drive.refused(refusal),
+        }
+        drive.forget();
+    });
+}
+
+impl Drive {
+    /// Records a time since acceptance.
+    pub fn time(&self, timer: Timer) {
+        let since = clock::now().saturating_sub(self.accepted);
+        self.node.metrics.time(timer, &self.series, since);
+    }
+
+    fn answered(&self) {
+        self.time(Timer::Total);
+        self.run.note(Step::Answered);
+        self.node.metrics.answered(&self.series);
+    }
+
+    fn refused(&self, refusal: Refusal) {
+        self.run.note(Step::Refused(refusal.kind));
+        self.node.metrics.refused(&self.series, refusal.kind);
+        self.run.fail(refusal);
+    }
+
+    async fn to_end(&self) -> Result<(), Refusal> {
+        let now = clock::now();
+        let request = Request::accept(RequestFacts {
+            workspace: self.work.id.workspace.clone(),
+            service: self.work.service_name.clone(),
+            key: self.work.id.key.clone(),
+            fingerprint: self.work.fingerprint.clone(),
+            deadline: now.saturating_add(self.work.max_wait),
+        });
+        if self.work.service.idempotent {
+            return self.run_idempotent(request).await;
+        }
+        self.run_once(request).await
+    }
+
+    /// Hands the request to its upstream; returns it when no byte went out.
+    pub(super) async fn dispatch(
+        &self,
+        request: Request<Claimed>,
+        permit: Permit,
+    ) -> Result<Option<Request<Claimed>>, Refusal> {
+        self.wait_until_sound().await;
+        match &self.work.body {
+            Body::Completion { .. } => completion::run(self, request, permit).await,
+            Body::Plain { .. } => plain::run(self, request, permit).await,
+        }
+    }
+
+    /// Holds a dispatch after a freeze of this process until a peer has been heard from.
+    pub(super) async fn wait_until_sound(&self) {
+        while !self.node.fleet.may_dispatch(clock::now()) {
+            sleep(SOUND_POLL).await;
+        }
+    }
+
+    /// Waits for a permit until the deadline.
+    pub async fn permit(&self, deadline: Duration) -> Result<Permit, Refusal> {
+        self.permit_to(deadline, None).await
+    }
+
+    /// Waits for a permit to go on with a parked run, when its gate died.
+    pub async fn permit_to_resume(&self, resume: Resume) -> Result<Permit, Refusal> {
+        self.permit_to(self.fresh_deadline(), Some(resume)).await
+    }
+
+    async fn permit_to(
+        &self,
+        deadline: Duration,
+        resume: Option<Resume>,
+    ) -> Result<Permit, Refusal> {
+        let work = &self.work;
+        let ask = self.ask(deadline, resume);
+        let permit = permit::acquire(&self.node, &work.service.pool, &work.pool, ask).await;
+        let permit = permit?;
+        self.time(Timer::Wait);
+        self.run.note(Step::Permitted(permit.upstream.clone()));
+        Ok(permit)
+    }
+
+    /// Counts a run that another instance dispatched as a permit of this one.
+    pub async fn adopt_permit(&self, upstream: UpstreamName) -> Permit {
+        let ask = self.ask(self.fresh_deadline(), None);
+        permit::adopt(&self.node, &self.work.service.pool, &self.work.pool, ask, upstream).await
+    }
+
+    fn ask(&self, deadline: Duration, resume: Option<Resume>) -> Ask {
+        let work = &self.work;
+        Ask {
+            rank: work.tier.rank,
+            workspace: work.id.workspace.clone(),
+            weight: work.weight,
+            cost: work.body.cost(&work.service),
+            max_wait: deadline.saturating_sub(clock::now()),
+            parkable: work.service.idempotent && matches!(work.body, Body::Completion { .. }),
+            prefixes: work.body.prefixes(),
+            resume,
+        }
+    }
+
+    /// Forgets the run: at once when a repeat may ask anew, else once its answer was kept.
+    fn forget(self) {
+        if self.may_ask_anew() {
+            self.node.runs.remove(&self.run.id);
+            return;
+        }
+        let retention = self.node.settings.timing.answer_retention();
+        tokio::spawn(async move {
+            sleep(retention).await;
+            self.node.runs.remove(&self.run.id);
+        });
+    }
+
+    /// Returns whether a repeat is to be decided anew: nothing ran, or the claim decides.
+    fn may_ask_anew(&self) -> bool {
+        let Some(kind) = self.run.failure() else { return false };
+        kind.answer().run == RunState::NotRun || !self.work.service.idempotent
+    }
+}
--- /dev/null
+++ b/lacewingspring/src/lib.rs
@@ -0,0 +1,18 @@
+//! The lacewingspring daemon as a library, so that tests reach its parts.
+
+pub mod callers;
+pub mod clock;
+pub mod daemon;
+pub mod declared;
+pub mod entry;
+pub mod gates;
+pub mod homes;
+pub mod logging;
+pub mod membership;
+pub mod metrics;
+pub mod operators;
+pub mod peers;
+pub mod platform;
+pub mod settings;
+pub mod upstreams;
+pub mod view;
--- /dev/null
+++ b/lacewingspring/src/view.rs
@@ -0,0 +1,82 @@
+//! The fleet, metrics and decisions as operators see them.
+
+use std::{sync::Arc, time::Duration};
+
+use lacewingspring_core::{
+    key_index::KeyId,
+    membership::{MemberState, ViewMember},
+};
+
+use crate::{
+    entry::{RunTable, StepReport},
+    gates::{GateHost, GateReport},
+    membership::Fleet,
+    metrics::{Metrics, MetricsReport},
+    operators::{FleetView, InstanceState, InstanceView},
+};
+
+/// What one instance shows to operators.
+#[derive(Clone, Debug)]
+pub struct NodeView {
+    /// Fleet as this instance sees it.
+    pub fleet: Arc<Fleet>,
+    /// Metrics of this instance.
+    pub metrics: Arc<Metrics>,
+    /// Gates that this instance holds.
+    pub gates: Arc<GateHost>,
+    /// Runs of this instance.
+    pub runs: Arc<RunTable>,
+}
+
+impl FleetView for NodeView {
+    fn own(&self) -> InstanceView {
+        let view = self.fleet.view();
+        let own = self.fleet.own();
+        let state = view.member(own.name.as_str()).map_or(InstanceState::Live, state);
+        InstanceView {
+            name: own.name.clone(),
+            data_centre: own.data_centre.clone(),
+            address: own.callers,
+            state,
+            generation: None,
+            heartbeat_age: Some(Duration::ZERO),
+        }
+    }
+
+    fn others(&self) -> Vec<InstanceView> {
+        let view = self.fleet.view();
+        let others = view.members.iter().filter(|member| member.name != view.own);
+        others.filter(|member| member.state != MemberState::Gone).map(instance).collect()
+    }
+
+    fn metrics(&self) -> Option<MetricsReport> {
+        Some(self.metrics.report(self.fleet.own().name.as_str()))
+    }
+
+    fn gates(&self) -> Vec<GateReport> {
+        self.gates.report()
+    }
+
+    fn explain(&self, id: &KeyId) -> Option<Vec<StepReport>> {
+        self.runs.explain(id)
+    }
+}
+
+fn instance(member: &ViewMember) -> InstanceView {
+    InstanceView {
+        name: member.name.clone(),
+        data_centre: member.data_centre.clone(),
+        address: member.callers,
+        state: state(member),
+        generation: member.heartbeat_age.map(|_| member.applied_generation),
+        heartbeat_age: member.heartbeat_age,
+    }
+}
+
+fn state(member: &ViewMember) -> InstanceState {
+    match member.state {
+        MemberState::Live => InstanceState::Live,
+        MemberState::Leaving => InstanceState::Leaving,
+        MemberState::Suspect | MemberState::Gone => InstanceState::Suspect,
+    }
+}
--- a/lacewingspring_core/src/lib.rs
+++ b/lacewingspring_core/src/lib.rs
@@ -5,9 +5,14 @@
 
 pub mod catalog;
 pub mod claim;
+pub mod config;
 pub mod error;
 pub mod gate;
+pub mod key_index;
+pub mod limits;
+pub mod membership;
 pub mod names;
+pub mod poison;
 pub mod rendezvous;
 pub mod request;
 pub mod resources;
