--- a/lacewingspring_core/tests/gate_policy.rs
+++ b/lacewingspring_core/tests/gate_policy.rs
@@ -277,3 +277,17 @@
     let decisions = gate.ask(now, Ticket(3), Job::new(0.0, 0, "west", 100, 50).ask());
     assert_eq!(decisions, vec![Decision::Park(Ticket(1))]);
 }
+
+#[test]
+fn an_absurd_load_report_neither_stops_grants_nor_overfills() {
+    let ask = Job::new(0.0, 0, "south", 10_000, 100).ask();
+    let granted = |report| {
+        let mut gate = Gate::new([spec("a", 8, 20_000.0, 10.0, 60_000)]);
+        let _ = gate.report(Duration::ZERO, &"a".into(), report);
+        (0..8).map(|i| gate.ask(Duration::ZERO, Ticket(i), ask.clone()).len()).sum::<usize>()
+    };
+    let most = LoadReport { running: u32::MAX, queued: u32::MAX, kv_tokens_used: u64::MAX };
+    let none = LoadReport { running: 0, queued: 0, kv_tokens_used: 0 };
+    assert_eq!(granted(most), 2);
+    assert_eq!(granted(none), 5);
+}
