Doubt announced runs while a key's new home learns, and test the index

Cause: the run over moving homes dispatched a key twice. A runner that had been replaced announced its waiting run to the new home and proceeded there, before its replacement announced the dispatch. Ruled out: refusing announcements of waiting runs; they would be lost with the old home. Conclusion: a waiting run that only its runner announced waits until the learning time has passed, or the previous home has handed it over.

--- a/lacewingspring_core/src/key_index/config.rs
+++ b/lacewingspring_core/src/key_index/config.rs
@@ -35,10 +35,17 @@
     pub compare_progress: bool,
     /// Refuse a key that was handed over to another home.
     pub refuse_moved: bool,
+    /// Let a run that only its runner announced wait until the learning time has passed.
+    pub doubt_hearsay: bool,
 }
 
 impl Default for KeyIndexPolicy {
     fn default() -> Self {
-        Self { compare_runner: true, compare_progress: true, refuse_moved: true }
+        Self {
+            compare_runner: true,
+            compare_progress: true,
+            refuse_moved: true,
+            doubt_hearsay: true,
+        }
     }
 }
--- a/lacewingspring_core/src/key_index/entry.rs
+++ b/lacewingspring_core/src/key_index/entry.rs
@@ -15,9 +15,16 @@
     pub(super) fingerprint: Fingerprint,
     pub(super) runner: Runner,
     pub(super) progress: Progress,
+    /// Whether only its runner has announced it, which may have been replaced at the former home.
+    pub(super) hearsay: bool,
 }
 
 impl OpenRun {
+    /// Whether the run may be no more what its runner announced.
+    pub(super) fn is_doubtful(&self) -> bool {
+        self.hearsay && self.progress == Progress::Waiting
+    }
+
     /// Answers a registration of the same key.
     pub(super) fn joined_by(&self, fingerprint: &Fingerprint, asker: &Runner) -> RegisterVerdict {
         if self.fingerprint != *fingerprint {
--- a/lacewingspring_core/src/key_index/hand_over.rs
+++ b/lacewingspring_core/src/key_index/hand_over.rs
@@ -45,7 +45,7 @@
         for answer in answers {
             match answer {
                 HandOver::Absent => {}
-                HandOver::Open(run) => self.announce(now, run),
+                HandOver::Open(run) => self.take(now, run, false),
                 HandOver::Finished { fingerprint, runner, outcome } => {
                     let settlement = Settlement::Finished { runner, outcome };
                     self.adopt_settled(now, id, fingerprint, settlement);
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Takes runs that their runners or the previous home announce.
+    /// Takes runs that their runners announce.
     pub fn merge<I>(&mut self, now: Duration, announcements: I)
     where
         I: IntoIterator<Item = Announcement>,
@@ -69,11 +69,17 @@
         }
     }
 
-    /// Takes a run that its runner or the previous home announces.
+    /// Takes a run that its runner announces.
     ///
     /// Of two runs of one key the dispatched one stays. The runner of the other is told so when it
-    /// asks to dispatch.
+    /// asks to dispatch. One that waits may not dispatch while this home learns, since it may have
+    /// been replaced by one that hasn't been announced yet.
     pub fn announce(&mut self, now: Duration, announcement: Announcement) {
+        let hearsay = now < self.learning_until && self.cfg.policy.doubt_hearsay;
+        self.take(now, announcement, hearsay);
+    }
+
+    fn take(&mut self, now: Duration, announcement: Announcement, hearsay: bool) {
         self.expire(now);
         let Announcement { id, fingerprint, runner, progress } = announcement;
         self.drop_stale_marker(&id);
@@ -82,14 +88,16 @@
             Some(_) => return self.count_late(&id, &progress),
             None => {}
         }
+        let run = OpenRun { fingerprint, runner, progress, hearsay };
         let Some(known) = self.open.get_mut(&id) else {
-            self.open.insert(id, OpenRun { fingerprint, runner, progress });
+            self.open.insert(id, run);
             return;
         };
-        let dispatched = progress != Progress::Waiting;
-        if dispatched && known.progress == Progress::Waiting {
-            *known = OpenRun { fingerprint, runner, progress };
-        } else if dispatched && known.progress != progress {
+        let dispatched = run.progress != Progress::Waiting;
+        let surer = known.is_doubtful() && !hearsay;
+        if surer || dispatched && known.progress == Progress::Waiting {
+            *known = run;
+        } else if dispatched && known.progress != run.progress {
             self.violations += 1;
         }
     }
--- a/lacewingspring_core/src/key_index/mod.rs
+++ b/lacewingspring_core/src/key_index/mod.rs
@@ -65,8 +65,17 @@
         }
     }
 
-    /// Notes that this instance has become the home of further keys, so that it learns again.
-    pub fn role_taken(&mut self, now: Duration) {
+    /// Notes that the view has changed and this instance may be the home of other keys.
+    ///
+    /// The runs of keys whose home it isn't any more are kept only to be handed over.
+    pub fn roles_changed<F>(&mut self, now: Duration, is_home: F)
+    where
+        F: Fn(&KeyId) -> bool,
+    {
+        let foreign: Vec<KeyId> = self.open.keys().filter(|id| !is_home(id)).cloned().collect();
+        for id in foreign {
+            self.hand_over(now, &id);
+        }
         self.role_taken_at = now;
         self.learning_until = now + self.cfg.learning;
     }
@@ -81,7 +90,11 @@
         tenure: Tenure,
     ) -> RegisterVerdict {
         self.expire(now);
+        let learning = now < self.learning_until;
         if let Some(run) = self.open.get(&id) {
+            if learning && run.is_doubtful() {
+                return RegisterVerdict::Unknown;
+            }
             return run.joined_by(&fingerprint, &runner);
         }
         self.drop_stale_marker(&id);
@@ -89,14 +102,17 @@
         if let Some(verdict) = settled.and_then(|settled| settled.answer(&fingerprint)) {
             return verdict;
         }
-        if settled.is_none() && tenure == Tenure::New && now < self.learning_until {
+        if settled.is_none() && tenure == Tenure::New && learning {
             return RegisterVerdict::Unknown;
         }
         if !self.make_room() {
             return RegisterVerdict::Full;
         }
         self.settled.remove(&id);
-        self.open.insert(id, OpenRun { fingerprint, runner, progress: Progress::Waiting });
+        self.open.insert(
+            id,
+            OpenRun { fingerprint, runner, progress: Progress::Waiting, hearsay: false },
+        );
         RegisterVerdict::Registered
     }
 
@@ -115,6 +131,9 @@
         if run.runner != *runner && self.cfg.policy.compare_runner {
             return DispatchVerdict::TakenOver { runner: run.runner.clone() };
         }
+        if now < self.learning_until && run.is_doubtful() {
+            return DispatchVerdict::Unknown;
+        }
         if let Progress::Dispatched { upstream } = &run.progress {
             if self.cfg.policy.compare_progress {
                 return DispatchVerdict::Repeated { upstream: upstream.clone() };
--- a/lacewingspring_core/src/membership/changes.rs
+++ b/lacewingspring_core/src/membership/changes.rs
@@ -2,10 +2,15 @@
 
 use std::time::Duration;
 
-use super::{Introduction, MemberId, Membership, Status, record::Record};
+use super::{Introduction, MemberId, Membership, Status, record::Record, rng::SmallRng};
 
-/// Changes in a digest.
-const MAX_CHANGES: usize = 16;
+/// Changes in a digest that are sent in their turn.
+const MAX_CHANGES: usize = 8;
+
+/// Changes in a digest that are drawn from those whose turn hasn't come.
+///
+/// Peers that are sent the same oldest changes by all have more use for these.
+const MAX_DRAWN: usize = 8;
 
 /// Urgent changes sent ahead of their turn in a digest.
 const MAX_URGENT: usize = 4;
@@ -32,14 +37,18 @@
             return self.greeting(to);
         }
         let reader = self.reader(to);
+        let seed = self.rng.below(usize::MAX) as u64;
         let mut news = self.news(now, &reader);
         let later = news.split_off(news.len().min(MAX_CHANGES));
         let sequence = match news.last() {
             Some(last) if !later.is_empty() => last.changed,
             _ => self.sequence,
         };
-        let urgent = later.into_iter().rev().filter(|record| record.urgent_until > now);
-        news.extend(urgent.take(MAX_URGENT));
+        let (urgent, mut later): (Vec<_>, Vec<_>) =
+            later.into_iter().rev().partition(|record| record.urgent_until > now);
+        news.extend(urgent.into_iter().take(MAX_URGENT));
+        SmallRng::new(seed).shuffle(&mut later);
+        news.extend(later.into_iter().take(MAX_DRAWN));
         let changes = self.changes(&reader, sequence, &news);
         if !self.cfg.policy.acknowledge {
             self.assume_acknowledged(to, sequence);
--- a/lacewingspring_core/src/poison/mod.rs
+++ b/lacewingspring_core/src/poison/mod.rs
@@ -77,8 +77,19 @@
         Self { cfg, learning_until, verdicts, proven, runs, by_fingerprint: HashMap::new() }
     }
 
-    /// Notes that this instance has become the home of further fingerprints.
-    pub fn role_taken(&mut self, now: Duration) {
+    /// Notes that the view has changed and this instance may be the home of other fingerprints.
+    ///
+    /// Runs of fingerprints whose home it isn't any more are dropped; runners announce them to the
+    /// new home.
+    pub fn roles_changed<F>(&mut self, now: Duration, is_home: F)
+    where
+        F: Fn(FingerprintId) -> bool,
+    {
+        let foreign = self.runs.iter().filter(|(_, run)| !is_home(run.fingerprint));
+        let foreign: Vec<RunId> = foreign.map(|(id, _)| id.clone()).collect();
+        for id in foreign {
+            self.remove(&id);
+        }
         self.learning_until = now + self.cfg.learning;
     }
 
--- /dev/null
+++ b/lacewingspring_core/tests/key_index_runs.rs
@@ -0,0 +1,363 @@
+//! The index of request keys under random schedules of runners, homes and deaths.
+
+mod support;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use lacewingspring_core::key_index::{
+    Announcement, DispatchVerdict, FinishVerdict, KeyId, KeyIndex, KeyIndexConfig, KeyIndexPolicy,
+    Outcome, Progress, RegisterVerdict, Runner, TakeOverVerdict, Tenure, VoidVerdict,
+};
+use quickcheck::{Gen, QuickCheck, Testable};
+
+use support::Rng;
+
+const HOMES: usize = 3;
+const RUNNERS: u64 = 4;
+const KEYS: u64 = 6;
+const STEP: Duration = Duration::from_millis(50);
+
+fn id(number: u64) -> KeyId {
+    KeyId { workspace: "w".into(), key: format!("k{number}").as_str().into() }
+}
+
+fn runner(number: u64) -> Runner {
+    Runner { instance: format!("i{number}").as_str().into(), incarnation: 1 }
+}
+
+fn cfg(policy: KeyIndexPolicy) -> KeyIndexConfig {
+    KeyIndexConfig { max_keys: 50, policy, ..KeyIndexConfig::default() }
+}
+
+fn check<A>(tests: u64, property: A)
+where
+    A: Testable,
+{
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 0x6b65_7973))
+        .tests(tests)
+        .quickcheck(property);
+}
+
+/// Random questions to one index; returns whether no key proceeds twice, or after it was voided,
+/// or for a runner that was replaced.
+fn one_index_holds(seed: u64, policy: KeyIndexPolicy) -> bool {
+    let mut rng = Rng(seed);
+    let mut index = KeyIndex::new(cfg(policy), Duration::ZERO);
+    let mut now = Duration::from_secs(10);
+    let mut proceeded = BTreeSet::new();
+    let mut voided = BTreeSet::new();
+    let mut replaced = BTreeSet::new();
+    for _ in 0..400 {
+        now += Duration::from_millis(rng.below(50));
+        let (key, a, b) = (rng.below(KEYS), rng.below(RUNNERS), rng.below(RUNNERS));
+        match rng.below(7) {
+            0 | 1 => {
+                index.register(now, id(key), "f".into(), runner(a), Tenure::Settled);
+            }
+            2 | 3 => {
+                let verdict = index.dispatching(now, &id(key), &runner(a), "u".into());
+                let proceeds = verdict == DispatchVerdict::Proceed;
+                let wrong = voided.contains(&key) || replaced.contains(&(key, a));
+                if proceeds && (wrong || !proceeded.insert(key)) {
+                    return false;
+                }
+            }
+            4 => {
+                let verdict = index.take_over(now, &id(key), &runner(a), &runner(b));
+                if verdict != TakeOverVerdict::Refused && a != b {
+                    replaced.remove(&(key, a));
+                    replaced.insert((key, b));
+                }
+            }
+            5 => {
+                index.finished(now, &id(key), &runner(a), Outcome::Answered);
+            }
+            _ => {
+                if index.void(now, &id(key), Tenure::Settled) == VoidVerdict::Voided {
+                    voided.insert(key);
+                }
+            }
+        }
+    }
+    index.violations() == 0
+}
+
+fn on() -> KeyIndexPolicy {
+    KeyIndexPolicy::default()
+}
+
+#[test]
+fn one_index_lets_a_key_proceed_once() {
+    check(500, (|seed| one_index_holds(seed, on())) as fn(u64) -> bool);
+    let off = [
+        KeyIndexPolicy { compare_runner: false, ..on() },
+        KeyIndexPolicy { compare_progress: false, ..on() },
+    ];
+    for policy in off {
+        assert!((0..50).any(|seed| !one_index_holds(seed, policy)), "{policy:?}");
+    }
+}
+
+/// Homes that take the role in turn, and runners whose views lag behind.
+struct Fleet {
+    rng: Rng,
+    now: Duration,
+    cfg: KeyIndexConfig,
+    /// Homes over time; none while a home is dead and nobody knows.
+    tenures: Vec<(Duration, usize)>,
+    indexes: Vec<KeyIndex>,
+    died: Vec<Option<Duration>>,
+    told: Vec<usize>,
+    runs: BTreeMap<(u64, u64), Progress>,
+    announced: BTreeSet<(u64, u64, usize)>,
+    dispatches: BTreeMap<u64, usize>,
+}
+
+impl Fleet {
+    fn new(seed: u64, cfg: KeyIndexConfig) -> Self {
+        let indexes = (0..HOMES).map(|_| KeyIndex::new(cfg.clone(), Duration::ZERO)).collect();
+        Self {
+            rng: Rng(seed),
+            now: Duration::from_secs(10),
+            cfg,
+            tenures: vec![(Duration::ZERO, 0)],
+            indexes,
+            died: vec![None; HOMES],
+            told: vec![0; HOMES],
+            runs: BTreeMap::new(),
+            announced: BTreeSet::new(),
+            dispatches: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the number of the tenure that a view with this lag shows.
+    fn tenure(&self, lag: Duration) -> usize {
+        let at = self.now - lag;
+        self.tenures.iter().rposition(|(since, _)| *since <= at).unwrap_or_default()
+    }
+
+    fn runner_lag(runner: u64) -> Duration {
+        Duration::from_millis(100 * (runner + 1))
+    }
+
+    fn home_lag(home: usize) -> Duration {
+        Duration::from_millis(150 * home as u64)
+    }
+
+    /// Returns the home that a runner asks, if that home is up and holds itself to be the home.
+    fn ask(&self, runner: u64) -> Option<usize> {
+        let home = self.tenures[self.tenure(Self::runner_lag(runner))].1;
+        self.answers(home).then_some(home)
+    }
+
+    fn answers(&self, home: usize) -> bool {
+        self.died[home].is_none() && self.tenures[self.tenure(Self::home_lag(home))].1 == home
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        if self.rng.below(60) == 0 {
+            self.change_home();
+        }
+        for home in 0..HOMES {
+            self.tell_home(home);
+        }
+        for runner in 0..RUNNERS {
+            self.announce(runner);
+            // New keys come up all the time, and many wait while their home moves.
+            let key = self.now.as_secs() / 2 + self.rng.below(KEYS);
+            self.advance(runner, key);
+        }
+    }
+
+    /// Moves the role, after killing its holder in half of the cases; the dead start again.
+    fn change_home(&mut self) {
+        let (since, home) = self.tenures[self.tenures.len() - 1];
+        if self.now - since < Duration::from_secs(3) {
+            return;
+        }
+        let next = (home + 1 + self.rng.below(HOMES as u64 - 1) as usize) % HOMES;
+        if self.died[next].take().is_some() {
+            self.indexes[next] = KeyIndex::new(self.cfg.clone(), self.now);
+        }
+        if self.rng.chance(50) {
+            self.died[home] = Some(self.now);
+        }
+        self.tenures.push((self.now, next));
+    }
+
+    fn tell_home(&mut self, home: usize) {
+        let tenure = self.tenure(Self::home_lag(home));
+        if self.died[home].is_none() && self.told[home] != tenure {
+            self.told[home] = tenure;
+            let is_home = self.tenures[tenure].1 == home;
+            self.indexes[home].roles_changed(self.now, |_| is_home);
+        }
+    }
+
+    /// Tells the home in the runner's view of its open runs, once for each tenure.
+    fn announce(&mut self, runner_number: u64) {
+        let tenure = self.tenure(Self::runner_lag(runner_number));
+        let Some(home) = self.ask(runner_number) else { return };
+        let own = self.runs.range((runner_number, 0)..(runner_number + 1, 0));
+        for ((_, key), progress) in own {
+            let key = *key;
+            if !self.announced.insert((runner_number, key, tenure)) {
+                continue;
+            }
+            let announcement = Announcement {
+                id: id(key),
+                fingerprint: "f".into(),
+                runner: runner(runner_number),
+                progress: progress.clone(),
+            };
+            self.indexes[home].announce(self.now, announcement);
+        }
+    }
+
+    fn advance(&mut self, number: u64, key: u64) {
+        let Some(home) = self.ask(number) else { return };
+        match self.runs.get(&(number, key)) {
+            None => self.register(home, number, key),
+            Some(Progress::Waiting) if self.rng.chance(10) => self.dispatch(home, number, key),
+            Some(Progress::Waiting) => {}
+            Some(Progress::Dispatched { .. }) => {}
+        }
+    }
+
+    fn register(&mut self, home: usize, number: u64, key: u64) {
+        let tenure = self.tenure(Self::home_lag(home));
+        let is_new = self.now - self.tenures[tenure].0 < Duration::from_secs(5);
+        let held = if is_new { Tenure::New } else { Tenure::Settled };
+        let ask = |index: &mut KeyIndex, now| {
+            index.register(now, id(key), "f".into(), runner(number), held)
+        };
+        let mut verdict = ask(&mut self.indexes[home], self.now);
+        if verdict == RegisterVerdict::Unknown && self.adopt(home, tenure, key) {
+            verdict = ask(&mut self.indexes[home], self.now);
+        }
+        match verdict {
+            RegisterVerdict::Registered => {
+                self.runs.insert((number, key), Progress::Waiting);
+            }
+            RegisterVerdict::Joined { runner: dead, .. } if self.rng.below(20) == 0 => {
+                self.indexes[home].take_over(self.now, &id(key), &runner(number), &dead);
+            }
+            _ => {}
+        }
+    }
+
+    /// Asks the previous home for a key; false when it is dead.
+    fn adopt(&mut self, home: usize, tenure: usize, key: u64) -> bool {
+        let Some(before) = tenure.checked_sub(1) else { return false };
+        let previous = self.tenures[before].1;
+        if self.died[previous].is_some() {
+            return false;
+        }
+        let answer = self.indexes[previous].hand_over(self.now, &id(key));
+        self.indexes[home].adopt(self.now, &id(key), [answer]);
+        true
+    }
+
+    fn dispatch(&mut self, home: usize, number: u64, key: u64) {
+        let index = &mut self.indexes[home];
+        match index.dispatching(self.now, &id(key), &runner(number), "u".into()) {
+            DispatchVerdict::Proceed => {
+                *self.dispatches.entry(key).or_default() += 1;
+                let progress = Progress::Dispatched { upstream: "u".into() };
+                self.runs.insert((number, key), progress);
+            }
+            DispatchVerdict::TakenOver { .. } | DispatchVerdict::Settled => {
+                self.runs.remove(&(number, key));
+            }
+            DispatchVerdict::Repeated { .. } | DispatchVerdict::Moved => {}
+            DispatchVerdict::Unknown => {
+                self.runs.remove(&(number, key));
+                self.register(home, number, key);
+            }
+        }
+    }
+}
+
+fn moving_homes_hold(seed: u64, cfg: KeyIndexConfig) -> bool {
+    let mut fleet = Fleet::new(seed, cfg);
+    for _ in 0..2_000 {
+        fleet.step();
+    }
+    assert!(fleet.dispatches.len() > 20, "the run must dispatch");
+    fleet.dispatches.values().all(|count| *count <= 1)
+}
+
+#[test]
+fn key_is_dispatched_once_while_homes_move_and_die() {
+    check(200, (|seed| moving_homes_hold(seed, cfg(on()))) as fn(u64) -> bool);
+    let forgetful = KeyIndexConfig { learning: Duration::ZERO, ..cfg(on()) };
+    assert!((0..100).any(|seed| !moving_homes_hold(seed, forgetful.clone())));
+    let off = [
+        KeyIndexPolicy { refuse_moved: false, ..on() },
+        KeyIndexPolicy { doubt_hearsay: false, ..on() },
+    ];
+    for policy in off {
+        assert!((0..300).any(|seed| !moving_homes_hold(seed, cfg(policy))), "{policy:?}");
+    }
+}
+
+#[test]
+fn memory_is_bounded_and_open_runs_stay() {
+    let mut index = KeyIndex::new(cfg(on()), Duration::ZERO);
+    let mut now = Duration::from_secs(10);
+    for key in 0..200 {
+        now += STEP;
+        let verdict = index.register(now, id(key), "f".into(), runner(0), Tenure::Settled);
+        assert_eq!(verdict, RegisterVerdict::Registered, "{key}");
+        if key >= 40 {
+            let recorded = index.finished(now, &id(key), &runner(0), Outcome::Answered);
+            assert_eq!(recorded, FinishVerdict::Recorded);
+        }
+        assert!(index.len() <= 50);
+    }
+    assert_eq!(index.entries_of(&"i0".into()).len(), 40);
+    now += Duration::from_secs(601);
+    index.void(now, &id(999), Tenure::Settled);
+    assert_eq!(index.len(), 41);
+    for key in 1_000..1_010 {
+        index.register(now, id(key), "f".into(), runner(0), Tenure::Settled);
+    }
+    let verdict = index.register(now, id(1_010), "f".into(), runner(0), Tenure::Settled);
+    assert_eq!(verdict, RegisterVerdict::Full);
+    assert_eq!(index.len(), 50);
+}
+
+#[test]
+fn answers_to_a_fixed_course() {
+    let now = Duration::from_secs(10);
+    let mut index = KeyIndex::new(cfg(on()), now);
+    let (key, a, b) = (id(1), runner(1), runner(2));
+    let mut answers = Vec::new();
+    let mut note = |name: &str, answer: String| answers.push(format!("{name}: {answer}"));
+    let early = index.register(now, key.clone(), "f".into(), a.clone(), Tenure::New);
+    note("register while learning", format!("{early:?}"));
+    let first = index.register(now, key.clone(), "f".into(), a.clone(), Tenure::Settled);
+    note("register", format!("{first:?}"));
+    let other = index.register(now, key.clone(), "g".into(), b.clone(), Tenure::Settled);
+    note("another body", format!("{other:?}"));
+    let join = index.register(now, key.clone(), "f".into(), b.clone(), Tenure::Settled);
+    note("repeat", format!("{join:?}"));
+    let proceed = index.dispatching(now, &key, &a, "u".into());
+    note("dispatch", format!("{proceed:?}"));
+    let again = index.dispatching(now, &key, &a, "v".into());
+    note("dispatch again", format!("{again:?}"));
+    note("take over", format!("{:?}", index.take_over(now, &key, &b, &a)));
+    note("late dispatch", format!("{:?}", index.dispatching(now, &key, &a, "u".into())));
+    note("late end", format!("{:?}", index.finished(now, &key, &a, Outcome::Answered)));
+    note("end", format!("{:?}", index.finished(now, &key, &b, Outcome::Answered)));
+    note("status", format!("{:?}", index.void(now, &key, Tenure::Settled)));
+    note("status of another", format!("{:?}", index.void(now, &id(2), Tenure::Settled)));
+    let voided = index.register(now, id(2), "f".into(), a, Tenure::Settled);
+    note("register the voided", format!("{voided:?}"));
+    insta::assert_snapshot!(answers.join("\n"));
+}
