--- a/lacewingspring_core/src/limits/account.rs
+++ b/lacewingspring_core/src/limits/account.rs
@@ -35,10 +35,11 @@
         self.drained = now + cfg.valid_for + cfg.clock_slack + cfg.drain_for;
         let held = demand.held.map_or(0, |share| share.concurrency);
         // An earlier question that arrives late tells nothing new.
-        if demand.ask >= self.demand.ask {
-            self.demand = demand;
-            self.in_use = if cfg.policy.count_in_use { demand.in_use.max(held) } else { 0 };
+        if demand.ask < self.demand.ask {
+            return;
         }
+        self.demand = demand;
+        self.in_use = if cfg.policy.count_in_use { demand.in_use.max(held) } else { 0 };
         let Some(share) = demand.held else { return };
         self.outstanding.retain(|outstanding| outstanding.share.ask >= share.ask);
         if !self.outstanding.iter().any(|outstanding| outstanding.share.ask == share.ask) {
@@ -69,8 +70,12 @@
 
     /// Requests that the instance may have in progress.
     pub(super) fn concurrency(&self) -> u32 {
-        let shares = self.shares().map(|share| share.concurrency).max();
-        shares.unwrap_or_default().max(self.in_use)
+        self.shared_concurrency().max(self.in_use)
+    }
+
+    /// Requests that its shares allow the instance to have in progress.
+    pub(super) fn shared_concurrency(&self) -> u32 {
+        self.shares().map(|share| share.concurrency).max().unwrap_or_default()
     }
 
     /// What the instance asked for; none when it has gone silent.
--- a/lacewingspring_core/src/limits/config.rs
+++ b/lacewingspring_core/src/limits/config.rs
@@ -9,6 +9,8 @@
     pub valid_for: Duration,
     /// Time by which the home counts a share for longer, since clocks run at unlike speeds.
     pub clock_slack: Duration,
+    /// Time for which a former home may still give out shares, until its view has changed.
+    pub view_lag: Duration,
     /// Time between two renewals.
     pub renew_after: Duration,
     /// Shortest time between two requests for a share by an instance that refuses callers.
@@ -28,6 +30,7 @@
         Self {
             valid_for: Duration::from_secs(5),
             clock_slack: Duration::from_millis(500),
+            view_lag: Duration::from_secs(4),
             renew_after: Duration::from_secs(1),
             ask_again_after: Duration::from_millis(50),
             drain_for: Duration::from_secs(30),
--- a/lacewingspring_core/src/limits/ledger.rs
+++ b/lacewingspring_core/src/limits/ledger.rs
@@ -12,8 +12,12 @@
 /// Shares of the limits of one workspace, kept by its home.
 ///
 /// A new home first only confirms what instances report to hold. It gives out more when all that
-/// the old home gave out has run out. This presumes that the old home stops within the time that a
-/// share holds, since it is dead or its view has changed.
+/// the old home gave out has run out. This presumes that the old home stops within `view_lag`, since
+/// it is dead or its view has changed.
+///
+/// Requests in progress count against the concurrency until they are reported as ended, also when
+/// the share that admitted them has run out. Those of an instance that a new home has never heard
+/// from can't be counted.
 #[derive(Debug)]
 pub struct ShareLedger {
     cfg: ShareConfig,
@@ -29,7 +33,8 @@
     /// Creates the ledger of a home that has just taken its role.
     pub fn new(cfg: ShareConfig, limits: WorkspaceLimits, now: Duration) -> Self {
         let wait = cfg.policy.wait_for_old_shares;
-        let quiet = if wait { cfg.valid_for + cfg.clock_slack } else { Duration::ZERO };
+        let quiet = cfg.view_lag + cfg.valid_for + cfg.clock_slack;
+        let quiet = if wait { quiet } else { Duration::ZERO };
         Self {
             cfg,
             limits,
@@ -64,7 +69,7 @@
     pub fn grant(&mut self, now: Duration, instance: &InstanceName, demand: Demand) -> Share {
         let cfg = &self.cfg;
         self.accounts.retain(|_, account| account.expire(now, cfg));
-        let (rate_before, concurrency_before) = self.sums();
+        let (rate_before, concurrency_before) = self.shared();
         let mut account = self.accounts.remove(instance).unwrap_or_else(|| Account::new(demand));
         account.observe(now, demand, &self.cfg);
         let mut rate = self.rate_target(&demand).min(self.free_rate());
@@ -81,7 +86,8 @@
         share
     }
 
-    /// Returns how often what instances may hold came to exceed the limit. It must be zero.
+    /// Returns how often the shares that instances may hold came to exceed the limit. It must be
+    /// zero.
     ///
     /// It counts too when instances report shares of two homes that together exceed it.
     pub fn violations(&self) -> u64 {
@@ -89,7 +95,7 @@
     }
 
     fn check(&mut self, rate_before: f64, concurrency_before: u32) {
-        let (rate, concurrency) = self.sums();
+        let (rate, concurrency) = self.shared();
         let rate_limit = f64::from(self.limits.requests_per_second).max(rate_before);
         let concurrency_limit = self.limits.concurrency.max(concurrency_before);
         if rate > rate_limit + RATE_ERROR || concurrency > concurrency_limit {
@@ -97,10 +103,10 @@
         }
     }
 
-    /// Returns what all instances may hold.
-    fn sums(&self) -> (f64, u32) {
+    /// Returns the sums of the shares that instances may hold.
+    fn shared(&self) -> (f64, u32) {
         let rate = self.accounts.values().map(Account::rate).sum();
-        let concurrency = self.accounts.values().map(Account::concurrency).sum();
+        let concurrency = self.accounts.values().map(Account::shared_concurrency).sum();
         (rate, concurrency)
     }
 
@@ -147,13 +153,14 @@
     fn free_rate(&self) -> f64 {
         let limit = self.rate_limit();
         let kept = self.floor(limit) * self.absent() as f64;
-        (limit - self.sums().0 - kept).max(0.0)
+        (limit - self.shared().0 - kept).max(0.0)
     }
 
     fn free_concurrency(&self) -> u32 {
         let limit = self.concurrency_limit();
         let kept = self.floor(f64::from(limit)) as u32 * self.absent() as u32;
-        limit.saturating_sub(self.sums().1).saturating_sub(kept)
+        let used: u32 = self.accounts.values().map(Account::concurrency).sum();
+        limit.saturating_sub(used).saturating_sub(kept)
     }
 
     fn rate_limit(&self) -> f64 {
