Keep what the former home of a key is told of its dispatch

Cause: a key that was handed over left a mark at the former home. While the mark stood, the copies that the next home sent there as its backup were dropped, so the death of that next home together with its runner would have made the key new again. Runs that waited at a former home were also still there when it took the role again, and could be taken over and dispatched a second time. Ruled out: dropping the mark at each announcement; a late one would open the former home's gate. Conclusion: the mark keeps the dispatched run and opens it again with the role; roles_changed drops foreign runs and replaces role_taken.

--- a/lacewingspring/src/homes/announce.rs
+++ b/lacewingspring/src/homes/announce.rs
@@ -26,7 +26,7 @@
 pub async fn announce_on_change(node: Arc<Node>) {
     let mut changes = node.fleet.changes();
     while changes.changed().await.is_ok() {
-        node.home.role_taken(clock::now());
+        node.home.roles_changed(clock::now(), &node.fleet.view());
         announce_all(&node).await;
     }
 }
--- a/lacewingspring/src/homes/mod.rs
+++ b/lacewingspring/src/homes/mod.rs
@@ -5,9 +5,12 @@
     time::Duration,
 };
 
-use lacewingspring_core::key_index::{
-    DispatchVerdict, HandOver, KeyId, KeyIndex, KeyIndexConfig, RegisterVerdict, Tenure,
-    VoidVerdict,
+use lacewingspring_core::{
+    key_index::{
+        DispatchVerdict, HandOver, KeyId, KeyIndex, KeyIndexConfig, RegisterVerdict, Tenure,
+        VoidVerdict,
+    },
+    membership::View,
 };
 
 use crate::{
@@ -45,9 +48,10 @@
         Self { index: Mutex::new(KeyIndex::new(cfg, now)) }
     }
 
-    /// Notes that this instance may have become the home of further keys.
-    pub fn role_taken(&self, now: Duration) {
-        self.lock().role_taken(now);
+    /// Notes that this instance may be the home or the backup of other keys.
+    pub fn roles_changed(&self, now: Duration, view: &View) {
+        let keeps = |id: &KeyId| view.holders(id, 2, None).iter().any(|m| m.name == view.own);
+        self.lock().roles_changed(now, keeps);
     }
 
     fn lock(&self) -> MutexGuard<'_, KeyIndex> {
--- a/lacewingspring_core/src/key_index/entry.rs
+++ b/lacewingspring_core/src/key_index/entry.rs
@@ -101,6 +101,14 @@
         }
     }
 
+    /// Returns the run that was handed over with the key.
+    pub(super) fn moved_run(&self) -> Option<&Announcement> {
+        match &self.settlement {
+            Settlement::Moved { run, .. } => run.as_ref(),
+            _ => None,
+        }
+    }
+
     pub(super) fn refuse_dispatch(&self) -> DispatchVerdict {
         match self.settlement {
             Settlement::Moved { .. } => DispatchVerdict::Moved,
--- a/lacewingspring_core/src/key_index/hand_over.rs
+++ b/lacewingspring_core/src/key_index/hand_over.rs
@@ -12,7 +12,7 @@
     ///
     /// Asked again, it answers the same.
     pub fn hand_over(&mut self, now: Duration, id: &KeyId) -> HandOver {
-        self.expire(now);
+        self.refresh(now, id);
         if let Some(settled) = self.settled.get(id) {
             return settled.hand_over();
         }
@@ -80,20 +80,25 @@
     }
 
     fn take(&mut self, now: Duration, announcement: Announcement, hearsay: bool) {
-        self.expire(now);
-        let Announcement { id, fingerprint, runner, progress } = announcement;
-        self.drop_stale_marker(&id);
-        match self.settled.get(&id).map(|settled| &settled.settlement) {
+        self.refresh(now, &announcement.id);
+        let dispatched = announcement.progress != Progress::Waiting;
+        let id = announcement.id.clone();
+        match self.settled.get_mut(&id).map(|settled| &mut settled.settlement) {
+            // The next home of the key keeps this one informed, in case it dies.
+            Some(Settlement::Moved { run, .. }) if dispatched => {
+                *run = Some(announcement);
+                return;
+            }
             Some(Settlement::Fresh) => drop(self.settled.remove(&id)),
-            Some(_) => return self.count_late(&id, &progress),
+            Some(_) => return self.count_late(&id, &announcement.progress),
             None => {}
         }
+        let Announcement { id, fingerprint, runner, progress } = announcement;
         let run = OpenRun { fingerprint, runner, progress, hearsay };
         let Some(known) = self.open.get_mut(&id) else {
             self.open.insert(id, run);
             return;
         };
-        let dispatched = run.progress != Progress::Waiting;
         let surer = known.is_doubtful() && !hearsay;
         if surer || dispatched && known.progress == Progress::Waiting {
             *known = run;
@@ -133,14 +138,22 @@
     }
 
     /// Drops the mark that a key was handed over, when this instance took the role again since.
+    ///
+    /// A run that is known to have been dispatched is open again, so that no other follows it.
     pub(super) fn drop_stale_marker(&mut self, id: &KeyId) {
         let taken = self.role_taken_at;
         let is_stale = |settled: &Settled| match settled.settlement {
             Settlement::Moved { at, .. } => at < taken,
             _ => false,
         };
-        if self.settled.get(id).is_some_and(is_stale) {
-            self.settled.remove(id);
+        if !self.settled.get(id).is_some_and(is_stale) {
+            return;
+        }
+        let settled = self.settled.remove(id).map(|settled| settled.settlement);
+        let Some(Settlement::Moved { run: Some(run), .. }) = settled else { return };
+        if run.progress != Progress::Waiting {
+            let Announcement { id, fingerprint, runner, progress } = run;
+            self.open.insert(id, OpenRun { fingerprint, runner, progress, hearsay: false });
         }
     }
 }
--- a/lacewingspring_core/src/key_index/mod.rs
+++ b/lacewingspring_core/src/key_index/mod.rs
@@ -89,7 +89,7 @@
         runner: Runner,
         tenure: Tenure,
     ) -> RegisterVerdict {
-        self.expire(now);
+        self.refresh(now, &id);
         let learning = now < self.learning_until;
         if let Some(run) = self.open.get(&id) {
             if learning && run.is_doubtful() {
@@ -97,7 +97,6 @@
             }
             return run.joined_by(&fingerprint, &runner);
         }
-        self.drop_stale_marker(&id);
         let settled = self.settled.get(&id);
         if let Some(verdict) = settled.and_then(|settled| settled.answer(&fingerprint)) {
             return verdict;
@@ -124,7 +123,7 @@
         runner: &Runner,
         upstream: UpstreamName,
     ) -> DispatchVerdict {
-        self.expire(now);
+        self.refresh(now, id);
         let Some(run) = self.open.get_mut(id) else {
             return self.settled.get(id).map_or(DispatchVerdict::Unknown, Settled::refuse_dispatch);
         };
@@ -163,7 +162,7 @@
         new_runner: &Runner,
         dead_runner: &Runner,
     ) -> TakeOverVerdict {
-        self.expire(now);
+        self.refresh(now, id);
         let Some(run) = self.open.get_mut(id) else { return TakeOverVerdict::Refused };
         // A take-over whose reply was lost is answered again.
         if run.runner != *dead_runner && run.runner != *new_runner {
@@ -186,10 +185,12 @@
         runner: &Runner,
         outcome: Outcome,
     ) -> FinishVerdict {
-        self.expire(now);
-        let Some(run) = self.open.get(id) else { return FinishVerdict::Unknown };
-        if run.runner != *runner {
-            return FinishVerdict::TakenOver { runner: run.runner.clone() };
+        self.refresh(now, id);
+        let moved = self.settled.get(id).and_then(Settled::moved_run);
+        let runs_it = self.open.get(id).map(|run| &run.runner).or(moved.map(|run| &run.runner));
+        let Some(known) = runs_it else { return FinishVerdict::Unknown };
+        if known != runner {
+            return FinishVerdict::TakenOver { runner: known.clone() };
         }
         let settlement = Settlement::Finished { runner: runner.clone(), outcome };
         self.settle(now, id, settlement);
@@ -209,12 +210,11 @@
 
     /// Settles a key for a status query: a key that is not known never dispatches from then on.
     pub fn void(&mut self, now: Duration, id: &KeyId, tenure: Tenure) -> VoidVerdict {
-        self.expire(now);
+        self.refresh(now, id);
         if let Some(run) = self.open.get(id) {
             let (runner, progress) = (run.runner.clone(), run.progress.clone());
             return VoidVerdict::Running { runner, progress };
         }
-        self.drop_stale_marker(id);
         let settled = self.settled.get(id);
         if let Some(verdict) = settled.and_then(Settled::answer_status) {
             return verdict;
@@ -256,7 +256,9 @@
     }
 
     fn settle(&mut self, now: Duration, id: &KeyId, settlement: Settlement) {
-        let fingerprint = self.open.remove(id).map(|run| run.fingerprint);
+        let moved = self.settled.get(id).and_then(Settled::moved_run);
+        let moved = moved.map(|run| run.fingerprint.clone());
+        let fingerprint = self.open.remove(id).map(|run| run.fingerprint).or(moved);
         self.settlements += 1;
         let number = self.settlements;
         let expires = now + self.cfg.retention;
@@ -285,6 +287,12 @@
         false
     }
 
+    /// Drops what has run out, and the mark that this key was handed over if it is stale.
+    fn refresh(&mut self, now: Duration, id: &KeyId) {
+        self.expire(now);
+        self.drop_stale_marker(id);
+    }
+
     fn expire(&mut self, now: Duration) {
         while let Some((number, id)) = self.ages.front() {
             match self.settled.get(id) {
--- a/lacewingspring_core/tests/key_index_runs.rs
+++ b/lacewingspring_core/tests/key_index_runs.rs
@@ -306,6 +306,25 @@
     }
 }
 
+#[test]
+fn dispatch_told_to_the_former_home_holds_when_it_takes_the_role_again() {
+    let mut now = Duration::from_secs(10);
+    let mut index = KeyIndex::new(cfg(on()), Duration::ZERO);
+    index.register(now, id(1), "f".into(), runner(1), Tenure::Settled);
+    index.hand_over(now, &id(1));
+    let progress = Progress::Dispatched { upstream: "u".into() };
+    let (key, fingerprint, dead) = (id(1), "f".into(), runner(2));
+    now += STEP;
+    index.announce(now, Announcement { id: key, fingerprint, runner: dead.clone(), progress });
+    assert_eq!(index.dispatching(now, &id(1), &runner(2), "u".into()), DispatchVerdict::Moved);
+    now += STEP;
+    index.roles_changed(now, |_| true);
+    let verdict = index.register(now, id(1), "f".into(), runner(3), Tenure::New);
+    assert!(matches!(verdict, RegisterVerdict::Joined { .. }), "{verdict:?}");
+    let resumed = index.take_over(now, &id(1), &runner(3), &dead);
+    assert_eq!(resumed, TakeOverVerdict::Resume { upstream: "u".into() });
+}
+
 #[test]
 fn memory_is_bounded_and_open_runs_stay() {
     let mut index = KeyIndex::new(cfg(on()), Duration::ZERO);
