--- a/lacewingspring_core/src/key_index/mod.rs
+++ b/lacewingspring_core/src/key_index/mod.rs
@@ -65,8 +65,17 @@
         }
     }
 
-    /// Notes that this instance has become the home of further keys, so that it learns again.
-    pub fn role_taken(&mut self, now: Duration) {
+    /// Notes that the view has changed and this instance may be the home of other keys.
+    ///
+    /// The runs of keys whose home it isn't any more are kept only to be handed over.
+    pub fn roles_changed<F>(&mut self, now: Duration, is_home: F)
+    where
+        F: Fn(&KeyId) -> bool,
+    {
+        let foreign: Vec<KeyId> = self.open.keys().filter(|id| !is_home(id)).cloned().collect();
+        for id in foreign {
+            self.hand_over(now, &id);
+        }
         self.role_taken_at = now;
         self.learning_until = now + self.cfg.learning;
     }
@@ -80,23 +89,29 @@
         runner: Runner,
         tenure: Tenure,
     ) -> RegisterVerdict {
-        self.expire(now);
+        self.refresh(now, &id);
+        let learning = now < self.learning_until;
         if let Some(run) = self.open.get(&id) {
+            if learning && run.is_doubtful() {
+                return RegisterVerdict::Unknown;
+            }
             return run.joined_by(&fingerprint, &runner);
         }
-        self.drop_stale_marker(&id);
         let settled = self.settled.get(&id);
         if let Some(verdict) = settled.and_then(|settled| settled.answer(&fingerprint)) {
             return verdict;
         }
-        if settled.is_none() && tenure == Tenure::New && now < self.learning_until {
+        if settled.is_none() && tenure == Tenure::New && learning {
             return RegisterVerdict::Unknown;
         }
         if !self.make_room() {
             return RegisterVerdict::Full;
         }
         self.settled.remove(&id);
-        self.open.insert(id, OpenRun { fingerprint, runner, progress: Progress::Waiting });
+        self.open.insert(
+            id,
+            OpenRun { fingerprint, runner, progress: Progress::Waiting, hearsay: false },
+        );
         RegisterVerdict::Registered
     }
 
@@ -108,13 +123,16 @@
         runner: &Runner,
         upstream: UpstreamName,
     ) -> DispatchVerdict {
-        self.expire(now);
+        self.refresh(now, id);
         let Some(run) = self.open.get_mut(id) else {
             return self.settled.get(id).map_or(DispatchVerdict::Unknown, Settled::refuse_dispatch);
         };
         if run.runner != *runner && self.cfg.policy.compare_runner {
             return DispatchVerdict::TakenOver { runner: run.runner.clone() };
         }
+        if now < self.learning_until && run.is_doubtful() {
+            return DispatchVerdict::Unknown;
+        }
         if let Progress::Dispatched { upstream } = &run.progress {
             if self.cfg.policy.compare_progress {
                 return DispatchVerdict::Repeated { upstream: upstream.clone() };
@@ -144,7 +162,7 @@
         new_runner: &Runner,
         dead_runner: &Runner,
     ) -> TakeOverVerdict {
-        self.expire(now);
+        self.refresh(now, id);
         let Some(run) = self.open.get_mut(id) else { return TakeOverVerdict::Refused };
         // A take-over whose reply was lost is answered again.
         if run.runner != *dead_runner && run.runner != *new_runner {
@@ -167,10 +185,12 @@
         runner: &Runner,
         outcome: Outcome,
     ) -> FinishVerdict {
-        self.expire(now);
-        let Some(run) = self.open.get(id) else { return FinishVerdict::Unknown };
-        if run.runner != *runner {
-            return FinishVerdict::TakenOver { runner: run.runner.clone() };
+        self.refresh(now, id);
+        let moved = self.settled.get(id).and_then(Settled::moved_run);
+        let runs_it = self.open.get(id).map(|run| &run.runner).or(moved.map(|run| &run.runner));
+        let Some(known) = runs_it else { return FinishVerdict::Unknown };
+        if known != runner {
+            return FinishVerdict::TakenOver { runner: known.clone() };
         }
         let settlement = Settlement::Finished { runner: runner.clone(), outcome };
         self.settle(now, id, settlement);
@@ -190,12 +210,11 @@
 
     /// Settles a key for a status query: a key that is not known never dispatches from then on.
     pub fn void(&mut self, now: Duration, id: &KeyId, tenure: Tenure) -> VoidVerdict {
-        self.expire(now);
+        self.refresh(now, id);
         if let Some(run) = self.open.get(id) {
             let (runner, progress) = (run.runner.clone(), run.progress.clone());
             return VoidVerdict::Running { runner, progress };
         }
-        self.drop_stale_marker(id);
         let settled = self.settled.get(id);
         if let Some(verdict) = settled.and_then(Settled::answer_status) {
             return verdict;
@@ -237,7 +256,9 @@
     }
 
     fn settle(&mut self, now: Duration, id: &KeyId, settlement: Settlement) {
-        let fingerprint = self.open.remove(id).map(|run| run.fingerprint);
+        let moved = self.settled.get(id).and_then(Settled::moved_run);
+        let moved = moved.map(|run| run.fingerprint.clone());
+        let fingerprint = self.open.remove(id).map(|run| run.fingerprint).or(moved);
         self.settlements += 1;
         let number = self.settlements;
         let expires = now + self.cfg.retention;
@@ -266,6 +287,12 @@
         false
     }
 
+    /// Drops what has run out, and the mark that this key was handed over if it is stale.
+    fn refresh(&mut self, now: Duration, id: &KeyId) {
+        self.expire(now);
+        self.drop_stale_marker(id);
+    }
+
     fn expire(&mut self, now: Duration) {
         while let Some((number, id)) = self.ages.front() {
             match self.settled.get(id) {
