--- a/lacewingspring_standins/src/load/direct.rs
+++ b/lacewingspring_standins/src/load/direct.rs
@@ -21,6 +21,9 @@
 /// Requests on each path that are not measured.
 const WARM_UP: usize = 50;
 
+/// Words of a prompt.
+const PROMPT_WORDS: usize = 400;
+
 /// Longest wait for one answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -38,7 +41,7 @@
     let mut direct = Histogram::new(3).expect("the digits are in range");
     let mut through = direct.clone();
     for number in 0..WARM_UP + requests {
-        let prompt = format!("compare {number}");
+        let prompt = prompt("direct", number);
         let body = json!({ "model": MODEL, "prompt": prompt, "max_tokens": 1, "stream": true });
         let id = ("x-request-id", format!("direct-{number}"));
         let call = Send {
@@ -47,7 +50,8 @@
             ..Send::new("POST", "/v1/completions")
         };
         let alone = first_token(engine, &call).await?;
-        let call = probe(deployment, &prompt).ok_or_else(|| io::Error::other("no service"))?;
+        let call = probe(deployment, &self::prompt("routed", number))
+            .ok_or_else(|| io::Error::other("no service"))?;
         let routed = first_token(instance, &call).await?;
         if number >= WARM_UP {
             record(&mut direct, alone);
@@ -58,6 +62,11 @@
     Ok(())
 }
 
+/// Prompt that no other shares a prefix with.
+fn prompt(path: &str, number: usize) -> String {
+    (0..PROMPT_WORDS).map(|word| format!("{path}{number}w{word} ")).collect()
+}
+
 async fn first_token(address: SocketAddr, call: &Send) -> io::Result<Duration> {
     let start = Instant::now();
     let exchange = async { open(address, call).await?.tokens(|| {}).await };
--- a/lacewingspring_standins/tests/load_arrivals.rs
+++ b/lacewingspring_standins/tests/load_arrivals.rs
@@ -64,7 +64,7 @@
             }
         }
     }
-    assert_eq!(count, 9);
+    assert_eq!(count, 10);
 }
 
 #[test]
