Hold the limits of workspaces over the fleet

Cause: the limits of a workspace were declared and not enforced by the daemon.

Each instance keeps a share of every declared workspace, asked for ahead of the requests, so that a request with room in the share asks nobody. A new home asks all members twice what they hold; when all answer it need not wait for old shares to run out, else it waits as the ledger says. Refusals of the entry get times to come back that are spread, and repeats (key refused here before, or header Retry-Attempt above zero) draw on a budget.

Ruled out: admission before the key is registered. A repeat of a request that runs at another instance would be told "not run". It comes after, at no further round trip. Ruled out too: refusing at once whenever the share is short; two tests of at_most_once failed by it, since an instance that has just joined holds next to nothing.

--- a/lacewingspring/src/callers/auth.rs
+++ b/lacewingspring/src/callers/auth.rs
@@ -17,6 +17,9 @@
 /// Header with the longest wait before dispatch, in milliseconds.
 pub const REQUEST_TIMEOUT_MS: &str = "request-timeout-ms";
 
+/// Header with the number of times that the request was sent before.
+pub const RETRY_ATTEMPT: &str = "retry-attempt";
+
 /// Longest idempotency key, in bytes.
 const MAX_KEY_LEN: usize = 255;
 
@@ -66,3 +69,14 @@
     let ms = ms.ok_or(Refusal::last(ErrorKind::Malformed))?;
     Ok(Some(Duration::from_millis(u64::from(ms))))
 }
+
+/// Returns whether the caller says that it has sent the request before.
+///
+/// # Errors
+///
+/// Refuses a value that is not a whole number.
+pub fn is_retry(headers: &HeaderMap) -> Result<bool, Refusal> {
+    let Some(value) = headers.get(RETRY_ATTEMPT) else { return Ok(false) };
+    let attempt = value.to_str().ok().and_then(|text| text.parse::<u32>().ok());
+    Ok(attempt.ok_or(Refusal::last(ErrorKind::Malformed))? > 0)
+}
--- a/lacewingspring/src/callers/completions.rs
+++ b/lacewingspring/src/callers/completions.rs
@@ -68,7 +68,8 @@
     let id = KeyId { workspace, key: key.unwrap_or_else(auth::mint_key) };
     let body = Body::Completion { prompt: req.prompt, max_tokens: req.max_tokens };
     let work = entry::work(&catalog, id.clone(), service, body, auth::timeout(headers)?)?;
-    let follower = entry::submit(node, Work { minted, ..work })?;
+    let is_retry = auth::is_retry(headers)?;
+    let follower = entry::submit(node, Work { minted, is_retry, ..work })?;
     let reply = if req.stream { streamed(follower).await? } else { whole(follower).await? };
     Ok(reply.with_key(&id))
 }
--- a/lacewingspring/src/callers/plain.rs
+++ b/lacewingspring/src/callers/plain.rs
@@ -40,7 +40,8 @@
         bytes: call.body.clone(),
     };
     let work = entry::work(&catalog, id.clone(), service, body, auth::timeout(headers)?)?;
-    let follower = entry::submit(node, Work { minted, ..work })?;
+    let is_retry = auth::is_retry(headers)?;
+    let follower = entry::submit(node, Work { minted, is_retry, ..work })?;
     Ok(whole(follower).await?.with_key(&id))
 }
 
--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -22,6 +22,7 @@
     entry::{Claims, RunTable, serve_follow},
     gates::GateHost,
     homes::{self, KeyHome, announce_on_change},
+    limits::{self, Limits, keep_shares},
     membership::{Fleet, follow_list, gossip},
     metrics::Metrics,
     operators::{KnownOperator, Operators},
@@ -71,6 +72,8 @@
     pub gates: GateHost,
     /// Keys whose home this instance is.
     pub home: KeyHome,
+    /// Limits of the workspaces.
+    pub limits: Limits,
     /// Runs of this instance.
     pub runs: Arc<RunTable>,
     /// Claims of this incarnation.
@@ -107,6 +110,7 @@
     tokio::spawn(follow_list(node.clone()));
     tokio::spawn(gossip(node.clone()));
     tokio::spawn(announce_on_change(node.clone()));
+    tokio::spawn(keep_shares(node.clone()));
     callers::start(node.clone())?;
     wait_for_stop().await?;
     leave(&node).await;
@@ -147,6 +151,7 @@
         peers,
         gates: GateHost::default(),
         home: KeyHome::new(clock::now()),
+        limits: Limits::new(),
         claims,
         leaving: AtomicBool::new(false),
     }))
@@ -185,6 +190,10 @@
             let reply = homes::serve(&node, call).await;
             let _ = exchange.tx.send(Message::KeyReply(reply)).await;
         }
+        Some(Message::Share(call)) => {
+            let reply = limits::serve(&node, call);
+            let _ = exchange.tx.send(Message::ShareReply(reply)).await;
+        }
         Some(Message::FetchDeclared) => {
             if let Some(bytes) = node.declared.encode_snapshot() {
                 let _ = exchange.tx.send(Message::Declared(bytes.to_vec())).await;
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -1,6 +1,9 @@
 //! Drives a run from acceptance to its last part.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use lacewingspring_core::{
     error::RunState,
@@ -18,6 +21,7 @@
 use crate::{
     clock,
     daemon::Node,
+    limits::{Arrival, Slot},
     metrics::{Series, Timer},
 };
 
@@ -37,19 +41,23 @@
     pub series: Series,
     /// Time of acceptance.
     pub accepted: Duration,
+    /// Place within the limits of the workspace, held while the request runs here.
+    pub slot: Mutex<Option<Slot>>,
 }
 
 /// Starts a run in a task of its own: it outlives the caller's connection.
 pub fn start(node: Arc<Node>, run: Arc<Run>, work: Work) {
     tokio::spawn(async move {
         let series = work.series();
-        let drive = Drive { node, run, work, series, accepted: clock::now() };
+        let accepted = clock::now();
+        let drive = Drive { node, run, work, series, accepted, slot: Mutex::default() };
         drive.run.note(Step::Accepted);
         drive.node.metrics.accepted(&drive.series);
         match drive.to_end().await {
             Ok(()) => drive.answered(),
             Err(refusal) => drive.refused(refusal),
         }
+        drive.free_slot();
         drive.forget();
     });
 }
@@ -68,6 +76,7 @@
     }
 
     fn refused(&self, refusal: Refusal) {
+        let refusal = self.node.limits.uses().refused(&self.arrival(), refusal);
         self.run.note(Step::Refused(refusal.kind));
         self.node.metrics.refused(&self.series, refusal.kind);
         self.run.fail(refusal);
@@ -88,6 +97,29 @@
         self.run_once(request).await
     }
 
+    /// Counts the request against the limits of its workspace, unless it is counted already.
+    ///
+    /// It comes after the key was found to be new, since a repeat of a request that runs elsewhere
+    /// isn't counted, and "not run" would be false for it.
+    pub(super) async fn admit(&self) -> Result<(), Refusal> {
+        if self.slot.lock().unwrap_or_else(PoisonError::into_inner).is_some() {
+            return Ok(());
+        }
+        let slot = self.node.limits.uses().admit(&self.node, self.arrival()).await?;
+        *self.slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(slot);
+        Ok(())
+    }
+
+    /// Frees the place within the limits.
+    pub(super) fn free_slot(&self) {
+        self.slot.lock().unwrap_or_else(PoisonError::into_inner).take();
+    }
+
+    fn arrival(&self) -> Arrival<'_> {
+        let id = &self.work.id;
+        Arrival { workspace: &id.workspace, key: &id.key, is_retry: self.work.is_retry }
+    }
+
     /// Hands the request to its upstream; returns it when no byte went out.
     pub(super) async fn dispatch(
         &self,
--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -73,11 +73,13 @@
         match verdict {
             RegisterVerdict::Registered => {
                 self.own(Progress::Waiting);
+                self.admit().await?;
                 self.run_as_runner(homes, request).await
             }
             RegisterVerdict::Joined { runner, progress } => {
                 if runner == homes.runner() && progress == Progress::Waiting {
                     self.own(Progress::Waiting);
+                    self.admit().await?;
                     return self.run_as_runner(homes, request).await;
                 }
                 self.follow_or_take_over(homes, request, runner).await
@@ -209,6 +211,7 @@
         runner: Runner,
         upstream: Option<UpstreamName>,
     ) -> Result<(), Refusal> {
+        self.free_slot();
         let lost = Refusal::last(ErrorKind::AnswerLost);
         if let Some(peer) = self.node.fleet.live(&runner.instance, runner.incarnation) {
             let key = self.run.id.key.clone();
@@ -229,6 +232,7 @@
         runner: Runner,
     ) -> Result<(), Refusal> {
         let deadline = request.facts().deadline;
+        self.free_slot();
         loop {
             if runner == homes.runner() {
                 // This incarnation dispatched the request before and no longer knows its end.
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -157,6 +157,8 @@
     pub max_wait: Duration,
     /// Whether the key was minted for this request.
     pub minted: bool,
+    /// Whether the caller says that it has sent the request before.
+    pub is_retry: bool,
 }
 
 impl Work {
@@ -240,5 +242,6 @@
         body,
         max_wait,
         minted: false,
+        is_retry: false,
     })
 }
--- a/lacewingspring/src/entry/once.rs
+++ b/lacewingspring/src/entry/once.rs
@@ -21,6 +21,7 @@
         if let Some(outcome) = claims.look_up(&self.work, deadline).await? {
             return self.settle(outcome).await;
         }
+        self.admit().await?;
         let permit = self.permit(deadline).await?;
         let claim = match claims.claim(&self.work).await {
             Ok(ClaimOutcome::Won(claim)) => claim,
@@ -51,6 +52,7 @@
     /// Answers from a claim that stood before.
     async fn settle(&self, outcome: ClaimOutcome) -> Result<(), Refusal> {
         self.run.note(Step::ClaimFound);
+        self.free_slot();
         match outcome {
             ClaimOutcome::Answered(answer) => {
                 self.run.push_answer(answer);
--- a/lacewingspring/src/lib.rs
+++ b/lacewingspring/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod gates;
 pub mod homes;
+pub mod limits;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
--- /dev/null
+++ b/lacewingspring/src/limits/mod.rs
@@ -0,0 +1,119 @@
+//! Limits of workspaces over the fleet: shares asked for, given out and used.
+//!
+//! Each instance asks the home of each declared workspace for a share ahead of the requests, so
+//! that a request is admitted without a round trip.
+
+use std::{sync::Arc, time::Duration};
+
+use lacewingspring_core::{limits::ShareConfig, names::WorkspaceName};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::{
+    clock,
+    daemon::Node,
+    peers::{Message, ShareCall, ShareReply},
+};
+
+pub use self::usage::{Arrival, Slot};
+
+use self::{home::ShareHome, usage::Uses};
+
+mod home;
+mod learn;
+mod usage;
+
+/// Time between two looks at which shares are due.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Longest wait for the answer of a home.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Both sides of the limits at this instance.
+#[derive(Debug)]
+pub struct Limits {
+    home: ShareHome,
+    uses: Uses,
+}
+
+impl Limits {
+    /// Creates both sides without any workspace.
+    pub fn new() -> Self {
+        let cfg = ShareConfig::default();
+        Self { home: ShareHome::new(cfg.clone()), uses: Uses::new(cfg) }
+    }
+
+    /// Returns the use of the limits at this entry.
+    pub fn uses(&self) -> &Uses {
+        &self.uses
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Keeps the shares of all declared workspaces fresh, and the ledgers of those whose home this
+/// instance is.
+pub async fn keep_shares(node: Arc<Node>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut changes = node.fleet.changes();
+    loop {
+        ticks.tick().await;
+        let now = clock::now();
+        if changes.has_changed().unwrap_or_default() {
+            changes.mark_unchanged();
+            node.limits.uses.ask_soon();
+        }
+        let catalog = node.catalog();
+        node.limits.uses.retain(|workspace| catalog.workspaces.contains_key(workspace));
+        for term in node.limits.home.refresh(now, &node, &catalog) {
+            tokio::spawn(learn::learn(node.clone(), term));
+        }
+        for workspace in catalog.workspaces.keys() {
+            ask_if_due(&node, workspace);
+        }
+    }
+}
+
+/// Answers a question about shares.
+pub fn serve(node: &Node, call: ShareCall) -> ShareReply {
+    let now = clock::now();
+    match call {
+        ShareCall::Ask { workspace, instance, incarnation, demand } => {
+            let share =
+                node.limits.home.grant(now, node, &workspace, &instance, incarnation, demand);
+            share.map_or(ShareReply::NotHome, ShareReply::Granted)
+        }
+        ShareCall::Report { workspace } => {
+            node.limits.home.give_up(&workspace);
+            let demand = node.limits.uses.of(now, &workspace).report(now);
+            ShareReply::Held { incarnation: node.incarnation, demand }
+        }
+    }
+}
+
+/// Asks the home of a workspace for a share when it is time.
+pub(crate) fn ask_if_due(node: &Arc<Node>, workspace: &WorkspaceName) {
+    let now = clock::now();
+    let used = node.limits.uses.of(now, workspace);
+    let Some(home) = home::holder(node, workspace) else { return };
+    let Some(demand) = used.ask(now) else { return };
+    let call = ShareCall::Ask {
+        workspace: workspace.clone(),
+        instance: node.settings.instance.clone(),
+        incarnation: node.incarnation,
+        demand,
+    };
+    let (node, workspace) = (node.clone(), workspace.clone());
+    tokio::spawn(async move {
+        let reply = node.peers.call(&home, Message::Share(call), CALL_TIMEOUT).await;
+        if let Ok(Message::ShareReply(ShareReply::Granted(share))) = reply {
+            let catalog = node.catalog();
+            let limits = catalog.workspaces.get(&workspace).map(|spec| &spec.limits);
+            used.granted(clock::now(), share, limits);
+        }
+    });
+}
--- a/lacewingspring/src/membership/mod.rs
+++ b/lacewingspring/src/membership/mod.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -41,6 +44,7 @@
     membership: Mutex<Membership>,
     freeze: Mutex<FreezeGuard>,
     view: ArcSwap<View>,
+    listed: AtomicBool,
     changes: watch::Sender<u64>,
 }
 
@@ -55,6 +59,7 @@
             view: ArcSwap::from_pointee(membership.view(now)),
             membership: Mutex::new(membership),
             freeze: Mutex::new(freeze),
+            listed: AtomicBool::new(false),
             changes: watch::Sender::new(0),
         }
     }
@@ -126,6 +131,12 @@
         let mut membership = self.lock();
         membership.observe_list(now, listed);
         self.refresh(&membership, now);
+        self.listed.store(true, Ordering::Release);
+    }
+
+    /// Returns whether the platform's list was read since the start.
+    pub fn is_listed(&self) -> bool {
+        self.listed.load(Ordering::Acquire)
     }
 
     /// Makes one round of heartbeats and returns the digests to send.
--- a/lacewingspring/src/peers/message.rs
+++ b/lacewingspring/src/peers/message.rs
@@ -8,7 +8,10 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::keys::{KeyCall, KeyReply};
+use super::{
+    keys::{KeyCall, KeyReply},
+    shares::{ShareCall, ShareReply},
+};
 
 /// Names a gate: one engine pool in one data centre.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -104,6 +107,10 @@
     Key(KeyCall),
     /// Key home to entry: the answer.
     KeyReply(KeyReply),
+    /// Entry to home of a workspace, or back: a question about its limits.
+    Share(ShareCall),
+    /// The answer to such a question.
+    ShareReply(ShareReply),
     /// Member to member: a heartbeat, or the reply to one.
     Heartbeat(Box<Digest>),
     /// Member to member: asks for the declared state in force.
--- a/lacewingspring/src/peers/mod.rs
+++ b/lacewingspring/src/peers/mod.rs
@@ -20,6 +20,7 @@
     authority::{Authority, AuthorityError},
     keys::{KeyCall, KeyReply, Told},
     message::{GateId, Message, PermitAsk, RunPart},
+    shares::{ShareCall, ShareReply},
 };
 
 mod authority;
@@ -27,6 +28,7 @@
 mod keys;
 mod message;
 mod pump;
+mod shares;
 
 /// Messages that an exchange holds before its sender waits.
 const EXCHANGE_DEPTH: usize = 256;
--- a/lacewingspring_core/src/limits/ledger.rs
+++ b/lacewingspring_core/src/limits/ledger.rs
@@ -60,6 +60,24 @@
         self.accounts.remove(instance);
     }
 
+    /// Takes what an instance reports to hold, without giving it more.
+    pub fn learn(&mut self, now: Duration, instance: &InstanceName, demand: Demand) {
+        let cfg = &self.cfg;
+        let account = self.accounts.entry(instance.clone());
+        account.or_insert_with(|| Account::new(demand)).observe(now, demand, cfg);
+    }
+
+    /// Ends the wait for the shares of the old home: every instance has reported what it holds and
+    /// takes no answer of an old home any more.
+    pub fn learned(&mut self, now: Duration) {
+        self.quiet_until = self.quiet_until.min(now);
+    }
+
+    /// Returns whether shares of an old home may be unknown.
+    pub fn is_quiet(&self, now: Duration) -> bool {
+        now < self.quiet_until
+    }
+
     /// Gives an instance its share.
     pub fn grant(&mut self, now: Duration, instance: &InstanceName, demand: Demand) -> Share {
         let cfg = &self.cfg;
--- a/lacewingspring_core/src/limits/share_use.rs
+++ b/lacewingspring_core/src/limits/share_use.rs
@@ -136,6 +136,39 @@
         self.tokens = self.tokens.min(self.depth(share));
     }
 
+    /// Reports what is held to a new home; answers of earlier homes are taken no more.
+    pub fn report(&mut self, now: Duration) -> Demand {
+        self.average(now);
+        self.asks.clear();
+        Demand {
+            ask: self.asked,
+            rate: self.arrivals / DEMAND_WINDOW.as_secs_f64(),
+            concurrency: self.in_use,
+            in_use: self.in_use,
+            held: self.share(now),
+        }
+    }
+
+    /// Returns whether a request would be admitted.
+    pub fn has_room(&mut self, now: Duration) -> bool {
+        self.refill(now);
+        let share = self.share(now);
+        share.is_some_and(|share| self.in_use < share.concurrency) && self.tokens >= 1.0
+    }
+
+    /// Counts a request that waits for a larger share, so that the home is asked soon.
+    pub fn wait(&mut self, now: Duration) {
+        self.average(now);
+        self.arrivals += 1.0;
+        self.refused = self.refused.saturating_add(1);
+        self.starved = true;
+    }
+
+    /// Asks the home soon, since the members have changed.
+    pub fn ask_soon(&mut self) {
+        self.starved = true;
+    }
+
     /// Returns the share in force.
     pub fn share(&self, now: Duration) -> Option<Share> {
         let held = self.held?;
