--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -69,7 +69,7 @@
     /// Connections to the other instances.
     pub peers: Arc<Peers>,
     /// Gates that this instance holds.
-    pub gates: GateHost,
+    pub gates: Arc<GateHost>,
     /// Keys whose home this instance is.
     pub home: KeyHome,
     /// Limits of the workspaces.
@@ -138,10 +138,12 @@
         fleet: Arc::new(Fleet::new(own, period, clock::now())),
         metrics: Arc::new(Metrics::start(settings.metrics.statsd)?),
         runs: Arc::default(),
+        gates: Arc::default(),
     };
     let bootstrap = settings.operators.iter().map(KnownOperator::from).collect();
     Ok(Arc::new(Node {
         fleet: view.fleet.clone(),
+        gates: view.gates.clone(),
         metrics: view.metrics.clone(),
         runs: view.runs.clone(),
         operators: Operators::new(declared.clone(), view, bootstrap),
@@ -149,7 +151,6 @@
         incarnation,
         declared,
         peers,
-        gates: GateHost::default(),
         home: KeyHome::new(clock::now()),
         limits: Limits::new(),
         claims,
