--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -28,6 +28,7 @@
     operators::{KnownOperator, Operators},
     peers::{Authority, AuthorityError, Exchange, Message, PeerError, Peers},
     platform::key_value::KeyValue,
+    poison::{self, Poison, follow_members, read_stored},
     settings::Settings,
     view::NodeView,
 };
@@ -74,6 +75,10 @@
     pub home: KeyHome,
     /// Limits of the workspaces.
     pub limits: Limits,
+    /// Client of the key-value service.
+    pub store: KeyValue,
+    /// Watch for requests that crash upstreams.
+    pub poison: Poison,
     /// Runs of this instance.
     pub runs: Arc<RunTable>,
     /// Claims of this incarnation.
@@ -111,6 +116,8 @@
     tokio::spawn(gossip(node.clone()));
     tokio::spawn(announce_on_change(node.clone()));
     tokio::spawn(keep_shares(node.clone()));
+    tokio::spawn(read_stored(node.clone()));
+    tokio::spawn(follow_members(node.clone()));
     callers::start(node.clone())?;
     wait_for_stop().await?;
     leave(&node).await;
@@ -125,7 +132,8 @@
     let store = KeyValue::new(settings.key_value.endpoints.clone(), timeout);
     let prefix = settings.key_value.prefix.clone();
     let claims = Claims::new(store.clone(), &prefix, settings.instance.clone(), incarnation);
-    let declared = DeclaredStore::start(store, &prefix);
+    let declared = DeclaredStore::start(store.clone(), &prefix);
+    let poison = Poison::new(&settings.poison, clock::now());
     let own = Member {
         name: settings.instance.clone(),
         data_centre: settings.data_centre.clone(),
@@ -153,6 +161,8 @@
         peers,
         home: KeyHome::new(clock::now()),
         limits: Limits::new(),
+        store,
+        poison,
         claims,
         leaving: AtomicBool::new(false),
     }))
@@ -195,6 +205,10 @@
             let reply = limits::serve(&node, call);
             let _ = exchange.tx.send(Message::ShareReply(reply)).await;
         }
+        Some(Message::Poison(call)) => {
+            let reply = poison::serve(&node, call);
+            let _ = exchange.tx.send(Message::PoisonReply(reply)).await;
+        }
         Some(Message::FetchDeclared) => {
             if let Some(bytes) = node.declared.encode_snapshot() {
                 let _ = exchange.tx.send(Message::Declared(bytes.to_vec())).await;
--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -125,9 +125,14 @@
             }
             Stretch::Broken(e) => {
                 drive.run.note(Step::Cut);
+                if !engine.is_up().await {
+                    permit.crashed().await;
+                }
                 match resume(&engine, &mut progress, e).await {
                     Ok(resumed) => stream = Some(resumed),
                     Err(refusal) => {
+                        // The engine forgot the run, or did not come back.
+                        permit.crashed().await;
                         permit.unreachable();
                         return Err(refusal);
                     }
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -7,7 +7,7 @@
 
 use lacewingspring_core::{
     error::RunState,
-    gate::{Ask, Resume},
+    gate::{Ask, Placement, Resume},
     names::UpstreamName,
     request::{Claimed, Request, RequestFacts},
 };
@@ -142,21 +142,22 @@
 
     /// Waits for a permit until the deadline.
     pub async fn permit(&self, deadline: Duration) -> Result<Permit, Refusal> {
-        self.permit_to(deadline, None).await
+        self.permit_to(deadline, None, Placement::Any).await
     }
 
     /// Waits for a permit to go on with a parked run, when its gate died.
     pub async fn permit_to_resume(&self, resume: Resume) -> Result<Permit, Refusal> {
-        self.permit_to(self.fresh_deadline(), Some(resume)).await
+        self.permit_to(self.fresh_deadline(), Some(resume), Placement::Any).await
     }
 
-    async fn permit_to(
+    pub(super) async fn permit_to(
         &self,
         deadline: Duration,
         resume: Option<Resume>,
+        placement: Placement,
     ) -> Result<Permit, Refusal> {
         let work = &self.work;
-        let ask = self.ask(deadline, resume);
+        let ask = Ask { placement, ..self.ask(deadline, resume) };
         let permit = permit::acquire(&self.node, &work.service.pool, &work.pool, ask).await;
         let permit = permit?;
         self.time(Timer::Wait);
@@ -181,6 +182,7 @@
             parkable: work.service.idempotent && matches!(work.body, Body::Completion { .. }),
             prefixes: work.body.prefixes(),
             resume,
+            placement: Placement::Any,
         }
     }
 
--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -104,7 +104,7 @@
         let deadline = request.facts().deadline;
         let mut request = request;
         loop {
-            let permit = self.permit(deadline).await?;
+            let permit = self.permit_to_begin(deadline).await?;
             self.wait_until_sound().await;
             match self.ask_leave(homes, &permit, deadline).await? {
                 Leave::Granted(proof) => {
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -25,6 +25,7 @@
 };
 use crate::{daemon::Node, metrics::Series};
 
+mod begin;
 mod claims;
 mod completion;
 mod drive;
--- a/lacewingspring/src/entry/once.rs
+++ b/lacewingspring/src/entry/once.rs
@@ -22,7 +22,7 @@
             return self.settle(outcome).await;
         }
         self.admit().await?;
-        let permit = self.permit(deadline).await?;
+        let permit = self.permit_to_begin(deadline).await?;
         let claim = match claims.claim(&self.work).await {
             Ok(ClaimOutcome::Won(claim)) => claim,
             Ok(outcome) => {
--- a/lacewingspring/src/entry/permit.rs
+++ b/lacewingspring/src/entry/permit.rs
@@ -4,7 +4,7 @@
 
 use lacewingspring_core::{
     error::ErrorKind,
-    gate::{Ask, Outcome, Resume},
+    gate::{Ask, Outcome, Placement, Resume},
     names::{DataCentreName, PoolName, UpstreamName},
     resources::EnginePoolSpec,
 };
@@ -18,6 +18,7 @@
     clock,
     daemon::Node,
     peers::{Exchange, GateId, Message, PeerAddress, PermitAsk},
+    poison::Trial,
 };
 
 /// Wait at the nearest gate before the other data centres' gates are asked too.
@@ -54,6 +55,8 @@
     gate: GateExchange,
     /// Upstream that runs the request.
     pub upstream: UpstreamName,
+    /// Run that the home of the fingerprint let begin.
+    pub trial: Option<Trial>,
 }
 
 impl Permit {
@@ -93,8 +96,18 @@
         self.gate.outcome = Outcome::Failed;
     }
 
+    /// Tells the home of the fingerprint that the upstream crashed, before the permit ends.
+    pub async fn crashed(&mut self) {
+        if let Some(trial) = self.trial.take() {
+            trial.crashed().await;
+        }
+    }
+
     /// Gives the permit back.
     pub fn release(mut self, outcome: Outcome) {
+        if let (Outcome::Finished(_), Some(trial)) = (outcome, self.trial.take()) {
+            trial.whole();
+        }
         self.gate.outcome = outcome;
     }
 
@@ -106,6 +119,7 @@
     pub async fn ask_again(mut self, resume: Resume) -> Result<Self, Refusal> {
         let gone = Refusal::new(ErrorKind::NoUpstream, UNREACHABLE_RETRY_AFTER);
         self.ask.ask.resume = Some(resume);
+        self.ask.ask.placement = Placement::Any;
         let tx = &self.gate.exchange.tx;
         tx.send(Message::Parked).await.map_err(|_| gone)?;
         tx.send(Message::AskAgain(self.ask.ask.clone())).await.map_err(|_| gone)?;
@@ -203,7 +217,7 @@
     let gate = GateId { pool: pool_name.clone(), data_centre };
     let ask = PermitAsk { gate, ask };
     let (gate, ask) = (open_adopted(node, &ask, &upstream).await, ask);
-    Permit { node: node.clone(), ask, gate, upstream }
+    Permit { node: node.clone(), ask, gate, upstream, trial: None }
 }
 
 /// Tells the present holder of a gate of a permit, until one takes it.
@@ -259,7 +273,8 @@
         };
         return match message? {
             Message::Granted(upstream) => {
-                let permit = Permit { node: node.clone(), ask: ask.clone(), gate, upstream };
+                let (node, ask) = (node.clone(), ask.clone());
+                let permit = Permit { node, ask, gate, upstream, trial: None };
                 Some(Reply::Granted(Box::new(permit)))
             }
             Message::Refused { kind, retry_after_ms } => {
--- a/lacewingspring/src/lib.rs
+++ b/lacewingspring/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod operators;
 pub mod peers;
 pub mod platform;
+pub mod poison;
 pub mod settings;
 pub mod upstreams;
 pub mod view;
--- a/lacewingspring/src/peers/message.rs
+++ b/lacewingspring/src/peers/message.rs
@@ -10,6 +10,7 @@
 
 use super::{
     keys::{KeyCall, KeyReply},
+    poison::{PoisonCall, PoisonReply},
     shares::{ShareCall, ShareReply},
 };
 
@@ -111,6 +112,10 @@
     Share(ShareCall),
     /// The answer to such a question.
     ShareReply(ShareReply),
+    /// Runner to home of a fingerprint, or home to all: about requests that crash upstreams.
+    Poison(PoisonCall),
+    /// The answer to such a message.
+    PoisonReply(PoisonReply),
     /// Member to member: a heartbeat, or the reply to one.
     Heartbeat(Box<Digest>),
     /// Member to member: asks for the declared state in force.
--- a/lacewingspring/src/peers/mod.rs
+++ b/lacewingspring/src/peers/mod.rs
@@ -20,6 +20,7 @@
     authority::{Authority, AuthorityError},
     keys::{KeyCall, KeyReply, Told},
     message::{GateId, Message, PermitAsk, RunPart},
+    poison::{OpenRun, PoisonCall, PoisonReply},
     shares::{ShareCall, ShareReply},
 };
 
@@ -27,6 +28,7 @@
 pub mod codec;
 mod keys;
 mod message;
+mod poison;
 mod pump;
 mod shares;
 
--- /dev/null
+++ b/lacewingspring/src/poison/stored.rs
@@ -0,0 +1,65 @@
+//! Quarantined fingerprints in the key-value service, so that a replaced fleet still knows them.
+
+use std::{sync::Arc, time::Duration};
+
+use lacewingspring_core::{
+    catalog::digest_hex,
+    poison::{PoisonConfig, Report},
+};
+use tokio::time::sleep;
+
+use crate::{
+    clock,
+    daemon::Node,
+    platform::key_value::{KeyValueError, Put},
+};
+
+/// Part of a key that follows the prefix.
+const FOLDER: &str = "poison/";
+
+/// Time between two attempts.
+const RETRY_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Most attempts to write one verdict.
+const MAX_WRITES: usize = 100;
+
+/// Reads the stored verdicts, until it succeeds.
+pub async fn read_stored(node: Arc<Node>) {
+    let folder = format!("{}{FOLDER}", node.settings.key_value.prefix);
+    loop {
+        match node.store.range(&folder).await {
+            Ok(reply) => {
+                let reports = reply.entries.iter();
+                let reports = reports.filter_map(|entry| serde_json::from_slice(&entry.value).ok());
+                let reports: Vec<Report> = reports.collect();
+                let mut watch = node.poison.watch();
+                watch.merge(clock::now(), &reports);
+                watch.reports();
+                return;
+            }
+            Err(e) => log::warn!(reason:% = e; "Could not read the quarantined requests."),
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+}
+
+/// Writes one verdict, which lapses with the quarantine.
+pub(super) async fn store(node: Arc<Node>, report: Report) {
+    for _ in 0..MAX_WRITES {
+        match write(&node, &report).await {
+            Ok(()) => return,
+            Err(e) => log::warn!(reason:% = e; "Could not write a quarantined request."),
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+}
+
+async fn write(node: &Node, report: &Report) -> Result<(), KeyValueError> {
+    let Ok(value) = serde_json::to_vec(report) else { return Ok(()) };
+    let fingerprint = serde_json::to_vec(&report.fingerprint).unwrap_or_default();
+    let name = &digest_hex(&fingerprint)[..16];
+    let key = format!("{}{FOLDER}{name}", node.settings.key_value.prefix);
+    let lease = node.store.lease_grant(PoisonConfig::default().quarantine_for).await?;
+    node.store.put(Put::new(key, value).with_lease(lease)).await?;
+    Ok(())
+}
--- a/lacewingspring/src/settings/mod.rs
+++ b/lacewingspring/src/settings/mod.rs
@@ -20,6 +20,7 @@
     metrics::MetricsSettings,
     operators::{BootstrapOperator, OperatorRole},
     platform::{AuthoritySettings, InstanceListSettings, KeyValueSettings},
+    poison::PoisonSettings,
     timing::TimingSettings,
 };
 
@@ -29,6 +30,7 @@
 mod metrics;
 mod operators;
 mod platform;
+mod poison;
 mod timing;
 
 /// Settings of one daemon.
@@ -59,6 +61,9 @@
     /// Intervals and limits of time.
     #[serde(default)]
     pub timing: TimingSettings,
+    /// Watch for requests that crash upstreams.
+    #[serde(default)]
+    pub poison: PoisonSettings,
 }
 
 /// Why settings were not accepted.
--- a/lacewingspring/src/upstreams/completions.rs
+++ b/lacewingspring/src/upstreams/completions.rs
@@ -3,7 +3,7 @@
 //! Beyond the published call, an engine resumes a stream (`GET` with `Last-Event-ID`), cancels it
 //! (`DELETE`) and exports its KV cache.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request, header};
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use lacewingspring_core::request::Dispatch;
 use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
 
 use super::{DispatchError, REQUEST_ID, UpstreamError, check_label, exchange, sse::EventParser};
 
@@ -20,6 +21,12 @@
 /// Header that names the last event a reader has.
 const LAST_EVENT_ID: &str = "last-event-id";
 
+/// Path that a probe reads.
+const MODELS_PATH: &str = "/v1/models";
+
+/// Longest wait for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Body of a completions call to an engine.
 #[derive(Clone, Debug, Serialize)]
 pub struct CompletionCall {
@@ -242,6 +249,13 @@
         self.open(req, from).await
     }
 
+    /// Returns whether the engine answers, by a short probe.
+    pub async fn is_up(&self) -> bool {
+        let Ok(req) = self.order(Method::GET, MODELS_PATH.to_owned()) else { return false };
+        let answer = timeout(PROBE_TIMEOUT, exchange(self.address, req)).await;
+        answer.is_ok_and(|answer| answer.is_ok_and(|answer| answer.status().is_success()))
+    }
+
     /// Cancels the run; a failure leaves it to the engine's own limit.
     pub async fn cancel(&self) {
         let Ok(req) = self.order(Method::DELETE, self.path()) else { return };
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -95,6 +95,8 @@
     pub slots: u32,
     /// Further flags of the engine stand-in.
     pub engine_flags: Vec<String>,
+    /// Whether the watch for requests that crash upstreams is on.
+    pub poison_watch: bool,
 }
 
 impl Default for Plan {
@@ -106,6 +108,7 @@
             plain: 1,
             slots: 8,
             engine_flags: Vec::new(),
+            poison_watch: true,
         }
     }
 }
@@ -124,6 +127,7 @@
     /// Instances by index.
     pub instances: Vec<Instance>,
     stand_ins: Vec<Process>,
+    poison_watch: bool,
     ip: IpAddr,
     folder: TempDir,
 }
@@ -144,6 +148,7 @@
             plain: ports(9_500, plan.plain),
             instances: Vec::new(),
             stand_ins: Vec::new(),
+            poison_watch: plan.poison_watch,
             ip,
             folder,
         };
@@ -283,6 +288,7 @@
                 "credential": digest_hex(OPERATOR_TOKEN.as_bytes())
             }],
             "log": { "level": "warn" },
+            "poison": { "watch": self.poison_watch },
             "timing": { "instance_list_ms": 200, "address_ttl_ms": 1000, "orphan_ms": 1000 }
         });
         let path = folder.join(format!("{name}.json"));
--- a/lacewingspring_core/src/gate/feedback.rs
+++ b/lacewingspring_core/src/gate/feedback.rs
@@ -35,7 +35,7 @@
     /// Ends a ticket and learns from its run.
     pub fn ended(&mut self, now: Duration, ticket: Ticket, outcome: Outcome) -> Vec<Decision> {
         self.parked_sequences.remove(&ticket);
-        if self.queue.remove(ticket).is_some() {
+        if self.queue.remove(ticket).is_some() || self.forget_placed(ticket) {
             return self.settle(now);
         }
         if let Some(run) = self.runs.get(&ticket) {
--- a/lacewingspring_core/src/gate/mod.rs
+++ b/lacewingspring_core/src/gate/mod.rs
@@ -10,6 +10,7 @@
     affinity::Affinity,
     fleet::{Blocked, Choice, Fleet, Limits, LongBound},
     parking::{ParkIndex, ParkKey},
+    placed::Placed,
     queue::{Head, Place, Queue, Waiting},
     recovery::Recovery,
     reserve::Reserve,
@@ -21,7 +22,8 @@
     policy::GatePolicy,
     summary::{GateSummary, TierSummary, UpstreamSummary},
     work::{
-        Ask, CacheChange, CacheEvent, Cost, Decision, LoadReport, Outcome, Prefix, Resume, Ticket,
+        Ask, CacheChange, CacheEvent, Cost, Decision, LoadReport, Outcome, Placement, Prefix,
+        Resume, Ticket,
     },
 };
 use crate::{names::UpstreamName, resources::UpstreamSpec};
@@ -30,6 +32,7 @@
 mod feedback;
 mod fleet;
 mod parking;
+mod placed;
 mod policy;
 mod queue;
 mod recovery;
@@ -61,6 +64,7 @@
     policy: GatePolicy,
     fleet: Fleet,
     queue: Queue,
+    placed: Placed,
     runs: HashMap<Ticket, Run>,
     overdue_runs: u32,
     parks: ParkIndex,
@@ -144,9 +148,13 @@
             }
             self.end_parked(now, ticket);
         }
-        if self.queue.contains(ticket) {
+        if self.queue.contains(ticket) || self.placed.contains(ticket) {
             return Vec::new();
         }
+        if ask.placement != Placement::Any {
+            self.placed.push(now, ticket, ask);
+            return self.settle(now);
+        }
         self.enqueue(now, ticket, ask);
         let mut decisions = self.settle(now);
         self.refuse_hopeless(now, ticket, &mut decisions);
@@ -170,6 +178,9 @@
             return;
         };
         let load = known.adopt(&need);
+        if ask.placement == Placement::Alone {
+            known.reserved = true;
+        }
         let loss = known.declared_prefill(ask.cost.prompt_tokens);
         drop(known);
         let mut run = Run::adopted(ask, upstream, load, sequence);
@@ -231,7 +242,9 @@
             self.set_parkable_aside(number);
         }
         let mut decisions = Vec::new();
+        self.reserve_for_alone();
         let passed = self.grant_all(now, &mut decisions);
+        self.grant_placed(now, &mut decisions);
         self.park_for_waiting(now, passed, &mut decisions);
         self.shed_excess(now, &mut decisions);
         decisions
@@ -388,6 +401,9 @@
                 upstream.end_prefill(&run.load);
             }
             upstream.end(&run.load);
+            if run.ask.placement == Placement::Alone {
+                upstream.reserved = false;
+            }
             upstream.forget_probe(now, ticket);
         }
         Some(run)
--- a/lacewingspring_core/src/gate/upstream.rs
+++ b/lacewingspring_core/src/gate/upstream.rs
@@ -126,6 +126,8 @@
     pub decode: Ratio,
     /// Room for grants beyond the count of the gate's own runs.
     pub room: Room,
+    /// Whether it is kept for a request that runs alone.
+    pub reserved: bool,
     slots: u32,
     kv_used: u64,
     prefill_backlog: f64,
@@ -146,6 +148,7 @@
             prefill: Ratio::default(),
             decode: Ratio::default(),
             room: Room::Counted,
+            reserved: false,
             kv_used: 0,
             prefill_backlog: 0.0,
             long_prefills: BTreeMap::new(),
@@ -180,7 +183,7 @@
         };
         let probing = self.probe.is_some();
         match self.health {
-            _ if self.spec.leaving || free == 0 => Opening::Closed,
+            _ if self.spec.leaving || self.reserved || free == 0 => Opening::Closed,
             Health::Healthy => Opening::Slots(free),
             _ if probing => Opening::Closed,
             Health::Probation { next, .. } => Opening::Probe(next),
@@ -188,6 +191,17 @@
         }
     }
 
+    /// Returns whether a request that runs alone may start: nothing runs, and the upstream is up or
+    /// due for a probe.
+    pub fn is_open_alone(&self, now: Duration) -> bool {
+        let due = match self.health {
+            Health::Healthy => true,
+            Health::Probation { next, .. } => now >= next,
+            Health::Down { until, .. } => now >= until,
+        };
+        self.running == 0 && due && self.room == Room::Counted && !self.spec.leaving
+    }
+
     /// Sets the slots in use at most: fewer for a slow upstream, never more than declared.
     pub fn set_share(&mut self) {
         let score = self.score();
@@ -283,6 +297,7 @@
         self.probe = earlier.probe;
         self.report = earlier.report;
         self.room = earlier.room;
+        self.reserved = earlier.reserved;
         if earlier.slots < earlier.spec.slots {
             self.set_share();
         }
--- a/lacewingspring_core/src/gate/work.rs
+++ b/lacewingspring_core/src/gate/work.rs
@@ -64,6 +64,21 @@
     /// State of a parked request; none for a new one.
     #[serde(default)]
     pub resume: Option<Resume>,
+    /// Where the request may run.
+    #[serde(default)]
+    pub placement: Placement,
+}
+
+/// Where a request may run.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Placement {
+    /// On any upstream.
+    #[default]
+    Any,
+    /// On this upstream only.
+    On(UpstreamName),
+    /// On an upstream that runs nothing else until the request ends.
+    Alone,
 }
 
 impl Ask {
@@ -78,6 +93,7 @@
             parkable: false,
             prefixes: Vec::new(),
             resume: None,
+            placement: Placement::Any,
         }
     }
 
