--- a/lacewingspring/src/peers/mod.rs
+++ b/lacewingspring/src/peers/mod.rs
@@ -20,13 +20,17 @@
     authority::{Authority, AuthorityError},
     keys::{KeyCall, KeyReply, Told},
     message::{GateId, Message, PermitAsk, RunPart},
+    poison::{OpenRun, PoisonCall, PoisonReply},
+    shares::{ShareCall, ShareReply},
 };
 
 mod authority;
 pub mod codec;
 mod keys;
 mod message;
+mod poison;
 mod pump;
+mod shares;
 
 /// Messages that an exchange holds before its sender waits.
 const EXCHANGE_DEPTH: usize = 256;
--- a/lacewingspring_core/src/gate/mod.rs
+++ b/lacewingspring_core/src/gate/mod.rs
@@ -10,6 +10,7 @@
     affinity::Affinity,
     fleet::{Blocked, Choice, Fleet, Limits, LongBound},
     parking::{ParkIndex, ParkKey},
+    placed::Placed,
     queue::{Head, Place, Queue, Waiting},
     recovery::Recovery,
     reserve::Reserve,
@@ -21,7 +22,8 @@
     policy::GatePolicy,
     summary::{GateSummary, TierSummary, UpstreamSummary},
     work::{
-        Ask, CacheChange, CacheEvent, Cost, Decision, LoadReport, Outcome, Prefix, Resume, Ticket,
+        Ask, CacheChange, CacheEvent, Cost, Decision, LoadReport, Outcome, Placement, Prefix,
+        Resume, Ticket,
     },
 };
 use crate::{names::UpstreamName, resources::UpstreamSpec};
@@ -31,6 +33,7 @@
 mod fleet;
 mod memory;
 mod parking;
+mod placed;
 mod policy;
 mod queue;
 mod recovery;
@@ -72,6 +75,7 @@
     policy: GatePolicy,
     fleet: Fleet,
     queue: Queue,
+    placed: Placed,
     runs: HashMap<Ticket, Run>,
     overdue_runs: u32,
     parks: ParkIndex,
@@ -156,9 +160,13 @@
             }
             self.end_parked(now, ticket);
         }
-        if self.queue.contains(ticket) {
+        if self.queue.contains(ticket) || self.placed.contains(ticket) {
             return Vec::new();
         }
+        if ask.placement != Placement::Any {
+            self.placed.push(now, ticket, ask);
+            return self.settle(now);
+        }
         self.enqueue(now, ticket, ask);
         let mut decisions = self.settle(now);
         self.refuse_hopeless(now, ticket, &mut decisions);
@@ -182,6 +190,9 @@
             return;
         };
         let load = known.adopt(&need);
+        if ask.placement == Placement::Alone {
+            known.reserved = true;
+        }
         let loss = known.declared_prefill(ask.cost.prompt_tokens);
         drop(known);
         let mut run = Run::adopted(ask, upstream, load, sequence);
@@ -244,7 +255,9 @@
             self.set_parkable_aside(number);
         }
         let mut decisions = Vec::new();
+        self.reserve_for_alone();
         let stop = self.grant_all(now, &mut decisions);
+        self.grant_placed(now, &mut decisions);
         self.park_for_waiting(now, &stop, &mut decisions);
         self.shed_excess(now, &mut decisions);
         decisions
@@ -425,6 +438,9 @@
                 upstream.end_prefill(&run.load);
             }
             upstream.end(&run.load);
+            if run.ask.placement == Placement::Alone {
+                upstream.reserved = false;
+            }
             upstream.forget_probe(now, ticket);
         }
         Some(run)
