Time each grant of a parked run, and refuse what can't be answered in time

A parked run that goes on never told its first token, so the gate took it for ever later and closed sound engines. Conclusion: the first token after each grant is told; Request-Timeout-Ms is the time for the whole answer, and a request that can't be answered by then is refused while it waits.

--- a/lacewingspring/src/callers/auth.rs
+++ b/lacewingspring/src/callers/auth.rs
@@ -14,7 +14,8 @@
 /// Header with the idempotency key of a request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
-/// Header with the longest wait before dispatch, in milliseconds.
+/// Header with the time within which the caller wants the whole answer, in milliseconds. A request
+/// that can't be answered by then is refused while it waits; a run that has begun is not cut.
 pub const REQUEST_TIMEOUT_MS: &str = "request-timeout-ms";
 
 /// Header with the number of times that the request was sent before.
@@ -58,7 +59,7 @@
     RequestKey::from(format!("{:032x}", rand::random::<u128>()))
 }
 
-/// Returns the caller's longest wait before dispatch.
+/// Returns the time within which the caller wants the whole answer.
 ///
 /// # Errors
 ///
--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -193,6 +193,7 @@
         tokio::pin!(orphaned);
         let cancels = drive.work.service.idempotent;
         let mut finish = None;
+        let mut announced = false;
         loop {
             let part = tokio::select! {
                 part = stream.next() => part,
@@ -201,7 +202,9 @@
             };
             match part {
                 Ok(Part::Token { text, finish_reason, usage, .. }) => {
-                    if self.tokens == 0 {
+                    // Also the first one after parking: the gate times each grant.
+                    if !announced {
+                        announced = true;
                         permit.first_token();
                     }
                     self.count_token(drive, usage);
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -189,15 +189,19 @@
 
     fn ask(&self, deadline: Duration, resume: Option<Resume>) -> Ask {
         let work = &self.work;
+        let now = clock::now();
         Ask {
             rank: work.tier.rank,
             workspace: work.id.workspace.clone(),
             weight: work.weight,
             cost: work.body.cost(&work.service),
-            max_wait: deadline.saturating_sub(clock::now()),
+            max_wait: deadline.saturating_sub(now),
             parkable: work.service.idempotent && matches!(work.body, Body::Completion { .. }),
             prefixes: work.body.prefixes(),
             resume,
+            answer_within: work
+                .timeout
+                .map(|timeout| (self.accepted + timeout).saturating_sub(now)),
             placement: Placement::Any,
         }
     }
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -157,6 +157,8 @@
     pub body: Body,
     /// Longest wait before dispatch.
     pub max_wait: Duration,
+    /// Time within which the caller wants the whole answer.
+    pub timeout: Option<Duration>,
     /// Whether the key was minted for this request.
     pub minted: bool,
     /// Whether the caller says that it has sent the request before.
@@ -243,6 +245,7 @@
         weight,
         body,
         max_wait,
+        timeout,
         minted: false,
         is_retry: false,
     })
--- a/lacewingspring_core/src/gate/mod.rs
+++ b/lacewingspring_core/src/gate/mod.rs
@@ -50,6 +50,9 @@
 /// Time after a short request for which long prefills are bounded.
 const SHORT_WORK_MEMORY: Duration = Duration::from_secs(10);
 
+/// Time that a run is given, in its expected seconds, as it may be parked or slowed by others.
+const RUN_MARGIN: f64 = 1.5;
+
 /// Part of its longest wait after which a long prefill yields to short work no more.
 const LONG_PATIENCE: f64 = 0.5;
 
@@ -240,12 +243,26 @@
         }
         let sequence = self.parked_sequences.remove(&ticket).unwrap_or(self.next_sequence);
         self.next_sequence += 1;
-        let deadline = now + ask.max_wait;
-        let press_at = now + ask.max_wait.mul_f64(LONG_PATIENCE);
+        let max_wait = self.useful_wait(&ask, seconds);
+        let deadline = now + max_wait;
+        let press_at = now + max_wait.mul_f64(LONG_PATIENCE);
         let place = Place { fresh, sequence };
         self.queue.push(Waiting { ticket, ask, place, deadline, seconds, long, press_at });
     }
 
+    /// Returns the longest wait after which the whole answer still comes in time.
+    ///
+    /// A run that is cut at its caller's deadline wastes its prefill. A parked run has done its
+    /// prefill already and keeps its wait.
+    fn useful_wait(&self, ask: &Ask, seconds: f64) -> Duration {
+        let Some(within) = ask.answer_within else { return ask.max_wait };
+        if !self.policy.early_refusal || ask.resume.is_some() {
+            return ask.max_wait;
+        }
+        let run = Duration::from_secs_f64(seconds * RUN_MARGIN);
+        ask.max_wait.min(within.saturating_sub(run))
+    }
+
     /// Brings the queue and the upstreams in order after any change.
     fn settle(&mut self, now: Duration) -> Vec<Decision> {
         if self.recovery.end(now) {
--- a/lacewingspring_core/src/gate/work.rs
+++ b/lacewingspring_core/src/gate/work.rs
@@ -64,6 +64,9 @@
     /// State of a parked request; none for a new one.
     #[serde(default)]
     pub resume: Option<Resume>,
+    /// Time within which the whole answer is of use; none when it always is.
+    #[serde(default)]
+    pub answer_within: Option<Duration>,
     /// Where the request may run.
     #[serde(default)]
     pub placement: Placement,
@@ -93,6 +96,7 @@
             parkable: false,
             prefixes: Vec::new(),
             resume: None,
+            answer_within: None,
             placement: Placement::Any,
         }
     }
