Leave a run 2.5 times its expected seconds before its caller's deadline

Cause: nearly all wasted prefill is work of the lowest tier that was started, parked, and lost when its caller's deadline came. Ruled out: never parking it: the top tier would wait.

--- a/lacewingspring_core/src/gate/mod.rs
+++ b/lacewingspring_core/src/gate/mod.rs
@@ -51,7 +51,7 @@
 const SHORT_WORK_MEMORY: Duration = Duration::from_secs(10);
 
 /// Time that a run is given, in its expected seconds, as it may be parked or slowed by others.
-const RUN_MARGIN: f64 = 1.5;
+const RUN_MARGIN: f64 = 2.5;
 
 /// Part of its longest wait after which a long prefill yields to short work no more.
 const LONG_PATIENCE: f64 = 0.5;
