Check randomised histories of real processes, and mend what they found

Ruled out: a check that is too strict: each trace shows a run that began before the false answer. Conclusion: a claimer is asked whether it still runs a key, a settled key is registered anew, and a thawed member counts the others as holders of late. A dispatch noted twice, or a dispatched run that is refused as not run, is counted, logged and fatal under test.

--- a/lacewingspring/src/callers/keys.rs
+++ b/lacewingspring/src/callers/keys.rs
@@ -4,16 +4,23 @@
 
 use http::Method;
 use lacewingspring_core::{
-    claim::ClaimState,
+    claim::{ClaimRecord, ClaimState},
     error::{ErrorKind, RunState},
     key_index::{KeyId, Outcome, VoidVerdict},
     names::RequestKey,
 };
 use percent_encoding::percent_decode_str;
 use serde::Serialize;
+use tokio::time::timeout;
 
 use super::{Call, REQUESTS_PATH, auth, reply::Reply};
-use crate::{clock, daemon::Node, entry::Refusal, homes::Homes};
+use crate::{
+    clock,
+    daemon::Node,
+    entry::Refusal,
+    homes::Homes,
+    peers::{Message, RunPart},
+};
 
 /// When callers are told to ask again while the key-value service is out.
 const OUTAGE_RETRY_AFTER: Duration = Duration::from_secs(5);
@@ -21,6 +28,9 @@
 /// Longest wait for the home of a key.
 const HOME_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Longest wait for a claimer to say that it no longer runs a key.
+const CLAIMER_TIMEOUT: Duration = Duration::from_millis(500);
+
 #[derive(Serialize)]
 struct KeyState {
     key: RequestKey,
@@ -67,13 +77,33 @@
     Ok(match record.state {
         ClaimState::Void => State::NotRun,
         ClaimState::Done(_) => State::Ran,
-        ClaimState::Claimed => {
-            let live = node.fleet.live(&record.instance, record.incarnation);
-            if live.is_some() { State::InProgress } else { State::MayHaveRun }
-        }
+        ClaimState::Claimed => claimed_state(node, id, &record).await,
     })
 }
 
+/// State of a key that is claimed without an outcome: in progress only while the claimer runs it.
+async fn claimed_state(node: &Arc<Node>, id: &KeyId, record: &ClaimRecord) -> State {
+    if record.incarnation == node.incarnation {
+        return State::MayHaveRun;
+    }
+    let Some(claimer) = node.fleet.live(&record.instance, record.incarnation) else {
+        return State::MayHaveRun;
+    };
+    let follow = Message::Follow {
+        workspace: id.workspace.clone(),
+        key: id.key.clone(),
+        incarnation: record.incarnation,
+    };
+    let Ok(mut exchange) = node.peers.open(&claimer, follow).await else {
+        return State::InProgress;
+    };
+    match timeout(CLAIMER_TIMEOUT, exchange.rx.recv()).await {
+        Ok(Some(Message::NoRun | Message::Part(RunPart::Failed { .. }))) => State::MayHaveRun,
+        // A run that goes on answers with its parts, or with nothing until its end.
+        Ok(_) | Err(_) => State::InProgress,
+    }
+}
+
 /// State of a run that this instance knows.
 fn known_here(node: &Node, id: &KeyId) -> Option<State> {
     let run = node.runs.get(id)?;
--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -27,7 +27,7 @@
     operators::{KnownOperator, Operators},
     peers::{Authority, AuthorityError, Exchange, Message, PeerError, Peers},
     platform::key_value::KeyValue,
-    settings::Settings,
+    settings::{Mechanism, Settings},
     view::NodeView,
 };
 
@@ -120,7 +120,7 @@
     let timeout = Duration::from_millis(settings.key_value.timeout_ms);
     let store = KeyValue::new(settings.key_value.endpoints.clone(), timeout);
     let prefix = settings.key_value.prefix.clone();
-    let claims = Claims::new(store.clone(), &prefix, settings.instance.clone(), incarnation);
+    let claims = Claims::new(store.clone(), &settings, incarnation);
     let declared = DeclaredStore::start(store, &prefix);
     let own = Member {
         name: settings.instance.clone(),
@@ -215,7 +215,8 @@
     node.leaving.store(true, Ordering::Release);
     node.fleet.leave(clock::now());
     sleep(node.settings.timing.address_ttl()).await;
-    while node.runs.open() > 0 || node.runs.followers() > 0 {
+    let drains = node.settings.test.is_on(Mechanism::Drain);
+    while drains && (node.runs.open() > 0 || node.runs.followers() > 0) {
         sleep(DRAIN_POLL).await;
     }
     // The last bytes of an answer may still be on their way to the socket.
--- a/lacewingspring/src/entry/claims.rs
+++ b/lacewingspring/src/entry/claims.rs
@@ -18,6 +18,7 @@
 use crate::{
     clock,
     platform::key_value::{Compare, KeyValue, KeyValueEntry, KeyValueError, Put, Swap},
+    settings::{Mechanism, Settings},
 };
 
 /// Longest time for which a claim is attempted while its permit is held.
@@ -78,13 +79,20 @@
     instance: InstanceName,
     incarnation: u64,
     next_nonce: AtomicU64,
+    on: bool,
 }
 
 impl Claims {
     /// Creates the claims of one incarnation of an instance.
-    pub fn new(store: KeyValue, prefix: &str, instance: InstanceName, incarnation: u64) -> Self {
-        let next_nonce = AtomicU64::new(rand::random());
-        Self { store, prefix: prefix.into(), instance, incarnation, next_nonce }
+    pub fn new(store: KeyValue, settings: &Settings, incarnation: u64) -> Self {
+        Self {
+            store,
+            prefix: settings.key_value.prefix.clone(),
+            instance: settings.instance.clone(),
+            incarnation,
+            next_nonce: AtomicU64::new(rand::random()),
+            on: settings.test.is_on(Mechanism::Claim),
+        }
     }
 
     /// Looks for an earlier claim of the same request, waiting for the service until the deadline.
@@ -97,6 +105,9 @@
         work: &Work,
         deadline: Duration,
     ) -> Result<Option<ClaimOutcome>, Refusal> {
+        if !self.on {
+            return Ok(None);
+        }
         let key = self.key(&work.id);
         let record = self.record(work);
         let mut backoff = FIRST_BACKOFF;
@@ -149,6 +160,9 @@
         claim: WonClaim,
         deadline: Duration,
     ) -> Result<ClaimOutcome, Refusal> {
+        if !self.on {
+            return Ok(ClaimOutcome::Won(claim));
+        }
         let mut backoff = FIRST_BACKOFF;
         loop {
             match self.create(&claim, &work.id).await {
--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lacewingspring_core::{
-    error::ErrorKind,
+    error::{ErrorKind, RunState},
     gate::{Outcome, Resume},
     names::UpstreamName,
     request::{Claimed, Request},
@@ -15,7 +15,7 @@
     metrics::Timer,
     peers::RunPart,
     upstreams::{
-        DispatchError, UpstreamError,
+        Checks, DispatchError, UpstreamError,
         completions::{CompletionCall, EngineRun, KvTransfer, Part, TokenStream, Usage},
     },
 };
@@ -52,11 +52,12 @@
         permit.release(Outcome::Cancelled);
         return Err(Refusal::last(ErrorKind::NoUpstream));
     };
+    drive.dispatched();
     let proof = request.permitted(permit.upstream.clone()).dispatch();
     let stream = match engine.dispatch(proof, &call(drive, None, 0)).await {
         Ok(stream) => Some(stream),
         Err(DispatchError::NotSent(proof)) => {
-            drive.run.note(Step::Unsent(permit.upstream.clone()));
+            drive.unsent(&permit.upstream);
             permit.unreachable();
             return Ok(Some(proof.unsent()));
         }
@@ -70,7 +71,8 @@
             None
         }
     };
-    stream_to_end(drive, engine, permit, stream, Progress::default()).await?;
+    let ended = stream_to_end(drive, engine, permit, stream, Progress::default()).await;
+    ended.map_err(after_dispatch)?;
     Ok(None)
 }
 
@@ -88,7 +90,17 @@
     let engine = engine(drive, &permit).ok_or(lost)?;
     let mut progress = Progress { tokens: drive.run.texts(), ..Progress::default() };
     let stream = resume(&engine, &mut progress, UpstreamError::Cut).await?;
-    stream_to_end(drive, engine, permit, Some(stream), progress).await
+    let ended = stream_to_end(drive, engine, permit, Some(stream), progress).await;
+    ended.map_err(after_dispatch)
+}
+
+/// Makes a refusal true for a run that was dispatched: a parked run that finds no room again is
+/// lost, and a repeat must not take it for one that never ran.
+fn after_dispatch(refusal: Refusal) -> Refusal {
+    match refusal.kind.answer().run {
+        RunState::NotRun => Refusal::last(ErrorKind::AnswerLost),
+        RunState::Ran | RunState::MayHaveRun => refusal,
+    }
 }
 
 /// Streams an answer to its end, over cuts and parking.
@@ -204,7 +216,8 @@
 
 fn engine(drive: &Drive, permit: &Permit) -> Option<EngineRun> {
     let address = drive.work.address(&permit.upstream)?;
-    Some(EngineRun { address, id: drive.work.upstream_id() })
+    let checks = Checks::new(&drive.node.settings.test);
+    Some(EngineRun { address, id: drive.work.upstream_id(), checks })
 }
 
 fn call(drive: &Drive, kv: Option<KvTransfer>, resume_from: u64) -> CompletionCall {
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -12,6 +12,7 @@
 
 use super::{
     Body, Refusal, Run, Step, Work, completion,
+    invariant::Invariant,
     permit::{self, Permit},
     plain,
 };
@@ -68,6 +69,9 @@
     }
 
     fn refused(&self, refusal: Refusal) {
+        let not_run = refusal.kind.answer().run == RunState::NotRun;
+        let truthful = !(not_run && self.run.is_dispatched());
+        Invariant::TruthfulRefusal.check(truthful, &self.node.metrics, &self.run.id);
         self.run.note(Step::Refused(refusal.kind));
         self.node.metrics.refused(&self.series, refusal.kind);
         self.run.fail(refusal);
@@ -101,6 +105,18 @@
         }
     }
 
+    /// Notes that the request is handed to an upstream now.
+    pub(super) fn dispatched(&self) {
+        let first = !self.run.set_dispatched(true);
+        Invariant::DispatchedOnce.check(first, &self.node.metrics, &self.run.id);
+    }
+
+    /// Notes that no byte went out.
+    pub(super) fn unsent(&self, upstream: &UpstreamName) {
+        self.run.set_dispatched(false);
+        self.run.note(Step::Unsent(upstream.clone()));
+    }
+
     /// Holds a dispatch after a freeze of this process until a peer has been heard from.
     pub(super) async fn wait_until_sound(&self) {
         while !self.node.fleet.may_dispatch(clock::now()) {
--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -33,7 +33,7 @@
     Granted(ClaimProof),
     /// Another instance runs the request.
     Taken(Runner),
-    /// The home doesn't know the run and is to be asked anew.
+    /// The home doesn't know the run, or knows that it has ended, and is to be asked anew.
     Again,
 }
 
@@ -133,7 +133,8 @@
                 }
                 Leave::Again => {
                     permit.release(gate::Outcome::Cancelled);
-                    self.register(homes, deadline).await?;
+                    self.run.set_ownership(Ownership::None);
+                    return Box::pin(self.register_and_run(homes, request)).await;
                 }
             }
         }
@@ -152,7 +153,8 @@
         }
         match verdict {
             DispatchVerdict::TakenOver { runner } => Ok(Leave::Taken(runner)),
-            DispatchVerdict::Settled => Err(Refusal::last(ErrorKind::Voided)),
+            // The run may have ended elsewhere while this process was frozen, with an answer or
+            // without; the home tells which when the request is registered anew.
             _ => Ok(Leave::Again),
         }
     }
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -30,6 +30,7 @@
 mod drive;
 mod follow;
 mod idempotent;
+mod invariant;
 mod once;
 mod permit;
 mod plain;
--- a/lacewingspring/src/entry/once.rs
+++ b/lacewingspring/src/entry/once.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lacewingspring_core::{
-    error::ErrorKind,
+    error::{ErrorKind, RunState},
     gate::Outcome,
     request::{Accepted, ClaimProof, Request},
 };
@@ -44,7 +44,12 @@
                 claims.abandon(claim);
                 Err(Refusal::new(ErrorKind::NoUpstream, UNREACHABLE_RETRY_AFTER))
             }
-            Err(refusal) => Err(refusal),
+            Err(refusal) => {
+                if refusal.kind.answer().run == RunState::NotRun {
+                    claims.abandon(claim);
+                }
+                Err(refusal)
+            }
         }
     }
 
--- a/lacewingspring/src/entry/plain.rs
+++ b/lacewingspring/src/entry/plain.rs
@@ -6,8 +6,8 @@
     request::{Claimed, Request},
 };
 
-use super::{Body, Refusal, Step, drive::Drive, permit::Permit};
-use crate::upstreams::{DispatchError, plain::PlainCall};
+use super::{Body, Refusal, drive::Drive, permit::Permit};
+use crate::upstreams::{Checks, DispatchError, plain::PlainCall};
 
 /// Runs the call; returns the request when no byte went out.
 ///
@@ -24,6 +24,7 @@
         return Err(Refusal::last(ErrorKind::NoUpstream));
     };
     let upstream = permit.upstream.clone();
+    drive.dispatched();
     let proof = request.permitted(upstream.clone()).dispatch();
     let answer = call.dispatch(proof).await;
     match answer {
@@ -34,7 +35,7 @@
         }
         Err(DispatchError::NotSent(proof)) => {
             permit.unreachable();
-            drive.run.note(Step::Unsent(upstream));
+            drive.unsent(&upstream);
             Ok(Some(proof.unsent()))
         }
         Err(DispatchError::Failed(e)) => {
@@ -52,5 +53,6 @@
     let Body::Plain { method, path, content_type, bytes } = drive.work.body.clone() else {
         return None;
     };
-    Some(PlainCall { address, id, key, method, path, content_type, body: bytes })
+    let checks = Checks::new(&drive.node.settings.test);
+    Some(PlainCall { address, id, key, method, path, content_type, body: bytes, checks })
 }
--- a/lacewingspring/src/entry/run.rs
+++ b/lacewingspring/src/entry/run.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -51,6 +51,7 @@
     parts: Mutex<Vec<RunPart>>,
     steps: Mutex<Vec<StepReport>>,
     ownership: Mutex<Ownership>,
+    dispatched: AtomicBool,
     len: watch::Sender<usize>,
     followers: AtomicUsize,
     follower_count: watch::Sender<usize>,
@@ -65,6 +66,7 @@
             parts: Mutex::default(),
             steps: Mutex::default(),
             ownership: Mutex::default(),
+            dispatched: AtomicBool::new(false),
             len: watch::Sender::new(0),
             followers: AtomicUsize::new(0),
             follower_count: watch::Sender::new(0),
@@ -79,6 +81,17 @@
         }
     }
 
+    /// Notes that the run is handed to an upstream, or that no byte went out; returns what was
+    /// noted before.
+    pub fn set_dispatched(&self, dispatched: bool) -> bool {
+        self.dispatched.swap(dispatched, Ordering::AcqRel)
+    }
+
+    /// Returns whether this instance handed the run to an upstream.
+    pub fn is_dispatched(&self) -> bool {
+        self.dispatched.load(Ordering::Acquire)
+    }
+
     /// Sets whether this instance is the runner.
     pub fn set_ownership(&self, ownership: Ownership) {
         *self.ownership.lock().unwrap_or_else(PoisonError::into_inner) = ownership;
--- a/lacewingspring/src/homes/client.rs
+++ b/lacewingspring/src/homes/client.rs
@@ -17,6 +17,7 @@
     entry::Refusal,
     membership::peer,
     peers::{KeyCall, KeyReply, Message},
+    settings::Mechanism,
 };
 
 /// Longest wait for one answer of a home.
@@ -61,6 +62,9 @@
         minted: bool,
         deadline: Duration,
     ) -> Result<RegisterVerdict, Refusal> {
+        if !self.is_on() {
+            return Ok(RegisterVerdict::Registered);
+        }
         let runner = self.runner();
         let fingerprint = fingerprint.clone();
         let call = KeyCall::Register { id: id.clone(), fingerprint, runner, minted };
@@ -83,6 +87,9 @@
         upstream: &UpstreamName,
         deadline: Duration,
     ) -> Result<DispatchVerdict, Refusal> {
+        if !self.is_on() {
+            return Ok(DispatchVerdict::Proceed);
+        }
         let runner = self.runner();
         let call = KeyCall::Dispatching { id: id.clone(), runner, upstream: upstream.clone() };
         self.until(id, call, deadline, |reply| match reply {
@@ -148,6 +155,10 @@
         self.tell(id, call);
     }
 
+    fn is_on(&self) -> bool {
+        self.node.settings.test.is_on(Mechanism::Home)
+    }
+
     fn tell(&self, id: &KeyId, call: KeyCall) {
         let homes = self.clone();
         let id = id.clone();
--- a/lacewingspring/src/homes/mod.rs
+++ b/lacewingspring/src/homes/mod.rs
@@ -15,6 +15,7 @@
     daemon::Node,
     membership::{is_up, peer},
     peers::{KeyCall, KeyReply, Message, PeerAddress, Told},
+    settings::Mechanism,
 };
 
 pub use self::{announce::announce_on_change, client::Homes};
@@ -93,6 +94,9 @@
 /// both the runner and the home of a key would lose the run. A dispatch waits for the copy; false
 /// when there is a backup that did not take it.
 async fn copy_to_backup(node: &Arc<Node>, call: &KeyCall, reply: &KeyReply) -> bool {
+    if !node.settings.test.is_on(Mechanism::Backup) {
+        return true;
+    }
     let Some(id) = asked(call) else { return true };
     let Some(copy) = copy(node, call, reply) else { return true };
     let view = node.fleet.view();
--- a/lacewingspring/src/membership/mod.rs
+++ b/lacewingspring/src/membership/mod.rs
@@ -138,6 +138,10 @@
             log::warn!(gap_ms = freeze.gap.as_millis() as u64; "This process was frozen.");
         }
         self.refresh(&membership, now);
+        if frozen.is_some() {
+            // The roles of this instance may have been held by others meanwhile.
+            self.changes.send_modify(|count| *count += 1);
+        }
         outgoing
     }
 
--- a/lacewingspring/src/metrics/mod.rs
+++ b/lacewingspring/src/metrics/mod.rs
@@ -121,6 +121,11 @@
         self.count("runs.parked", 1, series);
     }
 
+    /// Counts a broken invariant.
+    pub fn violated(&self, name: &str) {
+        self.statsd.count_with_tags(name, 1).send();
+    }
+
     /// Records a time.
     pub fn time(&self, timer: Timer, series: &Series, value: Duration) {
         self.histograms.record(timer, series, value);
--- a/lacewingspring/src/settings/mod.rs
+++ b/lacewingspring/src/settings/mod.rs
@@ -20,6 +20,7 @@
     metrics::MetricsSettings,
     operators::{BootstrapOperator, OperatorRole},
     platform::{AuthoritySettings, InstanceListSettings, KeyValueSettings},
+    test::{Mechanism, TestSettings},
     timing::TimingSettings,
 };
 
@@ -29,6 +30,7 @@
 mod metrics;
 mod operators;
 mod platform;
+mod test;
 mod timing;
 
 /// Settings of one daemon.
@@ -59,6 +61,9 @@
     /// Intervals and limits of time.
     #[serde(default)]
     pub timing: TimingSettings,
+    /// What tests switch off; refused outside of them.
+    #[serde(default)]
+    pub test: TestSettings,
 }
 
 /// Why settings were not accepted.
@@ -160,6 +165,7 @@
         self.listen.check()?;
         self.key_value.check()?;
         self.timing.check()?;
+        self.test.check()?;
         self.check_operators()
     }
 
--- a/lacewingspring/src/upstreams/completions.rs
+++ b/lacewingspring/src/upstreams/completions.rs
@@ -12,7 +12,9 @@
 use lacewingspring_core::request::Dispatch;
 use serde::{Deserialize, Serialize};
 
-use super::{DispatchError, REQUEST_ID, UpstreamError, check_label, exchange, sse::EventParser};
+use super::{
+    Checks, DispatchError, REQUEST_ID, UpstreamError, check_label, exchange, sse::EventParser,
+};
 
 /// Data of the event that ends a stream.
 const DONE: &str = "[DONE]";
@@ -115,6 +117,7 @@
     parser: EventParser,
     next: u64,
     finished: bool,
+    checks: Checks,
 }
 
 impl TokenStream {
@@ -126,7 +129,7 @@
     /// another request.
     pub async fn next(&mut self) -> Result<Part, UpstreamError> {
         loop {
-            let event = self.parser.next();
+            let event = self.parser.next_event();
             let event = event.map_err(|_| UpstreamError::Protocol("an event is unsound"))?;
             if let Some(event) = event {
                 if let Some(part) = self.accept(event.id, &event.data)? {
@@ -134,7 +137,7 @@
                 }
                 continue;
             }
-            let Some(frame) = self.body.frame().await else { return Err(UpstreamError::Cut) };
+            let Some(frame) = self.body.frame().await else { return self.end() };
             let frame = frame.map_err(|_| UpstreamError::Cut)?;
             if let Some(bytes) = frame.data_ref() {
                 self.parser.push(bytes);
@@ -142,6 +145,11 @@
         }
     }
 
+    /// Ends a stream whose bytes ended before its end marker.
+    fn end(&self) -> Result<Part, UpstreamError> {
+        if self.checks.end_marker { Err(UpstreamError::Cut) } else { Ok(Part::Done) }
+    }
+
     fn accept(&mut self, index: Option<u64>, data: &str) -> Result<Option<Part>, UpstreamError> {
         if data == DONE {
             let end = if self.finished { Ok(Some(Part::Done)) } else { Err(UpstreamError::Cut) };
@@ -149,7 +157,7 @@
         }
         let chunk: Chunk = serde_json::from_str(data)
             .map_err(|_| UpstreamError::Protocol("an event is not a completion chunk"))?;
-        if chunk.id != self.id {
+        if chunk.id != self.id && self.checks.label {
             return Err(UpstreamError::Mislabelled);
         }
         let index = index.ok_or(UpstreamError::Protocol("an event has no id"))?;
@@ -179,6 +187,8 @@
     pub address: SocketAddr,
     /// Identifier of the run at the engine.
     pub id: String,
+    /// What is checked of its answers.
+    pub checks: Checks,
 }
 
 impl EngineRun {
@@ -288,13 +298,14 @@
             404 => return Err(UpstreamError::Unknown),
             status => return Err(UpstreamError::Status(status)),
         }
-        check_label(&response, &self.id)?;
+        check_label(&response, &self.id, self.checks)?;
         Ok(TokenStream {
             id: self.id.clone(),
             body: response.into_body(),
             parser: EventParser::default(),
             next: from,
             finished: false,
+            checks: self.checks,
         })
     }
 }
--- a/lacewingspring/src/upstreams/mod.rs
+++ b/lacewingspring/src/upstreams/mod.rs
@@ -15,9 +15,11 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use crate::settings::{Mechanism, TestSettings};
+
 pub mod completions;
 pub mod plain;
-mod sse;
+pub mod sse;
 
 /// Longest wait for a connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -91,8 +93,32 @@
     sender.send_request(req).await.map_err(|_| UpstreamError::Cut)
 }
 
+/// What is checked of an answer; everything outside of tests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Checks {
+    /// Whether the upstream must echo the id of the request.
+    pub label: bool,
+    /// Whether a stream must end with its end marker.
+    pub end_marker: bool,
+}
+
+impl Checks {
+    /// Returns the checks that the settings leave on.
+    pub fn new(test: &TestSettings) -> Self {
+        let label = test.is_on(Mechanism::LabelCheck);
+        Self { label, end_marker: test.is_on(Mechanism::EndMarker) }
+    }
+}
+
 /// Checks that the upstream echoed the id of the request.
-fn check_label(response: &Response<Incoming>, id: &str) -> Result<(), UpstreamError> {
+fn check_label(
+    response: &Response<Incoming>,
+    id: &str,
+    checks: Checks,
+) -> Result<(), UpstreamError> {
+    if !checks.label {
+        return Ok(());
+    }
     let echoed = response.headers().get(REQUEST_ID).and_then(|value| value.to_str().ok());
     if echoed == Some(id) { Ok(()) } else { Err(UpstreamError::Mislabelled) }
 }
--- a/lacewingspring/src/upstreams/plain.rs
+++ b/lacewingspring/src/upstreams/plain.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use lacewingspring_core::{claim::StoredAnswer, request::Dispatch};
 
-use super::{DispatchError, REQUEST_ID, UpstreamError, check_label, exchange};
+use super::{Checks, DispatchError, REQUEST_ID, UpstreamError, check_label, exchange};
 
 /// Largest answer of a plain server, in bytes.
 const MAX_ANSWER_LEN: usize = 512 * 1024;
@@ -29,6 +29,8 @@
     pub content_type: String,
     /// Body.
     pub body: Bytes,
+    /// What is checked of the answer.
+    pub checks: Checks,
 }
 
 impl PlainCall {
@@ -54,7 +56,7 @@
             .body(Full::new(self.body))
             .map_err(|_| UpstreamError::NotSent)?;
         let response = exchange(self.address, req).await?;
-        check_label(&response, &self.id)?;
+        check_label(&response, &self.id, self.checks)?;
         let status = response.status().as_u16();
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok());
--- a/lacewingspring/src/upstreams/sse.rs
+++ b/lacewingspring/src/upstreams/sse.rs
@@ -35,7 +35,7 @@
     /// # Errors
     ///
     /// Fails when an event is too long or not UTF-8.
-    pub fn next(&mut self) -> Result<Option<Event>, BadEvent> {
+    pub fn next_event(&mut self) -> Result<Option<Event>, BadEvent> {
         let Some(end) = self.buf.windows(2).position(|pair| pair == b"\n\n") else {
             return if self.buf.len() > MAX_EVENT_LEN { Err(BadEvent) } else { Ok(None) };
         };
--- a/lacewingspring/tests/at_most_once.rs
+++ b/lacewingspring/tests/at_most_once.rs
@@ -8,7 +8,7 @@
 
 use crate::support::{
     Fleet, Plan,
-    caller::{book, complete, plain_runs, state},
+    caller::{book, complete, engine_runs, plain_runs, state},
     history::{History, Told},
 };
 
@@ -145,3 +145,29 @@
     checked(&fleet, &history).await;
     assert_eq!(history.may_have_run(), 6);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn dispatches_once_what_waited_at_a_frozen_home() {
+    let fleet = Fleet::start(Plan::default()).await;
+    fleet.instances[0].process.signal(Signal::STOP);
+    let (frozen, other) = (fleet.instances[0].callers, fleet.instances[1].callers);
+    let ask = |at, n| async move {
+        complete(at, "lookup", &format!("frozen-{n}"), "plot seven of the cadastre", 5).await
+    };
+    let waiting: Vec<_> = (0..12).map(|n| tokio::spawn(ask(frozen, n))).collect();
+    // The other instance becomes the home of all keys and runs them.
+    sleep(Duration::from_secs(3)).await;
+    let ran: Vec<_> = (0..12).map(|n| tokio::spawn(ask(other, n))).collect();
+    for told in ran {
+        let told = told.await.unwrap();
+        assert!(answered(&told), "{told:?}");
+    }
+    fleet.instances[0].process.signal(Signal::CONT);
+    for told in waiting {
+        let told = told.await.unwrap();
+        assert!(answered(&told), "{told:?}");
+    }
+    for run in engine_runs(&fleet).await {
+        assert_eq!(run["dispatches"], 1, "{run}");
+    }
+}
--- a/lacewingspring/tests/support/caller.rs
+++ b/lacewingspring/tests/support/caller.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use lacewingspring_core::catalog::digest_hex;
 use serde_json::{Value, json};
 
 use super::{
@@ -20,13 +21,33 @@
     ("idempotency-key", key.to_owned())
 }
 
+/// What a caller was told, and the kind of the refusal; empty for an answer or a cut.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// What the caller was told.
+    pub told: Told,
+    /// Kind of the refusal.
+    pub kind: String,
+}
+
+impl Reply {
+    fn of(told: Told) -> Self {
+        Self { told, kind: String::new() }
+    }
+}
+
 /// Books a seat.
 pub async fn book(at: SocketAddr, request_key: &str, seat: u64) -> Told {
+    try_book(at, request_key, seat).await.told
+}
+
+/// Books a seat and returns the kind of a refusal too.
+pub async fn try_book(at: SocketAddr, request_key: &str, seat: u64) -> Reply {
     let body = json!({ "seat": seat, "client": "north" }).to_string();
     let headers = [desk(), key(request_key)];
     match call(at, "POST", "/services/booking/seats", &headers, body).await {
         Ok(answer) => told(answer),
-        Err(_) => Told::Nothing,
+        Err(_) => Reply::of(Told::Nothing),
     }
 }
 
@@ -38,16 +59,33 @@
     prompt: &str,
     tokens: u32,
 ) -> Told {
+    try_complete(at, service, request_key, prompt, tokens).await.told
+}
+
+/// Asks for a completion and returns its text, or the kind of a refusal.
+pub async fn try_complete(
+    at: SocketAddr,
+    service: &str,
+    request_key: &str,
+    prompt: &str,
+    tokens: u32,
+) -> Reply {
     let body = json!({ "model": service, "prompt": prompt, "max_tokens": tokens, "stream": true });
     let headers = [desk(), key(request_key)];
     let answer = call(at, "POST", "/v1/completions", &headers, body.to_string()).await;
     match answer {
         Ok(answer) if answer.status == 200 && !answer.body.contains("event: error") => {
-            answer.text().map_or(Told::Nothing, Told::Answer)
+            Reply::of(answer.text().map_or(Told::Nothing, Told::Answer))
+        }
+        Ok(answer) if answer.status == 200 => {
+            let data =
+                answer.body.lines().filter_map(|line| line.strip_prefix("data: ")).next_back();
+            let error: Value = serde_json::from_str(data.unwrap_or("null")).unwrap_or_default();
+            let kind = error["error"].as_str().unwrap_or_default().to_owned();
+            Reply { told: Told::MayHaveRun, kind }
         }
-        Ok(answer) if answer.status == 200 => Told::MayHaveRun,
         Ok(answer) => told(answer),
-        Err(_) => Told::Nothing,
+        Err(_) => Reply::of(Told::Nothing),
     }
 }
 
@@ -58,14 +96,23 @@
     Some(answer.json()["state"].as_str()?.to_owned())
 }
 
-fn told(answer: Answer) -> Told {
+/// Returns what an answer tells its caller.
+pub fn told(answer: Answer) -> Reply {
     if answer.status == 200 {
-        return Told::Answer(answer.body);
+        return Reply::of(Told::Answer(answer.body));
     }
-    match answer.json()["run"].as_str() {
+    let problem = answer.json();
+    let kind = problem["kind"].as_str().unwrap_or_default().to_owned();
+    let told = match problem["run"].as_str() {
         Some("not_run") => Told::NotRun,
         _ => Told::MayHaveRun,
-    }
+    };
+    Reply { told, kind }
+}
+
+/// Names a run of the workspace `desk` as the daemon names it at upstreams.
+pub fn upstream_id(request_key: &str) -> String {
+    digest_hex(format!("desk\0{request_key}").as_bytes())[..32].to_owned()
 }
 
 /// Counts the calls of each key at the plain servers.
--- a/lacewingspring/tests/support/history.rs
+++ b/lacewingspring/tests/support/history.rs
@@ -7,8 +7,10 @@
 pub enum Told {
     /// The whole answer.
     Answer(String),
-    /// The request was not run, for ever.
+    /// The attempt was refused and nothing was run under its key.
     NotRun,
+    /// A status query settled that the key never runs.
+    NeverRun,
     /// The request may have run.
     MayHaveRun,
     /// Nothing: the exchange was cut.
@@ -39,6 +41,22 @@
     TwoAnswers(String),
     /// The caller got an answer though no upstream ran the key.
     AnswerFromNowhere(String),
+    /// The key stays in progress though all is healed.
+    Stuck(String),
+}
+
+impl Violation {
+    /// Returns the key or act that it concerns.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::RanTwice(name)
+            | Self::FalseNotRun(name)
+            | Self::WrongAnswer(name)
+            | Self::TwoAnswers(name)
+            | Self::AnswerFromNowhere(name)
+            | Self::Stuck(name) => name,
+        }
+    }
 }
 
 /// Runs of each key, as counted at the upstreams.
@@ -73,7 +91,9 @@
             let key = &attempt.key;
             let ran = runs.0.get(key).copied().unwrap_or(0) > 0;
             match &attempt.told {
-                Told::NotRun if ran => broken.push(Violation::FalseNotRun(key.clone())),
+                Told::NotRun | Told::NeverRun if ran => {
+                    broken.push(Violation::FalseNotRun(key.clone()))
+                }
                 Told::Answer(answer) => {
                     if attempt.right.as_ref().is_some_and(|right| right != answer) {
                         broken.push(Violation::WrongAnswer(key.clone()));
@@ -85,7 +105,7 @@
                         broken.push(Violation::TwoAnswers(key.clone()));
                     }
                 }
-                Told::NotRun | Told::MayHaveRun | Told::Nothing => {}
+                Told::NotRun | Told::NeverRun | Told::MayHaveRun | Told::Nothing => {}
             }
         }
         broken.sort();
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -18,13 +18,14 @@
 use lacewingspring_core::catalog::digest_hex;
 use serde_json::{Value, json};
 use tempfile::TempDir;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 pub use self::http::{call, get};
 
 pub mod caller;
 pub mod history;
 pub mod http;
+pub mod timed;
 
 /// Bearer token of the workspace `desk`.
 pub const DESK_TOKEN: &str = "desk-token";
@@ -95,6 +96,8 @@
     pub slots: u32,
     /// Further flags of the engine stand-in.
     pub engine_flags: Vec<String>,
+    /// Mechanisms of the daemon that are switched off.
+    pub switch_off: &'static [&'static str],
 }
 
 impl Default for Plan {
@@ -106,6 +109,7 @@
             plain: 1,
             slots: 8,
             engine_flags: Vec::new(),
+            switch_off: &[],
         }
     }
 }
@@ -126,6 +130,7 @@
     stand_ins: Vec<Process>,
     ip: IpAddr,
     folder: TempDir,
+    switch_off: &'static [&'static str],
 }
 
 impl Fleet {
@@ -146,6 +151,7 @@
             stand_ins: Vec::new(),
             ip,
             folder,
+            switch_off: plan.switch_off,
         };
         Authority::create().and_then(|ca| ca.write(fleet.folder.path())).expect("an authority");
         fleet.stand_in("key-value", &[fleet.key_value], &[]);
@@ -227,8 +233,17 @@
 
     /// Gives faults to a stand-in.
     pub async fn fault(&self, stand_in: SocketAddr, faults: Value) {
-        let answer = call(stand_in, "PUT", "/faults", &[], faults.to_string()).await;
-        assert_eq!(answer.expect("gives faults").status, 200);
+        let answer = timeout(READY_TIMEOUT, async {
+            loop {
+                // A stand-in that is down after a crash cuts each exchange.
+                let answer = call(stand_in, "PUT", "/faults", &[], faults.to_string()).await;
+                if let Ok(answer) = answer {
+                    return answer;
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        });
+        assert_eq!(answer.await.expect("gives faults in time").status, 200);
     }
 
     /// Returns the journal of a stand-in.
@@ -283,7 +298,8 @@
                 "credential": digest_hex(OPERATOR_TOKEN.as_bytes())
             }],
             "log": { "level": "warn" },
-            "timing": { "instance_list_ms": 200, "address_ttl_ms": 1000, "orphan_ms": 1000 }
+            "timing": { "instance_list_ms": 200, "address_ttl_ms": 1000, "orphan_ms": 1000 },
+            "test": { "switch_off": self.switch_off }
         });
         let path = folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("writes settings");
@@ -349,7 +365,7 @@
 
 fn daemon(settings: &PathBuf) -> Process {
     let mut command = Command::new(env!("CARGO_BIN_EXE_lacewingspring"));
-    command.arg("--settings").arg(settings);
+    command.arg("--settings").arg(settings).env("LACEWINGSPRING_TEST", "1");
     Process(command.spawn().expect("starts a daemon"))
 }
 
@@ -358,6 +374,12 @@
     PathBuf::from(env!("CARGO_BIN_EXE_lacewingspring")).with_file_name(name)
 }
 
+/// Returns the present time.
+#[allow(clippy::disallowed_methods)]
+pub fn now() -> Instant {
+    Instant::now()
+}
+
 /// Loopback address of its own for each fleet, so that fixed ports never meet.
 fn own_ip() -> IpAddr {
     let pid = std::process::id();
--- a/lacewingspring_core/src/membership/judge.rs
+++ b/lacewingspring_core/src/membership/judge.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{MemberId, Membership, Retired, Revalidation, record::Record};
+use super::{MemberId, Membership, Retired, Revalidation, record::Record, view::PastHolders};
 
 /// Members of a data centre up to which the shortest suspicion time holds.
 const FEW_MEMBERS: usize = 4;
@@ -37,6 +37,18 @@
         let heartbeat = self.own_heartbeat() + 1;
         let until = now + self.suspect_after().max(self.cfg.contact_after);
         self.revalidation = Some(Revalidation { heartbeat, until });
+        self.doubt_own_roles(now);
+    }
+
+    /// Counts the others as holders of late: while this process was frozen, its roles were theirs.
+    fn doubt_own_roles(&mut self, now: Duration) {
+        let mut members = self.eligible_now();
+        let own = self.records.get(&self.own).map(|own| own.member.name.clone());
+        members.retain(|name, _| Some(name) != own.as_ref());
+        self.past.retain(|past| past.until > now);
+        if !members.is_empty() {
+            self.past.push(PastHolders { until: now + self.cfg.previous_for, members });
+        }
     }
 
     /// Whether the member is judged by its own heartbeats or by its data centre's relays.
