--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -22,11 +22,13 @@
     entry::{Claims, RunTable, serve_follow},
     gates::GateHost,
     homes::{self, KeyHome, announce_on_change},
+    limits::{self, Limits, keep_shares},
     membership::{Fleet, follow_list, gossip},
     metrics::Metrics,
     operators::{KnownOperator, Operators},
     peers::{Authority, AuthorityError, Exchange, Message, PeerError, Peers},
     platform::key_value::KeyValue,
+    poison::{self, Poison, follow_members, read_stored},
     settings::{Mechanism, Settings},
     view::NodeView,
 };
@@ -68,9 +70,15 @@
     /// Connections to the other instances.
     pub peers: Arc<Peers>,
     /// Gates that this instance holds.
-    pub gates: GateHost,
+    pub gates: Arc<GateHost>,
     /// Keys whose home this instance is.
     pub home: KeyHome,
+    /// Limits of the workspaces.
+    pub limits: Limits,
+    /// Client of the key-value service.
+    pub store: KeyValue,
+    /// Watch for requests that crash upstreams.
+    pub poison: Poison,
     /// Runs of this instance.
     pub runs: Arc<RunTable>,
     /// Claims of this incarnation.
@@ -107,6 +115,9 @@
     tokio::spawn(follow_list(node.clone()));
     tokio::spawn(gossip(node.clone()));
     tokio::spawn(announce_on_change(node.clone()));
+    tokio::spawn(keep_shares(node.clone()));
+    tokio::spawn(read_stored(node.clone()));
+    tokio::spawn(follow_members(node.clone()));
     callers::start(node.clone())?;
     wait_for_stop().await?;
     leave(&node).await;
@@ -121,7 +132,8 @@
     let store = KeyValue::new(settings.key_value.endpoints.clone(), timeout);
     let prefix = settings.key_value.prefix.clone();
     let claims = Claims::new(store.clone(), &settings, incarnation);
-    let declared = DeclaredStore::start(store, &prefix);
+    let declared = DeclaredStore::start(store.clone(), &prefix);
+    let poison = Poison::new(&settings.poison, clock::now());
     let own = Member {
         name: settings.instance.clone(),
         data_centre: settings.data_centre.clone(),
@@ -134,10 +146,12 @@
         fleet: Arc::new(Fleet::new(own, period, clock::now())),
         metrics: Arc::new(Metrics::start(settings.metrics.statsd)?),
         runs: Arc::default(),
+        gates: Arc::default(),
     };
     let bootstrap = settings.operators.iter().map(KnownOperator::from).collect();
     Ok(Arc::new(Node {
         fleet: view.fleet.clone(),
+        gates: view.gates.clone(),
         metrics: view.metrics.clone(),
         runs: view.runs.clone(),
         operators: Operators::new(declared.clone(), view, bootstrap),
@@ -145,8 +159,10 @@
         incarnation,
         declared,
         peers,
-        gates: GateHost::default(),
         home: KeyHome::new(clock::now()),
+        limits: Limits::new(),
+        store,
+        poison,
         claims,
         leaving: AtomicBool::new(false),
     }))
@@ -185,6 +201,14 @@
             let reply = homes::serve(&node, call).await;
             let _ = exchange.tx.send(Message::KeyReply(reply)).await;
         }
+        Some(Message::Share(call)) => {
+            let reply = limits::serve(&node, call);
+            let _ = exchange.tx.send(Message::ShareReply(reply)).await;
+        }
+        Some(Message::Poison(call)) => {
+            let reply = poison::serve(&node, call);
+            let _ = exchange.tx.send(Message::PoisonReply(reply)).await;
+        }
         Some(Message::FetchDeclared) => {
             if let Some(bytes) = node.declared.encode_snapshot() {
                 let _ = exchange.tx.send(Message::Declared(bytes.to_vec())).await;
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -1,10 +1,13 @@
 //! Drives a run from acceptance to its last part.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use lacewingspring_core::{
     error::RunState,
-    gate::{Ask, Resume},
+    gate::{Ask, Placement, Resume},
     names::UpstreamName,
     request::{Claimed, Request, RequestFacts},
 };
@@ -19,6 +22,7 @@
 use crate::{
     clock,
     daemon::Node,
+    limits::{Arrival, Slot},
     metrics::{Series, Timer},
 };
 
@@ -38,19 +42,23 @@
     pub series: Series,
     /// Time of acceptance.
     pub accepted: Duration,
+    /// Place within the limits of the workspace, held while the request runs here.
+    pub slot: Mutex<Option<Slot>>,
 }
 
 /// Starts a run in a task of its own: it outlives the caller's connection.
 pub fn start(node: Arc<Node>, run: Arc<Run>, work: Work) {
     tokio::spawn(async move {
         let series = work.series();
-        let drive = Drive { node, run, work, series, accepted: clock::now() };
+        let accepted = clock::now();
+        let drive = Drive { node, run, work, series, accepted, slot: Mutex::default() };
         drive.run.note(Step::Accepted);
         drive.node.metrics.accepted(&drive.series);
         match drive.to_end().await {
             Ok(()) => drive.answered(),
             Err(refusal) => drive.refused(refusal),
         }
+        drive.free_slot();
         drive.forget();
     });
 }
@@ -72,6 +80,7 @@
         let not_run = refusal.kind.answer().run == RunState::NotRun;
         let truthful = !(not_run && self.run.is_dispatched());
         Invariant::TruthfulRefusal.check(truthful, &self.node.metrics, &self.run.id);
+        let refusal = self.node.limits.uses().refused(&self.arrival(), refusal);
         self.run.note(Step::Refused(refusal.kind));
         self.node.metrics.refused(&self.series, refusal.kind);
         self.run.fail(refusal);
@@ -92,6 +101,29 @@
         self.run_once(request).await
     }
 
+    /// Counts the request against the limits of its workspace, unless it is counted already.
+    ///
+    /// It comes after the key was found to be new, since a repeat of a request that runs elsewhere
+    /// isn't counted, and "not run" would be false for it.
+    pub(super) async fn admit(&self) -> Result<(), Refusal> {
+        if self.slot.lock().unwrap_or_else(PoisonError::into_inner).is_some() {
+            return Ok(());
+        }
+        let slot = self.node.limits.uses().admit(&self.node, self.arrival()).await?;
+        *self.slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(slot);
+        Ok(())
+    }
+
+    /// Frees the place within the limits.
+    pub(super) fn free_slot(&self) {
+        self.slot.lock().unwrap_or_else(PoisonError::into_inner).take();
+    }
+
+    fn arrival(&self) -> Arrival<'_> {
+        let id = &self.work.id;
+        Arrival { workspace: &id.workspace, key: &id.key, is_retry: self.work.is_retry }
+    }
+
     /// Hands the request to its upstream; returns it when no byte went out.
     pub(super) async fn dispatch(
         &self,
@@ -126,21 +158,22 @@
 
     /// Waits for a permit until the deadline.
     pub async fn permit(&self, deadline: Duration) -> Result<Permit, Refusal> {
-        self.permit_to(deadline, None).await
+        self.permit_to(deadline, None, Placement::Any).await
     }
 
     /// Waits for a permit to go on with a parked run, when its gate died.
     pub async fn permit_to_resume(&self, resume: Resume) -> Result<Permit, Refusal> {
-        self.permit_to(self.fresh_deadline(), Some(resume)).await
+        self.permit_to(self.fresh_deadline(), Some(resume), Placement::Any).await
     }
 
-    async fn permit_to(
+    pub(super) async fn permit_to(
         &self,
         deadline: Duration,
         resume: Option<Resume>,
+        placement: Placement,
     ) -> Result<Permit, Refusal> {
         let work = &self.work;
-        let ask = self.ask(deadline, resume);
+        let ask = Ask { placement, ..self.ask(deadline, resume) };
         let permit = permit::acquire(&self.node, &work.service.pool, &work.pool, ask).await;
         let permit = permit?;
         self.time(Timer::Wait);
@@ -165,6 +198,7 @@
             parkable: work.service.idempotent && matches!(work.body, Body::Completion { .. }),
             prefixes: work.body.prefixes(),
             resume,
+            placement: Placement::Any,
         }
     }
 
--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -73,11 +73,13 @@
         match verdict {
             RegisterVerdict::Registered => {
                 self.own(Progress::Waiting);
+                self.admit().await?;
                 self.run_as_runner(homes, request).await
             }
             RegisterVerdict::Joined { runner, progress } => {
                 if runner == homes.runner() && progress == Progress::Waiting {
                     self.own(Progress::Waiting);
+                    self.admit().await?;
                     return self.run_as_runner(homes, request).await;
                 }
                 self.follow_or_take_over(homes, request, runner).await
@@ -102,7 +104,7 @@
         let deadline = request.facts().deadline;
         let mut request = request;
         loop {
-            let permit = self.permit(deadline).await?;
+            let permit = self.permit_to_begin(deadline).await?;
             self.wait_until_sound().await;
             match self.ask_leave(homes, &permit, deadline).await? {
                 Leave::Granted(proof) => {
@@ -211,6 +213,7 @@
         runner: Runner,
         upstream: Option<UpstreamName>,
     ) -> Result<(), Refusal> {
+        self.free_slot();
         let lost = Refusal::last(ErrorKind::AnswerLost);
         if let Some(peer) = self.node.fleet.live(&runner.instance, runner.incarnation) {
             let key = self.run.id.key.clone();
@@ -231,6 +234,7 @@
         runner: Runner,
     ) -> Result<(), Refusal> {
         let deadline = request.facts().deadline;
+        self.free_slot();
         loop {
             if runner == homes.runner() {
                 // This incarnation dispatched the request before and no longer knows its end.
--- a/lacewingspring/src/settings/mod.rs
+++ b/lacewingspring/src/settings/mod.rs
@@ -20,6 +20,7 @@
     metrics::MetricsSettings,
     operators::{BootstrapOperator, OperatorRole},
     platform::{AuthoritySettings, InstanceListSettings, KeyValueSettings},
+    poison::PoisonSettings,
     test::{Mechanism, TestSettings},
     timing::TimingSettings,
 };
@@ -30,6 +31,7 @@
 mod metrics;
 mod operators;
 mod platform;
+mod poison;
 mod test;
 mod timing;
 
@@ -64,6 +66,9 @@
     /// What tests switch off; refused outside of them.
     #[serde(default)]
     pub test: TestSettings,
+    /// Watch for requests that crash upstreams.
+    #[serde(default)]
+    pub poison: PoisonSettings,
 }
 
 /// Why settings were not accepted.
--- a/lacewingspring_core/src/gate/mod.rs
+++ b/lacewingspring_core/src/gate/mod.rs
@@ -10,6 +10,7 @@
     affinity::Affinity,
     fleet::{Blocked, Choice, Fleet, Limits, LongBound},
     parking::{ParkIndex, ParkKey},
+    placed::Placed,
     queue::{Head, Place, Queue, Waiting},
     recovery::Recovery,
     reserve::Reserve,
@@ -21,7 +22,8 @@
     policy::GatePolicy,
     summary::{GateSummary, TierSummary, UpstreamSummary},
     work::{
-        Ask, CacheChange, CacheEvent, Cost, Decision, LoadReport, Outcome, Prefix, Resume, Ticket,
+        Ask, CacheChange, CacheEvent, Cost, Decision, LoadReport, Outcome, Placement, Prefix,
+        Resume, Ticket,
     },
 };
 use crate::{names::UpstreamName, resources::UpstreamSpec};
@@ -29,7 +31,9 @@
 mod affinity;
 mod feedback;
 mod fleet;
+mod memory;
 mod parking;
+mod placed;
 mod policy;
 mod queue;
 mod recovery;
@@ -55,12 +59,23 @@
 /// Part of the slots, one in this many, for parked work whose deadline passed.
 const OVERDUE_SLOTS: u32 = 8;
 
+/// Why grants stopped.
+#[derive(Debug, Default)]
+struct Stop {
+    /// Highest rank of which long prefills were passed over.
+    passed: Option<u8>,
+    /// Request that no upstream with a free slot has the memory for; work of lower tiers waits
+    /// until it runs, as it would take the memory that is being freed.
+    short_of_memory: Option<Head>,
+}
+
 /// Gate of one engine pool in one data centre.
 #[derive(Debug, Default)]
 pub struct Gate {
     policy: GatePolicy,
     fleet: Fleet,
     queue: Queue,
+    placed: Placed,
     runs: HashMap<Ticket, Run>,
     overdue_runs: u32,
     parks: ParkIndex,
@@ -73,6 +88,7 @@
     short_work_at: Option<Duration>,
     ticked_at: Option<Duration>,
     violations: u64,
+    late_beside_lower: u64,
 }
 
 impl Gate {
@@ -144,9 +160,13 @@
             }
             self.end_parked(now, ticket);
         }
-        if self.queue.contains(ticket) {
+        if self.queue.contains(ticket) || self.placed.contains(ticket) {
             return Vec::new();
         }
+        if ask.placement != Placement::Any {
+            self.placed.push(now, ticket, ask);
+            return self.settle(now);
+        }
         self.enqueue(now, ticket, ask);
         let mut decisions = self.settle(now);
         self.refuse_hopeless(now, ticket, &mut decisions);
@@ -170,6 +190,9 @@
             return;
         };
         let load = known.adopt(&need);
+        if ask.placement == Placement::Alone {
+            known.reserved = true;
+        }
         let loss = known.declared_prefill(ask.cost.prompt_tokens);
         drop(known);
         let mut run = Run::adopted(ask, upstream, load, sequence);
@@ -218,8 +241,9 @@
         let sequence = self.parked_sequences.remove(&ticket).unwrap_or(self.next_sequence);
         self.next_sequence += 1;
         let deadline = now + ask.max_wait;
+        let press_at = now + ask.max_wait.mul_f64(LONG_PATIENCE);
         let place = Place { fresh, sequence };
-        self.queue.push(Waiting { ticket, ask, place, deadline, seconds, long });
+        self.queue.push(Waiting { ticket, ask, place, deadline, seconds, long, press_at });
     }
 
     /// Brings the queue and the upstreams in order after any change.
@@ -231,28 +255,40 @@
             self.set_parkable_aside(number);
         }
         let mut decisions = Vec::new();
-        let passed = self.grant_all(now, &mut decisions);
-        self.park_for_waiting(now, passed, &mut decisions);
+        self.reserve_for_alone();
+        let stop = self.grant_all(now, &mut decisions);
+        self.grant_placed(now, &mut decisions);
+        self.park_for_waiting(now, &stop, &mut decisions);
         self.shed_excess(now, &mut decisions);
         decisions
     }
 
     /// Grants what can run now, highest tier first.
-    ///
-    /// Returns the highest rank of which long prefills had to be passed over.
-    fn grant_all(&mut self, now: Duration, decisions: &mut Vec<Decision>) -> Option<u8> {
-        let mut passed = None;
+    fn grant_all(&mut self, now: Duration, decisions: &mut Vec<Decision>) -> Stop {
+        let mut stop = Stop::default();
         let mut overdue_too = true;
-        while let Some(head) = self.next_head(overdue_too, passed) {
-            match self.place(now, &head, passed) {
+        while let Some(head) = self.next_head(overdue_too, stop.passed) {
+            let below = stop.short_of_memory.as_ref().is_some_and(|short| head.rank > short.rank);
+            if below && !head.overdue {
+                break;
+            }
+            match self.place(now, &head, stop.passed) {
                 Ok(choice) => decisions.extend(self.grant(now, &head, choice)),
                 Err(Blocked::Slots | Blocked::Reserve) => break,
                 Err(_) if head.overdue => overdue_too = false,
-                Err(blocked) if self.may_be_passed(now, &head, blocked) => passed = Some(head.rank),
-                Err(_) => break,
+                Err(blocked) if self.may_be_passed(now, &head, blocked) => {
+                    stop.passed = Some(head.rank);
+                    if blocked == Blocked::Memory && self.can_free_memory(head.rank) {
+                        stop.short_of_memory.get_or_insert(head);
+                    }
+                }
+                Err(_) => {
+                    stop.short_of_memory.get_or_insert(head);
+                    break;
+                }
             }
         }
-        passed
+        stop
     }
 
     fn next_head(&mut self, overdue_too: bool, passed: Option<u8>) -> Option<Head> {
@@ -271,13 +307,20 @@
         if !head.long || blocked == Blocked::LongPrefill {
             return head.long;
         }
-        self.queue.get(head.ticket).is_some_and(|waiting| !self.is_pressing(now, waiting))
+        !self.is_pressing(now, head.rank)
+    }
+
+    /// Returns whether lower work that holds memory is or can be parked; it must not take the
+    /// memory back.
+    fn can_free_memory(&self, rank: u8) -> bool {
+        let parked = self.parks.ordered_len() > 0 || self.parks.below(rank, false).is_some();
+        self.policy.parking && parked
     }
 
     /// Returns the bound on a long prefill; it widens the longer the request waits.
     fn long_bound(&self, now: Duration, waiting: &Waiting, head: &Head) -> LongBound {
         let bounded = self.policy.prefill_bound && head.long && !head.overdue;
-        if !bounded || !self.is_mixed(now, head.rank) || self.is_pressing(now, waiting) {
+        if !bounded || !self.is_mixed(now, head.rank) || self.is_pressing(now, head.rank) {
             return LongBound::Unbounded;
         }
         let waited = (now + waiting.ask.max_wait).saturating_sub(waiting.deadline).as_secs_f64();
@@ -288,12 +331,19 @@
         }
     }
 
-    /// Returns whether a long prefill can yield to short work no more, as half of its longest
-    /// wait is over or the queue is half full. Else lower work would run while it is shed.
-    fn is_pressing(&self, now: Duration, waiting: &Waiting) -> bool {
-        let left = waiting.deadline.saturating_sub(now);
-        left <= waiting.ask.max_wait.mul_f64(1.0 - LONG_PATIENCE)
-            || self.queue.fresh_len() > self.queue_bound() / 2
+    /// Returns whether long prefills of a tier yield to short work no more, as half of the longest
+    /// wait of one is over or the queue is half full. Else lower work would run while one is shed.
+    ///
+    /// One of a lower tier counts too when there is work below it, since higher tiers go before it.
+    fn is_pressing(&self, now: Duration, rank: u8) -> bool {
+        let mut pressing = self.queue.pressing_from(now, rank);
+        self.queue.fresh_len() > self.queue_bound() / 2
+            || pressing.any(|other| other == rank || self.has_work_below(other))
+    }
+
+    /// Returns whether work of a lower tier waits or runs, parked or not.
+    fn has_work_below(&self, rank: u8) -> bool {
+        self.queue.waits_below(rank) || self.reserve.runs_below(rank)
     }
 
     fn place(&mut self, now: Duration, head: &Head, passed: Option<u8>) -> Result<Choice, Blocked> {
@@ -388,6 +438,9 @@
                 upstream.end_prefill(&run.load);
             }
             upstream.end(&run.load);
+            if run.ask.placement == Placement::Alone {
+                upstream.reserved = false;
+            }
             upstream.forget_probe(now, ticket);
         }
         Some(run)
