--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -7,7 +7,7 @@
 
 use lacewingspring_core::{
     error::RunState,
-    gate::{Ask, Placement, Resume},
+    gate::{Ask, Outcome, Placement, Resume},
     names::UpstreamName,
     request::{Claimed, Request, RequestFacts},
 };
@@ -124,9 +124,13 @@
     pub(super) async fn dispatch(
         &self,
         request: Request<Claimed>,
-        permit: Permit,
+        mut permit: Permit,
     ) -> Result<Option<Request<Claimed>>, Refusal> {
         self.wait_until_sound().await;
+        if !permit.may_dispatch().await {
+            permit.release(Outcome::Cancelled);
+            return Ok(Some(request));
+        }
         match &self.work.body {
             Body::Completion { .. } => completion::run(self, request, permit).await,
             Body::Plain { .. } => plain::run(self, request, permit).await,
--- a/lacewingspring/src/entry/permit.rs
+++ b/lacewingspring/src/entry/permit.rs
@@ -96,6 +96,14 @@
         self.gate.outcome = Outcome::Failed;
     }
 
+    /// Returns whether the home of the fingerprint still lets the run begin.
+    pub async fn may_dispatch(&mut self) -> bool {
+        match &mut self.trial {
+            Some(trial) => trial.may_dispatch().await,
+            None => true,
+        }
+    }
+
     /// Tells the home of the fingerprint that the upstream crashed, before the permit ends.
     pub async fn crashed(&mut self) {
         if let Some(trial) = self.trial.take() {
--- a/lacewingspring/src/poison/trial.rs
+++ b/lacewingspring/src/poison/trial.rs
@@ -26,6 +26,9 @@
 /// Time between two attempts to reach a home.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time after which a run that was not dispatched asks again; shorter than any restart of an engine.
+const FRESH: Duration = Duration::from_millis(100);
+
 /// Attempts to tell a home how a run ended.
 const MAX_REPORTS: usize = 40;
 
@@ -34,6 +37,7 @@
 pub struct Trial {
     node: Arc<Node>,
     run: OpenRun,
+    begun_at: Duration,
     is_ended: bool,
 }
 
@@ -55,6 +59,20 @@
 }
 
 impl Trial {
+    /// Returns whether the run may still be dispatched.
+    ///
+    /// The upstream may have crashed and come back since the run began; the home then no longer
+    /// counts a crash for it, so it is asked again after a while.
+    pub async fn may_dispatch(&mut self) -> bool {
+        let now = clock::now();
+        if now.saturating_sub(self.begun_at) < FRESH {
+            return true;
+        }
+        self.begun_at = now;
+        let begin = ask(&self.node, &self.run.start).await;
+        matches!(begin, Some(Begin::Run { alone, .. }) if !alone || self.run.alone)
+    }
+
     /// Tells that the run ended whole.
     pub fn whole(mut self) {
         self.end(End::Whole);
@@ -98,8 +116,9 @@
     // What the home may take for begun is ended whatever becomes of this task.
     let run = OpenRun { start: start.clone(), alone: granted_alone };
     node.poison.open_run(run.clone());
-    let trial = Trial { node: node.clone(), run, is_ended: false };
+    let mut trial = Trial { node: node.clone(), run, begun_at: clock::now(), is_ended: false };
     loop {
+        trial.begun_at = clock::now();
         match ask(node, &start).await {
             Some(Begin::Run { alone: true, .. }) if !granted_alone => return Begun::Alone,
             Some(Begin::Run { .. }) => return Begun::Run(Some(trial)),
