--- a/lacewingspring/src/settings/mod.rs
+++ b/lacewingspring/src/settings/mod.rs
@@ -21,6 +21,7 @@
     operators::{BootstrapOperator, OperatorRole},
     platform::{AuthoritySettings, InstanceListSettings, KeyValueSettings},
     poison::PoisonSettings,
+    test::{Mechanism, TestSettings},
     timing::TimingSettings,
 };
 
@@ -31,6 +32,7 @@
 mod operators;
 mod platform;
 mod poison;
+mod test;
 mod timing;
 
 /// Settings of one daemon.
@@ -61,6 +63,9 @@
     /// Intervals and limits of time.
     #[serde(default)]
     pub timing: TimingSettings,
+    /// What tests switch off; refused outside of them.
+    #[serde(default)]
+    pub test: TestSettings,
     /// Watch for requests that crash upstreams.
     #[serde(default)]
     pub poison: PoisonSettings,
@@ -165,6 +170,7 @@
         self.listen.check()?;
         self.key_value.check()?;
         self.timing.check()?;
+        self.test.check()?;
         self.check_operators()
     }
 
