--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -33,7 +33,7 @@
     Granted(ClaimProof),
     /// Another instance runs the request.
     Taken(Runner),
-    /// The home doesn't know the run and is to be asked anew.
+    /// The home doesn't know the run, or knows that it has ended, and is to be asked anew.
     Again,
 }
 
@@ -73,11 +73,13 @@
         match verdict {
             RegisterVerdict::Registered => {
                 self.own(Progress::Waiting);
+                self.admit().await?;
                 self.run_as_runner(homes, request).await
             }
             RegisterVerdict::Joined { runner, progress } => {
                 if runner == homes.runner() && progress == Progress::Waiting {
                     self.own(Progress::Waiting);
+                    self.admit().await?;
                     return self.run_as_runner(homes, request).await;
                 }
                 self.follow_or_take_over(homes, request, runner).await
@@ -102,7 +104,7 @@
         let deadline = request.facts().deadline;
         let mut request = request;
         loop {
-            let permit = self.permit(deadline).await?;
+            let permit = self.permit_to_begin(deadline).await?;
             self.wait_until_sound().await;
             match self.ask_leave(homes, &permit, deadline).await? {
                 Leave::Granted(proof) => {
@@ -133,7 +135,8 @@
                 }
                 Leave::Again => {
                     permit.release(gate::Outcome::Cancelled);
-                    self.register(homes, deadline).await?;
+                    self.run.set_ownership(Ownership::None);
+                    return Box::pin(self.register_and_run(homes, request)).await;
                 }
             }
         }
@@ -152,7 +155,8 @@
         }
         match verdict {
             DispatchVerdict::TakenOver { runner } => Ok(Leave::Taken(runner)),
-            DispatchVerdict::Settled => Err(Refusal::last(ErrorKind::Voided)),
+            // The run may have ended elsewhere while this process was frozen, with an answer or
+            // without; the home tells which when the request is registered anew.
             _ => Ok(Leave::Again),
         }
     }
@@ -209,6 +213,7 @@
         runner: Runner,
         upstream: Option<UpstreamName>,
     ) -> Result<(), Refusal> {
+        self.free_slot();
         let lost = Refusal::last(ErrorKind::AnswerLost);
         if let Some(peer) = self.node.fleet.live(&runner.instance, runner.incarnation) {
             let key = self.run.id.key.clone();
@@ -229,6 +234,7 @@
         runner: Runner,
     ) -> Result<(), Refusal> {
         let deadline = request.facts().deadline;
+        self.free_slot();
         loop {
             if runner == homes.runner() {
                 // This incarnation dispatched the request before and no longer knows its end.
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -25,11 +25,13 @@
 };
 use crate::{daemon::Node, metrics::Series};
 
+mod begin;
 mod claims;
 mod completion;
 mod drive;
 mod follow;
 mod idempotent;
+mod invariant;
 mod once;
 mod permit;
 mod plain;
@@ -157,6 +159,8 @@
     pub max_wait: Duration,
     /// Whether the key was minted for this request.
     pub minted: bool,
+    /// Whether the caller says that it has sent the request before.
+    pub is_retry: bool,
 }
 
 impl Work {
@@ -240,5 +244,6 @@
         body,
         max_wait,
         minted: false,
+        is_retry: false,
     })
 }
--- a/lacewingspring/src/entry/once.rs
+++ b/lacewingspring/src/entry/once.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lacewingspring_core::{
-    error::ErrorKind,
+    error::{ErrorKind, RunState},
     gate::Outcome,
     request::{Accepted, ClaimProof, Request},
 };
@@ -21,7 +21,8 @@
         if let Some(outcome) = claims.look_up(&self.work, deadline).await? {
             return self.settle(outcome).await;
         }
-        let permit = self.permit(deadline).await?;
+        self.admit().await?;
+        let permit = self.permit_to_begin(deadline).await?;
         let claim = match claims.claim(&self.work).await {
             Ok(ClaimOutcome::Won(claim)) => claim,
             Ok(outcome) => {
@@ -44,13 +45,19 @@
                 claims.abandon(claim);
                 Err(Refusal::new(ErrorKind::NoUpstream, UNREACHABLE_RETRY_AFTER))
             }
-            Err(refusal) => Err(refusal),
+            Err(refusal) => {
+                if refusal.kind.answer().run == RunState::NotRun {
+                    claims.abandon(claim);
+                }
+                Err(refusal)
+            }
         }
     }
 
     /// Answers from a claim that stood before.
     async fn settle(&self, outcome: ClaimOutcome) -> Result<(), Refusal> {
         self.run.note(Step::ClaimFound);
+        self.free_slot();
         match outcome {
             ClaimOutcome::Answered(answer) => {
                 self.run.push_answer(answer);
--- a/lacewingspring/src/homes/mod.rs
+++ b/lacewingspring/src/homes/mod.rs
@@ -5,9 +5,12 @@
     time::Duration,
 };
 
-use lacewingspring_core::key_index::{
-    DispatchVerdict, HandOver, KeyId, KeyIndex, KeyIndexConfig, RegisterVerdict, Tenure,
-    VoidVerdict,
+use lacewingspring_core::{
+    key_index::{
+        DispatchVerdict, HandOver, KeyId, KeyIndex, KeyIndexConfig, RegisterVerdict, Tenure,
+        VoidVerdict,
+    },
+    membership::View,
 };
 
 use crate::{
@@ -15,6 +18,7 @@
     daemon::Node,
     membership::{is_up, peer},
     peers::{KeyCall, KeyReply, Message, PeerAddress, Told},
+    settings::Mechanism,
 };
 
 pub use self::{announce::announce_on_change, client::Homes};
@@ -45,9 +49,10 @@
         Self { index: Mutex::new(KeyIndex::new(cfg, now)) }
     }
 
-    /// Notes that this instance may have become the home of further keys.
-    pub fn role_taken(&self, now: Duration) {
-        self.lock().role_taken(now);
+    /// Notes that this instance may be the home or the backup of other keys.
+    pub fn roles_changed(&self, now: Duration, view: &View) {
+        let keeps = |id: &KeyId| view.holders(id, 2, None).iter().any(|m| m.name == view.own);
+        self.lock().roles_changed(now, keeps);
     }
 
     fn lock(&self) -> MutexGuard<'_, KeyIndex> {
@@ -93,6 +98,9 @@
 /// both the runner and the home of a key would lose the run. A dispatch waits for the copy; false
 /// when there is a backup that did not take it.
 async fn copy_to_backup(node: &Arc<Node>, call: &KeyCall, reply: &KeyReply) -> bool {
+    if !node.settings.test.is_on(Mechanism::Backup) {
+        return true;
+    }
     let Some(id) = asked(call) else { return true };
     let Some(copy) = copy(node, call, reply) else { return true };
     let view = node.fleet.view();
--- a/lacewingspring/src/settings/mod.rs
+++ b/lacewingspring/src/settings/mod.rs
@@ -20,6 +20,8 @@
     metrics::MetricsSettings,
     operators::{BootstrapOperator, OperatorRole},
     platform::{AuthoritySettings, InstanceListSettings, KeyValueSettings},
+    poison::PoisonSettings,
+    test::{Mechanism, TestSettings},
     timing::TimingSettings,
 };
 
@@ -29,6 +31,8 @@
 mod metrics;
 mod operators;
 mod platform;
+mod poison;
+mod test;
 mod timing;
 
 /// Settings of one daemon.
@@ -59,6 +63,12 @@
     /// Intervals and limits of time.
     #[serde(default)]
     pub timing: TimingSettings,
+    /// What tests switch off; refused outside of them.
+    #[serde(default)]
+    pub test: TestSettings,
+    /// Watch for requests that crash upstreams.
+    #[serde(default)]
+    pub poison: PoisonSettings,
 }
 
 /// Why settings were not accepted.
@@ -160,6 +170,7 @@
         self.listen.check()?;
         self.key_value.check()?;
         self.timing.check()?;
+        self.test.check()?;
         self.check_operators()
     }
 
--- a/lacewingspring_core/src/gate/feedback.rs
+++ b/lacewingspring_core/src/gate/feedback.rs
@@ -16,6 +16,11 @@
             return Vec::new();
         }
         run.first_token_at = Some(now);
+        if let Some(key) = run.park_key
+            && self.parks.replace(key, key.after_prefill())
+        {
+            run.park_key = Some(key.after_prefill());
+        }
         let Some(mut upstream) = self.fleet.get_mut(&run.upstream) else { return Vec::new() };
         upstream.end_prefill(&run.load);
         if let Some(granted_at) = run.granted_at {
@@ -35,7 +40,7 @@
     /// Ends a ticket and learns from its run.
     pub fn ended(&mut self, now: Duration, ticket: Ticket, outcome: Outcome) -> Vec<Decision> {
         self.parked_sequences.remove(&ticket);
-        if self.queue.remove(ticket).is_some() {
+        if self.queue.remove(ticket).is_some() || self.forget_placed(ticket) {
             return self.settle(now);
         }
         if let Some(run) = self.runs.get(&ticket) {
--- a/lacewingspring_core/src/gate/queue.rs
+++ b/lacewingspring_core/src/gate/queue.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    ops::Bound,
     time::Duration,
 };
 
@@ -35,6 +36,8 @@
     pub seconds: f64,
     /// Whether its prefill is long.
     pub long: bool,
+    /// Time from which its long prefill yields to short work no more.
+    pub press_at: Duration,
 }
 
 /// Line of a workspace; long prefills stand in a line of their own, so that short work never
@@ -143,6 +146,7 @@
     fresh: usize,
     short: usize,
     long: usize,
+    press_times: BTreeSet<(Duration, Ticket)>,
 }
 
 impl Tier {
@@ -228,7 +232,10 @@
         tier.fresh += usize::from(waiting.place.fresh);
         match line {
             Line::Short => tier.short += 1,
-            Line::Long => tier.long += 1,
+            Line::Long => {
+                tier.long += 1;
+                tier.press_times.insert((waiting.press_at, waiting.ticket));
+            }
         }
         if !tier.flows.contains_key(&waiting.ask.workspace) {
             tier.flows.insert(waiting.ask.workspace.clone(), Flow::new(waiting.ask.weight));
@@ -306,7 +313,10 @@
         tier.fresh -= usize::from(waiting.place.fresh);
         match position.line {
             Line::Short => tier.short -= 1,
-            Line::Long => tier.long -= 1,
+            Line::Long => {
+                tier.long -= 1;
+                tier.press_times.remove(&(waiting.press_at, waiting.ticket));
+            }
         }
         if tier.is_empty() {
             tier.busy_period += 1;
@@ -405,6 +415,21 @@
         counts.sum()
     }
 
+    /// Returns the ranks, from `rank` on, with a long prefill that yields to short work no more.
+    pub fn pressing_from(&self, now: Duration, rank: u8) -> impl Iterator<Item = u8> {
+        let tiers = self.tiers.range(rank..);
+        let pressing = tiers.filter(move |(_, tier)| {
+            tier.press_times.first().is_some_and(|(press_at, _)| *press_at <= now)
+        });
+        pressing.map(|(rank, _)| *rank)
+    }
+
+    /// Returns whether a request of a lower tier waits.
+    pub fn waits_below(&self, rank: u8) -> bool {
+        let (from, to) = (Bound::Excluded(rank), Bound::Unbounded);
+        self.tiers.range((from, to)).any(|(_, tier)| !tier.is_empty())
+    }
+
     /// Returns the number of long prefills that wait above a rank.
     pub fn long_above(&self, rank: u8) -> usize {
         self.tiers.range(..rank).map(|(_, tier)| tier.long).sum()
