Ask the nearest gate at once and not by a timer

A timer of no length fires at the next millisecond of the runtime's wheel, on the path of every request.

--- a/lacewingspring/src/entry/permit.rs
+++ b/lacewingspring/src/entry/permit.rs
@@ -177,7 +177,12 @@
     let mut centres = data_centres(node, pool).into_iter();
     let mut asking = JoinSet::new();
     let mut refusal = Refusal::new(ErrorKind::NoUpstream, UNREACHABLE_RETRY_AFTER);
-    let mut spread = Box::pin(sleep(Duration::ZERO));
+    // Asked here and not by a timer of no length, which takes up to a millisecond.
+    if let Some(data_centre) = centres.next() {
+        let gate = GateId { pool: pool_name.clone(), data_centre };
+        asking.spawn(ask_gate(node.clone(), PermitAsk { gate, ask: ask.clone() }));
+    }
+    let mut spread = Box::pin(sleep(SPREAD_AFTER));
     let mut late = Box::pin(sleep(ask.max_wait));
     loop {
         tokio::select! {
