Describe operating, with a checked reference of settings and resources

Operators had no page to install, change and mend a fleet by. The page has the settings, the resources and their constraints, transactions, roles, credentials, stopping and upgrading, outages, the texts of errors and the exit codes. What isn't built is listed at its end.

A page written by a program from doc comments was ruled out here: units and ranges are not in the types.

Found by reading, not by a run: the daemon reads no load reports or cache events of engines; nothing removes claims or acts; status has no roles.

--- a/lacewingspring/tests/docs.rs
+++ b/lacewingspring/tests/docs.rs
@@ -1,39 +1,14 @@
-//! Pages of the documentation against the code that they describe.
-
-use std::{fs, path::PathBuf};
+//! Table of errors in the documentation against the one in the code.
 
 use lacewingspring_core::error::ErrorKind;
 use serde::Serialize;
 
-/// Columns of the table of errors that the code knows; the last one is advice.
-const ERROR_COLUMNS: usize = 6;
+use self::docs_common::{read, rows, section};
 
-/// Reads a page of the documentation.
-fn page(name: &str) -> String {
-    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../docs").join(name);
-    fs::read_to_string(&path).unwrap_or_else(|e| panic!("{name}: {e}"))
-}
+mod docs_common;
 
-/// Returns the text below a heading, up to the next heading of the same or a higher level.
-fn section<'a>(text: &'a str, heading: &str) -> &'a str {
-    let level = heading.chars().take_while(|c| *c == '#').count();
-    let start = text.find(&format!("{heading}\n")).unwrap_or_else(|| panic!("no {heading:?}"));
-    let body = &text[start + heading.len() + 1..];
-    let ends = (1..=level).filter_map(|level| body.find(&format!("\n{} ", "#".repeat(level))));
-    &body[..ends.min().unwrap_or(body.len())]
-}
-
-/// Returns the cells of each row of a section's tables, without heads and rules.
-fn rows(section: &str) -> Vec<Vec<&str>> {
-    let lines: Vec<&str> = section.lines().collect();
-    let is_rule = |line: &str| line.starts_with("|---");
-    let is_head = |i: usize| lines.get(i + 1).is_some_and(|next| is_rule(next));
-    let rows = lines
-        .iter()
-        .enumerate()
-        .filter(|(i, line)| line.starts_with('|') && !is_rule(line) && !is_head(*i));
-    rows.map(|(_, line)| line.trim_matches('|').split('|').map(str::trim).collect()).collect()
-}
+/// Columns of the table of errors that the code knows; the last one is advice.
+const ERROR_COLUMNS: usize = 6;
 
 /// Returns a value as it is written in JSON, without quotes.
 fn json_name<T>(value: &T) -> String
@@ -57,7 +32,7 @@
 
 #[test]
 fn table_of_errors_equals_the_code() {
-    let callers = page("CALLERS.md");
+    let callers = read("docs/CALLERS.md");
     let rows = rows(section(&callers, "## The table of errors"));
     let advice = rows.iter().all(|row| row.len() == ERROR_COLUMNS + 1 && !row[6].is_empty());
     assert!(advice, "a row lacks a column");
@@ -65,3 +40,12 @@
     let expected: Vec<_> = ErrorKind::ALL.iter().map(|kind| error_row(*kind)).collect();
     assert_eq!(written, expected);
 }
+
+#[test]
+fn troubleshooting_names_each_text() {
+    let operating = read("docs/OPERATING.md");
+    let rows = rows(section(&operating, "## Troubleshooting by the text of an error"));
+    let written: Vec<&str> = rows.iter().map(|row| row[0]).collect();
+    let expected: Vec<_> = ErrorKind::ALL.iter().map(|kind| kind.answer().title).collect();
+    assert_eq!(written, expected);
+}
--- /dev/null
+++ b/lacewingspring/tests/docs_operating.rs
@@ -0,0 +1,272 @@
+//! Reference of settings and resources in the documentation against the code.
+
+use std::collections::BTreeSet;
+
+use lacewingspring::settings::Settings;
+use lacewingspring_core::{
+    config::{Declared, Transaction},
+    resources::{ResourceKind, Spec},
+};
+use serde_json::{Value, json};
+
+use self::docs_common::{bounds, expected, quoted, read, rows, section};
+
+mod docs_common;
+
+/// A name that is no key, field or variant.
+const UNKNOWN: &str = "zz";
+
+/// Sections of the settings; the root is empty.
+const SECTIONS: [&str; 11] = [
+    "",
+    "listen",
+    "key_value",
+    "instance_list",
+    "authority",
+    "operators",
+    "log",
+    "metrics",
+    "timing",
+    "test",
+    "poison",
+];
+
+/// Row of a reference.
+#[derive(Clone, Debug)]
+struct Entry {
+    key: String,
+    default: String,
+    range: String,
+}
+
+impl Entry {
+    fn is_required(&self) -> bool {
+        self.default == "required"
+    }
+
+    fn default(&self) -> Value {
+        let text = quoted(&self.default).concat();
+        serde_json::from_str(&text).unwrap_or_else(|e| panic!("{}: {e}", self.key))
+    }
+}
+
+fn entries(rows: &[Vec<&str>], range: usize) -> Vec<Entry> {
+    let entry = |row: &Vec<&str>| Entry {
+        key: quoted(row[0]).concat(),
+        default: row[2].to_owned(),
+        range: row[range].to_owned(),
+    };
+    rows.iter().map(entry).collect()
+}
+
+/// Returns the value at a dotted path, made when absent; of a list, the first item is meant.
+fn at<'a>(root: &'a mut Value, path: &str) -> &'a mut Value {
+    let parts = path.split('.').filter(|part| !part.is_empty());
+    parts.fold(root, |value, part| {
+        let value = if value.is_array() { &mut value[0] } else { value };
+        if value.is_null() {
+            *value = json!({});
+        }
+        &mut value[part]
+    })
+}
+
+/// Returns the object at a dotted path.
+fn object<'a>(root: &'a mut Value, path: &str) -> &'a mut Value {
+    let value = at(root, path);
+    let value = if value.is_array() { &mut value[0] } else { value };
+    if value.is_null() {
+        *value = json!({});
+    }
+    value
+}
+
+fn remove(root: &mut Value, path: &str) {
+    let (parent, name) = path.rsplit_once('.').unwrap_or(("", path));
+    object(root, parent).as_object_mut().unwrap().remove(name);
+}
+
+fn settings() -> Vec<Entry> {
+    let operating = read("docs/OPERATING.md");
+    entries(&rows(section(&operating, "## Settings")), 4)
+}
+
+fn sound_settings() -> Value {
+    json!({
+        "instance": "a", "data_centre": "b",
+        "listen": { "callers": "127.0.0.1:7400", "peers": "127.0.0.1:7500" },
+        "key_value": { "endpoints": ["127.0.0.1:2379"] },
+        "instance_list": { "endpoint": "127.0.0.1:8500" },
+        "authority": { "certificate": "c", "key": "k" },
+        "operators": [{ "name": "root", "credential": "ab".repeat(32), "role": "change" }]
+    })
+}
+
+fn parse(settings: &Value) -> Result<Settings, String> {
+    Settings::parse(&settings.to_string()).map_err(|e| e.to_string())
+}
+
+#[test]
+fn page_has_each_setting_and_no_other() {
+    let mut known = BTreeSet::new();
+    for section in SECTIONS {
+        let mut settings = sound_settings();
+        object(&mut settings, section)[UNKNOWN] = json!(1);
+        let error = parse(&settings).expect_err(section);
+        for name in expected(&error) {
+            known.insert(if section.is_empty() { name } else { format!("{section}.{name}") });
+        }
+    }
+    let is_leaf = |key: &String| key == "operators" || !SECTIONS.contains(&key.as_str());
+    known.retain(is_leaf);
+    let written: BTreeSet<_> = settings().into_iter().map(|entry| entry.key).collect();
+    assert_eq!(written, known);
+}
+
+#[test]
+fn defaults_of_settings_are_those_of_the_code() {
+    let mut settings_with_defaults = sound_settings();
+    for entry in settings().iter().filter(|entry| !entry.is_required()) {
+        if entry.key != "operators" {
+            *at(&mut settings_with_defaults, &entry.key) = entry.default();
+        }
+    }
+    let written = parse(&settings_with_defaults).unwrap();
+    assert_eq!(format!("{written:?}"), format!("{:?}", parse(&sound_settings()).unwrap()));
+    let mut bare = sound_settings();
+    remove(&mut bare, "operators");
+    assert!(parse(&bare).unwrap().operators.is_empty());
+}
+
+#[test]
+fn required_settings_are_required() {
+    for entry in settings().iter().filter(|entry| entry.is_required()) {
+        let mut settings = sound_settings();
+        remove(&mut settings, &entry.key);
+        let error = parse(&settings).expect_err(&entry.key);
+        assert!(error.contains("missing field"), "{}: {error}", entry.key);
+    }
+}
+
+#[test]
+fn ranges_of_settings_are_those_of_the_code() {
+    let mut checked = 0;
+    for entry in settings() {
+        let Some((low, high)) = bounds(&entry.range).filter(|_| !entry.is_required()) else {
+            continue;
+        };
+        for (value, accepted) in [(low - 1, false), (low, true), (high, true), (high + 1, false)] {
+            let mut settings = sound_settings();
+            *at(&mut settings, &entry.key) = json!(value);
+            assert_eq!(parse(&settings).is_ok(), accepted, "{}: {value}", entry.key);
+        }
+        checked += 1;
+    }
+    assert_eq!(checked, 7, "settings with bounds");
+}
+
+#[test]
+fn variants_of_settings_are_those_of_the_code() {
+    for key in ["log.level", "log.format", "operators.role"] {
+        let mut settings = sound_settings();
+        *at(&mut settings, key) = json!(UNKNOWN);
+        let entry = self::settings().into_iter().find(|entry| entry.key == key).unwrap();
+        assert_eq!(quoted(&entry.range), expected(&parse(&settings).expect_err(key)), "{key}");
+    }
+}
+
+fn fields(kind: ResourceKind) -> Vec<Entry> {
+    let operating = read("docs/OPERATING.md");
+    entries(&rows(section(&operating, &format!("### {}", kind.as_str()))), 3)
+}
+
+/// Returns a sound spec with no field that has a default.
+fn sound_spec(kind: ResourceKind) -> Value {
+    let upstream = json!({ "name": "e", "address": "127.0.0.1:9000", "data_centre": "a" });
+    match kind {
+        ResourceKind::Tier => json!({ "rank": 0 }),
+        ResourceKind::EnginePool => json!({ "type": "engine", "upstreams": [upstream] }),
+        ResourceKind::Service => json!({
+            "protocol": "completions", "pool": "engine_pool", "tier": "tier", "idempotent": false
+        }),
+        ResourceKind::Workspace => json!({ "credentials": ["cd".repeat(32)] }),
+        ResourceKind::Operator => json!({ "credentials": ["ef".repeat(32)], "role": "read" }),
+    }
+}
+
+fn spec(kind: ResourceKind, spec: &Value) -> Result<Spec, String> {
+    let spec = json!({ "kind": kind.as_str(), "spec": spec });
+    serde_json::from_value(spec).map_err(|e| e.to_string())
+}
+
+/// Returns whether a state that has one sound resource of each kind, but for this spec, is sound.
+fn accepts(changed: ResourceKind, spec: &Value) -> bool {
+    let put = |kind: ResourceKind| {
+        let spec = if kind == changed { spec.clone() } else { sound_spec(kind) };
+        json!({ "put": { "kind": kind.as_str(), "name": kind.as_str(), "spec": spec } })
+    };
+    let transaction = json!({ "changes": ResourceKind::ALL.map(put) });
+    let transaction: Result<Transaction, _> = serde_json::from_value(transaction);
+    transaction.is_ok_and(|transaction| Declared::default().check(&transaction).is_ok())
+}
+
+#[test]
+fn page_has_each_field_and_no_other() {
+    let nested = [(ResourceKind::EnginePool, "upstreams"), (ResourceKind::Workspace, "limits")];
+    for kind in ResourceKind::ALL {
+        let mut known = BTreeSet::new();
+        let nested = nested.iter().filter(|(of, _)| *of == kind).map(|(_, path)| *path);
+        for path in nested.clone().chain([""]) {
+            let mut value = sound_spec(kind);
+            object(&mut value, path)[UNKNOWN] = json!(1);
+            let names = expected(&spec(kind, &value).expect_err(path)).into_iter();
+            let full = |name| if path.is_empty() { name } else { format!("{path}.{name}") };
+            known.extend(names.map(full));
+        }
+        known.remove("limits");
+        let written: BTreeSet<_> = fields(kind).into_iter().map(|entry| entry.key).collect();
+        assert_eq!(written, known);
+    }
+}
+
+#[test]
+fn defaults_of_fields_are_those_of_the_code() {
+    for kind in ResourceKind::ALL {
+        let mut value = sound_spec(kind);
+        for entry in fields(kind) {
+            if entry.is_required() {
+                let mut without = sound_spec(kind);
+                remove(&mut without, &entry.key);
+                let error = spec(kind, &without).expect_err(&entry.key);
+                assert!(error.contains("missing field"), "{}: {error}", entry.key);
+            } else {
+                *at(&mut value, &entry.key) = entry.default();
+            }
+        }
+        assert_eq!(spec(kind, &value), spec(kind, &sound_spec(kind)));
+    }
+}
+
+#[test]
+fn ranges_of_fields_are_those_of_the_code() {
+    let mut checked = 0;
+    for kind in ResourceKind::ALL {
+        assert!(accepts(kind, &sound_spec(kind)));
+        for entry in fields(kind) {
+            let Some((low, high)) = bounds(&entry.range) else { continue };
+            let below = low as i64 - 1;
+            for (value, accepted) in [
+                (json!(below), false),
+                (json!(low), true),
+                (json!(high), true),
+                (json!(high + 1), false),
+            ] {
+                let mut spec = sound_spec(kind);
+                *at(&mut spec, &entry.key) = value.clone();
+                assert_eq!(accepts(kind, &spec), accepted, "{kind:?} {}: {value}", entry.key);
+            }
+            checked += 1;
+        }
+    }
+    assert_eq!(checked, 8, "fields with bounds");
+}
