List every metric with unit, tags and bound

The source pointed to docs/METRICS.md, which did not exist.

Tests use every metric once against a local statsd socket and compare names, types and tags with the page, compare the counters named in the source with it, compare the fields of the report, and record 2148 workspaces to see that 2048 are kept apart and the rest counted together.

Found while writing: four timers and 610 workspaces make 2440 combinations in one tier, more than the 2048 kept, so at that size some workspaces share a histogram. Calls to the key-value service are counted and not reported. Waste by crashes is not in prefill.wasted_tokens.

--- /dev/null
+++ b/lacewingspring/tests/docs_metrics.rs
@@ -0,0 +1,151 @@
+//! List of metrics in the documentation against what is sent and reported.
+
+use std::{collections::BTreeSet, net::UdpSocket, time::Duration};
+
+use lacewingspring::metrics::{Metrics, Series, Timer};
+use lacewingspring_core::{
+    error::ErrorKind,
+    names::{TierName, WorkspaceName},
+};
+use serde_json::Value;
+
+use self::docs_common::{quoted, read, rows, section};
+
+mod docs_common;
+
+/// Longest wait for a datagram.
+const SILENCE: Duration = Duration::from_millis(200);
+
+/// Largest datagram that is read, in bytes.
+const MAX_DATAGRAM: usize = 64 * 1024;
+
+/// Histograms kept apart, as the page says.
+const KEPT_APART: usize = 2_048;
+
+/// Calls that send a counter whose name is written beside them.
+const COUNTER_CALLS: [&str; 2] = ["self.count(\"", "count_with_tags(\""];
+
+/// A metric as it is listed or sent.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Metric {
+    name: String,
+    kind: &'static str,
+    tags: BTreeSet<String>,
+}
+
+fn series() -> Series {
+    Series { workspace: WorkspaceName::from("desk"), tier: TierName::from("lookup") }
+}
+
+/// Returns what the source calls the counters of broken invariants.
+fn invariants() -> Vec<String> {
+    let source = read("lacewingspring/src/entry/invariant.rs");
+    let texts = source.split('"').skip(1).step_by(2).map(str::to_owned);
+    texts.filter(|text| text.starts_with("invariants.")).collect()
+}
+
+/// Uses each metric once.
+fn use_all(metrics: &Metrics) {
+    let series = series();
+    metrics.accepted(&series);
+    metrics.answered(&series);
+    metrics.refused(&series, ErrorKind::Overloaded);
+    metrics.prefilled(&series, 7);
+    metrics.wasted(&series, 7);
+    metrics.parked(&series);
+    for timer in [Timer::Wait, Timer::FirstToken, Timer::BetweenTokens, Timer::Total] {
+        metrics.time(timer, &series, Duration::from_millis(7));
+    }
+    for name in invariants() {
+        metrics.violated(&name);
+    }
+}
+
+fn sent(line: &str) -> Metric {
+    let (name, rest) = line.strip_prefix("lacewingspring.").unwrap().split_once(':').unwrap();
+    let mut parts = rest.split('|').skip(1);
+    let kind = match parts.next() {
+        Some("c") => "counter",
+        Some("ms") => "timer",
+        other => panic!("{line}: {other:?}"),
+    };
+    let tags = parts.next().map_or("", |tags| tags.trim_start_matches('#'));
+    let tags = tags.split(',').filter_map(|tag| tag.split_once(':'));
+    Metric { name: name.to_owned(), kind, tags: tags.map(|(name, _)| name.to_owned()).collect() }
+}
+
+/// Returns all metrics as a statsd server receives them.
+fn all_sent() -> BTreeSet<Metric> {
+    let server = UdpSocket::bind("127.0.0.1:0").unwrap();
+    server.set_read_timeout(Some(SILENCE)).unwrap();
+    let metrics = Metrics::start(Some(server.local_addr().unwrap())).unwrap();
+    use_all(&metrics);
+    // What is gathered goes out when the sink is dropped.
+    drop(metrics);
+    let mut buf = vec![0; MAX_DATAGRAM];
+    let mut all = BTreeSet::new();
+    while let Ok(len) = server.recv(&mut buf) {
+        all.extend(std::str::from_utf8(&buf[..len]).unwrap().lines().map(sent));
+    }
+    all
+}
+
+fn listed() -> BTreeSet<Metric> {
+    let page = read("docs/METRICS.md");
+    let rows = rows(section(&page, "## Sent by statsd"));
+    let metric = |row: &Vec<&str>| Metric {
+        name: quoted(row[0]).concat(),
+        kind: if row[1] == "timer" { "timer" } else { "counter" },
+        tags: quoted(row[3]).into_iter().collect(),
+    };
+    rows.iter().map(metric).collect()
+}
+
+#[test]
+fn each_metric_that_is_sent_is_listed() {
+    assert_eq!(listed(), all_sent());
+}
+
+#[test]
+fn each_counter_of_the_source_is_listed() {
+    let source = read("lacewingspring/src/metrics/mod.rs");
+    let after = COUNTER_CALLS.iter().flat_map(|call| source.split(call).skip(1));
+    let names = after.map(|text| text.split('"').next().unwrap().to_owned());
+    let counters: BTreeSet<_> = names.chain(invariants()).collect();
+    let listed = listed().into_iter().filter(|metric| metric.kind == "counter");
+    assert_eq!(listed.map(|metric| metric.name).collect::<BTreeSet<_>>(), counters);
+}
+
+fn keys(value: &Value) -> BTreeSet<String> {
+    value.as_object().unwrap().keys().cloned().collect()
+}
+
+#[test]
+fn each_field_of_the_report_is_listed() {
+    let metrics = Metrics::start(None).unwrap();
+    use_all(&metrics);
+    let report = serde_json::to_value(metrics.report("a")).unwrap();
+    let page = read("docs/METRICS.md");
+    let listed = |heading| -> BTreeSet<String> {
+        let rows = rows(section(&page, heading));
+        rows.iter().flat_map(|row| quoted(row[0])).collect()
+    };
+    assert_eq!(listed("### Counts of a tier"), keys(&report["tiers"]["lookup"]));
+    assert_eq!(listed("### Fields of a histogram"), keys(&report["histograms"][0]));
+}
+
+#[test]
+fn histograms_are_bounded_as_the_page_says() {
+    let page = read("docs/METRICS.md");
+    assert!(page.contains(&format!("| histograms | {KEPT_APART} kept apart, then one more")));
+    let metrics = Metrics::start(None).unwrap();
+    for n in 0..KEPT_APART + 100 {
+        let workspace = WorkspaceName::from(format!("w{n}"));
+        let series = Series { workspace, ..series() };
+        metrics.time(Timer::Wait, &series, Duration::from_millis(7));
+    }
+    let histograms = metrics.report("a").histograms;
+    assert_eq!(histograms.len(), KEPT_APART + 1);
+    let others = histograms.iter().find(|it| it.workspace.as_str() == "(other)").unwrap();
+    assert_eq!(others.count, 100);
+}
