Describe what the platform and upstreams must answer

Who fits a service to the daemon had only the clients' code to read.

A test collects the paths of calls in the sources of the platform's clients and of the upstreams and asks that the page has each. The fields are not checked by a test: most are names made by derives on private types.

--- a/lacewingspring/tests/docs.rs
+++ b/lacewingspring/tests/docs.rs
@@ -1,9 +1,11 @@
 //! Table of errors in the documentation against the one in the code.
 
+use std::{collections::BTreeSet, fs, path::Path};
+
 use lacewingspring_core::error::ErrorKind;
 use serde::Serialize;
 
-use self::docs_common::{read, rows, section};
+use self::docs_common::{path, read, rows, section};
 
 mod docs_common;
 
@@ -49,3 +51,37 @@
     let expected: Vec<_> = ErrorKind::ALL.iter().map(|kind| kind.answer().title).collect();
     assert_eq!(written, expected);
 }
+
+/// Adds the text of the sources in a folder and below.
+fn add_sources(folder: &Path, text: &mut String) {
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            add_sources(&path, text);
+        } else {
+            text.push_str(&fs::read_to_string(&path).unwrap());
+        }
+    }
+}
+
+/// Returns the paths of calls that stand in the sources, up to a part that varies.
+fn call_paths(sources: &str) -> BTreeSet<String> {
+    let versions = ["/v1/", "/v3/"].iter().flat_map(|version| {
+        let rest = sources.split(version).skip(1);
+        rest.map(move |rest| format!("{version}{}", rest.split(['"', '{', '`']).next().unwrap()))
+    });
+    versions.collect()
+}
+
+#[test]
+fn calls_to_the_platform_and_upstreams_are_listed() {
+    let mut sources = String::new();
+    for folder in ["platform", "upstreams"] {
+        add_sources(&path("lacewingspring/src").join(folder), &mut sources);
+    }
+    let paths = call_paths(&sources);
+    assert!(paths.len() >= 10, "{paths:?}");
+    let adapters = read("docs/ADAPTERS.md");
+    let absent: Vec<_> = paths.iter().filter(|path| !adapters.contains(*path)).collect();
+    assert!(absent.is_empty(), "{absent:?}");
+}
