--- /dev/null
+++ b/lacewingspring/tests/docs.rs
@@ -0,0 +1,87 @@
+//! Table of errors in the documentation against the one in the code.
+
+use std::{collections::BTreeSet, fs, path::Path};
+
+use lacewingspring_core::error::ErrorKind;
+use serde::Serialize;
+
+use self::docs_common::{path, read, rows, section};
+
+mod docs_common;
+
+/// Columns of the table of errors that the code knows; the last one is advice.
+const ERROR_COLUMNS: usize = 6;
+
+/// Returns a value as it is written in JSON, without quotes.
+fn json_name<T>(value: &T) -> String
+where
+    T: Serialize,
+{
+    serde_json::to_value(value).unwrap().as_str().unwrap().to_owned()
+}
+
+fn error_row(kind: ErrorKind) -> Vec<String> {
+    let answer = kind.answer();
+    vec![
+        answer.status.to_string(),
+        format!("`{}`", json_name(&kind)),
+        format!("`{}`", answer.problem),
+        answer.title.to_owned(),
+        format!("`{}`", json_name(&answer.run)),
+        if answer.retry { "yes" } else { "no" }.to_owned(),
+    ]
+}
+
+#[test]
+fn table_of_errors_equals_the_code() {
+    let callers = read("docs/CALLERS.md");
+    let rows = rows(section(&callers, "## The table of errors"));
+    let advice = rows.iter().all(|row| row.len() == ERROR_COLUMNS + 1 && !row[6].is_empty());
+    assert!(advice, "a row lacks a column");
+    let written: Vec<Vec<&str>> = rows.iter().map(|row| row[..ERROR_COLUMNS].to_vec()).collect();
+    let expected: Vec<_> = ErrorKind::ALL.iter().map(|kind| error_row(*kind)).collect();
+    assert_eq!(written, expected);
+}
+
+#[test]
+fn troubleshooting_names_each_text() {
+    let operating = read("docs/OPERATING.md");
+    let rows = rows(section(&operating, "## Troubleshooting by the text of an error"));
+    let written: Vec<&str> = rows.iter().map(|row| row[0]).collect();
+    let expected: Vec<_> = ErrorKind::ALL.iter().map(|kind| kind.answer().title).collect();
+    assert_eq!(written, expected);
+}
+
+/// Adds the text of the sources in a folder and below.
+fn add_sources(folder: &Path, text: &mut String) {
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            add_sources(&path, text);
+        } else {
+            text.push_str(&fs::read_to_string(&path).unwrap());
+        }
+    }
+}
+
+/// Returns the paths of calls that stand in the sources, up to a part that varies.
+fn call_paths(sources: &str) -> BTreeSet<String> {
+    let versions = ["/v1/", "/v3/"].iter().flat_map(|version| {
+        let rest = sources.split(version).skip(1);
+        rest.map(move |rest| format!("{version}{}", rest.split(['"', '{', '`']).next().unwrap()))
+    });
+    versions.collect()
+}
+
+#[test]
+fn calls_to_the_platform_and_upstreams_are_listed() {
+    let mut sources = String::new();
+    for folder in ["platform", "upstreams"] {
+        add_sources(&path("lacewingspring/src").join(folder), &mut sources);
+    }
+    let paths = call_paths(&sources);
+    assert!(paths.len() >= 10, "{paths:?}");
+    let adapters = read("docs/ADAPTERS.md");
+    let absent: Vec<_> = paths.iter().filter(|path| !adapters.contains(*path)).collect();
+    assert!(absent.is_empty(), "{absent:?}");
+}
