Keep the top tier beside open lower work, and park only after the first token

Cause: six tests were red or flaky. A lookup was refused as overloaded when the gate's holder died: the new one had a queue over its bound of 8 for each slot while parked summaries were still open. A run that was parked during its prefill did it twice. A lookup was refused as over the limit while the workspace's home was frozen, with 15 of 1,000 requests a second in use. Ruled out: a bound of 32 for each slot for all work: it refuses the lowest tier too late. Half of a limit shared evenly: the property that limits hold over the fleet fails; a fifth passes it. Conclusion: a request waits up to four times the bound while a lower tier runs, is being parked or waits to go on; a run is parked once its prefill has given a token.

--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -194,10 +194,18 @@
         let cancels = drive.work.service.idempotent;
         let mut finish = None;
         let mut announced = false;
+        let mut park_due = false;
         loop {
+            if park_due && announced {
+                return Stretch::ParkWanted;
+            }
             let part = tokio::select! {
                 part = stream.next() => part,
-                () = permit.park_wanted() => return Stretch::ParkWanted,
+                // A run is parked after its first token, so that its prefill is not done twice.
+                () = permit.park_wanted(), if !park_due => {
+                    park_due = true;
+                    continue;
+                }
                 () = &mut orphaned, if cancels => return Stretch::Orphaned,
             };
             match part {
--- a/lacewingspring_core/src/gate/shedding.rs
+++ b/lacewingspring_core/src/gate/shedding.rs
@@ -17,6 +17,9 @@
 /// New requests that wait at most for each declared slot.
 const QUEUE_PER_SLOT: usize = 8;
 
+/// Multiple of the bound up to which a request waits while work of a lower tier is open.
+const QUEUE_STRETCH: usize = 4;
+
 /// Expected wait, in parts of the time left, from which a request is refused at once.
 const HOPELESS_FACTOR: f64 = 1.25;
 
@@ -106,6 +109,9 @@
                 decisions.push(Decision::Park(parked));
                 continue;
             }
+            if self.waits_for_lower(rank) {
+                return;
+            }
             let none = self.fleet.declared_slots() == 0;
             let kind = if none { ErrorKind::NoUpstream } else { ErrorKind::Overloaded };
             self.refuse(now, ticket, kind, decisions);
@@ -171,6 +177,21 @@
         self.fleet.declared_slots() as usize * QUEUE_PER_SLOT
     }
 
+    /// Returns whether a request of this rank may wait beyond the bound for lower work to yield,
+    /// which it does by eviction and by parking.
+    fn waits_for_lower(&self, rank: u8) -> bool {
+        let yields = self.policy.parking && self.policy.eviction_order;
+        let bound = self.queue_bound() * QUEUE_STRETCH;
+        yields && self.queue.fresh_len() < bound && self.is_lower_open(rank)
+    }
+
+    /// Returns whether work of a tier below `rank` runs, is being parked, or waits to go on: a
+    /// request is not refused beside it.
+    fn is_lower_open(&self, rank: u8) -> bool {
+        let waits = self.queue.ranks().into_iter().any(|waiting| waiting > rank);
+        waits || self.runs.values().any(|run| run.ask.rank > rank)
+    }
+
     fn next_victim(&self) -> Option<Ticket> {
         if self.policy.eviction_order {
             self.queue.victim(self.queue.lowest_rank()?)
--- a/lacewingspring_core/src/limits/config.rs
+++ b/lacewingspring_core/src/limits/config.rs
@@ -34,7 +34,7 @@
             renew_after: Duration::from_secs(1),
             ask_again_after: Duration::from_millis(50),
             drain_for: Duration::from_secs(30),
-            floor_fraction: 0.1,
+            floor_fraction: 0.2,
             burst: Duration::from_millis(250),
             policy: SharePolicy::default(),
         }
