--- /dev/null
+++ b/lacewingspring_core/examples/capacity_support/mod.rs
@@ -0,0 +1,118 @@
+//! Resident memory, clocks and straight-line fits for the capacity examples.
+
+#![allow(dead_code, reason = "each example uses a part")]
+
+use std::{
+    env, fs,
+    process::Command,
+    time::{Duration, Instant},
+};
+
+/// Bytes of a page of memory.
+const PAGE_BYTES: f64 = 4_096.0;
+
+/// Measured values of one quantity by size.
+#[derive(Debug)]
+pub struct Series {
+    name: &'static str,
+    points: Vec<(f64, f64)>,
+}
+
+impl Series {
+    /// Creates an empty series; the name ends with the unit.
+    pub fn new(name: &'static str) -> Self {
+        Self { name, points: Vec::new() }
+    }
+
+    /// Adds the value at a size.
+    pub fn add(&mut self, size: usize, value: f64) {
+        self.points.push((size as f64, value));
+    }
+
+    /// Prints the points, the least-squares line and the largest residual.
+    pub fn print(&self) {
+        let points: Vec<_> = self.points.iter().map(|(x, y)| format!("{x:.0}: {y:.1}")).collect();
+        let (intercept, slope) = self.fit();
+        let residual = |(x, y): &(f64, f64)| (y - intercept - slope * x).abs();
+        let worst = self.points.iter().map(residual).fold(0.0, f64::max);
+        println!(
+            "| {} | {} | {intercept:.2} + {slope:.4} n | {worst:.1} |",
+            self.name,
+            points.join(", ")
+        );
+    }
+
+    fn fit(&self) -> (f64, f64) {
+        let n = self.points.len() as f64;
+        let mean_x = self.points.iter().map(|(x, _)| x).sum::<f64>() / n;
+        let mean_y = self.points.iter().map(|(_, y)| y).sum::<f64>() / n;
+        let covariance: f64 = self.points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+        let variance: f64 = self.points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+        let slope = covariance / variance.max(f64::MIN_POSITIVE);
+        (mean_y - slope * mean_x, slope)
+    }
+}
+
+/// Prints the head of the table of series.
+pub fn print_head() {
+    println!("| quantity | size: value | line | largest residual |");
+    println!("| --- | --- | --- | ---: |");
+}
+
+/// Returns the resident memory of this process, in bytes.
+pub fn resident() -> f64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse::<f64>().ok());
+    pages.unwrap_or_default() * PAGE_BYTES
+}
+
+/// Argument that makes an example print one size of memory and stop.
+pub const MEMORY: &str = "memory";
+
+/// Returns what a fresh run of this example prints for a kind of memory at a size, in bytes.
+///
+/// Memory that earlier measurements freed would otherwise be used again and not seen.
+pub fn fresh(kind: &str, size: usize) -> f64 {
+    let program = env::current_exe().expect("the path of this example");
+    let run = Command::new(program).args([MEMORY, kind, &size.to_string()]).output();
+    let printed = String::from_utf8(run.expect("runs itself").stdout).expect("prints text");
+    printed.trim().parse().expect("prints a number")
+}
+
+/// Returns the kind and size of memory that this run is to print, if it is such a run.
+pub fn asked_memory() -> Option<(String, usize)> {
+    let mut args = env::args().skip(1);
+    (args.next()? == MEMORY).then_some(())?;
+    Some((args.next()?, args.next()?.parse().ok()?))
+}
+
+/// Builds `copies` values, keeps them for ever and returns the resident bytes of one.
+pub fn resident_each<T, F>(copies: usize, mut build: F) -> f64
+where
+    F: FnMut() -> T,
+{
+    let before = resident();
+    let built: Vec<T> = (0..copies).map(|_| build()).collect();
+    let after = resident();
+    std::mem::forget(std::hint::black_box(built));
+    (after - before) / copies as f64
+}
+
+/// Batches of calls, of which the fastest counts.
+const BATCHES: u32 = 5;
+
+/// Returns the mean time of a call in the fastest of five batches of `calls` calls.
+#[expect(clippy::disallowed_methods, reason = "a benchmark reads the clock")]
+pub fn time_each<F>(calls: u32, mut call: F) -> Duration
+where
+    F: FnMut(u32),
+{
+    let batch = |batch: u32| {
+        let started = Instant::now();
+        for i in 0..calls {
+            call(batch * calls + i);
+        }
+        started.elapsed() / calls
+    };
+    (0..BATCHES).map(batch).min().unwrap_or_default()
+}
