Say "not run" only of a key that is known not to have run

Ruled out: saying "may have run" of every refusal: a first attempt in an outage would be in doubt. Conclusion: non-idempotent keys are registered with their home too; a refusal of a repeat in doubt is `undecided`; a status query takes over and drops a run that waits at a dead runner.

--- a/lacewingspring/src/callers/keys.rs
+++ b/lacewingspring/src/callers/keys.rs
@@ -6,7 +6,7 @@
 use lacewingspring_core::{
     claim::{ClaimRecord, ClaimState},
     error::{ErrorKind, RunState},
-    key_index::{KeyId, Outcome, VoidVerdict},
+    key_index::{KeyId, Outcome, Progress, TakeOverVerdict, VoidVerdict},
     names::RequestKey,
 };
 use percent_encoding::percent_decode_str;
@@ -68,7 +68,7 @@
         return Ok(state);
     }
     let deadline = clock::now() + HOME_TIMEOUT;
-    if let Some(state) = from_home(Homes::new(node).void(id, deadline).await?) {
+    if let Some(state) = home_state(node, id, deadline).await? {
         return Ok(state);
     }
     let record = node.claims.settle(id).await;
@@ -81,6 +81,35 @@
     })
 }
 
+/// State of a run as the home of its key knows it; none when the home settled that there is none.
+///
+/// A run that waits at a dead runner is taken over and dropped, so that it can be settled.
+async fn home_state(
+    node: &Arc<Node>,
+    id: &KeyId,
+    deadline: Duration,
+) -> Result<Option<State>, Refusal> {
+    let homes = Homes::new(node);
+    loop {
+        let verdict = homes.void(id, deadline).await?;
+        let VoidVerdict::Running { runner, progress } = &verdict else {
+            return Ok(from_home(verdict));
+        };
+        if node.fleet.live(&runner.instance, runner.incarnation).is_some() {
+            return Ok(Some(State::InProgress));
+        }
+        if *progress != Progress::Waiting {
+            return Ok(Some(State::MayHaveRun));
+        }
+        let taken = homes.take_over(id, runner, deadline).await?;
+        if taken == TakeOverVerdict::NotDispatched {
+            homes.release_now(id, deadline).await?;
+        } else if clock::now() >= deadline {
+            return Err(Refusal::new(ErrorKind::StoreUnavailable, OUTAGE_RETRY_AFTER));
+        }
+    }
+}
+
 /// State of a key that is claimed without an outcome: in progress only while the claimer runs it.
 async fn claimed_state(node: &Arc<Node>, id: &KeyId, record: &ClaimRecord) -> State {
     if record.incarnation == node.incarnation {
--- a/lacewingspring/src/entry/claims.rs
+++ b/lacewingspring/src/entry/claims.rs
@@ -125,6 +125,15 @@
         }
     }
 
+    /// Returns whether a key was claimed, or may have been because the service can't be read.
+    pub async fn may_have_run(&self, id: &KeyId) -> bool {
+        match self.store.get(&self.key(id)).await {
+            Ok(Some(entry)) => parse(&entry).is_none_or(|claim| claim.state != ClaimState::Void),
+            Ok(None) => false,
+            Err(_) => true,
+        }
+    }
+
     /// Creates the claim if it is absent; a lost reply is settled by reading back.
     ///
     /// # Errors
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -1,12 +1,15 @@
 //! Drives a run from acceptance to its last part.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
 use lacewingspring_core::{
-    error::RunState,
+    error::{ErrorKind, RunState},
     gate::{Ask, Outcome, Placement, Resume},
     names::UpstreamName,
     request::{Claimed, Request, RequestFacts},
@@ -22,6 +25,7 @@
 use crate::{
     clock,
     daemon::Node,
+    homes::Homes,
     limits::{Arrival, Slot},
     metrics::{Series, Timer},
 };
@@ -42,6 +46,7 @@
     pub series: Series,
     /// Time of acceptance.
     pub accepted: Duration,
+    doubt: AtomicBool,
     /// Place within the limits of the workspace, held while the request runs here.
     pub slot: Mutex<Option<Slot>>,
 }
@@ -51,12 +56,20 @@
     tokio::spawn(async move {
         let series = work.series();
         let accepted = clock::now();
-        let drive = Drive { node, run, work, series, accepted, slot: Mutex::default() };
+        let drive = Drive {
+            node,
+            run,
+            work,
+            series,
+            accepted,
+            slot: Mutex::default(),
+            doubt: AtomicBool::new(false),
+        };
         drive.run.note(Step::Accepted);
         drive.node.metrics.accepted(&drive.series);
         match drive.to_end().await {
             Ok(()) => drive.answered(),
-            Err(refusal) => drive.refused(refusal),
+            Err(refusal) => drive.refused(drive.without_false_claim(refusal).await),
         }
         drive.free_slot();
         drive.forget();
@@ -98,7 +111,10 @@
         if self.work.service.idempotent {
             return self.run_idempotent(request).await;
         }
-        self.run_once(request).await
+        let homes = Homes::new(&self.node);
+        let ended = self.run_once(&homes, request).await;
+        self.tell_home(&homes, &ended);
+        ended
     }
 
     /// Counts the request against the limits of its workspace, unless it is counted already.
@@ -223,9 +239,20 @@
         });
     }
 
+    /// Notes that the key may have run before.
+    pub(super) fn doubt(&self) {
+        self.doubt.store(true, Ordering::Release);
+    }
+
+    /// Returns whether the key may have run before.
+    pub(super) fn in_doubt(&self) -> bool {
+        self.doubt.load(Ordering::Acquire)
+    }
+
     /// Returns whether a repeat is to be decided anew: nothing ran, or the claim decides.
     fn may_ask_anew(&self) -> bool {
         let Some(kind) = self.run.failure() else { return false };
-        kind.answer().run == RunState::NotRun || !self.work.service.idempotent
+        let undecided = kind == ErrorKind::Undecided;
+        undecided || kind.answer().run == RunState::NotRun || !self.work.service.idempotent
     }
 }
--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -50,17 +50,22 @@
     pub(super) async fn run_idempotent(&self, request: Request<Accepted>) -> Result<(), Refusal> {
         let homes = Homes::new(&self.node);
         let ended = self.register_and_run(&homes, request).await;
+        self.tell_home(&homes, &ended);
+        ended
+    }
+
+    /// Tells the home of the key what came of the run, when this instance is its runner.
+    pub(super) fn tell_home(&self, homes: &Homes, ended: &Result<(), Refusal>) {
         if self.run.ownership() == Ownership::None {
-            return ended;
+            return;
         }
-        match &ended {
+        match ended {
             Ok(()) => homes.finished(&self.run.id, Outcome::Answered),
             Err(refusal) if refusal.kind.answer().run == RunState::NotRun => {
                 homes.release(&self.run.id);
             }
             Err(_) => homes.finished(&self.run.id, Outcome::MayHaveRun),
         }
-        ended
     }
 
     async fn register_and_run(
@@ -73,6 +78,7 @@
         match verdict {
             RegisterVerdict::Registered => {
                 self.own(Progress::Waiting);
+                self.refuse_when_leaving()?;
                 self.admit().await?;
                 self.run_as_runner(homes, request).await
             }
@@ -289,7 +295,7 @@
         }
     }
 
-    async fn register(
+    pub(super) async fn register(
         &self,
         homes: &Homes,
         deadline: Duration,
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -28,6 +28,7 @@
 mod begin;
 mod claims;
 mod completion;
+mod doubt;
 mod drive;
 mod follow;
 mod idempotent;
@@ -202,7 +203,8 @@
 ///
 /// Refuses at once when the key belongs to another request or the instance is leaving.
 pub fn submit(node: &Arc<Node>, work: Work) -> Result<Follower, Refusal> {
-    if node.leaving() && node.runs.get(&work.id).is_none() {
+    // A repeat may have run elsewhere, which its home tells; a minted key is new.
+    if node.leaving() && work.minted {
         return Err(Refusal::new(ErrorKind::Leaving, LEAVING_RETRY_AFTER));
     }
     match node.runs.submit(work.id.clone(), work.fingerprint.clone()) {
--- a/lacewingspring/src/entry/once.rs
+++ b/lacewingspring/src/entry/once.rs
@@ -9,18 +9,25 @@
 };
 
 use super::{Refusal, Step, claims::ClaimOutcome, drive::Drive};
+use crate::homes::Homes;
 
 /// When callers are told to come back after an upstream could not be reached.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl Drive {
     /// Runs a non-idempotent request: looks for an earlier claim, waits, claims, dispatches.
-    pub(super) async fn run_once(&self, request: Request<Accepted>) -> Result<(), Refusal> {
+    pub(super) async fn run_once(
+        &self,
+        homes: &Homes,
+        request: Request<Accepted>,
+    ) -> Result<(), Refusal> {
         let claims = &self.node.claims;
         let deadline = request.facts().deadline;
+        self.register_once(homes).await?;
         if let Some(outcome) = claims.look_up(&self.work, deadline).await? {
             return self.settle(outcome).await;
         }
+        self.refuse_when_leaving()?;
         self.admit().await?;
         let permit = self.permit_to_begin(deadline).await?;
         let claim = match claims.claim(&self.work).await {
--- a/lacewingspring/src/homes/client.rs
+++ b/lacewingspring/src/homes/client.rs
@@ -155,6 +155,16 @@
         self.tell(id, call);
     }
 
+    /// Drops a run that was not dispatched and waits for its home, by the deadline.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when no home answers in time.
+    pub async fn release_now(&self, id: &KeyId, deadline: Duration) -> Result<(), Refusal> {
+        let call = KeyCall::Release { id: id.clone(), runner: self.runner() };
+        self.until(id, call, deadline, done).await
+    }
+
     fn is_on(&self) -> bool {
         self.node.settings.test.is_on(Mechanism::Home)
     }
--- a/lacewingspring_core/src/error.rs
+++ b/lacewingspring_core/src/error.rs
@@ -106,6 +106,8 @@
     AnswerGone => 410, "answer-gone", "The request ran; its answer is no longer kept.", Ran, false;
     /// A status query settled that the key will never run.
     Voided => 409, "voided", "The key was settled as not run.", NotRun, false;
+    /// A repeat can't be taken now, and its key may have run before.
+    Undecided => 503, "undecided", "It can't be taken now; it may have run before.", MayHaveRun, true;
     /// A fault of the system itself.
     Internal => 500, "internal", "The system failed.", MayHaveRun, false;
 }
