Bound the memory of connections and the work of share homes

The tests of limits and peers pass. Conclusion: 1,024 streams, one connection a peer, a look at the homes each 250 ms or at a change.

--- a/lacewingspring/src/limits/mod.rs
+++ b/lacewingspring/src/limits/mod.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lacewingspring_core::{limits::ShareConfig, names::WorkspaceName};
+use lacewingspring_core::{catalog::Catalog, limits::ShareConfig, names::WorkspaceName};
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::{
@@ -25,6 +25,9 @@
 /// Time between two looks at which shares are due.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Ticks between two looks at which ledgers this instance holds.
+const TICKS_PER_REFRESH: u64 = 10;
+
 /// Longest wait for the answer of a home.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -60,17 +63,17 @@
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut changes = node.fleet.changes();
-    loop {
+    for tick in 0_u64.. {
         ticks.tick().await;
-        let now = clock::now();
-        if changes.has_changed().unwrap_or_default() {
+        let changed = changes.has_changed().unwrap_or_default();
+        if changed {
             changes.mark_unchanged();
             node.limits.uses.ask_soon();
         }
         let catalog = node.catalog();
-        node.limits.uses.retain(|workspace| catalog.workspaces.contains_key(workspace));
-        for term in node.limits.home.refresh(now, &node, &catalog) {
-            tokio::spawn(learn::learn(node.clone(), term));
+        // It looks up the home of each workspace, which costs more as the fleet grows.
+        if changed || tick.is_multiple_of(TICKS_PER_REFRESH) {
+            refresh(&node, &catalog);
         }
         for workspace in catalog.workspaces.keys() {
             ask_if_due(&node, workspace);
@@ -78,6 +81,13 @@
     }
 }
 
+fn refresh(node: &Arc<Node>, catalog: &Catalog) {
+    node.limits.uses.retain(|workspace| catalog.workspaces.contains_key(workspace));
+    for term in node.limits.home.refresh(clock::now(), node, catalog) {
+        tokio::spawn(learn::learn(node.clone(), term));
+    }
+}
+
 /// Answers a question about shares.
 pub fn serve(node: &Node, call: ShareCall) -> ShareReply {
     let now = clock::now();
@@ -99,8 +109,8 @@
 pub(crate) fn ask_if_due(node: &Arc<Node>, workspace: &WorkspaceName) {
     let now = clock::now();
     let used = node.limits.uses.of(now, workspace);
-    let Some(home) = home::holder(node, workspace) else { return };
     let Some(demand) = used.ask(now) else { return };
+    let Some(home) = home::holder(node, workspace) else { return };
     let call = ShareCall::Ask {
         workspace: workspace.clone(),
         instance: node.settings.instance.clone(),
--- a/lacewingspring/src/peers/mod.rs
+++ b/lacewingspring/src/peers/mod.rs
@@ -41,6 +41,9 @@
 /// Time between two keep-alive packets.
 const KEEP_ALIVE: Duration = Duration::from_millis(1_000);
 
+/// Exchanges that a peer may have open at once on one connection; each costs memory up front.
+const MAX_STREAMS: u32 = 1_024;
+
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -204,9 +207,20 @@
         let connecting = connecting.map_err(|_| unreachable())?;
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
         let connection = connected.map_err(|_| unreachable())?.map_err(|_| unreachable())?;
+        Ok(self.keep(peer, connection))
+    }
+
+    /// Keeps a new connection; of two that were opened at once, only the first stays.
+    fn keep(&self, peer: &PeerAddress, connection: Connection) -> Connection {
         let mut connections = self.lock();
+        if let Some(first) = connections.get(peer)
+            && first.close_reason().is_none()
+        {
+            connection.close(VarInt::from_u32(0), b"not needed");
+            return first.clone();
+        }
         connections.insert(peer.clone(), connection.clone());
-        Ok(connection)
+        connection
     }
 
     fn known(&self, peer: &PeerAddress) -> Option<Connection> {
@@ -228,6 +242,6 @@
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))));
     transport.keep_alive_interval(Some(KEEP_ALIVE));
-    transport.max_concurrent_bidi_streams(VarInt::from_u32(65_536));
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
     transport
 }
