Give shares again that a new home took back for a while

Cause: while a new workspace home waits for the shares of the old one, it confirms at most what an instance holds. Before: the new test of limits_learn gets a share of 0.

--- a/lacewingspring_core/src/limits/account.rs
+++ b/lacewingspring_core/src/limits/account.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Account {
     demand: Demand,
+    /// Share of an old home that the instance held when this home first heard of it.
+    inherited: Option<Share>,
     outstanding: Vec<Outstanding>,
     /// Requests that may be in progress, whatever share they were admitted under.
     in_use: u32,
@@ -27,7 +29,13 @@
 
 impl Account {
     pub(super) fn new(demand: Demand) -> Self {
-        Self { demand, outstanding: Vec::new(), in_use: 0, drained: Duration::ZERO }
+        Self {
+            demand,
+            inherited: demand.held,
+            outstanding: Vec::new(),
+            in_use: 0,
+            drained: Duration::ZERO,
+        }
     }
 
     /// Takes a report of the instance.
@@ -63,6 +71,16 @@
         self.drained > now
     }
 
+    /// Rate that the instance may have again while shares of an old home may be unknown.
+    pub(super) fn confirmed_rate(&self) -> f64 {
+        self.inherited.map_or(0.0, |share| share.rate).max(self.rate())
+    }
+
+    /// Concurrency that the instance may have again while shares of an old home may be unknown.
+    pub(super) fn confirmed_concurrency(&self) -> u32 {
+        self.inherited.map_or(0, |share| share.concurrency).max(self.concurrency())
+    }
+
     /// Requests a second that the instance may be using.
     pub(super) fn rate(&self) -> f64 {
         self.shares().map(|share| share.rate).fold(0.0, f64::max)
--- a/lacewingspring_core/src/limits/ledger.rs
+++ b/lacewingspring_core/src/limits/ledger.rs
@@ -11,8 +11,9 @@
 
 /// Shares of the limits of one workspace, kept by its home.
 ///
-/// A new home first only confirms what instances report to hold. It gives out more when all that
-/// the old home gave out has run out. This presumes that the old home stops within `view_lag`, since
+/// A new home first only confirms what instances report to hold; what it takes back meanwhile,
+/// since members could not be reached, it gives again. It gives out more when all that the old home
+/// gave out has run out. This presumes that the old home stops within `view_lag`, since
 /// it is dead or its view has changed.
 ///
 /// Requests in progress count against the concurrency until they are reported as ended, also when
@@ -93,8 +94,8 @@
         let mut rate = self.rate_target(&demand).min(self.free_rate());
         let mut concurrency = self.concurrency_target(&demand).min(self.free_concurrency());
         if now < self.quiet_until {
-            rate = rate.min(account.rate());
-            concurrency = concurrency.min(account.concurrency());
+            rate = rate.min(account.confirmed_rate());
+            concurrency = concurrency.min(account.confirmed_concurrency());
         }
         let valid_for = self.cfg.valid_for;
         let share = Share { ask: demand.ask, rate, concurrency, valid_for };
--- a/lacewingspring_core/tests/limits_learn.rs
+++ b/lacewingspring_core/tests/limits_learn.rs
@@ -65,3 +65,26 @@
     assert_eq!(used.share(NOW), None);
     assert!(matches!(used.admit(NOW), Admission::LimitReached { .. }));
 }
+
+#[test]
+fn gives_again_what_it_took_back_while_members_could_not_be_reached() {
+    let mut old = ledger();
+    old.learned(NOW);
+    let mut used = ShareUse::new(ShareConfig::default(), NOW);
+    let demand = ask(&mut used, NOW);
+    let held = old.grant(NOW, &instance("first"), demand);
+    used.granted(NOW, held);
+    let mut new = ledger();
+    new.observe_reach(1, 100);
+    let demand = used.ask(NOW + Duration::from_secs(2)).expect("a question is due");
+    let less = new.grant(NOW, &instance("first"), demand);
+    assert_eq!(less.concurrency, 0, "{less:?}");
+    used.granted(NOW + Duration::from_secs(2), less);
+    new.observe_reach(2, 2);
+    let demand = used.ask(NOW + Duration::from_secs(4)).expect("a question is due");
+    assert!(new.is_quiet(NOW));
+    let again = new.grant(NOW, &instance("first"), demand);
+    assert!(again.concurrency > 0 && again.concurrency <= held.concurrency, "{again:?}");
+    assert!(again.rate > 0.0 && again.rate <= held.rate, "{again:?}");
+    assert_eq!(new.violations(), 0);
+}
