Let no dead member keep the limit of its workspace

A trace of the grants showed two things. The home gave nearly the whole limit to the one member with a little demand, and when that member died it held it until its share ran out. And the part that unreachable members stand for was taken off the limit beside the shares they held, so that it counted twice. The others got 0. Now a share is twice the demand and an even part of what is left while that fits, and shares of unreachable members count against the part of the limit that is left to them.

--- a/lacewingspring/src/limits/home.rs
+++ b/lacewingspring/src/limits/home.rs
@@ -44,6 +44,8 @@
         }
         let reachable = view.members.iter().filter(|member| is_up(member)).count();
         self.ledger.observe_reach(reachable, view.members.len());
+        let away = view.members.iter().filter(|member| !is_up(member));
+        self.ledger.observe_away(away.map(|member| member.name.clone()));
     }
 
     /// Forgets the earlier run of an instance; false when the incarnation is that run.
--- a/lacewingspring_core/src/limits/ledger.rs
+++ b/lacewingspring_core/src/limits/ledger.rs
@@ -1,6 +1,9 @@
 //! The home's side of the limits of one workspace.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{names::InstanceName, resources::WorkspaceLimits};
 
@@ -9,6 +12,9 @@
 /// Sums of rates may differ from the limit by this much, in requests a second.
 const RATE_ERROR: f64 = 1e-6;
 
+/// Times its demand that an instance may have while the limit is not used up.
+const HEADROOM: f64 = 2.0;
+
 /// Shares of the limits of one workspace, kept by its home.
 ///
 /// A new home first only confirms what instances report to hold; what it takes back meanwhile,
@@ -25,6 +31,8 @@
     limits: WorkspaceLimits,
     reachable: usize,
     known: usize,
+    /// Members that can't be reached.
+    away: BTreeSet<InstanceName>,
     quiet_until: Duration,
     accounts: BTreeMap<InstanceName, Account>,
     violations: u64,
@@ -41,6 +49,7 @@
             limits,
             reachable: 1,
             known: 1,
+            away: BTreeSet::new(),
             quiet_until: now + quiet,
             accounts: BTreeMap::new(),
             violations: 0,
@@ -61,6 +70,15 @@
         self.known = known.max(self.reachable);
     }
 
+    /// Notes which members can't be reached. What they may hold counts against the part of the limit
+    /// that is left to them.
+    pub fn observe_away<I>(&mut self, away: I)
+    where
+        I: IntoIterator<Item = InstanceName>,
+    {
+        self.away = away.into_iter().collect();
+    }
+
     /// Forgets an instance that has surely stopped.
     pub fn stopped(&mut self, instance: &InstanceName) {
         self.accounts.remove(instance);
@@ -143,12 +161,17 @@
         target.max(demand.concurrency.min(1))
     }
 
+    /// A floor, twice the demand while that fits for all, and an even part of what is left; else the
+    /// rest by demand.
     fn target(&self, limit: f64, demand: f64, others: f64) -> f64 {
         let floor = self.floor(limit);
         let instances = self.instances() as f64;
-        let total = demand + others;
-        let part = if total > 0.0 { demand / total } else { 1.0 / instances };
-        floor + (limit - floor * instances) * part
+        let rest = limit - floor * instances;
+        let wanted = HEADROOM * (demand + others);
+        if wanted <= rest {
+            return floor + HEADROOM * demand + (rest - wanted) / instances;
+        }
+        floor + rest * demand / (demand + others)
     }
 
     fn floor(&self, limit: f64) -> f64 {
@@ -166,20 +189,31 @@
     }
 
     fn demands(&self) -> impl Iterator<Item = &Demand> {
-        self.accounts.values().filter_map(Account::demand)
+        self.accounts_of(false).filter_map(Account::demand)
+    }
+
+    /// Accounts of the members that can't be reached, or of the others.
+    fn accounts_of(&self, away: bool) -> impl Iterator<Item = &Account> {
+        let accounts = self.accounts.iter();
+        accounts.filter(move |(name, _)| self.away.contains(*name) == away).map(|(_, held)| held)
     }
 
     fn free_rate(&self) -> f64 {
         let limit = self.rate_limit();
         let kept = self.floor(limit) * self.absent() as f64;
-        (limit - self.shared().0 - kept).max(0.0)
+        let lost = f64::from(self.limits.requests_per_second) - limit;
+        let away: f64 = self.accounts_of(true).map(Account::rate).sum();
+        let near: f64 = self.accounts_of(false).map(Account::rate).sum();
+        (limit - near - (away - lost).max(0.0) - kept).max(0.0)
     }
 
     fn free_concurrency(&self) -> u32 {
         let limit = self.concurrency_limit();
         let kept = self.floor(f64::from(limit)) as u32 * self.absent() as u32;
-        let used: u32 = self.accounts.values().map(Account::concurrency).sum();
-        limit.saturating_sub(used).saturating_sub(kept)
+        let lost = self.limits.concurrency - limit;
+        let away: u32 = self.accounts_of(true).map(Account::concurrency).sum();
+        let near: u32 = self.accounts_of(false).map(Account::concurrency).sum();
+        limit.saturating_sub(near).saturating_sub(away.saturating_sub(lost)).saturating_sub(kept)
     }
 
     fn rate_limit(&self) -> f64 {
--- a/lacewingspring_core/tests/limits_shares.rs
+++ b/lacewingspring_core/tests/limits_shares.rs
@@ -265,6 +265,35 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// Shares of three members with little or no demand after a fourth, which was busier, has died.
+#[test]
+fn the_dead_member_holds_no_more_than_its_part() {
+    let mut ledger = ShareLedger::new(ShareConfig::default(), limits(), Duration::ZERO);
+    ledger.observe_reach(4, 4);
+    let mut held = [None; 4];
+    let mut grant = |ledger: &mut ShareLedger, round: u64, i: usize, rate: f64| {
+        let demand = Demand { ask: round, rate, concurrency: 1, in_use: 0, held: held[i] };
+        let name = format!("i{i}").as_str().into();
+        let share = ledger.grant(ms(10_000 + 1_000 * round), &name, demand);
+        held[i] = Some(share);
+        share
+    };
+    for round in 1..4 {
+        for i in 0..4 {
+            grant(&mut ledger, round, i, if i == 3 { 5.0 } else { 0.0 });
+        }
+    }
+    ledger.observe_reach(3, 4);
+    ledger.observe_away(["i3".into()]);
+    for round in 4..7 {
+        for i in 0..3 {
+            let share = grant(&mut ledger, round, i, 4.0);
+            assert!(share.rate > 15.0 && share.concurrency >= 4, "{round} {i}: {share:?}");
+        }
+    }
+    assert_eq!(ledger.violations(), 0);
+}
+
 #[test]
 fn retries_stay_a_fraction_of_fresh_requests() {
     let mut rng = Rng(7);
