Tell duplicates of one key from requests sent under a new key

The load tool counts by prompt, and its callers of idempotent services send a request again under a new key when they are told that the first may have run. Ruled out: two dispatches of one key. That so many callers are told 'may have run' is the fault that is left.

--- a/lacewingspring_standins/src/load/journals.rs
+++ b/lacewingspring_standins/src/load/journals.rs
@@ -15,6 +15,9 @@
 /// Request in the journal of an engine.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct EngineEntry {
+    /// Identifier of the request, the same for all runs under one key.
+    #[serde(default)]
+    pub id: String,
     /// Completions posted for it.
     pub dispatches: u64,
     /// Those that went on with a parked run.
@@ -58,6 +61,10 @@
     pub unanswered_tokens: u64,
     /// Completions posted beyond the first of each prompt, without resumptions.
     pub duplicate_completions: u64,
+    /// Part of the duplicate completions that callers sent under a new key, told that the first
+    /// may have run.
+    #[serde(default)]
+    pub under_new_key: u64,
     /// Parked runs that went on.
     pub resumptions: u64,
     /// Plain calls beyond the first with the same body.
@@ -68,11 +75,12 @@
 
 /// Sums of one prompt over all engines.
 #[derive(Default)]
-struct Prompt {
+struct Prompt<'a> {
     prefilled: u64,
     needed: u64,
     dispatches: u64,
     resumptions: u64,
+    ids: HashSet<&'a str>,
 }
 
 impl Work {
@@ -84,13 +92,14 @@
 
 /// Sums the journals up; `answered` holds the digests of the prompts answered whole.
 pub fn sum_up(journals: &[EngineJournal], answered: &HashSet<String>) -> Work {
-    let mut prompts: HashMap<&str, Prompt> = HashMap::new();
+    let mut prompts: HashMap<&str, Prompt<'_>> = HashMap::new();
     for entry in journals.iter().flat_map(|journal| &journal.requests) {
         let prompt = prompts.entry(&entry.prompt_sha8).or_default();
         prompt.prefilled += entry.prefilled_tokens;
         prompt.needed = prompt.needed.max(entry.needed_tokens);
         prompt.dispatches += entry.dispatches;
         prompt.resumptions += entry.resumptions;
+        prompt.ids.insert(&entry.id);
     }
     let mut work = Work::default();
     for (digest, prompt) in prompts {
@@ -102,6 +111,7 @@
         work.resumptions += prompt.resumptions;
         let first = prompt.resumptions + 1;
         work.duplicate_completions += prompt.dispatches.saturating_sub(first);
+        work.under_new_key += prompt.ids.len() as u64 - 1;
     }
     work.evictions = journals.iter().map(|journal| journal.evictions).sum();
     work
--- a/lacewingspring_standins/src/load/report.rs
+++ b/lacewingspring_standins/src/load/report.rs
@@ -89,12 +89,13 @@
         writeln!(
             f,
             "prefill {} tokens, wasted {} ({:.1}%), of which unanswered {}; duplicate completions \
-             {}, duplicate calls {}, resumptions {}, evictions {}",
+             {}, of which under a new key {}; duplicate calls {}, resumptions {}, evictions {}",
             work.prefilled_tokens,
             work.wasted_tokens,
             work.wasted_percent(),
             work.unanswered_tokens,
             work.duplicate_completions,
+            work.under_new_key,
             work.duplicate_calls,
             work.resumptions,
             work.evictions
@@ -135,10 +136,10 @@
         let Some(first) = self.0.first() else { return Ok(()) };
         write!(f, "| scenario | policy |")?;
         first.tiers().try_for_each(|tier| write!(f, " {} |", tier.name.tier))?;
-        writeln!(f, " all tiers | wasted prefill, tokens | wasted | duplicates |")?;
+        writeln!(f, " all tiers | wasted prefill, tokens | wasted | duplicates | under a new key |")?;
         write!(f, "| --- | --- |")?;
         first.tiers().try_for_each(|_| write!(f, " ---: |"))?;
-        writeln!(f, " ---: | ---: | ---: | ---: |")?;
+        writeln!(f, " ---: | ---: | ---: | ---: | ---: |")?;
         self.0.iter().try_for_each(|report| write_row(f, report))
     }
 }
@@ -149,10 +150,11 @@
     let work = &report.work;
     writeln!(
         f,
-        " {:.1}% | {} | {:.1}% | {} |",
+        " {:.1}% | {} | {:.1}% | {} | {} |",
         report.total_goodput_percent(),
         work.wasted_tokens,
         work.wasted_percent(),
-        work.duplicate_completions + work.duplicate_calls
+        work.duplicate_completions - work.under_new_key + work.duplicate_calls,
+        work.under_new_key
     )
 }
--- a/lacewingspring_standins/tests/load_journals.rs
+++ b/lacewingspring_standins/tests/load_journals.rs
@@ -6,6 +6,7 @@
 
 fn entry(prompt: &str, needed: u64, prefilled: u64) -> EngineEntry {
     EngineEntry {
+        id: "id".to_owned(),
         dispatches: 1,
         resumptions: 0,
         needed_tokens: needed,
@@ -44,6 +45,14 @@
 fn a_second_run_elsewhere_is_a_duplicate_and_waste() {
     let work = sum([journal([entry("whole", 100, 100)]), journal([entry("whole", 90, 90)])]);
     assert_eq!((work.wasted_tokens, work.duplicate_completions), (90, 1));
+    assert_eq!(work.under_new_key, 0);
+}
+
+#[test]
+fn a_second_run_under_a_new_key_is_a_duplicate_that_its_caller_made() {
+    let again = EngineEntry { id: "other".to_owned(), ..entry("whole", 90, 90) };
+    let work = sum([journal([entry("whole", 100, 100)]), journal([again])]);
+    assert_eq!((work.duplicate_completions, work.under_new_key), (1, 1));
 }
 
 #[test]
