--- a/lacewingspring_standins/src/load/report.rs
+++ b/lacewingspring_standins/src/load/report.rs
@@ -136,7 +136,10 @@
         let Some(first) = self.0.first() else { return Ok(()) };
         write!(f, "| scenario | policy |")?;
         first.tiers().try_for_each(|tier| write!(f, " {} |", tier.name.tier))?;
-        writeln!(f, " all tiers | wasted prefill, tokens | wasted | duplicates | under a new key |")?;
+        writeln!(
+            f,
+            " all tiers | wasted prefill, tokens | wasted | duplicates | under a new key |"
+        )?;
         write!(f, "| --- | --- |")?;
         first.tiers().try_for_each(|_| write!(f, " ---: |"))?;
         writeln!(f, " ---: | ---: | ---: | ---: | ---: |")?;
