Cut instances off from each other in tests, in one direction or both

Cause: docs/PROMISES.md said that no test with real processes makes one-way cuts or parts a data centre. Relays between the instances now drop datagrams by direction. They need an instance to tell others another address than it listens on: setting listen.advertised_peers, null by default. The views differ as meant (1 and 3; 2 and 4 addresses). Not shown: cuts together with an outage of the key-value service.

--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -138,7 +138,7 @@
         name: settings.instance.clone(),
         data_centre: settings.data_centre.clone(),
         callers: settings.listen.callers,
-        peers: settings.listen.peers,
+        peers: settings.listen.peers_as_told(),
         incarnation,
     };
     let period = Duration::from_millis(settings.timing.heartbeat_ms);
--- /dev/null
+++ b/lacewingspring/tests/cuts.rs
@@ -0,0 +1,200 @@
+//! Instances that can't reach each other, in one direction or both: nothing runs twice, and no
+//! answer is wrong or crossed.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use lacewingspring_standins::engine::answer;
+use tokio::{task::JoinSet, time::sleep};
+
+use crate::support::{
+    Fleet, Plan,
+    caller::{Reply, engine_runs, plain_runs, try_book, try_complete, upstream_id},
+    history::{History, Runs, Told, Violation},
+};
+
+mod support;
+
+/// Requests that are sent while instances are cut off.
+const REQUESTS: usize = 40;
+
+/// Time between two requests.
+const INTERVAL: Duration = Duration::from_millis(150);
+
+/// Time after which a caller repeats its request at another instance.
+const REPEAT_AFTER: Duration = Duration::from_millis(120);
+
+/// Longest time after a cut ends until all is well again.
+const HEALED_WITHIN: Duration = Duration::from_secs(8);
+
+/// Output tokens of a completion.
+const TOKENS: u32 = 20;
+
+/// One attempt of a request.
+#[derive(Debug)]
+struct Ended {
+    key: String,
+    reply: Reply,
+}
+
+fn prompt(key: &str) -> String {
+    format!("plot of {key} at the lake")
+}
+
+/// Sends one request to an instance: an odd one books, an even one asks for a completion.
+fn send(asking: &mut JoinSet<Ended>, fleet: &Fleet, n: usize, at: usize, after: Duration) {
+    let at = fleet.instances[at % fleet.instances.len()].callers;
+    asking.spawn(async move {
+        sleep(after).await;
+        let key = format!("key-{n}");
+        let reply = if n % 2 == 1 {
+            try_book(at, &key, n as u64).await
+        } else {
+            try_complete(at, "lookup", &key, &prompt(&key), TOKENS).await
+        };
+        Ended { key, reply }
+    });
+}
+
+/// Sends requests one after the other, each at one instance and soon after at another.
+async fn press(fleet: &Fleet, numbers: std::ops::Range<usize>) -> JoinSet<Ended> {
+    let mut asking = JoinSet::new();
+    for n in numbers {
+        send(&mut asking, fleet, n, n, Duration::ZERO);
+        send(&mut asking, fleet, n, n + 1, REPEAT_AFTER);
+        sleep(INTERVAL).await;
+    }
+    asking
+}
+
+/// Runs of each key at all upstreams.
+async fn runs(fleet: &Fleet, keys: usize) -> Runs {
+    let mut runs = plain_runs(fleet).await;
+    let mut completions: BTreeMap<String, u64> = BTreeMap::new();
+    for run in engine_runs(fleet).await {
+        let count = |field: &str| run[field].as_u64().unwrap_or_default();
+        let id = run["id"].as_str().unwrap_or_default().to_owned();
+        *completions.entry(id).or_default() += count("dispatches") - count("resumptions");
+    }
+    for key in (0..keys).map(|n| format!("key-{n}")) {
+        if let Some(count) = completions.get(&upstream_id(&key)) {
+            runs.0.insert(key, *count);
+        }
+    }
+    runs
+}
+
+fn told_name(told: &Told) -> String {
+    let text = format!("{told:?}");
+    text.split('(').next().unwrap_or_default().to_owned()
+}
+
+/// Returns which promises were broken.
+async fn broken(fleet: &Fleet, asking: JoinSet<Ended>, keys: usize) -> Vec<Violation> {
+    let mut history = History::default();
+    let mut told: BTreeMap<String, usize> = BTreeMap::new();
+    for Ended { key, reply } in asking.join_all().await {
+        let name = if reply.kind.is_empty() { told_name(&reply.told) } else { reply.kind };
+        *told.entry(name).or_default() += 1;
+        let completion = key.trim_start_matches("key-").parse::<usize>().is_ok_and(|n| n % 2 == 0);
+        let right = completion.then(|| answer(&prompt(&key), u64::from(TOKENS)));
+        // An attempt that is refused as not run says so of itself: the other may run the key.
+        let of_key = reply.told != Told::NotRun;
+        if of_key {
+            history.add(&key, right, reply.told);
+        }
+    }
+    println!("told {told:?}");
+    history.check(&runs(fleet, keys).await)
+}
+
+/// Numbers of addresses that the instances name to callers, by index.
+async fn seen(fleet: &Fleet) -> Vec<usize> {
+    let mut seen = Vec::new();
+    for instance in &fleet.instances {
+        let answer = support::get(instance.callers, "/v1/addresses").await.expect("addresses");
+        seen.push(answer.json()["addresses"].as_array().map_or(0, Vec::len));
+    }
+    seen
+}
+
+/// Waits until a fresh request at each instance is answered, and returns how long it took.
+async fn heal(fleet: &Fleet) {
+    fleet.cuts.as_ref().expect("relays").heal();
+    let start = support::now();
+    for (i, instance) in fleet.instances.iter().enumerate() {
+        for n in 0.. {
+            let key = format!("healed-{i}-{n}");
+            let reply = try_book(instance.callers, &key, 10_000 + (i * 100 + n) as u64).await;
+            if matches!(reply.told, Told::Answer(_)) {
+                break;
+            }
+            assert!(start.elapsed() < HEALED_WITHIN, "{reply:?} at {}", instance.name);
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+    fleet.wait_until_ready(fleet.instances.len()).await;
+    assert!(start.elapsed() < HEALED_WITHIN, "healed after {:?}", start.elapsed());
+}
+
+fn plan(instances: usize, data_centres: usize) -> Plan {
+    Plan {
+        instances,
+        data_centres,
+        engines: data_centres,
+        plain: data_centres,
+        relayed: true,
+        ..Plan::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_nothing_twice_while_one_instance_is_heard_by_none() {
+    let fleet = Fleet::start(plan(4, 1)).await;
+    let cuts = fleet.cuts.clone().expect("relays");
+    for other in 1..4 {
+        cuts.cut(&fleet, 0, other);
+    }
+    let asking = press(&fleet, 0..REQUESTS).await;
+    assert_eq!(seen(&fleet).await, [1, 3, 3, 3]);
+    heal(&fleet).await;
+    assert_eq!(broken(&fleet, asking, REQUESTS).await, vec![]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_nothing_twice_while_one_instance_hears_no_other() {
+    let fleet = Fleet::start(plan(4, 1)).await;
+    let cuts = fleet.cuts.clone().expect("relays");
+    for other in 1..4 {
+        cuts.cut(&fleet, other, 0);
+    }
+    let asking = press(&fleet, 0..REQUESTS).await;
+    assert_eq!(seen(&fleet).await, [1, 3, 3, 3]);
+    heal(&fleet).await;
+    assert_eq!(broken(&fleet, asking, REQUESTS).await, vec![]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_nothing_twice_while_a_data_centre_is_parted() {
+    let fleet = Fleet::start(plan(6, 3)).await;
+    let cuts = fleet.cuts.clone().expect("relays");
+    // Instances 0 and 3 are in the first data centre.
+    cuts.part(&fleet, &[0, 3], &[1, 2, 4, 5]);
+    let asking = press(&fleet, 0..REQUESTS).await;
+    assert_eq!(seen(&fleet).await, [2, 4, 4, 2, 4, 4]);
+    heal(&fleet).await;
+    assert_eq!(broken(&fleet, asking, REQUESTS).await, vec![]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_parted_data_centre_runs_keys_twice_without_claims() {
+    let fleet = Fleet::start(Plan { switch_off: &["claim"], ..plan(6, 3) }).await;
+    let cuts = fleet.cuts.clone().expect("relays");
+    cuts.part(&fleet, &[0, 3], &[1, 2, 4, 5]);
+    // Both sides hold the others to be gone before the first request.
+    sleep(Duration::from_secs(4)).await;
+    let asking = press(&fleet, 0..REQUESTS).await;
+    heal(&fleet).await;
+    let broken = broken(&fleet, asking, REQUESTS).await;
+    let twice = broken.iter().filter(|violation| matches!(violation, Violation::RanTwice(_)));
+    assert!(twice.count() > 0, "{broken:?}");
+}
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -22,9 +22,12 @@
 
 pub use self::http::{call, get};
 
+use self::relay::Cuts;
+
 pub mod caller;
 pub mod history;
 pub mod http;
+pub mod relay;
 pub mod timed;
 
 /// Bearer token of the workspace `desk`.
@@ -100,6 +103,8 @@
     pub switch_off: &'static [&'static str],
     /// Whether the watch for requests that crash upstreams is on.
     pub poison_watch: bool,
+    /// Whether instances reach each other through relays, which can cut them off.
+    pub relayed: bool,
 }
 
 impl Default for Plan {
@@ -113,6 +118,7 @@
             engine_flags: Vec::new(),
             switch_off: &[],
             poison_watch: true,
+            relayed: false,
         }
     }
 }
@@ -130,6 +136,8 @@
     pub plain: Vec<SocketAddr>,
     /// Instances by index.
     pub instances: Vec<Instance>,
+    /// Cuts between instances, when they are relayed.
+    pub cuts: Option<Cuts>,
     stand_ins: Vec<Process>,
     poison_watch: bool,
     ip: IpAddr,
@@ -152,6 +160,7 @@
             engines: ports(9_000, plan.engines),
             plain: ports(9_500, plan.plain),
             instances: Vec::new(),
+            cuts: plan.relayed.then(Cuts::default),
             stand_ins: Vec::new(),
             poison_watch: plan.poison_watch,
             ip,
@@ -203,8 +212,12 @@
     pub async fn add_instance(&mut self, index: usize, data_centre: String) {
         let name = format!("instance-{index}");
         let callers = SocketAddr::new(self.ip, 7_000 + index as u16);
-        let peers = SocketAddr::new(self.ip, 7_500 + index as u16);
-        let settings = self.write_settings(&name, &data_centre, callers, peers);
+        let own = SocketAddr::new(self.ip, 7_500 + index as u16);
+        let peers = match &self.cuts {
+            Some(cuts) => relay::start(SocketAddr::new(self.ip, 7_600 + index as u16), own, cuts),
+            None => own,
+        };
+        let settings = self.write_settings(&name, &data_centre, callers, own, peers);
         self.list_instance(&name, &data_centre, callers, peers, "live").await;
         let process = daemon(&settings);
         self.instances.push(Instance { name, data_centre, callers, peers, process, settings });
@@ -287,12 +300,13 @@
         name: &str,
         data_centre: &str,
         callers: SocketAddr,
+        own: SocketAddr,
         peers: SocketAddr,
     ) -> PathBuf {
         let folder = self.folder.path();
         let settings = json!({
             "instance": name, "data_centre": data_centre,
-            "listen": { "callers": callers, "peers": peers },
+            "listen": { "callers": callers, "peers": own, "advertised_peers": peers },
             "key_value": { "endpoints": [self.key_value], "timeout_ms": 500 },
             "instance_list": { "endpoint": self.list },
             "authority": {
