--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -209,8 +209,8 @@
             let reply = poison::serve(&node, call);
             let _ = exchange.tx.send(Message::PoisonReply(reply)).await;
         }
-        Some(Message::FetchDeclared) => {
-            if let Some(bytes) = node.declared.encode_snapshot() {
+        Some(Message::FetchDeclared { have }) => {
+            if let Some(bytes) = node.declared.encode_since(have) {
                 let _ = exchange.tx.send(Message::Declared(bytes.to_vec())).await;
             }
         }
--- a/lacewingspring/src/declared/snapshot.rs
+++ b/lacewingspring/src/declared/snapshot.rs
@@ -44,6 +44,9 @@
         /// What is wrong with it.
         reason: String,
     },
+    /// Changes follow another generation than the one in force.
+    #[error("the changes of a peer follow generation {0}")]
+    OtherBase(u64),
     /// There are resources and no head record.
     #[error("there is no head record")]
     NoHead,
@@ -63,14 +66,32 @@
     Gap(u64),
 }
 
-/// A snapshot as instances hand it to each other.
+/// Declared state as instances hand it to each other.
 #[derive(Serialize, Deserialize)]
-struct SnapshotMessage {
+#[serde(rename_all = "snake_case")]
+enum SnapshotMessage {
+    Whole(WholeMessage),
+    Changes(ChangesMessage),
+}
+
+/// A whole snapshot.
+#[derive(Serialize, Deserialize)]
+struct WholeMessage {
     head_revision: Revision,
     resources: Vec<DeclaredResource>,
     history: Vec<Head>,
 }
 
+/// What the commits after one generation changed.
+#[derive(Serialize, Deserialize)]
+struct ChangesMessage {
+    from: u64,
+    head_revision: Revision,
+    puts: Vec<DeclaredResource>,
+    deletes: Vec<ResourceId>,
+    heads: Vec<Head>,
+}
+
 /// Events of one revision, read.
 #[derive(Default)]
 struct Events {
@@ -182,19 +203,50 @@
     /// Writes the snapshot for another instance.
     pub(super) fn encode(&self) -> Bytes {
         let ids = self.declared.resources.keys();
-        let message = SnapshotMessage {
+        encode(&SnapshotMessage::Whole(WholeMessage {
             head_revision: self.head_revision,
             resources: ids.filter_map(|id| self.declared.stored(id)).collect(),
             history: self.history.values().cloned().collect(),
-        };
-        Bytes::from(serde_json::to_vec(&message).unwrap_or_default())
+        }))
     }
 
-    /// Reads a snapshot from another instance.
-    pub(super) fn decode(bytes: &[u8]) -> Result<Self, SnapshotError> {
-        let message: SnapshotMessage = serde_json::from_slice(bytes).map_err(|err| {
-            SnapshotError::Record { key: "of a peer".into(), reason: err.to_string() }
+    /// Writes what changed since a generation, for another instance that has it in force; the whole
+    /// snapshot when the records of these commits are not all kept.
+    pub(super) fn encode_since(&self, generation: u64) -> Bytes {
+        let heads = self.history.range(generation.saturating_add(1)..).map(|(_, head)| head);
+        let heads: Vec<Head> = heads.cloned().collect();
+        let all_kept = generation.checked_add(heads.len() as u64) == Some(self.generation());
+        if generation == 0 || heads.is_empty() || !all_kept {
+            return self.encode();
+        }
+        let changed = self.changed_since(generation);
+        let puts = changed.iter().filter_map(|id| self.declared.stored(id)).collect();
+        let is_gone = |id: &ResourceId| !self.declared.resources.contains_key(id);
+        let deletes = changed.into_iter().filter(is_gone).collect();
+        let head_revision = self.head_revision;
+        let from = generation;
+        encode(&SnapshotMessage::Changes(ChangesMessage {
+            from,
+            head_revision,
+            puts,
+            deletes,
+            heads,
+        }))
+    }
+
+    /// Reads a snapshot from another instance, or the changes that lead from this one to it.
+    pub(super) fn decode(&self, bytes: &[u8]) -> Result<Self, SnapshotError> {
+        let message = serde_json::from_slice(bytes).map_err(|err| SnapshotError::Record {
+            key: "of a peer".into(),
+            reason: err.to_string(),
         })?;
+        match message {
+            SnapshotMessage::Whole(message) => Self::from_whole(message),
+            SnapshotMessage::Changes(message) => self.changed_by(message),
+        }
+    }
+
+    fn from_whole(message: WholeMessage) -> Result<Self, SnapshotError> {
         let mut history: BTreeMap<u64, Head> =
             message.history.into_iter().map(|head| (head.generation, head)).collect();
         match history.pop_last() {
@@ -206,6 +258,18 @@
         }
     }
 
+    fn changed_by(&self, message: ChangesMessage) -> Result<Self, SnapshotError> {
+        if message.from != self.generation() {
+            return Err(SnapshotError::OtherBase(message.from));
+        }
+        let head = message.heads.iter().max_by_key(|head| head.generation);
+        let head = head.ok_or(SnapshotError::NoHead)?;
+        let declared = self.declared.advance(head, message.puts, message.deletes)?;
+        let mut history = self.history.clone();
+        history.extend(message.heads.into_iter().map(|head| (head.generation, head)));
+        Ok(Self::new(declared, history, message.head_revision))
+    }
+
     fn assemble(
         head: Head,
         revision: Revision,
@@ -225,6 +289,10 @@
     }
 }
 
+fn encode(message: &SnapshotMessage) -> Bytes {
+    Bytes::from(serde_json::to_vec(message).unwrap_or_default())
+}
+
 fn parse<T>(entry: &KeyValueEntry) -> Result<T, SnapshotError>
 where
     T: DeserializeOwned,
--- a/lacewingspring/src/declared/store.rs
+++ b/lacewingspring/src/declared/store.rs
@@ -153,13 +153,21 @@
         self.loaded().then(|| self.snapshot.load().encode())
     }
 
-    /// Takes a state that another instance has in force, if it is newer.
+    /// Returns what changed since a generation that another instance has in force, or the whole
+    /// state when that is not known here; none before anything was loaded.
+    pub fn encode_since(&self, generation: u64) -> Option<Bytes> {
+        self.loaded().then(|| self.snapshot.load().encode_since(generation))
+    }
+
+    /// Takes a state that another instance has in force, or the changes that lead to it, if it is
+    /// newer.
     ///
     /// # Errors
     ///
-    /// Fails when the bytes are no state, or not a whole one.
+    /// Fails when the bytes are no state, not a whole one, or changes of another state than the
+    /// present one.
     pub fn offer_snapshot(&self, bytes: &[u8]) -> Result<Offer, SnapshotError> {
-        let offered = Snapshot::decode(bytes)?;
+        let offered = self.snapshot.load().decode(bytes)?;
         let revision = offered.head_revision;
         self.note_generation(offered.generation());
         if self.install(offered) {
--- a/lacewingspring/src/membership/gossip.rs
+++ b/lacewingspring/src/membership/gossip.rs
@@ -3,6 +3,7 @@
 use std::{process, sync::Arc, time::Duration};
 
 use lacewingspring_core::membership::Outgoing;
+use rand::seq::IndexedRandom;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::{is_up, peer};
@@ -85,7 +86,8 @@
     loop {
         sleep(DECLARED_INTERVAL).await;
         let Some(peer) = newer(&node) else { continue };
-        let fetched = node.peers.call(&peer, Message::FetchDeclared, DECLARED_TIMEOUT).await;
+        let fetch = Message::FetchDeclared { have: node.declared.generation() };
+        let fetched = node.peers.call(&peer, fetch, DECLARED_TIMEOUT).await;
         let Ok(Message::Declared(bytes)) = fetched else { continue };
         match node.declared.offer_snapshot(&bytes) {
             Ok(Offer::Installed) => {
@@ -98,10 +100,17 @@
     }
 }
 
+/// Chooses a member with a newer state at random, one of the own data centre if there is any, so
+/// that no member serves the whole fleet.
 fn newer(node: &Node) -> Option<PeerAddress> {
     let view = node.fleet.view();
+    let own = node.declared.generation();
     let up = view.members.iter().filter(|member| is_up(member));
-    let newest = up.max_by_key(|member| member.applied_generation)?;
-    node.declared.note_generation(newest.applied_generation);
-    (newest.applied_generation > node.declared.generation()).then(|| peer(newest))
+    let newer: Vec<_> = up.filter(|member| member.applied_generation > own).collect();
+    let newest = newer.iter().map(|member| member.applied_generation).max()?;
+    node.declared.note_generation(newest);
+    let near = newer.iter().filter(|member| member.data_centre == node.settings.data_centre);
+    let near: Vec<_> = near.copied().collect();
+    let from = if near.is_empty() { newer } else { near };
+    from.choose(&mut rand::rng()).map(|member| peer(member))
 }
--- a/lacewingspring/src/peers/message.rs
+++ b/lacewingspring/src/peers/message.rs
@@ -119,7 +119,10 @@
     /// Member to member: a heartbeat, or the reply to one.
     Heartbeat(Box<Digest>),
     /// Member to member: asks for the declared state in force.
-    FetchDeclared,
-    /// Member to member: the declared state in force, encoded.
+    FetchDeclared {
+        /// Generation that the asker has in force; 0 when it has none.
+        have: u64,
+    },
+    /// Member to member: the declared state in force or what changed since, encoded.
     Declared(Vec<u8>),
 }
--- a/lacewingspring/tests/declared_follow.rs
+++ b/lacewingspring/tests/declared_follow.rs
@@ -6,7 +6,7 @@
 
 use declared_common::{Service, commit, delete_tier, policy, tier, within, without};
 use lacewingspring::{
-    declared::{CommitError, DeclaredPolicy, DeclaredStore, Offer},
+    declared::{CommitError, DeclaredPolicy, DeclaredStore, Offer, SnapshotError},
     platform::key_value::KeyValue,
 };
 use lacewingspring_core::config::Transaction;
@@ -191,3 +191,39 @@
     let calls = [after.reads - before.reads, after.writes - before.writes];
     assert_eq!((calls, after.watches), ([1, 1], before.watches));
 }
+
+#[tokio::test]
+async fn peers_hand_each_other_only_what_changed() {
+    let (_, one, two) = pair(policy()).await;
+    two.set_watching(false);
+    sleep(Duration::from_millis(50)).await;
+    let many: Vec<_> = (0..40).map(|i| tier(&format!("t{i}"), 1 + i)).collect();
+    commit(&one, &many).await.unwrap();
+    two.offer_snapshot(&one.encode_since(two.generation()).unwrap()).unwrap();
+    let base = two.generation();
+    commit(&one, &[tier("t0", 50)]).await.unwrap();
+    commit(&one, &[delete_tier("t1")]).await.unwrap();
+    let (changes, whole) = (one.encode_since(base).unwrap(), one.encode_snapshot().unwrap());
+    assert!(changes.len() * 4 < whole.len(), "{} of {} bytes", changes.len(), whole.len());
+    assert_eq!(two.offer_snapshot(&changes).unwrap(), Offer::Installed);
+    assert_eq!(two.snapshot().declared, one.snapshot().declared);
+    assert_eq!(two.snapshot().history, one.snapshot().history);
+    // The same changes fit no other base, and leave the state as it is.
+    assert!(matches!(two.offer_snapshot(&changes), Err(SnapshotError::OtherBase(_))));
+    assert_eq!(two.generation(), one.generation());
+}
+
+#[tokio::test]
+async fn a_peer_that_is_too_far_behind_gets_the_whole_state() {
+    let (_, one, two) = pair(policy()).await;
+    two.set_watching(false);
+    sleep(Duration::from_millis(50)).await;
+    let base = two.generation();
+    for rank in 0..70 {
+        commit(&one, &[tier("a", 100 + rank)]).await.unwrap();
+    }
+    assert_eq!(one.encode_since(base), one.encode_snapshot());
+    assert_eq!(one.encode_since(0), one.encode_snapshot());
+    two.offer_snapshot(&one.encode_since(base).unwrap()).unwrap();
+    assert_eq!(two.snapshot().declared, one.snapshot().declared);
+}
