--- a/lacewingspring/examples/capacity_wire.rs
+++ b/lacewingspring/examples/capacity_wire.rs
@@ -10,7 +10,9 @@
     time::Duration,
 };
 
-use capacity_support::{Series as Line, asked_memory, fresh, print_head, resident_each, time_each};
+use capacity_support::{
+    BATCHES, Series as Line, asked_memory, fresh, print_head, resident_each, time_each,
+};
 use hdrhistogram::Histogram;
 use lacewingspring::{
     declared::{DeclaredPolicy, DeclaredStore},
@@ -173,6 +175,8 @@
     let mut time = Line::new("taking a peer's snapshot by workspaces, us");
     let mut memory = Line::new("state in force by workspaces, kB");
     let mut changes = Line::new("one change of a workspace in the service by workspaces, bytes");
+    let mut handed = Line::new("one change between peers by workspaces, bytes");
+    let mut taken = Line::new("taking one change of a peer by workspaces, us");
     let mut pool = Line::new("largest of 12 pools by upstreams, bytes");
     for (workspaces, upstreams) in STATES {
         let (declared, encoded) = state(workspaces, upstreams)?;
@@ -193,9 +197,12 @@
         };
         let head = serde_json::to_vec(&head(&declared, 1))?.len();
         changes.add(workspaces, (size_of("workspace").unwrap_or_default() + 2 * head) as f64);
+        let (len, spent) = one_change(&declared, &encoded)?;
+        handed.add(workspaces, len as f64);
+        taken.add(workspaces, spent.as_secs_f64() * 1e6);
         pool.add(upstreams, size_of("engine_pool").unwrap_or_default() as f64);
     }
-    for line in [bytes, time, memory, changes, pool] {
+    for line in [bytes, time, memory, changes, handed, taken, pool] {
         line.print();
     }
     Ok(())
@@ -239,12 +246,35 @@
         declared = checked.map_err(|violations| format!("{violations:?}"))?;
     }
     declared.generation = HISTORY;
-    let history: Vec<_> = (1..=HISTORY).map(|generation| head(&declared, generation)).collect();
+    let encoded = encoded(&declared)?;
+    Ok((declared, encoded))
+}
+
+/// Encodes a state as an instance hands it to a peer.
+fn encoded(declared: &Declared) -> Result<Vec<u8>, Failure> {
+    let last = declared.generation;
+    let history: Vec<_> =
+        (last + 1 - HISTORY..=last).map(|generation| head(declared, generation)).collect();
     let ids = declared.resources.keys();
     let stored: Vec<_> = ids.filter_map(|id| declared.stored(id)).collect();
-    let message = json!({ "head_revision": 1, "resources": stored, "history": history });
-    let encoded = serde_json::to_vec(&message)?;
-    Ok((declared, encoded))
+    let whole = json!({ "head_revision": 1, "resources": stored, "history": history });
+    Ok(serde_json::to_vec(&json!({ "whole": whole }))?)
+}
+
+/// Bytes in which a peer hands over one changed workspace, and the time to take them.
+fn one_change(declared: &Declared, base: &[u8]) -> Result<(usize, Duration), Failure> {
+    let workspace = json!({ "kind": "workspace", "name": "workspace-0001",
+        "spec": { "credentials": [digest_hex(b"another token")] } });
+    let change = Change::Put(serde_json::from_value(workspace)?);
+    let transaction = Transaction { changes: vec![change], expect_generation: None };
+    let next = declared.check(&transaction);
+    let next = next.map_err(|violations| format!("{violations:?}"))?;
+    let changes = in_force(&encoded(&next)?).encode_since(declared.generation);
+    let changes = changes.ok_or("no state is in force")?;
+    // A second offer of the same changes is refused, so each store takes them once.
+    let stores: Vec<_> = (0..BATCHES).map(|_| in_force(base)).collect();
+    let spent = time_each(1, |batch| drop(stores[batch as usize].offer_snapshot(&changes)));
+    Ok((changes.len(), spent))
 }
 
 fn histograms() {
--- a/lacewingspring_core/examples/capacity_support/mod.rs
+++ b/lacewingspring_core/examples/capacity_support/mod.rs
@@ -99,7 +99,7 @@
 }
 
 /// Batches of calls, of which the fastest counts.
-const BATCHES: u32 = 5;
+pub const BATCHES: u32 = 5;
 
 /// Returns the mean time of a call in the fastest of five batches of `calls` calls.
 #[expect(clippy::disallowed_methods, reason = "a benchmark reads the clock")]
