Lose what reaches a stand-in engine beside its crash

The test takes_down_at_most_two_engines_and_blames_no_neighbour failed now and then. It now prints the crashes of each engine, and status, kind and steps of each request. Cause: the engine stand-in cut its connections and lost its runs in two steps, and took a request whose connection it had just cut. Of eight poisoned prompts posted at once, those that were being read at the crash were queued after it and crashed the engine again within milliseconds, which counts as further crashes though the daemon sent nothing. In the traced failure engine 3 had two crashes; the seven runs on it were all dispatched and cut within 4 ms, and no permit for it came after that.

Now the crash and the loss of the runs are one step under the lock of the simulation, and a request that a crash overtook is cut. The assertions of the test are unchanged.

--- a/lacewingspring/tests/poison.rs
+++ b/lacewingspring/tests/poison.rs
@@ -7,9 +7,10 @@
 
 use crate::support::{
     Fleet, Plan, call,
-    caller::{complete, desk, key},
+    caller::{Reply, desk, key, try_complete},
     history::Told,
     http::Answer,
+    operator,
 };
 
 mod support;
@@ -32,14 +33,40 @@
     fleet
 }
 
-async fn crashes(fleet: &Fleet) -> u64 {
-    let mut crashes = 0;
+/// Counts the crashes of each engine.
+async fn crashes(fleet: &Fleet) -> Vec<u64> {
+    let mut crashes = Vec::new();
     for engine in &fleet.engines {
-        crashes += fleet.journal(*engine).await["crashes"].as_u64().expect("a count");
+        crashes.push(fleet.journal(*engine).await["crashes"].as_u64().expect("a count"));
     }
     crashes
 }
 
+async fn crash_count(fleet: &Fleet) -> u64 {
+    crashes(fleet).await.iter().sum()
+}
+
+/// Prints what was decided about a request at the instance that was asked.
+async fn print_steps(fleet: &Fleet, i: usize, request_key: &str) {
+    let at = fleet.instances[i % fleet.instances.len()].callers;
+    let path = format!("/operator/v1/explain?workspace=desk&key={request_key}");
+    let answer = call(at, "GET", &path, &[operator()], String::new()).await;
+    println!("{request_key}: {}", answer.map(|answer| answer.body).unwrap_or_default());
+}
+
+/// Prints the crashes of each engine, and status, kind and steps of each request.
+async fn print_course(fleet: &Fleet, answers: &[Answer], beside: &[Reply]) {
+    println!("crashes of each engine {:?}", crashes(fleet).await);
+    for (i, answer) in answers.iter().enumerate() {
+        println!("poison {}: {} {}", i, answer.status, answer.json()["kind"]);
+        print_steps(fleet, i, &format!("poison-{i}")).await;
+    }
+    for (i, reply) in beside.iter().enumerate() {
+        println!("beside {i}: {reply:?}");
+        print_steps(fleet, i, &format!("beside-{i}")).await;
+    }
+}
+
 async fn send_poison(at: std::net::SocketAddr, request_key: String) -> Answer {
     let prompt = format!("a dossier with {POISON} in it");
     let body = json!({ "model": "lookup", "prompt": prompt, "max_tokens": 4 }).to_string();
@@ -64,16 +91,16 @@
     answers
 }
 
-fn innocent(fleet: &Fleet, name: &'static str) -> Vec<JoinHandle<Told>> {
+fn innocent(fleet: &Fleet, name: &'static str) -> Vec<JoinHandle<Reply>> {
     let send = |i: usize| {
         let at = fleet.instances[i % fleet.instances.len()].callers;
         let (request_key, prompt) = (format!("{name}-{i}"), format!("innocent dossier {i}"));
-        tokio::spawn(async move { complete(at, "lookup", &request_key, &prompt, 400).await })
+        tokio::spawn(async move { try_complete(at, "lookup", &request_key, &prompt, 400).await })
     };
     (0..INNOCENT).map(send).collect()
 }
 
-async fn all_told(tasks: Vec<JoinHandle<Told>>) -> Vec<Told> {
+async fn all_told(tasks: Vec<JoinHandle<Reply>>) -> Vec<Reply> {
     let mut told = Vec::new();
     for task in tasks {
         told.push(task.await.expect("an answer"));
@@ -81,8 +108,8 @@
     told
 }
 
-fn answered(told: &[Told]) -> usize {
-    told.iter().filter(|told| matches!(told, Told::Answer(_))).count()
+fn answered(told: &[Reply]) -> usize {
+    told.iter().filter(|told| matches!(told.told, Told::Answer(_))).count()
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -93,13 +120,14 @@
     let answers = send_all(&fleet).await;
     let statuses: Vec<_> = answers.iter().map(|answer| answer.status).collect();
     let beside = all_told(beside).await;
-    let crashes = crashes(&fleet).await;
+    print_course(&fleet, &answers, &beside).await;
+    let crashes = crash_count(&fleet).await;
     println!("{crashes} crashes, answers {statuses:?}, {} beside answered", answered(&beside));
     assert!(crashes <= 2, "{crashes} crashes");
     assert!(statuses.iter().all(|status| *status != 200), "{statuses:?}");
     let last = answers.last().expect("an answer");
     assert_eq!((last.status, &last.json()["kind"]), (422, &json!("quarantined")));
-    assert!(beside.iter().all(|told| *told != Told::NotRun), "{beside:?}");
+    assert!(beside.iter().all(|reply| reply.told != Told::NotRun), "{beside:?}");
     let again = all_told(innocent(&fleet, "again")).await;
     assert_eq!(answered(&again), INNOCENT, "{again:?}");
 }
@@ -108,7 +136,7 @@
 async fn crashes_more_engines_without_the_watch() {
     let fleet = start(false).await;
     send_all(&fleet).await;
-    let crashes = crashes(&fleet).await;
+    let crashes = crash_count(&fleet).await;
     println!("{crashes} crashes without the watch");
     assert!(crashes > 2, "{crashes} crashes");
 }
@@ -118,7 +146,7 @@
     let mut fleet = start(true).await;
     let answers = send_all(&fleet).await;
     assert_eq!(answers.last().expect("an answer").status, 422);
-    let before = crashes(&fleet).await;
+    let before = crash_count(&fleet).await;
     for instance in &mut fleet.instances {
         instance.process.kill();
     }
@@ -130,5 +158,5 @@
         let answer = send_poison(fleet.instances[i].callers, format!("after-{i}")).await;
         assert_eq!(answer.json()["kind"], "quarantined", "{}", answer.body);
     }
-    assert_eq!(crashes(&fleet).await, before);
+    assert_eq!(crash_count(&fleet).await, before);
 }
--- a/lacewingspring_standins/src/engine/completions.rs
+++ b/lacewingspring_standins/src/engine/completions.rs
@@ -88,7 +88,7 @@
         Ok(req) => Arc::new(req),
         Err(refusal) => return Ok(*refusal),
     };
-    let progress = lock(&engine.sim).add(req.clone());
+    let progress = engine.add(req.clone()).ok_or(CutError::Fault)?;
     engine.arrived.notify_one();
     let from = req.resume_from;
     let reader = Reader::new(engine, req, progress);
--- a/lacewingspring_standins/src/engine/mod.rs
+++ b/lacewingspring_standins/src/engine/mod.rs
@@ -21,12 +21,17 @@
 use serde_json::json;
 use tokio::{
     net::TcpListener,
-    sync::Notify,
+    sync::{Notify, watch},
     time::{Instant, sleep_until},
 };
 
 pub use self::answer::{answer, block_hashes, sha8};
-use self::{report::Reports, sim::Sim, state::ModelState};
+use self::{
+    report::Reports,
+    run::{Progress, Request},
+    sim::Sim,
+    state::ModelState,
+};
 use crate::{
     faults::Faults,
     http::{Breaker, Call, CutError, Reply, accept, error, json, lock},
@@ -228,10 +233,18 @@
         reply
     }
 
+    /// Queues a request; none when a crash has overtaken it, which loses it.
+    fn add(&self, req: Arc<Request>) -> Option<watch::Receiver<Progress>> {
+        let mut sim = lock(&self.sim);
+        (!self.breaker.is_down()).then(|| sim.add(req))
+    }
+
     /// Loses all runs, the cache and the state, and cuts all connections.
     fn crash(&self) {
+        let mut sim = lock(&self.sim);
         self.breaker.trip(self.faults.get().restart_ms);
-        lock(&self.sim).crash();
+        sim.crash();
+        drop(sim);
         *lock(&self.state) = ModelState::new(&self.settings);
     }
 
--- a/lacewingspring_standins/tests/engine.rs
+++ b/lacewingspring_standins/tests/engine.rs
@@ -169,6 +169,33 @@
     assert_eq!(cold[1].data["usage"]["prompt_tokens_details"]["cached_tokens"], 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_loses_what_arrives_beside_it() {
+    let peer = engine(fast()).await;
+    peer.ok("PUT", "/faults", json!({ "poison": "venom", "restart_ms": 500 })).await;
+    for crashes in 1..=8 {
+        let poisoned: Vec<_> = (0..16)
+            .map(|i| {
+                let peer = peer.clone();
+                tokio::spawn(async move {
+                    let id = format!("r{crashes}-{i}");
+                    let headers = [("x-request-id", id.as_str())];
+                    let body = body("some venom here", 5);
+                    match peer.open("POST", "/v1/completions", &headers, &body).await {
+                        Some(reply) => events(reply).await.1,
+                        None => false,
+                    }
+                })
+            })
+            .collect();
+        for whole in poisoned {
+            assert!(!whole.await.expect("no panic"));
+        }
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        assert_eq!(peer.ok("GET", "/journal", json!({})).await["crashes"], crashes);
+    }
+}
+
 #[tokio::test]
 async fn journal_counts_dispatches_cache_and_cancellation() {
     let peer = engine(fast()).await;
