Close an exchange with a gate that takes no messages

A gate told its decisions with a send that drops the message when the exchange is full. A dropped grant held a slot of the gate for as long as its entry kept the exchange open, and a dropped order to park lost the preemption: the ticket counts as ordered and is not ordered again.

Now such an exchange is closed by the gate. The gate goes on reading until the entry says that the permit ended, and gives the permit up after two seconds, as that of an entry that died. A wait with a bound was ruled out: decisions are told under the lock of all gates.

--- a/lacewingspring/src/gates.rs
+++ b/lacewingspring/src/gates.rs
@@ -2,6 +2,8 @@
 
 use std::{
     collections::HashMap,
+    convert::Infallible,
+    future::pending,
     sync::{
         Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -16,7 +18,10 @@
     resources::UpstreamSpec,
 };
 use serde::Serialize;
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::timeout,
+};
 
 use crate::{
     clock,
@@ -26,8 +31,8 @@
 /// Time in which a new holder of a gate learns the open permits of its predecessor.
 const LEARNING_WINDOW: Duration = Duration::from_millis(400);
 
-/// Time for which the permit of an entry that died is still counted: its run goes on at the
-/// upstream.
+/// Time for which the permit of an entry that died, or takes no messages, is still counted: its run
+/// goes on at the upstream.
 const ORPHAN_PERMIT: Duration = Duration::from_secs(2);
 
 /// State of one gate, as it is reported.
@@ -53,7 +58,27 @@
 struct HeldGate {
     gate: Gate,
     generation: u64,
-    tickets: HashMap<Ticket, mpsc::Sender<Message>>,
+    tickets: HashMap<Ticket, Sender>,
+}
+
+/// Sends to the holder of a ticket; the exchange is closed when it is dropped.
+#[derive(Debug)]
+struct Sender {
+    tx: mpsc::Sender<Message>,
+    _open: oneshot::Sender<Infallible>,
+}
+
+/// Receives from the holder of a ticket.
+#[derive(Debug)]
+struct Receiver {
+    rx: mpsc::Receiver<Message>,
+    /// Resolves once the gate has closed the exchange.
+    closed: oneshot::Receiver<Infallible>,
+}
+
+fn split(end: Exchange) -> (Sender, Receiver) {
+    let (open, closed) = oneshot::channel();
+    (Sender { tx: end.tx, _open: open }, Receiver { rx: end.rx, closed })
 }
 
 impl HeldGate {
@@ -83,6 +108,7 @@
         }
     }
 
+    /// Tells the decisions; an exchange that can't take one is closed, so that its entry learns it.
     fn deliver(&mut self, decisions: Vec<Decision>) {
         for decision in decisions {
             let (ticket, message) = match decision {
@@ -93,8 +119,10 @@
                 }
                 Decision::Park(ticket) => (ticket, Message::Park),
             };
-            if let Some(tx) = self.tickets.get(&ticket) {
-                let _ = tx.try_send(message);
+            let Some(sender) = self.tickets.get(&ticket) else { continue };
+            if let Err(e) = sender.tx.try_send(message) {
+                log::warn!(reason:% = e; "Closes an exchange that takes no messages.");
+                self.tickets.remove(&ticket);
             }
         }
     }
@@ -104,14 +132,15 @@
     /// Serves one exchange that asks for a permit, until the permit ends.
     pub async fn serve_ask(&self, now: Duration, catalog: &Catalog, ask: PermitAsk, end: Exchange) {
         let ticket = self.ticket();
+        let (sender, receiver) = split(end);
         {
             let mut gates = self.lock();
             let held = held(&mut gates, now, &ask.gate, catalog);
-            held.tickets.insert(ticket, end.tx);
+            held.tickets.insert(ticket, sender);
             let decisions = held.gate.ask(now, ticket, ask.ask);
             held.deliver(decisions);
         }
-        self.hold(&ask.gate, ticket, end.rx).await;
+        self.hold(&ask.gate, ticket, receiver).await;
     }
 
     /// Serves one exchange that brings a permit of the gate's earlier holder.
@@ -124,13 +153,14 @@
         end: Exchange,
     ) {
         let ticket = self.ticket();
+        let (sender, receiver) = split(end);
         {
             let mut gates = self.lock();
             let held = held(&mut gates, now, &permit.gate, catalog);
-            held.tickets.insert(ticket, end.tx);
+            held.tickets.insert(ticket, sender);
             held.gate.adopt(ticket, permit.ask, upstream);
         }
-        self.hold(&permit.gate, ticket, end.rx).await;
+        self.hold(&permit.gate, ticket, receiver).await;
     }
 
     /// Reports the gates that this instance holds.
@@ -161,18 +191,41 @@
         self.lock().retain(|id, held| keep(id) || !held.tickets.is_empty());
     }
 
-    async fn hold(&self, gate: &GateId, ticket: Ticket, mut rx: mpsc::Receiver<Message>) {
+    async fn hold(&self, gate: &GateId, ticket: Ticket, end: Receiver) {
+        let Receiver { mut rx, mut closed } = end;
+        let ended = tokio::select! {
+            biased;
+            ended = self.take_all(gate, ticket, &mut rx) => ended,
+            _ = &mut closed => false,
+        };
+        if !ended {
+            let late = async {
+                if !self.take_all(gate, ticket, &mut rx).await {
+                    pending::<()>().await;
+                }
+            };
+            if timeout(ORPHAN_PERMIT, late).await.is_err() {
+                self.take(gate, ticket, Message::Ended(Outcome::Cancelled));
+            }
+        }
+        self.forget(gate, ticket);
+    }
+
+    /// Takes messages until the permit ends; false when the exchange ends before.
+    async fn take_all(
+        &self,
+        gate: &GateId,
+        ticket: Ticket,
+        rx: &mut mpsc::Receiver<Message>,
+    ) -> bool {
         while let Some(message) = rx.recv().await {
             let ended = matches!(message, Message::Ended(_));
             self.take(gate, ticket, message);
             if ended {
-                return self.forget(gate, ticket);
+                return true;
             }
         }
-        // The entry died without a word; what it ran goes on at the upstream for a while.
-        sleep(ORPHAN_PERMIT).await;
-        self.take(gate, ticket, Message::Ended(Outcome::Cancelled));
-        self.forget(gate, ticket);
+        false
     }
 
     fn take(&self, gate: &GateId, ticket: Ticket, message: Message) {
