Let tests alone switch the watch for poison off

The setting poison.watch could be switched off in production. It is now the mechanism poison_watch of test.switch_off, which is refused unless LACEWINGSPRING_TEST=1 is in the environment; the section poison is gone and refused as unknown.

Changes to tests: the fleets of the poison tests switch the watch off by test.switch_off; the list of settings sections loses one; the settings test gains the refused section, and the test of the guard checks five mechanisms in place of one.

--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -133,7 +133,7 @@
     let prefix = settings.key_value.prefix.clone();
     let claims = Claims::new(store.clone(), &settings, incarnation);
     let declared = DeclaredStore::start(store.clone(), &prefix);
-    let poison = Poison::new(&settings.poison, clock::now());
+    let poison = Poison::new(&settings.test, clock::now());
     let own = Member {
         name: settings.instance.clone(),
         data_centre: settings.data_centre.clone(),
--- a/lacewingspring/src/poison/mod.rs
+++ b/lacewingspring/src/poison/mod.rs
@@ -16,7 +16,7 @@
     daemon::Node,
     membership::{is_up, peer},
     peers::{Message, PoisonCall, PoisonReply},
-    settings::PoisonSettings,
+    settings::{Mechanism, TestSettings},
 };
 
 pub use self::{
@@ -48,11 +48,11 @@
 
 impl Poison {
     /// Creates a watch that knows nothing.
-    pub fn new(settings: &PoisonSettings, now: Duration) -> Self {
+    pub fn new(settings: &TestSettings, now: Duration) -> Self {
         // The wait for announcements is made here, only for fingerprints whose home has changed.
         let cfg = PoisonConfig { learning: Duration::ZERO, ..PoisonConfig::default() };
         Self {
-            enabled: settings.watch,
+            enabled: settings.is_on(Mechanism::PoisonWatch),
             watch: Mutex::new(PoisonWatch::new(cfg, now)),
             changed_at: Mutex::new(now),
             incarnations: Mutex::default(),
--- a/lacewingspring/src/settings/mod.rs
+++ b/lacewingspring/src/settings/mod.rs
@@ -20,7 +20,6 @@
     metrics::MetricsSettings,
     operators::{BootstrapOperator, OperatorRole},
     platform::{AuthoritySettings, InstanceListSettings, KeyValueSettings},
-    poison::PoisonSettings,
     test::{Mechanism, TestSettings},
     timing::TimingSettings,
 };
@@ -31,7 +30,6 @@
 mod metrics;
 mod operators;
 mod platform;
-mod poison;
 mod test;
 mod timing;
 
@@ -66,9 +64,6 @@
     /// What tests switch off; refused outside of them.
     #[serde(default)]
     pub test: TestSettings,
-    /// Watch for requests that crash upstreams.
-    #[serde(default)]
-    pub poison: PoisonSettings,
 }
 
 /// Why settings were not accepted.
--- a/lacewingspring/src/settings/test.rs
+++ b/lacewingspring/src/settings/test.rs
@@ -25,6 +25,8 @@
     EndMarker,
     /// The wait of a leaving instance for what it runs.
     Drain,
+    /// The watch for requests that crash upstreams.
+    PoisonWatch,
 }
 
 /// Section `test` of the settings, for tests alone.
--- a/lacewingspring/tests/docs_operating.rs
+++ b/lacewingspring/tests/docs_operating.rs
@@ -17,7 +17,7 @@
 const UNKNOWN: &str = "zz";
 
 /// Sections of the settings; the root is empty.
-const SECTIONS: [&str; 11] = [
+const SECTIONS: [&str; 10] = [
     "",
     "listen",
     "key_value",
@@ -28,7 +28,6 @@
     "metrics",
     "timing",
     "test",
-    "poison",
 ];
 
 /// Row of a reference.
--- a/lacewingspring/tests/poison.rs
+++ b/lacewingspring/tests/poison.rs
@@ -24,8 +24,8 @@
 /// Innocent requests that run beside it.
 const INNOCENT: usize = 8;
 
-async fn start(poison_watch: bool) -> Fleet {
-    let plan = Plan { instances: 3, engines: 4, poison_watch, ..Plan::default() };
+async fn start(switch_off: &'static [&'static str]) -> Fleet {
+    let plan = Plan { instances: 3, engines: 4, switch_off, ..Plan::default() };
     let fleet = Fleet::start(plan).await;
     for engine in &fleet.engines {
         fleet.fault(*engine, json!({ "poison": POISON, "restart_ms": 500 })).await;
@@ -114,7 +114,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn takes_down_at_most_two_engines_and_blames_no_neighbour() {
-    let fleet = start(true).await;
+    let fleet = start(&[]).await;
     let beside = innocent(&fleet, "beside");
     sleep(Duration::from_millis(100)).await;
     let answers = send_all(&fleet).await;
@@ -134,7 +134,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn crashes_more_engines_without_the_watch() {
-    let fleet = start(false).await;
+    let fleet = start(&["poison_watch"]).await;
     send_all(&fleet).await;
     let crashes = crash_count(&fleet).await;
     println!("{crashes} crashes without the watch");
@@ -143,7 +143,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_replaced_fleet_still_knows() {
-    let mut fleet = start(true).await;
+    let mut fleet = start(&[]).await;
     let answers = send_all(&fleet).await;
     assert_eq!(answers.last().expect("an answer").status, 422);
     let before = crash_count(&fleet).await;
--- a/lacewingspring/tests/settings.rs
+++ b/lacewingspring/tests/settings.rs
@@ -35,6 +35,11 @@
         ("no endpoint", "[\"127.0.0.1:2379\"]", "[]"),
         ("bad name", "counter-1", "counter 1"),
         ("bad digest", "2bd806c9", "zzd806c9"),
+        (
+            "no section of its own",
+            "\"timing\": {",
+            "\"poison\": { \"watch\": false }, \"timing\": {",
+        ),
         ("bad role", "\"change\"", "\"owner\""),
         ("not JSON", "\"instance\": \"counter-1\",", "\"instance\": \"counter-1\""),
     ];
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -98,8 +98,6 @@
     pub engine_flags: Vec<String>,
     /// Mechanisms of the daemon that are switched off.
     pub switch_off: &'static [&'static str],
-    /// Whether the watch for requests that crash upstreams is on.
-    pub poison_watch: bool,
 }
 
 impl Default for Plan {
@@ -112,7 +110,6 @@
             slots: 8,
             engine_flags: Vec::new(),
             switch_off: &[],
-            poison_watch: true,
         }
     }
 }
@@ -131,7 +128,6 @@
     /// Instances by index.
     pub instances: Vec<Instance>,
     stand_ins: Vec<Process>,
-    poison_watch: bool,
     ip: IpAddr,
     folder: TempDir,
     switch_off: &'static [&'static str],
@@ -153,7 +149,6 @@
             plain: ports(9_500, plan.plain),
             instances: Vec::new(),
             stand_ins: Vec::new(),
-            poison_watch: plan.poison_watch,
             ip,
             folder,
             switch_off: plan.switch_off,
@@ -304,7 +299,6 @@
             }],
             "log": { "level": "warn" },
             "timing": { "instance_list_ms": 200, "address_ttl_ms": 1000, "orphan_ms": 1000 },
-            "poison": { "watch": self.poison_watch },
             "test": { "switch_off": self.switch_off }
         });
         let path = folder.join(format!("{name}.json"));
--- a/lacewingspring/tests/switched_off.rs
+++ b/lacewingspring/tests/switched_off.rs
@@ -149,8 +149,8 @@
     assert_eq!(stop_while_streaming(&["drain"]).await, Told::Nothing);
 }
 
-#[test]
-fn refuses_to_switch_off_outside_of_tests() {
+/// Returns whether the daemon accepts settings that switch a mechanism off.
+fn accepts(mechanism: &str, environment: &str) -> bool {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("settings.json");
     let address = "127.0.0.1:7000";
@@ -160,14 +160,18 @@
         "key_value": { "endpoints": [address] },
         "instance_list": { "endpoint": address },
         "authority": { "certificate": "a.pem", "key": "a.key" },
-        "test": { "switch_off": ["claim"] }
+        "test": { "switch_off": [mechanism] }
     });
     std::fs::write(&path, settings.to_string()).unwrap();
-    let check = |on: &str| {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_lacewingspring"));
-        command.arg("--settings").arg(&path).arg("--check").env("LACEWINGSPRING_TEST", on);
-        command.output().expect("runs the daemon").status.success()
-    };
-    assert!(check("1"));
-    assert!(!check("0"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lacewingspring"));
+    command.arg("--settings").arg(&path).arg("--check").env("LACEWINGSPRING_TEST", environment);
+    command.output().expect("runs the daemon").status.success()
+}
+
+#[test]
+fn refuses_to_switch_off_outside_of_tests() {
+    for mechanism in ["claim", "home", "backup", "drain", "poison_watch"] {
+        assert!(accepts(mechanism, "1"), "{mechanism}");
+        assert!(!accepts(mechanism, "0"), "{mechanism}");
+    }
 }
