Remove the error kind that nothing answers

No code answers in_progress. It was meant for an act that runs under another key or at another instance: such a repeat follows the run that exists and gets its answer, or outcome_unknown when the runner died, so there is no case to tell it in.

Change to a test: the exit codes of the command-line tool are checked with undecided in its place, which is answered with the same "may have run".

--- a/lacewingspring_core/src/error.rs
+++ b/lacewingspring_core/src/error.rs
@@ -78,8 +78,6 @@
     KeyConflict => 409, "key-conflict", "The key belongs to another request.", NotRun, false;
     /// A change lost a race against another change.
     ChangeConflict => 409, "change-conflict", "Another change came first.", NotRun, true;
-    /// The act is in progress under another key or at another instance.
-    InProgress => 409, "in-progress", "The same request is in progress.", MayHaveRun, true;
     /// The body is larger than the limit.
     TooLarge => 413, "too-large", "The request is too large.", NotRun, false;
     /// A declared constraint forbids the change.
--- a/lacewingspring_ctl/tests/exit_codes.rs
+++ b/lacewingspring_ctl/tests/exit_codes.rs
@@ -83,7 +83,7 @@
         (429, r#""kind":"limit_reached","run":"not_run""#, 7),
         (503, r#""kind":"store_unavailable","run":"not_run""#, 7),
         (504, r#""kind":"deadline_exceeded","run":"not_run""#, 7),
-        (409, r#""kind":"in_progress","run":"may_have_run""#, 8),
+        (503, r#""kind":"undecided","run":"may_have_run""#, 8),
         (409, r#""kind":"outcome_unknown""#, 8),
         (502, r#""kind":"answer_lost","run":"ran""#, 8),
         (503, r#""kind":"of a later version","run":"not_run""#, 7),
