End claims and acts after a declared retention

Claims, acts and settled keys were kept in the key-value service without an end. An instance shares one lease among all it writes in a 24th of the retention: 24 grants in that time, no renewals. The lease outlasts the retention by two such parts. A claim is dispatched in the first half of its retention or given up, so that a process frozen for longer sends nothing. Waiting claims share the failure of a grant, so that an outage doesn't hold them one after the other. A lease that the service lost is replaced after the first refused write.

Tests: two new ones with real processes. With a retention of 10 s the key is still answered from its record after 5 s, all records are gone after 13 s, and a repeat runs anew; 20 bookings at two instances cost two grants, and bookings go on after both leases were revoked. Not shown by a test: a claim that is given up after half of its retention, and the shared failure of a grant.

--- a/lacewingspring/src/entry/claims.rs
+++ b/lacewingspring/src/entry/claims.rs
@@ -1,7 +1,10 @@
 //! Claims in the key-value service: who may dispatch a non-idempotent request.
 
 use std::{
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -14,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use super::{Refusal, Work};
+use super::{Refusal, Work, retention::Retention};
 use crate::{
     clock,
     platform::key_value::{Compare, KeyValue, KeyValueEntry, KeyValueError, Put, Swap},
@@ -39,6 +42,8 @@
     key: String,
     act_key: Option<String>,
     record: ClaimRecord,
+    /// Time after which the claim may end before its dispatch has gone out.
+    pub(super) dispatch_by: Duration,
 }
 
 /// What a claim attempt, or a look for an earlier one, came to.
@@ -75,6 +80,7 @@
 #[derive(Debug)]
 pub struct Claims {
     store: KeyValue,
+    retention: Arc<Retention>,
     prefix: String,
     instance: InstanceName,
     incarnation: u64,
@@ -87,6 +93,7 @@
     pub fn new(store: KeyValue, settings: &Settings, incarnation: u64) -> Self {
         Self {
             store,
+            retention: Arc::new(Retention::new(settings.key_value.claim_retention())),
             prefix: settings.key_value.prefix.clone(),
             instance: settings.instance.clone(),
             incarnation,
@@ -148,6 +155,7 @@
             key: self.key(&work.id),
             act_key: work.act().map(|act| self.act_key(work, &act)),
             record: self.record(work),
+            dispatch_by: self.retention.dispatch_by(clock::now()),
         };
         self.settle_claim(work, claim, clock::now() + CLAIM_TIMEOUT).await
     }
@@ -163,7 +171,8 @@
         upstream: &UpstreamName,
     ) -> Result<ClaimOutcome, Refusal> {
         let record = ClaimRecord { upstream: Some(upstream.clone()), ..self.record(work) };
-        let claim = WonClaim { key: self.key(&work.id), act_key: None, record };
+        let dispatch_by = self.retention.dispatch_by(clock::now());
+        let claim = WonClaim { key: self.key(&work.id), act_key: None, record, dispatch_by };
         self.settle_claim(work, claim, clock::now() + CLAIM_TIMEOUT).await
     }
 
@@ -196,11 +205,11 @@
     pub fn finish(&self, claim: WonClaim, answer: StoredAnswer) {
         let record = ClaimRecord { state: ClaimState::Done(answer), ..claim.record };
         let Ok(value) = serde_json::to_vec(&record) else { return };
-        let store = self.store.clone();
-        let key = claim.key;
+        let (store, retention) = (self.store.clone(), self.retention.clone());
+        let put = Put::new(claim.key, value);
         tokio::spawn(async move {
             let mut backoff = FIRST_BACKOFF;
-            while let Err(e) = store.put(Put::new(key.clone(), value.clone())).await {
+            while let Err(e) = put_kept(&store, &retention, &put).await {
                 log::warn!(reason:% = e; "Could not store an outcome.");
                 sleep(backoff).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
@@ -238,7 +247,7 @@
         };
         let value = serde_json::to_vec(&void).unwrap_or_default();
         let compare = vec![Compare::Absent(key.clone())];
-        let swap = self.store.compare_and_swap(compare, vec![Put::new(key, value)], vec![]).await?;
+        let swap = self.create_kept(compare, vec![Put::new(key, value)]).await?;
         match swap {
             Swap::Done(_) => Ok(void),
             Swap::Refused(entries) => {
@@ -257,7 +266,22 @@
             compares.push(Compare::Absent(act_key.clone()));
             puts.push(Put::new(act_key.clone(), act));
         }
-        self.store.compare_and_swap(compares, puts, vec![]).await
+        self.create_kept(compares, puts).await
+    }
+
+    /// Writes records that end after the retention.
+    async fn create_kept(
+        &self,
+        compares: Vec<Compare>,
+        puts: Vec<Put>,
+    ) -> Result<Swap, KeyValueError> {
+        let lease = self.retention.lease(&self.store).await?;
+        let puts = puts.into_iter().map(|put| put.with_lease(lease)).collect();
+        let swap = self.store.compare_and_swap(compares, puts, vec![]).await;
+        if let Err(e) = &swap {
+            self.retention.failed(lease, e).await;
+        }
+        swap
     }
 
     /// Judges what stood in the way of a claim: the claim itself, or another claim of the act.
@@ -342,6 +366,16 @@
     KeyValueError::Malformed("a claim could not be read".into())
 }
 
+/// Writes one record that ends after the retention.
+async fn put_kept(store: &KeyValue, retention: &Retention, put: &Put) -> Result<(), KeyValueError> {
+    let lease = retention.lease(store).await?;
+    let put = store.put(put.clone().with_lease(lease)).await;
+    if let Err(e) = &put {
+        retention.failed(lease, e).await;
+    }
+    put.map(drop)
+}
+
 /// Removes a claim if it is still the one with this nonce.
 async fn remove_own(store: &KeyValue, claim: &WonClaim) -> Result<(), KeyValueError> {
     let Some(entry) = store.get(&claim.key).await? else { return Ok(()) };
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -141,13 +141,18 @@
     }
 
     /// Hands the request to its upstream; returns it when no byte went out.
+    ///
+    /// Nothing goes out after `dispatch_by`, when its claim may end.
     pub(super) async fn dispatch(
         &self,
         request: Request<Claimed>,
         mut permit: Permit,
+        dispatch_by: Option<Duration>,
     ) -> Result<Option<Request<Claimed>>, Refusal> {
         self.wait_until_sound().await;
-        if !permit.may_dispatch().await {
+        let may_dispatch = permit.may_dispatch().await;
+        let is_claimed = dispatch_by.is_none_or(|dispatch_by| clock::now() < dispatch_by);
+        if !may_dispatch || !is_claimed {
             permit.release(Outcome::Cancelled);
             return Ok(Some(request));
         }
--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -127,7 +127,9 @@
                         }
                     };
                     let claimed = request.claimed(proof);
-                    let Some(unsent) = self.dispatch(claimed, permit).await? else { return Ok(()) };
+                    let dispatch_by = claim.as_ref().map(|claim| claim.dispatch_by);
+                    let unsent = self.dispatch(claimed, permit, dispatch_by).await?;
+                    let Some(unsent) = unsent else { return Ok(()) };
                     if let Some(claim) = claim {
                         self.node.claims.abandon(claim);
                     }
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -36,6 +36,7 @@
 mod once;
 mod permit;
 mod plain;
+mod retention;
 mod run;
 mod steps;
 mod table;
--- a/lacewingspring/src/entry/once.rs
+++ b/lacewingspring/src/entry/once.rs
@@ -43,7 +43,7 @@
         };
         self.run.note(Step::Claimed);
         let claimed = request.claimed(ClaimProof::won());
-        match self.dispatch(claimed, permit).await {
+        match self.dispatch(claimed, permit, Some(claim.dispatch_by)).await {
             Ok(None) => {
                 claims.finish(claim, self.run.answer());
                 Ok(())
--- a/lacewingspring/src/settings/platform.rs
+++ b/lacewingspring/src/settings/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's services and the authority of the instances.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use serde::Deserialize;
 
@@ -18,6 +18,9 @@
     /// Longest wait for one answer, in milliseconds.
     #[serde(default = "default_timeout_ms")]
     pub timeout_ms: u64,
+    /// Time for which claims are kept, in seconds.
+    #[serde(default = "default_claim_retention_s")]
+    pub claim_retention_s: u64,
 }
 
 fn default_prefix() -> String {
@@ -28,7 +31,16 @@
     1_000
 }
 
+const fn default_claim_retention_s() -> u64 {
+    604_800
+}
+
 impl KeyValueSettings {
+    /// Returns the time for which claims are kept.
+    pub fn claim_retention(&self) -> Duration {
+        Duration::from_secs(self.claim_retention_s)
+    }
+
     pub(super) fn check(&self) -> Result<(), Fault> {
         let count = self.endpoints.len();
         let key = "key_value.endpoints";
@@ -41,7 +53,10 @@
         Fault::check(prefix, "key_value.prefix", format!("{:?}", self.prefix), accepted)?;
         let timeout = (10..=60_000).contains(&self.timeout_ms);
         let found = self.timeout_ms.to_string();
-        Fault::check(timeout, "key_value.timeout_ms", found, "10 to 60000 milliseconds")
+        Fault::check(timeout, "key_value.timeout_ms", found, "10 to 60000 milliseconds")?;
+        let retention = (10..=31_536_000).contains(&self.claim_retention_s);
+        let found = self.claim_retention_s.to_string();
+        Fault::check(retention, "key_value.claim_retention_s", found, "10 to 31536000 seconds")
     }
 }
 
--- /dev/null
+++ b/lacewingspring/tests/retention.rs
@@ -0,0 +1,78 @@
+//! Claims and acts end after the declared retention, and not before.
+
+use std::time::Duration;
+
+use lacewingspring::platform::key_value::{KeyValue, LeaseId};
+use tokio::time::sleep;
+
+use crate::support::{
+    Fleet, Plan,
+    caller::{book, plain_runs, state},
+    get,
+    history::Told,
+};
+
+mod support;
+
+/// Retention of the test, in seconds, the shortest that is accepted.
+const RETENTION_S: u64 = 10;
+
+/// First identifier of a lease at the stand-in.
+const FIRST_LEASE: i64 = 7_000_000_001;
+
+fn store(fleet: &Fleet) -> KeyValue {
+    KeyValue::new(vec![fleet.key_value], Duration::from_secs(2))
+}
+
+/// Returns the keys of claims and acts.
+async fn records(fleet: &Fleet) -> Vec<String> {
+    let mut keys = Vec::new();
+    for folder in ["claims/", "acts/"] {
+        let reply = store(fleet).range(&format!("/lacewingspring/{folder}")).await;
+        keys.extend(reply.expect("a range").entries.into_iter().map(|entry| entry.key));
+    }
+    keys
+}
+
+fn is_answer(told: &Told) -> bool {
+    matches!(told, Told::Answer(_))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_is_new_after_the_retention() {
+    let plan = Plan { instances: 3, claim_retention_s: RETENTION_S, ..Plan::default() };
+    let fleet = Fleet::start(plan).await;
+    let at = |i: usize| fleet.instances[i].callers;
+    let first = book(at(0), "kept", 1).await;
+    assert!(is_answer(&first), "{first:?}");
+    assert_eq!(state(at(0), "unknown").await.as_deref(), Some("not_run"));
+    sleep(Duration::from_secs(RETENTION_S / 2)).await;
+    assert_eq!(book(at(1), "kept", 1).await, first);
+    assert_eq!(plain_runs(&fleet).await.0["kept"], 1);
+    assert_eq!(records(&fleet).await.len(), 3, "two claims and an act");
+    sleep(Duration::from_secs(RETENTION_S - 2)).await;
+    assert_eq!(records(&fleet).await, Vec::<String>::new());
+    let again = book(at(2), "kept", 1).await;
+    assert!(is_answer(&again), "{again:?}");
+    assert_eq!(plain_runs(&fleet).await.0["kept"], 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn claims_share_a_lease_and_a_lost_one_is_replaced() {
+    let fleet = Fleet::start(Plan::default()).await;
+    for seat in 0..20 {
+        let at = fleet.instances[seat % 2].callers;
+        assert!(is_answer(&book(at, &format!("key-{seat}"), seat as u64).await));
+    }
+    let calls = get(fleet.key_value, "/calls").await.expect("counts").json();
+    assert_eq!(calls["leases"], 2, "{calls}");
+    for number in 0..2 {
+        store(&fleet).revoke(LeaseId(FIRST_LEASE + number)).await.expect("revokes a lease");
+    }
+    assert_eq!(records(&fleet).await, Vec::<String>::new());
+    for seat in 20..24 {
+        let at = fleet.instances[seat % 2].callers;
+        assert!(is_answer(&book(at, &format!("key-{seat}"), seat as u64).await));
+    }
+    assert_eq!(records(&fleet).await.len(), 8);
+}
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -98,6 +98,8 @@
     pub engine_flags: Vec<String>,
     /// Mechanisms of the daemon that are switched off.
     pub switch_off: &'static [&'static str],
+    /// Time for which claims are kept, in seconds.
+    pub claim_retention_s: u64,
 }
 
 impl Default for Plan {
@@ -110,6 +112,7 @@
             slots: 8,
             engine_flags: Vec::new(),
             switch_off: &[],
+            claim_retention_s: 604_800,
         }
     }
 }
@@ -131,6 +134,7 @@
     ip: IpAddr,
     folder: TempDir,
     switch_off: &'static [&'static str],
+    claim_retention_s: u64,
 }
 
 impl Fleet {
@@ -152,6 +156,7 @@
             ip,
             folder,
             switch_off: plan.switch_off,
+            claim_retention_s: plan.claim_retention_s,
         };
         Authority::create().and_then(|ca| ca.write(fleet.folder.path())).expect("an authority");
         fleet.stand_in("key-value", &[fleet.key_value], &[]);
@@ -288,7 +293,10 @@
         let settings = json!({
             "instance": name, "data_centre": data_centre,
             "listen": { "callers": callers, "peers": peers },
-            "key_value": { "endpoints": [self.key_value], "timeout_ms": 500 },
+            "key_value": {
+                "endpoints": [self.key_value], "timeout_ms": 500,
+                "claim_retention_s": self.claim_retention_s
+            },
             "instance_list": { "endpoint": self.list },
             "authority": {
                 "certificate": folder.join("authority.pem"), "key": folder.join("authority.key")
