--- a/lacewingspring/tests/docs_operating.rs
+++ b/lacewingspring/tests/docs_operating.rs
@@ -17,7 +17,7 @@
 const UNKNOWN: &str = "zz";
 
 /// Sections of the settings; the root is empty.
-const SECTIONS: [&str; 11] = [
+const SECTIONS: [&str; 10] = [
     "",
     "listen",
     "key_value",
@@ -28,7 +28,6 @@
     "metrics",
     "timing",
     "test",
-    "poison",
 ];
 
 /// Row of a reference.
@@ -162,7 +161,7 @@
         }
         checked += 1;
     }
-    assert_eq!(checked, 7, "settings with bounds");
+    assert_eq!(checked, 8, "settings with bounds");
 }
 
 #[test]
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -101,10 +101,10 @@
     pub engine_flags: Vec<String>,
     /// Mechanisms of the daemon that are switched off.
     pub switch_off: &'static [&'static str],
-    /// Whether the watch for requests that crash upstreams is on.
-    pub poison_watch: bool,
     /// Whether instances reach each other through relays, which can cut them off.
     pub relayed: bool,
+    /// Time for which claims are kept, in seconds.
+    pub claim_retention_s: u64,
 }
 
 impl Default for Plan {
@@ -117,8 +117,8 @@
             slots: 8,
             engine_flags: Vec::new(),
             switch_off: &[],
-            poison_watch: true,
             relayed: false,
+            claim_retention_s: 604_800,
         }
     }
 }
@@ -139,10 +139,10 @@
     /// Cuts between instances, when they are relayed.
     pub cuts: Option<Cuts>,
     stand_ins: Vec<Process>,
-    poison_watch: bool,
     ip: IpAddr,
     folder: TempDir,
     switch_off: &'static [&'static str],
+    claim_retention_s: u64,
 }
 
 impl Fleet {
@@ -162,10 +162,10 @@
             instances: Vec::new(),
             cuts: plan.relayed.then(Cuts::default),
             stand_ins: Vec::new(),
-            poison_watch: plan.poison_watch,
             ip,
             folder,
             switch_off: plan.switch_off,
+            claim_retention_s: plan.claim_retention_s,
         };
         Authority::create().and_then(|ca| ca.write(fleet.folder.path())).expect("an authority");
         fleet.stand_in("key-value", &[fleet.key_value], &[]);
@@ -307,7 +307,10 @@
         let settings = json!({
             "instance": name, "data_centre": data_centre,
             "listen": { "callers": callers, "peers": own, "advertised_peers": peers },
-            "key_value": { "endpoints": [self.key_value], "timeout_ms": 500 },
+            "key_value": {
+                "endpoints": [self.key_value], "timeout_ms": 500,
+                "claim_retention_s": self.claim_retention_s
+            },
             "instance_list": { "endpoint": self.list },
             "authority": {
                 "certificate": folder.join("authority.pem"), "key": folder.join("authority.key")
@@ -318,7 +321,6 @@
             }],
             "log": { "level": "warn" },
             "timing": { "instance_list_ms": 200, "address_ttl_ms": 1000, "orphan_ms": 1000 },
-            "poison": { "watch": self.poison_watch },
             "test": { "switch_off": self.switch_off }
         });
         let path = folder.join(format!("{name}.json"));
