Let a void last while one of its holders lives

Cause: the void was kept by the home that took the query and as a claim, which a dispatch reads only while views are unsettled. When the home moved and no call for the key came within 5 s, the new home held the key to be new.

Now the home answers a void only once its backup holds it, as with a dispatch. A told key isn't kept longer for it. Of two words of a key the more certain one stays, and a dispatched run isn't voided. A void that a claim showed to a dispatch is now told to the home as well, which forgot it. An answer after a hand-over is now copied to the backup like any other.

--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -27,6 +27,9 @@
 /// When callers are told to come back if the home can hold no more keys.
 const FULL_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Longest wait for the home to take a void.
+const KEEP_VOID_PATIENCE: Duration = Duration::from_millis(1_000);
+
 /// What follows from asking the home to dispatch.
 enum Leave {
     /// The request may be dispatched.
@@ -123,6 +126,9 @@
                         Err(refusal) => {
                             permit.release(gate::Outcome::Cancelled);
                             self.take_back(homes, deadline).await?;
+                            if refusal.kind == ErrorKind::Voided {
+                                self.keep_void(homes).await;
+                            }
                             return Err(refusal);
                         }
                     };
@@ -176,6 +182,16 @@
         Ok(())
     }
 
+    /// Lets the home hold a key to be void that the claim showed to be so.
+    ///
+    /// The claim is read only while views may differ; a repeat after that asks the home alone.
+    async fn keep_void(&self, homes: &Homes) {
+        let deadline = clock::now() + KEEP_VOID_PATIENCE;
+        if homes.release_now(&self.run.id, deadline).await.is_ok() {
+            let _ = homes.void(&self.run.id, deadline).await;
+        }
+    }
+
     /// Claims the request in the key-value service too, when the views of the members may differ
     /// and so may their homes of the key. Nobody else can know a minted key.
     ///
--- a/lacewingspring/src/homes/mod.rs
+++ b/lacewingspring/src/homes/mod.rs
@@ -36,6 +36,9 @@
 /// knows what was dispatched, so that only runs that wait are announced.
 const LEARNING: Duration = Duration::from_millis(400);
 
+/// Time for which a home keeps a settled key.
+const KEY_RETENTION: Duration = Duration::from_secs(600);
+
 /// The keys whose home this instance is.
 #[derive(Debug)]
 pub struct KeyHome {
@@ -45,7 +48,11 @@
 impl KeyHome {
     /// Creates an empty home.
     pub fn new(now: Duration) -> Self {
-        let cfg = KeyIndexConfig { learning: LEARNING, ..KeyIndexConfig::default() };
+        let cfg = KeyIndexConfig {
+            learning: LEARNING,
+            retention: KEY_RETENTION,
+            ..KeyIndexConfig::default()
+        };
         Self { index: Mutex::new(KeyIndex::new(cfg, now)) }
     }
 
@@ -67,15 +74,14 @@
     {
         return KeyReply::NotHome;
     }
-    let reply = answer(node, &call);
-    if !copy_to_backup(node, &call, &reply).await {
-        return KeyReply::NotHome;
-    }
-    if !is_unknown(&reply) {
-        return reply;
+    let mut reply = answer(node, &call);
+    if is_unknown(&reply)
+        && let Some(id) = asked(&call)
+        && adopt_from_previous(node, id).await
+    {
+        reply = answer(node, &call);
     }
-    let Some(id) = asked(&call) else { return reply };
-    if adopt_from_previous(node, id).await { answer(node, &call) } else { reply }
+    if copy_to_backup(node, &call, &reply).await { reply } else { KeyReply::NotHome }
 }
 
 /// Key of a call that only the present home answers.
@@ -95,8 +101,8 @@
 /// Tells the backup of a key, its second holder, what the home has taken.
 ///
 /// The backup becomes the home when the home dies. Without it, the death of one instance that is
-/// both the runner and the home of a key would lose the run. A dispatch waits for the copy; false
-/// when there is a backup that did not take it.
+/// both the runner and the home of a key would lose the run. A dispatch and a void wait for the
+/// copy; false when there is a backup that did not take it.
 async fn copy_to_backup(node: &Arc<Node>, call: &KeyCall, reply: &KeyReply) -> bool {
     if !node.settings.test.is_on(Mechanism::Backup) {
         return true;
@@ -108,7 +114,7 @@
         return true;
     };
     let message = Message::Key(copy);
-    if let KeyReply::Dispatch(_) = reply {
+    if must_last(reply) {
         let taken = node.peers.call(&backup, message, COPY_TIMEOUT).await;
         return matches!(taken, Ok(Message::KeyReply(KeyReply::Done)));
     }
@@ -129,6 +135,10 @@
             let run = node.home.lock().open_run(id)?;
             Some(KeyCall::Announce(vec![Told::Open(run)]))
         }
+        (KeyCall::Void { id }, KeyReply::Void(VoidVerdict::Voided)) => {
+            let key = node.home.lock().settled_key(clock::now(), id)?;
+            Some(KeyCall::Announce(vec![Told::Settled(key)]))
+        }
         (KeyCall::NotSent { .. } | KeyCall::Finished { .. } | KeyCall::TakeOver { .. }, _) => {
             Some(KeyCall::Copy(Box::new(call.clone())))
         }
@@ -136,6 +146,11 @@
     }
 }
 
+/// Whether the home answers only once the backup knows: what the asker does next is for ever.
+fn must_last(reply: &KeyReply) -> bool {
+    matches!(reply, KeyReply::Dispatch(_) | KeyReply::Void(VoidVerdict::Voided))
+}
+
 fn is_home(node: &Node, id: &KeyId) -> bool {
     let view = node.fleet.view();
     view.holder(id, None).is_some_and(|holder| holder.name == node.settings.instance)
@@ -211,7 +226,7 @@
 fn announce(index: &mut KeyIndex, now: Duration, told: Told) {
     match told {
         Told::Open(run) => index.announce(now, run),
-        Told::Ended { id, known } => index.adopt(now, &id, [known]),
+        Told::Settled(key) => index.learn_settled(now, key),
     }
 }
 
--- a/lacewingspring/src/peers/keys.rs
+++ b/lacewingspring/src/peers/keys.rs
@@ -3,7 +3,7 @@
 use lacewingspring_core::{
     key_index::{
         Announcement, DispatchVerdict, HandOver, KeyId, Outcome, RegisterVerdict, Runner,
-        TakeOverVerdict, VoidVerdict,
+        SettledKey, TakeOverVerdict, VoidVerdict,
     },
     names::{Fingerprint, UpstreamName},
 };
@@ -74,24 +74,19 @@
         /// Key of the request.
         id: KeyId,
     },
-    /// Tells a new home, or the backup, of runs that it may not know.
+    /// Tells a new home, or the backup, of keys that it may not know.
     Announce(Vec<Told>),
     /// Home to backup: the same call was taken by the home.
     Copy(Box<KeyCall>),
 }
 
-/// A run that a new home is told of.
+/// A key that a new home, or the backup, is told of.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Told {
     /// The run is open.
     Open(Announcement),
-    /// The run ended a while ago.
-    Ended {
-        /// Key of the request.
-        id: KeyId,
-        /// What is known of it.
-        known: HandOver,
-    },
+    /// The key is void, or its run ended a while ago.
+    Settled(SettledKey),
 }
 
 /// Answer of the home of a key.
--- a/lacewingspring/tests/stale_not_run.rs
+++ b/lacewingspring/tests/stale_not_run.rs
@@ -8,12 +8,15 @@
 
 use crate::support::{
     Fleet, Plan,
-    caller::{Reply, desk, key, plain_runs, try_book},
+    caller::{Reply, desk, engine_runs, key, plain_runs, state, try_book, try_complete},
     history::{History, Told},
 };
 
 mod support;
 
+/// Time after which the views of the members count as settled.
+const SETTLED_AFTER: Duration = Duration::from_secs(6);
+
 async fn check(fleet: &Fleet, request_key: &str, first: Told, repeat: Reply) {
     let mut history = History::default();
     history.add(request_key, None, first);
@@ -44,3 +47,29 @@
     let repeat = try_book(fleet.instances[1].callers, "repeat", 1).await;
     check(&fleet, "repeat", first, repeat).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_void_outlasts_two_moves_of_its_home() {
+    let mut fleet = Fleet::start(Plan::default()).await;
+    let keys: Vec<String> = (0..12).map(|n| format!("void-{n}")).collect();
+    fleet.instances[0].process.kill();
+    sleep(Duration::from_secs(3)).await;
+    for key in &keys {
+        let told = state(fleet.instances[1].callers, key).await;
+        assert_eq!(told.as_deref(), Some("not_run"), "{key}");
+    }
+    // The other instance takes half of the keys, then all, and then gives half back.
+    for moved in [0, 1] {
+        fleet.restart(moved);
+        fleet.wait_until_ready(2).await;
+        sleep(SETTLED_AFTER).await;
+    }
+    for (n, key) in keys.iter().enumerate() {
+        let at = fleet.instances[n % 2].callers;
+        let reply = try_complete(at, "lookup", key, "plot seven of the cadastre", 5).await;
+        assert_eq!((reply.told, reply.kind.as_str()), (Told::NotRun, "voided"), "{key}");
+    }
+    let runs = engine_runs(&fleet).await;
+    let ready = |run: &&serde_json::Value| run["prompt_tokens"] != 1;
+    assert_eq!(runs.iter().filter(ready).count(), 0, "{runs:?}");
+}
--- a/lacewingspring_core/src/key_index/entry.rs
+++ b/lacewingspring_core/src/key_index/entry.rs
@@ -64,7 +64,11 @@
         runner: Runner,
         outcome: Outcome,
     },
-    Void,
+    /// Voided for a status query.
+    Void {
+        /// Whether this index voided it; else it was told so.
+        here: bool,
+    },
     /// Handed over to another home, with the run that was open.
     Moved {
         run: Option<Announcement>,
@@ -85,7 +89,7 @@
             Settlement::Finished { runner, outcome } => {
                 Some(RegisterVerdict::Finished { runner: runner.clone(), outcome: *outcome })
             }
-            Settlement::Void => Some(RegisterVerdict::Voided),
+            Settlement::Void { .. } => Some(RegisterVerdict::Voided),
         }
     }
 
@@ -97,7 +101,7 @@
             Settlement::Finished { runner, outcome } => {
                 Some(VoidVerdict::Finished { runner: runner.clone(), outcome: *outcome })
             }
-            Settlement::Void => Some(VoidVerdict::Voided),
+            Settlement::Void { .. } => Some(VoidVerdict::Voided),
         }
     }
 
@@ -126,7 +130,7 @@
                 runner: runner.clone(),
                 outcome: *outcome,
             },
-            Settlement::Void => HandOver::Voided,
+            Settlement::Void { .. } => HandOver::Voided,
         }
     }
 }
--- a/lacewingspring_core/src/key_index/hand_over.rs
+++ b/lacewingspring_core/src/key_index/hand_over.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    Announcement, HandOver, KeyId, KeyIndex, Outcome, Progress,
+    Announcement, HandOver, KeyId, KeyIndex, Outcome, Progress, SettledKey,
     entry::{OpenRun, Settled, Settlement},
 };
 
@@ -44,13 +44,11 @@
     {
         for answer in answers {
             match answer {
-                HandOver::Absent => {}
                 HandOver::Open(run) => self.take(now, run, false),
-                HandOver::Finished { fingerprint, runner, outcome } => {
-                    let settlement = Settlement::Finished { runner, outcome };
-                    self.adopt_settled(now, id, fingerprint, settlement);
+                known => {
+                    let keep = self.cfg.retention;
+                    self.learn_settled(now, SettledKey { id: id.clone(), known, keep });
                 }
-                HandOver::Voided => self.adopt_settled(now, id, None, Settlement::Void),
             }
         }
         self.drop_stale_marker(id);
@@ -90,6 +88,10 @@
                 return;
             }
             Some(Settlement::Fresh) => drop(self.settled.remove(&id)),
+            // Another home let it proceed before it was told of the void.
+            Some(Settlement::Void { here: false }) if dispatched => {
+                drop(self.settled.remove(&id));
+            }
             Some(_) => return self.count_late(&id, &announcement.progress),
             None => {}
         }
@@ -111,7 +113,7 @@
     fn count_late(&mut self, id: &KeyId, progress: &Progress) {
         let settled = self.settled.get(id).map(|settled| &settled.settlement);
         let not_run = match settled {
-            Some(Settlement::Void) => true,
+            Some(Settlement::Void { .. }) => true,
             Some(Settlement::Finished { outcome, .. }) => *outcome == Outcome::NotRun,
             _ => false,
         };
@@ -120,23 +122,6 @@
         }
     }
 
-    fn adopt_settled(
-        &mut self,
-        now: Duration,
-        id: &KeyId,
-        fingerprint: Option<crate::names::Fingerprint>,
-        settlement: Settlement,
-    ) {
-        self.drop_stale_marker(id);
-        if self.settled.contains_key(id) || !self.make_room() {
-            return;
-        }
-        self.settle(now, id, settlement);
-        if let Some(settled) = self.settled.get_mut(id) {
-            settled.fingerprint = fingerprint;
-        }
-    }
-
     /// Drops the mark that a key was handed over, when this instance took the role again since.
     ///
     /// A run that is known to have been dispatched is open again, so that no other follows it.
--- a/lacewingspring_core/src/key_index/message.rs
+++ b/lacewingspring_core/src/key_index/message.rs
@@ -1,5 +1,7 @@
 //! What the index is asked and what it answers.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::names::{Fingerprint, InstanceName, RequestKey, UpstreamName, WorkspaceName};
@@ -183,6 +185,17 @@
     Full,
 }
 
+/// A key that is void or has run, told to another home.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettledKey {
+    /// The key.
+    pub id: KeyId,
+    /// What is known of it.
+    pub known: HandOver,
+    /// Time for which it is still kept.
+    pub keep: Duration,
+}
+
 /// An open run, told to a new home by its runner or by the previous home.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
--- a/lacewingspring_core/src/key_index/mod.rs
+++ b/lacewingspring_core/src/key_index/mod.rs
@@ -9,8 +9,9 @@
 //! between instances is not delivered later than the learning time after it was sent.
 //!
 //! The promise holds for one index. When a role moves, the previous home hands single keys over
-//! and refuses them from then on, and runners announce their open runs to the new home. A new home
-//! whose previous home is dead waits for these announcements before it holds a key to be new. Two
+//! and refuses them from then on, and runners announce their open runs to the new home. Indexes tell
+//! it of the keys that are settled in them, so that these outlast each home. A new home whose
+//! previous home is dead waits for these announcements before it holds a key to be new. Two
 //! homes that can't reach each other for longer than that may each let one runner proceed.
 
 use std::{
@@ -24,7 +25,7 @@
     config::{KeyIndexConfig, KeyIndexPolicy},
     message::{
         Announcement, DispatchVerdict, FinishVerdict, HandOver, KeyId, Outcome, Progress,
-        RegisterVerdict, Runner, TakeOverVerdict, Tenure, VoidVerdict,
+        RegisterVerdict, Runner, SettledKey, TakeOverVerdict, Tenure, VoidVerdict,
     },
 };
 
@@ -34,6 +35,7 @@
 mod entry;
 mod hand_over;
 mod message;
+mod settled;
 
 /// Index of the request keys whose home this instance is.
 #[derive(Debug)]
@@ -225,7 +227,7 @@
         if !self.make_room() {
             return VoidVerdict::Full;
         }
-        self.settle(now, id, Settlement::Void);
+        self.settle(now, id, Settlement::Void { here: true });
         VoidVerdict::Voided
     }
 
--- /dev/null
+++ b/lacewingspring_core/tests/key_index_settled.rs
@@ -0,0 +1,63 @@
+//! Settled keys that one index tells another.
+
+use std::time::Duration;
+
+use lacewingspring_core::key_index::{
+    HandOver, KeyId, KeyIndex, KeyIndexConfig, Outcome, RegisterVerdict, Runner, SettledKey, Tenure,
+};
+
+fn id() -> KeyId {
+    KeyId { workspace: "w".into(), key: "k".into() }
+}
+
+fn runner() -> Runner {
+    Runner { instance: "i".into(), incarnation: 1 }
+}
+
+#[test]
+fn void_lasts_while_one_index_holds_it() {
+    let start = Duration::from_secs(10);
+    let mut homes: Vec<_> =
+        (0..4).map(|_| KeyIndex::new(KeyIndexConfig::default(), Duration::ZERO)).collect();
+    homes[0].void(start, &id(), Tenure::Settled);
+    let mut now = start;
+    for next in 1..homes.len() {
+        now += Duration::from_secs(100);
+        let told = homes[next - 1].settled_keys(now, 10);
+        assert_eq!(told.len(), 1);
+        told.into_iter().for_each(|key| homes[next].learn_settled(now, key));
+        let verdict = homes[next].register(now, id(), "f".into(), runner(), Tenure::Settled);
+        assert_eq!(verdict, RegisterVerdict::Voided);
+    }
+    // Being told of a key doesn't lengthen the time for which it is kept.
+    now = start + KeyIndexConfig::default().retention;
+    assert!(homes.iter().all(|home| home.settled_keys(now, 10).is_empty()));
+}
+
+#[test]
+fn more_certain_word_of_a_key_stays() {
+    let now = Duration::from_secs(10);
+    let settled = |known| SettledKey { id: id(), known, keep: Duration::from_secs(60) };
+    let ended = |outcome| {
+        let fingerprint = Some("f".into());
+        settled(HandOver::Finished { fingerprint, runner: runner(), outcome })
+    };
+    let words = || {
+        let ends = [Outcome::MayHaveRun, Outcome::Answered].map(ended);
+        [settled(HandOver::Voided)].into_iter().chain(ends)
+    };
+    for (first, word) in words().enumerate() {
+        for (second, other) in words().enumerate() {
+            let mut index = KeyIndex::new(KeyIndexConfig::default(), Duration::ZERO);
+            index.learn_settled(now, word.clone());
+            index.learn_settled(now, other);
+            let known = index.settled_key(now, &id()).map(|key| key.known);
+            assert_eq!(known, words().nth(first.max(second)).map(|key| key.known));
+        }
+    }
+    let mut index = KeyIndex::new(KeyIndexConfig::default(), Duration::ZERO);
+    index.register(now, id(), "f".into(), runner(), Tenure::Settled);
+    index.dispatching(now, &id(), &runner(), "u".into());
+    index.learn_settled(now, settled(HandOver::Voided));
+    assert!(index.open_run(&id()).is_some(), "a dispatched run isn't voided");
+}
