Tell instances with one incarnation apart

`dispatches_once_what_waited_at_a_frozen_home` failed now and then: a request that waited at a frozen instance was told `answer_gone`, without the step `followed`. A trace showed that the runner, another instance, was live and had the same incarnation as the asker. An incarnation is the time of the start in milliseconds, and two instances that start at once have one; the asker took the run for its own that it no longer knew.

Now the name is compared too, there and for a pending claim of a non-idempotent key. The test prints the kind of the refusal and the steps at each instance when it fails; it is as strict as before.

--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -9,7 +9,9 @@
     time::Duration,
 };
 
-use lacewingspring_core::{catalog::Catalog, key_index::KeyId, membership::Member};
+use lacewingspring_core::{
+    catalog::Catalog, key_index::KeyId, membership::Member, names::InstanceName,
+};
 use thiserror::Error;
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -96,6 +98,12 @@
         self.declared.catalog()
     }
 
+    /// Returns whether this process is that run of an instance. Two instances that start at once
+    /// have the same incarnation.
+    pub fn is_run(&self, instance: &InstanceName, incarnation: u64) -> bool {
+        self.settings.instance == *instance && self.incarnation == incarnation
+    }
+
     /// Returns whether this instance is leaving.
     pub fn leaving(&self) -> bool {
         self.leaving.load(Ordering::Acquire)
--- a/lacewingspring/tests/at_most_once.rs
+++ b/lacewingspring/tests/at_most_once.rs
@@ -8,7 +8,7 @@
 
 use crate::support::{
     Fleet, Plan,
-    caller::{book, complete, engine_runs, plain_runs, state},
+    caller::{book, complete, engine_runs, explain, plain_runs, state, try_complete},
     history::{History, Told},
 };
 
@@ -152,20 +152,24 @@
     fleet.instances[0].process.signal(Signal::STOP);
     let (frozen, other) = (fleet.instances[0].callers, fleet.instances[1].callers);
     let ask = |at, n| async move {
-        complete(at, "lookup", &format!("frozen-{n}"), "plot seven of the cadastre", 5).await
+        try_complete(at, "lookup", &format!("frozen-{n}"), "plot seven of the cadastre", 5).await
     };
     let waiting: Vec<_> = (0..12).map(|n| tokio::spawn(ask(frozen, n))).collect();
     // The other instance becomes the home of all keys and runs them.
     sleep(Duration::from_secs(3)).await;
     let ran: Vec<_> = (0..12).map(|n| tokio::spawn(ask(other, n))).collect();
-    for told in ran {
-        let told = told.await.unwrap();
-        assert!(answered(&told), "{told:?}");
+    for reply in ran {
+        let reply = reply.await.unwrap();
+        assert!(answered(&reply.told), "{reply:?}");
     }
     fleet.instances[0].process.signal(Signal::CONT);
-    for told in waiting {
-        let told = told.await.unwrap();
-        assert!(answered(&told), "{told:?}");
+    for (n, reply) in waiting.into_iter().enumerate() {
+        let reply = reply.await.unwrap();
+        let steps = match &reply.told {
+            Told::Answer(_) => String::new(),
+            _ => explain(&fleet, &format!("frozen-{n}")).await,
+        };
+        assert!(answered(&reply.told), "frozen-{n}: {reply:?}\n{steps}");
     }
     for run in engine_runs(&fleet).await {
         assert_eq!(run["dispatches"], 1, "{run}");
--- a/lacewingspring/tests/support/caller.rs
+++ b/lacewingspring/tests/support/caller.rs
@@ -9,6 +9,7 @@
     DESK_TOKEN, Fleet, call,
     history::{Runs, Told},
     http::Answer,
+    operator,
 };
 
 /// Credential header of the workspace `desk`.
@@ -96,6 +97,18 @@
     Some(answer.json()["state"].as_str()?.to_owned())
 }
 
+/// Returns what each instance says that it decided about a key, for the message of a failure.
+pub async fn explain(fleet: &Fleet, request_key: &str) -> String {
+    let path = format!("/operator/v1/explain?workspace=desk&key={request_key}");
+    let mut said = String::new();
+    for instance in &fleet.instances {
+        let answer = call(instance.callers, "GET", &path, &[operator()], String::new()).await;
+        let body = answer.map_or_else(|_| "no answer".into(), |answer| answer.body);
+        said.push_str(&format!("{}: {body}\n", instance.name));
+    }
+    said
+}
+
 /// Returns what an answer tells its caller.
 pub fn told(answer: Answer) -> Reply {
     if answer.status == 200 {
--- a/lacewingspring_core/src/claim.rs
+++ b/lacewingspring_core/src/claim.rs
@@ -14,7 +14,7 @@
     pub nonce: u64,
     /// Instance that created the claim.
     pub instance: InstanceName,
-    /// Incarnation of that instance: a random number drawn at its start.
+    /// Incarnation of that instance; another instance may have the same.
     pub incarnation: u64,
     /// Digest of the service and body, to tell a repeat from a conflict.
     pub fingerprint: String,
