Let a claim withdraw a void, and ask the runner of a key that waits

A status query voids a key at its home, then reads the claim. When the claim showed that the key may have run, the home held the void all the same, and a repeat was refused as "not run". Now the claim alone decides on a void of a non-idempotent key; in an outage the repeat is `undecided`, no more `voided`. A claim of an idempotent key takes the void back at home and backup (shown in `key_index_settled` only).

--- a/lacewingspring/src/callers/keys.rs
+++ b/lacewingspring/src/callers/keys.rs
@@ -6,7 +6,7 @@
 use lacewingspring_core::{
     claim::{ClaimRecord, ClaimState},
     error::{ErrorKind, RunState},
-    key_index::{KeyId, Outcome, Progress, TakeOverVerdict, VoidVerdict},
+    key_index::{Announcement, KeyId, Outcome, Progress, Runner, TakeOverVerdict, VoidVerdict},
     names::RequestKey,
 };
 use percent_encoding::percent_decode_str;
@@ -19,7 +19,7 @@
     daemon::Node,
     entry::Refusal,
     homes::Homes,
-    peers::{Message, RunPart},
+    peers::{Message, PeerAddress, RunPart},
 };
 
 /// When callers are told to ask again while the key-value service is out.
@@ -28,8 +28,8 @@
 /// Longest wait for the home of a key.
 const HOME_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Longest wait for a claimer to say that it no longer runs a key.
-const CLAIMER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for a runner to say that it no longer runs a key.
+const RUNNER_TIMEOUT: Duration = Duration::from_millis(500);
 
 #[derive(Serialize)]
 struct KeyState {
@@ -77,13 +77,17 @@
     Ok(match record.state {
         ClaimState::Void => State::NotRun,
         ClaimState::Done(_) => State::Ran,
-        ClaimState::Claimed => claimed_state(node, id, &record).await,
+        ClaimState::Claimed => {
+            withdraw_void(node, id, &record, deadline).await?;
+            claimed_state(node, id, &record).await
+        }
     })
 }
 
 /// State of a run as the home of its key knows it; none when the home settled that there is none.
 ///
-/// A run that waits at a dead runner is taken over and dropped, so that it can be settled.
+/// A run that waits at a dead runner, or at one that gave it up, is taken over and dropped, so that
+/// it can be settled. A home that was frozen may have missed that its runner gave it up.
 async fn home_state(
     node: &Arc<Node>,
     id: &KeyId,
@@ -95,10 +99,13 @@
         let VoidVerdict::Running { runner, progress } = &verdict else {
             return Ok(from_home(verdict));
         };
-        if node.fleet.live(&runner.instance, runner.incarnation).is_some() {
+        let waits = *progress == Progress::Waiting;
+        if let Some(peer) = node.fleet.live(&runner.instance, runner.incarnation)
+            && (!waits || is_running(node, &peer, id, runner.incarnation).await)
+        {
             return Ok(Some(State::InProgress));
         }
-        if *progress != Progress::Waiting {
+        if !waits {
             return Ok(Some(State::MayHaveRun));
         }
         let taken = homes.take_over(id, runner, deadline).await?;
@@ -110,27 +117,47 @@
     }
 }
 
+/// Tells the home of an idempotent key, which has just voided it, who claimed it while views differed.
+async fn withdraw_void(
+    node: &Arc<Node>,
+    id: &KeyId,
+    record: &ClaimRecord,
+    deadline: Duration,
+) -> Result<(), Refusal> {
+    let Some(upstream) = record.upstream.clone() else { return Ok(()) };
+    let runner = Runner { instance: record.instance.clone(), incarnation: record.incarnation };
+    let run = Announcement {
+        id: id.clone(),
+        fingerprint: record.fingerprint.as_str().into(),
+        runner,
+        progress: Progress::Dispatched { upstream },
+    };
+    Homes::new(node).withdraw_void(run, deadline).await
+}
+
 /// State of a key that is claimed without an outcome: in progress only while the claimer runs it.
 async fn claimed_state(node: &Arc<Node>, id: &KeyId, record: &ClaimRecord) -> State {
-    if record.incarnation == node.incarnation {
-        return State::MayHaveRun;
-    }
     let Some(claimer) = node.fleet.live(&record.instance, record.incarnation) else {
         return State::MayHaveRun;
     };
-    let follow = Message::Follow {
-        workspace: id.workspace.clone(),
-        key: id.key.clone(),
-        incarnation: record.incarnation,
-    };
-    let Ok(mut exchange) = node.peers.open(&claimer, follow).await else {
-        return State::InProgress;
-    };
-    match timeout(CLAIMER_TIMEOUT, exchange.rx.recv()).await {
-        Ok(Some(Message::NoRun | Message::Part(RunPart::Failed { .. }))) => State::MayHaveRun,
-        // A run that goes on answers with its parts, or with nothing until its end.
-        Ok(_) | Err(_) => State::InProgress,
+    if is_running(node, &claimer, id, record.incarnation).await {
+        State::InProgress
+    } else {
+        State::MayHaveRun
+    }
+}
+
+/// Asks a live instance whether it runs a key; one that doesn't answer may.
+async fn is_running(node: &Arc<Node>, peer: &PeerAddress, id: &KeyId, incarnation: u64) -> bool {
+    if node.is_run(&peer.instance, incarnation) {
+        return node.runs.get(id).is_some_and(|run| !run.ended());
     }
+    let follow =
+        Message::Follow { workspace: id.workspace.clone(), key: id.key.clone(), incarnation };
+    let Ok(mut exchange) = node.peers.open(peer, follow).await else { return true };
+    // A run that goes on answers with its parts, or with nothing until its end.
+    let first = timeout(RUNNER_TIMEOUT, exchange.rx.recv()).await;
+    !matches!(first, Ok(Some(Message::NoRun | Message::Part(RunPart::Failed { .. }))))
 }
 
 /// State of a run that this instance knows.
--- a/lacewingspring/src/entry/doubt.rs
+++ b/lacewingspring/src/entry/doubt.rs
@@ -19,7 +19,7 @@
     ///
     /// # Errors
     ///
-    /// Refuses a key of another request and a key that was settled as not run.
+    /// Refuses a key of another request.
     pub(super) async fn register_once(&self, homes: &Homes) -> Result<(), Refusal> {
         let deadline = self.fresh_deadline().min(self.accepted + HOME_PATIENCE);
         match self.register(homes, deadline).await {
@@ -28,7 +28,8 @@
                 Ok(())
             }
             Ok(RegisterVerdict::Conflict) => Err(Refusal::last(ErrorKind::KeyConflict)),
-            Ok(RegisterVerdict::Voided) => Err(Refusal::last(ErrorKind::Voided)),
+            // A void too: a status query voids the key here before it reads the claim, which may say
+            // otherwise.
             Ok(_) | Err(_) => {
                 self.doubt();
                 Ok(())
--- a/lacewingspring/src/homes/client.rs
+++ b/lacewingspring/src/homes/client.rs
@@ -5,7 +5,8 @@
 use lacewingspring_core::{
     error::ErrorKind,
     key_index::{
-        DispatchVerdict, KeyId, Outcome, RegisterVerdict, Runner, TakeOverVerdict, VoidVerdict,
+        Announcement, DispatchVerdict, KeyId, Outcome, RegisterVerdict, Runner, TakeOverVerdict,
+        VoidVerdict,
     },
     names::{Fingerprint, UpstreamName},
 };
@@ -16,7 +17,7 @@
     daemon::Node,
     entry::Refusal,
     membership::peer,
-    peers::{KeyCall, KeyReply, Message},
+    peers::{KeyCall, KeyReply, Message, Told},
     settings::Mechanism,
 };
 
@@ -137,6 +138,25 @@
         .await
     }
 
+    /// Withdraws the void of a key that was claimed and may have run, by the deadline.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when no home answers in time.
+    pub async fn withdraw_void(
+        &self,
+        run: Announcement,
+        deadline: Duration,
+    ) -> Result<(), Refusal> {
+        let id = run.id.clone();
+        let call = KeyCall::Announce(vec![Told::Claimed(run)]);
+        if let Some(backup) = self.node.fleet.view().holders(&id, 2, None).get(1).copied().map(peer)
+        {
+            let _ = self.node.peers.call(&backup, Message::Key(call.clone()), CALL_TIMEOUT).await;
+        }
+        self.until(&id, call, deadline, done).await
+    }
+
     /// Takes back a dispatch of which no byte was sent; true when the home took it.
     pub async fn not_sent(&self, id: &KeyId, deadline: Duration) -> bool {
         let call = KeyCall::NotSent { id: id.clone(), runner: self.runner() };
--- a/lacewingspring/src/homes/mod.rs
+++ b/lacewingspring/src/homes/mod.rs
@@ -226,6 +226,7 @@
 fn announce(index: &mut KeyIndex, now: Duration, told: Told) {
     match told {
         Told::Open(run) => index.announce(now, run),
+        Told::Claimed(run) => index.withdraw_void(now, run),
         Told::Settled(key) => index.learn_settled(now, key),
     }
 }
--- a/lacewingspring/src/peers/keys.rs
+++ b/lacewingspring/src/peers/keys.rs
@@ -85,6 +85,8 @@
 pub enum Told {
     /// The run is open.
     Open(Announcement),
+    /// A claim shows that another home let the run proceed; a void of the key is withdrawn.
+    Claimed(Announcement),
     /// The key is void, or its run ended a while ago.
     Settled(SettledKey),
 }
--- a/lacewingspring/tests/stale_not_run.rs
+++ b/lacewingspring/tests/stale_not_run.rs
@@ -73,3 +73,23 @@
     let ready = |run: &&serde_json::Value| run["prompt_tokens"] != 1;
     assert_eq!(runs.iter().filter(ready).count(), 0, "{runs:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_after_a_status_query_is_not_told_that_a_claimed_key_was_not_run() {
+    let mut fleet = Fleet::start(Plan::default()).await;
+    fleet.fault(fleet.plain[0], json!({ "delay_ms": 3_000 })).await;
+    let keys: Vec<String> = (0..6).map(|n| format!("claimed-{n}")).collect();
+    let (first, other) = (fleet.instances[0].callers, fleet.instances[1].callers);
+    let mut attempts = Vec::new();
+    for (seat, key) in keys.iter().cloned().enumerate() {
+        attempts.push(tokio::spawn(async move { try_book(first, &key, seat as u64).await.told }));
+    }
+    sleep(Duration::from_millis(1_500)).await;
+    fleet.instances[0].process.kill();
+    sleep(Duration::from_secs(3)).await;
+    for (seat, (key, attempt)) in keys.iter().zip(attempts).enumerate() {
+        assert_eq!(state(other, key).await.as_deref(), Some("may_have_run"), "{key}");
+        let repeat = try_book(other, key, seat as u64).await;
+        check(&fleet, key, attempt.await.unwrap(), repeat).await;
+    }
+}
--- a/lacewingspring_core/src/key_index/settled.rs
+++ b/lacewingspring_core/src/key_index/settled.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    HandOver, KeyId, KeyIndex, Outcome, Progress, SettledKey,
+    Announcement, HandOver, KeyId, KeyIndex, Outcome, Progress, SettledKey,
     entry::{Settled, Settlement},
 };
 
@@ -44,6 +44,16 @@
         }
     }
 
+    /// Takes a dispatched run that a claim shows; a void of its key is withdrawn.
+    ///
+    /// A status query voids a key here before it reads the claim, and nobody was told of that void.
+    pub fn withdraw_void(&mut self, now: Duration, run: Announcement) {
+        if self.is_void(&run.id) {
+            self.settled.remove(&run.id);
+        }
+        self.announce(now, run);
+    }
+
     /// Settles a key by the word of another, unless more is known of it here.
     pub(super) fn adopt_settled(
         &mut self,
--- a/lacewingspring_core/tests/key_index_settled.rs
+++ b/lacewingspring_core/tests/key_index_settled.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use lacewingspring_core::key_index::{
-    HandOver, KeyId, KeyIndex, KeyIndexConfig, Outcome, RegisterVerdict, Runner, SettledKey, Tenure,
+    Announcement, HandOver, KeyId, KeyIndex, KeyIndexConfig, Outcome, Progress, RegisterVerdict,
+    Runner, SettledKey, Tenure,
 };
 
 fn id() -> KeyId {
@@ -61,3 +62,18 @@
     index.learn_settled(now, settled(HandOver::Voided));
     assert!(index.open_run(&id()).is_some(), "a dispatched run isn't voided");
 }
+
+#[test]
+fn void_that_a_claim_contradicts_is_withdrawn() {
+    let now = Duration::from_secs(10);
+    let mut index = KeyIndex::new(KeyIndexConfig::default(), Duration::ZERO);
+    index.void(now, &id(), Tenure::Settled);
+    let progress = Progress::Dispatched { upstream: "u".into() };
+    let run = Announcement { id: id(), fingerprint: "f".into(), runner: runner(), progress };
+    index.withdraw_void(now, run.clone());
+    assert_eq!(index.open_run(&id()), Some(run));
+    let repeat = Runner { incarnation: 2, ..runner() };
+    let verdict = index.register(now, id(), "f".into(), repeat, Tenure::Settled);
+    assert!(matches!(verdict, RegisterVerdict::Joined { .. }), "{verdict:?}");
+    assert_eq!(index.violations(), 0);
+}
