Let a started member name those that held its roles

A member starts with itself alone as the holder of all roles, and remembered just that: it named no previous home, so that for its first seconds it held a key to be new without asking for it, until the former home or the runner told it. Found by reading. Now it counts the others as holders of late while it was alone within the last 5 s, as it does after a freeze; a new home of fingerprints waits for announcements likewise.

`started_member_names_those_that_held_its_roles` fails without and passes with it; `membership_view` 7 of 7 and `membership_fleet` 12 of 12 pass.

--- a/lacewingspring_core/src/membership/judge.rs
+++ b/lacewingspring_core/src/membership/judge.rs
@@ -40,8 +40,9 @@
         self.doubt_own_roles(now);
     }
 
-    /// Counts the others as holders of late: while this process was frozen, its roles were theirs.
-    fn doubt_own_roles(&mut self, now: Duration) {
+    /// Counts the others as holders of late: while this process was frozen, or before it started,
+    /// its roles were theirs.
+    pub(super) fn doubt_own_roles(&mut self, now: Duration) {
         let mut members = self.eligible_now();
         let own = self.records.get(&self.own).map(|own| own.member.name.clone());
         members.retain(|name, _| Some(name) != own.as_ref());
--- a/lacewingspring_core/src/membership/mod.rs
+++ b/lacewingspring_core/src/membership/mod.rs
@@ -201,6 +201,14 @@
         }
         let members = std::mem::replace(&mut self.eligible, eligible);
         self.past.push(PastHolders { until: now + self.cfg.previous_for, members });
+        if self.was_alone() {
+            self.doubt_own_roles(now);
+        }
+    }
+
+    /// Whether this member knew no other of late, as after its start; they may have held its roles.
+    fn was_alone(&self) -> bool {
+        self.past.iter().any(|past| past.members.keys().eq([&self.own_name]))
     }
 
     fn eligible_now(&self) -> BTreeMap<InstanceName, DataCentreName> {
--- a/lacewingspring_core/tests/membership_view.rs
+++ b/lacewingspring_core/tests/membership_view.rs
@@ -149,6 +149,33 @@
     assert_ne!(group.view(0).holder(&role, Some(&near)).expect("one").data_centre, near);
 }
 
+#[test]
+fn started_member_names_those_that_held_its_roles() {
+    let mut group = Group::new(&[0, 0, 0, 0]);
+    group.rounds(40, &[0]);
+    let before = group.view(1);
+    let mut started = Membership::new(MembershipConfig::default(), member(0, 0, 2), 9);
+    let listed = (1..4).map(|i| {
+        let Member { name, data_centre, callers, peers, .. } = member(i, 0, 0);
+        ListedInstance { name, data_centre, callers, peers, leaving: false }
+    });
+    started.observe_list(group.now, listed.collect());
+    group.members[0] = started;
+    group.rounds(5, &[]);
+    let after = group.view(0);
+    assert_eq!(after.eligible().count(), 4);
+    for role in 0..200 {
+        if after.holder(&role, None).expect("one").name.as_str() != "i0" {
+            continue;
+        }
+        let former = &before.holder(&role, None).expect("one").name;
+        let named = after.previous_holders(&role, None);
+        assert!(named.iter().any(|member| member.name == *former), "{role}: {named:?}");
+    }
+    group.rounds(40, &[]);
+    assert!((0..200).all(|role| group.view(0).previous_holders(&role, None).is_empty()));
+}
+
 #[test]
 fn list_is_a_hint_only() {
     let mut group = Group::new(&[0, 0, 0]);
