Drain on a signal that comes during the start; test SIGINT and log lines

Cause: the daemon took SIGTERM and SIGINT over only after all its parts had started, so a signal in that span ended it at once, with no exit code. The signals are now taken over before anything is built. Fields of JSON log lines were all text; numbers and truth values now keep their type. Ruled out: a start that fails without a platform (it logs and goes on). Conclusion: both signals drain, from the first line of the log on.

--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -12,7 +12,7 @@
 use lacewingspring_core::{catalog::Catalog, key_index::KeyId, membership::Member};
 use thiserror::Error;
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     time::{interval, sleep},
 };
 
@@ -108,6 +108,7 @@
 ///
 /// Fails when it can't start.
 pub async fn run(settings: Settings) -> Result<(), StartError> {
+    let mut stop = StopSignals::listen()?;
     let node = build(settings)?;
     log::info!(instance:% = node.settings.instance; "Starts.");
     tokio::spawn(serve_peers(node.clone()));
@@ -119,7 +120,7 @@
     tokio::spawn(read_stored(node.clone()));
     tokio::spawn(follow_members(node.clone()));
     callers::start(node.clone())?;
-    wait_for_stop().await?;
+    stop.recv().await;
     leave(&node).await;
     Ok(())
 }
@@ -223,14 +224,26 @@
     }
 }
 
-async fn wait_for_stop() -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The signals that tell an instance to stop.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Takes the signals over, so that from here on neither ends the process at once.
+    fn listen() -> io::Result<Self> {
+        let terminate = signal(SignalKind::terminate())?;
+        let interrupt = signal(SignalKind::interrupt())?;
+        Ok(Self { terminate, interrupt })
+    }
+
+    async fn recv(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
 
 /// Turns new requests away, finishes all that runs, and outlives the answers that name it.
--- a/lacewingspring/src/logging.rs
+++ b/lacewingspring/src/logging.rs
@@ -82,7 +82,14 @@
 
 impl<'kvs> VisitSource<'kvs> for JsonFields<'_> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        self.0.insert(key.to_string(), Json::from(value.to_string()));
+        self.0.insert(key.to_string(), typed(&value));
         Ok(())
     }
 }
+
+/// Returns a field as JSON; what is neither a number nor a truth value is text.
+fn typed(value: &Value<'_>) -> Json {
+    let number = value.to_u64().map(Json::from).or_else(|| value.to_f64().map(Json::from));
+    let typed = number.or_else(|| value.to_bool().map(Json::from));
+    typed.unwrap_or_else(|| Json::from(value.to_string()))
+}
--- a/lacewingspring/tests/graceful_stop.rs
+++ b/lacewingspring/tests/graceful_stop.rs
@@ -15,7 +15,7 @@
 
 use crate::support::{
     Fleet, Plan, call,
-    caller::{complete, desk, key, try_complete},
+    caller::{complete, desk, engine_runs, key, try_complete, upstream_id},
     get,
     history::Told,
 };
@@ -111,3 +111,23 @@
     let status = tokio::task::block_in_place(|| process.0.wait()).unwrap();
     assert!(status.success());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_what_runs_whole_before_it_ends_on_sigint() {
+    let mut fleet = Fleet::start(Plan { instances: 1, ..Plan::default() }).await;
+    let at = fleet.instances[0].callers;
+    let (prompt, tokens) = ("a long dossier", 300);
+    let running = tokio::spawn(complete(at, "summary", "long", prompt, tokens));
+    let started = async {
+        while !engine_runs(&fleet).await.iter().any(|run| run["id"] == upstream_id("long")) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(Duration::from_secs(15), started).await.expect("the request is dispatched");
+    fleet.instances[0].process.signal(Signal::INT);
+    let whole = lacewingspring_standins::engine::answer(prompt, u64::from(tokens));
+    assert_eq!(running.await.unwrap(), Told::Answer(whole));
+    let process = &mut fleet.instances[0].process;
+    let status = tokio::task::block_in_place(|| process.0.wait()).unwrap();
+    assert_eq!(status.code(), Some(0));
+}
--- /dev/null
+++ b/lacewingspring/tests/logging.rs
@@ -0,0 +1,109 @@
+//! Log lines of the daemon's program: plain with the prefix of a part, or one JSON object a line.
+
+use std::{
+    io::{BufRead, BufReader},
+    process::{Command, Stdio},
+    sync::mpsc::{Receiver, channel},
+    thread,
+    time::Duration,
+};
+
+use lacewingspring::peers::Authority;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+
+use crate::support::{Process, own_ip};
+
+mod support;
+
+/// Longest wait for a line.
+const LINE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Parts that log before and after a start with no platform.
+const PARTS: [&str; 3] = ["daemon", "declared", "membership"];
+
+/// Starts a daemon with no platform to reach and returns its lines once all of `PARTS` have logged
+/// and it has ended on a signal.
+fn lines(format: &str, seen: fn(&str, &str) -> bool) -> Vec<String> {
+    let folder = tempfile::tempdir().unwrap();
+    Authority::create().and_then(|authority| authority.write(folder.path())).unwrap();
+    let ip = own_ip();
+    let settings = json!({
+        "instance": "alone", "data_centre": "dc0",
+        "listen": { "callers": format!("{ip}:7000"), "peers": format!("{ip}:7500") },
+        "key_value": { "endpoints": [format!("{ip}:2379")] },
+        "instance_list": { "endpoint": format!("{ip}:8500") },
+        "authority": {
+            "certificate": folder.path().join("authority.pem"),
+            "key": folder.path().join("authority.key")
+        },
+        "log": { "format": format },
+        "timing": { "address_ttl_ms": 50, "instance_list_ms": 50 }
+    });
+    let path = folder.path().join("settings.json");
+    std::fs::write(&path, settings.to_string()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lacewingspring"));
+    command.arg("--settings").arg(path).stderr(Stdio::piped());
+    let mut process = Process(command.spawn().unwrap());
+    let arriving = read_lines(&mut process);
+    let mut lines = Vec::new();
+    while !PARTS.iter().all(|part| lines.iter().any(|line: &String| seen(line, part))) {
+        lines.push(arriving.recv_timeout(LINE_TIMEOUT).expect("each part logs in time"));
+    }
+    process.signal(Signal::INT);
+    assert_eq!(process.0.wait().unwrap().code(), Some(0));
+    lines.extend(arriving);
+    lines
+}
+
+fn read_lines(process: &mut Process) -> Receiver<String> {
+    let (tx, rx) = channel();
+    let stderr = BufReader::new(process.0.stderr.take().unwrap());
+    thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| tx.send(line)));
+    rx
+}
+
+fn parse(line: &str) -> Value {
+    serde_json::from_str(line).unwrap_or_else(|e| panic!("{line}: {e}"))
+}
+
+/// Returns the only line with a sentence.
+fn only<'a>(lines: &'a [String], sentence: &str) -> &'a str {
+    let mut found = lines.iter().filter(|line| line.contains(sentence));
+    let first = found.next().unwrap_or_else(|| panic!("no {sentence}"));
+    assert_eq!(found.next(), None);
+    first
+}
+
+#[test]
+fn json_lines_parse_and_have_part_and_fields() {
+    let lines = lines("json", |line, part| parse(line)["part"] == part);
+    for line in &lines {
+        let fields = parse(line);
+        assert!(fields["at_ms"].is_u64(), "{line}");
+        assert!(["INFO", "WARN"].iter().any(|level| fields["level"] == *level), "{line}");
+        assert!(fields["part"].is_string() && fields["message"].is_string(), "{line}");
+    }
+    let starts = parse(only(&lines, "Starts."));
+    assert_eq!((&starts["part"], &starts["instance"]), (&json!("daemon"), &json!("alone")));
+    assert_eq!(parse(only(&lines, "Leaves."))["open"], json!(0));
+    let lost = lines.iter().map(|line| parse(line));
+    let mut lost = lost.filter(|fields| fields["message"] == "Could not read the instance list.");
+    assert!(lost.all(|fields| fields["reason"].is_string()));
+}
+
+#[test]
+fn plain_lines_have_the_prefix_of_their_part() {
+    let has = |line: &str, part: &str| line.contains(&format!(" {part}: "));
+    let lines = lines("plain", has);
+    for line in &lines {
+        let (at, rest) = line.split_once(' ').unwrap();
+        assert!(at.parse::<u64>().is_ok(), "{line}");
+        let (level, rest) = rest.split_at(6);
+        assert!(["INFO  ", "WARN  "].contains(&level), "{line}");
+        let (part, sentence) = rest.split_once(": ").unwrap_or_else(|| panic!("{line}"));
+        assert!(!part.contains(' ') && sentence.contains('.'), "{line}");
+    }
+    assert!(only(&lines, "Starts.").ends_with("INFO  daemon: Starts. instance=alone"));
+    assert!(only(&lines, "Leaves.").ends_with("INFO  daemon: Leaves. open=0"));
+}
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -387,7 +387,7 @@
 }
 
 /// Loopback address of its own for each fleet, so that fixed ports never meet.
-fn own_ip() -> IpAddr {
+pub fn own_ip() -> IpAddr {
     let pid = std::process::id();
     let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
     IpAddr::V4(Ipv4Addr::new(127, fleet, (pid >> 8) as u8, (pid as u8).max(1)))
