Check settings by the daemon's program, with what they refer to

Cause: the table of bad settings was tested in the library only, and some faults passed: port 0 of the instance list and of statsd, an empty service, an operator without a name, an endpoint given twice, and an authority whose files are absent, which failed late with exit code 1 and neither key nor line. A duplicate operator was shown at the line of the first; a host name in place of an address did not say what is accepted; a missing key was shown at key '.'. Changed: each has its check; operators are named by number; the authority's files are read and must make a certificate. The test of test.switch_off now writes a real authority, since its positive case needs sound settings; it asserts the same. Conclusion: settings are checked whole before anything starts.

--- a/lacewingspring/src/settings/listen.rs
+++ b/lacewingspring/src/settings/listen.rs
@@ -8,7 +8,7 @@
 
 /// Addresses that the daemon listens on.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, expecting = "an object")]
 pub struct ListenSettings {
     /// TCP address for callers and operators.
     pub callers: SocketAddr,
--- a/lacewingspring/src/settings/log.rs
+++ b/lacewingspring/src/settings/log.rs
@@ -4,7 +4,7 @@
 
 /// What is logged and how.
 #[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(deny_unknown_fields, default, expecting = "an object")]
 pub struct LogSettings {
     /// Least severe level that is logged.
     pub level: LogLevel,
--- a/lacewingspring/src/settings/mod.rs
+++ b/lacewingspring/src/settings/mod.rs
@@ -37,7 +37,7 @@
 
 /// Settings of one daemon.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, expecting = "an object")]
 pub struct Settings {
     /// Name of this instance, unique in the fleet.
     pub instance: InstanceName,
@@ -98,7 +98,7 @@
         /// Line in the file, from 1.
         line: usize,
         /// Path of the key.
-        key: &'static str,
+        key: String,
         /// The value that was found.
         found: String,
         /// What is accepted.
@@ -109,7 +109,7 @@
 /// A value that breaks its rule.
 #[derive(Debug)]
 pub(crate) struct Fault {
-    key: &'static str,
+    key: String,
     found: String,
     accepted: &'static str,
 }
@@ -117,16 +117,21 @@
 impl Fault {
     pub(crate) fn check(
         sound: bool,
-        key: &'static str,
+        key: &str,
         found: String,
         accepted: &'static str,
     ) -> Result<(), Self> {
-        if sound { Ok(()) } else { Err(Self { key, found, accepted }) }
+        if sound { Ok(()) } else { Err(Self { key: key.to_owned(), found, accepted }) }
+    }
+
+    fn locate(self, text: &str) -> SettingsError {
+        let Self { key, found, accepted } = self;
+        SettingsError::Value { line: locate::line_of(text, &key), key, found, accepted }
     }
 }
 
 impl Settings {
-    /// Reads and checks a settings file.
+    /// Reads and checks a settings file and the files that it names.
     ///
     /// # Errors
     ///
@@ -134,10 +139,12 @@
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let text = fs::read_to_string(path)
             .map_err(|source| SettingsError::Read { path: path.into(), source })?;
-        Self::parse(&text)
+        let settings = Self::parse(&text)?;
+        settings.authority.check_files(&settings.instance).map_err(|fault| fault.locate(&text))?;
+        Ok(settings)
     }
 
-    /// Parses and checks the text of a settings file.
+    /// Parses and checks the text of a settings file, without the files that it names.
     ///
     /// # Errors
     ///
@@ -148,19 +155,14 @@
             serde_path_to_error::deserialize(&mut de).map_err(|e| SettingsError::Syntax {
                 line: e.inner().line(),
                 key: key_of(e.path()),
-                reason: e.inner().to_string(),
+                reason: reason_of(e.inner()),
             })?;
         de.end().map_err(|e| SettingsError::Syntax {
             line: e.line(),
             key: "(document)".into(),
             reason: e.to_string(),
         })?;
-        settings.check().map_err(|fault| SettingsError::Value {
-            line: locate::line_of(text, fault.key),
-            key: fault.key,
-            found: fault.found,
-            accepted: fault.accepted,
-        })?;
+        settings.check().map_err(|fault| fault.locate(text))?;
         Ok(settings)
     }
 
@@ -169,6 +171,8 @@
         check_name("data_centre", self.data_centre.as_str())?;
         self.listen.check()?;
         self.key_value.check()?;
+        self.instance_list.check()?;
+        self.metrics.check()?;
         self.timing.check()?;
         self.test.check()?;
         self.check_operators()
@@ -176,33 +180,48 @@
 
     fn check_operators(&self) -> Result<(), Fault> {
         let mut names = HashSet::new();
-        for operator in &self.operators {
+        for (i, operator) in self.operators.iter().enumerate() {
+            let key = format!("operators[{i}].name");
+            check_name(&key, &operator.name)?;
             let unique = names.insert(operator.name.as_str());
-            Fault::check(unique, "operators.name", operator.name.clone(), "each name once")?;
+            Fault::check(unique, &key, operator.name.clone(), "each name once")?;
+            let key = format!("operators[{i}].credential");
             let digest = catalog::parse_digest(&operator.credential).is_some();
             let accepted = "a SHA-256 digest as 64 hexadecimal digits";
-            Fault::check(digest, "operators.credential", operator.credential.clone(), accepted)?;
+            Fault::check(digest, &key, operator.credential.clone(), accepted)?;
         }
         Ok(())
     }
 }
 
-/// Returns the path of a key as text; the root when the text ends before any key.
+/// Returns the path of a key as text; the document when the fault is not within a key.
 fn key_of(path: &serde_path_to_error::Path) -> String {
     let key = path.to_string();
-    if key.contains('?') { "(document)".to_owned() } else { key }
+    if key == "." || key.contains('?') { "(document)".to_owned() } else { key }
 }
 
+/// Returns what is wrong and what is accepted, which the parser of addresses does not say.
+fn reason_of(e: &serde_json::Error) -> String {
+    let reason = e.to_string();
+    if reason.starts_with(ADDRESS_FAULT) { format!("{reason}; {ADDRESS}") } else { reason }
+}
+
+/// What an address must be.
+const ADDRESS: &str = "an IP address with a port from 1";
+
+/// What the parser of addresses says.
+const ADDRESS_FAULT: &str = "invalid socket address syntax";
+
 /// Longest name, in bytes.
 const MAX_NAME_LEN: usize = 63;
 
-fn check_name(key: &'static str, name: &str) -> Result<(), Fault> {
+fn check_name(key: &str, name: &str) -> Result<(), Fault> {
     let plain = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_' || c == '.';
     let sound = !name.is_empty() && name.len() <= MAX_NAME_LEN && name.chars().all(plain);
     Fault::check(sound, key, format!("{name:?}"), "1 to 63 letters, digits, '-', '_' or '.'")
 }
 
 /// Checks that a port was chosen.
-pub(crate) fn check_port(key: &'static str, addr: SocketAddr) -> Result<(), Fault> {
-    Fault::check(addr.port() != 0, key, addr.to_string(), "an IP address with a port from 1")
+pub(crate) fn check_port(key: &str, addr: SocketAddr) -> Result<(), Fault> {
+    Fault::check(addr.port() != 0, key, addr.to_string(), ADDRESS)
 }
--- a/lacewingspring/src/settings/operators.rs
+++ b/lacewingspring/src/settings/operators.rs
@@ -4,7 +4,7 @@
 
 /// An operator known from the settings.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, expecting = "an object")]
 pub struct BootstrapOperator {
     /// Name of the operator.
     pub name: String,
--- a/lacewingspring/src/settings/platform.rs
+++ b/lacewingspring/src/settings/platform.rs
@@ -1,14 +1,21 @@
 //! The platform's services and the authority of the instances.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{
+    collections::HashSet,
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
 
+use lacewingspring_core::names::InstanceName;
 use serde::Deserialize;
 
-use super::{Fault, check_port};
+use super::{Fault, check_name, check_port};
+use crate::peers::Authority;
 
 /// The platform's key-value service.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, expecting = "an object")]
 pub struct KeyValueSettings {
     /// Addresses of the service, tried in turn.
     pub endpoints: Vec<SocketAddr>,
@@ -33,8 +40,10 @@
         let count = self.endpoints.len();
         let key = "key_value.endpoints";
         Fault::check(count > 0, key, "an empty list".into(), "at least one IP:port")?;
+        let mut seen = HashSet::new();
         for endpoint in &self.endpoints {
             check_port(key, *endpoint)?;
+            Fault::check(seen.insert(endpoint), key, endpoint.to_string(), "each address once")?;
         }
         let prefix = self.prefix.starts_with('/') && self.prefix.ends_with('/');
         let accepted = "text that begins and ends with '/'";
@@ -47,7 +56,7 @@
 
 /// The platform's list of instances.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, expecting = "an object")]
 pub struct InstanceListSettings {
     /// Address of the service.
     pub endpoint: SocketAddr,
@@ -60,12 +69,39 @@
     "lacewingspring".into()
 }
 
+impl InstanceListSettings {
+    pub(super) fn check(&self) -> Result<(), Fault> {
+        check_port("instance_list.endpoint", self.endpoint)?;
+        check_name("instance_list.service", &self.service)
+    }
+}
+
 /// The authority that signs the certificates of instances.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, expecting = "an object")]
 pub struct AuthoritySettings {
     /// File with the authority's certificate in PEM.
     pub certificate: PathBuf,
     /// File with the authority's private key in PEM.
     pub key: PathBuf,
 }
+
+impl AuthoritySettings {
+    /// Checks that both files are there and make a certificate for the instance.
+    pub(super) fn check_files(&self, instance: &InstanceName) -> Result<(), Fault> {
+        check_file("authority.certificate", &self.certificate)?;
+        check_file("authority.key", &self.key)?;
+        let issued = Authority::read(&self.certificate, &self.key)
+            .and_then(|authority| authority.issue(instance));
+        let found = issued.as_ref().err().map(ToString::to_string).unwrap_or_default();
+        let accepted = "the two files that --make-authority writes";
+        Fault::check(issued.is_ok(), "authority", found, accepted)
+    }
+}
+
+fn check_file(key: &str, path: &Path) -> Result<(), Fault> {
+    let read = fs::read_to_string(path);
+    let reason = read.as_ref().err().map(ToString::to_string).unwrap_or_default();
+    let found = format!("{} ({reason})", path.display());
+    Fault::check(read.is_ok(), key, found, "a PEM file that this process can read")
+}
--- a/lacewingspring/src/settings/test.rs
+++ b/lacewingspring/src/settings/test.rs
@@ -29,7 +29,7 @@
 
 /// Section `test` of the settings, for tests alone.
 #[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, expecting = "an object")]
 pub struct TestSettings {
     /// Mechanisms that are switched off.
     #[serde(default)]
--- a/lacewingspring/src/settings/timing.rs
+++ b/lacewingspring/src/settings/timing.rs
@@ -8,7 +8,7 @@
 
 /// Intervals and limits of time, in milliseconds.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(deny_unknown_fields, default, expecting = "an object")]
 pub struct TimingSettings {
     /// Time between two rounds of heartbeats.
     pub heartbeat_ms: u64,
--- a/lacewingspring/tests/switched_off.rs
+++ b/lacewingspring/tests/switched_off.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, process::Command, time::Duration};
 
+use lacewingspring::peers::Authority;
 use lacewingspring_standins::engine::answer;
 use rustix::process::Signal;
 use serde_json::json;
@@ -153,13 +154,15 @@
 fn refuses_to_switch_off_outside_of_tests() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("settings.json");
+    Authority::create().and_then(|authority| authority.write(folder.path())).unwrap();
+    let file = |name| folder.path().join(name);
     let address = "127.0.0.1:7000";
     let settings = json!({
         "instance": "a", "data_centre": "b",
         "listen": { "callers": address, "peers": address },
         "key_value": { "endpoints": [address] },
         "instance_list": { "endpoint": address },
-        "authority": { "certificate": "a.pem", "key": "a.key" },
+        "authority": { "certificate": file("authority.pem"), "key": file("authority.key") },
         "test": { "switch_off": ["claim"] }
     });
     std::fs::write(&path, settings.to_string()).unwrap();
