Read no sign as a hexadecimal digit of a digest

Cause: from_str_radix takes '+f' as a byte, so a digest with a sign in place of a digit was accepted and opened nothing. Conclusion: each of the 64 characters is a hexadecimal digit.

--- a/lacewingspring_core/src/catalog.rs
+++ b/lacewingspring_core/src/catalog.rs
@@ -120,16 +120,21 @@
 
 /// Reads a SHA-256 digest in hexadecimal; none when the text is not one.
 pub fn parse_digest(text: &str) -> Option<[u8; DIGEST_LEN]> {
-    if text.len() != DIGEST_LEN * 2 || !text.is_ascii() {
+    if text.len() != DIGEST_LEN * 2 {
         return None;
     }
     let mut digest = [0; DIGEST_LEN];
-    for (i, byte) in digest.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[i * 2..i * 2 + 2], 16).ok()?;
+    for (byte, pair) in digest.iter_mut().zip(text.as_bytes().chunks_exact(2)) {
+        *byte = hex_digit(pair[0])? << 4 | hex_digit(pair[1])?;
     }
     Some(digest)
 }
 
+/// Returns the value of a hexadecimal digit; a sign is none.
+fn hex_digit(byte: u8) -> Option<u8> {
+    char::from(byte).to_digit(16).map(|digit| digit as u8)
+}
+
 /// Returns the SHA-256 digest of a token in hexadecimal.
 pub fn digest_hex(bytes: &[u8]) -> String {
     Sha256::digest(bytes).iter().map(|byte| format!("{byte:02x}")).collect()
