Show roles in status and times in UTC; run the tool against real daemons

Cause: the tool was tested against scripted replies only; describe and explain printed raw milliseconds; status listed no roles, though each follows from the view at no cost (one hash for each pool and data centre, watcher and workspace). Ruled out: homes of keys and fingerprints in the list; they are spread over all instances. Conclusion: apply, get, describe, diff, delete, wait, status, addresses, ask and completion are each driven against real daemons, as table and JSON, with exit codes 0 to 7.

--- a/lacewingspring/src/membership/gossip.rs
+++ b/lacewingspring/src/membership/gossip.rs
@@ -2,7 +2,10 @@
 
 use std::{process, sync::Arc, time::Duration};
 
-use lacewingspring_core::membership::Outgoing;
+use lacewingspring_core::{
+    membership::{Outgoing, View, ViewMember},
+    names::DataCentreName,
+};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::{is_up, peer};
@@ -65,11 +68,16 @@
 
 fn choose_watchers(node: &Node) {
     let view = node.fleet.view();
-    let watchers = view.holders(&WATCH_ROLE, WATCHERS, Some(&node.settings.data_centre));
+    let watchers = watchers(&view, &node.settings.data_centre);
     let own = &node.settings.instance;
     node.declared.set_watching(watchers.iter().any(|member| member.name == *own));
 }
 
+/// Returns the members of a data centre that watch the key-value service.
+pub fn watchers<'a>(view: &'a View, data_centre: &DataCentreName) -> Vec<&'a ViewMember> {
+    view.holders(&WATCH_ROLE, WATCHERS, Some(data_centre))
+}
+
 /// Closes the connections to members that are no longer up, so that what waits there fails now.
 async fn close_dead(node: Arc<Node>) {
     let mut changes = node.fleet.changes();
--- a/lacewingspring/src/membership/mod.rs
+++ b/lacewingspring/src/membership/mod.rs
@@ -21,7 +21,10 @@
 
 use crate::peers::{GateId, PeerAddress};
 
-pub use self::{follow::follow_list, gossip::gossip};
+pub use self::{
+    follow::follow_list,
+    gossip::{gossip, watchers},
+};
 
 mod follow;
 mod gossip;
--- a/lacewingspring/src/operators/fleet.rs
+++ b/lacewingspring/src/operators/fleet.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use lacewingspring_core::{
+    catalog::Catalog,
     key_index::KeyId,
     names::{DataCentreName, InstanceName},
     resources::ResourceId,
@@ -19,8 +20,8 @@
     /// Returns the other instances that count as members.
     fn others(&self) -> Vec<InstanceView>;
 
-    /// Returns the roles and who holds them.
-    fn roles(&self) -> Vec<RoleView> {
+    /// Returns the roles that these resources make, and who holds them.
+    fn roles(&self, _catalog: &Catalog) -> Vec<RoleView> {
         Vec::new()
     }
 
--- a/lacewingspring/src/operators/status.rs
+++ b/lacewingspring/src/operators/status.rs
@@ -85,7 +85,7 @@
             data_centre: own.data_centre,
             generation: self.declared.generation(),
             instances: self.instances().into_iter().map(InstanceStatus::from).collect(),
-            roles: self.fleet.roles(),
+            roles: self.fleet.roles(&self.declared.catalog()),
         })
     }
 
--- a/lacewingspring/src/view.rs
+++ b/lacewingspring/src/view.rs
@@ -1,18 +1,20 @@
 //! The fleet, metrics and decisions as operators see them.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use lacewingspring_core::{
+    catalog::Catalog,
     key_index::KeyId,
-    membership::{MemberState, ViewMember},
+    membership::{MemberState, View, ViewMember},
 };
 
 use crate::{
     entry::{RunTable, StepReport},
     gates::{GateHost, GateReport},
-    membership::Fleet,
+    membership::{Fleet, watchers},
     metrics::{Metrics, MetricsReport},
-    operators::{FleetView, InstanceState, InstanceView},
+    operators::{FleetView, InstanceState, InstanceView, RoleView},
+    peers::GateId,
 };
 
 /// What one instance shows to operators.
@@ -49,6 +51,14 @@
         others.filter(|member| member.state != MemberState::Gone).map(instance).collect()
     }
 
+    fn roles(&self, catalog: &Catalog) -> Vec<RoleView> {
+        let view = self.fleet.view();
+        let mut roles = gates(&view, catalog);
+        roles.extend(watches(&view));
+        roles.extend(limits(&view, catalog));
+        roles
+    }
+
     fn metrics(&self) -> Option<MetricsReport> {
         Some(self.metrics.report(self.fleet.own().name.as_str()))
     }
@@ -62,6 +72,41 @@
     }
 }
 
+/// Tells the holder of the gate of each pool and data centre.
+fn gates(view: &View, catalog: &Catalog) -> Vec<RoleView> {
+    let mut gates = BTreeSet::new();
+    for (pool, spec) in &catalog.pools {
+        let centres = spec.upstreams.iter().map(|upstream| upstream.data_centre.clone());
+        gates.extend(centres.map(|data_centre| GateId { pool: pool.clone(), data_centre }));
+    }
+    let gates = gates.into_iter().map(|gate| {
+        let holder = view.holder(&gate, Some(&gate.data_centre));
+        role(format!("gate {}@{}", gate.pool, gate.data_centre), holder)
+    });
+    gates.collect()
+}
+
+/// Tells who watches the key-value service in each data centre.
+fn watches(view: &View) -> Vec<RoleView> {
+    let centres: BTreeSet<_> = view.eligible().map(|member| &member.data_centre).collect();
+    let watches = centres.into_iter().flat_map(|data_centre| {
+        let watchers = watchers(view, data_centre).into_iter();
+        watchers.map(move |member| role(format!("watch@{data_centre}"), Some(member)))
+    });
+    watches.collect()
+}
+
+/// Tells the holder of the limits of each workspace.
+fn limits(view: &View, catalog: &Catalog) -> Vec<RoleView> {
+    let workspaces: BTreeSet<_> = catalog.workspaces.keys().collect();
+    let limits = workspaces.into_iter();
+    limits.map(|name| role(format!("limits {name}"), view.holder(name, None))).collect()
+}
+
+fn role(role: String, holder: Option<&ViewMember>) -> RoleView {
+    RoleView { role, holder: holder.map(|member| member.name.clone()) }
+}
+
 fn instance(member: &ViewMember) -> InstanceView {
     InstanceView {
         name: member.name.clone(),
--- /dev/null
+++ b/lacewingspring/tests/ctl.rs
@@ -0,0 +1,156 @@
+//! The command-line tool against real daemons: each command once as a table and once as JSON.
+
+use std::{net::SocketAddr, process::Command};
+
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::support::{DESK_TOKEN, Fleet, OPERATOR_TOKEN, Plan, binary};
+
+mod support;
+
+/// Commands of the tool that completion must know.
+const COMMANDS: [&str; 13] = [
+    "apply",
+    "diff",
+    "get",
+    "describe",
+    "delete",
+    "wait",
+    "status",
+    "addresses",
+    "ask",
+    "request",
+    "metrics",
+    "explain",
+    "completion",
+];
+
+/// Runs the tool against one instance and keeps what it printed.
+struct Session {
+    address: SocketAddr,
+    token: &'static str,
+    folder: TempDir,
+    transcript: String,
+}
+
+impl Session {
+    fn new(fleet: &Fleet, token: &'static str) -> Self {
+        let folder = tempfile::tempdir().expect("makes a folder");
+        let address = fleet.instances[0].callers;
+        Self { address, token, folder, transcript: String::new() }
+    }
+
+    fn write(&self, name: &str, value: &Value) {
+        let path = self.folder.path().join(name);
+        std::fs::write(path, value.to_string()).expect("writes a file");
+    }
+
+    /// Runs a command, which must end with the exit code, and returns what it printed: its answer,
+    /// or its error when there is no answer.
+    fn run(&mut self, code: i32, args: &str) -> String {
+        let mut command = Command::new(binary("lacewingspring_ctl"));
+        command.env_clear().env("LACEWINGSPRING_TOKEN", self.token);
+        command.current_dir(self.folder.path());
+        command.arg("--address").arg(self.address.to_string()).args(args.split(' '));
+        let output = command.output().expect("runs the tool");
+        let stdout = String::from_utf8(output.stdout).expect("text");
+        let stderr = String::from_utf8(output.stderr).expect("text");
+        assert_eq!(output.status.code(), Some(code), "{args}: {stdout}{stderr}");
+        let printed = redact(&format!("{stderr}{stdout}"), self.address);
+        self.transcript.push_str(&format!("$ {args}\n{printed}[exit code {code}]\n\n"));
+        if stdout.is_empty() { stderr } else { stdout }
+    }
+
+    /// Runs a command as a table and as JSON, which must parse.
+    fn both(&mut self, code: i32, args: &str) {
+        self.run(code, args);
+        let printed = self.run(code, &format!("{args} --output json"));
+        // The line with the key of a request stands before a problem.
+        let json = printed.find('{').map(|at| &printed[at..]);
+        let parsed = json.and_then(|json| serde_json::from_str::<Value>(json).ok());
+        assert!(parsed.is_some(), "{args}: {printed}");
+    }
+}
+
+/// Replaces what varies from run to run: the loopback address, times and ages, and the widths of
+/// columns that follow from them.
+fn redact(text: &str, address: SocketAddr) -> String {
+    let text = text.replace(&address.ip().to_string(), "IP");
+    text.lines().map(|line| redact_line(line) + "\n").collect()
+}
+
+fn redact_line(line: &str) -> String {
+    for key in ["\"at\": ", "\"heartbeat_age_ms\": "] {
+        if let Some((before, _)) = line.split_once(key) {
+            return format!("{before}{key}NUMBER");
+        }
+    }
+    let mut cells: Vec<&str> = line.split("  ").map(str::trim).collect();
+    cells.retain(|cell| !cell.is_empty());
+    let is_time = |cell: &&mut &str| cell.len() == 24 && cell.ends_with('Z');
+    if let Some(at) = cells.first_mut().filter(is_time) {
+        *at = "TIME";
+        return cells.join("  ");
+    }
+    if line.starts_with("instance-") && cells.len() == 6 {
+        cells[5] = "AGE";
+    }
+    let is_table = cells.iter().any(|cell| *cell == "ADDRESS" || cell.starts_with("IP:"));
+    if is_table { cells.join("  ") } else { line.to_owned() }
+}
+
+fn tier(name: &str, rank: u8) -> Value {
+    json!({ "kind": "tier", "name": name, "spec": { "rank": rank } })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn declares_shows_and_removes_resources() {
+    let fleet = Fleet::start(Plan { data_centres: 2, ..Plan::default() }).await;
+    let mut ctl = Session::new(&fleet, OPERATOR_TOKEN);
+    ctl.write("spare.json", &tier("spare", 5));
+    ctl.write("taken.json", &tier("taken", 5));
+    ctl.both(1, "diff -f spare.json");
+    ctl.run(0, "apply -f spare.json --wait");
+    ctl.run(0, "apply -f spare.json --wait --output json");
+    ctl.both(0, "diff -f spare.json");
+    ctl.both(3, "apply -f taken.json");
+    ctl.both(4, "apply -f taken.json --expect-generation 1");
+    ctl.both(0, "get tier");
+    ctl.both(0, "describe tier spare");
+    ctl.both(0, "wait --generation 2");
+    ctl.both(1, "wait --generation 99 --timeout 0.2");
+    ctl.both(0, "delete tier spare --dry-run");
+    ctl.run(0, "delete tier spare --wait");
+    ctl.both(6, "describe tier spare");
+    ctl.both(3, "delete tier counter");
+    insta::assert_snapshot!(ctl.transcript);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shows_the_fleet_and_asks_its_services() {
+    let fleet = Fleet::start(Plan { data_centres: 2, ..Plan::default() }).await;
+    let mut ctl = Session::new(&fleet, OPERATOR_TOKEN);
+    ctl.both(0, "status");
+    ctl.both(0, "addresses");
+    ctl.token = DESK_TOKEN;
+    ctl.both(0, "ask lookup seven --key k1 --max-tokens 5");
+    ctl.run(0, "ask booking {\"seat\":4,\"client\":\"north\"} --key k2 --plain seats");
+    ctl.both(6, "ask absent seven --key k3");
+    ctl.both(5, "status");
+    insta::assert_snapshot!(ctl.transcript);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn completes_in_each_shell_and_tells_when_nobody_answers() {
+    let mut fleet = Fleet::start(Plan { instances: 1, ..Plan::default() }).await;
+    let mut ctl = Session::new(&fleet, OPERATOR_TOKEN);
+    for shell in ["bash", "elvish", "fish", "powershell", "zsh"] {
+        let script = ctl.run(0, &format!("completion {shell}"));
+        assert!(COMMANDS.iter().all(|command| script.contains(command)), "{shell}: {script}");
+    }
+    ctl.run(2, "completion csh");
+    ctl.run(2, "get nonsense");
+    fleet.instances[0].process.kill();
+    ctl.run(7, "status");
+}
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -376,7 +376,7 @@
 }
 
 /// Path of another binary of this workspace.
-fn binary(name: &str) -> PathBuf {
+pub fn binary(name: &str) -> PathBuf {
     PathBuf::from(env!("CARGO_BIN_EXE_lacewingspring")).with_file_name(name)
 }
 
--- a/lacewingspring_ctl/src/api/event.rs
+++ b/lacewingspring_ctl/src/api/event.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::output::time::Utc;
+
 /// Something that happened to a resource.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Event {
@@ -20,7 +22,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum Timestamp {
-    /// Milliseconds since the server's epoch.
+    /// Milliseconds since the Unix epoch.
     Millis(u64),
     /// Date and time as text.
     Text(String),
@@ -29,7 +31,7 @@
 impl Display for Timestamp {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Millis(ms) => write!(f, "{ms}"),
+            Self::Millis(ms) => Utc(*ms).fmt(f),
             Self::Text(text) => f.write_str(text),
         }
     }
--- a/lacewingspring_ctl/src/api/problem.rs
+++ b/lacewingspring_ctl/src/api/problem.rs
@@ -106,7 +106,11 @@
 
 impl Display for Violation {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {}: {}", self.resource, self.field, self.rule)
+        f.write_str(&self.resource)?;
+        if !self.field.is_empty() {
+            write!(f, " {}", self.field)?;
+        }
+        write!(f, ": {}", self.rule)
     }
 }
 
--- a/lacewingspring_ctl/src/commands/explain.rs
+++ b/lacewingspring_ctl/src/commands/explain.rs
@@ -6,19 +6,17 @@
     api::Explanation,
     cli::{ExplainArgs, Format},
     client::{Call, Client, encode},
-    commands::describe::events,
+    commands::{describe::events, show},
     error::Error,
     exit::Exit,
-    output::{self, Render},
+    output::Render,
 };
 
 /// Runs the command.
 pub async fn run(client: &Client, format: Format, args: &ExplainArgs) -> Result<Exit, Error> {
     let (workspace, key) = (encode(&args.workspace), encode(&args.key));
     let path = format!("/operator/v1/explain?workspace={workspace}&key={key}");
-    let explanation: Explanation = client.fetch(Call::get(&path)?).await?;
-    output::print(format, &explanation)?;
-    Ok(Exit::Done)
+    show::<Explanation>(client, format, Call::get(&path)?).await
 }
 
 impl Render for Explanation {
--- a/lacewingspring_ctl/src/commands/metrics.rs
+++ b/lacewingspring_ctl/src/commands/metrics.rs
@@ -4,20 +4,9 @@
 
 use crate::{
     api::MetricsReport,
-    cli::Format,
-    client::{Call, Client},
-    error::Error,
-    exit::Exit,
-    output::{self, Render, table::Table},
+    output::{Render, table::Table},
 };
 
-/// Runs the command.
-pub async fn run(client: &Client, format: Format) -> Result<Exit, Error> {
-    let report: MetricsReport = client.fetch(Call::get("/operator/v1/metrics")?).await?;
-    output::print(format, &report)?;
-    Ok(Exit::Done)
-}
-
 impl Render for MetricsReport {
     fn render(&self, f: &mut Formatter<'_>) -> fmt::Result {
         let titles = ["METRIC", "UNIT", "WORKSPACE", "TIER", "COUNT", "P50", "P90", "P99", "MAX"];
--- a/lacewingspring_ctl/src/commands/mod.rs
+++ b/lacewingspring_ctl/src/commands/mod.rs
@@ -1,12 +1,15 @@
 //! Commands, one module each.
 
+use serde::de::DeserializeOwned;
 use tokio::runtime::Builder;
 
 use crate::{
-    cli::{Cli, Command, GlobalOptions},
-    client::Client,
+    api::{AddressList, FleetStatus, MetricsReport},
+    cli::{Cli, Command, Format, GlobalOptions},
+    client::{Call, Client},
     error::Error,
     exit::Exit,
+    output::{self, Render},
 };
 
 mod addresses;
@@ -24,6 +27,16 @@
 mod transaction;
 mod wait;
 
+/// Prints the answer to a call that reads.
+async fn show<T>(client: &Client, format: Format, call: Call) -> Result<Exit, Error>
+where
+    T: Render + DeserializeOwned,
+{
+    let answer: T = client.fetch(call).await?;
+    output::print(format, &answer)?;
+    Ok(Exit::Done)
+}
+
 /// Runs the command of a command line.
 pub fn run(cli: Cli) -> Result<Exit, Error> {
     if let Command::Completion(args) = cli.command {
@@ -44,11 +57,17 @@
         Command::Describe(args) => describe::run(&client, format, &args).await,
         Command::Delete(args) => delete::run(&client, format, args).await,
         Command::Wait(args) => wait::run(&client, format, args.generation).await,
-        Command::Status => status::run(&client, format).await,
-        Command::Addresses => addresses::run(&client, format).await,
+        Command::Status => {
+            show::<FleetStatus>(&client, format, Call::get("/operator/v1/status")?).await
+        }
+        Command::Addresses => {
+            show::<AddressList>(&client, format, Call::get("/v1/addresses")?).await
+        }
         Command::Ask(args) => ask::run(&client, format, args).await,
         Command::Request(args) => request::run(&client, format, &args).await,
-        Command::Metrics => metrics::run(&client, format).await,
+        Command::Metrics => {
+            show::<MetricsReport>(&client, format, Call::get("/operator/v1/metrics")?).await
+        }
         Command::Explain(args) => explain::run(&client, format, &args).await,
         // It needs no server and was handled before.
         Command::Completion(_) => Ok(Exit::Done),
--- a/lacewingspring_ctl/src/commands/status.rs
+++ b/lacewingspring_ctl/src/commands/status.rs
@@ -4,23 +4,12 @@
 
 use crate::{
     api::{FleetStatus, RoleStatus},
-    cli::Format,
-    client::{Call, Client},
-    error::Error,
-    exit::Exit,
     output::{
-        self, Render,
+        Render,
         table::{Table, or_dash},
     },
 };
 
-/// Runs the command.
-pub async fn run(client: &Client, format: Format) -> Result<Exit, Error> {
-    let status: FleetStatus = client.fetch(Call::get("/operator/v1/status")?).await?;
-    output::print(format, &status)?;
-    Ok(Exit::Done)
-}
-
 impl Render for FleetStatus {
     fn render(&self, f: &mut Formatter<'_>) -> fmt::Result {
         let Self { instance, data_centre, generation, .. } = self;
--- a/lacewingspring_ctl/src/output/mod.rs
+++ b/lacewingspring_ctl/src/output/mod.rs
@@ -12,6 +12,7 @@
 pub mod changes;
 pub mod json;
 pub mod table;
+pub mod time;
 pub mod value;
 
 /// An answer that can be shown as text for people.
--- a/lacewingspring_ctl/tests/output.rs
+++ b/lacewingspring_ctl/tests/output.rs
@@ -91,8 +91,8 @@
 #[test]
 fn explain_lists_decisions() {
     let answer = r#"{"workspace":"chamber","key":"k/1","steps":[
-        {"at":1200,"reason":"Waited","message":"no slot in judgments"},
-        {"at":1350,"reason":"Dispatched","message":"e1"}]}"#;
+        {"at":1709251199999,"reason":"Waited","message":"no slot in judgments"},
+        {"at":1798761600000,"reason":"Dispatched","message":"e1"}]}"#;
     assert_snapshot!(table_of(&["explain", "chamber", "k/1"], answer));
 }
 
