Pass sampling fields to the engine and refuse unknown ones by name

Cause: every field but model, prompt, max_tokens and stream was dropped without a word, so a caller of the OpenAI completions call got another answer than the one asked for. Changed: temperature, top_p, both penalties, seed and stop are checked for their range, belong to the request (another value under the same key is a key conflict) and reach the engine; n, best_of and echo are taken at their defaults, user is not used, null is absent; any other field is refused as malformed with a detail that names it, at most 400 bytes long. A request without such fields keeps its fingerprint, so instances of both versions agree on its repeats. The engine stand-in journals what it got and does not act on it. Ruled out: passing every unknown field, since logprobs, suffix, echo and n change the form of the answer, which the fleet could not stream or resume. Conclusion: no field of a completion is dropped silently.

--- a/lacewingspring/src/callers/completions.rs
+++ b/lacewingspring/src/callers/completions.rs
@@ -10,32 +10,15 @@
     names::{RequestKey, ServiceName},
     resources::ServiceKind,
 };
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
-use super::{Call, auth, reply::Reply};
+use super::{Call, auth, completion_request::CompletionRequest, reply::Reply};
 use crate::{
     daemon::Node,
-    entry::{self, Body, Follower, Refusal, Work},
+    entry::{self, Follower, Refusal, Work},
     peers::RunPart,
 };
 
-/// Output tokens of a request that names no maximum.
-const DEFAULT_MAX_TOKENS: u32 = 256;
-
-#[derive(Deserialize)]
-struct CompletionRequest {
-    model: String,
-    prompt: String,
-    #[serde(default = "default_max_tokens")]
-    max_tokens: u32,
-    #[serde(default)]
-    stream: bool,
-}
-
-const fn default_max_tokens() -> u32 {
-    DEFAULT_MAX_TOKENS
-}
-
 #[derive(Serialize)]
 struct Chunk<'a> {
     id: &'a RequestKey,
@@ -59,18 +42,21 @@
     let catalog = node.catalog();
     let headers = call.head.headers();
     let workspace = auth::workspace(&catalog, headers)?;
-    let req: CompletionRequest =
-        serde_json::from_slice(&call.body).map_err(|_| Refusal::last(ErrorKind::Malformed))?;
-    let service = ServiceName::from(req.model);
+    let req = match CompletionRequest::parse(&call.body) {
+        Ok(req) => req,
+        Err(detail) => return Ok(Reply::malformed(detail)),
+    };
+    let service = ServiceName::from(req.model.as_str());
     let key = auth::key(headers)?;
     check_service(&catalog, &service, ServiceKind::Completions, key.is_some())?;
     let minted = key.is_none();
     let id = KeyId { workspace, key: key.unwrap_or_else(auth::mint_key) };
-    let body = Body::Completion { prompt: req.prompt, max_tokens: req.max_tokens };
-    let work = entry::work(&catalog, id.clone(), service, body, auth::timeout(headers)?)?;
+    let stream = req.stream.unwrap_or(false);
+    let work =
+        entry::work(&catalog, id.clone(), service, req.into_body(), auth::timeout(headers)?)?;
     let is_retry = auth::is_retry(headers)?;
     let follower = entry::submit(node, Work { minted, is_retry, ..work })?;
-    let reply = if req.stream { streamed(follower).await? } else { whole(follower).await? };
+    let reply = if stream { streamed(follower).await? } else { whole(follower).await? };
     Ok(reply.with_key(&id))
 }
 
--- a/lacewingspring/src/callers/mod.rs
+++ b/lacewingspring/src/callers/mod.rs
@@ -18,6 +18,7 @@
 
 mod addresses;
 mod auth;
+mod completion_request;
 mod completions;
 mod keys;
 mod operators;
--- a/lacewingspring/src/callers/reply.rs
+++ b/lacewingspring/src/callers/reply.rs
@@ -11,7 +11,10 @@
 use bytes::Bytes;
 use futures_core::Stream;
 use http::{HeaderName, HeaderValue, StatusCode, header};
-use lacewingspring_core::{error::RunState, key_index::KeyId};
+use lacewingspring_core::{
+    error::{ErrorKind, RunState},
+    key_index::KeyId,
+};
 use serde::Serialize;
 use xitca_web::{
     body::{ResponseBody, StreamDataBody},
@@ -27,6 +30,9 @@
 /// Header that says when to come back, in milliseconds.
 const RETRY_AFTER_MS: &str = "retry-after-ms";
 
+/// Longest detail, in bytes; it may tell names that the caller chose.
+const MAX_DETAIL_LEN: usize = 400;
+
 /// Bytes of an answer as they arrive.
 type ByteStream = Pin<Box<dyn Stream<Item = Bytes>>>;
 
@@ -51,8 +57,10 @@
     problem: String,
     title: &'static str,
     status: u16,
-    kind: lacewingspring_core::error::ErrorKind,
+    kind: ErrorKind,
     run: RunState,
+    #[serde(skip_serializing_if = "String::is_empty")]
+    detail: String,
     #[serde(skip_serializing_if = "Option::is_none")]
     retry_after_ms: Option<u64>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
@@ -92,9 +100,19 @@
         Self::new(200, "text/event-stream", Content::Streamed(Box::pin(events)))
     }
 
+    /// Makes the problem details of a body that can't be taken, and why.
+    pub fn malformed(mut detail: String) -> Self {
+        detail.truncate(detail.floor_char_boundary(MAX_DETAIL_LEN));
+        Self::refused(Refusal::last(ErrorKind::Malformed), Vec::new(), detail)
+    }
+
     /// Makes the problem details of a refusal, with when to come back and, from a leaving
     /// instance, where to go.
     pub fn problem(refusal: Refusal, addresses: Vec<SocketAddr>) -> Self {
+        Self::refused(refusal, addresses, String::new())
+    }
+
+    fn refused(refusal: Refusal, addresses: Vec<SocketAddr>, detail: String) -> Self {
         let answer = refusal.kind.answer();
         let retry_after_ms = answer.retry.then_some(refusal.retry_after.as_millis() as u64);
         let problem = Problem {
@@ -103,6 +121,7 @@
             status: answer.status,
             kind: refusal.kind,
             run: answer.run,
+            detail,
             retry_after_ms,
             addresses,
         };
--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -17,6 +17,7 @@
     upstreams::{
         Checks, DispatchError, UpstreamError,
         completions::{CompletionCall, EngineRun, KvTransfer, Part, TokenStream, Usage},
+        sampling::Sampling,
     },
 };
 
@@ -237,15 +238,18 @@
 }
 
 fn call(drive: &Drive, kv: Option<KvTransfer>, resume_from: u64) -> CompletionCall {
-    let (prompt, max_tokens) = match &drive.work.body {
-        Body::Completion { prompt, max_tokens } => (prompt.clone(), *max_tokens),
-        Body::Plain { .. } => (String::new(), 0),
+    let (prompt, max_tokens, sampling) = match &drive.work.body {
+        Body::Completion { prompt, max_tokens, sampling } => {
+            (prompt.clone(), *max_tokens, sampling.clone())
+        }
+        Body::Plain { .. } => (String::new(), 0, Sampling::default()),
     };
     CompletionCall {
         model: drive.work.pool.model.clone(),
         prompt,
         max_tokens,
         stream: true,
+        sampling,
         resume_from: kv.is_some().then_some(resume_from),
         kv_transfer_params: kv,
     }
--- a/lacewingspring/src/entry/mod.rs
+++ b/lacewingspring/src/entry/mod.rs
@@ -23,7 +23,7 @@
     steps::{Step, StepReport},
     table::{RunTable, Submitted},
 };
-use crate::{daemon::Node, metrics::Series};
+use crate::{daemon::Node, metrics::Series, upstreams::sampling::Sampling};
 
 mod begin;
 mod claims;
@@ -81,6 +81,8 @@
         prompt: String,
         /// Longest answer, in tokens.
         max_tokens: u32,
+        /// How tokens are chosen.
+        sampling: Sampling,
     },
     /// A plain call.
     Plain {
@@ -99,8 +101,8 @@
     /// Returns the digest that tells a repeat from another request.
     pub fn fingerprint(&self, service: &ServiceName) -> Fingerprint {
         let text = match self {
-            Self::Completion { prompt, max_tokens } => {
-                format!("{service}\0{max_tokens}\0{prompt}")
+            Self::Completion { prompt, max_tokens, sampling } => {
+                format!("{service}\0{max_tokens}{}\0{prompt}", digest_text(sampling))
             }
             Self::Plain { method, path, bytes, .. } => {
                 format!("{service}\0{method}\0{path}\0{}", digest_hex(bytes))
@@ -128,7 +130,7 @@
     /// Returns the work of the request; a token is about a word.
     pub fn cost(&self, service: &ServiceSpec) -> Cost {
         match self {
-            Self::Completion { prompt, max_tokens } => Cost {
+            Self::Completion { prompt, max_tokens, .. } => Cost {
                 prompt_tokens: prompt.split_ascii_whitespace().count() as u32,
                 output_tokens: (*max_tokens).min(service.expected_tokens),
             },
@@ -137,6 +139,14 @@
     }
 }
 
+/// Returns a text of how tokens are chosen; empty when all is left to the engine.
+fn digest_text(sampling: &Sampling) -> String {
+    if *sampling == Sampling::default() {
+        return String::new();
+    }
+    serde_json::to_string(sampling).unwrap_or_default()
+}
+
 /// A request as it was accepted, with the resources that govern it.
 #[derive(Clone, Debug)]
 pub struct Work {
--- a/lacewingspring/src/upstreams/completions.rs
+++ b/lacewingspring/src/upstreams/completions.rs
@@ -14,7 +14,8 @@
 use tokio::time::timeout;
 
 use super::{
-    Checks, DispatchError, REQUEST_ID, UpstreamError, check_label, exchange, sse::EventParser,
+    Checks, DispatchError, REQUEST_ID, UpstreamError, check_label, exchange, sampling::Sampling,
+    sse::EventParser,
 };
 
 /// Data of the event that ends a stream.
@@ -40,6 +41,9 @@
     pub max_tokens: u32,
     /// Always true: the answer is streamed.
     pub stream: bool,
+    /// How tokens are chosen.
+    #[serde(flatten)]
+    pub sampling: Sampling,
     /// KV cache to import, when the run was parked.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub kv_transfer_params: Option<KvTransfer>,
--- a/lacewingspring/src/upstreams/mod.rs
+++ b/lacewingspring/src/upstreams/mod.rs
@@ -19,6 +19,7 @@
 
 pub mod completions;
 pub mod plain;
+pub mod sampling;
 pub mod sse;
 
 /// Longest wait for a connection to an upstream.
--- a/lacewingspring/tests/bad_input.rs
+++ b/lacewingspring/tests/bad_input.rs
@@ -11,6 +11,7 @@
 
 use crate::support::{
     BANK_TOKEN, DESK_TOKEN, Fleet, Plan, call,
+    caller::{engine_runs, upstream_id},
     http::{Answer, open},
 };
 
@@ -80,6 +81,78 @@
     insta::assert_snapshot!(table);
 }
 
+/// Returns a sound completion with further fields.
+fn with_fields(fields: &Value) -> String {
+    let mut body = json!({ "model": "lookup", "prompt": "plot seven", "max_tokens": 2 });
+    let fields = fields.as_object().expect("an object").clone();
+    body.as_object_mut().expect("an object").extend(fields);
+    body.to_string()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_fields_that_would_change_the_answer_by_name() {
+    let fleet = Fleet::start(Plan { instances: 1, ..Plan::default() }).await;
+    let at = fleet.instances[0].callers;
+    let refused = [
+        json!({ "messages": [{ "role": "user", "content": "plot seven" }] }),
+        json!({ "logprobs": 3 }),
+        json!({ "suffix": "end" }),
+        json!({ "n": 2 }),
+        json!({ "best_of": 2 }),
+        json!({ "echo": true }),
+        json!({ "temperature": 2.5 }),
+        json!({ "temperature": "hot" }),
+        json!({ "top_p": -0.1 }),
+        json!({ "presence_penalty": 3 }),
+        json!({ "frequency_penalty": -3 }),
+        json!({ "seed": 0.5 }),
+        json!({ "stop": ["a", "b", "c", "d", "e"] }),
+        json!({ "stop": 7 }),
+        json!({ "prompt": ["plot", "seven"] }),
+        json!({ "max_tokens": -1 }),
+        json!({ "x".repeat(100_000): 1 }),
+    ];
+    let mut table = String::new();
+    for fields in refused {
+        let headers = [bearer(DESK_TOKEN)];
+        let answer = call(at, "POST", "/v1/completions", &headers, with_fields(&fields)).await;
+        let answer = answer.expect("an answer");
+        let problem = answer.json();
+        let detail = problem["detail"].as_str().expect("a detail");
+        let fields = fields.to_string();
+        let name = if fields.len() < 100 { fields.as_str() } else { "a long name" };
+        let detail = if detail.contains("xxxx") { "(cut)" } else { detail };
+        table.push_str(&row(name, &answer));
+        table.push_str(&format!("    {detail}\n"));
+        assert!(answer.body.len() < 1_000, "{name}");
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn passes_sampling_to_the_engine_as_part_of_the_request() {
+    let fleet = Fleet::start(Plan { instances: 1, ..Plan::default() }).await;
+    let at = fleet.instances[0].callers;
+    let sampling = json!({
+        "temperature": 0.5, "top_p": 0.25, "presence_penalty": -1.0, "frequency_penalty": 1.5,
+        "seed": -7, "stop": ["end", "."]
+    });
+    let neutral = json!({ "n": 1, "best_of": null, "echo": false, "user": { "id": 4 } });
+    let ask = |request_key: &str, fields: &Value| {
+        let headers = [bearer(DESK_TOKEN), key(request_key)];
+        let body = with_fields(fields);
+        async move { call(at, "POST", "/v1/completions", &headers, body).await.unwrap() }
+    };
+    assert_eq!(ask("sampled", &sampling).await.status, 200);
+    assert_eq!(ask("neutral", &neutral).await.status, 200);
+    let other = ask("sampled", &json!({ "temperature": 0.6 })).await;
+    assert_eq!(other.json()["kind"], "key_conflict");
+    let runs = engine_runs(&fleet).await;
+    let of = |key: &str| runs.iter().find(|run| run["id"] == upstream_id(key)).unwrap();
+    assert_eq!(of("sampled")["sampling"], sampling);
+    assert_eq!(of("neutral")["sampling"], Value::Null);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn closes_on_oversized_heads_and_slow_callers() {
     let fleet = Fleet::start(Plan { instances: 1, ..Plan::default() }).await;
--- a/lacewingspring_standins/src/engine/completions.rs
+++ b/lacewingspring_standins/src/engine/completions.rs
@@ -6,7 +6,7 @@
 };
 
 use serde::Deserialize;
-use serde_json::{Value, json};
+use serde_json::{Map, Value, json};
 use tokio::sync::watch;
 
 use super::{
@@ -38,6 +38,9 @@
     /// First token to generate, after an interruption elsewhere.
     #[serde(default)]
     resume_from: u64,
+    /// All other fields: how tokens are sampled. They are journalled and change nothing.
+    #[serde(flatten)]
+    sampling: Map<String, Value>,
 }
 
 /// Names an exported cache.
@@ -160,6 +163,7 @@
         resume_from: body.resume_from,
         resumed: body.kv_transfer_params.is_some() || body.resume_from > 0,
         import_left,
+        sampling: body.sampling,
     })
 }
 
--- a/lacewingspring_standins/src/engine/journal.rs
+++ b/lacewingspring_standins/src/engine/journal.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use serde::Serialize;
+use serde_json::{Map, Value};
 
 use super::run::Request;
 use crate::time::now_ms;
@@ -39,6 +40,9 @@
     pub finished_ms: Option<u64>,
     /// First 8 hexadecimal digits of the SHA-256 of the prompt.
     pub prompt_sha8: String,
+    /// How tokens were to be sampled.
+    #[serde(skip_serializing_if = "Map::is_empty")]
+    pub sampling: Map<String, Value>,
 }
 
 /// Journal of an engine.
@@ -73,6 +77,7 @@
             entry.resumptions += u64::from(req.resumed);
             entry.prompt_tokens = req.prompt_tokens;
             entry.prompt_sha8.clone_from(&req.prompt_sha8);
+            entry.sampling.clone_from(&req.sampling);
         });
     }
 
--- a/lacewingspring_standins/src/engine/run.rs
+++ b/lacewingspring_standins/src/engine/run.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use serde_json::{Map, Value};
 use tokio::sync::watch;
 
 /// What the readers of a run see of it.
@@ -49,6 +50,8 @@
     pub resumed: bool,
     /// Tokens left to compute of an imported run; none when nothing is imported.
     pub import_left: Option<u64>,
+    /// How tokens are to be sampled.
+    pub sampling: Map<String, Value>,
 }
 
 /// Run of a request.
