Test more rows of bad input, and that nothing refused reaches an upstream

Plain calls with an unknown service, a wrong credential and an oversized body, a key asked after with a wrong credential, and malformed JSON of an operator join the table; no engine or plain server sees any of the refused requests, and a refused key is unknown to another workspace.

--- a/lacewingspring/tests/bad_input.rs
+++ b/lacewingspring/tests/bad_input.rs
@@ -13,6 +13,7 @@
     BANK_TOKEN, DESK_TOKEN, Fleet, Plan, call,
     caller::{engine_runs, upstream_id},
     http::{Answer, open},
+    operator,
 };
 
 mod support;
@@ -40,6 +41,7 @@
 async fn refuses_bad_input_by_the_table() {
     let fleet = Fleet::start(Plan { instances: 1, ..Plan::default() }).await;
     let at = fleet.instances[0].callers;
+    let runs = engine_runs(&fleet).await.len();
     let desk = bearer(DESK_TOKEN);
     let completions = "/v1/completions";
     let good = completion("lookup", "plot seven", 2);
@@ -48,7 +50,7 @@
     let cases = [
         ("malformed JSON", "POST", completions, vec![desk.clone()], "{\"model\":".to_owned()),
         ("missing field", "POST", completions, vec![desk.clone()], "{}".to_owned()),
-        ("oversized body", "POST", completions, vec![desk.clone()], large),
+        ("oversized body", "POST", completions, vec![desk.clone()], large.clone()),
         ("unknown service", "POST", completions, vec![desk.clone()], completion("no", "x", 1)),
         (
             "plain service as model",
@@ -68,7 +70,36 @@
             vec![desk.clone(), ("request-timeout-ms", "0".into())],
             good,
         ),
-        ("missing key", "POST", "/services/booking/seats", vec![desk.clone()], seat),
+        ("missing key", "POST", "/services/booking/seats", vec![desk.clone()], seat.clone()),
+        (
+            "unknown plain service",
+            "POST",
+            "/services/no/x",
+            vec![desk.clone(), key("a")],
+            seat.clone(),
+        ),
+        (
+            "wrong credential of a plain call",
+            "POST",
+            "/services/booking/seats",
+            vec![bearer("wrong"), key("a")],
+            seat,
+        ),
+        ("oversized plain body", "POST", "/services/roster/x", vec![desk.clone()], large.clone()),
+        (
+            "wrong credential of a key",
+            "GET",
+            "/v1/requests/a",
+            vec![bearer("wrong")],
+            String::new(),
+        ),
+        (
+            "malformed JSON of an operator",
+            "POST",
+            "/operator/v1/transactions",
+            vec![operator()],
+            "{\"changes\":".to_owned(),
+        ),
         ("wrong method", "DELETE", completions, vec![desk.clone()], String::new()),
         ("unknown path", "GET", "/v2/nothing", vec![desk], String::new()),
     ];
@@ -79,6 +110,11 @@
         table.push_str(&row(name, &answer));
     }
     insta::assert_snapshot!(table);
+    assert_eq!(engine_runs(&fleet).await.len(), runs, "nothing refused reaches an engine");
+    let journal = fleet.journal(fleet.plain[0]).await;
+    assert_eq!(journal["calls"].as_array().unwrap().len(), 0, "{journal}");
+    let state = call(at, "GET", "/v1/requests/a", &[bearer(BANK_TOKEN)], String::new()).await;
+    assert_eq!(state.unwrap().json()["state"], "not_run");
 }
 
 /// Returns a sound completion with further fields.
