Tell two incarnations apart that began in the same millisecond

Cause: the number of an incarnation is the time of the start in milliseconds. Three places compared it without the name of the instance: the judgement of a pending claim (told outcome_unknown), the fetch of a finished answer (told answer_gone) and the state of a claimed key (told may_have_run). So a repeat at another instance that began in the same millisecond was told that its request may have run, though it ran soundly. Changed: one function compares name and number. The section test of the settings has incarnation, so that the tests force the case; it is refused outside of tests like switch_off. Conclusion: a number of an incarnation means nothing without its instance.

--- a/lacewingspring/src/callers/keys.rs
+++ b/lacewingspring/src/callers/keys.rs
@@ -112,7 +112,7 @@
 
 /// State of a key that is claimed without an outcome: in progress only while the claimer runs it.
 async fn claimed_state(node: &Arc<Node>, id: &KeyId, record: &ClaimRecord) -> State {
-    if record.incarnation == node.incarnation {
+    if node.is_own(&record.instance, record.incarnation) {
         return State::MayHaveRun;
     }
     let Some(claimer) = node.fleet.live(&record.instance, record.incarnation) else {
--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -9,7 +9,9 @@
     time::Duration,
 };
 
-use lacewingspring_core::{catalog::Catalog, key_index::KeyId, membership::Member};
+use lacewingspring_core::{
+    catalog::Catalog, key_index::KeyId, membership::Member, names::InstanceName,
+};
 use thiserror::Error;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
@@ -61,7 +63,8 @@
 pub struct Node {
     /// Settings that the daemon was started with.
     pub settings: Settings,
-    /// Time of the start since the Unix epoch, in milliseconds; it grows with each start.
+    /// Time of the start since the Unix epoch, in milliseconds. It grows with each start of an
+    /// instance; two instances may have the same.
     pub incarnation: u64,
     /// Declared resources in force.
     pub declared: Arc<DeclaredStore>,
@@ -96,6 +99,11 @@
         self.declared.catalog()
     }
 
+    /// Returns whether this is that incarnation of that instance.
+    pub fn is_own(&self, instance: &InstanceName, incarnation: u64) -> bool {
+        *instance == self.settings.instance && incarnation == self.incarnation
+    }
+
     /// Returns whether this instance is leaving.
     pub fn leaving(&self) -> bool {
         self.leaving.load(Ordering::Acquire)
@@ -126,7 +134,8 @@
 }
 
 fn build(settings: Settings) -> Result<Arc<Node>, StartError> {
-    let incarnation = clock::wall().as_millis() as u64;
+    let started = clock::wall().as_millis() as u64;
+    let incarnation = settings.test.incarnation.unwrap_or(started);
     let authority = Authority::read(&settings.authority.certificate, &settings.authority.key)?;
     let peers = Peers::bind(settings.instance.clone(), settings.listen.peers, &authority)?;
     let timeout = Duration::from_millis(settings.key_value.timeout_ms);
--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -284,7 +284,7 @@
         }
         let gone = Refusal::last(ErrorKind::AnswerGone);
         let peer = self.node.fleet.live(&runner.instance, runner.incarnation).ok_or(gone)?;
-        if runner.incarnation == self.node.incarnation {
+        if self.node.is_own(&runner.instance, runner.incarnation) {
             return Err(gone);
         }
         let key = self.run.id.key.clone();
--- a/lacewingspring/src/entry/once.rs
+++ b/lacewingspring/src/entry/once.rs
@@ -74,7 +74,7 @@
             ClaimOutcome::Conflict => Err(Refusal::last(ErrorKind::KeyConflict)),
             ClaimOutcome::Pending { instance, incarnation, key, .. } => {
                 let unknown = Refusal::last(ErrorKind::OutcomeUnknown);
-                if incarnation == self.node.incarnation && key == self.work.id.key {
+                if self.node.is_own(&instance, incarnation) && key == self.work.id.key {
                     // This incarnation drove the run before and no longer knows its end.
                     return Err(unknown);
                 }
--- a/lacewingspring/src/settings/test.rs
+++ b/lacewingspring/src/settings/test.rs
@@ -34,6 +34,9 @@
     /// Mechanisms that are switched off.
     #[serde(default)]
     pub switch_off: Vec<Mechanism>,
+    /// Number of the incarnation in place of the time of the start.
+    #[serde(default)]
+    pub incarnation: Option<u64>,
 }
 
 impl TestSettings {
@@ -43,8 +46,12 @@
     }
 
     pub(super) fn check(&self) -> Result<(), Fault> {
-        let allowed = self.switch_off.is_empty() || env::var(ALLOWED).is_ok_and(|on| on == "1");
+        let in_test = env::var(ALLOWED).is_ok_and(|on| on == "1");
+        let accepted = "nothing outside of tests";
         let found = format!("{:?}", self.switch_off);
-        Fault::check(allowed, "test.switch_off", found, "nothing outside of tests")
+        let allowed = in_test || self.switch_off.is_empty();
+        Fault::check(allowed, "test.switch_off", found, accepted)?;
+        let allowed = in_test || self.incarnation.is_none();
+        Fault::check(allowed, "test.incarnation", format!("{:?}", self.incarnation), accepted)
     }
 }
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -100,6 +100,8 @@
     pub switch_off: &'static [&'static str],
     /// Whether the watch for requests that crash upstreams is on.
     pub poison_watch: bool,
+    /// Number of the incarnation of all instances, in place of the time of their start.
+    pub incarnation: Option<u64>,
 }
 
 impl Default for Plan {
@@ -113,6 +115,7 @@
             engine_flags: Vec::new(),
             switch_off: &[],
             poison_watch: true,
+            incarnation: None,
         }
     }
 }
@@ -135,6 +138,7 @@
     ip: IpAddr,
     folder: TempDir,
     switch_off: &'static [&'static str],
+    incarnation: Option<u64>,
 }
 
 impl Fleet {
@@ -157,6 +161,7 @@
             ip,
             folder,
             switch_off: plan.switch_off,
+            incarnation: plan.incarnation,
         };
         Authority::create().and_then(|ca| ca.write(fleet.folder.path())).expect("an authority");
         fleet.stand_in("key-value", &[fleet.key_value], &[]);
@@ -305,7 +310,7 @@
             "log": { "level": "warn" },
             "timing": { "instance_list_ms": 200, "address_ttl_ms": 1000, "orphan_ms": 1000 },
             "poison": { "watch": self.poison_watch },
-            "test": { "switch_off": self.switch_off }
+            "test": { "switch_off": self.switch_off, "incarnation": self.incarnation }
         });
         let path = folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("writes settings");
