--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -14,7 +14,7 @@
 };
 use thiserror::Error;
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     time::{interval, sleep},
 };
 
@@ -63,7 +63,8 @@
 pub struct Node {
     /// Settings that the daemon was started with.
     pub settings: Settings,
-    /// Time of the start since the Unix epoch, in milliseconds; it grows with each start.
+    /// Time of the start since the Unix epoch, in milliseconds. It grows with each start of an
+    /// instance; two instances may have the same.
     pub incarnation: u64,
     /// Declared resources in force.
     pub declared: Arc<DeclaredStore>,
@@ -116,6 +117,7 @@
 ///
 /// Fails when it can't start.
 pub async fn run(settings: Settings) -> Result<(), StartError> {
+    let mut stop = StopSignals::listen()?;
     let node = build(settings)?;
     log::info!(instance:% = node.settings.instance; "Starts.");
     tokio::spawn(serve_peers(node.clone()));
@@ -127,13 +129,14 @@
     tokio::spawn(read_stored(node.clone()));
     tokio::spawn(follow_members(node.clone()));
     callers::start(node.clone())?;
-    wait_for_stop().await?;
+    stop.recv().await;
     leave(&node).await;
     Ok(())
 }
 
 fn build(settings: Settings) -> Result<Arc<Node>, StartError> {
-    let incarnation = clock::wall().as_millis() as u64;
+    let started = clock::wall().as_millis() as u64;
+    let incarnation = settings.test.incarnation.unwrap_or(started);
     let authority = Authority::read(&settings.authority.certificate, &settings.authority.key)?;
     let peers = Peers::bind(settings.instance.clone(), settings.listen.peers, &authority)?;
     let timeout = Duration::from_millis(settings.key_value.timeout_ms);
@@ -231,14 +234,26 @@
     }
 }
 
-async fn wait_for_stop() -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The signals that tell an instance to stop.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Takes the signals over, so that from here on neither ends the process at once.
+    fn listen() -> io::Result<Self> {
+        let terminate = signal(SignalKind::terminate())?;
+        let interrupt = signal(SignalKind::interrupt())?;
+        Ok(Self { terminate, interrupt })
+    }
+
+    async fn recv(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
 
 /// Turns new requests away, finishes all that runs, and outlives the answers that name it.
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -105,6 +105,8 @@
     pub relayed: bool,
     /// Time for which claims are kept, in seconds.
     pub claim_retention_s: u64,
+    /// Number of the incarnation of all instances, in place of the time of their start.
+    pub incarnation: Option<u64>,
 }
 
 impl Default for Plan {
@@ -119,6 +121,7 @@
             switch_off: &[],
             relayed: false,
             claim_retention_s: 604_800,
+            incarnation: None,
         }
     }
 }
@@ -143,6 +146,7 @@
     folder: TempDir,
     switch_off: &'static [&'static str],
     claim_retention_s: u64,
+    incarnation: Option<u64>,
 }
 
 impl Fleet {
@@ -166,6 +170,7 @@
             folder,
             switch_off: plan.switch_off,
             claim_retention_s: plan.claim_retention_s,
+            incarnation: plan.incarnation,
         };
         Authority::create().and_then(|ca| ca.write(fleet.folder.path())).expect("an authority");
         fleet.stand_in("key-value", &[fleet.key_value], &[]);
@@ -321,7 +326,7 @@
             }],
             "log": { "level": "warn" },
             "timing": { "instance_list_ms": 200, "address_ttl_ms": 1000, "orphan_ms": 1000 },
-            "test": { "switch_off": self.switch_off }
+            "test": { "switch_off": self.switch_off, "incarnation": self.incarnation }
         });
         let path = folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("writes settings");
@@ -392,7 +397,7 @@
 }
 
 /// Path of another binary of this workspace.
-fn binary(name: &str) -> PathBuf {
+pub fn binary(name: &str) -> PathBuf {
     PathBuf::from(env!("CARGO_BIN_EXE_lacewingspring")).with_file_name(name)
 }
 
@@ -403,7 +408,7 @@
 }
 
 /// Loopback address of its own for each fleet, so that fixed ports never meet.
-fn own_ip() -> IpAddr {
+pub fn own_ip() -> IpAddr {
     let pid = std::process::id();
     let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
     IpAddr::V4(Ipv4Addr::new(127, fleet, (pid >> 8) as u8, (pid as u8).max(1)))
