Test callers that vanish with half a body and before a booking's answer

A caller that leaves before the answer of a non-idempotent call: the call runs once and a repeat at the other instance gets its outcome. One that leaves in its body harms nobody.

--- a/lacewingspring/tests/bad_input.rs
+++ b/lacewingspring/tests/bad_input.rs
@@ -240,6 +240,33 @@
     timeout(Duration::from_secs(10), cancelled).await.expect("the run is cancelled");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn keeps_the_outcome_of_a_booking_whose_caller_vanished() {
+    let fleet = Fleet::start(Plan::default()).await;
+    fleet.fault(fleet.plain[0], json!({ "delay_ms": 500 })).await;
+    let at = fleet.instances[0].callers;
+    let mut half = TcpStream::connect(at).await.unwrap();
+    let head = "POST /services/booking/seats HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n{";
+    half.write_all(head.as_bytes()).await.unwrap();
+    drop(half);
+    let seat = json!({ "seat": 5, "client": "north" }).to_string();
+    let request = format!(
+        "POST /services/booking/seats HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {DESK_TOKEN}\r\n\
+         idempotency-key: left\r\ncontent-length: {}\r\n\r\n{seat}",
+        seat.len()
+    );
+    let mut whole = TcpStream::connect(at).await.unwrap();
+    whole.write_all(request.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(200)).await;
+    drop(whole);
+    let headers = [bearer(DESK_TOKEN), key("left")];
+    let other = fleet.instances[1].callers;
+    let repeat = call(other, "POST", "/services/booking/seats", &headers, seat).await.unwrap();
+    assert_eq!(repeat.status, 200, "{}", repeat.body);
+    let journal = fleet.journal(fleet.plain[0]).await;
+    assert_eq!(journal["calls"].as_array().unwrap().len(), 1, "{journal}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn keeps_the_keys_of_workspaces_apart() {
     let fleet = Fleet::start(Plan::default()).await;
