Decide roll-outs of managed engine pools

Nothing ordered engines to serve what a pool declares. A pool may now be `managed`: its engines are to serve model, adapter, version and role, `at_once` of them out at a time. The default is not managed, so that no existing declaration changes.

The decisions are in lacewingspring_core/src/pool_control, without I/O or clock: how long a holder may order under its lease, which engines are out, which orders are due, when a roll-out halts. The engine stand-in tells whether it loads and counts failed loads.

A test changes: docs_operating counts 9 fields with bounds in place of 8, as `at_once` is one more.

--- a/lacewingspring/tests/docs_operating.rs
+++ b/lacewingspring/tests/docs_operating.rs
@@ -268,5 +268,5 @@
             checked += 1;
         }
     }
-    assert_eq!(checked, 8, "fields with bounds");
+    assert_eq!(checked, 9, "fields with bounds");
 }
--- a/lacewingspring_core/examples/capacity_state.rs
+++ b/lacewingspring_core/examples/capacity_state.rs
@@ -212,6 +212,9 @@
             model: format!("model-{i}"),
             adapter: String::new(),
             version: "1".to_owned(),
+            role: String::new(),
+            managed: false,
+            at_once: 1,
             upstreams: (i..upstreams).step_by(12).map(upstream).collect(),
         }),
     };
--- a/lacewingspring_core/src/config/constraints.rs
+++ b/lacewingspring_core/src/config/constraints.rs
@@ -162,6 +162,16 @@
 
     fn pool(&mut self, id: &ResourceId, spec: &EnginePoolSpec) {
         self.at_most(id, "upstreams", spec.upstreams.len(), MAX_UPSTREAMS);
+        self.range(id, "at_once", spec.at_once.into(), MAX_UPSTREAMS as u64);
+        if spec.managed && spec.kind != PoolKind::Engine {
+            self.add(id, "managed", Rule::NotEngines);
+        }
+        if spec.managed && spec.model.is_empty() {
+            self.add(id, "model", Rule::NeededToManage);
+        }
+        if spec.managed && spec.version.is_empty() {
+            self.add(id, "version", Rule::NeededToManage);
+        }
         for (i, upstream) in spec.upstreams.iter().enumerate() {
             self.upstream(id, &format!("upstreams[{i}]"), upstream);
         }
--- a/lacewingspring_core/src/config/violation.rs
+++ b/lacewingspring_core/src/config/violation.rs
@@ -72,6 +72,12 @@
     /// The protocol of the service doesn't fit the type of the pool.
     #[error("the type of {0} does not fit the protocol")]
     PoolType(ResourceId),
+    /// Only engines get orders.
+    #[error("only a pool of type engine may be managed")]
+    NotEngines,
+    /// A managed pool says what its engines serve.
+    #[error("a managed pool needs it")]
+    NeededToManage,
 }
 
 fn text<S>(rule: &Rule, serializer: S) -> Result<S::Ok, S::Error>
--- a/lacewingspring_core/src/lib.rs
+++ b/lacewingspring_core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod membership;
 pub mod names;
 pub mod poison;
+pub mod pool_control;
 pub mod rendezvous;
 pub mod request;
 pub mod resources;
--- /dev/null
+++ b/lacewingspring_core/src/pool_control/mod.rs
@@ -0,0 +1,16 @@
+//! What a pool controller decides: which engine is ordered to load what, and when.
+//!
+//! Orders are level-triggered: each round compares what the engines say they serve with the goal
+//! and orders the difference. Nothing here reads a clock or performs I/O.
+
+pub use self::{
+    lease::Tenure,
+    model::{EngineState, Goal, Observation, Order, OrderOutcome, Target},
+    roll_out::{Plan, RollOut, RollOutPolicy},
+    status::{Halt, HaltReason, Progress, Status},
+};
+
+mod lease;
+mod model;
+mod roll_out;
+mod status;
--- a/lacewingspring_core/src/resources/pool.rs
+++ b/lacewingspring_core/src/resources/pool.rs
@@ -20,6 +20,15 @@
     /// Version of the model.
     #[serde(default)]
     pub version: String,
+    /// Role of the engines, such as prefill or decode; empty for any work.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub role: String,
+    /// Whether the fleet orders the engines to serve model, adapter, version and role.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub managed: bool,
+    /// Engines that a roll-out may take out of service at once.
+    #[serde(default = "default_at_once", skip_serializing_if = "is_default_at_once")]
+    pub at_once: u32,
     /// Upstreams of the pool.
     pub upstreams: Vec<UpstreamSpec>,
 }
@@ -64,6 +73,18 @@
     pub leaving: bool,
 }
 
+const fn default_at_once() -> u32 {
+    1
+}
+
+fn is_default_at_once(at_once: &u32) -> bool {
+    *at_once == default_at_once()
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 const fn default_slots() -> u32 {
     16
 }
--- a/lacewingspring_core/tests/config_constraints.rs
+++ b/lacewingspring_core/tests/config_constraints.rs
@@ -121,6 +121,17 @@
     ");
 }
 
+#[test]
+fn only_engines_with_a_version_are_managed() {
+    let plain = json!({"type": "plain", "upstreams": [], "managed": true, "at_once": 0});
+    assert_snapshot!(broken(vec![put("plain", "engine_pool", plain)]), @r"
+    engine_pool/plain at_once: it must be between 1 and 1024
+    engine_pool/plain managed: only a pool of type engine may be managed
+    engine_pool/plain model: a managed pool needs it
+    engine_pool/plain version: a managed pool needs it
+    ");
+}
+
 #[test]
 fn the_transaction_is_well_formed() {
     assert_snapshot!(broken(vec![]), @"- changes: a transaction holds at least one change");
--- /dev/null
+++ b/lacewingspring_core/tests/pool_control_roll_out.rs
@@ -0,0 +1,319 @@
+//! Roll-outs over engines that load, fail, crash and get late orders, under random schedules.
+
+mod support;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use lacewingspring_core::pool_control::{
+    EngineState, Goal, Observation, Order, OrderOutcome, RollOut, RollOutPolicy, Status, Target,
+    Tenure,
+};
+use quickcheck::{Gen, QuickCheck};
+
+use support::Rng;
+
+const ROUND: Duration = Duration::from_millis(100);
+const ROUNDS: u64 = 400;
+
+/// What happens besides the roll-out.
+#[derive(Clone, Copy, Default)]
+struct Faults {
+    crash_percent: u64,
+    /// The version can't be loaded.
+    bad: bool,
+    /// Rounds after which a successor takes over, and the orders of the holder arrive late.
+    successor_at: Option<u64>,
+    /// The controller stops once every engine serves the goal.
+    stops_when_done: bool,
+}
+
+struct Engine {
+    state: EngineState,
+    checks_fencing: bool,
+    down_until: Duration,
+    load: Option<(Duration, Order)>,
+    running: u32,
+}
+
+/// What was seen to go wrong.
+#[derive(Default)]
+struct Seen {
+    last_ready_taken: bool,
+    most_out: usize,
+    ordered_after_halt: bool,
+    failed_loads: usize,
+    loaded_while_running: bool,
+    lower_fencing: bool,
+    converged: bool,
+}
+
+struct Sim {
+    rng: Rng,
+    now: Duration,
+    faults: Faults,
+    at_once: usize,
+    engines: Vec<Engine>,
+    /// Orders on their way, when they arrive, and whether their sender still listens.
+    wire: Vec<(Duration, Order, u64)>,
+    seen: Seen,
+}
+
+fn goal(version: &str) -> Goal {
+    Goal { model: "m".into(), version: version.into(), ..Goal::default() }
+}
+
+impl Sim {
+    fn new(seed: u64, faults: Faults) -> Self {
+        let mut rng = Rng(seed);
+        let engine = |rng: &mut Rng| Engine {
+            state: EngineState { serves: goal("1"), ..EngineState::default() },
+            checks_fencing: rng.chance(50),
+            down_until: Duration::ZERO,
+            load: None,
+            running: rng.below(4) as u32,
+        };
+        let engines = (0..2 + rng.below(5)).map(|_| engine(&mut rng)).collect();
+        let at_once = 1 + rng.below(3) as usize;
+        let (now, wire, seen) = (Duration::ZERO, Vec::new(), Seen::default());
+        Self { rng, now, faults, at_once, engines, wire, seen }
+    }
+
+    fn observe(&self, closed: &BTreeSet<String>) -> Vec<Observation> {
+        let engines = self.engines.iter().enumerate();
+        let seen = engines.map(|(i, engine)| {
+            let name = format!("e{i}");
+            let loading = engine.load.is_some();
+            let state = EngineState { loading, ..engine.state.clone() };
+            Observation {
+                running: closed.contains(&name).then_some(engine.running),
+                upstream: name.into(),
+                checks_fencing: engine.checks_fencing,
+                leaving: false,
+                state: (self.now >= engine.down_until).then_some(state),
+            }
+        });
+        seen.collect()
+    }
+
+    /// Lets engines take what arrives, end loads, crash and work; tells what came of orders.
+    fn step(&mut self, closed: &BTreeSet<String>) -> Vec<(Order, OrderOutcome, u64)> {
+        let mut ended = Vec::new();
+        self.now += ROUND;
+        for (_, order, sender) in self.wire.extract_if(.., |(at, ..)| *at <= self.now) {
+            let i: usize = order.upstream.as_str()[1..].parse().unwrap();
+            let engine = &mut self.engines[i];
+            let stale = engine.checks_fencing && order.state.fencing < engine.state.fencing;
+            let outcome = if self.now < engine.down_until {
+                OrderOutcome::NotSent
+            } else if stale {
+                OrderOutcome::Stale
+            } else if engine.load.is_some() {
+                OrderOutcome::Busy
+            } else {
+                self.seen.lower_fencing |=
+                    engine.checks_fencing && order.state.fencing < engine.state.fencing;
+                engine.state.fencing = order.state.fencing;
+                if engine.state.serves != order.state.serves {
+                    self.seen.loaded_while_running |= engine.running > 0 && order.loads;
+                    let time = ROUND * (1 + self.rng.below(8) as u32);
+                    engine.load = Some((self.now + time, order.clone()));
+                    if sender > 0 {
+                        continue;
+                    }
+                }
+                OrderOutcome::Taken
+            };
+            ended.push((order, outcome, sender));
+        }
+        for (i, engine) in self.engines.iter_mut().enumerate() {
+            if engine.load.as_ref().is_some_and(|(at, _)| *at <= self.now) {
+                let (_, order) = engine.load.take().unwrap();
+                let failed = order.state.serves.version == "bad";
+                self.seen.failed_loads += usize::from(failed);
+                if !failed {
+                    engine.state.serves = order.state.serves.clone();
+                }
+                let outcome = if failed { OrderOutcome::Failed } else { OrderOutcome::Taken };
+                let sender = order.state.fencing;
+                ended.push((order, outcome, sender));
+            }
+            if self.rng.chance(self.faults.crash_percent) {
+                engine.state = EngineState { serves: goal(""), ..EngineState::default() };
+                engine.down_until = self.now + ROUND * (1 + self.rng.below(15) as u32);
+                if let Some((_, order)) = engine.load.take() {
+                    let sender = order.state.fencing;
+                    ended.push((order, OrderOutcome::Lost, sender));
+                }
+            }
+            let is_closed = closed.contains(&format!("e{i}"));
+            let more = if is_closed { 0 } else { self.rng.below(3) as u32 };
+            engine.running = engine.running.saturating_sub(self.rng.below(3) as u32) + more;
+        }
+        ended
+    }
+
+    fn check(&mut self, target: &Target, seen: &[Observation], orders: &[Order]) {
+        let loads: Vec<_> = orders.iter().filter(|order| order.loads).collect();
+        let ready = |it: &&Observation| {
+            let in_flight = self.wire.iter().any(|(_, o, _)| o.loads && o.upstream == it.upstream);
+            let ordered = loads.iter().any(|order| order.upstream == it.upstream);
+            let state = it.state.as_ref();
+            state.is_some_and(|state| !state.loading && state.serves.model == target.goal.model)
+                && !in_flight
+                && !ordered
+        };
+        let stays = seen.iter().filter(ready).count();
+        self.seen.last_ready_taken |= !loads.is_empty() && stays == 0;
+        let loading = self.engines.iter().filter(|it| it.load.is_some()).count();
+        let in_flight = self.wire.iter().filter(|(_, order, _)| order.loads).count();
+        self.seen.most_out = self.seen.most_out.max(loading + in_flight + loads.len());
+    }
+
+    fn run(mut self, policy: RollOutPolicy) -> (Seen, usize) {
+        let version = if self.faults.bad { "bad" } else { "2" };
+        let mut target = Target { goal: goal(version), at_once: self.at_once, generation: 1 };
+        let mut fencing = 1;
+        let mut roll_out = RollOut::new(fencing, policy, target.clone(), None);
+        let (mut closed, mut halted, mut done) = (BTreeSet::new(), false, false);
+        for round in 0..ROUNDS {
+            for (order, outcome, sender) in self.step(&closed) {
+                if sender == fencing {
+                    roll_out.ended(&order, outcome);
+                }
+            }
+            if self.faults.successor_at == Some(round) {
+                let halt = roll_out.halt().cloned();
+                fencing += 1;
+                target = Target { goal: goal("3"), generation: 2, ..target };
+                roll_out = RollOut::new(fencing, policy, target.clone(), halt);
+                for (at, ..) in &mut self.wire {
+                    *at += ROUND * self.rng.below(100) as u32;
+                }
+                (halted, done) = (false, false);
+            }
+            if done && self.faults.stops_when_done {
+                continue;
+            }
+            let seen = self.observe(&closed);
+            let plan = roll_out.decide(self.now, &seen);
+            self.check(&target, &seen, &plan.orders);
+            self.seen.ordered_after_halt |= halted && plan.orders.iter().any(|order| order.loads);
+            halted |= matches!(plan.status, Status::Halted(_));
+            done = matches!(plan.status, Status::Done(_));
+            closed = plan.closed.iter().map(ToString::to_string).collect();
+            for order in plan.orders {
+                let at = self.now + ROUND * self.rng.below(3) as u32;
+                self.wire.push((at, order, fencing));
+            }
+        }
+        let at_goal = |engine: &Engine| engine.state.serves == target.goal;
+        self.seen.converged = self.engines.iter().all(at_goal);
+        (self.seen, self.at_once)
+    }
+}
+
+fn run(seed: u64, faults: Faults, policy: RollOutPolicy) -> (Seen, usize) {
+    Sim::new(seed, faults).run(policy)
+}
+
+fn crashes() -> Faults {
+    Faults { crash_percent: 1, ..Faults::default() }
+}
+
+fn check(property: fn(u64) -> bool) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 0x706f_6f6c))
+        .tests(300)
+        .quickcheck(property);
+}
+
+/// Returns whether some seed shows the fault.
+fn is_shown(shows: fn(u64) -> bool) -> bool {
+    (0..100).any(shows)
+}
+
+#[test]
+fn the_last_ready_engine_stays() {
+    check(|seed| !run(seed, crashes(), RollOutPolicy::default()).0.last_ready_taken);
+    let off = |seed| {
+        let policy = RollOutPolicy { keep_last_ready: false, ..RollOutPolicy::default() };
+        run(seed, crashes(), policy).0.last_ready_taken
+    };
+    assert!(is_shown(off));
+}
+
+#[test]
+fn no_more_engines_are_out_than_declared() {
+    check(|seed| {
+        let (seen, at_once) = run(seed, crashes(), RollOutPolicy::default());
+        seen.most_out <= at_once
+    });
+    let off = |seed| {
+        let policy = RollOutPolicy { bound_at_once: false, ..RollOutPolicy::default() };
+        let (seen, at_once) = run(seed, crashes(), policy);
+        seen.most_out > at_once
+    };
+    assert!(is_shown(off));
+}
+
+#[test]
+fn a_bad_version_halts() {
+    let bad = Faults { bad: true, ..Faults::default() };
+    let sound = move |seed| {
+        let (seen, at_once) = run(seed, bad, RollOutPolicy::default());
+        !seen.ordered_after_halt && (1..=at_once).contains(&seen.failed_loads)
+    };
+    assert!((0..300).all(sound));
+    let policy = RollOutPolicy { halt: false, ..RollOutPolicy::default() };
+    assert!((0..100).any(|seed| {
+        let (seen, at_once) = run(seed, bad, policy);
+        seen.failed_loads > at_once
+    }));
+}
+
+#[test]
+fn nothing_runs_on_an_engine_that_loads() {
+    check(|seed| !run(seed, Faults::default(), RollOutPolicy::default()).0.loaded_while_running);
+    let off = |seed| {
+        let policy = RollOutPolicy { drain: false, ..RollOutPolicy::default() };
+        run(seed, Faults::default(), policy).0.loaded_while_running
+    };
+    assert!(is_shown(off));
+}
+
+#[test]
+fn late_orders_of_a_predecessor_do_not_last() {
+    let late = |seed, stops_when_done| {
+        let successor_at = Some(seed % 40);
+        let faults = Faults { successor_at, stops_when_done, ..Faults::default() };
+        run(seed, faults, RollOutPolicy::default()).0
+    };
+    for seed in 0..300 {
+        let seen = late(seed, false);
+        assert!(seen.converged && !seen.lower_fencing, "seed {seed}");
+    }
+    assert!((0..300).any(|seed| !late(seed, true).converged));
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Draws a tenure and returns whether it lets an order out after its lease ended. The reply to the
+/// renewal takes its time; a tenure may count from when it was sent or from when it came back.
+fn outlives_its_lease(seed: u64, counts_from_reply: bool) -> bool {
+    let mut rng = Rng(seed);
+    let ttl = ms(3_000);
+    let sent = ms(rng.below(1_000));
+    let taken = sent + ms(rng.below(1_000));
+    let reply = taken + ms(rng.below(1_000));
+    let tenure = Tenure::new(1, if counts_from_reply { reply } else { sent }, ttl);
+    let thawed = reply + ms(rng.below(5_000));
+    tenure.may_order(thawed) && thawed >= taken + ttl
+}
+
+#[test]
+fn a_holder_stops_before_its_lease_ends() {
+    check(|seed| !outlives_its_lease(seed, false));
+    assert!(is_shown(|seed| outlives_its_lease(seed, true)));
+}
--- a/lacewingspring_standins/src/engine/journal.rs
+++ b/lacewingspring_standins/src/engine/journal.rs
@@ -50,6 +50,8 @@
     pub crashes: u64,
     /// Runs evicted for lack of memory.
     pub evictions: u64,
+    /// Loads of a model, adapter or version that failed.
+    pub loads_failed: u64,
     #[serde(skip)]
     index: HashMap<String, usize>,
 }
--- a/lacewingspring_standins/src/engine/state.rs
+++ b/lacewingspring_standins/src/engine/state.rs
@@ -28,8 +28,8 @@
     /// Names that requests may use.
     #[serde(skip)]
     names: Vec<String>,
-    /// Whether a load is going on.
-    #[serde(skip)]
+    /// Whether a load is going on; told, and not read from an order.
+    #[serde(skip_deserializing)]
     loading: bool,
 }
 
@@ -91,6 +91,7 @@
         let mut state = lock(&engine.state);
         // A crash in the meantime has started over.
         if !std::mem::take(&mut state.loading) || order.version == BAD_VERSION {
+            lock(&engine.sim).journal.loads_failed += 1;
             return error(500, "load failed");
         }
         lock(&engine.sim).cache.clear();
