Order engines from a pool controller under a lease

Each managed pool has a controller on the holder of its role by rendezvous. The lease in the key-value service decides; the revision at which its key was created is the fencing number that goes with each order. The holder counts the lease from when it sent the request and looks at it again just before each order. It closes an engine at its gate, waits until nothing runs on it, orders the load, and reads again in each round. A halt is stored, so that a successor doesn't try the version again. All instances are told where the roll-out stands: `describe` shows the condition and events.

Ruled out: to leave the drain to the engine's 503. Requests are then lost in the roll-out.

--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -29,6 +29,7 @@
     peers::{Authority, AuthorityError, Exchange, Message, PeerError, Peers},
     platform::key_value::KeyValue,
     poison::{self, Poison, follow_members, read_stored},
+    pool_control::{self, PoolReports, control_pools},
     settings::{Mechanism, Settings},
     view::NodeView,
 };
@@ -79,6 +80,8 @@
     pub store: KeyValue,
     /// Watch for requests that crash upstreams.
     pub poison: Poison,
+    /// Roll-outs of the engine pools, as their controllers told them.
+    pub pool_reports: Arc<PoolReports>,
     /// Runs of this instance.
     pub runs: Arc<RunTable>,
     /// Claims of this incarnation.
@@ -118,6 +121,7 @@
     tokio::spawn(keep_shares(node.clone()));
     tokio::spawn(read_stored(node.clone()));
     tokio::spawn(follow_members(node.clone()));
+    tokio::spawn(control_pools(node.clone()));
     callers::start(node.clone())?;
     wait_for_stop().await?;
     leave(&node).await;
@@ -147,6 +151,7 @@
         metrics: Arc::new(Metrics::start(settings.metrics.statsd)?),
         runs: Arc::default(),
         gates: Arc::default(),
+        pool_reports: Arc::default(),
     };
     let bootstrap = settings.operators.iter().map(KnownOperator::from).collect();
     Ok(Arc::new(Node {
@@ -154,6 +159,7 @@
         gates: view.gates.clone(),
         metrics: view.metrics.clone(),
         runs: view.runs.clone(),
+        pool_reports: view.pool_reports.clone(),
         operators: Operators::new(declared.clone(), view, bootstrap),
         settings,
         incarnation,
@@ -209,6 +215,10 @@
             let reply = poison::serve(&node, call);
             let _ = exchange.tx.send(Message::PoisonReply(reply)).await;
         }
+        Some(Message::Pool(call)) => {
+            let reply = pool_control::serve(&node, call);
+            let _ = exchange.tx.send(Message::PoolReply(reply)).await;
+        }
         Some(Message::FetchDeclared) => {
             if let Some(bytes) = node.declared.encode_snapshot() {
                 let _ = exchange.tx.send(Message::Declared(bytes.to_vec())).await;
--- a/lacewingspring/src/gates.rs
+++ b/lacewingspring/src/gates.rs
@@ -1,7 +1,7 @@
 //! The gates that this instance holds.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{
         Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -20,7 +20,7 @@
 
 use crate::{
     clock,
-    peers::{Exchange, GateId, Message, PermitAsk},
+    peers::{CloseUpstreams, Exchange, GateId, Message, PermitAsk, UpstreamRuns},
 };
 
 /// Time in which a new holder of a gate learns the open permits of its predecessor.
@@ -30,6 +30,10 @@
 /// upstream.
 const ORPHAN_PERMIT: Duration = Duration::from_secs(2);
 
+/// Time for which an engine stays closed without another word from its pool controller. It is
+/// longer than a successor needs to take over.
+const CLOSED_LIFETIME: Duration = Duration::from_secs(10);
+
 /// State of one gate, as it is reported.
 #[derive(Clone, Debug, Serialize)]
 pub struct GateReport {
@@ -54,19 +58,61 @@
     gate: Gate,
     generation: u64,
     tickets: HashMap<Ticket, mpsc::Sender<Message>>,
+    learned_at: Duration,
+    closing: Closing,
+}
+
+/// Upstreams that a pool controller has taken out, and until when without another word.
+#[derive(Debug, Default)]
+struct Closing {
+    fencing: u64,
+    upstreams: BTreeSet<UpstreamName>,
+    until: Duration,
 }
 
 impl HeldGate {
     fn new(now: Duration, id: &GateId, catalog: &Catalog) -> Self {
-        let gate = Gate::recovering(now, LEARNING_WINDOW, upstreams(id, catalog));
-        Self { gate, generation: catalog.generation, tickets: HashMap::new() }
+        let closing = Closing::default();
+        let specs = upstreams(id, catalog, &closing);
+        Self {
+            gate: Gate::recovering(now, LEARNING_WINDOW, specs),
+            generation: catalog.generation,
+            tickets: HashMap::new(),
+            learned_at: now + LEARNING_WINDOW,
+            closing,
+        }
     }
 
-    fn refresh(&mut self, id: &GateId, catalog: &Catalog) {
-        if self.generation != catalog.generation {
+    fn refresh(&mut self, now: Duration, id: &GateId, catalog: &Catalog) {
+        let lapsed = !self.closing.upstreams.is_empty() && now >= self.closing.until;
+        if lapsed {
+            self.closing.upstreams.clear();
+        }
+        if lapsed || self.generation != catalog.generation {
             self.generation = catalog.generation;
-            self.gate.set_upstreams(upstreams(id, catalog));
+            self.gate.set_upstreams(upstreams(id, catalog, &self.closing));
+        }
+    }
+
+    /// Closes these upstreams and no others; a late message of an earlier holder does nothing.
+    fn close(&mut self, now: Duration, id: &GateId, catalog: &Catalog, close: CloseUpstreams) {
+        if close.fencing < self.closing.fencing {
+            return;
         }
+        let changed = self.closing.upstreams != close.upstreams;
+        let CloseUpstreams { fencing, upstreams: closed, .. } = close;
+        self.closing = Closing { fencing, upstreams: closed, until: now + CLOSED_LIFETIME };
+        if changed {
+            self.gate.set_upstreams(upstreams(id, catalog, &self.closing));
+        }
+    }
+
+    /// Returns how many requests run on the closed upstreams; none while that is not known.
+    fn running(&self, now: Duration) -> Option<Vec<UpstreamRuns>> {
+        let summary = self.gate.summary().upstreams.into_iter();
+        let closed = summary.filter(|it| self.closing.upstreams.contains(&it.name));
+        let runs = closed.map(|it| UpstreamRuns { upstream: it.name, running: it.running });
+        (now >= self.learned_at).then(|| runs.collect())
     }
 
     fn take(&mut self, now: Duration, ticket: Ticket, message: Message) -> Vec<Decision> {
@@ -133,6 +179,21 @@
         self.hold(&permit.gate, ticket, end.rx).await;
     }
 
+    /// Closes upstreams of a gate to new work and returns what still runs on them; none while the
+    /// gate learns it.
+    pub fn close(
+        &self,
+        now: Duration,
+        catalog: &Catalog,
+        close: CloseUpstreams,
+    ) -> Option<Vec<UpstreamRuns>> {
+        let mut gates = self.lock();
+        let id = close.gate.clone();
+        let held = held(&mut gates, now, &id, catalog);
+        held.close(now, &id, catalog, close);
+        held.running(now)
+    }
+
     /// Reports the gates that this instance holds.
     pub fn report(&self) -> Vec<GateReport> {
         let gates = self.lock();
@@ -147,7 +208,7 @@
     /// Lets time pass at every gate.
     pub fn tick(&self, now: Duration, catalog: &Catalog) {
         for (id, held) in self.lock().iter_mut() {
-            held.refresh(id, catalog);
+            held.refresh(now, id, catalog);
             let decisions = held.gate.tick(now);
             held.deliver(decisions);
         }
@@ -204,12 +265,16 @@
     catalog: &Catalog,
 ) -> &'a mut HeldGate {
     let held = gates.entry(id.clone()).or_insert_with(|| HeldGate::new(now, id, catalog));
-    held.refresh(id, catalog);
+    held.refresh(now, id, catalog);
     held
 }
 
-fn upstreams(id: &GateId, catalog: &Catalog) -> Vec<UpstreamSpec> {
+fn upstreams(id: &GateId, catalog: &Catalog, closing: &Closing) -> Vec<UpstreamSpec> {
     let Some(pool) = catalog.pools.get(&id.pool) else { return Vec::new() };
     let own = pool.upstreams.iter().filter(|upstream| upstream.data_centre == id.data_centre);
-    own.cloned().collect()
+    let spec = |upstream: &UpstreamSpec| {
+        let leaving = upstream.leaving || closing.upstreams.contains(&upstream.name);
+        UpstreamSpec { leaving, ..upstream.clone() }
+    };
+    own.map(spec).collect()
 }
--- a/lacewingspring/src/lib.rs
+++ b/lacewingspring/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod peers;
 pub mod platform;
 pub mod poison;
+pub mod pool_control;
 pub mod settings;
 pub mod upstreams;
 pub mod view;
--- a/lacewingspring/src/peers/message.rs
+++ b/lacewingspring/src/peers/message.rs
@@ -11,6 +11,7 @@
 use super::{
     keys::{KeyCall, KeyReply},
     poison::{PoisonCall, PoisonReply},
+    pools::{PoolCall, PoolReply},
     shares::{ShareCall, ShareReply},
 };
 
@@ -122,4 +123,8 @@
     FetchDeclared,
     /// Member to member: the declared state in force, encoded.
     Declared(Vec<u8>),
+    /// Pool controller to gate or to all: about engines that are out, or the roll-out.
+    Pool(PoolCall),
+    /// The answer to such a message.
+    PoolReply(PoolReply),
 }
--- a/lacewingspring/src/peers/mod.rs
+++ b/lacewingspring/src/peers/mod.rs
@@ -21,6 +21,7 @@
     keys::{KeyCall, KeyReply, Told},
     message::{GateId, Message, PermitAsk, RunPart},
     poison::{OpenRun, PoisonCall, PoisonReply},
+    pools::{CloseUpstreams, PoolCall, PoolReply, PoolReport, UpstreamRuns},
     shares::{ShareCall, ShareReply},
 };
 
@@ -29,6 +30,7 @@
 mod keys;
 mod message;
 mod poison;
+mod pools;
 mod pump;
 mod shares;
 
--- a/lacewingspring/src/settings/test.rs
+++ b/lacewingspring/src/settings/test.rs
@@ -25,6 +25,14 @@
     EndMarker,
     /// The wait of a leaving instance for what it runs.
     Drain,
+    /// The look of a pool controller at its lease, by its own clock, before each order.
+    LeaseClock,
+    /// The wait of a roll-out until nothing runs on an engine.
+    EngineDrain,
+    /// The halt of a roll-out after a failed load.
+    RollOutHalt,
+    /// The orders that repeat until the engines serve what is declared.
+    Reconcile,
 }
 
 /// Section `test` of the settings, for tests alone.
--- a/lacewingspring/src/upstreams/mod.rs
+++ b/lacewingspring/src/upstreams/mod.rs
@@ -18,6 +18,7 @@
 use crate::settings::{Mechanism, TestSettings};
 
 pub mod completions;
+pub mod orders;
 pub mod plain;
 pub mod sse;
 
--- a/lacewingspring/src/view.rs
+++ b/lacewingspring/src/view.rs
@@ -5,6 +5,7 @@
 use lacewingspring_core::{
     key_index::KeyId,
     membership::{MemberState, ViewMember},
+    resources::{ResourceId, ResourceKind},
 };
 
 use crate::{
@@ -12,7 +13,8 @@
     gates::{GateHost, GateReport},
     membership::Fleet,
     metrics::{Metrics, MetricsReport},
-    operators::{FleetView, InstanceState, InstanceView},
+    operators::{Condition, Event, FleetView, InstanceState, InstanceView},
+    pool_control::PoolReports,
 };
 
 /// What one instance shows to operators.
@@ -26,6 +28,8 @@
     pub gates: Arc<GateHost>,
     /// Runs of this instance.
     pub runs: Arc<RunTable>,
+    /// Roll-outs of the engine pools.
+    pub pool_reports: Arc<PoolReports>,
 }
 
 impl FleetView for NodeView {
@@ -49,6 +53,16 @@
         others.filter(|member| member.state != MemberState::Gone).map(instance).collect()
     }
 
+    fn conditions(&self, id: &ResourceId) -> Vec<Condition> {
+        let pool = (id.kind == ResourceKind::EnginePool).then(|| self.pool_reports.condition(id));
+        pool.flatten().into_iter().collect()
+    }
+
+    fn events(&self, id: &ResourceId) -> Vec<Event> {
+        let is_pool = id.kind == ResourceKind::EnginePool;
+        if is_pool { self.pool_reports.events(id) } else { Vec::new() }
+    }
+
     fn metrics(&self) -> Option<MetricsReport> {
         Some(self.metrics.report(self.fleet.own().name.as_str()))
     }
