Bound the loads of weights over the fleet

Each pool's controller kept to its own `at_once`, so that several pools together could pass the rate of the weight store. A controller now takes a slot, one of `pool_control.loads_at_once` keys in the key-value service, before it closes an engine, and gives it back when the engine serves. The slot hangs on no lease, as an engine loads on without its controller; a successor adopts it.

Weighed: a static share by the number of pools (most of the rate idle), one record by compare-and-swap (all pools contend for one key).

Shown (pool_control, one run, 9 of 9 pass, 128 s): two pools with one slot never load two engines at once and give their slots back; with the slots switched off two load at once. The property of engines out at once now draws the room, too (pool_control_roll_out, 6 of 6 pass).

Tests that change: docs_operating counts 8 settings with bounds in place of 7, and knows the section `pool_control`; both are stricter.

--- a/lacewingspring/src/pool_control/controller.rs
+++ b/lacewingspring/src/pool_control/controller.rs
@@ -12,7 +12,9 @@
 use super::{
     is_own,
     observe::{self, ClosedEngines},
-    sleep_jittered, target,
+    sleep_jittered,
+    slots::LoadSlots,
+    target,
     tenure::{HeldLease, read_halt, write_halt},
 };
 use crate::{
@@ -69,6 +71,7 @@
     node: Arc<Node>,
     pool: PoolName,
     lease: HeldLease,
+    slots: LoadSlots,
     roll_out: RollOut,
     gates: ClosedEngines,
     closed: BTreeSet<UpstreamName>,
@@ -86,6 +89,7 @@
         let warn = |e| log::warn!(pool:% = pool, reason:% = e; "Pool control: no lease.");
         let lease = HeldLease::take(node, pool).await.map_err(warn).ok()??;
         let halt = read_halt(node, pool).await.map_err(warn).ok()?;
+        let slots = LoadSlots::adopt(node, pool).await.map_err(warn).ok()?;
         let fencing = lease.tenure.fencing;
         log::info!(pool:% = pool, fencing; "Pool control: takes the lease.");
         let policy = RollOutPolicy {
@@ -99,6 +103,7 @@
             node: node.clone(),
             pool: pool.clone(),
             lease,
+            slots,
             roll_out,
             gates: ClosedEngines::default(),
             closed: BTreeSet::new(),
@@ -129,6 +134,9 @@
             }
             sleep_jittered(round).await;
         }
+        if target(&self.node, &self.pool).is_none() {
+            self.slots.settle(&self.node, 0).await;
+        }
         self.lease.release(&self.node).await;
     }
 
@@ -154,8 +162,11 @@
         for engine in &mut engines {
             engine.running = running.get(&engine.upstream).copied();
         }
-        let plan = self.roll_out.decide(clock::now(), &engines);
+        let plan = self.roll_out.decide(clock::now(), &engines, self.slots.len(&self.node));
         self.closed = plan.closed;
+        if may_order(&self.node, &self.lease.tenure) {
+            self.slots.settle(&self.node, plan.loads).await;
+        }
         self.keep_halt().await;
         for order in plan.orders {
             self.send(spec, order);
--- a/lacewingspring/src/pool_control/mod.rs
+++ b/lacewingspring/src/pool_control/mod.rs
@@ -30,6 +30,7 @@
 mod controller;
 mod observe;
 mod reports;
+mod slots;
 mod tenure;
 
 /// Time between two looks at which pools this instance controls.
--- a/lacewingspring/src/settings/mod.rs
+++ b/lacewingspring/src/settings/mod.rs
@@ -21,6 +21,7 @@
     operators::{BootstrapOperator, OperatorRole},
     platform::{AuthoritySettings, InstanceListSettings, KeyValueSettings},
     poison::PoisonSettings,
+    pool_control::PoolControlSettings,
     test::{Mechanism, TestSettings},
     timing::TimingSettings,
 };
@@ -32,6 +33,7 @@
 mod operators;
 mod platform;
 mod poison;
+mod pool_control;
 mod test;
 mod timing;
 
@@ -69,6 +71,9 @@
     /// Watch for requests that crash upstreams.
     #[serde(default)]
     pub poison: PoisonSettings,
+    /// Limits of the pool controllers.
+    #[serde(default)]
+    pub pool_control: PoolControlSettings,
 }
 
 /// Why settings were not accepted.
@@ -171,6 +176,7 @@
         self.key_value.check()?;
         self.timing.check()?;
         self.test.check()?;
+        self.pool_control.check()?;
         self.check_operators()
     }
 
--- a/lacewingspring/src/settings/test.rs
+++ b/lacewingspring/src/settings/test.rs
@@ -33,6 +33,8 @@
     RollOutHalt,
     /// The orders that repeat until the engines serve what is declared.
     Reconcile,
+    /// The slots that loads of weights need, over the fleet.
+    LoadSlots,
 }
 
 /// Section `test` of the settings, for tests alone.
--- a/lacewingspring/tests/docs_operating.rs
+++ b/lacewingspring/tests/docs_operating.rs
@@ -17,7 +17,7 @@
 const UNKNOWN: &str = "zz";
 
 /// Sections of the settings; the root is empty.
-const SECTIONS: [&str; 11] = [
+const SECTIONS: [&str; 12] = [
     "",
     "listen",
     "key_value",
@@ -29,6 +29,7 @@
     "timing",
     "test",
     "poison",
+    "pool_control",
 ];
 
 /// Row of a reference.
@@ -162,7 +163,7 @@
         }
         checked += 1;
     }
-    assert_eq!(checked, 7, "settings with bounds");
+    assert_eq!(checked, 8, "settings with bounds");
 }
 
 #[test]
--- a/lacewingspring/tests/pool_control.rs
+++ b/lacewingspring/tests/pool_control.rs
@@ -34,14 +34,26 @@
 
 /// The pool with all engines of the fleet, ordered to serve a version.
 fn pool(fleet: &Fleet, version: &str, checking: &[SocketAddr]) -> Value {
-    let upstream = |(i, at): (usize, &SocketAddr)| {
+    let all: Vec<_> = (0..fleet.engines.len()).collect();
+    pool_of(fleet, "engines", &all, version, checking)
+}
+
+fn pool_of(
+    fleet: &Fleet,
+    name: &str,
+    engines: &[usize],
+    version: &str,
+    checking: &[SocketAddr],
+) -> Value {
+    let upstream = |i: &usize| {
+        let at = &fleet.engines[*i];
         json!({
             "name": format!("engine-{i}"), "address": at.to_string(), "data_centre": "dc0",
             "slots": 8, "checks_fencing": checking.contains(at)
         })
     };
-    let upstreams: Vec<_> = fleet.engines.iter().enumerate().map(upstream).collect();
-    json!({ "kind": "engine_pool", "name": "engines", "spec": {
+    let upstreams: Vec<_> = engines.iter().map(upstream).collect();
+    json!({ "kind": "engine_pool", "name": name, "spec": {
         "type": "engine", "model": "judge", "version": version, "managed": true,
         "upstreams": upstreams } })
 }
@@ -158,6 +170,37 @@
     assert!(!others.is_empty());
 }
 
+/// Rolls a version out in two pools at once; returns the most engines that loaded at once.
+async fn roll_out_two_pools(switch_off: &'static [&'static str]) -> usize {
+    let fleet = Fleet::start(Plan { loads_at_once: 1, ..plan(4, switch_off) }).await;
+    let pools = [("engines", [0, 1]), ("others", [2, 3])];
+    let pools = pools.map(|(name, engines)| pool_of(&fleet, name, &engines, "1", &[]));
+    fleet.declare(pools.to_vec()).await;
+    let started = now();
+    let (mut most, mut done) = (0, 0);
+    while done < fleet.engines.len() {
+        assert!(started.elapsed() < ROLL_OUT, "the roll-outs end in time");
+        let mut loading = 0;
+        done = 0;
+        for engine in &fleet.engines {
+            let state = state(*engine).await;
+            loading += usize::from(state["loading"] == true);
+            done += usize::from(state["loading"] == false && state["version"] == "1");
+        }
+        most = most.max(loading);
+    }
+    sleep(Duration::from_secs(2)).await;
+    let client = KeyValue::new(vec![fleet.key_value], Duration::from_secs(2));
+    assert_eq!(client.range("/lacewingspring/weight_loads/").await.unwrap().entries, []);
+    most
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn pools_share_the_loads_of_the_fleet() {
+    assert_eq!(roll_out_two_pools(&[]).await, 1);
+    assert_eq!(roll_out_two_pools(&["load_slots"]).await, 2);
+}
+
 /// Rolls a version out that can't be loaded; returns how many engines were ordered to load it.
 async fn roll_out_bad(fleet: &Fleet) -> usize {
     fleet.declare(vec![pool(fleet, "1", &[])]).await;
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -100,6 +100,8 @@
     pub switch_off: &'static [&'static str],
     /// Whether the watch for requests that crash upstreams is on.
     pub poison_watch: bool,
+    /// Engines that may load weights at once, over the fleet.
+    pub loads_at_once: u32,
 }
 
 impl Default for Plan {
@@ -113,6 +115,7 @@
             engine_flags: Vec::new(),
             switch_off: &[],
             poison_watch: true,
+            loads_at_once: 4,
         }
     }
 }
@@ -132,6 +135,7 @@
     pub instances: Vec<Instance>,
     stand_ins: Vec<Process>,
     poison_watch: bool,
+    loads_at_once: u32,
     ip: IpAddr,
     folder: TempDir,
     switch_off: &'static [&'static str],
@@ -154,6 +158,7 @@
             instances: Vec::new(),
             stand_ins: Vec::new(),
             poison_watch: plan.poison_watch,
+            loads_at_once: plan.loads_at_once,
             ip,
             folder,
             switch_off: plan.switch_off,
@@ -305,6 +310,7 @@
             "log": { "level": "warn" },
             "timing": { "instance_list_ms": 200, "address_ttl_ms": 1000, "orphan_ms": 1000 },
             "poison": { "watch": self.poison_watch },
+            "pool_control": { "loads_at_once": self.loads_at_once },
             "test": { "switch_off": self.switch_off }
         });
         let path = folder.join(format!("{name}.json"));
--- a/lacewingspring_core/src/pool_control/roll_out.rs
+++ b/lacewingspring_core/src/pool_control/roll_out.rs
@@ -27,6 +27,8 @@
     pub closed: BTreeSet<UpstreamName>,
     /// Orders to send now.
     pub orders: Vec<Order>,
+    /// Engines that load or are to, for which the fleet's budget of loads must have room.
+    pub loads: usize,
     /// Where the roll-out stands.
     pub status: Status,
 }
@@ -139,10 +141,10 @@
         }
     }
 
-    /// Decides one round.
-    pub fn decide(&mut self, now: Duration, engines: &[Observation]) -> Plan {
+    /// Decides one round. The fleet's budget has `room` for so many engines of the pool to load.
+    pub fn decide(&mut self, now: Duration, engines: &[Observation], room: usize) -> Plan {
         self.judge(now, engines);
-        self.choose(now, engines);
+        self.choose(now, engines, room);
         let mut orders = Vec::new();
         if !self.superseded {
             orders.extend(engines.iter().filter_map(|it| self.load(now, it, engines)));
@@ -158,7 +160,20 @@
         }
         let closed = engines.iter().filter(|it| self.is_out(it));
         let closed = closed.map(|it| it.upstream.clone()).collect();
-        Plan { closed, orders, status: self.status(engines) }
+        Plan { closed, orders, loads: self.loads(engines), status: self.status(engines, room) }
+    }
+
+    fn loads(&self, engines: &[Observation]) -> usize {
+        let out = engines.iter().filter(|it| self.is_out(it)).count();
+        if self.halt.is_some() || self.superseded {
+            return out;
+        }
+        let goal = &self.target.goal;
+        let next = |it: &&Observation| {
+            it.is_outdated(goal) && !self.is_out(it) && self.may_go(it, engines)
+        };
+        let next = engines.iter().filter(next).count();
+        out.max((out + next).min(self.target.at_once))
     }
 
     /// Judges the orders that were sent by what the engines say now.
@@ -210,7 +225,7 @@
     }
 
     /// Chooses the engines that are out for the roll-out.
-    fn choose(&mut self, now: Duration, engines: &[Observation]) {
+    fn choose(&mut self, now: Duration, engines: &[Observation], room: usize) {
         let in_flight = |attempt: &Attempt| attempt.sent == Some(Sent::InFlight);
         if self.halt.is_some() || self.superseded {
             self.attempts.retain(|_, attempt| in_flight(attempt));
@@ -225,7 +240,7 @@
         outdated.sort_by(|a, b| a.upstream.cmp(&b.upstream));
         for it in outdated {
             let out = engines.iter().filter(|it| self.is_out(it)).count();
-            let full = self.policy.bound_at_once && out >= self.target.at_once;
+            let full = self.policy.bound_at_once && out >= self.target.at_once.min(room);
             if full || self.is_out(it) || !self.may_go(it, engines) {
                 continue;
             }
@@ -269,7 +284,7 @@
         Order { upstream: it.upstream.clone(), state, loads }
     }
 
-    fn status(&self, engines: &[Observation]) -> Status {
+    fn status(&self, engines: &[Observation], room: usize) -> Status {
         let goal = &self.target.goal;
         let done = engines.iter().filter(|it| it.is_at(goal)).count();
         let progress = Progress { done, all: engines.len() };
@@ -281,6 +296,7 @@
             None if self.attempts.is_empty() && engines.iter().any(|it| blocked(&it)) => {
                 Status::LastReadyEngine(progress)
             }
+            None if room == 0 && self.loads(engines) > 0 => Status::WaitingForLoads(progress),
             None => Status::Rolling(progress),
         }
     }
--- a/lacewingspring_core/src/pool_control/status.rs
+++ b/lacewingspring_core/src/pool_control/status.rs
@@ -42,6 +42,8 @@
     Done(Progress),
     /// Engines are ordered, or will be when they can be reached.
     Rolling(Progress),
+    /// Other pools load as much as the fleet may at once.
+    WaitingForLoads(Progress),
     /// What is left would take the last ready engine out.
     LastReadyEngine(Progress),
     /// It goes no further.
@@ -58,6 +60,7 @@
         match self {
             Self::Done(_) => "RolledOut",
             Self::Rolling(_) => "Rolling",
+            Self::WaitingForLoads(_) => "WaitingForLoads",
             Self::LastReadyEngine(_) => "LastReadyEngine",
             Self::Halted(Halt { reason: HaltReason::LoadFailed, .. }) => "LoadFailed",
             Self::Halted(Halt { reason: HaltReason::EngineCrashed, .. }) => "EngineCrashed",
@@ -74,6 +77,9 @@
             Self::Rolling(Progress { done, all }) => {
                 write!(f, "{done} of {all} engines serve it; the roll-out goes on.")
             }
+            Self::WaitingForLoads(Progress { done, all }) => {
+                write!(f, "{done} of {all} engines serve it; others load as much as may be.")
+            }
             Self::LastReadyEngine(Progress { done, all }) => write!(
                 f,
                 "{done} of {all} engines serve it; to go on would take the last ready engine out."
--- a/lacewingspring_core/tests/pool_control_roll_out.rs
+++ b/lacewingspring_core/tests/pool_control_roll_out.rs
@@ -52,6 +52,7 @@
     now: Duration,
     faults: Faults,
     at_once: usize,
+    room: usize,
     engines: Vec<Engine>,
     /// Orders on their way, when they arrive, and whether their sender still listens.
     wire: Vec<(Duration, Order, u64)>,
@@ -73,9 +74,9 @@
             running: rng.below(4) as u32,
         };
         let engines = (0..2 + rng.below(5)).map(|_| engine(&mut rng)).collect();
-        let at_once = 1 + rng.below(3) as usize;
+        let (at_once, room) = (1 + rng.below(3) as usize, 1 + rng.below(3) as usize);
         let (now, wire, seen) = (Duration::ZERO, Vec::new(), Seen::default());
-        Self { rng, now, faults, at_once, engines, wire, seen }
+        Self { rng, now, faults, at_once, room, engines, wire, seen }
     }
 
     fn observe(&self, closed: &BTreeSet<String>) -> Vec<Observation> {
@@ -195,7 +196,7 @@
                 continue;
             }
             let seen = self.observe(&closed);
-            let plan = roll_out.decide(self.now, &seen);
+            let plan = roll_out.decide(self.now, &seen, self.room);
             self.check(&target, &seen, &plan.orders);
             self.seen.ordered_after_halt |= halted && plan.orders.iter().any(|order| order.loads);
             halted |= matches!(plan.status, Status::Halted(_));
@@ -208,7 +209,7 @@
         }
         let at_goal = |engine: &Engine| engine.state.serves == target.goal;
         self.seen.converged = self.engines.iter().all(at_goal);
-        (self.seen, self.at_once)
+        (self.seen, self.at_once.min(self.room))
     }
 }
 
