Tell the calls to the key-value service by purpose, and who controls each pool

Calls were counted by kind only and shown nowhere. Each part now has a client whose calls are counted for its purpose: watch, commit, claim, lease, poison. `status` of an instance tells its own counts, and the metric `key_value.calls` sends them each 5 s. `status` also lists the pool controllers as roles. One more test with real processes: an engine that crashes in its load halts the roll-out.

Ruled out for now: to tell the counts of all instances in one answer; it needs a field in heartbeats.

--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -27,7 +27,7 @@
     metrics::Metrics,
     operators::{KnownOperator, Operators},
     peers::{Authority, AuthorityError, Exchange, Message, PeerError, Peers},
-    platform::key_value::KeyValue,
+    platform::key_value::{CallCounts, KeyValue, Purpose},
     poison::{self, Poison, follow_members, read_stored},
     pool_control::{self, PoolReports, control_pools},
     settings::{Mechanism, Settings},
@@ -37,6 +37,9 @@
 /// Time between two ticks of the gates.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Time between two sendings of the counts of calls to the key-value service.
+const CALLS_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Time between two looks at whether all runs have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -122,6 +125,7 @@
     tokio::spawn(read_stored(node.clone()));
     tokio::spawn(follow_members(node.clone()));
     tokio::spawn(control_pools(node.clone()));
+    tokio::spawn(send_calls(node.clone()));
     callers::start(node.clone())?;
     wait_for_stop().await?;
     leave(&node).await;
@@ -152,6 +156,7 @@
         runs: Arc::default(),
         gates: Arc::default(),
         pool_reports: Arc::default(),
+        store: store.clone(),
     };
     let bootstrap = settings.operators.iter().map(KnownOperator::from).collect();
     Ok(Arc::new(Node {
@@ -182,6 +187,23 @@
     }
 }
 
+/// Sends how many calls to the key-value service were made, for ever.
+async fn send_calls(node: Arc<Node>) {
+    let mut ticks = interval(CALLS_INTERVAL);
+    let mut sent = CallCounts::default();
+    loop {
+        ticks.tick().await;
+        let counts = node.store.calls();
+        for purpose in Purpose::ALL {
+            let calls = counts.for_purpose(purpose) - sent.for_purpose(purpose);
+            if calls > 0 {
+                node.metrics.key_value_calls(purpose, calls);
+            }
+        }
+        sent = counts;
+    }
+}
+
 async fn serve_peers(node: Arc<Node>) {
     let mut exchanges = node.peers.accept();
     while let Some(exchange) = exchanges.recv().await {
--- a/lacewingspring/src/declared/commit.rs
+++ b/lacewingspring/src/declared/commit.rs
@@ -122,7 +122,7 @@
     }
 
     pub(super) async fn read_head_record(&self) -> Result<Option<Head>, LoadError> {
-        let Some(entry) = self.kv.get(&self.keys.head).await? else { return Ok(None) };
+        let Some(entry) = self.commit_kv.get(&self.keys.head).await? else { return Ok(None) };
         let head = serde_json::from_slice(&entry.value).map_err(|err| SnapshotError::Record {
             key: entry.key.clone(),
             reason: err.to_string(),
@@ -240,7 +240,7 @@
     async fn swap(&self, attempt: &Attempt, unsure: bool) -> Result<Swapped, KeyValueError> {
         let Attempt { compares, puts, deletes, head } = attempt;
         let (compares, puts) = (compares.clone(), puts.clone());
-        match self.kv.compare_and_swap(compares, puts, deletes.clone()).await? {
+        match self.commit_kv.compare_and_swap(compares, puts, deletes.clone()).await? {
             Swap::Done(revision) => Ok(Swapped::Done(revision)),
             Swap::Refused(_) if unsure => self.find_own(head).await,
             Swap::Refused(_) => Ok(Swapped::Lost),
@@ -249,7 +249,7 @@
 
     /// Finds out whose commit has the generation of `head`, now that one has.
     async fn find_own(&self, head: &Head) -> Result<Swapped, KeyValueError> {
-        let Some(entry) = self.kv.get(&self.keys.history(head.generation)).await? else {
+        let Some(entry) = self.commit_kv.get(&self.keys.history(head.generation)).await? else {
             // The record is there unless the read is old or the commit is long past.
             return Err(KeyValueError::Unknown("the record of the generation is gone".into()));
         };
--- a/lacewingspring/src/declared/store.rs
+++ b/lacewingspring/src/declared/store.rs
@@ -19,7 +19,7 @@
     policy::DeclaredPolicy,
     snapshot::{Snapshot, SnapshotError},
 };
-use crate::platform::key_value::{KeyValue, KeyValueError, Revision};
+use crate::platform::key_value::{KeyValue, KeyValueError, Purpose, Revision};
 
 /// Prefix of log lines.
 pub(super) const LOG: &str = "declared";
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 pub struct DeclaredStore {
     pub(super) kv: KeyValue,
+    /// Client whose calls are counted as commits.
+    pub(super) commit_kv: KeyValue,
     pub(super) keys: Keys,
     pub(super) policy: DeclaredPolicy,
     pub(super) counters: Counters,
@@ -82,6 +84,7 @@
     /// Returns a store that follows nothing by itself.
     pub fn new(kv: KeyValue, prefix: &str, policy: DeclaredPolicy) -> Self {
         Self {
+            commit_kv: kv.with_purpose(Purpose::Commit),
             kv,
             keys: Keys::new(prefix),
             policy,
--- a/lacewingspring/src/entry/claims.rs
+++ b/lacewingspring/src/entry/claims.rs
@@ -17,7 +17,7 @@
 use super::{Refusal, Work};
 use crate::{
     clock,
-    platform::key_value::{Compare, KeyValue, KeyValueEntry, KeyValueError, Put, Swap},
+    platform::key_value::{Compare, KeyValue, KeyValueEntry, KeyValueError, Purpose, Put, Swap},
     settings::{Mechanism, Settings},
 };
 
@@ -86,7 +86,7 @@
     /// Creates the claims of one incarnation of an instance.
     pub fn new(store: KeyValue, settings: &Settings, incarnation: u64) -> Self {
         Self {
-            store,
+            store: store.with_purpose(Purpose::Claim),
             prefix: settings.key_value.prefix.clone(),
             instance: settings.instance.clone(),
             incarnation,
--- a/lacewingspring/src/metrics/mod.rs
+++ b/lacewingspring/src/metrics/mod.rs
@@ -19,6 +19,7 @@
     histograms::{HistogramReport, MetricsReport},
     tiers::TierReport,
 };
+use crate::platform::key_value::Purpose;
 
 mod histograms;
 mod tiers;
@@ -121,6 +122,12 @@
         self.count("runs.parked", 1, series);
     }
 
+    /// Counts calls to the key-value service.
+    pub fn key_value_calls(&self, purpose: Purpose, calls: u64) {
+        let counter = self.statsd.count_with_tags("key_value.calls", calls);
+        counter.with_tag("purpose", purpose.as_str()).send();
+    }
+
     /// Counts a broken invariant.
     pub fn violated(&self, name: &str) {
         self.statsd.count_with_tags(name, 1).send();
--- a/lacewingspring/src/operators/fleet.rs
+++ b/lacewingspring/src/operators/fleet.rs
@@ -44,6 +44,11 @@
         Vec::new()
     }
 
+    /// Returns the calls to the key-value service that the instance that answers made.
+    fn key_value_calls(&self) -> Vec<CallsView> {
+        Vec::new()
+    }
+
     /// Returns what was decided about a request; none when this instance doesn't know it.
     fn explain(&self, _id: &KeyId) -> Option<Vec<StepReport>> {
         None
@@ -88,6 +93,15 @@
     pub holder: Option<InstanceName>,
 }
 
+/// Calls to the key-value service since the start of the instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct CallsView {
+    /// What they were made for.
+    pub purpose: &'static str,
+    /// How many, whether they succeeded or not.
+    pub calls: u64,
+}
+
 /// One statement about a resource and why it holds or not.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Condition {
--- a/lacewingspring/src/operators/mod.rs
+++ b/lacewingspring/src/operators/mod.rs
@@ -12,7 +12,10 @@
 use self::{auth::Identity, query::Query};
 pub use self::{
     auth::KnownOperator,
-    fleet::{Condition, ConditionStatus, Event, FleetView, InstanceState, InstanceView, RoleView},
+    fleet::{
+        CallsView, Condition, ConditionStatus, Event, FleetView, InstanceState, InstanceView,
+        RoleView,
+    },
     problem::Failure,
     reply::OperatorReply,
 };
--- a/lacewingspring/src/operators/status.rs
+++ b/lacewingspring/src/operators/status.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Operators,
-    fleet::{FleetView, InstanceState, InstanceView, RoleView},
+    fleet::{CallsView, FleetView, InstanceState, InstanceView, RoleView},
     problem::Failure,
     query::Query,
     reply::OperatorReply,
@@ -33,6 +33,7 @@
     generation: u64,
     instances: Vec<InstanceStatus>,
     roles: Vec<RoleView>,
+    key_value_calls: Vec<CallsView>,
 }
 
 #[derive(Serialize)]
@@ -86,6 +87,7 @@
             generation: self.declared.generation(),
             instances: self.instances().into_iter().map(InstanceStatus::from).collect(),
             roles: self.fleet.roles(),
+            key_value_calls: self.fleet.key_value_calls(),
         })
     }
 
--- a/lacewingspring/src/platform/key_value/mod.rs
+++ b/lacewingspring/src/platform/key_value/mod.rs
@@ -1,19 +1,14 @@
 //! Typed client of the key-value service.
 //!
 //! It speaks the published etcd v3 JSON gateway over HTTP/1.1. Nothing is retried here: callers
-//! know what a second attempt would mean. Every call is counted by kind.
+//! know what a second attempt would mean. Every call is counted by its purpose and kind.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 
-pub use self::{
-    calls::{CallCounts, CallKind},
-    error::KeyValueError,
-    model::{Compare, Created, KeyValueEntry, LeaseId, Put, RangeReply, Revision, Swap},
-    watch::{Watch, WatchBatch, WatchEvent},
-};
 use self::{
+    calls::CallLabel,
     transport::Transport,
     wire::{
         CompareWire, DeleteRequest, LeaseGrantReply, LeaseGrantRequest, LeaseKeepAliveReply,
@@ -21,6 +16,12 @@
         TxnResponse, WatchCreate, WatchRequest, WriteReply,
     },
 };
+pub use self::{
+    calls::{CallCounts, CallKind, Purpose},
+    error::KeyValueError,
+    model::{Compare, Created, KeyValueEntry, LeaseId, Put, RangeReply, Revision, Swap},
+    watch::{Watch, WatchBatch, WatchEvent},
+};
 
 mod calls;
 mod error;
@@ -33,6 +34,7 @@
 #[derive(Clone, Debug)]
 pub struct KeyValue {
     transport: Arc<Transport>,
+    purpose: Purpose,
 }
 
 impl KeyValue {
@@ -40,10 +42,16 @@
     ///
     /// One endpoint is used until it fails; the next call then goes to the next one.
     pub fn new(endpoints: Vec<SocketAddr>, timeout: Duration) -> Self {
-        Self { transport: Arc::new(Transport::new(endpoints, timeout)) }
+        let transport = Arc::new(Transport::new(endpoints, timeout));
+        Self { transport, purpose: Purpose::default() }
     }
 
-    /// Returns how many calls were made, by kind.
+    /// Returns a clone whose calls are counted for a purpose.
+    pub fn with_purpose(&self, purpose: Purpose) -> Self {
+        Self { purpose, ..self.clone() }
+    }
+
+    /// Returns how many calls all clones made.
     pub fn calls(&self) -> CallCounts {
         self.transport.calls()
     }
@@ -96,14 +104,16 @@
                 .chain(deletes.iter().map(|key| RequestOp::delete(key)))
                 .collect(),
         };
-        let reply: TxnResponse = self.transport.call(CallKind::Txn, "/v3/kv/txn", &req).await?;
+        let reply: TxnResponse =
+            self.transport.call(self.label(CallKind::Txn), "/v3/kv/txn", &req).await?;
         reply.into_swap()
     }
 
     /// Writes one entry, whatever was there.
     pub async fn put(&self, put: Put) -> Result<Revision, KeyValueError> {
         let req = PutRequest::from(put);
-        let reply: WriteReply = self.transport.call(CallKind::Put, "/v3/kv/put", &req).await?;
+        let reply: WriteReply =
+            self.transport.call(self.label(CallKind::Put), "/v3/kv/put", &req).await?;
         Ok(reply.header.revision)
     }
 
@@ -111,7 +121,8 @@
     pub async fn delete(&self, key: &str) -> Result<bool, KeyValueError> {
         let req = DeleteRequest::key(key);
         let path = "/v3/kv/deleterange";
-        let reply: WriteReply = self.transport.call(CallKind::Delete, path, &req).await?;
+        let reply: WriteReply =
+            self.transport.call(self.label(CallKind::Delete), path, &req).await?;
         Ok(reply.deleted > 0)
     }
 
@@ -119,7 +130,8 @@
     pub async fn lease_grant(&self, ttl: Duration) -> Result<LeaseId, KeyValueError> {
         let req = LeaseGrantRequest { ttl: ttl.as_secs().max(1) as i64 };
         let path = "/v3/lease/grant";
-        let reply: LeaseGrantReply = self.transport.call(CallKind::LeaseGrant, path, &req).await?;
+        let reply: LeaseGrantReply =
+            self.transport.call(self.label(CallKind::LeaseGrant), path, &req).await?;
         Ok(LeaseId(reply.id))
     }
 
@@ -128,7 +140,7 @@
         let req = LeaseRequest { id: lease.0 };
         let path = "/v3/lease/keepalive";
         let reply: Streamed<LeaseKeepAliveReply> =
-            self.transport.call_first(CallKind::KeepAlive, path, &req).await?;
+            self.transport.call_first(self.label(CallKind::KeepAlive), path, &req).await?;
         let ttl = reply.into_result()?.ttl;
         Ok(u64::try_from(ttl).ok().filter(|ttl| *ttl > 0).map(Duration::from_secs))
     }
@@ -137,7 +149,7 @@
     pub async fn revoke(&self, lease: LeaseId) -> Result<(), KeyValueError> {
         let req = LeaseRequest { id: lease.0 };
         let path = "/v3/lease/revoke";
-        let _: WriteReply = self.transport.call(CallKind::Revoke, path, &req).await?;
+        let _: WriteReply = self.transport.call(self.label(CallKind::Revoke), path, &req).await?;
         Ok(())
     }
 
@@ -149,13 +161,17 @@
     ) -> Result<Watch, KeyValueError> {
         let create_request = WatchCreate::prefix(prefix, from_revision);
         let req = WatchRequest { create_request };
-        let stream = self.transport.open(CallKind::Watch, "/v3/watch", &req).await?;
+        let stream = self.transport.open(self.label(CallKind::Watch), "/v3/watch", &req).await?;
         Watch::accept(stream, self.transport.timeout()).await
     }
 
+    fn label(&self, kind: CallKind) -> CallLabel {
+        CallLabel { purpose: self.purpose, kind }
+    }
+
     async fn read(&self, req: RangeRequest) -> Result<RangeReply, KeyValueError> {
         let reply: RangeResponse =
-            self.transport.call(CallKind::Range, "/v3/kv/range", &req).await?;
+            self.transport.call(self.label(CallKind::Range), "/v3/kv/range", &req).await?;
         reply.into_reply()
     }
 }
--- a/lacewingspring/src/platform/key_value/transport.rs
+++ b/lacewingspring/src/platform/key_value/transport.rs
@@ -18,7 +18,7 @@
 use tokio::time;
 
 use super::{
-    calls::{CallCounters, CallCounts, CallKind},
+    calls::{CallCounters, CallCounts, CallLabel},
     error::KeyValueError,
     wire::ErrorWire,
 };
@@ -73,7 +73,7 @@
     /// Makes one call and reads the whole answer.
     pub(super) async fn call<Q, R>(
         &self,
-        kind: CallKind,
+        label: CallLabel,
         path: &str,
         req: &Q,
     ) -> Result<R, KeyValueError>
@@ -82,7 +82,7 @@
         R: DeserializeOwned,
     {
         let exchange = async {
-            let body = self.send(kind, path, req).await?.into_body();
+            let body = self.send(label, path, req).await?.into_body();
             let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
             body.map(|body| body.to_bytes()).map_err(|err| KeyValueError::Unknown(err.to_string()))
         };
@@ -93,7 +93,7 @@
     /// Makes one call and reads the first line of a streamed answer.
     pub(super) async fn call_first<Q, R>(
         &self,
-        kind: CallKind,
+        label: CallLabel,
         path: &str,
         req: &Q,
     ) -> Result<R, KeyValueError>
@@ -102,7 +102,7 @@
         R: DeserializeOwned,
     {
         let exchange = async {
-            let mut lines = LineStream::new(self.send(kind, path, req).await?.into_body());
+            let mut lines = LineStream::new(self.send(label, path, req).await?.into_body());
             lines.next().await
         };
         let line = self.bounded(exchange).await?;
@@ -112,14 +112,14 @@
     /// Opens a streamed answer.
     pub(super) async fn open<Q>(
         &self,
-        kind: CallKind,
+        label: CallLabel,
         path: &str,
         req: &Q,
     ) -> Result<LineStream, KeyValueError>
     where
         Q: Serialize,
     {
-        let res = self.bounded(self.send(kind, path, req)).await?;
+        let res = self.bounded(self.send(label, path, req)).await?;
         Ok(LineStream::new(res.into_body()))
     }
 
@@ -147,7 +147,7 @@
 
     async fn send<Q>(
         &self,
-        kind: CallKind,
+        label: CallLabel,
         path: &str,
         req: &Q,
     ) -> Result<Response<Incoming>, KeyValueError>
@@ -155,7 +155,7 @@
         Q: Serialize,
     {
         let req = self.request(path, req)?;
-        self.calls.record(kind);
+        self.calls.record(label);
         let res = self.client.request(req).await.map_err(|err| {
             if err.is_connect() {
                 KeyValueError::Unavailable(err.to_string())
--- a/lacewingspring/src/poison/stored.rs
+++ b/lacewingspring/src/poison/stored.rs
@@ -11,7 +11,7 @@
 use crate::{
     clock,
     daemon::Node,
-    platform::key_value::{KeyValueError, Put},
+    platform::key_value::{KeyValue, KeyValueError, Purpose, Put},
 };
 
 /// Part of a key that follows the prefix.
@@ -27,7 +27,7 @@
 pub async fn read_stored(node: Arc<Node>) {
     let folder = format!("{}{FOLDER}", node.settings.key_value.prefix);
     loop {
-        match node.store.range(&folder).await {
+        match store_of(&node).range(&folder).await {
             Ok(reply) => {
                 let reports = reply.entries.iter();
                 let reports = reports.filter_map(|entry| serde_json::from_slice(&entry.value).ok());
@@ -54,12 +54,17 @@
     }
 }
 
+fn store_of(node: &Node) -> KeyValue {
+    node.store.with_purpose(Purpose::Poison)
+}
+
 async fn write(node: &Node, report: &Report) -> Result<(), KeyValueError> {
     let Ok(value) = serde_json::to_vec(report) else { return Ok(()) };
     let fingerprint = serde_json::to_vec(&report.fingerprint).unwrap_or_default();
     let name = &digest_hex(&fingerprint)[..16];
     let key = format!("{}{FOLDER}{name}", node.settings.key_value.prefix);
-    let lease = node.store.lease_grant(PoisonConfig::default().quarantine_for).await?;
-    node.store.put(Put::new(key, value).with_lease(lease)).await?;
+    let store = store_of(node);
+    let lease = store.lease_grant(PoisonConfig::default().quarantine_for).await?;
+    store.put(Put::new(key, value).with_lease(lease)).await?;
     Ok(())
 }
--- a/lacewingspring/src/pool_control/mod.rs
+++ b/lacewingspring/src/pool_control/mod.rs
@@ -25,6 +25,7 @@
     clock,
     daemon::Node,
     peers::{PoolCall, PoolReply},
+    platform::key_value::{KeyValue, Purpose},
 };
 
 mod controller;
@@ -80,6 +81,11 @@
     !node.leaving() && holder.is_some_and(|holder| holder.name == node.settings.instance)
 }
 
+/// Returns the client of the key-value service whose calls are counted for controllers.
+fn store(node: &Node) -> KeyValue {
+    node.store.with_purpose(Purpose::Lease)
+}
+
 /// Returns what a pool declares now; none when its engines get no orders.
 fn target(node: &Node, pool: &PoolName) -> Option<Target> {
     let snapshot = node.declared.snapshot();
--- a/lacewingspring/src/pool_control/reports.rs
+++ b/lacewingspring/src/pool_control/reports.rs
@@ -8,7 +8,7 @@
 use lacewingspring_core::{names::PoolName, pool_control::Status, resources::ResourceId};
 
 use crate::{
-    operators::{Condition, ConditionStatus, Event},
+    operators::{Condition, ConditionStatus, Event, RoleView},
     peers::PoolReport,
 };
 
@@ -25,6 +25,12 @@
     events: VecDeque<Event>,
 }
 
+impl Known {
+    fn has_lease(&self) -> bool {
+        !matches!(self.last.status, Status::NoLease | Status::Superseded)
+    }
+}
+
 impl PoolReports {
     /// Takes a report unless a later one is known.
     pub fn take(&self, report: PoolReport) {
@@ -47,6 +53,16 @@
         entry.last = report;
     }
 
+    /// Returns the controllers of the pools, as they last said.
+    pub fn controllers(&self) -> Vec<RoleView> {
+        let known = self.lock();
+        let roles = known.iter().map(|(pool, known)| RoleView {
+            role: format!("pool_controller/{pool}"),
+            holder: Some(known.last.controller.clone()).filter(|_| known.has_lease()),
+        });
+        roles.collect()
+    }
+
     /// Returns whether the engines of a pool serve what is declared, and why not.
     pub fn condition(&self, id: &ResourceId) -> Option<Condition> {
         let known = self.lock();
--- a/lacewingspring/src/pool_control/slots.rs
+++ b/lacewingspring/src/pool_control/slots.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
-use super::target;
+use super::{store, target};
 use crate::{
     clock,
     daemon::Node,
@@ -110,7 +110,7 @@
         let generation = node.declared.generation();
         let record = SlotRecord { pool: self.pool.clone(), generation };
         let value = serde_json::to_vec(&record).unwrap_or_default();
-        match node.store.create_entry(Put::new(key.clone(), value)).await? {
+        match store(node).create_entry(Put::new(key.clone(), value)).await? {
             Created::Created(revision) => {
                 self.held.push(Slot { key, revision });
                 self.wait = MIN_WAIT;
@@ -124,7 +124,7 @@
     async fn read(&mut self, node: &Node) -> Result<BTreeSet<String>, KeyValueError> {
         let folder = format!("{}{SLOTS}", node.settings.key_value.prefix);
         let mut taken = BTreeSet::new();
-        let entries = node.store.range(&folder).await?.entries;
+        let entries = store(node).range(&folder).await?.entries;
         self.held.clear();
         for entry in entries {
             let slot = Slot { key: entry.key.clone(), revision: entry.mod_revision };
@@ -165,5 +165,5 @@
 async fn delete(node: &Node, slot: &Slot) -> Result<(), KeyValueError> {
     let compare = Compare::ModRevision(slot.key.clone(), slot.revision);
     let deletes = vec![slot.key.clone()];
-    node.store.compare_and_swap(vec![compare], Vec::new(), deletes).await.map(|_| ())
+    store(node).compare_and_swap(vec![compare], Vec::new(), deletes).await.map(|_| ())
 }
--- a/lacewingspring/src/pool_control/tenure.rs
+++ b/lacewingspring/src/pool_control/tenure.rs
@@ -7,6 +7,7 @@
     pool_control::{Halt, Tenure},
 };
 
+use super::store;
 use crate::{
     clock,
     daemon::Node,
@@ -40,15 +41,15 @@
     /// grows with each write, so a later tenure has a higher number.
     pub(super) async fn take(node: &Node, pool: &PoolName) -> Result<Option<Self>, KeyValueError> {
         let key = key(node, CONTROLLERS, pool);
-        if node.store.get(&key).await?.is_some() {
+        if store(node).get(&key).await?.is_some() {
             return Ok(None);
         }
         let sent = clock::now();
-        let lease = node.store.lease_grant(TTL).await?;
+        let lease = store(node).lease_grant(TTL).await?;
         let put = Put::new(key, node.settings.instance.to_string()).with_lease(lease);
         // After a lost reply the entry lapses with the lease, which nobody renews.
-        let Created::Created(revision) = node.store.create_entry(put).await? else {
-            let _ = node.store.revoke(lease).await;
+        let Created::Created(revision) = store(node).create_entry(put).await? else {
+            let _ = store(node).revoke(lease).await;
             return Ok(None);
         };
         let tenure = Tenure::new(revision.unsigned_abs(), sent, TTL);
@@ -62,7 +63,7 @@
             return;
         }
         self.renew_at = sent + TTL / RENEWALS_PER_TTL;
-        match node.store.keep_alive(self.lease).await {
+        match store(node).keep_alive(self.lease).await {
             Ok(Some(ttl)) => self.tenure.renew(sent, ttl.min(TTL)),
             Ok(None) => log::warn!("Pool control: the lease has lapsed."),
             Err(e) => log::warn!(reason:% = e; "Pool control: could not renew a lease."),
@@ -77,14 +78,14 @@
     /// Gives the lease up, so that a successor need not wait.
     pub(super) async fn release(self, node: &Node) {
         if self.tenure.may_order(clock::now()) {
-            let _ = node.store.revoke(self.lease).await;
+            let _ = store(node).revoke(self.lease).await;
         }
     }
 }
 
 /// Reads the halt that an earlier tenure left.
 pub(super) async fn read_halt(node: &Node, pool: &PoolName) -> Result<Option<Halt>, KeyValueError> {
-    let entry = node.store.get(&key(node, HALTS, pool)).await?;
+    let entry = store(node).get(&key(node, HALTS, pool)).await?;
     Ok(entry.and_then(|entry| serde_json::from_slice(&entry.value).ok()))
 }
 
@@ -95,7 +96,7 @@
     halt: &Halt,
 ) -> Result<(), KeyValueError> {
     let value = serde_json::to_vec(halt).unwrap_or_default();
-    node.store.put(Put::new(key(node, HALTS, pool), value)).await.map(|_| ())
+    store(node).put(Put::new(key(node, HALTS, pool), value)).await.map(|_| ())
 }
 
 fn key(node: &Node, folder: &str, pool: &PoolName) -> String {
--- a/lacewingspring/src/view.rs
+++ b/lacewingspring/src/view.rs
@@ -13,7 +13,8 @@
     gates::{GateHost, GateReport},
     membership::Fleet,
     metrics::{Metrics, MetricsReport},
-    operators::{Condition, Event, FleetView, InstanceState, InstanceView},
+    operators::{CallsView, Condition, Event, FleetView, InstanceState, InstanceView, RoleView},
+    platform::key_value::{KeyValue, Purpose},
     pool_control::PoolReports,
 };
 
@@ -30,6 +31,8 @@
     pub runs: Arc<RunTable>,
     /// Roll-outs of the engine pools.
     pub pool_reports: Arc<PoolReports>,
+    /// Client of the key-value service.
+    pub store: KeyValue,
 }
 
 impl FleetView for NodeView {
@@ -53,6 +56,10 @@
         others.filter(|member| member.state != MemberState::Gone).map(instance).collect()
     }
 
+    fn roles(&self) -> Vec<RoleView> {
+        self.pool_reports.controllers()
+    }
+
     fn conditions(&self, id: &ResourceId) -> Vec<Condition> {
         let pool = (id.kind == ResourceKind::EnginePool).then(|| self.pool_reports.condition(id));
         pool.flatten().into_iter().collect()
@@ -67,6 +74,15 @@
         Some(self.metrics.report(self.fleet.own().name.as_str()))
     }
 
+    fn key_value_calls(&self) -> Vec<CallsView> {
+        let counts = self.store.calls();
+        let calls = |purpose: Purpose| CallsView {
+            purpose: purpose.as_str(),
+            calls: counts.for_purpose(purpose),
+        };
+        Purpose::ALL.map(calls).into()
+    }
+
     fn gates(&self) -> Vec<GateReport> {
         self.gates.report()
     }
--- a/lacewingspring/tests/declared_operators.rs
+++ b/lacewingspring/tests/declared_operators.rs
@@ -140,7 +140,7 @@
     assert_snapshot!(site.get("wait?generation=1&timeout_ms=100").await, @r#"200 {"generation":1,"in_force":true,"laggards":[]}"#);
     site.change("root", json!({"changes": [tier("b", 1)]})).await;
     assert_snapshot!(site.get("wait?generation=2&timeout_ms=100").await, @r#"200 {"generation":2,"in_force":false,"laggards":[{"generation":1,"instance":"slow"}]}"#);
-    assert_snapshot!(site.get("status").await, @r#"200 {"data_centre":"east","generation":2,"instance":"own","instances":[{"address":"127.0.0.1:80","data_centre":"east","generation":2,"heartbeat_age_ms":5,"name":"own","state":"live"},{"address":"127.0.0.1:80","data_centre":"east","generation":1,"heartbeat_age_ms":5,"name":"slow","state":"live"}],"roles":[]}"#);
+    assert_snapshot!(site.get("status").await, @r#"200 {"data_centre":"east","generation":2,"instance":"own","instances":[{"address":"127.0.0.1:80","data_centre":"east","generation":2,"heartbeat_age_ms":5,"name":"own","state":"live"},{"address":"127.0.0.1:80","data_centre":"east","generation":1,"heartbeat_age_ms":5,"name":"slow","state":"live"}],"key_value_calls":[],"roles":[]}"#);
 }
 
 #[tokio::test]
--- a/lacewingspring/tests/docs_metrics.rs
+++ b/lacewingspring/tests/docs_metrics.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeSet, net::UdpSocket, time::Duration};
 
-use lacewingspring::metrics::{Metrics, Series, Timer};
+use lacewingspring::{
+    metrics::{Metrics, Series, Timer},
+    platform::key_value::Purpose,
+};
 use lacewingspring_core::{
     error::ErrorKind,
     names::{TierName, WorkspaceName},
@@ -53,6 +56,7 @@
     metrics.prefilled(&series, 7);
     metrics.wasted(&series, 7);
     metrics.parked(&series);
+    metrics.key_value_calls(Purpose::Claim, 7);
     for timer in [Timer::Wait, Timer::FirstToken, Timer::BetweenTokens, Timer::Total] {
         metrics.time(timer, &series, Duration::from_millis(7));
     }
--- a/lacewingspring/tests/pool_control.rs
+++ b/lacewingspring/tests/pool_control.rs
@@ -220,6 +220,29 @@
     loads
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn halts_when_an_engine_crashes_in_its_load() {
+    let fleet = Fleet::start(plan(3, &[])).await;
+    fleet.declare(vec![pool(&fleet, "1", &[])]).await;
+    wait_for(&fleet, "1", ROLL_OUT).await;
+    fleet.declare(vec![pool(&fleet, "2", &[])]).await;
+    while state(fleet.engines[0]).await["loading"] != true {
+        sleep(Duration::from_millis(5)).await;
+    }
+    fleet.fault(fleet.engines[0], json!({ "crash_now": true })).await;
+    wait_for_reason(&fleet, "EngineCrashed").await;
+    sleep(Duration::from_secs(3)).await;
+    for engine in &fleet.engines[1..] {
+        assert!(serve(*engine, "1").await);
+    }
+    let at = fleet.instances[0].callers;
+    let status = call(at, "GET", "/operator/v1/status", &[operator()], String::new()).await;
+    let status = status.unwrap().json();
+    assert_eq!(status["roles"][0]["holder"].as_str().map(str::to_owned), holder(&fleet).await);
+    let calls = status["key_value_calls"].as_array().unwrap();
+    assert_eq!(calls.iter().filter(|it| it["calls"].is_u64()).count(), 5, "{calls:?}");
+}
+
 /// Returns the instance that has the lease of the pool.
 async fn holder(fleet: &Fleet) -> Option<String> {
     let client = KeyValue::new(vec![fleet.key_value], Duration::from_secs(2));
--- a/lacewingspring_ctl/src/api/fleet.rs
+++ b/lacewingspring_ctl/src/api/fleet.rs
@@ -17,6 +17,18 @@
     /// Roles and who holds them.
     #[serde(default)]
     pub roles: Vec<RoleStatus>,
+    /// Calls to the key-value service that the instance made.
+    #[serde(default)]
+    pub key_value_calls: Vec<CallsStatus>,
+}
+
+/// Calls to the key-value service for one purpose.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct CallsStatus {
+    /// What they were made for.
+    pub purpose: String,
+    /// How many since the start of the instance.
+    pub calls: u64,
 }
 
 /// State of one instance.
--- a/lacewingspring_ctl/src/api/mod.rs
+++ b/lacewingspring_ctl/src/api/mod.rs
@@ -5,7 +5,7 @@
         AddressList, CompletionChunk, CompletionRequest, KeyState, RequestStatus, WeightedAddress,
     },
     event::{Event, Explanation},
-    fleet::{FleetStatus, Laggard, RoleStatus, WaitResult},
+    fleet::{CallsStatus, FleetStatus, Laggard, RoleStatus, WaitResult},
     metrics::MetricsReport,
     problem::Problem,
     resource::{Condition, ConditionStatus, ResourceDetail, ResourceList},
--- a/lacewingspring_ctl/src/commands/status.rs
+++ b/lacewingspring_ctl/src/commands/status.rs
@@ -3,7 +3,7 @@
 use std::fmt::{self, Formatter};
 
 use crate::{
-    api::{FleetStatus, RoleStatus},
+    api::{CallsStatus, FleetStatus, RoleStatus},
     cli::Format,
     client::{Call, Client},
     error::Error,
@@ -26,7 +26,8 @@
         let Self { instance, data_centre, generation, .. } = self;
         writeln!(f, "as {instance} in {data_centre} sees it, generation {generation}\n")?;
         writeln!(f, "{}", instances(self))?;
-        write!(f, "{}", roles(&self.roles))
+        writeln!(f, "{}", roles(&self.roles))?;
+        write!(f, "{}", calls(&self.key_value_calls))
     }
 }
 
@@ -47,3 +48,11 @@
     }
     table
 }
+
+fn calls(calls: &[CallsStatus]) -> Table {
+    let mut table = Table::new(&["KEY-VALUE-CALLS", "COUNT"]);
+    for CallsStatus { purpose, calls } in calls {
+        table.row([purpose, &calls]);
+    }
+    table
+}
--- a/lacewingspring_ctl/tests/output.rs
+++ b/lacewingspring_ctl/tests/output.rs
@@ -69,7 +69,8 @@
         {"name":"a1","data_centre":"cluj","address":"10.0.0.1:7400","state":"live","generation":7,
          "heartbeat_age_ms":120},
         {"name":"b2","data_centre":"iasi","address":"10.1.0.1:7400","state":"leaving"}],
-        "roles":[{"role":"judgments@cluj","holder":"a1"},{"role":"orders"}]}"#;
+        "roles":[{"role":"judgments@cluj","holder":"a1"},{"role":"orders"}],
+        "key_value_calls":[{"purpose":"watch","calls":12},{"purpose":"lease","calls":0}]}"#;
     assert_snapshot!(table_of(&["status"], answer));
 }
 
