Split the judgement of orders from what follows from it

`judge` held the table of outcomes and its effects in one function of 45 lines. The table is now `verdict`, and each verdict has one effect. One difference: an engine that reaches the goal by itself while it is drained counts as served at once.

--- a/lacewingspring_core/src/pool_control/roll_out.rs
+++ b/lacewingspring_core/src/pool_control/roll_out.rs
@@ -61,6 +61,19 @@
     Ended(OrderOutcome),
 }
 
+/// What became of an engine's order, by what the engine says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Verdict {
+    /// Nothing is known yet, or no order was sent.
+    Waits,
+    /// It serves the goal.
+    Serves,
+    /// The roll-out goes no further.
+    Halts(HaltReason),
+    /// It did not take the order.
+    TriesAgain,
+}
+
 /// One engine in the roll-out.
 #[derive(Clone, Copy, Debug, Default)]
 struct Attempt {
@@ -178,52 +191,59 @@
 
     /// Judges the orders that were sent by what the engines say now.
     fn judge(&mut self, now: Duration, engines: &[Observation]) {
-        let Self { attempts, served, halt, target, fencing, policy, .. } = self;
-        attempts.retain(|name, _| engines.iter().any(|it| it.upstream == *name));
-        let unfinished = engines.iter().any(|it| it.is_outdated(&target.goal));
+        self.attempts.retain(|name, _| engines.iter().any(|it| it.upstream == *name));
+        let unfinished = engines.iter().any(|it| it.is_outdated(&self.target.goal));
         for it in engines {
-            let mut fail = |reason| {
-                let (generation, upstream) = (target.generation, it.upstream.clone());
-                if policy.halt {
-                    halt.get_or_insert(Halt { generation, reason, upstream });
-                }
-            };
-            let went_away = it.state.is_none() && served.contains(&it.upstream);
-            if went_away && unfinished {
-                fail(HaltReason::EngineCrashed);
+            if it.state.is_none() && unfinished && self.served.contains(&it.upstream) {
+                self.halt_for(it, HaltReason::EngineCrashed);
             }
-            let Some(attempt) = attempts.get_mut(&it.upstream) else {
-                if it.is_at(&target.goal) {
-                    served.insert(it.upstream.clone());
+            match self.verdict(it) {
+                Verdict::Waits => {}
+                Verdict::Serves => {
+                    self.attempts.remove(&it.upstream);
+                    self.served.insert(it.upstream.clone());
                 }
-                continue;
-            };
-            let Some(Sent::Ended(outcome)) = attempt.sent else { continue };
-            match (outcome, &it.state) {
-                (_, Some(_)) if it.is_at(&target.goal) => {
-                    served.insert(it.upstream.clone());
-                    attempts.remove(&it.upstream);
-                }
-                (_, Some(state)) if state.loading => {}
-                (OrderOutcome::Failed, _) => {
-                    fail(HaltReason::LoadFailed);
-                    attempts.remove(&it.upstream);
+                Verdict::Halts(reason) => {
+                    self.attempts.remove(&it.upstream);
+                    self.halt_for(it, reason);
                 }
-                (OrderOutcome::Lost | OrderOutcome::Taken, None) => {
-                    fail(HaltReason::EngineCrashed);
-                    attempts.remove(&it.upstream);
+                Verdict::TriesAgain => {
+                    let attempt = self.attempts.entry(it.upstream.clone()).or_default();
+                    attempt.back_off(now);
                 }
-                (OrderOutcome::Lost, Some(state))
-                    if state.fencing == *fencing && attempt.failures >= MAX_LOST =>
-                {
-                    fail(HaltReason::LoadFailed);
-                    attempts.remove(&it.upstream);
-                }
-                _ => attempt.back_off(now),
             }
         }
     }
 
+    fn verdict(&self, it: &Observation) -> Verdict {
+        let attempt = self.attempts.get(&it.upstream);
+        let sent = attempt.and_then(|attempt| attempt.sent);
+        let failures = attempt.map_or(0, |attempt| attempt.failures);
+        match (sent, &it.state) {
+            (Some(Sent::InFlight), _) => Verdict::Waits,
+            _ if it.is_at(&self.target.goal) => Verdict::Serves,
+            (None, _) => Verdict::Waits,
+            (_, Some(state)) if state.loading => Verdict::Waits,
+            (Some(Sent::Ended(OrderOutcome::Failed)), _) => Verdict::Halts(HaltReason::LoadFailed),
+            (Some(Sent::Ended(OrderOutcome::Lost | OrderOutcome::Taken)), None) => {
+                Verdict::Halts(HaltReason::EngineCrashed)
+            }
+            (Some(Sent::Ended(OrderOutcome::Lost)), Some(state))
+                if state.fencing == self.fencing && failures >= MAX_LOST =>
+            {
+                Verdict::Halts(HaltReason::LoadFailed)
+            }
+            _ => Verdict::TriesAgain,
+        }
+    }
+
+    fn halt_for(&mut self, it: &Observation, reason: HaltReason) {
+        let (generation, upstream) = (self.target.generation, it.upstream.clone());
+        if self.policy.halt {
+            self.halt.get_or_insert(Halt { generation, reason, upstream });
+        }
+    }
+
     /// Chooses the engines that are out for the roll-out.
     fn choose(&mut self, now: Duration, engines: &[Observation], room: usize) {
         let in_flight = |attempt: &Attempt| attempt.sent == Some(Sent::InFlight);
