Merge pool controllers: orders under a lease, roll-outs, a budget of loads

Read: the new tests switch each mechanism off in turn; changed ones follow the new section, field and metric.

--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -29,8 +29,9 @@
     metrics::Metrics,
     operators::{KnownOperator, Operators},
     peers::{Authority, AuthorityError, Exchange, Message, PeerError, Peers},
-    platform::key_value::KeyValue,
+    platform::key_value::{CallCounts, KeyValue, Purpose},
     poison::{self, Poison, follow_members, read_stored},
+    pool_control::{self, PoolReports, control_pools},
     settings::{Mechanism, Settings},
     view::NodeView,
 };
@@ -38,6 +39,9 @@
 /// Time between two ticks of the gates.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Time between two sendings of the counts of calls to the key-value service.
+const CALLS_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Time between two looks at whether all runs have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
@@ -82,6 +86,8 @@
     pub store: KeyValue,
     /// Watch for requests that crash upstreams.
     pub poison: Poison,
+    /// Roll-outs of the engine pools, as their controllers told them.
+    pub pool_reports: Arc<PoolReports>,
     /// Runs of this instance.
     pub runs: Arc<RunTable>,
     /// Claims of this incarnation.
@@ -128,6 +134,8 @@
     tokio::spawn(keep_shares(node.clone()));
     tokio::spawn(read_stored(node.clone()));
     tokio::spawn(follow_members(node.clone()));
+    tokio::spawn(control_pools(node.clone()));
+    tokio::spawn(send_calls(node.clone()));
     callers::start(node.clone())?;
     stop.recv().await;
     leave(&node).await;
@@ -158,6 +166,8 @@
         metrics: Arc::new(Metrics::start(settings.metrics.statsd)?),
         runs: Arc::default(),
         gates: Arc::default(),
+        pool_reports: Arc::default(),
+        store: store.clone(),
     };
     let bootstrap = settings.operators.iter().map(KnownOperator::from).collect();
     Ok(Arc::new(Node {
@@ -165,6 +175,7 @@
         gates: view.gates.clone(),
         metrics: view.metrics.clone(),
         runs: view.runs.clone(),
+        pool_reports: view.pool_reports.clone(),
         operators: Operators::new(declared.clone(), view, bootstrap),
         settings,
         incarnation,
@@ -187,6 +198,23 @@
     }
 }
 
+/// Sends how many calls to the key-value service were made, for ever.
+async fn send_calls(node: Arc<Node>) {
+    let mut ticks = interval(CALLS_INTERVAL);
+    let mut sent = CallCounts::default();
+    loop {
+        ticks.tick().await;
+        let counts = node.store.calls();
+        for purpose in Purpose::ALL {
+            let calls = counts.for_purpose(purpose) - sent.for_purpose(purpose);
+            if calls > 0 {
+                node.metrics.key_value_calls(purpose, calls);
+            }
+        }
+        sent = counts;
+    }
+}
+
 async fn serve_peers(node: Arc<Node>) {
     let mut exchanges = node.peers.accept();
     while let Some(exchange) = exchanges.recv().await {
@@ -220,6 +248,10 @@
             let reply = poison::serve(&node, call);
             let _ = exchange.tx.send(Message::PoisonReply(reply)).await;
         }
+        Some(Message::Pool(call)) => {
+            let reply = pool_control::serve(&node, call);
+            let _ = exchange.tx.send(Message::PoolReply(reply)).await;
+        }
         Some(Message::FetchDeclared { have }) => {
             if let Some(bytes) = node.declared.encode_since(have) {
                 let _ = exchange.tx.send(Message::Declared(bytes.to_vec())).await;
--- a/lacewingspring/src/entry/claims.rs
+++ b/lacewingspring/src/entry/claims.rs
@@ -20,7 +20,7 @@
 use super::{Refusal, Work, retention::Retention};
 use crate::{
     clock,
-    platform::key_value::{Compare, KeyValue, KeyValueEntry, KeyValueError, Put, Swap},
+    platform::key_value::{Compare, KeyValue, KeyValueEntry, KeyValueError, Purpose, Put, Swap},
     settings::{Mechanism, Settings},
 };
 
@@ -92,7 +92,7 @@
     /// Creates the claims of one incarnation of an instance.
     pub fn new(store: KeyValue, settings: &Settings, incarnation: u64) -> Self {
         Self {
-            store,
+            store: store.with_purpose(Purpose::Claim),
             retention: Arc::new(Retention::new(settings.key_value.claim_retention())),
             prefix: settings.key_value.prefix.clone(),
             instance: settings.instance.clone(),
--- a/lacewingspring/src/platform/key_value/transport.rs
+++ b/lacewingspring/src/platform/key_value/transport.rs
@@ -18,7 +18,7 @@
 use tokio::time;
 
 use super::{
-    calls::{CallCounters, CallCounts, CallKind},
+    calls::{CallCounters, CallCounts, CallKind, CallLabel},
     error::KeyValueError,
     wire::ErrorWire,
 };
@@ -73,7 +73,7 @@
     /// Makes one call and reads the whole answer; of a renewal, whose stream stays open, one line.
     pub(super) async fn call<Q, R>(
         &self,
-        kind: CallKind,
+        label: CallLabel,
         path: &str,
         req: &Q,
     ) -> Result<R, KeyValueError>
@@ -82,8 +82,8 @@
         R: DeserializeOwned,
     {
         let exchange = async {
-            let body = self.send(kind, path, req).await?.into_body();
-            if kind == CallKind::KeepAlive {
+            let body = self.send(label, path, req).await?.into_body();
+            if label.kind == CallKind::KeepAlive {
                 return LineStream::new(body).next().await.map(Bytes::from);
             }
             let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
@@ -96,14 +96,14 @@
     /// Opens a streamed answer.
     pub(super) async fn open<Q>(
         &self,
-        kind: CallKind,
+        label: CallLabel,
         path: &str,
         req: &Q,
     ) -> Result<LineStream, KeyValueError>
     where
         Q: Serialize,
     {
-        let res = self.bounded(self.send(kind, path, req)).await?;
+        let res = self.bounded(self.send(label, path, req)).await?;
         Ok(LineStream::new(res.into_body()))
     }
 
@@ -131,7 +131,7 @@
 
     async fn send<Q>(
         &self,
-        kind: CallKind,
+        label: CallLabel,
         path: &str,
         req: &Q,
     ) -> Result<Response<Incoming>, KeyValueError>
@@ -139,7 +139,7 @@
         Q: Serialize,
     {
         let req = self.request(path, req)?;
-        self.calls.record(kind);
+        self.calls.record(label);
         let res = self.client.request(req).await.map_err(|err| {
             if err.is_connect() {
                 KeyValueError::Unavailable(err.to_string())
--- a/lacewingspring/src/settings/mod.rs
+++ b/lacewingspring/src/settings/mod.rs
@@ -20,6 +20,7 @@
     metrics::MetricsSettings,
     operators::{BootstrapOperator, OperatorRole},
     platform::{AuthoritySettings, InstanceListSettings, KeyValueSettings},
+    pool_control::PoolControlSettings,
     test::{Mechanism, TestSettings},
     timing::TimingSettings,
 };
@@ -30,6 +31,7 @@
 mod metrics;
 mod operators;
 mod platform;
+mod pool_control;
 mod test;
 mod timing;
 
@@ -64,6 +66,9 @@
     /// What tests switch off; refused outside of them.
     #[serde(default)]
     pub test: TestSettings,
+    /// Limits of the pool controllers.
+    #[serde(default)]
+    pub pool_control: PoolControlSettings,
 }
 
 /// Why settings were not accepted.
@@ -170,6 +175,7 @@
         self.metrics.check()?;
         self.timing.check()?;
         self.test.check()?;
+        self.pool_control.check()?;
         self.check_operators()
     }
 
--- a/lacewingspring/src/settings/test.rs
+++ b/lacewingspring/src/settings/test.rs
@@ -27,6 +27,16 @@
     Drain,
     /// The watch for requests that crash upstreams.
     PoisonWatch,
+    /// The look of a pool controller at its lease, by its own clock, before each order.
+    LeaseClock,
+    /// The wait of a roll-out until nothing runs on an engine.
+    EngineDrain,
+    /// The halt of a roll-out after a failed load.
+    RollOutHalt,
+    /// The orders that repeat until the engines serve what is declared.
+    Reconcile,
+    /// The slots that loads of weights need, over the fleet.
+    LoadSlots,
 }
 
 /// Section `test` of the settings, for tests alone.
--- a/lacewingspring/src/view.rs
+++ b/lacewingspring/src/view.rs
@@ -6,6 +6,7 @@
     catalog::Catalog,
     key_index::KeyId,
     membership::{MemberState, View, ViewMember},
+    resources::{ResourceId, ResourceKind},
 };
 
 use crate::{
@@ -13,8 +14,10 @@
     gates::{GateHost, GateReport},
     membership::{Fleet, watchers},
     metrics::{Metrics, MetricsReport},
-    operators::{FleetView, InstanceState, InstanceView, RoleView},
+    operators::{CallsView, Condition, Event, FleetView, InstanceState, InstanceView, RoleView},
     peers::GateId,
+    platform::key_value::{KeyValue, Purpose},
+    pool_control::PoolReports,
 };
 
 /// What one instance shows to operators.
@@ -28,6 +31,10 @@
     pub gates: Arc<GateHost>,
     /// Runs of this instance.
     pub runs: Arc<RunTable>,
+    /// Roll-outs of the engine pools.
+    pub pool_reports: Arc<PoolReports>,
+    /// Client of the key-value service.
+    pub store: KeyValue,
 }
 
 impl FleetView for NodeView {
@@ -53,16 +60,36 @@
 
     fn roles(&self, catalog: &Catalog) -> Vec<RoleView> {
         let view = self.fleet.view();
-        let mut roles = gates(&view, catalog);
+        let mut roles = self.pool_reports.controllers();
+        roles.extend(gates(&view, catalog));
         roles.extend(watches(&view));
         roles.extend(limits(&view, catalog));
         roles
     }
 
+    fn conditions(&self, id: &ResourceId) -> Vec<Condition> {
+        let pool = (id.kind == ResourceKind::EnginePool).then(|| self.pool_reports.condition(id));
+        pool.flatten().into_iter().collect()
+    }
+
+    fn events(&self, id: &ResourceId) -> Vec<Event> {
+        let is_pool = id.kind == ResourceKind::EnginePool;
+        if is_pool { self.pool_reports.events(id) } else { Vec::new() }
+    }
+
     fn metrics(&self) -> Option<MetricsReport> {
         Some(self.metrics.report(self.fleet.own().name.as_str()))
     }
 
+    fn key_value_calls(&self) -> Vec<CallsView> {
+        let counts = self.store.calls();
+        let calls = |purpose: Purpose| CallsView {
+            purpose: purpose.as_str(),
+            calls: counts.for_purpose(purpose),
+        };
+        Purpose::ALL.map(calls).into()
+    }
+
     fn gates(&self) -> Vec<GateReport> {
         self.gates.report()
     }
--- a/lacewingspring/tests/docs_operating.rs
+++ b/lacewingspring/tests/docs_operating.rs
@@ -17,7 +17,7 @@
 const UNKNOWN: &str = "zz";
 
 /// Sections of the settings; the root is empty.
-const SECTIONS: [&str; 10] = [
+const SECTIONS: [&str; 11] = [
     "",
     "listen",
     "key_value",
@@ -28,6 +28,7 @@
     "metrics",
     "timing",
     "test",
+    "pool_control",
 ];
 
 /// Row of a reference.
@@ -267,5 +268,5 @@
             checked += 1;
         }
     }
-    assert_eq!(checked, 8, "fields with bounds");
+    assert_eq!(checked, 9, "fields with bounds");
 }
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -107,6 +107,8 @@
     pub claim_retention_s: u64,
     /// Number of the incarnation of all instances, in place of the time of their start.
     pub incarnation: Option<u64>,
+    /// Engines that may load weights at once, over the fleet.
+    pub loads_at_once: u32,
 }
 
 impl Default for Plan {
@@ -122,6 +124,7 @@
             relayed: false,
             claim_retention_s: 604_800,
             incarnation: None,
+            loads_at_once: 4,
         }
     }
 }
@@ -142,6 +145,7 @@
     /// Cuts between instances, when they are relayed.
     pub cuts: Option<Cuts>,
     stand_ins: Vec<Process>,
+    loads_at_once: u32,
     ip: IpAddr,
     folder: TempDir,
     switch_off: &'static [&'static str],
@@ -166,6 +170,7 @@
             instances: Vec::new(),
             cuts: plan.relayed.then(Cuts::default),
             stand_ins: Vec::new(),
+            loads_at_once: plan.loads_at_once,
             ip,
             folder,
             switch_off: plan.switch_off,
@@ -326,6 +331,7 @@
             }],
             "log": { "level": "warn" },
             "timing": { "instance_list_ms": 200, "address_ttl_ms": 1000, "orphan_ms": 1000 },
+            "pool_control": { "loads_at_once": self.loads_at_once },
             "test": { "switch_off": self.switch_off, "incarnation": self.incarnation }
         });
         let path = folder.join(format!("{name}.json"));
