Take a refused import for a lost cache, not for a crash of the engine

An engine that refused to bring a parked run back was asked for the run, did not know it, and was told to its gate as crashed and to the home of the fingerprint too.

--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -123,9 +123,8 @@
                 return Ok(());
             }
             Stretch::Orphaned => {
-                let prompt = u64::from(drive.work.body.cost(&drive.work.service).prompt_tokens);
                 drive.run.note(Step::Cancelled);
-                drive.node.metrics.wasted(&drive.series, prompt);
+                drive.node.metrics.wasted(&drive.series, drive.prompt_tokens());
                 engine.cancel().await;
                 permit.release(Outcome::Cancelled);
                 return Err(Refusal::last(ErrorKind::AnswerLost));
@@ -303,6 +302,16 @@
     let address = drive.work.address(&permit.upstream);
     engine.address = address.ok_or(Refusal::last(ErrorKind::NoUpstream))?;
     let call = call(drive, Some(exported.kv_transfer_params), progress.tokens);
-    let stream = engine.import(&call).await.ok();
+    let stream = match engine.import(&call).await {
+        Ok(stream) => Some(stream),
+        Err(e @ UpstreamError::Status(_)) => {
+            // The engine is up. The cache lapsed, or was lost with the engine that exported it.
+            log::warn!(run:% = engine.id, reason:% = e; "Could not bring a parked run back.");
+            drive.node.metrics.wasted(&drive.series, drive.prompt_tokens());
+            permit.release(Outcome::Cancelled);
+            return Err(Refusal::last(ErrorKind::AnswerLost));
+        }
+        Err(_) => None,
+    };
     Ok(Parked { permit, stream })
 }
--- a/lacewingspring/src/entry/drive.rs
+++ b/lacewingspring/src/entry/drive.rs
@@ -226,6 +226,11 @@
         }
     }
 
+    /// Returns the prompt tokens of the request.
+    pub(super) fn prompt_tokens(&self) -> u64 {
+        u64::from(self.work.body.cost(&self.work.service).prompt_tokens)
+    }
+
     /// Forgets the run: at once when a repeat may ask anew, else once its answer was kept.
     fn forget(self) {
         if self.may_ask_anew() {
