Keep one engine a gate for suspects, and time runs from their dispatch

After a crash each request that ran on the engine runs alone once (poison). A gate kept one engine for the next of them while another one still ran alone, so both engines of a data centre of two were closed to all others; and it kept one for a suspect of a low tier while callers of a higher one waited. Now one engine of a gate at most is kept or runs a request alone, the highest tier goes first, and waiting work of higher tiers goes before it (that of its own tier for half its wait).

A run was timed from its grant. While an entry waits for leave or for a claim (the key-value service was down from 12 to 16 s) the engine looked slow: scores of 8 to 46 in all data centres, all closed. Entries now tell each dispatch (Message::Dispatched), and a daemon's gates time runs from then.

--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -53,6 +53,7 @@
         return Err(Refusal::last(ErrorKind::NoUpstream));
     };
     drive.dispatched();
+    permit.dispatched();
     let proof = request.permitted(permit.upstream.clone()).dispatch();
     let stream = match engine.dispatch(proof, &call(drive, None, 0)).await {
         Ok(stream) => Some(stream),
@@ -302,6 +303,7 @@
     let address = drive.work.address(&permit.upstream);
     engine.address = address.ok_or(Refusal::last(ErrorKind::NoUpstream))?;
     let call = call(drive, Some(exported.kv_transfer_params), progress.tokens);
+    permit.dispatched();
     let stream = match engine.import(&call).await {
         Ok(stream) => Some(stream),
         Err(e @ UpstreamError::Status(_)) => {
--- a/lacewingspring/src/entry/permit.rs
+++ b/lacewingspring/src/entry/permit.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Tells the gate that the request is handed to the upstream now.
+    pub fn dispatched(&self) {
+        let _ = self.gate.exchange.tx.try_send(Message::Dispatched);
+    }
+
     /// Tells the gate that the first token arrived.
     pub fn first_token(&self) {
         let _ = self.gate.exchange.tx.try_send(Message::FirstToken);
--- a/lacewingspring/src/entry/plain.rs
+++ b/lacewingspring/src/entry/plain.rs
@@ -25,6 +25,7 @@
     };
     let upstream = permit.upstream.clone();
     drive.dispatched();
+    permit.dispatched();
     let proof = request.permitted(upstream.clone()).dispatch();
     let answer = call.dispatch(proof).await;
     match answer {
--- a/lacewingspring/src/gates.rs
+++ b/lacewingspring/src/gates.rs
@@ -59,6 +59,7 @@
 impl HeldGate {
     fn new(now: Duration, id: &GateId, catalog: &Catalog) -> Self {
         let gate = Gate::recovering(now, LEARNING_WINDOW, upstreams(id, catalog));
+        let gate = gate.timed_from_dispatch();
         Self { gate, generation: catalog.generation, tickets: HashMap::new() }
     }
 
@@ -71,6 +72,10 @@
 
     fn take(&mut self, now: Duration, ticket: Ticket, message: Message) -> Vec<Decision> {
         match message {
+            Message::Dispatched => {
+                self.gate.dispatched(now, ticket);
+                Vec::new()
+            }
             Message::FirstToken => self.gate.first_token(now, ticket),
             Message::Parked => self.gate.parked(now, ticket),
             Message::AskAgain(ask) => self.gate.ask(now, ticket, ask),
--- a/lacewingspring/src/peers/message.rs
+++ b/lacewingspring/src/peers/message.rs
@@ -81,6 +81,8 @@
     },
     /// Gate to entry: park the run and ask again.
     Park,
+    /// Entry to gate: the request is handed to the upstream now.
+    Dispatched,
     /// Entry to gate: the first token arrived.
     FirstToken,
     /// Entry to gate: the run was parked and its room is free.
--- a/lacewingspring_core/src/gate/feedback.rs
+++ b/lacewingspring_core/src/gate/feedback.rs
@@ -9,6 +9,13 @@
 use crate::names::UpstreamName;
 
 impl Gate {
+    /// Takes the dispatch of a run to its upstream.
+    pub fn dispatched(&mut self, now: Duration, ticket: Ticket) {
+        if let Some(run) = self.runs.get_mut(&ticket) {
+            run.started_at.get_or_insert(now);
+        }
+    }
+
     /// Takes the arrival of a run's first token.
     pub fn first_token(&mut self, now: Duration, ticket: Ticket) -> Vec<Decision> {
         let Some(run) = self.runs.get_mut(&ticket) else { return Vec::new() };
@@ -23,8 +30,8 @@
         }
         let Some(mut upstream) = self.fleet.get_mut(&run.upstream) else { return Vec::new() };
         upstream.end_prefill(&run.load);
-        if let Some(granted_at) = run.granted_at {
-            let observed = now.saturating_sub(granted_at).as_secs_f64();
+        if let Some(started_at) = run.started_at {
+            let observed = now.saturating_sub(started_at).as_secs_f64();
             upstream.prefill.observe(observed, run.load.first_token_seconds);
         }
         if upstream.is_down() {
@@ -104,13 +111,13 @@
     fn learn(&mut self, now: Duration, ticket: Ticket, upstream: usize, tokens: u32) {
         let mut upstream = self.fleet.change(upstream);
         let Some(run) = self.runs.get(&ticket) else { return };
-        let Some(granted_at) = run.granted_at else { return };
+        let Some(started_at) = run.started_at else { return };
         let decode = f64::from(tokens) * upstream.declared_decode(upstream.running);
         if let Some(first_token_at) = run.first_token_at {
             let observed = now.saturating_sub(first_token_at).as_secs_f64();
             upstream.decode.observe(observed, decode);
         }
-        let observed = now.saturating_sub(granted_at).as_secs_f64();
+        let observed = now.saturating_sub(started_at).as_secs_f64();
         let is_fast = upstream.is_fast(observed, run.load.first_token_seconds, decode);
         upstream.probed(now, ticket, is_fast);
         if self.policy.probation {
--- a/lacewingspring_core/src/gate/mod.rs
+++ b/lacewingspring_core/src/gate/mod.rs
@@ -90,6 +90,7 @@
     next_sequence: u64,
     short_work_at: Option<Duration>,
     ticked_at: Option<Duration>,
+    dispatch_is_told: bool,
     violations: u64,
     late_beside_lower: u64,
 }
@@ -127,6 +128,14 @@
         gate
     }
 
+    /// Expects to be told of each dispatch by [`Gate::dispatched`], and times runs from then.
+    ///
+    /// Else they are timed from the grant, and what an entry waits for before it hands a request
+    /// over makes the upstream look slow.
+    pub fn timed_from_dispatch(self) -> Self {
+        Self { dispatch_is_told: true, ..self }
+    }
+
     /// Replaces the declared upstreams; work that runs on them stays counted.
     pub fn set_upstreams<I>(&mut self, upstreams: I)
     where
@@ -272,7 +281,7 @@
             self.set_parkable_aside(number);
         }
         let mut decisions = Vec::new();
-        self.reserve_for_alone();
+        self.reserve_for_alone(now);
         let stop = self.grant_all(now, &mut decisions);
         self.grant_placed(now, &mut decisions);
         self.park_for_waiting(now, &stop, &mut decisions);
@@ -414,7 +423,7 @@
         }
         self.reserve.started(ask.rank);
         self.overdue_runs += u32::from(head.overdue);
-        let mut run = Run::granted(now, ask, name.clone(), load, place.sequence);
+        let mut run = Run::granted(self.started_at(now), ask, name.clone(), load, place.sequence);
         run.overdue = head.overdue;
         if run.ask.parkable {
             let key = park_key(ticket, run.ask.rank, loss);
@@ -425,6 +434,11 @@
         Some(Decision::Granted(ticket, name))
     }
 
+    /// Returns when a run that is granted now starts, if that is known yet.
+    fn started_at(&self, now: Duration) -> Option<Duration> {
+        (!self.dispatch_is_told).then_some(now)
+    }
+
     /// Sets the runs of an upstream that turned unhealthy aside, as a slot freed there is no use.
     fn set_parkable_aside(&mut self, number: usize) {
         let upstream = &self.fleet.upstreams()[number];
--- a/lacewingspring_core/src/gate/placed.rs
+++ b/lacewingspring_core/src/gate/placed.rs
@@ -1,7 +1,8 @@
 //! Requests that name where they run: on one upstream, or on one that runs nothing else.
 //!
 //! They stand apart from the queue, so that work that may run anywhere never stands behind them.
-//! At most one upstream at a time is kept for a request that runs alone.
+//! At most one upstream at a time is kept for requests that run alone, from the time it drains until
+//! the last of them ends. Waiting work of higher tiers goes before them.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -14,6 +15,10 @@
 };
 use crate::{error::ErrorKind, names::UpstreamName};
 
+/// Part of its longest wait after which a request that is to run alone yields to waiting work of
+/// its own tier no more.
+const ALONE_PATIENCE: f64 = 0.5;
+
 /// A waiting request that names where it runs.
 #[derive(Clone, Debug)]
 struct WaitingPlaced {
@@ -46,10 +51,10 @@
         self.waiting.push_back(WaitingPlaced { ticket, ask, deadline });
     }
 
-    fn first_alone(&self) -> Option<Ticket> {
-        let mut waiting = self.waiting.iter();
-        let first = waiting.find(|waiting| waiting.ask.placement == Placement::Alone);
-        first.map(|waiting| waiting.ticket)
+    /// Returns the first of the highest tier that is to run alone.
+    fn first_alone(&self) -> Option<&WaitingPlaced> {
+        let alone = self.waiting.iter().filter(|w| w.ask.placement == Placement::Alone);
+        alone.min_by_key(|waiting| waiting.ask.rank)
     }
 }
 
@@ -64,17 +69,22 @@
         self.placed.waiting.len() < before
     }
 
-    /// Keeps the upstream on which least runs free for the first request that is to run alone.
-    pub(super) fn reserve_for_alone(&mut self) {
+    /// Keeps the upstream on which least runs free for the first request that is to run alone,
+    /// unless one is kept or runs such a request.
+    pub(super) fn reserve_for_alone(&mut self, now: Duration) {
         if self.placed.kept.as_ref().is_some_and(|kept| !self.is_healthy(&kept.upstream)) {
             self.give_up_kept();
         }
-        if self.placed.kept.is_some() {
+        if self.fleet.upstreams().iter().any(|upstream| upstream.reserved) {
             return;
         }
-        let Some(ticket) = self.placed.first_alone() else { return };
+        let Some(first) = self.placed.first_alone().filter(|first| self.may_keep(now, first))
+        else {
+            return;
+        };
+        let ticket = first.ticket;
         let upstreams = self.fleet.upstreams().iter();
-        let open = upstreams.filter(|upstream| !upstream.reserved && !upstream.spec.leaving);
+        let open = upstreams.filter(|upstream| !upstream.spec.leaving);
         let best = open.min_by_key(|upstream| (!upstream.is_healthy(), upstream.running));
         let Some(upstream) = best.map(|best| best.spec.name.clone()) else { return };
         if let Some(mut kept) = self.fleet.get_mut(&upstream) {
@@ -83,6 +93,17 @@
         self.placed.kept = Some(Kept { ticket, upstream });
     }
 
+    /// Returns whether an upstream may be kept for a request: it takes the room of many, so what
+    /// waits in higher tiers goes first, and for a while what waits in its own.
+    fn may_keep(&self, now: Duration, waiting: &WaitingPlaced) -> bool {
+        let patience = waiting.ask.max_wait.mul_f64(1.0 - ALONE_PATIENCE);
+        let pressing = now + patience >= waiting.deadline;
+        let highest = self.queue.ranks().first().copied();
+        highest.is_none_or(|highest| {
+            highest > waiting.ask.rank || (highest == waiting.ask.rank && pressing)
+        })
+    }
+
     /// Grants what the queue has left room for, and refuses what waited too long.
     pub(super) fn grant_placed(&mut self, now: Duration, decisions: &mut Vec<Decision>) {
         for waiting in self.placed.waiting.clone() {
@@ -139,7 +160,7 @@
             }
             None => Default::default(),
         };
-        let run = Run::granted(now, ask, name.clone(), load, sequence);
+        let run = Run::granted(self.started_at(now), ask, name.clone(), load, sequence);
         self.runs.insert(ticket, run);
         Decision::Granted(ticket, name)
     }
--- a/lacewingspring_core/src/gate/run.rs
+++ b/lacewingspring_core/src/gate/run.rs
@@ -20,8 +20,8 @@
     pub upstream: UpstreamName,
     /// What it takes there.
     pub load: Load,
-    /// When it was granted; none for an adopted run.
-    pub granted_at: Option<Duration>,
+    /// When it was granted, or dispatched where that is told; none before, and for an adopted run.
+    pub started_at: Option<Duration>,
     /// When its first token came.
     pub first_token_at: Option<Duration>,
     /// Order of first arrival, kept while it is parked.
@@ -36,14 +36,14 @@
 impl Run {
     /// Starts a run.
     pub fn granted(
-        now: Duration,
+        started_at: Option<Duration>,
         ask: Ask,
         upstream: UpstreamName,
         load: Load,
         sequence: u64,
     ) -> Self {
         let mut run = Self::adopted(ask, upstream, load, sequence);
-        run.granted_at = Some(now);
+        run.started_at = started_at;
         run
     }
 
@@ -53,7 +53,7 @@
             ask,
             upstream,
             load,
-            granted_at: None,
+            started_at: None,
             first_token_at: None,
             sequence,
             park_key: None,
@@ -68,7 +68,7 @@
         if self.first_token_at.is_some() {
             return None;
         }
-        let waited = now.saturating_sub(self.granted_at?).as_secs_f64();
+        let waited = now.saturating_sub(self.started_at?).as_secs_f64();
         if waited < self.late_after {
             return None;
         }
