Close an engine only when it is down or has forgotten a run

An instance that took over a run which its dead runner had just parked, or was parking, found a stopped stream at the engine, tried five times and told its gate that the engine crashed. The engine is now probed, and closed only when it is down or does not know the run. The suspicion of the request (Trial::crashed) is told as before.

--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -90,7 +90,7 @@
     let permit = drive.adopt_permit(upstream).await;
     let engine = engine(drive, &permit).ok_or(lost)?;
     let mut progress = Progress { tokens: drive.run.texts(), ..Progress::default() };
-    let stream = resume(&engine, &mut progress, UpstreamError::Cut).await?;
+    let stream = resume(&engine, &mut progress, UpstreamError::Cut).await.map_err(|_| lost)?;
     let ended = stream_to_end(drive, engine, permit, Some(stream), progress).await;
     ended.map_err(after_dispatch)
 }
@@ -142,11 +142,14 @@
                 }
                 match resume(&engine, &mut progress, e).await {
                     Ok(resumed) => stream = Some(resumed),
-                    Err(refusal) => {
-                        // The engine forgot the run, or did not come back.
+                    Err(loss) => {
                         permit.crashed().await;
-                        permit.unreachable();
-                        return Err(refusal);
+                        // One that is up and knows the run has not crashed: it stopped the run for
+                        // a runner that died since.
+                        if loss == Loss::Forgotten || !engine.is_up().await {
+                            permit.unreachable();
+                        }
+                        return Err(Refusal::last(ErrorKind::AnswerLost));
                     }
                 }
             }
@@ -251,23 +254,32 @@
     }
 }
 
+/// Why a stream could not be resumed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    /// The engine does not know the run.
+    Forgotten,
+    /// All attempts failed.
+    Attempts,
+}
+
 async fn resume(
     engine: &EngineRun,
     progress: &mut Progress,
     cause: UpstreamError,
-) -> Result<TokenStream, Refusal> {
+) -> Result<TokenStream, Loss> {
     let mut cause = cause;
     while progress.resumes < MAX_RESUMES {
         progress.resumes += 1;
         log::warn!(run:% = engine.id, from = progress.tokens, reason:% = cause; "Resumes a stream.");
         match engine.resume(progress.tokens).await {
             Ok(stream) => return Ok(stream),
-            Err(UpstreamError::Unknown) => break,
+            Err(UpstreamError::Unknown) => return Err(Loss::Forgotten),
             Err(e) => cause = e,
         }
         tokio::time::sleep(RESUME_INTERVAL).await;
     }
-    Err(Refusal::last(ErrorKind::AnswerLost))
+    Err(Loss::Attempts)
 }
 
 /// A run after it was parked and permitted again.
