--- a/lacewingspring_core/tests/gate_placed.rs
+++ b/lacewingspring_core/tests/gate_placed.rs
@@ -51,6 +51,29 @@
     assert_eq!(granted(&gate.ended(NOW, Ticket(1), DONE)), [(6, "up000".to_owned())]);
 }
 
+#[test]
+fn keeps_no_second_upstream_while_a_request_runs_alone() {
+    let mut gate = Gate::new(specs(2, 1));
+    assert_eq!(granted(&gate.ask(NOW, Ticket(1), ask(Placement::Alone))).len(), 1);
+    assert!(granted(&gate.ask(NOW, Ticket(2), ask(Placement::Alone))).is_empty());
+    assert_eq!(granted(&gate.ask(NOW, Ticket(3), ask(Placement::Any))).len(), 1);
+    let after = granted(&gate.ended(NOW, Ticket(1), DONE));
+    assert_eq!(after.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [2]);
+}
+
+#[test]
+fn keeps_an_upstream_only_once_no_higher_work_waits_highest_tier_first() {
+    let mut gate = Gate::new(specs(1, 1));
+    let lower = |rank| Ask { rank, ..ask(Placement::Alone) };
+    for (id, ask) in [(1, ask(Placement::Any)), (2, ask(Placement::Any)), (3, lower(2))] {
+        gate.ask(NOW, Ticket(id), ask);
+    }
+    gate.ask(NOW, Ticket(4), lower(1));
+    let order = [1, 2, 4].map(|id| granted(&gate.ended(NOW, Ticket(id), DONE)));
+    let order = order.iter().flatten().map(|(id, _)| *id);
+    assert_eq!(order.collect::<Vec<_>>(), [2, 4, 3]);
+}
+
 #[test]
 fn frees_the_upstream_when_the_request_that_waits_alone_leaves() {
     let mut gate = Gate::new(specs(1, 2));
--- a/lacewingspring_core/tests/gate_policy.rs
+++ b/lacewingspring_core/tests/gate_policy.rs
@@ -254,6 +254,26 @@
     assert_eq!(granted, vec![Decision::Granted(Ticket(1), name.into())]);
 }
 
+#[test]
+fn a_wait_before_the_dispatch_does_not_make_an_upstream_look_slow() {
+    let score = |gate: Gate| {
+        let mut gate = gate;
+        for i in 0..30 {
+            let now = Duration::from_secs(10 * i);
+            gate.ask(now, Ticket(i), Job::new(0.0, 0, "south", 2_000, 50).ask());
+            gate.dispatched(now + Duration::from_secs(4 * u64::from(i >= 20)), Ticket(i));
+            gate.tick(now + Duration::from_secs(4));
+            let first = Duration::from_secs(4 * u64::from(i >= 20)) + Duration::from_millis(150);
+            gate.first_token(now + first, Ticket(i));
+            gate.ended(now + first + Duration::from_millis(500), Ticket(i), Outcome::Finished(50));
+        }
+        gate.summary().upstreams[0].score
+    };
+    assert!(score(Gate::new(specs(1, 8))) > 4.0);
+    let told = score(Gate::new(specs(1, 8)).timed_from_dispatch());
+    assert!(told < 1.5, "{told}");
+}
+
 #[test]
 fn parked_work_keeps_its_original_order() {
     let mut gate = Gate::with_policy(GatePolicy { reserve: false, ..ON }, specs(1, 2));
