--- a/lacewingspring/src/peers/message.rs
+++ b/lacewingspring/src/peers/message.rs
@@ -81,8 +81,6 @@
     },
     /// Gate to entry: park the run and ask again.
     Park,
-    /// Entry to gate: the request is handed to the upstream now.
-    Dispatched,
     /// Entry to gate: the first token arrived.
     FirstToken,
     /// Entry to gate: the run was parked and its room is free.
@@ -124,4 +122,6 @@
     FetchDeclared,
     /// Member to member: the declared state in force, encoded.
     Declared(Vec<u8>),
+    /// Entry to gate: the request is handed to the upstream now.
+    Dispatched,
 }
