--- a/lacewingspring/src/entry/completion.rs
+++ b/lacewingspring/src/entry/completion.rs
@@ -54,6 +54,7 @@
         return Err(Refusal::last(ErrorKind::NoUpstream));
     };
     drive.dispatched();
+    permit.dispatched();
     let proof = request.permitted(permit.upstream.clone()).dispatch();
     let stream = match engine.dispatch(proof, &call(drive, None, 0)).await {
         Ok(stream) => Some(stream),
@@ -90,7 +91,7 @@
     let permit = drive.adopt_permit(upstream).await;
     let engine = engine(drive, &permit).ok_or(lost)?;
     let mut progress = Progress { tokens: drive.run.texts(), ..Progress::default() };
-    let stream = resume(&engine, &mut progress, UpstreamError::Cut).await?;
+    let stream = resume(&engine, &mut progress, UpstreamError::Cut).await.map_err(|_| lost)?;
     let ended = stream_to_end(drive, engine, permit, Some(stream), progress).await;
     ended.map_err(after_dispatch)
 }
@@ -124,9 +125,8 @@
                 return Ok(());
             }
             Stretch::Orphaned => {
-                let prompt = u64::from(drive.work.body.cost(&drive.work.service).prompt_tokens);
                 drive.run.note(Step::Cancelled);
-                drive.node.metrics.wasted(&drive.series, prompt);
+                drive.node.metrics.wasted(&drive.series, drive.prompt_tokens());
                 engine.cancel().await;
                 permit.release(Outcome::Cancelled);
                 return Err(Refusal::last(ErrorKind::AnswerLost));
@@ -143,11 +143,14 @@
                 }
                 match resume(&engine, &mut progress, e).await {
                     Ok(resumed) => stream = Some(resumed),
-                    Err(refusal) => {
-                        // The engine forgot the run, or did not come back.
+                    Err(loss) => {
                         permit.crashed().await;
-                        permit.unreachable();
-                        return Err(refusal);
+                        // One that is up and knows the run has not crashed: it stopped the run for
+                        // a runner that died since.
+                        if loss == Loss::Forgotten || !engine.is_up().await {
+                            permit.unreachable();
+                        }
+                        return Err(Refusal::last(ErrorKind::AnswerLost));
                     }
                 }
             }
@@ -255,23 +258,32 @@
     }
 }
 
+/// Why a stream could not be resumed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    /// The engine does not know the run.
+    Forgotten,
+    /// All attempts failed.
+    Attempts,
+}
+
 async fn resume(
     engine: &EngineRun,
     progress: &mut Progress,
     cause: UpstreamError,
-) -> Result<TokenStream, Refusal> {
+) -> Result<TokenStream, Loss> {
     let mut cause = cause;
     while progress.resumes < MAX_RESUMES {
         progress.resumes += 1;
         log::warn!(run:% = engine.id, from = progress.tokens, reason:% = cause; "Resumes a stream.");
         match engine.resume(progress.tokens).await {
             Ok(stream) => return Ok(stream),
-            Err(UpstreamError::Unknown) => break,
+            Err(UpstreamError::Unknown) => return Err(Loss::Forgotten),
             Err(e) => cause = e,
         }
         tokio::time::sleep(RESUME_INTERVAL).await;
     }
-    Err(Refusal::last(ErrorKind::AnswerLost))
+    Err(Loss::Attempts)
 }
 
 /// A run after it was parked and permitted again.
@@ -307,6 +319,17 @@
     let address = drive.work.address(&permit.upstream);
     engine.address = address.ok_or(Refusal::last(ErrorKind::NoUpstream))?;
     let call = call(drive, Some(exported.kv_transfer_params), progress.tokens);
-    let stream = engine.import(&call).await.ok();
+    permit.dispatched();
+    let stream = match engine.import(&call).await {
+        Ok(stream) => Some(stream),
+        Err(e @ UpstreamError::Status(_)) => {
+            // The engine is up. The cache lapsed, or was lost with the engine that exported it.
+            log::warn!(run:% = engine.id, reason:% = e; "Could not bring a parked run back.");
+            drive.node.metrics.wasted(&drive.series, drive.prompt_tokens());
+            permit.release(Outcome::Cancelled);
+            return Err(Refusal::last(ErrorKind::AnswerLost));
+        }
+        Err(_) => None,
+    };
     Ok(Parked { permit, stream })
 }
--- a/lacewingspring/src/gates.rs
+++ b/lacewingspring/src/gates.rs
@@ -100,7 +100,7 @@
         let closing = Closing::default();
         let specs = upstreams(id, catalog, &closing);
         Self {
-            gate: Gate::recovering(now, LEARNING_WINDOW, specs),
+            gate: Gate::recovering(now, LEARNING_WINDOW, specs).timed_from_dispatch(),
             generation: catalog.generation,
             tickets: HashMap::new(),
             learned_at: now + LEARNING_WINDOW,
@@ -142,6 +142,10 @@
 
     fn take(&mut self, now: Duration, ticket: Ticket, message: Message) -> Vec<Decision> {
         match message {
+            Message::Dispatched => {
+                self.gate.dispatched(now, ticket);
+                Vec::new()
+            }
             Message::FirstToken => self.gate.first_token(now, ticket),
             Message::Parked => self.gate.parked(now, ticket),
             Message::AskAgain(ask) => self.gate.ask(now, ticket, ask),
--- a/lacewingspring/src/peers/message.rs
+++ b/lacewingspring/src/peers/message.rs
@@ -130,4 +130,6 @@
     Pool(PoolCall),
     /// The answer to such a message.
     PoolReply(PoolReply),
+    /// Entry to gate: the request is handed to the upstream now.
+    Dispatched,
 }
