Say "voided" only with the claim, and let no run follow itself

Now a repeat of a void idempotent key settles the claim before it is refused; it is `undecided` when the claim can't be settled or says otherwise.

A claim that timed out in the freeze took effect, and the second attempt, with another nonce, took it for another run and followed itself. Now it waits up to 3 s for the removal of its claim and then says that it may have run.

--- a/lacewingspring/src/entry/doubt.rs
+++ b/lacewingspring/src/entry/doubt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use lacewingspring_core::{
+    claim::ClaimState,
     error::{ErrorKind, RunState},
     key_index::{Progress, RegisterVerdict},
 };
@@ -13,6 +14,9 @@
 /// Longest wait for the home of a non-idempotent key.
 const HOME_PATIENCE: Duration = Duration::from_millis(1_000);
 
+/// When callers are told to ask again while the claim of a void key can't be settled.
+const UNDECIDED_RETRY_AFTER: Duration = Duration::from_secs(5);
+
 impl Drive {
     /// Registers a non-idempotent request with the home of its key, which remembers it in an
     /// outage of the key-value service. The claim still decides who dispatches.
@@ -37,6 +41,17 @@
         }
     }
 
+    /// Refuses a key that its home holds to be void.
+    ///
+    /// "Not run" is said once the claim says so too: the query that voided the key may have failed
+    /// before the claim, and home and backup may both die before they tell of the void.
+    pub(super) async fn voided(&self) -> Refusal {
+        match self.node.claims.settle(&self.work.id).await {
+            Ok(claim) if claim.state == ClaimState::Void => Refusal::last(ErrorKind::Voided),
+            Ok(_) | Err(_) => Refusal::new(ErrorKind::Undecided, UNDECIDED_RETRY_AFTER),
+        }
+    }
+
     /// Refuses new work at an instance that leaves.
     pub(super) fn refuse_when_leaving(&self) -> Result<(), Refusal> {
         if self.node.leaving() {
--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -30,6 +30,9 @@
 /// Longest wait for the home to take a void.
 const KEEP_VOID_PATIENCE: Duration = Duration::from_millis(1_000);
 
+/// Longest wait for the removal of a claim of this run that was given up.
+const OWN_CLAIM_PATIENCE: Duration = Duration::from_secs(3);
+
 /// What follows from asking the home to dispatch.
 enum Leave {
     /// The request may be dispatched.
@@ -95,7 +98,7 @@
             }
             RegisterVerdict::Finished { runner, outcome } => self.answer_of(runner, outcome).await,
             RegisterVerdict::Conflict => Err(Refusal::last(ErrorKind::KeyConflict)),
-            RegisterVerdict::Voided => Err(Refusal::last(ErrorKind::Voided)),
+            RegisterVerdict::Voided => Err(self.voided().await),
             RegisterVerdict::Full => Err(Refusal::new(ErrorKind::Overloaded, FULL_RETRY_AFTER)),
             RegisterVerdict::Moved | RegisterVerdict::Unknown => {
                 Err(Refusal::last(ErrorKind::Internal))
@@ -205,8 +208,17 @@
         if self.work.minted {
             return Ok(Claimed::Won(None));
         }
+        let patience = clock::now() + OWN_CLAIM_PATIENCE;
         while self.node.fleet.agreement() != Agreement::Settled {
             match self.claim_run(permit).await {
+                Ok(Claimed::By(runner, _)) if runner == Homes::new(&self.node).runner() => {
+                    // An attempt that timed out took effect and is being removed; one that stays
+                    // was dispatched before. A run that followed itself would wait for ever.
+                    if clock::now() >= patience {
+                        return Err(Refusal::last(ErrorKind::AnswerLost));
+                    }
+                    sleep(RUNNER_POLL).await;
+                }
                 Err(refusal) if refusal.kind != ErrorKind::StoreUnavailable => return Err(refusal),
                 Err(_) if self.node.fleet.agreement() == Agreement::WithoutGone => break,
                 Err(refusal) if clock::now() >= deadline => return Err(refusal),
