--- a/lacewingspring/tests/pool_control.rs
+++ b/lacewingspring/tests/pool_control.rs
@@ -21,14 +21,22 @@
 /// Time of a load, in milliseconds.
 const LOAD_MS: u64 = 400;
 
+/// Time of a load that two pools which start within seconds of each other make at once, in
+/// milliseconds.
+const LONG_LOAD_MS: u64 = 3_000;
+
 /// Longest wait for a roll-out, with the lease of a holder that died.
 const ROLL_OUT: Duration = Duration::from_secs(30);
 
 /// Time in which a late order must be undone: a round that finds it, the drain and the load.
 const UNDONE: Duration = Duration::from_secs(4);
 
+fn load_flags(load_ms: u64) -> Vec<String> {
+    vec!["--load-ms".to_owned(), load_ms.to_string()]
+}
+
 fn plan(engines: usize, switch_off: &'static [&'static str]) -> Plan {
-    let engine_flags = vec!["--load-ms".to_owned(), LOAD_MS.to_string()];
+    let engine_flags = load_flags(LOAD_MS);
     Plan { instances: 3, engines, plain: 0, engine_flags, switch_off, ..Plan::default() }
 }
 
@@ -171,8 +179,10 @@
 }
 
 /// Rolls a version out in two pools at once; returns the most engines that loaded at once.
-async fn roll_out_two_pools(switch_off: &'static [&'static str]) -> usize {
-    let fleet = Fleet::start(Plan { loads_at_once: 1, ..plan(4, switch_off) }).await;
+async fn roll_out_two_pools(load_ms: u64, switch_off: &'static [&'static str]) -> usize {
+    let engine_flags = load_flags(load_ms);
+    let plan = Plan { loads_at_once: 1, engine_flags, ..plan(4, switch_off) };
+    let fleet = Fleet::start(plan).await;
     let pools = [("engines", [0, 1]), ("others", [2, 3])];
     let pools = pools.map(|(name, engines)| pool_of(&fleet, name, &engines, "1", &[]));
     fleet.declare(pools.to_vec()).await;
@@ -197,8 +207,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn pools_share_the_loads_of_the_fleet() {
-    assert_eq!(roll_out_two_pools(&[]).await, 1);
-    assert_eq!(roll_out_two_pools(&["load_slots"]).await, 2);
+    assert_eq!(roll_out_two_pools(LOAD_MS, &[]).await, 1);
+    assert_eq!(roll_out_two_pools(LONG_LOAD_MS, &["load_slots"]).await, 2);
 }
 
 /// Rolls a version out that can't be loaded; returns how many engines were ordered to load it.
