Let the homes of both sides of a cut agree on where a key runs

A request that gives way to another's claim had been given leave by its own home for another upstream, and left that record as it was; when the two sides met, two upstreams stood for one key, though one ran it. Ruled out: a second dispatch (one at the engines). Now such a request corrects the record at its home before it takes the run up.

--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -124,6 +124,7 @@
                         Ok(Claimed::Won(claim)) => claim,
                         Ok(Claimed::By(runner, upstream)) => {
                             permit.release(gate::Outcome::Cancelled);
+                            self.correct_home(homes, upstream.as_ref(), deadline).await?;
                             return self.yield_to(runner, upstream).await;
                         }
                         Err(refusal) => {
@@ -178,6 +179,23 @@
         }
     }
 
+    /// Tells the home where the run of another's claim is, in place of the upstream that it gave leave
+    /// for. Else the homes of both sides of a cut would hold the key to be dispatched to two.
+    async fn correct_home(
+        &self,
+        homes: &Homes,
+        upstream: Option<&UpstreamName>,
+        deadline: Duration,
+    ) -> Result<(), Refusal> {
+        self.take_back(homes, deadline).await?;
+        let Some(upstream) = upstream else { return Ok(()) };
+        let told = homes.dispatching(&self.run.id, upstream, deadline).await;
+        // The claimer may run the request, so that a refusal can't say otherwise.
+        told.map_err(|_| Refusal::last(ErrorKind::AnswerLost))?;
+        self.own(Progress::Dispatched { upstream: upstream.clone() });
+        Ok(())
+    }
+
     /// Takes back a dispatch of which no byte went out.
     async fn take_back(&self, homes: &Homes, deadline: Duration) -> Result<(), Refusal> {
         if !homes.not_sent(&self.run.id, deadline).await {
--- a/lacewingspring/tests/cuts.rs
+++ b/lacewingspring/tests/cuts.rs
@@ -29,6 +29,12 @@
 /// Output tokens of a completion.
 const TOKENS: u32 = 20;
 
+/// Requests that still run when a cut ends.
+const LONG_RUNS: usize = 6;
+
+/// Output tokens of these.
+const LONG_TOKENS: u32 = 400;
+
 /// One attempt of a request.
 #[derive(Debug)]
 struct Ended {
@@ -198,3 +204,33 @@
     let twice = broken.iter().filter(|violation| matches!(violation, Violation::RanTwice(_)));
     assert!(twice.count() > 0, "{broken:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn both_sides_agree_afterwards_on_what_still_runs() {
+    let fleet = Fleet::start(plan(2, 2)).await;
+    let cuts = fleet.cuts.clone().expect("relays");
+    cuts.part(&fleet, &[0], &[1]);
+    sleep(Duration::from_secs(4)).await;
+    // Each side asks its own engine first; one claim decides, and the other side takes that run up.
+    let mut asking = JoinSet::new();
+    for n in 0..LONG_RUNS {
+        for at in [n, n + 1] {
+            let at = fleet.instances[at % 2].callers;
+            let key = format!("long-{n}");
+            asking.spawn(async move {
+                try_complete(at, "lookup", &key, &prompt(&key), LONG_TOKENS).await
+            });
+            sleep(REPEAT_AFTER).await;
+        }
+    }
+    heal(&fleet).await;
+    for reply in asking.join_all().await {
+        assert!(matches!(reply.told, Told::Answer(_)), "{reply:?}");
+    }
+    for run in engine_runs(&fleet).await {
+        assert_eq!(run["dispatches"], 1, "{run}");
+    }
+    // A home that counted two dispatches of a key answers no dispatch any more under test.
+    let told = try_complete(fleet.instances[0].callers, "lookup", "after", "after", 3).await;
+    assert!(matches!(told.told, Told::Answer(_)), "{told:?}");
+}
