Tell the backup of a dispatch taken back before the next one

A trace at the two places that count showed one runner with two upstreams: its home told the backup of the dispatch, of its taking back and of the next dispatch, but did not wait for the second, which came last. So a backup could also hold a dispatched key to be waiting. Ruled out: a second dispatch (none at the engines). Now the taking back waits for the backup too.

--- a/lacewingspring/src/homes/mod.rs
+++ b/lacewingspring/src/homes/mod.rs
@@ -101,8 +101,8 @@
 /// Tells the backup of a key, its second holder, what the home has taken.
 ///
 /// The backup becomes the home when the home dies. Without it, the death of one instance that is
-/// both the runner and the home of a key would lose the run. A dispatch and a void wait for the
-/// copy; false when there is a backup that did not take it.
+/// both the runner and the home of a key would lose the run. A dispatch, one taken back and a
+/// void wait for the copy; false when there is a backup that did not take it.
 async fn copy_to_backup(node: &Arc<Node>, call: &KeyCall, reply: &KeyReply) -> bool {
     if !node.settings.test.is_on(Mechanism::Backup) {
         return true;
@@ -114,7 +114,8 @@
         return true;
     };
     let message = Message::Key(copy);
-    if must_last(reply) {
+    // A dispatch taken back must not reach the backup after the next one.
+    if must_last(reply) || matches!(call, KeyCall::NotSent { .. }) {
         let taken = node.peers.call(&backup, message, COPY_TIMEOUT).await;
         return matches!(taken, Ok(Message::KeyReply(KeyReply::Done)));
     }
