Read the members once for a home's limits, and set a full exchange up once in the gate tests

Cause: read through. The home of a workspace counted the members that are up and then listed those that are not; the first follows from the second. Two tests of gates set the same exchange up line by line. Behaviour and assertions stay.

--- a/lacewingspring/src/limits/home.rs
+++ b/lacewingspring/src/limits/home.rs
@@ -42,10 +42,11 @@
             self.limits = limits.clone();
             self.ledger.set_limits(limits.clone());
         }
-        let reachable = view.members.iter().filter(|member| is_up(member)).count();
-        self.ledger.observe_reach(reachable, view.members.len());
+        let known = view.members.len();
         let away = view.members.iter().filter(|member| !is_up(member));
-        self.ledger.observe_away(away.map(|member| member.name.clone()));
+        let away: Vec<_> = away.map(|member| member.name.clone()).collect();
+        self.ledger.observe_reach(known - away.len(), known);
+        self.ledger.observe_away(away);
     }
 
     /// Forgets the earlier run of an instance; false when the incarnation is that run.
--- a/lacewingspring/tests/gates.rs
+++ b/lacewingspring/tests/gates.rs
@@ -69,6 +69,16 @@
     matches!(message, Ok(Some(Message::Granted(_))))
 }
 
+/// Returns an exchange of a lower tier that was granted a permit and takes no more messages.
+async fn granted_and_full(host: &Host) -> Exchange {
+    let mut low = Exchange::pair();
+    let full = low.handler.tx.clone();
+    host.ask(1, low.handler);
+    assert!(is_granted(&mut low.caller).await);
+    while full.try_send(Message::NoRun).is_ok() {}
+    low.caller
+}
+
 /// Reads an exchange to its end; false when it stays open.
 async fn ends(exchange: &mut Exchange) -> bool {
     timeout(PATIENCE, async { while exchange.rx.recv().await.is_some() {} }).await.is_ok()
@@ -90,33 +100,23 @@
 #[tokio::test]
 async fn an_order_to_park_that_can_not_be_told_ends_the_permit() {
     let host = Host::start();
-    let mut low = Exchange::pair();
-    let full = low.handler.tx.clone();
-    host.ask(1, low.handler);
-    assert!(is_granted(&mut low.caller).await);
-    while full.try_send(Message::NoRun).is_ok() {}
-    drop(full);
+    let mut low = granted_and_full(&host).await;
     let mut high = Exchange::pair();
     host.ask(0, high.handler);
     assert!(is_granted(&mut high.caller).await);
-    assert!(ends(&mut low.caller).await);
+    assert!(ends(&mut low).await);
 }
 
 #[tokio::test]
 async fn an_entry_that_reads_the_end_gives_its_permit_up_at_once() {
     let host = Host::start();
-    let mut low = Exchange::pair();
-    let full = low.handler.tx.clone();
-    host.ask(1, low.handler);
-    assert!(is_granted(&mut low.caller).await);
-    while full.try_send(Message::NoRun).is_ok() {}
-    drop(full);
+    let mut low = granted_and_full(&host).await;
     let mut high = Exchange::pair();
     host.ask(0, high.handler);
     // Nothing is read until the order has met the full exchange.
     sleep(Duration::from_millis(500)).await;
-    assert!(ends(&mut low.caller).await);
-    low.caller.tx.try_send(Message::Ended(Outcome::Cancelled)).expect("room for the end");
+    assert!(ends(&mut low).await);
+    low.tx.try_send(Message::Ended(Outcome::Cancelled)).expect("room for the end");
     let granted = timeout(Duration::from_secs(1), is_granted(&mut high.caller)).await;
     assert_eq!(granted, Ok(true));
 }
