--- a/lacewingspring/src/lib.rs
+++ b/lacewingspring/src/lib.rs
@@ -1,7 +1,7 @@
 //! The lacewingspring daemon as a library, so that tests reach its parts.
 
 pub mod callers;
-pub mod clock;
+pub use lacewingspring_proxy::clock;
 pub mod daemon;
 pub mod declared;
 pub mod entry;
--- /dev/null
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -0,0 +1,217 @@
+//! Decides which requests are sent to which upstream, and when, for all services of a fleet.
+//!
+//! One instance at a time decides for the fleet; the others ask it. An instance that reaches only
+//! a part of the fleet decides for that part and fills only its part of slots and limits.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use self::{budget::RetryBudgets, crashers::Crashers, pool::Pool, quota::Quotas};
+pub use self::{
+    budget::RetryBound,
+    quota::Quota,
+    upstream::UpstreamInfo,
+    work::{Ask, Decision, End, Grant, PromptPart, Reason, Refusal, Ticket, Work},
+};
+use crate::names::{ServiceName, UpstreamName, WorkspaceName};
+
+mod budget;
+mod crashers;
+mod pool;
+mod queue;
+mod quota;
+mod server;
+mod upstream;
+mod work;
+
+/// Time after which a request that crashes upstreams may be asked for again.
+const HELD_RETRY: Duration = Duration::from_secs(5);
+
+/// What is declared for the fleet.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Limits {
+    /// Limits of workspaces.
+    pub quotas: HashMap<WorkspaceName, Quota>,
+    /// Units that a workspace may take beyond its burst.
+    pub quota_slack: f64,
+    /// Bound of repeated sends.
+    pub retries: RetryBound,
+}
+
+/// What is kept of a request until its end.
+#[derive(Debug)]
+struct Open {
+    service: ServiceName,
+    fingerprint: u64,
+}
+
+/// Counts of one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServiceCounts {
+    /// Requests that wait for a slot.
+    pub waiting: usize,
+    /// Requests that hold a slot.
+    pub running: usize,
+}
+
+/// Decides for all services.
+#[derive(Debug)]
+pub struct Dispatcher {
+    pools: BTreeMap<ServiceName, Pool>,
+    open: HashMap<Ticket, Open>,
+    quotas: Quotas,
+    retries: RetryBudgets,
+    crashers: Crashers,
+    limits: Limits,
+    part: f64,
+}
+
+impl Default for Dispatcher {
+    fn default() -> Self {
+        Self {
+            pools: BTreeMap::new(),
+            open: HashMap::new(),
+            quotas: Quotas::default(),
+            retries: RetryBudgets::default(),
+            crashers: Crashers::default(),
+            limits: Limits::default(),
+            part: 1.0,
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Replaces the known upstreams and sends what waits for them.
+    pub fn set_upstreams<I>(&mut self, now: Duration, upstreams: I) -> Vec<Decision>
+    where
+        I: IntoIterator<Item = UpstreamInfo>,
+    {
+        let mut by_service: BTreeMap<ServiceName, Vec<UpstreamInfo>> = BTreeMap::new();
+        for info in upstreams {
+            by_service.entry(info.service.clone()).or_default().push(info);
+        }
+        for service in self.pools.keys() {
+            by_service.entry(service.clone()).or_default();
+        }
+        for (service, infos) in by_service {
+            self.pools.entry(service).or_default().set_upstreams(infos);
+        }
+        self.tick(now)
+    }
+
+    /// Replaces the declared limits.
+    pub fn set_limits(&mut self, now: Duration, limits: &Limits) {
+        self.limits = limits.clone();
+        self.retries.bound = limits.retries;
+        self.quotas.set(now, self.part, limits.quota_slack, &limits.quotas);
+    }
+
+    /// Sets the part of all slots and limits that may be used here, from 0 to 1.
+    pub fn set_part(&mut self, now: Duration, part: f64) -> Vec<Decision> {
+        self.part = part.clamp(0.0, 1.0);
+        self.tick(now)
+    }
+
+    /// Returns the part of all slots and limits that may be used here.
+    pub fn part(&self) -> f64 {
+        self.part
+    }
+
+    /// Takes a request for a slot.
+    pub fn ask(&mut self, now: Duration, ticket: Ticket, ask: Ask) -> Vec<Decision> {
+        if let Some(refusal) = self.refuse(now, &ask) {
+            return vec![Decision::Refused(ticket, refusal)];
+        }
+        let open = Open { service: ask.service.clone(), fingerprint: ask.fingerprint };
+        let pool = self.pools.entry(ask.service.clone()).or_default();
+        self.open.insert(ticket, open);
+        let decisions = pool.ask(now, self.part, ticket, ask);
+        self.close_refused(decisions)
+    }
+
+    fn refuse(&mut self, now: Duration, ask: &Ask) -> Option<Refusal> {
+        if self.crashers.is_held(now, ask.fingerprint) {
+            return Some(Refusal { reason: Reason::Crashes, retry_after: HELD_RETRY });
+        }
+        if ask.sends > 0 {
+            let is_allowed = self.retries.take(now, self.part, &ask.service);
+            let refusal = Refusal { reason: Reason::RetryBudget, retry_after: ask.time_left / 3 };
+            return (!is_allowed).then_some(refusal);
+        }
+        self.retries.count_fresh(now, &ask.service);
+        let workspace = ask.workspace.as_ref()?;
+        let taken = self.quotas.take(now, self.part, workspace, ask.charge);
+        let retry_after = taken.err()?;
+        Some(Refusal { reason: Reason::Limit, retry_after })
+    }
+
+    /// Counts a request that runs by the grant of another gate.
+    pub fn adopt(&mut self, now: Duration, ticket: Ticket, ask: &Ask, upstream: UpstreamName) {
+        let open = Open { service: ask.service.clone(), fingerprint: ask.fingerprint };
+        self.open.insert(ticket, open);
+        let pool = self.pools.entry(ask.service.clone()).or_default();
+        pool.adopt(now, ticket, upstream, &ask.work);
+    }
+
+    /// Notes the first event of a run, `took` after its send.
+    pub fn first_output(&mut self, ticket: Ticket, took: Duration) {
+        let Some(open) = self.open.get(&ticket) else { return };
+        if let Some(pool) = self.pools.get_mut(&open.service) {
+            pool.first_output(ticket, took);
+        }
+    }
+
+    /// Ends a request, whether it waits or runs.
+    pub fn end(&mut self, now: Duration, ticket: Ticket, end: End) -> Vec<Decision> {
+        let Some(open) = self.open.remove(&ticket) else { return Vec::new() };
+        match end {
+            End::Broken => {
+                self.crashers.broke(now, open.fingerprint);
+            }
+            End::Finished { .. } | End::Failed => self.crashers.ran(open.fingerprint),
+            End::Declined | End::Unreachable | End::Misdirected | End::Cancelled => {}
+        }
+        let Some(pool) = self.pools.get_mut(&open.service) else { return Vec::new() };
+        let decisions = pool.end(now, self.part, ticket, end);
+        self.close_refused(decisions)
+    }
+
+    /// Ends all requests of an instance that is gone.
+    pub fn end_link(&mut self, now: Duration, link: u64) -> Vec<Decision> {
+        self.open.retain(|ticket, _| ticket.link != link);
+        for pool in self.pools.values_mut() {
+            pool.end_link(now, link);
+        }
+        self.tick(now)
+    }
+
+    /// Gives up what waited too long and sends what has room by now.
+    pub fn tick(&mut self, now: Duration) -> Vec<Decision> {
+        let part = self.part;
+        let decisions = self.pools.values_mut().flat_map(|pool| pool.fill(now, part)).collect();
+        self.close_refused(decisions)
+    }
+
+    fn close_refused(&mut self, decisions: Vec<Decision>) -> Vec<Decision> {
+        for decision in &decisions {
+            if let Decision::Refused(ticket, _) = decision {
+                self.open.remove(ticket);
+            }
+        }
+        decisions
+    }
+
+    /// Returns whether any request waits.
+    pub fn is_waiting(&self) -> bool {
+        self.pools.values().any(|pool| pool.waiting() > 0)
+    }
+
+    /// Returns the counts of each service.
+    pub fn counts(&self) -> impl Iterator<Item = (&ServiceName, ServiceCounts)> {
+        self.pools.iter().map(|(service, pool)| {
+            (service, ServiceCounts { waiting: pool.waiting(), running: pool.running() })
+        })
+    }
+}
--- /dev/null
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -0,0 +1,252 @@
+//! The upstreams of one service and what waits for them.
+
+use std::{collections::HashMap, time::Duration};
+
+use super::{
+    queue::{Queue, Waiting},
+    server::{Run, Server, Speed},
+    upstream::UpstreamInfo,
+    work::{Ask, Decision, End, Grant, Reason, Refusal, Ticket, Work},
+};
+use crate::names::UpstreamName;
+
+/// Weight of a new sample in the mean time that a slot is taken.
+const HOLD_WEIGHT: f64 = 0.05;
+
+/// Mean time that a slot is taken while nothing was observed.
+const ASSUMED_HOLD: Duration = Duration::from_millis(500);
+
+/// Part of the expected time to the first event that is added as a margin.
+const FIRST_MARGIN: f64 = 1.3;
+
+/// Most requests that wait, for each slot of the service.
+const WAITING_PER_SLOT: usize = 8;
+
+/// Shortest time after which a refused caller is told to come back.
+const SHORTEST_RETRY: Duration = Duration::from_millis(200);
+
+/// Time after which callers come back when no upstream is usable.
+const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(500);
+
+/// A request that holds a slot.
+#[derive(Debug)]
+struct Running {
+    upstream: UpstreamName,
+    run: Run,
+}
+
+/// The upstreams of one service and what waits for them.
+#[derive(Debug)]
+pub(super) struct Pool {
+    servers: HashMap<UpstreamName, Server>,
+    runs: HashMap<Ticket, Running>,
+    queue: Queue,
+    hold: Duration,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            servers: HashMap::new(),
+            runs: HashMap::new(),
+            queue: Queue::default(),
+            hold: ASSUMED_HOLD,
+        }
+    }
+}
+
+impl Pool {
+    /// Replaces the known upstreams; what was learned of those that stay is kept.
+    pub fn set_upstreams(&mut self, infos: Vec<UpstreamInfo>) {
+        let speed = self.typical_speed();
+        let mut earlier = std::mem::take(&mut self.servers);
+        for info in infos {
+            let known = earlier.remove(&info.name).filter(|known| known.info.born == info.born);
+            let mut server = match known {
+                Some(known) => known,
+                None => Server::new(info.clone(), speed),
+            };
+            server.info = info;
+            self.servers.insert(server.info.name.clone(), server);
+        }
+    }
+
+    /// Speed that a new upstream is given: the median of the others.
+    fn typical_speed(&self) -> Speed {
+        let mut speeds: Vec<Speed> = self.servers.values().map(|server| server.speed).collect();
+        speeds.sort_by(|a, b| a.decode_ms.total_cmp(&b.decode_ms));
+        speeds.get(speeds.len() / 2).copied().unwrap_or(Speed::ASSUMED)
+    }
+
+    /// Takes a request; the decisions are those that follow from it.
+    pub fn ask(&mut self, now: Duration, part: f64, ticket: Ticket, ask: Ask) -> Vec<Decision> {
+        if ask.sends == 0 {
+            self.queue.count_asked(now, &ask.class, ask.rank);
+        }
+        if !self.servers.values().any(|server| is_allowed(server, &ask)) {
+            return vec![refuse(ticket, Reason::NoUpstream, NO_UPSTREAM_RETRY, &ask)];
+        }
+        let first_ms = self.expected_first_ms(now, &ask.work) * FIRST_MARGIN;
+        let first = Duration::from_secs_f64(first_ms / 1_000.0);
+        let due = now + ask.aim_left.saturating_sub(first);
+        let expires = now + ask.time_left.saturating_sub(first);
+        let is_late = due <= now;
+        let refusal = self.foresee(part, is_late, first, &ask);
+        let waiting = Waiting { ticket, ask, due, expires };
+        self.queue.push(now, waiting);
+        let mut decisions = self.fill(now, part);
+        if let Some(retry_after) = refusal
+            && let Some(waiting) = self.queue.remove(ticket)
+        {
+            decisions.push(refuse(ticket, Reason::Overload, retry_after, &waiting.ask));
+        }
+        decisions
+    }
+
+    /// Returns when to come back, for a request that has no chance to be sent in its time.
+    fn foresee(&self, part: f64, is_late: bool, first: Duration, ask: &Ask) -> Option<Duration> {
+        let slots = self.slots(part).max(1);
+        let all = self.queue.len();
+        let ahead = if is_late { all } else { self.queue.timely_len() };
+        let wait = self.hold.mul_f64(ahead as f64 / f64::from(slots));
+        let wait_for_all = self.hold.mul_f64(all as f64 / f64::from(slots));
+        let is_full = all >= WAITING_PER_SLOT * slots as usize;
+        let is_timely = !is_late && wait + first <= ask.aim_left;
+        let can_be_late = wait_for_all + first <= ask.time_left / 2;
+        (is_full || !(is_timely || can_be_late)).then_some(wait.max(SHORTEST_RETRY))
+    }
+
+    fn expected_first_ms(&self, now: Duration, work: &Work) -> f64 {
+        let usable = self.servers.values().filter(|server| server.is_usable(now));
+        let times = usable.map(|server| server.first_ms(now, work));
+        times.min_by(f64::total_cmp).unwrap_or_default()
+    }
+
+    /// Sends what waits to upstreams with room.
+    pub fn fill(&mut self, now: Duration, part: f64) -> Vec<Decision> {
+        let mut decisions = self.expire(now);
+        loop {
+            let heads = self.queue.heads();
+            let next = heads.into_iter().find_map(|waiting| {
+                Some((waiting.ticket, self.choose(now, part, &waiting.ask)?))
+            });
+            let Some((ticket, upstream)) = next else { return decisions };
+            let Some(waiting) = self.queue.take(now, ticket) else { return decisions };
+            decisions.extend(self.grant(now, &waiting, upstream));
+        }
+    }
+
+    fn expire(&mut self, now: Duration) -> Vec<Decision> {
+        let gone = self.queue.expire(now).into_iter();
+        gone.map(|waiting| refuse(waiting.ticket, Reason::Overload, self.hold, &waiting.ask))
+            .collect()
+    }
+
+    fn choose(&self, now: Duration, part: f64, ask: &Ask) -> Option<UpstreamName> {
+        let memory = memory_tokens(&ask.work);
+        let servers = self.servers.values().filter(|server| {
+            is_allowed(server, ask) && server.has_room(now, slots(&server.info, part), memory)
+        });
+        let costs = servers.map(|server| (server.cost_ms(now, &ask.work), &server.info.name));
+        let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)))?;
+        Some(best.1.clone())
+    }
+
+    fn grant(
+        &mut self,
+        now: Duration,
+        waiting: &Waiting,
+        upstream: UpstreamName,
+    ) -> Option<Decision> {
+        let server = self.servers.get_mut(&upstream)?;
+        let run = server.start(now, &waiting.ask.work);
+        let address = server.info.address;
+        self.runs.insert(waiting.ticket, Running { upstream: upstream.clone(), run });
+        Some(Decision::Granted(waiting.ticket, Grant { upstream, address }))
+    }
+
+    /// Counts a request that runs by the grant of another gate.
+    pub fn adopt(&mut self, now: Duration, ticket: Ticket, upstream: UpstreamName, work: &Work) {
+        let Some(server) = self.servers.get_mut(&upstream) else { return };
+        let run = server.start(now, work);
+        self.runs.insert(ticket, Running { upstream, run });
+    }
+
+    /// Notes the first event of a run.
+    pub fn first_output(&mut self, ticket: Ticket, took: Duration) {
+        let Some(running) = self.runs.get_mut(&ticket) else { return };
+        if let Some(server) = self.servers.get_mut(&running.upstream) {
+            server.first_output(&mut running.run, took);
+        }
+    }
+
+    /// Ends a request, whether it waits or runs.
+    pub fn end(&mut self, now: Duration, part: f64, ticket: Ticket, end: End) -> Vec<Decision> {
+        self.queue.remove(ticket);
+        if let Some(running) = self.runs.remove(&ticket) {
+            self.end_run(now, &running, end);
+        }
+        self.fill(now, part)
+    }
+
+    fn end_run(&mut self, now: Duration, running: &Running, end: End) {
+        if let End::Finished { took, .. } = end {
+            let held = self.hold.as_secs_f64();
+            let held = held + (took.as_secs_f64() - held) * HOLD_WEIGHT;
+            self.hold = Duration::from_secs_f64(held);
+        }
+        if let Some(server) = self.servers.get_mut(&running.upstream) {
+            server.end(now, &running.run, end);
+        }
+    }
+
+    /// Ends all requests of an instance that is gone.
+    pub fn end_link(&mut self, now: Duration, link: u64) {
+        self.queue.remove_link(link);
+        let gone: Vec<Ticket> =
+            self.runs.keys().filter(|ticket| ticket.link == link).copied().collect();
+        for ticket in gone {
+            if let Some(running) = self.runs.remove(&ticket) {
+                self.end_run(now, &running, End::Cancelled);
+            }
+        }
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns how many requests run.
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
+    fn slots(&self, part: f64) -> u32 {
+        let open = self.servers.values().filter(|server| !server.info.draining);
+        open.map(|server| slots(&server.info, part)).sum()
+    }
+}
+
+fn is_allowed(server: &Server, ask: &Ask) -> bool {
+    !server.info.draining && !ask.avoid.contains(&server.info.name)
+}
+
+/// Slots of an upstream that this gate may fill.
+fn slots(info: &UpstreamInfo, part: f64) -> u32 {
+    ((f64::from(info.slots) * part).floor() as u32).max(1)
+}
+
+fn memory_tokens(work: &Work) -> u64 {
+    match work {
+        Work::Plain => 0,
+        Work::Generation { prompt_tokens, output_tokens, .. } => {
+            u64::from(*prompt_tokens) + u64::from(*output_tokens)
+        }
+    }
+}
+
+fn refuse(ticket: Ticket, reason: Reason, wait: Duration, ask: &Ask) -> Decision {
+    let retry_after = wait.max(SHORTEST_RETRY).min(ask.time_left / 3);
+    Decision::Refused(ticket, Refusal { reason, retry_after })
+}
--- /dev/null
+++ b/lacewingspring_core/src/dispatch/queue.rs
@@ -0,0 +1,160 @@
+//! Requests that wait for a slot of one service.
+//!
+//! Kinds of request share the service evenly under overload: next is the kind of which the
+//! smallest part was served on time. Requests that are late already yield to those that aren't.
+
+use std::{collections::{BTreeMap, VecDeque}, sync::Arc, time::Duration};
+
+use super::work::{Ask, Ticket};
+
+/// Time over which the served part of a kind is remembered.
+const SHARE_MEMORY: Duration = Duration::from_secs(8);
+
+/// Head start of a kind over one that is less urgent by one rank, as a part of what was asked.
+const RANK_STEP: f64 = 0.02;
+
+/// A waiting request.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    /// Its ticket.
+    pub ticket: Ticket,
+    /// What it asked for.
+    pub ask: Ask,
+    /// Time by which it must be sent to be answered on time.
+    pub due: Duration,
+    /// Time after which it is given up.
+    pub expires: Duration,
+}
+
+/// Requests of one kind.
+#[derive(Debug, Default)]
+struct Class {
+    rank: u8,
+    timely: VecDeque<Waiting>,
+    late: VecDeque<Waiting>,
+    asked: f64,
+    served: f64,
+    counted_at: Duration,
+}
+
+impl Class {
+    fn age(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.counted_at).as_secs_f64();
+        let kept = (-passed / SHARE_MEMORY.as_secs_f64()).exp();
+        self.asked *= kept;
+        self.served *= kept;
+        self.counted_at = now;
+    }
+
+    /// Part that was served on time, with the head start of its rank.
+    fn share(&self) -> f64 {
+        self.served / self.asked.max(1.0) + f64::from(self.rank) * RANK_STEP
+    }
+}
+
+/// Waiting requests of one service.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    classes: BTreeMap<Arc<str>, Class>,
+}
+
+impl Queue {
+    /// Counts a new request of a kind.
+    pub fn count_asked(&mut self, now: Duration, class: &Arc<str>, rank: u8) {
+        let class = self.classes.entry(class.clone()).or_default();
+        class.rank = rank;
+        class.age(now);
+        class.asked += 1.0;
+    }
+
+    /// Adds a request.
+    pub fn push(&mut self, now: Duration, waiting: Waiting) {
+        let class = self.classes.entry(waiting.ask.class.clone()).or_default();
+        if waiting.due > now {
+            class.timely.push_back(waiting);
+        } else {
+            class.late.push_back(waiting);
+        }
+    }
+
+    /// Moves what is late by now behind what isn't, and returns what is given up.
+    pub fn expire(&mut self, now: Duration) -> Vec<Waiting> {
+        let mut gone = Vec::new();
+        for class in self.classes.values_mut() {
+            while class.timely.front().is_some_and(|waiting| waiting.due <= now) {
+                class.late.extend(class.timely.pop_front());
+            }
+            let mut kept = VecDeque::with_capacity(class.late.len());
+            for waiting in class.late.drain(..) {
+                if waiting.expires <= now {
+                    gone.push(waiting);
+                } else {
+                    kept.push_back(waiting);
+                }
+            }
+            class.late = kept;
+        }
+        gone
+    }
+
+    /// Returns waiting requests in the order in which they are to be sent, the first of each kind.
+    pub fn heads(&self) -> Vec<&Waiting> {
+        let mut heads: Vec<(bool, f64, &Waiting)> = Vec::new();
+        for class in self.classes.values() {
+            match (class.timely.front(), class.late.front()) {
+                (Some(waiting), _) => heads.push((false, class.share(), waiting)),
+                (None, Some(waiting)) => heads.push((true, class.share(), waiting)),
+                (None, None) => {}
+            }
+        }
+        heads.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        heads.into_iter().map(|(_, _, waiting)| waiting).collect()
+    }
+
+    /// Takes a request that is sent now.
+    pub fn take(&mut self, now: Duration, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.remove(ticket)?;
+        self.count_sent(now, &waiting);
+        Some(waiting)
+    }
+
+    /// Counts a request that is sent now.
+    fn count_sent(&mut self, now: Duration, waiting: &Waiting) {
+        if let Some(class) = self.classes.get_mut(&waiting.ask.class) {
+            class.age(now);
+            if waiting.due > now && waiting.ask.sends == 0 {
+                class.served += 1.0;
+            }
+        }
+    }
+
+    /// Removes a request that waits no more.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
+        for class in self.classes.values_mut() {
+            for lane in [&mut class.timely, &mut class.late] {
+                if let Some(at) = lane.iter().position(|waiting| waiting.ticket == ticket) {
+                    return lane.remove(at);
+                }
+            }
+        }
+        None
+    }
+
+    /// Removes all requests of a link.
+    pub fn remove_link(&mut self, link: u64) {
+        for class in self.classes.values_mut() {
+            class.timely.retain(|waiting| waiting.ticket.link != link);
+            class.late.retain(|waiting| waiting.ticket.link != link);
+        }
+    }
+
+    /// Returns how many requests wait that are not late yet.
+    pub fn timely_len(&self) -> usize {
+        self.classes.values().map(|class| class.timely.len()).sum()
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.classes.values().map(|class| class.timely.len() + class.late.len()).sum()
+    }
+}
--- a/lacewingspring_core/src/lib.rs
+++ b/lacewingspring_core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod catalog;
 pub mod claim;
 pub mod config;
+pub mod dispatch;
 pub mod error;
 pub mod gate;
 pub mod key_index;
--- a/lacewingspring/src/clock.rs
+++ b/lacewingspring_proxy/src/clock.rs
@@ -6,6 +6,7 @@
 };
 
 use rustix::time::{ClockId, clock_gettime};
+use tokio::time::Instant;
 
 static START: OnceLock<Duration> = OnceLock::new();
 
@@ -28,3 +29,9 @@
     let time = clock_gettime(ClockId::Boottime);
     Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
 }
+
+/// Returns the instant of a time of [`now`] for the timers of the runtime.
+#[allow(clippy::disallowed_methods)]
+pub fn instant(at: Duration) -> Instant {
+    Instant::now() + at.saturating_sub(now())
+}
--- /dev/null
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -0,0 +1,263 @@
+//! The side of the gate that decides.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use futures_util::StreamExt;
+use lacewingspring_core::{
+    dispatch::{Decision, Dispatcher, Limits, ServiceCounts, Ticket, UpstreamInfo},
+    names::{InstanceName, ServiceName},
+};
+use log::{info, warn};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{
+        Notify,
+        mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    },
+    time::{sleep, timeout},
+};
+
+use super::message::{Frames, FromGate, ToGate, decode, frames, send_all};
+use crate::{clock, members::SharedMembers, net};
+
+/// Time between looks at what waits.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Silence after which an instance is taken to be gone.
+const LINK_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Debug)]
+struct Link {
+    tx: UnboundedSender<FromGate>,
+    instance: Option<InstanceName>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    dispatcher: Dispatcher,
+    links: HashMap<u64, Link>,
+    next_link: u64,
+}
+
+/// Decides for all instances that ask.
+#[derive(Debug)]
+pub struct Host {
+    state: Mutex<State>,
+    members: SharedMembers,
+    waiting: Notify,
+}
+
+impl Host {
+    /// Creates a host that knows no upstreams yet.
+    pub fn new(members: SharedMembers) -> Self {
+        Self { state: Mutex::default(), members, waiting: Notify::new() }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the known upstreams.
+    pub fn set_upstreams<I>(&self, now: Duration, upstreams: I)
+    where
+        I: IntoIterator<Item = UpstreamInfo>,
+    {
+        let mut state = self.state();
+        let decisions = state.dispatcher.set_upstreams(now, upstreams);
+        state.tell(decisions);
+    }
+
+    /// Replaces the declared limits.
+    pub fn set_limits(&self, now: Duration, limits: &Limits) {
+        self.state().dispatcher.set_limits(now, limits);
+    }
+
+    /// Takes note of changed members.
+    pub fn members_changed(&self, now: Duration) {
+        let mut state = self.state();
+        self.set_part(now, &mut state);
+    }
+
+    /// An instance that hears of most of the fleet decides for all of it, else for its part.
+    fn set_part(&self, now: Duration, state: &mut State) {
+        let members = self.members.load().len().max(1);
+        let linked = state.links.values().filter(|link| link.instance.is_some()).count();
+        let part = if linked * 2 > members { 1.0 } else { linked as f64 / members as f64 };
+        if (part - state.dispatcher.part()).abs() > f64::EPSILON {
+            info!(linked, members, part; "The part of the fleet that is decided here changes.");
+            let decisions = state.dispatcher.set_part(now, part);
+            state.tell(decisions);
+        }
+    }
+
+    /// Opens a link; decisions are told to `tx`.
+    pub fn connect(&self, tx: UnboundedSender<FromGate>) -> u64 {
+        let mut state = self.state();
+        let id = state.next_link;
+        state.next_link += 1;
+        state.links.insert(id, Link { tx, instance: None });
+        id
+    }
+
+    /// Closes a link; its requests are ended.
+    pub fn disconnect(&self, now: Duration, id: u64) {
+        let mut state = self.state();
+        state.links.remove(&id);
+        let decisions = state.dispatcher.end_link(now, id);
+        state.tell(decisions);
+        self.set_part(now, &mut state);
+    }
+
+    /// Takes a message of a link.
+    pub fn handle(&self, now: Duration, link: u64, message: ToGate) {
+        let mut state = self.state();
+        let ticket = |number| Ticket { link, number };
+        let decisions = match message {
+            ToGate::Hello { instance } => {
+                if let Some(known) = state.links.get_mut(&link) {
+                    known.instance = Some(instance);
+                }
+                self.set_part(now, &mut state);
+                Vec::new()
+            }
+            ToGate::Running { number, ask, upstream } => {
+                state.dispatcher.adopt(now, ticket(number), &ask, upstream);
+                Vec::new()
+            }
+            ToGate::Ask { number, ask } => {
+                let decisions = state.dispatcher.ask(now, ticket(number), ask);
+                if !decisions.iter().any(|decision| of(decision) == ticket(number)) {
+                    state.send(link, FromGate::Waits { number });
+                    self.waiting.notify_one();
+                }
+                decisions
+            }
+            ToGate::FirstOutput { number, took } => {
+                state.dispatcher.first_output(ticket(number), took);
+                Vec::new()
+            }
+            ToGate::End { number, end } => state.dispatcher.end(now, ticket(number), end),
+            ToGate::Ping => {
+                state.send(link, FromGate::Pong);
+                Vec::new()
+            }
+        };
+        state.tell(decisions);
+    }
+
+    /// Returns the counts of each service.
+    pub fn counts(&self) -> Vec<(ServiceName, ServiceCounts)> {
+        let state = self.state();
+        state.dispatcher.counts().map(|(name, counts)| (name.clone(), counts)).collect()
+    }
+
+    /// Looks at what waits, for ever.
+    pub async fn tick(self: Arc<Self>) {
+        loop {
+            if !self.state().dispatcher.is_waiting() {
+                self.waiting.notified().await;
+            }
+            sleep(TICK).await;
+            let mut state = self.state();
+            let decisions = state.dispatcher.tick(clock::now());
+            state.tell(decisions);
+        }
+    }
+
+    /// Serves other instances for ever.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is taken.
+    pub async fn serve(self: Arc<Self>, address: SocketAddr) -> io::Result<()> {
+        let listener = TcpListener::bind(address).await?;
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().serve_link(stream));
+                }
+                Err(e) => {
+                    warn!(error:% = e; "A connection of an instance was not accepted.");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_link(self: Arc<Self>, stream: TcpStream) {
+        if let Err(e) = net::tune(&stream) {
+            warn!(error:% = e; "A connection of an instance was not set up.");
+            return;
+        }
+        let (tx, rx) = unbounded_channel();
+        let link = self.connect(tx);
+        let reason = self.exchange(link, frames(stream), rx).await;
+        info!(link, reason; "The link of an instance is closed.");
+        self.disconnect(clock::now(), link);
+    }
+
+    /// Exchanges messages until the link ends; returns why it ended.
+    async fn exchange(
+        &self,
+        link: u64,
+        mut frames: Frames,
+        mut rx: UnboundedReceiver<FromGate>,
+    ) -> &'static str {
+        loop {
+            tokio::select! {
+                next = timeout(LINK_TIMEOUT, frames.next()) => match next {
+                    Ok(Some(Ok(bytes))) => match decode(&bytes) {
+                        Ok(message) => self.handle(clock::now(), link, message),
+                        Err(_) => return "unreadable",
+                    },
+                    Ok(Some(Err(_)) | None) => return "closed",
+                    Err(_) => return "silent",
+                },
+                Some(message) = rx.recv() => {
+                    let sent = timeout(LINK_TIMEOUT, send_all(&mut frames, message, &mut rx));
+                    if !matches!(sent.await, Ok(Ok(()))) {
+                        return "unwritable";
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl State {
+    fn tell(&mut self, decisions: Vec<Decision>) {
+        for decision in decisions {
+            let link = of(&decision).link;
+            let message = match decision {
+                Decision::Granted(ticket, grant) => {
+                    FromGate::Granted { number: ticket.number, grant }
+                }
+                Decision::Refused(ticket, refusal) => {
+                    FromGate::Refused { number: ticket.number, refusal }
+                }
+            };
+            self.send(link, message);
+        }
+    }
+
+    fn send(&mut self, link: u64, message: FromGate) {
+        let Some(known) = self.links.get(&link) else { return };
+        // A closed receiver means that the link is about to be removed.
+        let _ = known.tx.send(message);
+    }
+}
+
+fn of(decision: &Decision) -> Ticket {
+    match decision {
+        Decision::Granted(ticket, _) | Decision::Refused(ticket, _) => *ticket,
+    }
+}
--- /dev/null
+++ b/lacewingspring_proxy/src/gate/mod.rs
@@ -0,0 +1,5 @@
+//! The gate: one instance decides for the fleet which request is sent where, the others ask it.
+
+pub mod host;
+pub mod link;
+pub mod message;
--- /dev/null
+++ b/lacewingspring_proxy/src/instance.rs
@@ -0,0 +1,324 @@
+//! Wires the parts of one instance and runs it until it is stopped.
+
+use std::{
+    io,
+    sync::Arc,
+    time::Duration,
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use lacewingspring_core::dispatch::{Limits, UpstreamInfo};
+use log::{error, info};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+    time::sleep,
+};
+
+use crate::{
+    answer::AnswerBody,
+    clock,
+    declared::{CallerLimits, Declared},
+    directory::Directory,
+    follow::Follow,
+    forward::Forward,
+    gate::{host::Host, link::Gate},
+    members::{MEMBERS_PREFIX, Member, Members, Registration, SharedMembers, draw_incarnation},
+    mirror::Mirror,
+    protocol::Protocol,
+    server::{ConnectionLimits, OpenConnections, Server},
+    settings::Settings,
+    store::Store,
+};
+
+/// Time after the request to stop for which requests are taken as before.
+const TAKE_ON: Duration = Duration::from_millis(2_600);
+
+/// Time before the kill at which the process ends by itself.
+const BEFORE_KILL: Duration = Duration::from_millis(300);
+
+/// Time between looks at what is still open.
+const STOP_CHECK: Duration = Duration::from_millis(100);
+
+/// Translates what the platform holds.
+pub trait Platform: Send + Sync + 'static {
+    /// Prefix of the operators' configuration.
+    const DECLARED_PREFIX: &'static str;
+
+    /// Prefix of the upstreams' entries.
+    const UPSTREAMS_PREFIX: &'static str;
+
+    /// Reads the operators' configuration; none when it is not there or unreadable.
+    fn declared(&self, mirror: &Mirror) -> Option<Declared>;
+
+    /// Reads the upstreams' entries; those that can't be read are left out.
+    fn upstreams(&self, mirror: &Mirror) -> Vec<UpstreamInfo>;
+}
+
+/// Parts of an instance that the platform brings.
+#[derive(Debug)]
+pub struct Parts<S, P, T> {
+    /// Client of the key-value service.
+    pub store: Arc<S>,
+    /// Protocol of callers and upstreams.
+    pub protocol: Arc<P>,
+    /// Translator of what the key-value service holds.
+    pub platform: Arc<T>,
+}
+
+/// Beliefs that are read by many parts.
+struct Beliefs {
+    declared: Arc<ArcSwapOption<Declared>>,
+    upstreams: ArcSwap<Vec<UpstreamInfo>>,
+    members: SharedMembers,
+    host: Arc<Host>,
+    is_ready: watch::Sender<bool>,
+    settings: Settings,
+}
+
+impl Beliefs {
+    /// Takes what is declared, unless it is older than what is known.
+    fn take_declared(&self, now: Duration, declared: Declared) {
+        let known = self.declared.load().as_ref().map_or(0, |known| known.version);
+        if declared.version <= known {
+            return;
+        }
+        info!(version = declared.version, before = known; "The configuration is taken.");
+        let bounds = &self.settings.bounds;
+        let limits = Limits {
+            quotas: declared
+                .workspaces()
+                .map(|workspace| (workspace.name.clone(), workspace.quota))
+                .collect(),
+            quota_slack: bounds.quota_slack / 2.0,
+            retries: bounds.retries(),
+        };
+        self.host.set_limits(now, &limits);
+        self.declared.store(Some(Arc::new(declared)));
+        self.apply_upstreams(now);
+        self.is_ready.send_replace(true);
+    }
+
+    fn take_upstreams(&self, now: Duration, upstreams: Vec<UpstreamInfo>) {
+        self.upstreams.store(Arc::new(upstreams));
+        self.apply_upstreams(now);
+    }
+
+    /// Hands upstreams to the gate, with the memory that is declared for their service.
+    fn apply_upstreams(&self, now: Duration) {
+        let declared = self.declared.load();
+        let upstreams = self.upstreams.load();
+        let upstreams = upstreams.iter().cloned().map(|mut upstream| {
+            let service = declared.as_ref().and_then(|all| all.services.get(&upstream.service));
+            let memory = service.and_then(|service| service.memory_tokens);
+            upstream.memory_tokens = memory.unwrap_or(u64::MAX);
+            upstream
+        });
+        self.host.set_upstreams(now, upstreams);
+    }
+
+    fn take_members(&self, now: Duration, members: Members) {
+        self.members.store(Arc::new(members));
+        self.host.members_changed(now);
+    }
+
+    fn caller_limits(&self) -> CallerLimits {
+        self.declared.load().as_ref().map_or_else(CallerLimits::default, |known| known.limits)
+    }
+}
+
+/// Runs an instance until it is stopped.
+///
+/// # Errors
+///
+/// Fails when an address is taken or signals can't be heard.
+pub async fn run<S, P, T>(settings: Settings, parts: Parts<S, P, T>) -> io::Result<()>
+where
+    S: Store,
+    P: Protocol,
+    T: Platform,
+{
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let member = Member {
+        instance: settings.instance.clone(),
+        incarnation: draw_incarnation(),
+        data_centre: settings.data_centre.clone(),
+        callers: settings.listen.callers,
+        peers: settings.listen.peers,
+        is_leaving: false,
+    };
+    info!(instance = settings.instance.as_str(), incarnation = member.incarnation; "The instance starts.");
+    let (member_tx, member) = watch::channel(member);
+    let (closing_tx, closing) = watch::channel(false);
+    let (ready_tx, is_ready) = watch::channel(false);
+    let members = SharedMembers::default();
+    let host = Arc::new(Host::new(members.clone()));
+    let gate = Arc::new(Gate::new(settings.instance.clone(), members.clone(), host.clone()));
+    let beliefs = Arc::new(Beliefs {
+        declared: Arc::default(),
+        upstreams: ArcSwap::default(),
+        members: members.clone(),
+        host: host.clone(),
+        is_ready: ready_tx,
+        settings: settings.clone(),
+    });
+    follow(&beliefs, &parts);
+    tokio::spawn(host.clone().tick());
+    tokio::spawn(gate.clone().run());
+    tokio::spawn(watched("peers", host.serve(settings.listen.peers)));
+    let registration = Registration {
+        store: parts.store.clone(),
+        member: member.clone(),
+        min_lease: Duration::from_millis(settings.bounds.min_lease_ms),
+    };
+    tokio::spawn(registration.run());
+    let open = Arc::new(OpenConnections::default());
+    serve_directory(&settings, &parts, &beliefs, &member, is_ready, &closing);
+    serve_callers(&settings, &parts, &beliefs, gate, &closing, &open);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => info!("The settings are told to have changed."),
+        }
+    }
+    stop(&settings, &member_tx, &closing_tx, &open).await;
+    Ok(())
+}
+
+/// Leaves the fleet: first out of the directory, then without new requests, then when all is done.
+async fn stop(
+    settings: &Settings,
+    member: &watch::Sender<Member>,
+    closing: &watch::Sender<bool>,
+    open: &OpenConnections,
+) {
+    let began = clock::now();
+    info!(connections = open.count(); "The instance is told to stop.");
+    member.send_modify(|member| member.is_leaving = true);
+    sleep(TAKE_ON).await;
+    closing.send_replace(true);
+    let last = began + settings.bounds.grace().saturating_sub(BEFORE_KILL);
+    while open.count() > 0 && clock::now() < last {
+        sleep(STOP_CHECK).await;
+    }
+    info!(connections = open.count(); "The instance stops.");
+    sleep(STOP_CHECK).await;
+}
+
+fn follow<S, P, T>(beliefs: &Arc<Beliefs>, parts: &Parts<S, P, T>)
+where
+    S: Store,
+    T: Platform,
+{
+    let platform = parts.platform.clone();
+    let known = beliefs.clone();
+    let declared = Follow {
+        store: parts.store.clone(),
+        prefix: T::DECLARED_PREFIX,
+        on_change: move |now: Duration, mirror: &Mirror| {
+            if let Some(declared) = platform.declared(mirror) {
+                known.take_declared(now, declared);
+            }
+        },
+    };
+    tokio::spawn(declared.run());
+    let platform = parts.platform.clone();
+    let known = beliefs.clone();
+    let upstreams = Follow {
+        store: parts.store.clone(),
+        prefix: T::UPSTREAMS_PREFIX,
+        on_change: move |now: Duration, mirror: &Mirror| {
+            known.take_upstreams(now, platform.upstreams(mirror));
+        },
+    };
+    tokio::spawn(upstreams.run());
+    let known = beliefs.clone();
+    let members = Follow {
+        store: parts.store.clone(),
+        prefix: MEMBERS_PREFIX,
+        on_change: move |now: Duration, mirror: &Mirror| {
+            known.take_members(now, Members::read(mirror));
+        },
+    };
+    tokio::spawn(members.run());
+}
+
+fn serve_directory<S, P, T>(
+    settings: &Settings,
+    parts: &Parts<S, P, T>,
+    beliefs: &Arc<Beliefs>,
+    member: &watch::Receiver<Member>,
+    is_ready: watch::Receiver<bool>,
+    closing: &watch::Receiver<bool>,
+) where
+    P: Protocol,
+{
+    let directory = Arc::new(Directory {
+        protocol: parts.protocol.clone(),
+        members: beliefs.members.clone(),
+        instance: settings.instance.clone(),
+        member: member.clone(),
+        is_ready,
+        longest_ttl: Duration::try_from_secs_f64(settings.bounds.directory_ttl_s)
+            .unwrap_or(Duration::MAX),
+    });
+    for address in [settings.listen.directory, settings.listen.readiness] {
+        let server = Server { address, closing: closing.clone(), open: Arc::default() };
+        let directory = directory.clone();
+        let handler = move |req: Request<Incoming>| {
+            let response = directory.answer(&req);
+            async move { response }
+        };
+        let limits = CallerLimits::default();
+        let limits = ConnectionLimits { head_bytes: limits.head_bytes, idle_time: limits.idle_time };
+        tokio::spawn(watched("directory", server.run(move || limits, handler)));
+    }
+}
+
+fn serve_callers<S, P, T>(
+    settings: &Settings,
+    parts: &Parts<S, P, T>,
+    beliefs: &Arc<Beliefs>,
+    gate: Arc<Gate>,
+    closing: &watch::Receiver<bool>,
+    open: &Arc<OpenConnections>,
+) where
+    P: Protocol,
+{
+    let forward = Arc::new(Forward {
+        protocol: parts.protocol.clone(),
+        declared: beliefs.declared.clone(),
+        gate,
+    });
+    let server = Server {
+        address: settings.listen.callers,
+        closing: closing.clone(),
+        open: open.clone(),
+    };
+    let beliefs = beliefs.clone();
+    let limits = move || {
+        let limits = beliefs.caller_limits();
+        ConnectionLimits { head_bytes: limits.head_bytes, idle_time: limits.idle_time }
+    };
+    let handler = move |req: Request<Incoming>| {
+        let forward = forward.clone();
+        async move {
+            let response: Response<AnswerBody> = forward.serve(clock::now(), req).await;
+            response
+        }
+    };
+    tokio::spawn(watched("callers", server.run(limits, handler)));
+}
+
+/// Tells of a server that ends.
+async fn watched<F>(name: &'static str, server: F)
+where
+    F: Future<Output = io::Result<()>>,
+{
+    if let Err(e) = server.await {
+        error!(server = name, error:% = e; "A server can't listen.");
+    }
+}
--- /dev/null
+++ b/lacewingspring_proxy/src/lib.rs
@@ -0,0 +1,26 @@
+//! Forwards callers' requests to the upstreams of a fleet of equal instances.
+//!
+//! The way of a request: [`server`] reads it, [`admission`] finds its route and workspace, the
+//! [`gate`] decides when and where it runs, [`forward`] sends it through [`exchange`], and
+//! [`answer`] streams the answer back. What is believed of the world is kept by tasks of its own
+//! and read through shared snapshots.
+
+pub mod admission;
+pub mod answer;
+pub mod clock;
+pub mod declared;
+pub mod directory;
+pub mod exchange;
+pub mod follow;
+pub mod forward;
+pub mod gate;
+pub mod instance;
+pub mod logging;
+pub mod members;
+pub mod mirror;
+pub mod net;
+pub mod protocol;
+pub mod refusal;
+pub mod server;
+pub mod settings;
+pub mod store;
--- /dev/null
+++ b/lacewingspring_proxy/src/members.rs
@@ -0,0 +1,177 @@
+//! The instances of the fleet, as they register themselves in the key-value service.
+
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use lacewingspring_core::names::{DataCentreName, InstanceName};
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+use tokio::{sync::watch, time::timeout};
+
+use crate::{
+    clock,
+    mirror::Mirror,
+    store::{LeaseId, Store, StoreError},
+};
+
+/// Prefix of the keys of instances.
+pub const MEMBERS_PREFIX: &str = "lacewingspring/instances/";
+
+/// Lease of an instance's key.
+const LEASE: Duration = Duration::from_millis(3_500);
+
+/// Time between renewals.
+const RENEWAL: Duration = Duration::from_millis(1_100);
+
+/// Time that one call may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Most addresses that callers are given.
+const MOST_ADDRESSES: usize = 64;
+
+/// Instances of the caller's data centre from which the others are not named.
+const ENOUGH_NEAR: usize = 2;
+
+/// What an instance says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub instance: InstanceName,
+    /// Number drawn at the start of its process.
+    pub incarnation: u64,
+    /// Data centre that it stands in.
+    pub data_centre: DataCentreName,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other instances.
+    pub peers: SocketAddr,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+}
+
+/// The instances of the fleet, the longest known first.
+#[derive(Clone, Debug, Default)]
+pub struct Members(Vec<Member>);
+
+impl Members {
+    /// Reads the instances from a copy of their keys.
+    pub fn read(mirror: &Mirror) -> Self {
+        let mut members: Vec<(u64, Member)> = Vec::new();
+        for item in mirror.items() {
+            match serde_json::from_slice(&item.value) {
+                Ok(member) => members.push((item.created_revision, member)),
+                Err(e) => warn!(key = item.key.as_str(), error:% = e; "An instance is unreadable."),
+            }
+        }
+        members.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.instance.cmp(&b.1.instance)));
+        Self(members.into_iter().map(|(_, member)| member).collect())
+    }
+
+    /// Returns the instances that stay, the longest known first.
+    pub fn staying(&self) -> impl Iterator<Item = &Member> {
+        self.0.iter().filter(|member| !member.is_leaving)
+    }
+
+    /// Returns how many instances stay.
+    pub fn len(&self) -> usize {
+        self.staying().count()
+    }
+
+    /// Returns whether no instance stays.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the addresses for a caller, those of its data centre if there are enough.
+    pub fn addresses(&self, data_centre: Option<&DataCentreName>) -> Vec<SocketAddr> {
+        let is_near = |member: &&Member| Some(&member.data_centre) == data_centre;
+        let near: HashSet<SocketAddr> =
+            self.staying().filter(is_near).map(|member| member.callers).collect();
+        let all: HashSet<SocketAddr> = self.staying().map(|member| member.callers).collect();
+        let chosen = if near.len() >= ENOUGH_NEAR { near } else { all };
+        chosen.into_iter().take(MOST_ADDRESSES).collect()
+    }
+}
+
+/// The present instances, shared.
+pub type SharedMembers = Arc<ArcSwap<Members>>;
+
+/// Keeps the key of this instance in the key-value service.
+pub struct Registration<S> {
+    /// The key-value service.
+    pub store: Arc<S>,
+    /// What this instance says of itself.
+    pub member: watch::Receiver<Member>,
+    /// Shortest lease of the service.
+    pub min_lease: Duration,
+}
+
+impl<S> Registration<S>
+where
+    S: Store,
+{
+    /// Registers this instance and renews its lease for ever.
+    pub async fn run(mut self) {
+        let mut lease = None;
+        loop {
+            let result = match lease {
+                None => self.register().await.map(|granted| lease = Some(granted)),
+                Some(granted) => self.renew(granted).await,
+            };
+            let pause = match result {
+                Ok(()) => RENEWAL,
+                Err(e) => {
+                    warn!(error:% = e; "This instance is not registered.");
+                    if matches!(e, StoreError::NoLease) {
+                        lease = None;
+                    }
+                    RETRY_PAUSE
+                }
+            };
+            if let Ok(Ok(())) = timeout(pause, self.member.changed()).await
+                && let Some(granted) = lease
+                && let Err(e) = self.write(granted).await
+            {
+                warn!(error:% = e; "The change of this instance was not written.");
+                self.member.mark_changed();
+            }
+        }
+    }
+
+    async fn register(&mut self) -> Result<LeaseId, StoreError> {
+        let granted = self.store.grant_lease(LEASE.max(self.min_lease));
+        let granted = limited(granted).await?;
+        self.write(granted).await?;
+        info!("This instance is registered.");
+        Ok(granted)
+    }
+
+    async fn write(&mut self, lease: LeaseId) -> Result<(), StoreError> {
+        let member = self.member.borrow_and_update().clone();
+        let value = serde_json::to_vec(&member);
+        let value = value.map_err(|e| StoreError::Malformed(e.to_string()))?;
+        let key = format!("{MEMBERS_PREFIX}{}", member.instance);
+        limited(self.store.put(&key, Bytes::from(value), lease)).await
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
+        limited(self.store.keep_lease(lease)).await
+    }
+}
+
+async fn limited<T, F>(call: F) -> Result<T, StoreError>
+where
+    F: Future<Output = Result<T, StoreError>>,
+{
+    let done = timeout(CALL_TIMEOUT, call).await;
+    done.unwrap_or_else(|_| Err(StoreError::NoAnswer("time is up".into())))
+}
+
+/// Returns a number that tells this process from earlier ones of the instance.
+pub fn draw_incarnation() -> u64 {
+    clock::wall().as_millis() as u64 ^ rand::random::<u64>()
+}
--- /dev/null
+++ b/lacewingspring_proxy/src/mirror.rs
@@ -0,0 +1,113 @@
+//! Copy of the keys below a prefix, and what is still believed of keys that lapsed in an outage.
+//!
+//! Keys that hang on leases may lapse while the service is away although their owners live, and
+//! come back soon after. A key that is found gone right after an outage is kept for a while.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::store::{Batch, Change, Item};
+
+/// Time after an outage within which lapsed keys may come back.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+
+#[derive(Debug)]
+struct Entry {
+    item: Item,
+    /// Time at which a lapsed key is given up.
+    gone_at: Option<Duration>,
+}
+
+/// Copy of the keys below a prefix.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    entries: BTreeMap<String, Entry>,
+    at: u64,
+    is_away: bool,
+    grace_until: Duration,
+}
+
+impl Mirror {
+    /// Returns the revision up to which the copy is complete.
+    pub fn at(&self) -> u64 {
+        self.at
+    }
+
+    /// Returns the keys that are believed to be there.
+    pub fn items(&self) -> impl Iterator<Item = &Item> {
+        self.entries.values().map(|entry| &entry.item)
+    }
+
+    /// Notes that the service can't be reached.
+    pub fn lost(&mut self) {
+        self.is_away = true;
+    }
+
+    /// Notes an answer of the service; returns whether it was away.
+    pub fn reached(&mut self, now: Duration) -> bool {
+        let was_away = std::mem::replace(&mut self.is_away, false);
+        if was_away {
+            self.grace_until = now + LAPSE_GRACE;
+        }
+        was_away
+    }
+
+    /// Replaces the copy by what was read; `at` is the revision at which reading began.
+    pub fn load(&mut self, now: Duration, items: Vec<Item>, at: u64) {
+        let mut gone: Vec<String> = self.entries.keys().cloned().collect();
+        gone.retain(|key| !items.iter().any(|item| item.key == *key));
+        for key in gone {
+            self.delete(now, &key);
+        }
+        for item in items {
+            self.put(item);
+        }
+        self.at = at;
+    }
+
+    /// Applies changes; returns whether there were any.
+    pub fn apply(&mut self, now: Duration, batch: Batch) -> bool {
+        let is_changed = !batch.changes.is_empty();
+        for change in batch.changes {
+            match change {
+                Change::Put(item) => self.put(item),
+                Change::Deleted { key, revision } => {
+                    let is_newer =
+                        self.entries.get(&key).is_some_and(|entry| entry.item.revision < revision);
+                    if is_newer {
+                        self.delete(now, &key);
+                    }
+                }
+            }
+        }
+        self.at = self.at.max(batch.at);
+        is_changed
+    }
+
+    fn put(&mut self, item: Item) {
+        let is_older =
+            self.entries.get(&item.key).is_some_and(|known| known.item.revision > item.revision);
+        if !is_older {
+            self.entries.insert(item.key.clone(), Entry { item, gone_at: None });
+        }
+    }
+
+    fn delete(&mut self, now: Duration, key: &str) {
+        if now >= self.grace_until {
+            self.entries.remove(key);
+        } else if let Some(entry) = self.entries.get_mut(key) {
+            entry.gone_at = entry.gone_at.or(Some(self.grace_until));
+        }
+    }
+
+    /// Gives up lapsed keys that did not come back; returns whether there were any.
+    pub fn sweep(&mut self, now: Duration) -> bool {
+        let before = self.entries.len();
+        self.entries.retain(|_, entry| entry.gone_at.is_none_or(|at| at > now));
+        self.entries.len() != before
+    }
+
+    /// Returns when the next lapsed key is given up.
+    pub fn next_sweep(&self) -> Option<Duration> {
+        self.entries.values().filter_map(|entry| entry.gone_at).min()
+    }
+}
--- /dev/null
+++ b/lacewingspring_proxy/src/settings.rs
@@ -0,0 +1,79 @@
+//! Settings of one instance.
+
+use std::{net::SocketAddr, time::Duration};
+
+use lacewingspring_core::{
+    dispatch::RetryBound,
+    names::{DataCentreName, InstanceName},
+};
+use serde::Deserialize;
+
+/// Settings of one instance.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    /// Name of this instance.
+    pub instance: InstanceName,
+    /// Data centre that it stands in.
+    pub data_centre: DataCentreName,
+    /// Addresses that it listens on.
+    pub listen: Listen,
+    /// Address of the key-value service.
+    pub store: SocketAddr,
+    /// Bounds that the fleet keeps.
+    pub bounds: Bounds,
+}
+
+/// Addresses that an instance listens on.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Listen {
+    /// Requests of callers.
+    pub callers: SocketAddr,
+    /// Questions whether the instance is ready.
+    pub readiness: SocketAddr,
+    /// Questions which addresses callers are to use.
+    pub directory: SocketAddr,
+    /// Other instances that ask for slots.
+    pub peers: SocketAddr,
+    /// Readers of metrics.
+    pub metrics: SocketAddr,
+}
+
+/// Bounds that the fleet keeps.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Bounds {
+    /// Time from the request to stop to the kill, in seconds.
+    pub grace_s: f64,
+    /// Repeated sends for each request.
+    pub retry_ratio: f64,
+    /// Repeated sends beside the ratio.
+    pub retry_slack: f64,
+    /// Window in which both are counted, in seconds.
+    pub retry_window_s: f64,
+    /// Units that a workspace may take beyond its limit.
+    pub quota_slack: f64,
+    /// Longest time for which callers keep the addresses, in seconds.
+    pub directory_ttl_s: f64,
+    /// Shortest lease of the key-value service, in milliseconds.
+    pub min_lease_ms: u64,
+}
+
+impl Bounds {
+    /// Returns the time from the request to stop to the kill.
+    pub fn grace(&self) -> Duration {
+        seconds(self.grace_s)
+    }
+
+    /// Returns the bound of repeated sends.
+    pub fn retries(&self) -> RetryBound {
+        RetryBound {
+            ratio: self.retry_ratio,
+            slack: self.retry_slack,
+            window: seconds(self.retry_window_s),
+        }
+    }
+}
+
+/// Returns a time from a number of seconds; what is no time is none at all.
+fn seconds(number: f64) -> Duration {
+    Duration::try_from_secs_f64(number).unwrap_or_default()
+}
