--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -19,8 +19,11 @@
 /// Part of the expected time to the first event that is added as a margin.
 const FIRST_MARGIN: f64 = 1.3;
 
-/// Most requests that wait, for each slot of the service.
-const WAITING_PER_SLOT: usize = 8;
+/// Part of the time in which the first part of an answer must come that a request waits at most.
+const WAITING_PART: f64 = 0.6;
+
+/// Multiple of the time to be on time that a request waits at most.
+const WAITING_AIMS: f64 = 1.5;
 
 /// Shortest time after which a refused caller is told to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(200);
@@ -42,6 +45,8 @@
     runs: HashMap<Ticket, Running>,
     queue: Queue,
     hold: Duration,
+    /// Time at which the caller refused last is told to come back.
+    return_at: Duration,
 }
 
 impl Default for Pool {
@@ -51,6 +56,7 @@
             runs: HashMap::new(),
             queue: Queue::default(),
             hold: ASSUMED_HOLD,
+            return_at: Duration::ZERO,
         }
     }
 }
@@ -89,31 +95,36 @@
         let first_ms = self.expected_first_ms(now, &ask.work) * FIRST_MARGIN;
         let first = Duration::from_secs_f64(first_ms / 1_000.0);
         let due = now + ask.aim_left.saturating_sub(first);
-        let expires = now + ask.time_left.saturating_sub(first);
-        let is_late = due <= now;
-        let refusal = self.foresee(part, is_late, first, &ask);
-        let waiting = Waiting { ticket, ask, due, expires };
+        let refusal = self.foresee(part, first, &ask);
+        let waiting = Waiting { ticket, due, expires: now + longest_wait(&ask), ask };
         self.queue.push(now, waiting);
         let mut decisions = self.fill(now, part);
-        if let Some(retry_after) = refusal
+        if let Some(wait) = refusal
             && let Some(waiting) = self.queue.remove(ticket)
         {
-            decisions.push(refuse(ticket, Reason::Overload, retry_after, &waiting.ask));
+            decisions.push(self.give_up(now, part, wait, &waiting));
         }
         decisions
     }
 
-    /// Returns when to come back, for a request that has no chance to be sent in its time.
-    fn foresee(&self, part: f64, is_late: bool, first: Duration, ask: &Ask) -> Option<Duration> {
-        let slots = self.slots(part).max(1);
-        let all = self.queue.len();
-        let ahead = if is_late { all } else { self.queue.timely_len() };
-        let wait = self.hold.mul_f64(ahead as f64 / f64::from(slots));
-        let wait_for_all = self.hold.mul_f64(all as f64 / f64::from(slots));
-        let is_full = all >= WAITING_PER_SLOT * slots as usize;
-        let is_timely = !is_late && wait + first <= ask.aim_left;
-        let can_be_late = wait_for_all + first <= ask.time_left / 2;
-        (is_full || !(is_timely || can_be_late)).then_some(wait.max(SHORTEST_RETRY))
+    /// Returns the expected wait of a request that can't be answered on time.
+    ///
+    /// A caller that is told so at once can come back when there is room; one that is kept waiting
+    /// in vain can't.
+    fn foresee(&self, part: f64, first: Duration, ask: &Ask) -> Option<Duration> {
+        let slots = f64::from(self.slots(part).max(1));
+        let wait = self.hold.mul_f64(self.queue.len() as f64 / slots);
+        (wait + first > ask.aim_left).then_some(wait)
+    }
+
+    /// Refuses a request and finds a time for its return.
+    ///
+    /// Each refused caller is given a time of its own, as far apart as slots become free.
+    fn give_up(&mut self, now: Duration, part: f64, wait: Duration, waiting: &Waiting) -> Decision {
+        let slots = f64::from(self.slots(part).max(1));
+        self.return_at = self.return_at.max(now + wait) + self.hold.div_f64(slots);
+        let wait = self.return_at.saturating_sub(now);
+        refuse(waiting.ticket, Reason::Overload, wait, &waiting.ask)
     }
 
     fn expected_first_ms(&self, now: Duration, work: &Work) -> f64 {
@@ -124,7 +135,7 @@
 
     /// Sends what waits to upstreams with room.
     pub fn fill(&mut self, now: Duration, part: f64) -> Vec<Decision> {
-        let mut decisions = self.expire(now);
+        let mut decisions = self.expire(now, part);
         loop {
             let heads = self.queue.heads();
             let next = heads.into_iter().find_map(|waiting| {
@@ -136,10 +147,9 @@
         }
     }
 
-    fn expire(&mut self, now: Duration) -> Vec<Decision> {
-        let gone = self.queue.expire(now).into_iter();
-        gone.map(|waiting| refuse(waiting.ticket, Reason::Overload, self.hold, &waiting.ask))
-            .collect()
+    fn expire(&mut self, now: Duration, part: f64) -> Vec<Decision> {
+        let gone = self.queue.expire(now);
+        gone.iter().map(|waiting| self.give_up(now, part, Duration::ZERO, waiting)).collect()
     }
 
     fn choose(&self, now: Duration, part: f64, ask: &Ask) -> Option<UpstreamName> {
@@ -232,6 +242,12 @@
     !server.info.draining && !ask.avoid.contains(&server.info.name)
 }
 
+/// Returns how long a request waits at most.
+fn longest_wait(ask: &Ask) -> Duration {
+    let first_left = ask.first_left.min(ask.time_left);
+    ask.aim_left.mul_f64(WAITING_AIMS).min(first_left.mul_f64(WAITING_PART))
+}
+
 /// Slots of an upstream that this gate may fill.
 fn slots(info: &UpstreamInfo, part: f64) -> u32 {
     ((f64::from(info.slots) * part).floor() as u32).max(1)
--- a/lacewingspring_core/src/dispatch/queue.rs
+++ b/lacewingspring_core/src/dispatch/queue.rs
@@ -148,11 +148,6 @@
         }
     }
 
-    /// Returns how many requests wait that are not late yet.
-    pub fn timely_len(&self) -> usize {
-        self.classes.values().map(|class| class.timely.len()).sum()
-    }
-
     /// Returns how many requests wait.
     pub fn len(&self) -> usize {
         self.classes.values().map(|class| class.timely.len() + class.late.len()).sum()
--- a/lacewingspring_core/src/dispatch/work.rs
+++ b/lacewingspring_core/src/dispatch/work.rs
@@ -48,6 +48,8 @@
     pub aim_left: Duration,
     /// Time left until the answer is of no use.
     pub time_left: Duration,
+    /// Time left in which the caller must have the first part of the answer, or it leaves.
+    pub first_left: Duration,
     /// Units that the request takes from its workspace's limit.
     pub charge: u64,
     /// Sends of this request before this one.
--- a/lacewingspring_proxy/src/declared.rs
+++ b/lacewingspring_proxy/src/declared.rs
@@ -12,6 +12,15 @@
 };
 use rand::RngExt;
 
+/// Shortest time after which a caller leaves a stream that is silent.
+const SHORTEST_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Multiple of the time to be on time after which a caller leaves a silent stream.
+const PATIENT_AIMS: u32 = 4;
+
+/// Multiple of the longest pause after which a caller leaves a silent stream.
+const PATIENT_PAUSES: u32 = 8;
+
 /// How often a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -61,6 +70,8 @@
     pub timeout: Duration,
     /// Time within which an answer, or its first event, is on time.
     pub aim: Duration,
+    /// Longest pause between events of an answer that is on time.
+    pub pause: Option<Duration>,
     /// Urgency; 0 is the most urgent.
     pub rank: u8,
     /// Services that it leads to.
@@ -72,6 +83,15 @@
 }
 
 impl Route {
+    /// Returns how long a caller waits for the first part of an answer before it leaves.
+    pub fn first_patience(&self) -> Duration {
+        if !self.kind.is_stream() {
+            return self.timeout;
+        }
+        let pause = self.pause.unwrap_or_default() * PATIENT_PAUSES;
+        SHORTEST_PATIENCE.max(self.aim * PATIENT_AIMS).max(pause).min(self.timeout)
+    }
+
     /// Chooses a service by weight.
     pub fn choose(&self) -> Option<&ServiceName> {
         let total: u32 = self.targets.iter().map(|target| target.weight).sum();
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -336,6 +336,7 @@
 
 impl Job<'_> {
     fn ask(&self, now: Duration, sends: u32, avoid: &[UpstreamName]) -> Ask {
+        let first_until = self.began + self.admitted.route.first_patience();
         let late_at = self.began + self.admitted.route.aim.saturating_sub(WAY_BACK);
         Ask {
             service: self.service.clone(),
@@ -345,6 +346,7 @@
             work: self.caller.work.clone(),
             aim_left: late_at.saturating_sub(now),
             time_left: self.until.saturating_sub(now + WAY_BACK),
+            first_left: first_until.saturating_sub(now + WAY_BACK),
             charge: self.admitted.charge,
             sends,
             avoid: avoid.to_vec(),
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -318,6 +318,7 @@
             let waited = now.saturating_sub(pending.asked_at);
             pending.ask.aim_left = pending.ask.aim_left.saturating_sub(waited);
             pending.ask.time_left = pending.ask.time_left.saturating_sub(waited);
+            pending.ask.first_left = pending.ask.first_left.saturating_sub(waited);
             pending.asked_at = now;
             pending.is_known = false;
             let _ = out.send(ToGate::Ask { number: *number, ask: pending.ask.clone() });
