--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -11,11 +11,11 @@
 use self::{budget::RetryBudgets, crashers::Crashers, pool::Pool, quota::Quotas};
 pub use self::{
     budget::RetryBound,
-    quota::Quota,
+    quota::{Quota, QuotaBounds, Usage},
     upstream::UpstreamInfo,
     work::{Ask, Decision, End, Grant, PromptPart, Reason, Refusal, Ticket, Work},
 };
-use crate::names::{ServiceName, UpstreamName, WorkspaceName};
+use crate::names::{InstanceName, ServiceName, UpstreamName};
 
 mod budget;
 mod crashers;
@@ -33,9 +33,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Limits {
     /// Limits of workspaces.
-    pub quotas: HashMap<WorkspaceName, Quota>,
-    /// Units that a workspace may take beyond its burst.
-    pub quota_slack: f64,
+    pub quotas: QuotaBounds,
     /// Bound of repeated sends.
     pub retries: RetryBound,
 }
@@ -64,7 +62,7 @@
     quotas: Quotas,
     retries: RetryBudgets,
     crashers: Crashers,
-    limits: Limits,
+    links: HashMap<u64, InstanceName>,
     part: f64,
 }
 
@@ -76,7 +74,7 @@
             quotas: Quotas::default(),
             retries: RetryBudgets::default(),
             crashers: Crashers::default(),
-            limits: Limits::default(),
+            links: HashMap::new(),
             part: 1.0,
         }
     }
@@ -102,10 +100,23 @@
     }
 
     /// Replaces the declared limits.
-    pub fn set_limits(&mut self, now: Duration, limits: &Limits) {
-        self.limits = limits.clone();
+    pub fn set_limits(&mut self, limits: Limits) {
         self.retries.bound = limits.retries;
-        self.quotas.set(now, self.part, limits.quota_slack, &limits.quotas);
+        self.quotas.set(limits.quotas);
+    }
+
+    /// Takes note of whose link it is, for how long that instance runs, and of what its requests
+    /// took lately.
+    pub fn open_link(
+        &mut self,
+        now: Duration,
+        link: u64,
+        instance: InstanceName,
+        uptime: Duration,
+        usage: Vec<Usage>,
+    ) {
+        self.quotas.replace(now, &instance, uptime, usage);
+        self.links.insert(link, instance);
     }
 
     /// Sets the part of all slots and limits that may be used here, from 0 to 1.
@@ -121,7 +132,7 @@
 
     /// Takes a request for a slot.
     pub fn ask(&mut self, now: Duration, ticket: Ticket, ask: Ask) -> Vec<Decision> {
-        if let Some(refusal) = self.refuse(now, &ask) {
+        if let Some(refusal) = self.refuse(now, ticket.link, &ask) {
             return vec![Decision::Refused(ticket, refusal)];
         }
         let open = Open { service: ask.service.clone(), fingerprint: ask.fingerprint };
@@ -131,7 +142,7 @@
         self.close_refused(decisions)
     }
 
-    fn refuse(&mut self, now: Duration, ask: &Ask) -> Option<Refusal> {
+    fn refuse(&mut self, now: Duration, link: u64, ask: &Ask) -> Option<Refusal> {
         if self.crashers.is_held(now, ask.fingerprint) {
             return Some(Refusal { reason: Reason::Crashes, retry_after: HELD_RETRY });
         }
@@ -142,7 +153,8 @@
         }
         self.retries.count_fresh(now, &ask.service);
         let workspace = ask.workspace.as_ref()?;
-        let taken = self.quotas.take(now, self.part, workspace, ask.charge);
+        let instance = self.links.get(&link)?;
+        let taken = self.quotas.take(now, self.part, instance, workspace, ask.charge);
         let retry_after = taken.err()?;
         Some(Refusal { reason: Reason::Limit, retry_after })
     }
@@ -181,6 +193,7 @@
     /// Ends all requests of an instance that is gone.
     pub fn end_link(&mut self, now: Duration, link: u64) -> Vec<Decision> {
         self.open.retain(|ticket, _| ticket.link != link);
+        self.links.remove(&link);
         for pool in self.pools.values_mut() {
             pool.end_link(now, link);
         }
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -96,12 +96,13 @@
         let first = Duration::from_secs_f64(first_ms / 1_000.0);
         let due = now + ask.aim_left.saturating_sub(first);
         let refusal = self.foresee(part, first, &ask);
+        let class = ask.class.clone();
         let waiting = Waiting { ticket, due, expires: now + longest_wait(&ask), ask };
         self.queue.push(now, waiting);
         let mut decisions = self.fill(now, part);
-        if let Some(wait) = refusal
-            && let Some(waiting) = self.queue.remove(ticket)
-        {
+        let Some(wait) = refusal.filter(|_| self.queue.contains(ticket)) else { return decisions };
+        let victim = self.queue.newest_of_better_served(&class).unwrap_or(ticket);
+        if let Some(waiting) = self.queue.remove(victim) {
             decisions.push(self.give_up(now, part, wait, &waiting));
         }
         decisions
--- a/lacewingspring_core/src/dispatch/queue.rs
+++ b/lacewingspring_core/src/dispatch/queue.rs
@@ -111,6 +111,16 @@
         heads.into_iter().map(|(_, _, waiting)| waiting).collect()
     }
 
+    /// Returns the newest request of the kind that is served best, if it is served better than
+    /// `class`; it is given up when there is room for one of them only.
+    pub fn newest_of_better_served(&self, class: &Arc<str>) -> Option<Ticket> {
+        let share = self.classes.get(class).map_or(0.0, Class::share);
+        let waiting = self.classes.values().filter(|other| !other.timely.is_empty());
+        let best = waiting.max_by(|a, b| a.share().total_cmp(&b.share()))?;
+        let newest = best.timely.back().filter(|_| best.share() > share)?;
+        Some(newest.ticket)
+    }
+
     /// Takes a request that is sent now.
     pub fn take(&mut self, now: Duration, ticket: Ticket) -> Option<Waiting> {
         let waiting = self.remove(ticket)?;
@@ -140,6 +150,12 @@
         None
     }
 
+    /// Returns whether a request waits.
+    pub fn contains(&self, ticket: Ticket) -> bool {
+        let lanes = self.classes.values().flat_map(|class| [&class.timely, &class.late]);
+        lanes.flatten().any(|waiting| waiting.ticket == ticket)
+    }
+
     /// Removes all requests of a link.
     pub fn remove_link(&mut self, link: u64) {
         for class in self.classes.values_mut() {
--- /dev/null
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -0,0 +1,320 @@
+//! The decisions for a fleet: who goes first, where to, who is refused and when to come back.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use lacewingspring_core::{
+    dispatch::{
+        Ask, Decision, Dispatcher, End, Limits, Quota, QuotaBounds, Reason, RetryBound, Ticket,
+        UpstreamInfo, Usage, Work,
+    },
+    names::{DataCentreName, InstanceName, ServiceName, UpstreamName, WorkspaceName},
+};
+
+const LINK: u64 = 1;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn upstream(name: &str, slots: u32) -> UpstreamInfo {
+    UpstreamInfo {
+        name: UpstreamName::from(name),
+        service: ServiceName::from("models"),
+        address: SocketAddr::from(([10, 0, 0, 1], 8000)),
+        data_centre: DataCentreName::from("a"),
+        slots,
+        memory_tokens: 100_000,
+        draining: false,
+        born: 1,
+    }
+}
+
+fn ask(class: &str) -> Ask {
+    Ask {
+        service: ServiceName::from("models"),
+        class: Arc::from(class),
+        rank: 0,
+        workspace: Some(WorkspaceName::from("w")),
+        work: Work::Generation { prompt_tokens: 100, output_tokens: 50, parts: Vec::new() },
+        aim_left: ms(400),
+        time_left: ms(15_000),
+        first_left: ms(2_400),
+        charge: 150,
+        sends: 0,
+        avoid: Vec::new(),
+        fingerprint: 7,
+    }
+}
+
+fn ticket(number: u64) -> Ticket {
+    Ticket { link: LINK, number }
+}
+
+fn dispatcher(upstreams: &[UpstreamInfo]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(Duration::ZERO, upstreams.to_vec());
+    dispatcher.open_link(
+        Duration::ZERO,
+        LINK,
+        InstanceName::from("i"),
+        Duration::from_secs(60),
+        Vec::new(),
+    );
+    dispatcher
+}
+
+fn granted(decisions: &[Decision]) -> Vec<(u64, &str)> {
+    let granted = decisions.iter().filter_map(|decision| match decision {
+        Decision::Granted(ticket, grant) => Some((ticket.number, grant.upstream.as_str())),
+        Decision::Refused(..) => None,
+    });
+    granted.collect()
+}
+
+fn refused(decisions: &[Decision]) -> Vec<(u64, Reason, Duration)> {
+    let refused = decisions.iter().filter_map(|decision| match decision {
+        Decision::Refused(ticket, refusal) => {
+            Some((ticket.number, refusal.reason, refusal.retry_after))
+        }
+        Decision::Granted(..) => None,
+    });
+    refused.collect()
+}
+
+fn finished(took: u64, tokens: u32) -> End {
+    End::Finished { took: ms(took), output_tokens: tokens, decode: ms(took) }
+}
+
+#[test]
+fn fills_free_slots_and_no_more() {
+    let mut dispatcher = dispatcher(&[upstream("u", 2)]);
+    assert_eq!(granted(&dispatcher.ask(ms(0), ticket(1), ask("a"))), [(1, "u")]);
+    assert_eq!(granted(&dispatcher.ask(ms(0), ticket(2), ask("a"))), [(2, "u")]);
+    assert_eq!(dispatcher.ask(ms(0), ticket(3), ask("a")), []);
+    assert_eq!(granted(&dispatcher.end(ms(10), ticket(1), finished(10, 0))), [(3, "u")]);
+}
+
+#[test]
+fn refuses_at_once_what_cannot_be_on_time_and_spreads_the_returns() {
+    let mut dispatcher = dispatcher(&[upstream("u", 1)]);
+    dispatcher.ask(ms(0), ticket(0), ask("a"));
+    let mut waits = Vec::new();
+    for number in 1..10 {
+        let decisions = dispatcher.ask(ms(0), ticket(number), ask("a"));
+        waits.extend(refused(&decisions).into_iter().map(|(_, reason, wait)| (reason, wait)));
+    }
+    assert!(waits.len() >= 7, "one slot of half a second can't serve ten in 400 ms: {waits:?}");
+    assert!(waits.iter().all(|(reason, _)| *reason == Reason::Overload));
+    let all_differ = waits.windows(2).all(|pair| pair[0].1 < pair[1].1 || pair[1].1 >= ms(5_000));
+    assert!(all_differ, "each caller has a time of its own: {waits:?}");
+}
+
+#[test]
+fn gives_up_before_the_caller_leaves() {
+    let mut dispatcher = dispatcher(&[upstream("u", 1)]);
+    dispatcher.ask(ms(0), ticket(0), ask("a"));
+    dispatcher.end(ms(100), ticket(0), finished(100, 0));
+    dispatcher.ask(ms(100), ticket(1), ask("a"));
+    // The expected wait is short, but the slot is held for long.
+    let mut short = ask("a");
+    short.aim_left = ms(800);
+    assert_eq!(dispatcher.ask(ms(100), ticket(2), short), []);
+    let mut at = 100;
+    let decisions = loop {
+        at += 20;
+        let decisions = dispatcher.tick(ms(at));
+        if !decisions.is_empty() {
+            break decisions;
+        }
+        assert!(at < 2_500, "it was never given up");
+    };
+    assert_eq!(refused(&decisions)[0].0, 2);
+    assert!(at <= 100 + 1_440, "given up {at} ms after its caller began to wait 2,400 ms");
+}
+
+#[test]
+fn serves_kinds_evenly_under_overload() {
+    let mut dispatcher = dispatcher(&[upstream("u", 4)]);
+    let mut running = Vec::new();
+    let mut served: HashMap<&str, u32> = HashMap::new();
+    let mut number = 0;
+    let mut classes = HashMap::new();
+    for step in 0..2_000_u64 {
+        let now = ms(step * 10);
+        let mut decisions = Vec::new();
+        // Kind `many` asks four times as often as `few`; together twice what there is room for.
+        for class in if step % 5 == 0 { ["few", "many"] } else { ["many", "many"] } {
+            if step % 5 < 3 || class == "few" {
+                number += 1;
+                classes.insert(number, class);
+                decisions.extend(dispatcher.ask(now, ticket(number), ask(class)));
+            }
+        }
+        running.retain(|(until, number): &(Duration, u64)| {
+            let ends = *until <= now;
+            if ends {
+                decisions.extend(dispatcher.end(now, ticket(*number), finished(50, 0)));
+            }
+            !ends
+        });
+        decisions.extend(dispatcher.tick(now));
+        for (number, _) in granted(&decisions) {
+            running.push((now + ms(50), number));
+            *served.entry(classes[&number]).or_default() += 1;
+        }
+    }
+    let asked = |class: &str| classes.values().filter(|other| **other == class).count() as f64;
+    let share = |class: &str| f64::from(served[class]) / asked(class);
+    let (few, many) = (share("few"), share("many"));
+    assert!(few > 0.4 && many > 0.4, "few {few}, many {many}");
+    assert!((few - many).abs() < 0.3, "few {few}, many {many}");
+}
+
+#[test]
+fn prefers_the_faster_upstream() {
+    let mut dispatcher = dispatcher(&[upstream("fast", 4), upstream("slow", 4)]);
+    for number in 0..40 {
+        let now = ms(number * 100);
+        let decisions = dispatcher.ask(now, ticket(number), ask("a"));
+        let (_, name) = granted(&decisions)[0];
+        let took = if name == "fast" { 100 } else { 800 };
+        dispatcher.end(now, ticket(number), finished(took, 50));
+    }
+    let decisions = dispatcher.ask(ms(5_000), ticket(100), ask("a"));
+    assert_eq!(granted(&decisions), [(100, "fast")]);
+}
+
+#[test]
+fn leaves_an_unreachable_upstream_alone_for_a_while() {
+    let mut dispatcher = dispatcher(&[upstream("a", 1), upstream("b", 1)]);
+    let decisions = dispatcher.ask(ms(0), ticket(1), ask("a"));
+    let dead = granted(&decisions)[0].1.to_owned();
+    dispatcher.end(ms(1), ticket(1), End::Unreachable);
+    let decisions = dispatcher.ask(ms(2), ticket(2), ask("a"));
+    assert_ne!(granted(&decisions)[0].1, dead);
+    assert_eq!(granted(&dispatcher.ask(ms(3), ticket(3), ask("a"))), []);
+    assert_eq!(granted(&dispatcher.tick(ms(300))), [(3, dead.as_str())]);
+}
+
+#[test]
+fn sends_nothing_to_a_draining_upstream_or_one_that_had_the_request() {
+    let mut draining = upstream("draining", 4);
+    draining.draining = true;
+    let mut dispatcher = dispatcher(&[draining, upstream("had", 4)]);
+    let mut again = ask("a");
+    again.sends = 1;
+    again.avoid = vec![UpstreamName::from("had")];
+    let decisions = dispatcher.ask(ms(0), ticket(1), again);
+    assert_eq!(refused(&decisions)[0].1, Reason::NoUpstream);
+}
+
+fn limits(rate: f64, burst: f64) -> Limits {
+    let quota = Quota { rate: Some(rate), burst };
+    Limits {
+        quotas: QuotaBounds {
+            quotas: HashMap::from([(WorkspaceName::from("w"), quota)]),
+            window: Duration::from_secs(8),
+            slack: 0.0,
+        },
+        retries: RetryBound { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) },
+    }
+}
+
+#[test]
+fn refuses_a_workspace_at_its_limit_and_says_when_there_is_room() {
+    let mut dispatcher = dispatcher(&[upstream("u", 100)]);
+    dispatcher.set_limits(limits(150.0, 150.0));
+    let now = Duration::from_secs(100);
+    // Nine requests of 150 units fit in a window of eight seconds with the burst.
+    for number in 0..9 {
+        let at = now + ms(number * 100);
+        assert_eq!(granted(&dispatcher.ask(at, ticket(number), ask("a"))).len(), 1);
+    }
+    let decisions = dispatcher.ask(now + ms(1_000), ticket(9), ask("a"));
+    assert_eq!(refused(&decisions), [(9, Reason::Limit, ms(7_000))]);
+    assert_eq!(granted(&dispatcher.ask(now + ms(8_000), ticket(10), ask("a"))).len(), 1);
+}
+
+#[test]
+fn gives_out_no_second_window_after_all_were_restarted() {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(ms(0), [upstream("u", 100)]);
+    dispatcher.set_limits(limits(150.0, 150.0));
+    dispatcher.open_link(ms(10), LINK, InstanceName::from("i"), ms(10), Vec::new());
+    let taken = (0..9).map(|number| dispatcher.ask(ms(20), ticket(number), ask("a")));
+    let taken: usize = taken.map(|decisions| granted(&decisions).len()).sum();
+    assert_eq!(taken, 1, "only the burst is known to be free");
+}
+
+#[test]
+fn a_new_gate_counts_what_instances_tell_it() {
+    let mut dispatcher = dispatcher(&[upstream("u", 100)]);
+    dispatcher.set_limits(limits(150.0, 150.0));
+    let workspace = WorkspaceName::from("w");
+    let usage = vec![Usage { workspace, ago: ms(2_000), units: 1_200 }];
+    let now = Duration::from_secs(100);
+    let uptime = Duration::from_secs(60);
+    dispatcher.open_link(now, 2, InstanceName::from("j"), uptime, usage.clone());
+    dispatcher.open_link(now, 3, InstanceName::from("j"), uptime, usage);
+    assert_eq!(granted(&dispatcher.ask(now, ticket(0), ask("a"))).len(), 1);
+    let decisions = dispatcher.ask(now, ticket(1), ask("a"));
+    assert_eq!(refused(&decisions), [(1, Reason::Limit, ms(6_000))]);
+}
+
+#[test]
+fn keeps_the_budget_of_repeated_sends() {
+    let mut dispatcher = dispatcher(&[upstream("a", 1_000), upstream("b", 1_000)]);
+    dispatcher.set_limits(limits(f64::MAX, 0.0));
+    for number in 0..100 {
+        dispatcher.ask(ms(number), ticket(number), ask("a"));
+    }
+    let mut again = ask("a");
+    again.sends = 1;
+    let repeats = (100..200).filter(|number| {
+        let decisions = dispatcher.ask(ms(*number), ticket(*number), again.clone());
+        granted(&decisions).len() == 1
+    });
+    let repeats = repeats.count();
+    assert!((15..=30).contains(&repeats), "0.2 of 100 and 10 are allowed, sent were {repeats}");
+}
+
+#[test]
+fn holds_back_a_request_that_breaks_what_runs_it() {
+    let mut dispatcher = dispatcher(&[upstream("u", 10)]);
+    for number in 0..2 {
+        assert_eq!(granted(&dispatcher.ask(ms(number), ticket(number), ask("a"))).len(), 1);
+        dispatcher.end(ms(number), ticket(number), End::Broken);
+    }
+    let decisions = dispatcher.ask(ms(10), ticket(10), ask("a"));
+    assert_eq!(refused(&decisions)[0].1, Reason::Crashes);
+    let mut other = ask("a");
+    other.fingerprint = 8;
+    assert_eq!(granted(&dispatcher.ask(ms(11), ticket(11), other)).len(), 1);
+}
+
+#[test]
+fn a_gate_of_a_part_of_the_fleet_fills_its_part_of_the_slots() {
+    let mut dispatcher = dispatcher(&[upstream("a", 9), upstream("b", 9)]);
+    dispatcher.set_part(ms(0), 1.0 / 3.0);
+    let asks = (0..18).map(|number| dispatcher.ask(ms(0), ticket(number), ask("a")));
+    let filled: usize = asks.map(|decisions| granted(&decisions).len()).sum();
+    assert_eq!(filled, 6);
+}
+
+#[test]
+fn frees_the_slots_of_an_instance_that_is_gone() {
+    let mut dispatcher = dispatcher(&[upstream("u", 1)]);
+    dispatcher.open_link(ms(0), 2, InstanceName::from("j"), ms(0), Vec::new());
+    let theirs = Ticket { link: 2, number: 0 };
+    assert_eq!(granted(&dispatcher.ask(ms(0), theirs, ask("a"))).len(), 1);
+    assert_eq!(granted(&dispatcher.ask(ms(0), ticket(1), ask("a"))).len(), 0);
+    assert_eq!(granted(&dispatcher.end_link(ms(1), 2)), [(1, "u")]);
+}
+
+#[test]
+fn a_new_gate_counts_what_runs_already() {
+    let mut dispatcher = dispatcher(&[upstream("u", 1)]);
+    dispatcher.adopt(ms(0), ticket(1), &ask("a"), UpstreamName::from("u"));
+    assert_eq!(granted(&dispatcher.ask(ms(0), ticket(2), ask("a"))).len(), 0);
+    assert_eq!(granted(&dispatcher.end(ms(1), ticket(1), finished(10, 0))), [(2, "u")]);
+}
--- a/lacewingspring_proxy/src/directory.rs
+++ b/lacewingspring_proxy/src/directory.rs
@@ -1,16 +1,15 @@
 //! Tells callers which addresses to use, and the platform whether this instance is ready.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::Full;
-use lacewingspring_core::names::InstanceName;
 use tokio::sync::watch;
 
 use crate::{
     members::{Member, SharedMembers},
-    protocol::Protocol,
+    protocol::{AddressQuery, Protocol},
 };
 
 /// Time for which callers are to keep the addresses.
@@ -22,8 +21,6 @@
     pub protocol: Arc<P>,
     /// The instances of the fleet.
     pub members: SharedMembers,
-    /// This instance.
-    pub instance: InstanceName,
     /// What this instance says of itself.
     pub member: watch::Receiver<Member>,
     /// Whether requests can be served.
@@ -44,7 +41,7 @@
         }
         match self.protocol.address_query(path, req.uri().query().unwrap_or_default()) {
             Some(query) => {
-                let addresses = self.members.load().addresses(query.data_centre.as_ref());
+                let addresses = self.addresses(&query);
                 if addresses.is_empty() {
                     return plain(StatusCode::SERVICE_UNAVAILABLE);
                 }
@@ -58,6 +55,14 @@
         }
     }
 
+    /// Returns addresses for a caller; this instance knows before the others that it leaves.
+    fn addresses(&self, query: &AddressQuery) -> Vec<SocketAddr> {
+        let members = self.members.load();
+        let member = self.member.borrow();
+        let without = member.is_leaving.then_some(&member.instance);
+        members.addresses(query.data_centre.as_ref(), without)
+    }
+
     fn readiness(&self) -> StatusCode {
         if *self.is_ready.borrow() && !self.member.borrow().is_leaving {
             StatusCode::OK
--- a/lacewingspring_proxy/src/follow.rs
+++ b/lacewingspring_proxy/src/follow.rs
@@ -14,6 +14,9 @@
 /// Time for which one watch waits for changes.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 
+/// Shortest time for which one watch waits for changes.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+
 /// Time after the end of a watch's wait at which its connection is taken to be dead.
 const WATCH_MARGIN: Duration = Duration::from_millis(500);
 
@@ -86,9 +89,7 @@
     }
 
     async fn watch(&mut self, mirror: &mut Mirror) -> Result<(), StoreError> {
-        let now = clock::now();
-        let sweep = mirror.next_sweep().map(|at| at.saturating_sub(now));
-        let wait = sweep.unwrap_or(WATCH_WAIT).clamp(Duration::from_millis(1), WATCH_WAIT);
+        let wait = watch_wait(clock::now(), mirror);
         let batch = self.store.watch(self.prefix, mirror.at(), wait);
         let batch = timeout(wait + WATCH_MARGIN, batch).await;
         let batch = batch.map_err(|_| StoreError::NoAnswer("time is up".into()))??;
@@ -117,3 +118,13 @@
         }
     }
 }
+
+/// Returns how long a watch waits: until the next lapsed key is given up, and not at all while the
+/// service is away, so that its return is noticed soon.
+fn watch_wait(now: Duration, mirror: &Mirror) -> Duration {
+    if mirror.is_away() {
+        return SHORTEST_WAIT;
+    }
+    let sweep = mirror.next_sweep().map(|at| at.saturating_sub(now));
+    sweep.unwrap_or(WATCH_WAIT).clamp(SHORTEST_WAIT, WATCH_WAIT)
+}
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -77,8 +77,8 @@
     }
 
     /// Replaces the declared limits.
-    pub fn set_limits(&self, now: Duration, limits: &Limits) {
-        self.state().dispatcher.set_limits(now, limits);
+    pub fn set_limits(&self, limits: Limits) {
+        self.state().dispatcher.set_limits(limits);
     }
 
     /// Takes note of changed members.
@@ -122,10 +122,11 @@
         let mut state = self.state();
         let ticket = |number| Ticket { link, number };
         let decisions = match message {
-            ToGate::Hello { instance } => {
+            ToGate::Hello { instance, uptime, usage } => {
                 if let Some(known) = state.links.get_mut(&link) {
-                    known.instance = Some(instance);
+                    known.instance = Some(instance.clone());
                 }
+                state.dispatcher.open_link(now, link, instance, uptime, usage);
                 self.set_part(now, &mut state);
                 Vec::new()
             }
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -9,7 +9,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use http::{Request, Response};
 use hyper::body::Incoming;
-use lacewingspring_core::dispatch::{Limits, UpstreamInfo};
+use lacewingspring_core::dispatch::{Limits, QuotaBounds, UpstreamInfo};
 use log::{error, info};
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -42,6 +42,9 @@
 /// Time between looks at what is still open.
 const STOP_CHECK: Duration = Duration::from_millis(100);
 
+/// Part of the tolerance of limits that is used, as windows are cut differently elsewhere.
+const QUOTA_SLACK_PART: f64 = 0.25;
+
 /// Translates what the platform holds.
 pub trait Platform: Send + Sync + 'static {
     /// Prefix of the operators' configuration.
@@ -87,15 +90,16 @@
         }
         info!(version = declared.version, before = known; "The configuration is taken.");
         let bounds = &self.settings.bounds;
+        let quotas = declared.workspaces().map(|known| (known.name.clone(), known.quota));
         let limits = Limits {
-            quotas: declared
-                .workspaces()
-                .map(|workspace| (workspace.name.clone(), workspace.quota))
-                .collect(),
-            quota_slack: bounds.quota_slack / 2.0,
+            quotas: QuotaBounds {
+                quotas: quotas.collect(),
+                window: bounds.quota_window(),
+                slack: bounds.quota_slack * QUOTA_SLACK_PART,
+            },
             retries: bounds.retries(),
         };
-        self.host.set_limits(now, &limits);
+        self.host.set_limits(limits);
         self.declared.store(Some(Arc::new(declared)));
         self.apply_upstreams(now);
         self.is_ready.send_replace(true);
@@ -156,7 +160,8 @@
     let (ready_tx, is_ready) = watch::channel(false);
     let members = SharedMembers::default();
     let host = Arc::new(Host::new(members.clone()));
-    let gate = Arc::new(Gate::new(settings.instance.clone(), members.clone(), host.clone()));
+    let name = settings.instance.clone();
+    let gate = Arc::new(Gate::new(clock::now(), name, members.clone(), host.clone()));
     let beliefs = Arc::new(Beliefs {
         declared: Arc::default(),
         upstreams: ArcSwap::default(),
@@ -259,7 +264,6 @@
     let directory = Arc::new(Directory {
         protocol: parts.protocol.clone(),
         members: beliefs.members.clone(),
-        instance: settings.instance.clone(),
         member: member.clone(),
         is_ready,
         longest_ttl: Duration::try_from_secs_f64(settings.bounds.directory_ttl_s)
--- a/lacewingspring_proxy/src/members.rs
+++ b/lacewingspring_proxy/src/members.rs
@@ -1,6 +1,6 @@
 //! The instances of the fleet, as they register themselves in the key-value service.
 
-use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -87,13 +87,19 @@
     }
 
     /// Returns the addresses for a caller, those of its data centre if there are enough.
-    pub fn addresses(&self, data_centre: Option<&DataCentreName>) -> Vec<SocketAddr> {
-        let is_near = |member: &&Member| Some(&member.data_centre) == data_centre;
-        let near: HashSet<SocketAddr> =
-            self.staying().filter(is_near).map(|member| member.callers).collect();
-        let all: HashSet<SocketAddr> = self.staying().map(|member| member.callers).collect();
-        let chosen = if near.len() >= ENOUGH_NEAR { near } else { all };
-        chosen.into_iter().take(MOST_ADDRESSES).collect()
+    ///
+    /// The instance `without` is left out although it seems to stay.
+    pub fn addresses(
+        &self,
+        data_centre: Option<&DataCentreName>,
+        without: Option<&InstanceName>,
+    ) -> Vec<SocketAddr> {
+        let staying = self.staying().filter(|member| Some(&member.instance) != without);
+        let staying: Vec<&Member> = staying.collect();
+        let is_near = |member: &&&Member| Some(&member.data_centre) == data_centre;
+        let near: Vec<&Member> = staying.iter().filter(is_near).copied().collect();
+        let chosen = if near.len() >= ENOUGH_NEAR { near } else { staying };
+        chosen.iter().map(|member| member.callers).take(MOST_ADDRESSES).collect()
     }
 }
 
--- a/lacewingspring_proxy/src/mirror.rs
+++ b/lacewingspring_proxy/src/mirror.rs
@@ -42,6 +42,11 @@
         self.is_away = true;
     }
 
+    /// Returns whether the service can't be reached.
+    pub fn is_away(&self) -> bool {
+        self.is_away
+    }
+
     /// Notes an answer of the service; returns whether it was away.
     pub fn reached(&mut self, now: Duration) -> bool {
         let was_away = std::mem::replace(&mut self.is_away, false);
--- a/lacewingspring_proxy/src/server.rs
+++ b/lacewingspring_proxy/src/server.rs
@@ -64,7 +64,9 @@
 }
 
 impl Server {
-    /// Serves for ever; `limits` are read for each connection.
+    /// Serves until connections are to be closed; `limits` are read for each connection.
+    ///
+    /// Then no connection is accepted any more, so that callers turn to another address at once.
     ///
     /// # Errors
     ///
@@ -79,8 +81,13 @@
         L: Fn() -> ConnectionLimits,
     {
         let listener = TcpListener::bind(self.address).await?;
+        let mut closing = self.closing.clone();
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = closed(&mut closing) => return Ok(()),
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     let closing = self.closing.clone();
                     let open = self.open.clone();
@@ -125,15 +132,9 @@
         .preserve_header_case(true)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let is_closing = async {
-        // The sender lives as long as the process; without it nothing closes.
-        if closing.wait_for(|closing| *closing).await.is_err() {
-            std::future::pending::<()>().await;
-        }
-    };
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = is_closing => {
+        () = closed(&mut closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -143,3 +144,11 @@
     }
     open.0.fetch_sub(1, Ordering::Relaxed);
 }
+
+/// Waits until connections are to be closed.
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    // The sender lives as long as the process; without it nothing closes.
+    if closing.wait_for(|closing| *closing).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
--- a/lacewingspring_proxy/src/settings.rs
+++ b/lacewingspring_proxy/src/settings.rs
@@ -49,7 +49,9 @@
     pub retry_slack: f64,
     /// Window in which both are counted, in seconds.
     pub retry_window_s: f64,
-    /// Units that a workspace may take beyond its limit.
+    /// Window in which the limits of workspaces are counted, in seconds.
+    pub quota_window_s: f64,
+    /// Units in a window that a workspace may take beyond its limit.
     pub quota_slack: f64,
     /// Longest time for which callers keep the addresses, in seconds.
     pub directory_ttl_s: f64,
@@ -63,6 +65,11 @@
         seconds(self.grace_s)
     }
 
+    /// Returns the window in which the limits of workspaces are counted.
+    pub fn quota_window(&self) -> Duration {
+        seconds(self.quota_window_s)
+    }
+
     /// Returns the bound of repeated sends.
     pub fn retries(&self) -> RetryBound {
         RetryBound {
