--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -11,11 +11,11 @@
 use self::{budget::RetryBudgets, crashers::Crashers, pool::Pool, quota::Quotas};
 pub use self::{
     budget::RetryBound,
-    quota::{Quota, QuotaBounds, Usage},
+    quota::{Quota, QuotaBounds, StoredUsage},
     upstream::UpstreamInfo,
     work::{Ask, Decision, End, Grant, PromptPart, Reason, Refusal, Ticket, Work},
 };
-use crate::names::{InstanceName, ServiceName, UpstreamName};
+use crate::names::{ServiceName, UpstreamName, WorkspaceName};
 
 mod budget;
 mod crashers;
@@ -43,6 +43,16 @@
 struct Open {
     service: ServiceName,
     fingerprint: u64,
+    /// Units taken from the limit of its workspace; given back when it isn't sent.
+    charge: Option<Charge>,
+}
+
+/// Units that a request took from the limit of its workspace.
+#[derive(Debug)]
+struct Charge {
+    ticket: Ticket,
+    workspace: WorkspaceName,
+    units: u64,
 }
 
 /// Counts of one service.
@@ -62,7 +72,6 @@
     quotas: Quotas,
     retries: RetryBudgets,
     crashers: Crashers,
-    links: HashMap<u64, InstanceName>,
     part: f64,
 }
 
@@ -74,8 +83,7 @@
             quotas: Quotas::default(),
             retries: RetryBudgets::default(),
             crashers: Crashers::default(),
-            links: HashMap::new(),
-            part: 1.0,
+            part: 0.0,
         }
     }
 }
@@ -105,22 +113,23 @@
         self.quotas.set(limits.quotas);
     }
 
-    /// Takes note of whose link it is, for how long that instance runs, and of what its requests
-    /// took lately.
-    pub fn open_link(
-        &mut self,
-        now: Duration,
-        link: u64,
-        instance: InstanceName,
-        uptime: Duration,
-        usage: Vec<Usage>,
-    ) {
-        self.quotas.replace(now, &instance, uptime, usage);
-        self.links.insert(link, instance);
+    /// Learns what an earlier gate stored of the usage of limits.
+    pub fn learn_usage(&mut self, now: Duration, usage: Vec<StoredUsage>) {
+        self.quotas.learn(now, usage);
+    }
+
+    /// Returns the usage of limits that is to be stored for a later gate.
+    pub fn usage(&mut self, now: Duration) -> Vec<StoredUsage> {
+        self.quotas.to_store(now)
     }
 
     /// Sets the part of all slots and limits that may be used here, from 0 to 1.
+    ///
+    /// When it becomes the whole, another gate may have given out limits until now.
     pub fn set_part(&mut self, now: Duration, part: f64) -> Vec<Decision> {
+        if self.part < 1.0 && part >= 1.0 {
+            self.quotas.restart(now);
+        }
         self.part = part.clamp(0.0, 1.0);
         self.tick(now)
     }
@@ -132,36 +141,45 @@
 
     /// Takes a request for a slot.
     pub fn ask(&mut self, now: Duration, ticket: Ticket, ask: Ask) -> Vec<Decision> {
-        if let Some(refusal) = self.refuse(now, ticket.link, &ask) {
-            return vec![Decision::Refused(ticket, refusal)];
-        }
-        let open = Open { service: ask.service.clone(), fingerprint: ask.fingerprint };
+        let charge = match self.charge(now, ticket, &ask) {
+            Ok(charge) => charge,
+            Err(refusal) => return vec![Decision::Refused(ticket, refusal)],
+        };
+        let service = ask.service.clone();
+        let open = Open { service, fingerprint: ask.fingerprint, charge };
         let pool = self.pools.entry(ask.service.clone()).or_default();
         self.open.insert(ticket, open);
         let decisions = pool.ask(now, self.part, ticket, ask);
         self.close_refused(decisions)
     }
 
-    fn refuse(&mut self, now: Duration, link: u64, ask: &Ask) -> Option<Refusal> {
+    /// Takes what a request costs of limits and budgets.
+    fn charge(
+        &mut self,
+        now: Duration,
+        ticket: Ticket,
+        ask: &Ask,
+    ) -> Result<Option<Charge>, Refusal> {
         if self.crashers.is_held(now, ask.fingerprint) {
-            return Some(Refusal { reason: Reason::Crashes, retry_after: HELD_RETRY });
+            return Err(Refusal { reason: Reason::Crashes, retry_after: HELD_RETRY });
         }
         if ask.sends > 0 {
             let is_allowed = self.retries.take(now, self.part, &ask.service);
             let refusal = Refusal { reason: Reason::RetryBudget, retry_after: ask.time_left / 3 };
-            return (!is_allowed).then_some(refusal);
+            return if is_allowed { Ok(None) } else { Err(refusal) };
         }
         self.retries.count_fresh(now, &ask.service);
-        let workspace = ask.workspace.as_ref()?;
-        let instance = self.links.get(&link)?;
-        let taken = self.quotas.take(now, self.part, instance, workspace, ask.charge);
-        let retry_after = taken.err()?;
-        Some(Refusal { reason: Reason::Limit, retry_after })
+        let Some(workspace) = &ask.workspace else { return Ok(None) };
+        let charge = Charge { ticket, workspace: workspace.clone(), units: ask.charge };
+        let taken = self.quotas.take(now, self.part, &charge);
+        taken.map_err(|retry_after| Refusal { reason: Reason::Limit, retry_after })?;
+        Ok(Some(charge))
     }
 
     /// Counts a request that runs by the grant of another gate.
     pub fn adopt(&mut self, now: Duration, ticket: Ticket, ask: &Ask, upstream: UpstreamName) {
-        let open = Open { service: ask.service.clone(), fingerprint: ask.fingerprint };
+        let service = ask.service.clone();
+        let open = Open { service, fingerprint: ask.fingerprint, charge: None };
         self.open.insert(ticket, open);
         let pool = self.pools.entry(ask.service.clone()).or_default();
         pool.adopt(now, ticket, upstream, &ask.work);
@@ -186,6 +204,12 @@
             End::Declined | End::Unreachable | End::Misdirected | End::Cancelled => {}
         }
         let Some(pool) = self.pools.get_mut(&open.service) else { return Vec::new() };
+        let is_unsent = matches!(end, End::Unreachable | End::Misdirected);
+        if let Some(charge) = &open.charge
+            && (is_unsent || !pool.is_running(ticket))
+        {
+            self.quotas.give_back(charge);
+        }
         let decisions = pool.end(now, self.part, ticket, end);
         self.close_refused(decisions)
     }
@@ -193,7 +217,6 @@
     /// Ends all requests of an instance that is gone.
     pub fn end_link(&mut self, now: Duration, link: u64) -> Vec<Decision> {
         self.open.retain(|ticket, _| ticket.link != link);
-        self.links.remove(&link);
         for pool in self.pools.values_mut() {
             pool.end_link(now, link);
         }
@@ -209,8 +232,11 @@
 
     fn close_refused(&mut self, decisions: Vec<Decision>) -> Vec<Decision> {
         for decision in &decisions {
-            if let Decision::Refused(ticket, _) = decision {
-                self.open.remove(ticket);
+            if let Decision::Refused(ticket, _) = decision
+                && let Some(open) = self.open.remove(ticket)
+                && let Some(charge) = &open.charge
+            {
+                self.quotas.give_back(charge);
             }
         }
         decisions
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -223,6 +223,11 @@
         }
     }
 
+    /// Returns whether a request holds a slot.
+    pub fn is_running(&self, ticket: Ticket) -> bool {
+        self.runs.contains_key(&ticket)
+    }
+
     /// Returns how many requests wait.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -1,4 +1,7 @@
 //! Limits of workspaces over the whole fleet, counted in a sliding window.
+//!
+//! A gate stores what it gave out, so its successor can read it. While that has not been read, the
+//! rate of the time before is taken to have been used up.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -7,7 +10,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::names::{InstanceName, WorkspaceName};
+use super::{Charge, Ticket};
+use crate::names::WorkspaceName;
+
+/// Part of the tolerance of a limit that is given out.
+const TOLERANCE_PART: f64 = 0.25;
+
+/// Length of the steps in which usage is stored.
+const STEP: Duration = Duration::from_millis(250);
 
 /// Limit of one workspace.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -19,110 +29,159 @@
 }
 
 /// Bounds that hold for the limits of all workspaces.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct QuotaBounds {
     /// Limits by workspace.
     pub quotas: HashMap<WorkspaceName, Quota>,
     /// Window in which units are counted.
     pub window: Duration,
-    /// Units in a window that each workspace may take beyond its limit.
+    /// Part of a window's limit by which it may be exceeded.
+    pub overrun: f64,
+    /// Units by which a window's limit may be exceeded beside that.
     pub slack: f64,
 }
 
-impl Default for QuotaBounds {
-    fn default() -> Self {
-        Self { quotas: HashMap::new(), window: Duration::from_secs(1), slack: 0.0 }
+impl QuotaBounds {
+    /// Returns the units that fit in a window of which only the time `known` is known.
+    fn limit(&self, rate: f64, burst: f64, known: Duration) -> f64 {
+        let whole = rate * self.window.as_secs_f64() + burst;
+        let tolerance = (whole * self.overrun + self.slack) * TOLERANCE_PART;
+        rate * known.min(self.window).as_secs_f64() + burst + tolerance
     }
 }
 
-/// Units that an instance's requests took.
+/// Units that a workspace took in steps of time, as they are stored.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Usage {
-    /// Workspace of the request.
+pub struct StoredUsage {
+    /// The workspace.
     pub workspace: WorkspaceName,
-    /// Time since then.
-    pub ago: Duration,
-    /// Units.
-    pub units: u64,
+    /// Milliseconds since each step, and its units; the oldest first.
+    pub steps: Vec<(u64, u64)>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Taken {
     at: Duration,
-    instance: InstanceName,
-    units: u64,
+    /// Request that took it; none when it was read from the store.
+    ticket: Option<Ticket>,
+    units: f64,
+}
+
+/// What the requests of one workspace took, in order of time.
+#[derive(Debug, Default)]
+struct Account(VecDeque<Taken>);
+
+impl Account {
+    fn forget(&mut self, now: Duration, window: Duration) {
+        while self.0.front().is_some_and(|taken| taken.at + window <= now) {
+            self.0.pop_front();
+        }
+    }
+
+    fn sum(&self) -> f64 {
+        self.0.iter().map(|taken| taken.units).sum()
+    }
+
+    fn insert(&mut self, taken: Taken) {
+        let place = self.0.partition_point(|other| other.at <= taken.at);
+        self.0.insert(place, taken);
+    }
+
+    /// Returns the time until units were forgotten so that the sum is at most `room`.
+    fn wait(&self, now: Duration, window: Duration, room: f64) -> Duration {
+        let mut sum = self.sum();
+        for taken in &self.0 {
+            sum -= taken.units;
+            if sum <= room {
+                return (taken.at + window).saturating_sub(now);
+            }
+        }
+        window
+    }
 }
 
-/// Units that were taken, by workspace.
+/// Limits of all workspaces.
 #[derive(Debug, Default)]
 pub(super) struct Quotas {
     bounds: QuotaBounds,
-    taken: HashMap<WorkspaceName, VecDeque<Taken>>,
-    /// Time from which on all usage is known; none while no instance has told it.
-    known_since: Option<Duration>,
+    accounts: HashMap<WorkspaceName, Account>,
+    /// Time from which on all usage is known.
+    known_since: Duration,
 }
 
 impl Quotas {
     /// Replaces the limits.
     pub fn set(&mut self, bounds: QuotaBounds) {
-        self.taken.retain(|workspace, _| bounds.quotas.contains_key(workspace));
+        self.accounts.retain(|workspace, _| bounds.quotas.contains_key(workspace));
         self.bounds = bounds;
     }
 
-    /// Replaces what is known of an instance's usage by what it tells itself.
-    ///
-    /// It remembers what happened within `uptime`. When all instances were restarted, what was
-    /// taken before is unknown, and the rate is given out only for the time that is known.
-    pub fn replace(
-        &mut self,
-        now: Duration,
-        instance: &InstanceName,
-        uptime: Duration,
-        usage: Vec<Usage>,
-    ) {
-        let since = now.saturating_sub(uptime);
-        self.known_since = Some(self.known_since.map_or(since, |known| known.min(since)));
-        for taken in self.taken.values_mut() {
-            taken.retain(|entry| entry.instance != *instance);
+    /// Forgets what was taken, as it is not known what other gates have given out since.
+    pub fn restart(&mut self, now: Duration) {
+        self.accounts.clear();
+        self.known_since = now;
+    }
+
+    /// Learns what was given out before, as an earlier gate stored it.
+    pub fn learn(&mut self, now: Duration, stored: Vec<StoredUsage>) {
+        self.known_since = now.saturating_sub(self.bounds.window);
+        for StoredUsage { workspace, steps } in stored {
+            let account = self.accounts.entry(workspace).or_default();
+            for (ago, units) in steps {
+                let at = now.saturating_sub(Duration::from_millis(ago));
+                account.insert(Taken { at, ticket: None, units: units as f64 });
+            }
         }
-        for Usage { workspace, ago, units } in usage {
-            let taken = self.taken.entry(workspace).or_default();
-            let at = now.saturating_sub(ago);
-            let place = taken.partition_point(|entry| entry.at <= at);
-            taken.insert(place, Taken { at, instance: instance.clone(), units });
+    }
+
+    /// Returns what is to be stored for a later gate.
+    pub fn to_store(&mut self, now: Duration) -> Vec<StoredUsage> {
+        let window = self.bounds.window;
+        let mut stored = Vec::new();
+        for (workspace, account) in &mut self.accounts {
+            account.forget(now, window);
+            let mut steps: Vec<(u64, u64)> = Vec::new();
+            for taken in &account.0 {
+                let ago = now.saturating_sub(taken.at).as_millis() as u64;
+                let units = taken.units as u64;
+                match steps.last_mut() {
+                    Some((start, sum)) if *start - ago < STEP.as_millis() as u64 => *sum += units,
+                    _ => steps.push((ago, units)),
+                }
+            }
+            if !steps.is_empty() {
+                stored.push(StoredUsage { workspace: workspace.clone(), steps });
+            }
         }
+        stored.sort_by(|a, b| a.workspace.cmp(&b.workspace));
+        stored
     }
 
     /// Takes the units of a request; the error is the time until there are enough.
-    pub fn take(
-        &mut self,
-        now: Duration,
-        part: f64,
-        instance: &InstanceName,
-        workspace: &WorkspaceName,
-        units: u64,
-    ) -> Result<(), Duration> {
+    pub fn take(&mut self, now: Duration, part: f64, charge: &Charge) -> Result<(), Duration> {
         let window = self.bounds.window;
-        let Some(quota) = self.bounds.quotas.get(workspace) else { return Ok(()) };
+        let Some(quota) = self.bounds.quotas.get(&charge.workspace) else { return Ok(()) };
         let Some(rate) = quota.rate else { return Ok(()) };
-        let known = now.saturating_sub(self.known_since.unwrap_or(now)).min(window);
-        let limit = rate * known.as_secs_f64() + quota.burst + self.bounds.slack;
-        let room = limit * part - units as f64;
-        let taken = self.taken.entry(workspace.clone()).or_default();
-        while taken.front().is_some_and(|entry| now.saturating_sub(entry.at) >= window) {
-            taken.pop_front();
+        let known = now.saturating_sub(self.known_since);
+        let limit = self.bounds.limit(rate, quota.burst, known) * part;
+        let account = self.accounts.entry(charge.workspace.clone()).or_default();
+        account.forget(now, window);
+        let room = limit - charge.units as f64;
+        if account.sum() > room {
+            let refill = Duration::try_from_secs_f64((account.sum() - room) / rate);
+            return Err(account.wait(now, window, room).min(refill.unwrap_or(window)));
         }
-        let mut sum: f64 = taken.iter().map(|entry| entry.units as f64).sum();
-        if sum <= room {
-            taken.push_back(Taken { at: now, instance: instance.clone(), units });
-            return Ok(());
-        }
-        for entry in taken.iter() {
-            sum -= entry.units as f64;
-            if sum <= room {
-                return Err((entry.at + window).saturating_sub(now));
-            }
+        let taken = Taken { at: now, ticket: Some(charge.ticket), units: charge.units as f64 };
+        account.insert(taken);
+        Ok(())
+    }
+
+    /// Gives back the units of a request that was not sent.
+    pub fn give_back(&mut self, charge: &Charge) {
+        let Some(account) = self.accounts.get_mut(&charge.workspace) else { return };
+        let place = account.0.iter().position(|taken| taken.ticket == Some(charge.ticket));
+        if let Some(place) = place {
+            account.0.remove(place);
         }
-        Err(window)
     }
 }
--- a/lacewingspring_proxy/src/clock.rs
+++ b/lacewingspring_proxy/src/clock.rs
@@ -8,15 +8,18 @@
 use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
+/// Time of the clock at the start of the process, so that times before it can be told.
+const ORIGIN: Duration = Duration::from_hours(24);
+
 static START: OnceLock<Duration> = OnceLock::new();
 
-/// Returns the time since the process first asked.
+/// Returns the time since a day before the process first asked.
 ///
 /// The clock counts the time that the machine was suspended, so that a pause shows as a jump.
 pub fn now() -> Duration {
     let boot = read();
     let start = *START.get_or_init(|| boot);
-    boot.saturating_sub(start)
+    ORIGIN + boot.saturating_sub(start)
 }
 
 /// Returns the time since the Unix epoch, for records that people read.
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -10,7 +10,9 @@
 
 use futures_util::StreamExt;
 use lacewingspring_core::{
-    dispatch::{Decision, Dispatcher, Limits, ServiceCounts, Ticket, UpstreamInfo},
+    dispatch::{
+        Decision, Dispatcher, Limits, ServiceCounts, StoredUsage, Ticket, UpstreamInfo,
+    },
     names::{InstanceName, ServiceName},
 };
 use log::{info, warn};
@@ -122,11 +124,10 @@
         let mut state = self.state();
         let ticket = |number| Ticket { link, number };
         let decisions = match message {
-            ToGate::Hello { instance, uptime, usage } => {
+            ToGate::Hello { instance } => {
                 if let Some(known) = state.links.get_mut(&link) {
-                    known.instance = Some(instance.clone());
+                    known.instance = Some(instance);
                 }
-                state.dispatcher.open_link(now, link, instance, uptime, usage);
                 self.set_part(now, &mut state);
                 Vec::new()
             }
@@ -155,6 +156,22 @@
         state.tell(decisions);
     }
 
+    /// Returns whether most of the fleet asks here.
+    pub fn is_main(&self) -> bool {
+        let state = self.state();
+        state.dispatcher.part() >= 1.0 && !state.links.is_empty()
+    }
+
+    /// Learns what an earlier gate stored of the usage of limits.
+    pub fn learn_usage(&self, now: Duration, usage: Vec<StoredUsage>) {
+        self.state().dispatcher.learn_usage(now, usage);
+    }
+
+    /// Returns the usage of limits that is to be stored for a later gate.
+    pub fn usage(&self, now: Duration) -> Vec<StoredUsage> {
+        self.state().dispatcher.usage(now)
+    }
+
     /// Returns the counts of each service.
     pub fn counts(&self) -> Vec<(ServiceName, ServiceCounts)> {
         let state = self.state();
--- /dev/null
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -0,0 +1,91 @@
+//! Stores what was taken from the limits of workspaces, for the next gate.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use lacewingspring_core::dispatch::StoredUsage;
+use log::{info, warn};
+use tokio::time::{sleep, timeout};
+
+use super::host::Host;
+use crate::{
+    clock,
+    store::{Store, StoreError},
+};
+
+/// Key of what was taken.
+const KEY: &str = "lacewingspring/usage";
+
+/// Time between writes.
+const INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time between looks whether this instance decides for the fleet.
+const CHECK: Duration = Duration::from_millis(100);
+
+/// Time that one call may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Stores what was taken from the limits of workspaces.
+pub struct Ledger<S> {
+    /// The key-value service.
+    pub store: Arc<S>,
+    /// The gate of this instance.
+    pub host: Arc<Host>,
+}
+
+impl<S> Ledger<S>
+where
+    S: Store,
+{
+    /// Reads the usage when this instance begins to decide for the fleet, and writes it while it
+    /// does.
+    pub async fn run(self) {
+        loop {
+            while !self.host.is_main() {
+                sleep(CHECK).await;
+            }
+            self.take_over().await;
+            let mut written = Vec::new();
+            while self.host.is_main() {
+                sleep(INTERVAL).await;
+                let usage = self.host.usage(clock::now());
+                if usage != written {
+                    match self.write(&usage).await {
+                        Ok(()) => written = usage,
+                        Err(e) => warn!(error:% = e; "The usage of limits was not stored."),
+                    }
+                }
+            }
+        }
+    }
+
+    async fn take_over(&self) {
+        while self.host.is_main() {
+            match self.read().await {
+                Ok(usage) => {
+                    info!(workspaces = usage.len(); "The usage of limits is taken over.");
+                    self.host.learn_usage(clock::now(), usage);
+                    return;
+                }
+                Err(e) => {
+                    warn!(error:% = e; "The usage of limits is not known.");
+                    sleep(CHECK).await;
+                }
+            }
+        }
+    }
+
+    async fn read(&self) -> Result<Vec<StoredUsage>, StoreError> {
+        let page = timeout(CALL_TIMEOUT, self.store.range(KEY, None)).await;
+        let page = page.map_err(|_| StoreError::NoAnswer("time is up".into()))??;
+        let Some(item) = page.items.first() else { return Ok(Vec::new()) };
+        serde_json::from_slice(&item.value).map_err(|e| StoreError::Malformed(e.to_string()))
+    }
+
+    async fn write(&self, usage: &[StoredUsage]) -> Result<(), StoreError> {
+        let value = serde_json::to_vec(usage);
+        let value = value.map_err(|e| StoreError::Malformed(e.to_string()))?;
+        let put = timeout(CALL_TIMEOUT, self.store.put(KEY, Bytes::from(value), None)).await;
+        put.map_err(|_| StoreError::NoAnswer("time is up".into()))?
+    }
+}
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -1,7 +1,7 @@
 //! The side of the gate that asks: keeps a link to the instance that decides.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -11,8 +11,8 @@
 
 use futures_util::StreamExt;
 use lacewingspring_core::{
-    dispatch::{Ask, End, Grant, Reason, Refusal, Usage},
-    names::{InstanceName, UpstreamName, WorkspaceName},
+    dispatch::{Ask, End, Grant, Reason, Refusal},
+    names::{InstanceName, UpstreamName},
 };
 use log::{info, warn};
 use tokio::{
@@ -54,9 +54,6 @@
 /// Time in which a message is written.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time for which it is remembered what requests took from the limits of workspaces.
-const USAGE_MEMORY: Duration = Duration::from_secs(20);
-
 /// Reason for which a sound gate is given up.
 const MOVED: &str = "moved";
 
@@ -90,19 +87,10 @@
     upstream: UpstreamName,
 }
 
-/// What a request took from the limit of its workspace.
-#[derive(Debug)]
-struct Taken {
-    at: Duration,
-    workspace: WorkspaceName,
-    units: u64,
-}
-
 #[derive(Debug, Default)]
 struct State {
     pending: HashMap<u64, Pending>,
     running: HashMap<u64, Running>,
-    taken: VecDeque<Taken>,
     out: Option<UnboundedSender<ToGate>>,
 }
 
@@ -111,7 +99,6 @@
 pub struct Gate {
     state: Mutex<State>,
     next: AtomicU64,
-    began: Duration,
     instance: InstanceName,
     members: SharedMembers,
     host: Arc<Host>,
@@ -137,14 +124,8 @@
 
 impl Gate {
     /// Creates a link that is not connected yet.
-    pub fn new(
-        now: Duration,
-        instance: InstanceName,
-        members: SharedMembers,
-        host: Arc<Host>,
-    ) -> Self {
-        let next = AtomicU64::new(0);
-        Self { state: Mutex::default(), next, began: now, instance, members, host }
+    pub fn new(instance: InstanceName, members: SharedMembers, host: Arc<Host>) -> Self {
+        Self { state: Mutex::default(), next: AtomicU64::new(0), instance, members, host }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -170,12 +151,11 @@
         }
     }
 
-    fn handle(&self, now: Duration, message: FromGate) {
+    fn handle(&self, message: FromGate) {
         let mut state = self.state();
         match message {
             FromGate::Granted { number, grant } => {
                 let Some(pending) = state.pending.remove(&number) else { return };
-                state.count(now, &pending.ask);
                 let running = Running { ask: pending.ask, upstream: grant.upstream.clone() };
                 state.running.insert(number, running);
                 // The receiver is gone only together with its request, whose end is told too.
@@ -244,7 +224,7 @@
                     Some(Ok(bytes)) => match decode(&bytes) {
                         Ok(message) => {
                             heard_at = clock::now();
-                            self.handle(heard_at, message);
+                            self.handle(message);
                         }
                         Err(_) => return "unreadable",
                     },
@@ -303,7 +283,7 @@
         loop {
             tokio::select! {
                 Some(message) = rx.recv() => self.host.handle(clock::now(), link, message),
-                Some(message) = from_gate.recv() => self.handle(clock::now(), message),
+                Some(message) = from_gate.recv() => self.handle(message),
                 _ = check.tick() => {
                     if self.has_better(clock::now(), suspects) {
                         break;
@@ -326,10 +306,7 @@
         let now = clock::now();
         let mut state = self.state();
         state.out = Some(tx);
-        let usage = state.usage(now);
-        let instance = self.instance.clone();
-        let uptime = now.saturating_sub(self.began);
-        state.send(ToGate::Hello { instance, uptime, usage });
+        state.send(ToGate::Hello { instance: self.instance.clone() });
         let State { pending, running, out, .. } = &mut *state;
         let Some(out) = out else { return rx };
         for (number, running) in running.iter() {
@@ -351,26 +328,6 @@
 }
 
 impl State {
-    /// Remembers what a request takes, for the next gate.
-    fn count(&mut self, now: Duration, ask: &Ask) {
-        while self.taken.front().is_some_and(|taken| now.saturating_sub(taken.at) > USAGE_MEMORY) {
-            self.taken.pop_front();
-        }
-        if let (0, Some(workspace)) = (ask.sends, &ask.workspace) {
-            let taken = Taken { at: now, workspace: workspace.clone(), units: ask.charge };
-            self.taken.push_back(taken);
-        }
-    }
-
-    fn usage(&self, now: Duration) -> Vec<Usage> {
-        let usage = self.taken.iter().map(|taken| Usage {
-            workspace: taken.workspace.clone(),
-            ago: now.saturating_sub(taken.at),
-            units: taken.units,
-        });
-        usage.collect()
-    }
-
     fn send(&mut self, message: ToGate) {
         if let Some(out) = &self.out {
             // A closed receiver means that the link is being replaced; all is told again then.
--- a/lacewingspring_proxy/src/gate/message.rs
+++ b/lacewingspring_proxy/src/gate/message.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::SinkExt;
 use lacewingspring_core::{
-    dispatch::{Ask, End, Grant, Refusal, Usage},
+    dispatch::{Ask, End, Grant, Refusal},
     names::{InstanceName, UpstreamName},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -22,10 +22,6 @@
     Hello {
         /// The instance.
         instance: InstanceName,
-        /// Time since its start.
-        uptime: Duration,
-        /// What its requests took lately from the limits of workspaces.
-        usage: Vec<Usage>,
     },
     /// A request runs by the grant of another gate.
     Running {
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -24,7 +24,7 @@
     directory::Directory,
     follow::Follow,
     forward::Forward,
-    gate::{host::Host, link::Gate},
+    gate::{host::Host, ledger::Ledger, link::Gate},
     members::{MEMBERS_PREFIX, Member, Members, Registration, SharedMembers, draw_incarnation},
     mirror::Mirror,
     protocol::Protocol,
@@ -42,9 +42,6 @@
 /// Time between looks at what is still open.
 const STOP_CHECK: Duration = Duration::from_millis(100);
 
-/// Part of the tolerance of limits that is used, as windows are cut differently elsewhere.
-const QUOTA_SLACK_PART: f64 = 0.25;
-
 /// Translates what the platform holds.
 pub trait Platform: Send + Sync + 'static {
     /// Prefix of the operators' configuration.
@@ -95,7 +92,8 @@
             quotas: QuotaBounds {
                 quotas: quotas.collect(),
                 window: bounds.quota_window(),
-                slack: bounds.quota_slack * QUOTA_SLACK_PART,
+                overrun: bounds.quota_overrun,
+                slack: bounds.quota_slack,
             },
             retries: bounds.retries(),
         };
@@ -146,22 +144,24 @@
 {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
+    let incarnation = draw_incarnation();
     let member = Member {
         instance: settings.instance.clone(),
-        incarnation: draw_incarnation(),
+        incarnation,
         data_centre: settings.data_centre.clone(),
         callers: settings.listen.callers,
         peers: settings.listen.peers,
         is_leaving: false,
     };
-    info!(instance = settings.instance.as_str(), incarnation = member.incarnation; "The instance starts.");
+    info!(instance = settings.instance.as_str(), incarnation; "The instance starts.");
     let (member_tx, member) = watch::channel(member);
     let (closing_tx, closing) = watch::channel(false);
     let (ready_tx, is_ready) = watch::channel(false);
     let members = SharedMembers::default();
     let host = Arc::new(Host::new(members.clone()));
     let name = settings.instance.clone();
-    let gate = Arc::new(Gate::new(clock::now(), name, members.clone(), host.clone()));
+    let gate = Gate::new(name, members.clone(), host.clone());
+    let gate = Arc::new(gate);
     let beliefs = Arc::new(Beliefs {
         declared: Arc::default(),
         upstreams: ArcSwap::default(),
@@ -172,6 +172,7 @@
     });
     follow(&beliefs, &parts);
     tokio::spawn(host.clone().tick());
+    tokio::spawn(Ledger { store: parts.store.clone(), host: host.clone() }.run());
     tokio::spawn(gate.clone().run());
     tokio::spawn(watched("peers", host.serve(settings.listen.peers)));
     let registration = Registration {
--- a/lacewingspring_proxy/src/members.rs
+++ b/lacewingspring_proxy/src/members.rs
@@ -161,7 +161,7 @@
         let value = serde_json::to_vec(&member);
         let value = value.map_err(|e| StoreError::Malformed(e.to_string()))?;
         let key = format!("{MEMBERS_PREFIX}{}", member.instance);
-        limited(self.store.put(&key, Bytes::from(value), lease)).await
+        limited(self.store.put(&key, Bytes::from(value), Some(lease))).await
     }
 
     async fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
--- a/lacewingspring_proxy/src/store.rs
+++ b/lacewingspring_proxy/src/store.rs
@@ -105,11 +105,11 @@
     /// Ends a lease and so its keys.
     fn end_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Writes a key that ends with a lease.
+    /// Writes a key, which ends with a lease when one is given.
     fn put(
         &self,
         key: &str,
         value: Bytes,
-        lease: LeaseId,
+        lease: Option<LeaseId>,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
