--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -113,12 +113,12 @@
         self.quotas.set(limits.quotas);
     }
 
-    /// Learns what an earlier gate stored of the usage of limits.
-    pub fn learn_usage(&mut self, now: Duration, usage: Vec<StoredUsage>) {
-        self.quotas.learn(now, usage);
+    /// Learns what an earlier gate gave out of limits, `age` ago.
+    pub fn learn_usage(&mut self, now: Duration, age: Duration, usage: &[StoredUsage]) {
+        self.quotas.learn(now, age, usage);
     }
 
-    /// Returns the usage of limits that is to be stored for a later gate.
+    /// Returns what was given out of limits, for a later gate.
     pub fn usage(&mut self, now: Duration) -> Vec<StoredUsage> {
         self.quotas.to_store(now)
     }
@@ -201,10 +201,14 @@
                 self.crashers.broke(now, open.fingerprint);
             }
             End::Finished { .. } | End::Failed => self.crashers.ran(open.fingerprint),
-            End::Declined | End::Unreachable | End::Misdirected | End::Cancelled => {}
+            End::Declined
+            | End::Unreachable
+            | End::Misdirected
+            | End::Leaving
+            | End::Cancelled => {}
         }
         let Some(pool) = self.pools.get_mut(&open.service) else { return Vec::new() };
-        let is_unsent = matches!(end, End::Unreachable | End::Misdirected);
+        let is_unsent = matches!(end, End::Unreachable | End::Misdirected | End::Leaving);
         if let Some(charge) = &open.charge
             && (is_unsent || !pool.is_running(ticket))
         {
--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -1,7 +1,7 @@
 //! Limits of workspaces over the whole fleet, counted in a sliding window.
 //!
-//! A gate stores what it gave out, so its successor can read it. While that has not been read, the
-//! rate of the time before is taken to have been used up.
+//! A gate tells and stores what it gave out, so that its successor learns it. What a successor does
+//! not know of the time before is taken to have been used up.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -13,8 +13,8 @@
 use super::{Charge, Ticket};
 use crate::names::WorkspaceName;
 
-/// Part of the tolerance of a limit that is given out.
-const TOLERANCE_PART: f64 = 0.25;
+/// Time in which a new gate learns what was given out before.
+const LEARNING: Duration = Duration::from_secs(2);
 
 /// Length of the steps in which usage is stored.
 const STEP: Duration = Duration::from_millis(250);
@@ -28,26 +28,13 @@
     pub burst: f64,
 }
 
-/// Bounds that hold for the limits of all workspaces.
+/// Limits of all workspaces.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct QuotaBounds {
     /// Limits by workspace.
     pub quotas: HashMap<WorkspaceName, Quota>,
     /// Window in which units are counted.
     pub window: Duration,
-    /// Part of a window's limit by which it may be exceeded.
-    pub overrun: f64,
-    /// Units by which a window's limit may be exceeded beside that.
-    pub slack: f64,
-}
-
-impl QuotaBounds {
-    /// Returns the units that fit in a window of which only the time `known` is known.
-    fn limit(&self, rate: f64, burst: f64, known: Duration) -> f64 {
-        let whole = rate * self.window.as_secs_f64() + burst;
-        let tolerance = (whole * self.overrun + self.slack) * TOLERANCE_PART;
-        rate * known.min(self.window).as_secs_f64() + burst + tolerance
-    }
 }
 
 /// Units that a workspace took in steps of time, as they are stored.
@@ -87,6 +74,19 @@
         self.0.insert(place, taken);
     }
 
+    /// Takes what was told, if it is more than what was told before.
+    fn learn(&mut self, told: Vec<Taken>) {
+        let sum = |taken: &Taken| taken.units;
+        let before = self.0.iter().filter(|taken| taken.ticket.is_none()).map(sum).sum::<f64>();
+        if told.iter().map(sum).sum::<f64>() <= before {
+            return;
+        }
+        self.0.retain(|taken| taken.ticket.is_some());
+        for taken in told {
+            self.insert(taken);
+        }
+    }
+
     /// Returns the time until units were forgotten so that the sum is at most `room`.
     fn wait(&self, now: Duration, window: Duration, room: f64) -> Duration {
         let mut sum = self.sum();
@@ -107,6 +107,8 @@
     accounts: HashMap<WorkspaceName, Account>,
     /// Time from which on all usage is known.
     known_since: Duration,
+    /// Time at which this gate began to decide for the fleet.
+    restarted_at: Duration,
 }
 
 impl Quotas {
@@ -120,17 +122,25 @@
     pub fn restart(&mut self, now: Duration) {
         self.accounts.clear();
         self.known_since = now;
+        self.restarted_at = now;
     }
 
-    /// Learns what was given out before, as an earlier gate stored it.
-    pub fn learn(&mut self, now: Duration, stored: Vec<StoredUsage>) {
-        self.known_since = now.saturating_sub(self.bounds.window);
+    /// Learns what an earlier gate gave out, `age` ago.
+    ///
+    /// It may come from several places; of each workspace the most that was told counts. It is
+    /// heard only for a short time after the start, as later it tells what is known already.
+    pub fn learn(&mut self, now: Duration, age: Duration, stored: &[StoredUsage]) {
+        if now.saturating_sub(self.restarted_at) > LEARNING {
+            return;
+        }
+        self.known_since = now.saturating_sub(self.bounds.window + age);
         for StoredUsage { workspace, steps } in stored {
-            let account = self.accounts.entry(workspace).or_default();
-            for (ago, units) in steps {
-                let at = now.saturating_sub(Duration::from_millis(ago));
-                account.insert(Taken { at, ticket: None, units: units as f64 });
-            }
+            let told = steps.iter().map(|(ago, units)| Taken {
+                at: now.saturating_sub(age + Duration::from_millis(*ago)),
+                ticket: None,
+                units: *units as f64,
+            });
+            self.accounts.entry(workspace.clone()).or_default().learn(told.collect());
         }
     }
 
@@ -163,7 +173,8 @@
         let Some(quota) = self.bounds.quotas.get(&charge.workspace) else { return Ok(()) };
         let Some(rate) = quota.rate else { return Ok(()) };
         let known = now.saturating_sub(self.known_since);
-        let limit = self.bounds.limit(rate, quota.burst, known) * part;
+        let known = known.min(window).as_secs_f64();
+        let limit = (rate * known + quota.burst) * part;
         let account = self.accounts.entry(charge.workspace.clone()).or_default();
         account.forget(now, window);
         let room = limit - charge.units as f64;
--- a/lacewingspring_core/src/dispatch/server.rs
+++ b/lacewingspring_core/src/dispatch/server.rs
@@ -219,6 +219,7 @@
             End::Failed | End::Broken => self.failures += (1.0 - self.failures) * FAILURE_WEIGHT,
             End::Declined => self.down_until = self.down_until.max(now + FULL_PAUSE),
             End::Unreachable | End::Misdirected => self.leave_alone(now),
+            End::Leaving => self.info.draining = true,
             End::Cancelled => {}
         }
     }
--- a/lacewingspring_core/src/dispatch/work.rs
+++ b/lacewingspring_core/src/dispatch/work.rs
@@ -146,6 +146,8 @@
     Unreachable,
     /// Another upstream answers at the address.
     Misdirected,
+    /// The instance knows that the upstream takes no new work; nothing was sent.
+    Leaving,
     /// The caller left or the time ran out.
     Cancelled,
 }
--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -190,6 +190,15 @@
     assert_eq!(granted(&dispatcher.tick(ms(300))), [(3, dead.as_str())]);
 }
 
+#[test]
+fn gives_no_more_to_an_upstream_that_an_instance_knows_to_leave() {
+    let mut dispatcher = dispatcher(&[upstream("u", 4)]);
+    assert_eq!(granted(&dispatcher.ask(ms(0), ticket(1), ask("a"))), [(1, "u")]);
+    dispatcher.end(ms(0), ticket(1), End::Leaving);
+    let decisions = dispatcher.ask(ms(0), ticket(2), ask("a"));
+    assert_eq!(refused(&decisions)[0].1, Reason::NoUpstream);
+}
+
 #[test]
 fn sends_nothing_to_a_draining_upstream_or_one_that_had_the_request() {
     let mut draining = upstream("draining", 4);
@@ -208,8 +217,6 @@
         quotas: QuotaBounds {
             quotas: HashMap::from([(WorkspaceName::from("w"), quota)]),
             window: Duration::from_secs(8),
-            overrun: 0.1,
-            slack: 0.0,
         },
         retries: RetryBound { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) },
     }
@@ -234,7 +241,7 @@
     dispatcher.set_limits(limits(1_500.0, 1_500.0));
     let taken = press(&mut dispatcher, Duration::from_secs(100), Duration::from_secs(8), 0);
     let limit = 1_500.0 * 9.0;
-    assert!(taken >= limit && taken <= limit * 1.1, "taken {taken} of {limit}");
+    assert!(taken >= limit * 0.95 && taken <= limit, "taken {taken} of {limit}");
     let now = Duration::from_secs(108);
     // All was taken in the first seconds; it is free again as the window passes it.
     let decisions = dispatcher.ask(now - ms(1), ticket(9_000), ask("a"));
@@ -259,7 +266,11 @@
     let taken = press(&mut before, Duration::from_secs(100), Duration::from_secs(4), 0);
     let now = Duration::from_secs(104);
     let mut after = successor(now);
-    after.learn_usage(now, before.usage(now));
+    let usage = before.usage(now);
+    for age in [ms(0), ms(200)] {
+        // It is told by the store and by instances; it counts once.
+        after.learn_usage(now, age, &usage);
+    }
     let then = press(&mut after, now, Duration::from_secs(4), 10_000);
     let limit = 1_500.0 * 9.0;
     assert!(taken + then <= limit * 1.1, "taken {taken} and {then} of {limit}");
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -25,6 +25,7 @@
     declared::Declared,
     exchange::{self, Answer, ExchangeError},
     gate::link::{Gate, Slot},
+    leaving::Leaving,
     protocol::{CallerHead, Protocol, SendHead},
     refusal::{Denial, Failure},
 };
@@ -47,6 +48,8 @@
     pub protocol: Arc<P>,
     /// What is declared; none until it was read.
     pub declared: Arc<ArcSwapOption<Declared>>,
+    /// Upstreams that take no new work.
+    pub leaving: Arc<Leaving>,
     /// The gate.
     pub gate: Arc<Gate>,
 }
@@ -218,6 +221,14 @@
     }
 
     async fn send(&self, job: &Job<'_>, slot: Slot) -> Outcome {
+        if self.leaving.contains(&slot.grant().upstream) {
+            info!(
+                id = &*job.caller.id, upstream = slot.grant().upstream.as_str();
+                "The gate does not know that the upstream leaves."
+            );
+            slot.end(End::Leaving);
+            return Outcome::NotRun(Failure::Unreachable);
+        }
         let sent = Sent { slot, id: job.caller.id.clone(), at: clock::now() };
         let exchange = timeout_at(instant(job.until), self.exchange(job, &sent)).await;
         let now = clock::now();
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -124,11 +124,12 @@
         let mut state = self.state();
         let ticket = |number| Ticket { link, number };
         let decisions = match message {
-            ToGate::Hello { instance } => {
+            ToGate::Hello { instance, usage, usage_age } => {
                 if let Some(known) = state.links.get_mut(&link) {
                     known.instance = Some(instance);
                 }
                 self.set_part(now, &mut state);
+                state.dispatcher.learn_usage(now, usage_age, &usage);
                 Vec::new()
             }
             ToGate::Running { number, ask, upstream } => {
@@ -162,14 +163,20 @@
         state.dispatcher.part() >= 1.0 && !state.links.is_empty()
     }
 
-    /// Learns what an earlier gate stored of the usage of limits.
-    pub fn learn_usage(&self, now: Duration, usage: Vec<StoredUsage>) {
-        self.state().dispatcher.learn_usage(now, usage);
+    /// Learns what an earlier gate gave out of limits.
+    pub fn learn_usage(&self, now: Duration, usage: &[StoredUsage]) {
+        self.state().dispatcher.learn_usage(now, Duration::ZERO, usage);
     }
 
-    /// Returns the usage of limits that is to be stored for a later gate.
-    pub fn usage(&self, now: Duration) -> Vec<StoredUsage> {
-        self.state().dispatcher.usage(now)
+    /// Returns what was given out of limits, and tells it to all instances.
+    pub fn tell_usage(&self, now: Duration) -> Vec<StoredUsage> {
+        let mut state = self.state();
+        let usage = state.dispatcher.usage(now);
+        for link in state.links.values() {
+            // A closed receiver means that the link is about to be removed.
+            let _ = link.tx.send(FromGate::Usage(usage.clone()));
+        }
+        usage
     }
 
     /// Returns the counts of each service.
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -1,4 +1,4 @@
-//! Stores what was taken from the limits of workspaces, for the next gate.
+//! Tells and stores what was given out of the limits of workspaces, for the next gate.
 
 use std::{sync::Arc, time::Duration};
 
@@ -48,7 +48,7 @@
             let mut written = Vec::new();
             while self.host.is_main() {
                 sleep(INTERVAL).await;
-                let usage = self.host.usage(clock::now());
+                let usage = self.host.tell_usage(clock::now());
                 if usage != written {
                     match self.write(&usage).await {
                         Ok(()) => written = usage,
@@ -64,7 +64,7 @@
             match self.read().await {
                 Ok(usage) => {
                     info!(workspaces = usage.len(); "The usage of limits is taken over.");
-                    self.host.learn_usage(clock::now(), usage);
+                    self.host.learn_usage(clock::now(), &usage);
                     return;
                 }
                 Err(e) => {
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -11,7 +11,7 @@
 
 use futures_util::StreamExt;
 use lacewingspring_core::{
-    dispatch::{Ask, End, Grant, Reason, Refusal},
+    dispatch::{Ask, End, Grant, Reason, Refusal, StoredUsage},
     names::{InstanceName, UpstreamName},
 };
 use log::{info, warn};
@@ -92,6 +92,10 @@
     pending: HashMap<u64, Pending>,
     running: HashMap<u64, Running>,
     out: Option<UnboundedSender<ToGate>>,
+    /// What the gate gave out of limits, as it told last.
+    usage: Vec<StoredUsage>,
+    /// When it told.
+    usage_at: Duration,
 }
 
 /// Asks the gate for slots.
@@ -171,6 +175,10 @@
                     pending.is_known = true;
                 }
             }
+            FromGate::Usage(usage) => {
+                state.usage = usage;
+                state.usage_at = clock::now();
+            }
             FromGate::Pong => {}
         }
     }
@@ -306,7 +314,12 @@
         let now = clock::now();
         let mut state = self.state();
         state.out = Some(tx);
-        state.send(ToGate::Hello { instance: self.instance.clone() });
+        let hello = ToGate::Hello {
+            instance: self.instance.clone(),
+            usage: state.usage.clone(),
+            usage_age: now.saturating_sub(state.usage_at),
+        };
+        state.send(hello);
         let State { pending, running, out, .. } = &mut *state;
         let Some(out) = out else { return rx };
         for (number, running) in running.iter() {
--- a/lacewingspring_proxy/src/gate/message.rs
+++ b/lacewingspring_proxy/src/gate/message.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::SinkExt;
 use lacewingspring_core::{
-    dispatch::{Ask, End, Grant, Refusal},
+    dispatch::{Ask, End, Grant, Refusal, StoredUsage},
     names::{InstanceName, UpstreamName},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -22,6 +22,10 @@
     Hello {
         /// The instance.
         instance: InstanceName,
+        /// What its last gate gave out of limits.
+        usage: Vec<StoredUsage>,
+        /// Time since that was told.
+        usage_age: Duration,
     },
     /// A request runs by the grant of another gate.
     Running {
@@ -79,6 +83,8 @@
         /// Number of the ask.
         number: u64,
     },
+    /// What was given out of limits.
+    Usage(Vec<StoredUsage>),
     /// Answer to a ping.
     Pong,
 }
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -24,6 +24,7 @@
     directory::Directory,
     follow::Follow,
     forward::Forward,
+    leaving::Leaving,
     gate::{host::Host, ledger::Ledger, link::Gate},
     members::{MEMBERS_PREFIX, Member, Members, Registration, SharedMembers, draw_incarnation},
     mirror::Mirror,
@@ -72,6 +73,7 @@
 struct Beliefs {
     declared: Arc<ArcSwapOption<Declared>>,
     upstreams: ArcSwap<Vec<UpstreamInfo>>,
+    leaving: Arc<Leaving>,
     members: SharedMembers,
     host: Arc<Host>,
     is_ready: watch::Sender<bool>,
@@ -92,8 +94,6 @@
             quotas: QuotaBounds {
                 quotas: quotas.collect(),
                 window: bounds.quota_window(),
-                overrun: bounds.quota_overrun,
-                slack: bounds.quota_slack,
             },
             retries: bounds.retries(),
         };
@@ -104,6 +104,7 @@
     }
 
     fn take_upstreams(&self, now: Duration, upstreams: Vec<UpstreamInfo>) {
+        self.leaving.update(&self.upstreams.load(), &upstreams);
         self.upstreams.store(Arc::new(upstreams));
         self.apply_upstreams(now);
     }
@@ -165,6 +166,7 @@
     let beliefs = Arc::new(Beliefs {
         declared: Arc::default(),
         upstreams: ArcSwap::default(),
+        leaving: Arc::default(),
         members: members.clone(),
         host: host.clone(),
         is_ready: ready_tx,
@@ -296,6 +298,7 @@
     let forward = Arc::new(Forward {
         protocol: parts.protocol.clone(),
         declared: beliefs.declared.clone(),
+        leaving: beliefs.leaving.clone(),
         gate,
     });
     let server = Server {
--- a/lacewingspring_proxy/src/lib.rs
+++ b/lacewingspring_proxy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod forward;
 pub mod gate;
 pub mod instance;
+pub mod leaving;
 pub mod logging;
 pub mod members;
 pub mod mirror;
--- a/lacewingspring_proxy/src/settings.rs
+++ b/lacewingspring_proxy/src/settings.rs
@@ -51,10 +51,6 @@
     pub retry_window_s: f64,
     /// Window in which the limits of workspaces are counted, in seconds.
     pub quota_window_s: f64,
-    /// Part of a window's limit that a workspace may take beyond it.
-    pub quota_overrun: f64,
-    /// Units in a window that a workspace may take beyond that.
-    pub quota_slack: f64,
     /// Longest time for which callers keep the addresses, in seconds.
     pub directory_ttl_s: f64,
     /// Shortest lease of the key-value service, in milliseconds.
