--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -8,7 +8,9 @@
     time::Duration,
 };
 
-use self::{budget::RetryBudgets, crashers::Crashers, pool::Pool, quota::Quotas};
+use self::{
+    budget::RetryBudgets, crashers::Crashers, pool::Pool, quota::Quotas, returns::Returns,
+};
 pub use self::{
     budget::RetryBound,
     quota::{Quota, QuotaBounds, StoredUsage},
@@ -22,6 +24,7 @@
 mod pool;
 mod queue;
 mod quota;
+mod returns;
 mod server;
 mod upstream;
 mod work;
@@ -29,6 +32,15 @@
 /// Time after which a request that crashes upstreams may be asked for again.
 const HELD_RETRY: Duration = Duration::from_secs(5);
 
+/// Part of a gate that decides for the whole fleet.
+const WHOLE: f64 = 1.0;
+
+/// Part of its share of workspaces' limits that a gate gives out which decides for a minority.
+const MINORITY_PART: f64 = 0.5;
+
+/// Time without the whole fleet in which no other gate takes over.
+const SHORT_BREAK: Duration = Duration::from_millis(500);
+
 /// What is declared for the fleet.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Limits {
@@ -43,6 +55,8 @@
 struct Open {
     service: ServiceName,
     fingerprint: u64,
+    /// Time from which on it is late.
+    late_at: Duration,
     /// Units taken from the limit of its workspace; given back when it isn't sent.
     charge: Option<Charge>,
 }
@@ -72,7 +86,10 @@
     quotas: Quotas,
     retries: RetryBudgets,
     crashers: Crashers,
+    returns: Returns,
     part: f64,
+    /// Last time at which it decided for the whole fleet and ceased to.
+    whole_until: Option<Duration>,
 }
 
 impl Default for Dispatcher {
@@ -83,7 +100,9 @@
             quotas: Quotas::default(),
             retries: RetryBudgets::default(),
             crashers: Crashers::default(),
+            returns: Returns::default(),
             part: 0.0,
+            whole_until: None,
         }
     }
 }
@@ -127,30 +146,52 @@
     ///
     /// When it becomes the whole, another gate may have given out limits until now.
     pub fn set_part(&mut self, now: Duration, part: f64) -> Vec<Decision> {
-        if self.part < 1.0 && part >= 1.0 {
+        let was_whole = self.part >= WHOLE;
+        if was_whole && part < WHOLE {
+            self.whole_until = Some(now);
+        }
+        if !was_whole && part >= WHOLE && !self.was_whole_lately(now) {
             self.quotas.restart(now);
         }
         self.part = part.clamp(0.0, 1.0);
         self.tick(now)
     }
 
+    fn was_whole_lately(&self, now: Duration) -> bool {
+        self.whole_until.is_some_and(|until| now.saturating_sub(until) < SHORT_BREAK)
+    }
+
+    /// Returns the part of workspaces' limits that may be given out here.
+    ///
+    /// The rest of the fleet may take those that are here for gone and use the whole limits.
+    fn quota_part(&self) -> f64 {
+        if self.part >= WHOLE { WHOLE } else { self.part * MINORITY_PART }
+    }
+
     /// Returns the part of all slots and limits that may be used here.
     pub fn part(&self) -> f64 {
         self.part
     }
 
     /// Takes a request for a slot.
-    pub fn ask(&mut self, now: Duration, ticket: Ticket, ask: Ask) -> Vec<Decision> {
+    pub fn ask(&mut self, now: Duration, ticket: Ticket, mut ask: Ask) -> Vec<Decision> {
         let charge = match self.charge(now, ticket, &ask) {
             Ok(charge) => charge,
             Err(refusal) => return vec![Decision::Refused(ticket, refusal)],
         };
-        let service = ask.service.clone();
-        let open = Open { service, fingerprint: ask.fingerprint, charge };
+        if let Some(late_at) = self.returns.late_at(ask.fingerprint) {
+            ask.aim_left = ask.aim_left.min(late_at.saturating_sub(now));
+        }
+        let open = Open {
+            service: ask.service.clone(),
+            fingerprint: ask.fingerprint,
+            late_at: now + ask.aim_left,
+            charge,
+        };
         let pool = self.pools.entry(ask.service.clone()).or_default();
         self.open.insert(ticket, open);
         let decisions = pool.ask(now, self.part, ticket, ask);
-        self.close_refused(decisions)
+        self.close_refused(now, decisions)
     }
 
     /// Takes what a request costs of limits and budgets.
@@ -171,15 +212,19 @@
         self.retries.count_fresh(now, &ask.service);
         let Some(workspace) = &ask.workspace else { return Ok(None) };
         let charge = Charge { ticket, workspace: workspace.clone(), units: ask.charge };
-        let taken = self.quotas.take(now, self.part, &charge);
+        let taken = self.quotas.take(now, self.quota_part(), &charge);
         taken.map_err(|retry_after| Refusal { reason: Reason::Limit, retry_after })?;
         Ok(Some(charge))
     }
 
     /// Counts a request that runs by the grant of another gate.
     pub fn adopt(&mut self, now: Duration, ticket: Ticket, ask: &Ask, upstream: UpstreamName) {
-        let service = ask.service.clone();
-        let open = Open { service, fingerprint: ask.fingerprint, charge: None };
+        let open = Open {
+            service: ask.service.clone(),
+            fingerprint: ask.fingerprint,
+            late_at: now + ask.aim_left,
+            charge: None,
+        };
         self.open.insert(ticket, open);
         let pool = self.pools.entry(ask.service.clone()).or_default();
         pool.adopt(now, ticket, upstream, &ask.work);
@@ -215,7 +260,7 @@
             self.quotas.give_back(charge);
         }
         let decisions = pool.end(now, self.part, ticket, end);
-        self.close_refused(decisions)
+        self.close_refused(now, decisions)
     }
 
     /// Ends all requests of an instance that is gone.
@@ -231,16 +276,18 @@
     pub fn tick(&mut self, now: Duration) -> Vec<Decision> {
         let part = self.part;
         let decisions = self.pools.values_mut().flat_map(|pool| pool.fill(now, part)).collect();
-        self.close_refused(decisions)
+        self.close_refused(now, decisions)
     }
 
-    fn close_refused(&mut self, decisions: Vec<Decision>) -> Vec<Decision> {
+    fn close_refused(&mut self, now: Duration, decisions: Vec<Decision>) -> Vec<Decision> {
         for decision in &decisions {
             if let Decision::Refused(ticket, _) = decision
                 && let Some(open) = self.open.remove(ticket)
-                && let Some(charge) = &open.charge
             {
-                self.quotas.give_back(charge);
+                self.returns.refused(now, open.fingerprint, open.late_at);
+                if let Some(charge) = &open.charge {
+                    self.quotas.give_back(charge);
+                }
             }
         }
         decisions
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -22,6 +22,9 @@
 /// Part of the time in which the first part of an answer must come that a request waits at most.
 const WAITING_PART: f64 = 0.6;
 
+/// As [`WAITING_PART`], for a request that comes back late.
+const LATE_WAITING_PART: f64 = 0.25;
+
 /// Multiple of the time to be on time that a request waits at most.
 const WAITING_AIMS: f64 = 1.5;
 
@@ -97,25 +100,33 @@
         let due = now + ask.aim_left.saturating_sub(first);
         let refusal = self.foresee(part, first, &ask);
         let class = ask.class.clone();
+        let is_late = ask.aim_left.is_zero();
         let waiting = Waiting { ticket, due, expires: now + longest_wait(&ask), ask };
         self.queue.push(now, waiting);
         let mut decisions = self.fill(now, part);
         let Some(wait) = refusal.filter(|_| self.queue.contains(ticket)) else { return decisions };
-        let victim = self.queue.newest_of_better_served(&class).unwrap_or(ticket);
+        let better = self.queue.newest_of_better_served(&class).filter(|_| !is_late);
+        let victim = better.unwrap_or(ticket);
         if let Some(waiting) = self.queue.remove(victim) {
             decisions.push(self.give_up(now, part, wait, &waiting));
         }
         decisions
     }
 
-    /// Returns the expected wait of a request that can't be answered on time.
+    /// Returns the expected wait of a request that can't be answered on time, or that comes back
+    /// late and can't be answered before its caller leaves.
     ///
     /// A caller that is told so at once can come back when there is room; one that is kept waiting
     /// in vain can't.
     fn foresee(&self, part: f64, first: Duration, ask: &Ask) -> Option<Duration> {
         let slots = f64::from(self.slots(part).max(1));
-        let wait = self.hold.mul_f64(self.queue.len() as f64 / slots);
-        (wait + first > ask.aim_left).then_some(wait)
+        let wait_for = |ahead: usize| self.hold.mul_f64(ahead as f64 / slots);
+        if ask.aim_left.is_zero() {
+            let wait = wait_for(self.queue.len());
+            return (wait > longest_wait(ask)).then_some(wait);
+        }
+        let wait = wait_for(self.queue.timely_len());
+        (wait + first > ask.aim_left).then(|| wait_for(self.queue.len()))
     }
 
     /// Refuses a request and finds a time for its return.
@@ -251,6 +262,9 @@
 /// Returns how long a request waits at most.
 fn longest_wait(ask: &Ask) -> Duration {
     let first_left = ask.first_left.min(ask.time_left);
+    if ask.aim_left.is_zero() {
+        return first_left.mul_f64(LATE_WAITING_PART);
+    }
     ask.aim_left.mul_f64(WAITING_AIMS).min(first_left.mul_f64(WAITING_PART))
 }
 
--- a/lacewingspring_core/src/dispatch/queue.rs
+++ b/lacewingspring_core/src/dispatch/queue.rs
@@ -164,6 +164,11 @@
         }
     }
 
+    /// Returns how many requests wait that can still be on time.
+    pub fn timely_len(&self) -> usize {
+        self.classes.values().map(|class| class.timely.len()).sum()
+    }
+
     /// Returns how many requests wait.
     pub fn len(&self) -> usize {
         self.classes.values().map(|class| class.timely.len() + class.late.len()).sum()
--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -126,6 +126,35 @@
     assert!(at <= 100 + 1_440, "given up {at} ms after its caller began to wait 2,400 ms");
 }
 
+#[test]
+fn serves_a_late_return_only_beside_those_that_can_be_on_time() {
+    let mut dispatcher = dispatcher(&[upstream("u", 1)]);
+    let unlike = |fingerprint| Ask { fingerprint, ..ask("a") };
+    dispatcher.ask(ms(0), ticket(0), unlike(0));
+    let mut number = 0;
+    let victim = loop {
+        number += 1;
+        let decisions = dispatcher.ask(ms(0), ticket(number), unlike(number));
+        if let [(victim, Reason::Overload, _)] = refused(&decisions)[..] {
+            break victim;
+        }
+        assert!(number < 10, "one slot of half a second can't serve ten in 400 ms");
+    };
+    for waiting in 0..number {
+        dispatcher.end(ms(1), ticket(waiting), End::Cancelled);
+    }
+    // It comes back after a second, together with a new one, while the only slot is taken.
+    dispatcher.ask(ms(1_000), ticket(100), unlike(100));
+    assert_eq!(dispatcher.ask(ms(1_000), ticket(101), unlike(victim)), []);
+    let mut patient = unlike(102);
+    patient.aim_left = ms(1_000);
+    assert_eq!(dispatcher.ask(ms(1_010), ticket(102), patient), []);
+    let decisions = dispatcher.end(ms(1_020), ticket(100), finished(20, 0));
+    assert_eq!(granted(&decisions), [(102, "u")], "the new one can still be on time");
+    let decisions = dispatcher.end(ms(1_040), ticket(102), finished(20, 0));
+    assert_eq!(granted(&decisions), [(101, "u")]);
+}
+
 #[test]
 fn serves_kinds_evenly_under_overload() {
     let mut dispatcher = dispatcher(&[upstream("u", 4)]);
@@ -141,7 +170,8 @@
             if step % 5 < 3 || class == "few" {
                 number += 1;
                 classes.insert(number, class);
-                decisions.extend(dispatcher.ask(now, ticket(number), ask(class)));
+                let ask = Ask { fingerprint: number, ..ask(class) };
+                decisions.extend(dispatcher.ask(now, ticket(number), ask));
             }
         }
         running.retain(|(until, number): &(Duration, u64)| {
@@ -287,6 +317,20 @@
     assert!(taken >= limit * 0.9, "taken {taken} of {limit}");
 }
 
+#[test]
+fn two_sides_of_a_cut_keep_a_limit_together() {
+    // The majority takes the others for gone and gives out all; the minority can't know.
+    let now = Duration::from_secs(104);
+    let mut majority = successor(now);
+    let mut minority = successor(now);
+    minority.set_part(now, 2.0 / 7.0);
+    let later = now + Duration::from_secs(10);
+    let taken = press(&mut majority, later, Duration::from_secs(8), 0)
+        + press(&mut minority, later, Duration::from_secs(8), 0);
+    let limit = 1_500.0 * 9.0;
+    assert!(taken <= limit * 1.17, "taken {taken} of {limit}");
+}
+
 #[test]
 fn what_is_not_sent_takes_nothing_from_the_limit() {
     let mut dispatcher = dispatcher(&[upstream("u", 1)]);
