--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -10,11 +10,11 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use lacewingspring_core::dispatch::{Limits, QuotaBounds, UpstreamInfo};
-use log::{error, info};
+use log::{error, info, warn};
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::watch,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -38,7 +38,10 @@
 const TAKE_ON: Duration = Duration::from_millis(2_600);
 
 /// Time before the kill at which the process ends by itself.
-const BEFORE_KILL: Duration = Duration::from_millis(300);
+const BEFORE_KILL: Duration = Duration::from_millis(400);
+
+/// Time to tell the platform that the instance is gone.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time between looks at what is still open.
 const STOP_CHECK: Duration = Duration::from_millis(100);
@@ -158,6 +161,7 @@
     let (member_tx, member) = watch::channel(member);
     let (closing_tx, closing) = watch::channel(false);
     let (ready_tx, is_ready) = watch::channel(false);
+    let (ending_tx, ending) = watch::channel(false);
     let members = SharedMembers::default();
     let host = Arc::new(Host::new(members.clone()));
     let name = settings.instance.clone();
@@ -181,8 +185,9 @@
         store: parts.store.clone(),
         member: member.clone(),
         min_lease: Duration::from_millis(settings.bounds.min_lease_ms),
+        ending,
     };
-    tokio::spawn(registration.run());
+    let registration = tokio::spawn(registration.run());
     let open = Arc::new(OpenConnections::default());
     serve_directory(&settings, &parts, &beliefs, &member, is_ready, &closing);
     serve_callers(&settings, &parts, &beliefs, gate, &closing, &open);
@@ -193,6 +198,10 @@
         }
     }
     stop(&settings, &member_tx, &closing_tx, &open).await;
+    ending_tx.send_replace(true);
+    if timeout(LEAVE_TIMEOUT, registration).await.is_err() {
+        warn!("The platform was not told in time that the instance is gone.");
+    }
     Ok(())
 }
 
@@ -213,7 +222,6 @@
         sleep(STOP_CHECK).await;
     }
     info!(connections = open.count(); "The instance stops.");
-    sleep(STOP_CHECK).await;
 }
 
 fn follow<S, P, T>(beliefs: &Arc<Beliefs>, parts: &Parts<S, P, T>)
--- a/lacewingspring_proxy/src/members.rs
+++ b/lacewingspring_proxy/src/members.rs
@@ -114,16 +114,18 @@
     pub member: watch::Receiver<Member>,
     /// Shortest lease of the service.
     pub min_lease: Duration,
+    /// Becomes true when the process is about to end.
+    pub ending: watch::Receiver<bool>,
 }
 
 impl<S> Registration<S>
 where
     S: Store,
 {
-    /// Registers this instance and renews its lease for ever.
+    /// Registers this instance and renews its lease until the process ends.
     pub async fn run(mut self) {
         let mut lease = None;
-        loop {
+        while !*self.ending.borrow() {
             let result = match lease {
                 None => self.register().await.map(|granted| lease = Some(granted)),
                 Some(granted) => self.renew(granted).await,
@@ -138,7 +140,11 @@
                     RETRY_PAUSE
                 }
             };
-            if let Ok(Ok(())) = timeout(pause, self.member.changed()).await
+            let is_changed = tokio::select! {
+                changed = timeout(pause, self.member.changed()) => matches!(changed, Ok(Ok(()))),
+                _ = self.ending.changed() => false,
+            };
+            if is_changed
                 && let Some(granted) = lease
                 && let Err(e) = self.write(granted).await
             {
@@ -146,6 +152,11 @@
                 self.member.mark_changed();
             }
         }
+        if let Some(granted) = lease
+            && let Err(e) = limited(self.store.end_lease(granted)).await
+        {
+            warn!(error:% = e; "The lease of this instance was not ended.");
+        }
     }
 
     async fn register(&mut self) -> Result<LeaseId, StoreError> {
