--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -8,15 +8,13 @@
     time::Duration,
 };
 
-use self::{
-    budget::RetryBudgets, crashers::Crashers, pool::Pool, quota::Quotas, returns::Returns,
-};
 pub use self::{
     budget::RetryBound,
     quota::{Quota, QuotaBounds, StoredUsage},
     upstream::UpstreamInfo,
     work::{Ask, Decision, End, Grant, PromptPart, Reason, Refusal, Ticket, Work},
 };
+use self::{budget::RetryBudgets, crashers::Crashers, pool::Pool, quota::Quotas, returns::Returns};
 use crate::names::{ServiceName, UpstreamName, WorkspaceName};
 
 mod budget;
@@ -139,7 +137,7 @@
 
     /// Returns what was given out of limits, for a later gate.
     pub fn usage(&mut self, now: Duration) -> Vec<StoredUsage> {
-        self.quotas.to_store(now)
+        self.quotas.given_out(now)
     }
 
     /// Sets the part of all slots and limits that may be used here, from 0 to 1.
@@ -246,11 +244,8 @@
                 self.crashers.broke(now, open.fingerprint);
             }
             End::Finished { .. } | End::Failed => self.crashers.ran(open.fingerprint),
-            End::Declined
-            | End::Unreachable
-            | End::Misdirected
-            | End::Leaving
-            | End::Cancelled => {}
+            End::Declined | End::Unreachable | End::Misdirected | End::Leaving | End::Cancelled => {
+            }
         }
         let Some(pool) = self.pools.get_mut(&open.service) else { return Vec::new() };
         let is_unsent = matches!(end, End::Unreachable | End::Misdirected | End::Leaving);
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -150,9 +150,9 @@
         let mut decisions = self.expire(now, part);
         loop {
             let heads = self.queue.heads();
-            let next = heads.into_iter().find_map(|waiting| {
-                Some((waiting.ticket, self.choose(now, part, &waiting.ask)?))
-            });
+            let next = heads
+                .into_iter()
+                .find_map(|waiting| Some((waiting.ticket, self.choose(now, part, &waiting.ask)?)));
             let Some((ticket, upstream)) = next else { return decisions };
             let Some(waiting) = self.queue.take(now, ticket) else { return decisions };
             decisions.extend(self.grant(now, &waiting, upstream));
--- a/lacewingspring_core/src/dispatch/queue.rs
+++ b/lacewingspring_core/src/dispatch/queue.rs
@@ -3,7 +3,11 @@
 //! Kinds of request share the service evenly under overload: next is the kind of which the
 //! smallest part was served on time. Requests that are late already yield to those that aren't.
 
-use std::{collections::{BTreeMap, VecDeque}, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use super::work::{Ask, Ticket};
 
--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -145,7 +145,7 @@
     }
 
     /// Returns what is to be stored for a later gate.
-    pub fn to_store(&mut self, now: Duration) -> Vec<StoredUsage> {
+    pub fn given_out(&mut self, now: Duration) -> Vec<StoredUsage> {
         let window = self.bounds.window;
         let mut stored = Vec::new();
         for (workspace, account) in &mut self.accounts {
--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -339,7 +339,8 @@
     assert_eq!(granted(&dispatcher.ask(now, ticket(0), ask("a"))).len(), 1);
     for number in 1..30 {
         let decisions = dispatcher.ask(now, ticket(number), ask("a"));
-        let reasons: Vec<_> = refused(&decisions).into_iter().map(|(_, reason, _)| reason).collect();
+        let reasons: Vec<_> =
+            refused(&decisions).into_iter().map(|(_, reason, _)| reason).collect();
         assert!(!reasons.contains(&Reason::Limit), "request {number}: {reasons:?}");
         dispatcher.end(now, ticket(number), End::Cancelled);
     }
--- a/lacewingspring_proxy/src/declared.rs
+++ b/lacewingspring_proxy/src/declared.rs
@@ -1,10 +1,6 @@
 //! What operators declare: routes, workspaces, services and limits.
 
-use std::{
-    collections::HashMap,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use lacewingspring_core::{
     dispatch::Quota,
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -155,8 +155,7 @@
         let body = body.map_err(|_| Failure::TimeOut)??;
         let service = admitted.route.choose().ok_or(Failure::NotFound)?.clone();
         let fingerprint = fingerprint(head, &admitted, &body);
-        let job =
-            Job { head, body, caller, admitted, service, fingerprint, began, until };
+        let job = Job { head, body, caller, admitted, service, fingerprint, began, until };
         self.drive(job).await
     }
 
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -10,9 +10,7 @@
 
 use futures_util::StreamExt;
 use lacewingspring_core::{
-    dispatch::{
-        Decision, Dispatcher, Limits, ServiceCounts, StoredUsage, Ticket, UpstreamInfo,
-    },
+    dispatch::{Decision, Dispatcher, Limits, ServiceCounts, StoredUsage, Ticket, UpstreamInfo},
     names::{InstanceName, ServiceName},
 };
 use log::{info, warn};
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -360,10 +360,7 @@
 }
 
 /// Refusal of a request whose link was dropped; only at the end of the process.
-const LOST: Refusal = Refusal {
-    reason: Reason::Overload,
-    retry_after: Duration::from_millis(500),
-};
+const LOST: Refusal = Refusal { reason: Reason::Overload, retry_after: Duration::from_millis(500) };
 
 impl Drop for Waiting {
     fn drop(&mut self) {
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -1,10 +1,6 @@
 //! Wires the parts of one instance and runs it until it is stopped.
 
-use std::{
-    io,
-    sync::Arc,
-    time::Duration,
-};
+use std::{io, sync::Arc, time::Duration};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use http::{Request, Response};
@@ -24,8 +20,8 @@
     directory::Directory,
     follow::Follow,
     forward::Forward,
-    leaving::Leaving,
     gate::{host::Host, ledger::Ledger, link::Gate},
+    leaving::Leaving,
     members::{MEMBERS_PREFIX, Member, Members, Registration, SharedMembers, draw_incarnation},
     mirror::Mirror,
     protocol::Protocol,
@@ -94,10 +90,7 @@
         let bounds = &self.settings.bounds;
         let quotas = declared.workspaces().map(|known| (known.name.clone(), known.quota));
         let limits = Limits {
-            quotas: QuotaBounds {
-                quotas: quotas.collect(),
-                window: bounds.quota_window(),
-            },
+            quotas: QuotaBounds { quotas: quotas.collect(), window: bounds.quota_window() },
             retries: bounds.retries(),
         };
         self.host.set_limits(limits);
@@ -288,7 +281,8 @@
             async move { response }
         };
         let limits = CallerLimits::default();
-        let limits = ConnectionLimits { head_bytes: limits.head_bytes, idle_time: limits.idle_time };
+        let limits =
+            ConnectionLimits { head_bytes: limits.head_bytes, idle_time: limits.idle_time };
         tokio::spawn(watched("directory", server.run(move || limits, handler)));
     }
 }
@@ -309,11 +303,8 @@
         leaving: beliefs.leaving.clone(),
         gate,
     });
-    let server = Server {
-        address: settings.listen.callers,
-        closing: closing.clone(),
-        open: open.clone(),
-    };
+    let server =
+        Server { address: settings.listen.callers, closing: closing.clone(), open: open.clone() };
     let beliefs = beliefs.clone();
     let limits = move || {
         let limits = beliefs.caller_limits();
