--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -28,6 +28,12 @@
 /// Multiple of the time to be on time that a request waits at most.
 const WAITING_AIMS: f64 = 1.5;
 
+/// Part of a request's time that its answer may be expected to take, as lengths are not known well.
+const WHOLE_PART: f64 = 0.5;
+
+/// Upstreams that are slower than the fastest by no more than this factor count as fast.
+const FASTEST_MARGIN: f64 = 1.2;
+
 /// Shortest time after which a refused caller is told to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(200);
 
@@ -166,14 +172,28 @@
 
     fn choose(&self, now: Duration, part: f64, ask: &Ask) -> Option<UpstreamName> {
         let memory = memory_tokens(&ask.work);
+        let longest_ms = self.longest_ms(now, ask);
         let servers = self.servers.values().filter(|server| {
-            is_allowed(server, ask) && server.has_room(now, slots(&server.info, part), memory)
+            is_allowed(server, ask)
+                && server.has_room(now, slots(&server.info, part), memory)
+                && server.whole_ms(now, &ask.work) <= longest_ms
         });
         let costs = servers.map(|server| (server.cost_ms(now, &ask.work), &server.info.name));
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)))?;
         Some(best.1.clone())
     }
 
+    /// Returns how long an answer may take, so that it comes to its end in time.
+    ///
+    /// An answer that is cut at its end has taken a slot for nothing. Where all upstreams are too
+    /// slow, the fastest may try.
+    fn longest_ms(&self, now: Duration, ask: &Ask) -> f64 {
+        let usable = self.servers.values().filter(|server| server.is_usable(now));
+        let fastest = usable.map(|server| server.whole_ms(now, &ask.work)).min_by(f64::total_cmp);
+        let longest = ask.time_left.as_secs_f64() * 1_000.0 * WHOLE_PART;
+        longest.max(fastest.unwrap_or_default() * FASTEST_MARGIN)
+    }
+
     fn grant(
         &mut self,
         now: Duration,
--- a/lacewingspring_core/src/dispatch/server.rs
+++ b/lacewingspring_core/src/dispatch/server.rs
@@ -140,6 +140,17 @@
         }
     }
 
+    /// Returns milliseconds until the end of a request's answer.
+    pub fn whole_ms(&self, now: Duration, work: &Work) -> f64 {
+        let rest = match work {
+            Work::Plain => 0.0,
+            Work::Generation { output_tokens, .. } => {
+                f64::from(*output_tokens) * self.speed.decode_ms
+            }
+        };
+        self.first_ms(now, work) + rest
+    }
+
     /// Returns the cost of a request here, in milliseconds; the lowest is chosen.
     pub fn cost_ms(&self, now: Duration, work: &Work) -> f64 {
         let busy = f64::from(self.running) / f64::from(self.info.slots.max(1));
--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -208,6 +208,33 @@
     assert_eq!(granted(&decisions), [(100, "fast")]);
 }
 
+#[test]
+fn keeps_a_long_answer_from_an_upstream_that_can_not_end_it_in_time() {
+    let mut dispatcher = dispatcher(&[upstream("fast", 1), upstream("slow", 1)]);
+    for number in 0..40 {
+        let now = ms(number * 1_000);
+        let decisions = dispatcher.ask(now, ticket(number), ask("a"));
+        let (_, name) = granted(&decisions)[0];
+        let took = if name == "fast" { 150 } else { 800 };
+        let other = Ticket { link: 2, number };
+        let decisions = dispatcher.ask(now, other, ask("a"));
+        let second = if granted(&decisions)[0].1 == "fast" { 150 } else { 800 };
+        dispatcher.end(now, ticket(number), finished(took, 50));
+        dispatcher.end(now, other, finished(second, 50));
+    }
+    let now = Duration::from_secs(60);
+    assert_eq!(granted(&dispatcher.ask(now, ticket(100), ask("a")))[0].1, "fast");
+    // A thousand tokens take 3 s at the fast one and 16 s at the slow one.
+    let mut long = ask("b");
+    long.work = Work::Generation { prompt_tokens: 100, output_tokens: 1_000, parts: Vec::new() };
+    long.aim_left = ms(800);
+    assert_eq!(dispatcher.ask(now, ticket(101), long), [], "it waits for the fast one");
+    let decisions = dispatcher.ask(now, ticket(102), ask("a"));
+    assert_eq!(granted(&decisions), [(102, "slow")], "a short one goes ahead");
+    let decisions = dispatcher.end(now + ms(150), ticket(100), finished(150, 50));
+    assert_eq!(granted(&decisions), [(101, "fast")]);
+}
+
 #[test]
 fn leaves_an_unreachable_upstream_alone_for_a_while() {
     let mut dispatcher = dispatcher(&[upstream("a", 1), upstream("b", 1)]);
