--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -135,6 +135,11 @@
         self.quotas.learn(now, age, usage);
     }
 
+    /// Returns whether so much was given out of a limit that it is to be told at once.
+    pub fn must_tell_usage(&self) -> bool {
+        self.quotas.must_tell()
+    }
+
     /// Returns what was given out of limits, for a later gate.
     pub fn usage(&mut self, now: Duration) -> Vec<StoredUsage> {
         self.quotas.given_out(now)
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -23,7 +23,7 @@
 const WAITING_PART: f64 = 0.6;
 
 /// As [`WAITING_PART`], for a request that comes back late.
-const LATE_WAITING_PART: f64 = 0.25;
+const LATE_WAITING_PART: f64 = 0.1;
 
 /// Multiple of the time to be on time that a request waits at most.
 const WAITING_AIMS: f64 = 1.5;
@@ -34,6 +34,16 @@
 /// Upstreams that are slower than the fastest by no more than this factor count as fast.
 const FASTEST_MARGIN: f64 = 1.2;
 
+/// Part of the expected wait that is added as a margin.
+const WAIT_MARGIN: f64 = 1.3;
+
+/// Time that an overload lasts at least; a caller that comes back sooner is refused again.
+const SHORTEST_OVERLOAD: Duration = Duration::from_secs(3);
+
+/// Slots of an upstream for which one request more is sent, so that none is free while the next
+/// request is on its way.
+const SLOTS_A_SPARE: u32 = 8;
+
 /// Shortest time after which a refused caller is told to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(200);
 
@@ -132,7 +142,7 @@
             return (wait > longest_wait(ask)).then_some(wait);
         }
         let wait = wait_for(self.queue.timely_len());
-        (wait + first > ask.aim_left).then(|| wait_for(self.queue.len()))
+        (wait.mul_f64(WAIT_MARGIN) + first > ask.aim_left).then(|| wait_for(self.queue.len()))
     }
 
     /// Refuses a request and finds a time for its return.
@@ -140,7 +150,8 @@
     /// Each refused caller is given a time of its own, as far apart as slots become free.
     fn give_up(&mut self, now: Duration, part: f64, wait: Duration, waiting: &Waiting) -> Decision {
         let slots = f64::from(self.slots(part).max(1));
-        self.return_at = self.return_at.max(now + wait) + self.hold.div_f64(slots);
+        let soonest = now + wait.max(SHORTEST_OVERLOAD);
+        self.return_at = self.return_at.max(soonest) + self.hold.div_f64(slots);
         let wait = self.return_at.saturating_sub(now);
         refuse(waiting.ticket, Reason::Overload, wait, &waiting.ask)
     }
@@ -288,9 +299,10 @@
     ask.aim_left.mul_f64(WAITING_AIMS).min(first_left.mul_f64(WAITING_PART))
 }
 
-/// Slots of an upstream that this gate may fill.
+/// Requests that this gate may send to an upstream at once.
 fn slots(info: &UpstreamInfo, part: f64) -> u32 {
-    ((f64::from(info.slots) * part).floor() as u32).max(1)
+    let sent = info.slots + info.slots / SLOTS_A_SPARE;
+    ((f64::from(sent) * part).floor() as u32).max(1)
 }
 
 fn memory_tokens(work: &Work) -> u64 {
--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -16,6 +16,9 @@
 /// Time in which a new gate learns what was given out before.
 const LEARNING: Duration = Duration::from_secs(2);
 
+/// Part of a window's limit that is given out at most before it is told and stored.
+const UNTOLD_PART: f64 = 1.0 / 16.0;
+
 /// Length of the steps in which usage is stored.
 const STEP: Duration = Duration::from_millis(250);
 
@@ -54,34 +57,39 @@
     units: f64,
 }
 
-/// What the requests of one workspace took, in order of time.
+/// What the requests of one workspace took.
 #[derive(Debug, Default)]
-struct Account(VecDeque<Taken>);
+struct Account {
+    /// In order of time.
+    taken: VecDeque<Taken>,
+    /// Units that were given out and not yet told.
+    untold: f64,
+}
 
 impl Account {
     fn forget(&mut self, now: Duration, window: Duration) {
-        while self.0.front().is_some_and(|taken| taken.at + window <= now) {
-            self.0.pop_front();
+        while self.taken.front().is_some_and(|taken| taken.at + window <= now) {
+            self.taken.pop_front();
         }
     }
 
     fn sum(&self) -> f64 {
-        self.0.iter().map(|taken| taken.units).sum()
+        self.taken.iter().map(|taken| taken.units).sum()
     }
 
     fn insert(&mut self, taken: Taken) {
-        let place = self.0.partition_point(|other| other.at <= taken.at);
-        self.0.insert(place, taken);
+        let place = self.taken.partition_point(|other| other.at <= taken.at);
+        self.taken.insert(place, taken);
     }
 
     /// Takes what was told, if it is more than what was told before.
     fn learn(&mut self, told: Vec<Taken>) {
         let sum = |taken: &Taken| taken.units;
-        let before = self.0.iter().filter(|taken| taken.ticket.is_none()).map(sum).sum::<f64>();
+        let before = self.taken.iter().filter(|taken| taken.ticket.is_none()).map(sum).sum::<f64>();
         if told.iter().map(sum).sum::<f64>() <= before {
             return;
         }
-        self.0.retain(|taken| taken.ticket.is_some());
+        self.taken.retain(|taken| taken.ticket.is_some());
         for taken in told {
             self.insert(taken);
         }
@@ -90,7 +98,7 @@
     /// Returns the time until units were forgotten so that the sum is at most `room`.
     fn wait(&self, now: Duration, window: Duration, room: f64) -> Duration {
         let mut sum = self.sum();
-        for taken in &self.0 {
+        for taken in &self.taken {
             sum -= taken.units;
             if sum <= room {
                 return (taken.at + window).saturating_sub(now);
@@ -135,12 +143,18 @@
         }
         self.known_since = now.saturating_sub(self.bounds.window + age);
         for StoredUsage { workspace, steps } in stored {
+            // What was not told before the end of the earlier gate is taken to have been used.
+            let untold = self.window_limit(workspace) * UNTOLD_PART;
+            let untold = Taken { at: now, ticket: None, units: untold };
             let told = steps.iter().map(|(ago, units)| Taken {
                 at: now.saturating_sub(age + Duration::from_millis(*ago)),
                 ticket: None,
                 units: *units as f64,
             });
-            self.accounts.entry(workspace.clone()).or_default().learn(told.collect());
+            self.accounts
+                .entry(workspace.clone())
+                .or_default()
+                .learn(told.chain([untold]).collect());
         }
     }
 
@@ -150,8 +164,9 @@
         let mut stored = Vec::new();
         for (workspace, account) in &mut self.accounts {
             account.forget(now, window);
+            account.untold = 0.0;
             let mut steps: Vec<(u64, u64)> = Vec::new();
-            for taken in &account.0 {
+            for taken in &account.taken {
                 let ago = now.saturating_sub(taken.at).as_millis() as u64;
                 let units = taken.units as u64;
                 match steps.last_mut() {
@@ -167,6 +182,19 @@
         stored
     }
 
+    /// Returns whether so much was given out that it is to be told at once.
+    pub fn must_tell(&self) -> bool {
+        self.accounts.iter().any(|(workspace, account)| {
+            account.untold > self.window_limit(workspace) * UNTOLD_PART / 2.0
+        })
+    }
+
+    /// Returns the units that a workspace may take in a whole window; none without a limit.
+    fn window_limit(&self, workspace: &WorkspaceName) -> f64 {
+        let Some(quota) = self.bounds.quotas.get(workspace) else { return 0.0 };
+        quota.rate.map_or(0.0, |rate| rate * self.bounds.window.as_secs_f64() + quota.burst)
+    }
+
     /// Takes the units of a request; the error is the time until there are enough.
     pub fn take(&mut self, now: Duration, part: f64, charge: &Charge) -> Result<(), Duration> {
         let window = self.bounds.window;
@@ -184,15 +212,16 @@
         }
         let taken = Taken { at: now, ticket: Some(charge.ticket), units: charge.units as f64 };
         account.insert(taken);
+        account.untold += charge.units as f64;
         Ok(())
     }
 
     /// Gives back the units of a request that was not sent.
     pub fn give_back(&mut self, charge: &Charge) {
         let Some(account) = self.accounts.get_mut(&charge.workspace) else { return };
-        let place = account.0.iter().position(|taken| taken.ticket == Some(charge.ticket));
+        let place = account.taken.iter().position(|taken| taken.ticket == Some(charge.ticket));
         if let Some(place) = place {
-            account.0.remove(place);
+            account.taken.remove(place);
         }
     }
 }
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -166,6 +166,11 @@
         self.state().dispatcher.learn_usage(now, Duration::ZERO, usage);
     }
 
+    /// Returns whether so much was given out of a limit that it is to be told at once.
+    pub fn must_tell_usage(&self) -> bool {
+        self.state().dispatcher.must_tell_usage()
+    }
+
     /// Returns what was given out of limits, and tells it to all instances.
     pub fn tell_usage(&self, now: Duration) -> Vec<StoredUsage> {
         let mut state = self.state();
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -19,7 +19,7 @@
 /// Time between writes.
 const INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Time between looks whether this instance decides for the fleet.
+/// Time between looks whether this instance decides for the fleet and how much it gave out.
 const CHECK: Duration = Duration::from_millis(100);
 
 /// Time that one call may take.
@@ -47,7 +47,7 @@
             self.take_over().await;
             let mut written = Vec::new();
             while self.host.is_main() {
-                sleep(INTERVAL).await;
+                self.next_write().await;
                 let usage = self.host.tell_usage(clock::now());
                 if usage != written {
                     match self.write(&usage).await {
@@ -59,6 +59,14 @@
         }
     }
 
+    /// Waits until the usage is to be written: regularly, and at once when much was given out.
+    async fn next_write(&self) {
+        let until = clock::now() + INTERVAL;
+        while clock::now() < until && !self.host.must_tell_usage() {
+            sleep(CHECK).await;
+        }
+    }
+
     async fn take_over(&self) {
         while self.host.is_main() {
             match self.read().await {
