--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -205,18 +205,18 @@
         ask: &Ask,
     ) -> Result<Option<Charge>, Refusal> {
         if self.crashers.is_held(now, ask.fingerprint) {
-            return Err(Refusal { reason: Reason::Crashes, retry_after: HELD_RETRY });
+            return Err(Refusal::new(Reason::Crashes, HELD_RETRY));
         }
         if ask.sends > 0 {
             let is_allowed = self.retries.take(now, self.part, &ask.service);
-            let refusal = Refusal { reason: Reason::RetryBudget, retry_after: ask.time_left / 3 };
+            let refusal = Refusal::new(Reason::RetryBudget, ask.time_left / 3);
             return if is_allowed { Ok(None) } else { Err(refusal) };
         }
         self.retries.count_fresh(now, &ask.service);
         let Some(workspace) = &ask.workspace else { return Ok(None) };
         let charge = Charge { ticket, workspace: workspace.clone(), units: ask.charge };
         let taken = self.quotas.take(now, self.quota_part(), &charge);
-        taken.map_err(|retry_after| Refusal { reason: Reason::Limit, retry_after })?;
+        taken.map_err(|retry_after| Refusal::new(Reason::Limit, retry_after))?;
         Ok(Some(charge))
     }
 
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -109,7 +109,9 @@
             self.queue.count_asked(now, &ask.class, ask.rank);
         }
         if !self.servers.values().any(|server| is_allowed(server, &ask)) {
-            return vec![refuse(ticket, Reason::NoUpstream, NO_UPSTREAM_RETRY, &ask)];
+            let retry_after = return_in(NO_UPSTREAM_RETRY, &ask);
+            let refusal = Refusal::new(Reason::NoUpstream, retry_after);
+            return vec![Decision::Refused(ticket, refusal)];
         }
         let first_ms = self.expected_first_ms(now, &ask.work) * FIRST_MARGIN;
         let first = Duration::from_secs_f64(first_ms / 1_000.0);
@@ -152,8 +154,14 @@
         let slots = f64::from(self.slots(part).max(1));
         let soonest = now + wait.max(SHORTEST_OVERLOAD);
         self.return_at = self.return_at.max(soonest) + self.hold.div_f64(slots);
-        let wait = self.return_at.saturating_sub(now);
-        refuse(waiting.ticket, Reason::Overload, wait, &waiting.ask)
+        let retry_after = return_in(self.return_at.saturating_sub(now), &waiting.ask);
+        let refusal = Refusal {
+            reason: Reason::Overload,
+            retry_after,
+            waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            expected_wait: wait,
+        };
+        Decision::Refused(waiting.ticket, refusal)
     }
 
     fn expected_first_ms(&self, now: Duration, work: &Work) -> f64 {
@@ -314,7 +322,7 @@
     }
 }
 
-fn refuse(ticket: Ticket, reason: Reason, wait: Duration, ask: &Ask) -> Decision {
-    let retry_after = wait.max(SHORTEST_RETRY).min(ask.time_left / 3);
-    Decision::Refused(ticket, Refusal { reason, retry_after })
+/// Returns when a caller is to come back, within what it can wait.
+fn return_in(wait: Duration, ask: &Ask) -> Duration {
+    wait.max(SHORTEST_RETRY).min(ask.time_left / 3)
 }
--- a/lacewingspring_core/src/dispatch/server.rs
+++ b/lacewingspring_core/src/dispatch/server.rs
@@ -16,6 +16,9 @@
 /// Weight of a new sample in the share of failed requests.
 const FAILURE_WEIGHT: f64 = 0.1;
 
+/// Time in which the share of failed requests falls to a third without a request.
+const FAILURE_MEMORY: Duration = Duration::from_secs(8);
+
 /// Time for which an upstream that could not be reached is left alone at first.
 const FIRST_DOWN: Duration = Duration::from_millis(250);
 
@@ -83,6 +86,7 @@
     /// Learned speeds.
     pub speed: Speed,
     failures: f64,
+    failed_at: Duration,
     down_until: Duration,
     down_for: Duration,
     cached: HashMap<u64, Duration>,
@@ -99,6 +103,7 @@
             memory: 0,
             speed,
             failures: 0.0,
+            failed_at: Duration::ZERO,
             down_until: Duration::ZERO,
             down_for: FIRST_DOWN,
             cached: HashMap::new(),
@@ -160,7 +165,13 @@
                 f64::from(*output_tokens) * self.speed.decode_ms * (1.0 + busy / 2.0)
             }
         };
-        self.first_ms(now, work) + rest + self.failures * FAILURE_COST_MS
+        self.first_ms(now, work) + rest + self.failures(now) * FAILURE_COST_MS
+    }
+
+    /// Returns the share of requests that failed lately.
+    fn failures(&self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.failed_at).as_secs_f64();
+        self.failures * (-passed / FAILURE_MEMORY.as_secs_f64()).exp()
     }
 
     /// Starts a run.
@@ -218,7 +229,8 @@
         match end {
             End::Finished { took, output_tokens, decode } => {
                 self.down_for = FIRST_DOWN;
-                self.failures -= self.failures * FAILURE_WEIGHT;
+                self.failures = self.failures(now) * (1.0 - FAILURE_WEIGHT);
+                self.failed_at = now;
                 if output_tokens >= DECODE_SAMPLE_TOKENS {
                     let sample = millis(decode) / f64::from(output_tokens);
                     learn(&mut self.speed.decode_ms, sample);
@@ -227,7 +239,11 @@
                     learn(&mut self.speed.plain_ms, millis(took));
                 }
             }
-            End::Failed | End::Broken => self.failures += (1.0 - self.failures) * FAILURE_WEIGHT,
+            End::Failed | End::Broken => {
+                let failures = self.failures(now);
+                self.failures = failures + (1.0 - failures) * FAILURE_WEIGHT;
+                self.failed_at = now;
+            }
             End::Declined => self.down_until = self.down_until.max(now + FULL_PAUSE),
             End::Unreachable | End::Misdirected => self.leave_alone(now),
             End::Leaving => self.info.draining = true,
--- a/lacewingspring_core/src/dispatch/work.rs
+++ b/lacewingspring_core/src/dispatch/work.rs
@@ -95,6 +95,17 @@
     pub reason: Reason,
     /// Time after which it is worth to come back.
     pub retry_after: Duration,
+    /// Requests that waited for the service.
+    pub waiting: u32,
+    /// Wait that was expected.
+    pub expected_wait: Duration,
+}
+
+impl Refusal {
+    /// Creates a refusal that no queue led to.
+    pub fn new(reason: Reason, retry_after: Duration) -> Self {
+        Self { reason, retry_after, waiting: 0, expected_wait: Duration::ZERO }
+    }
 }
 
 /// Names one ask: the instance's link and the number of the ask on it.
--- a/lacewingspring_proxy/src/admission.rs
+++ b/lacewingspring_proxy/src/admission.rs
@@ -31,6 +31,8 @@
     pub charge: u64,
     /// Urgency; 0 is the most urgent.
     pub rank: u8,
+    /// Largest body in bytes.
+    pub body_bytes: usize,
 }
 
 /// Finds the route and the workspace of a request.
@@ -51,6 +53,7 @@
         version: declared.version,
         time: patience.min(route.timeout),
         rank,
+        body_bytes: declared.limits.body_bytes,
     })
 }
 
--- a/lacewingspring_proxy/src/answer.rs
+++ b/lacewingspring_proxy/src/answer.rs
@@ -10,7 +10,6 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use lacewingspring_core::dispatch::End;
-use log::info;
 use thiserror::Error;
 use tokio::time::{Instant, Sleep, sleep_until};
 
@@ -49,6 +48,7 @@
     first_at: Option<Duration>,
     events: u32,
     tokens_an_event: u32,
+    status: u16,
     _connection: Connection,
 }
 
@@ -56,6 +56,7 @@
     /// Creates the body of an answer that must end by `until`.
     pub fn new(answer: Answer, sent: Sent, until: Instant, tokens_an_event: u32) -> Self {
         Self {
+            status: answer.head.status.as_u16(),
             body: answer.body,
             until: Box::pin(sleep_until(until)),
             sent: Some(sent),
@@ -81,19 +82,12 @@
         let Some(sent) = self.sent.take() else { return };
         let decode = now.saturating_sub(self.first_at.unwrap_or(now));
         let output_tokens = self.events.saturating_sub(1) * self.tokens_an_event;
-        sent.finish(now, output_tokens, decode);
+        sent.finish(now, self.status, output_tokens, decode);
     }
 
     fn fail(&mut self, now: Duration, end: End, reason: &str) {
         let Some(sent) = self.sent.take() else { return };
-        info!(
-            id = sent.id(),
-            upstream = sent.upstream(),
-            reason,
-            events = self.events;
-            "The answer breaks off."
-        );
-        sent.end(now, end);
+        sent.break_off(now, end, reason, self.events);
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
--- /dev/null
+++ b/lacewingspring_proxy/src/counted.rs
@@ -0,0 +1,67 @@
+//! Counts the calls to the key-value service.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+
+use crate::{
+    clock,
+    metrics::SharedMetrics,
+    store::{Batch, LeaseId, Page, Store, StoreError},
+};
+
+/// A key-value service whose calls are counted by purpose.
+#[derive(Debug)]
+pub struct CountedStore<S> {
+    /// The service.
+    pub inner: Arc<S>,
+    /// Where calls are counted.
+    pub metrics: SharedMetrics,
+}
+
+impl<S> CountedStore<S>
+where
+    S: Store,
+{
+    async fn count<T, F>(&self, purpose: &'static str, call: F) -> Result<T, StoreError>
+    where
+        T: Send,
+        F: Future<Output = Result<T, StoreError>> + Send,
+    {
+        self.metrics.store_call(purpose);
+        let result = call.await;
+        if result.is_ok() {
+            self.metrics.store_reached(clock::now());
+        }
+        result
+    }
+}
+
+impl<S> Store for CountedStore<S>
+where
+    S: Store,
+{
+    async fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
+        self.count("read", self.inner.range(prefix, after)).await
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Batch, StoreError> {
+        self.count("watch", self.inner.watch(prefix, after, wait)).await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.count("grant_lease", self.inner.grant_lease(ttl)).await
+    }
+
+    async fn keep_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.count("keep_lease", self.inner.keep_lease(lease)).await
+    }
+
+    async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.count("end_lease", self.inner.end_lease(lease)).await
+    }
+
+    async fn put(&self, key: &str, value: Bytes, lease: Option<LeaseId>) -> Result<(), StoreError> {
+        self.count("write", self.inner.put(key, value, lease)).await
+    }
+}
--- a/lacewingspring_proxy/src/declared.rs
+++ b/lacewingspring_proxy/src/declared.rs
@@ -127,6 +127,8 @@
     pub name: ServiceName,
     /// Tokens that fit in an engine's memory; none for plain services.
     pub memory_tokens: Option<u64>,
+    /// Output tokens in each event of a stream.
+    pub tokens_an_event: u32,
 }
 
 /// Bounds on what callers send.
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -15,8 +15,8 @@
     dispatch::{Ask, End, Refusal},
     names::{ServiceName, UpstreamName},
 };
-use log::{debug, info};
-use tokio::time::{Instant, timeout_at};
+use log::info;
+use tokio::time::timeout_at;
 
 use crate::{
     admission::{Admitted, admit},
@@ -26,16 +26,15 @@
     exchange::{self, Answer, ExchangeError},
     gate::link::{Gate, Slot},
     leaving::Leaving,
+    metrics::SharedMetrics,
     protocol::{CallerHead, Protocol, SendHead},
     refusal::{Denial, Failure},
+    track::Track,
 };
 
 /// Largest answer that is read whole before it is passed on, in bytes.
 const WHOLE_ANSWER_LEN: u64 = 64 * 1024;
 
-/// Tokens that an event of a stream holds when nothing is declared.
-const TOKENS_AN_EVENT: u32 = 5;
-
 /// Time that a request needs on its way back to the caller.
 const WAY_BACK: Duration = Duration::from_millis(4);
 
@@ -52,43 +51,46 @@
     pub leaving: Arc<Leaving>,
     /// The gate.
     pub gate: Arc<Gate>,
+    /// Metrics of this instance.
+    pub metrics: SharedMetrics,
 }
 
 /// A request that was sent to an upstream and holds its slot there.
 #[derive(Debug)]
 pub struct Sent {
     slot: Slot,
-    id: Arc<str>,
+    track: Arc<Track>,
     at: Duration,
 }
 
 impl Sent {
-    /// Returns the identity of the request.
-    pub fn id(&self) -> &str {
-        &self.id
-    }
-
-    /// Returns the name of the upstream.
-    pub fn upstream(&self) -> &str {
+    fn upstream(&self) -> &str {
         self.slot.grant().upstream.as_str()
     }
 
     /// Notes the first event of the answer.
     pub fn first_output(&self, now: Duration) {
+        self.track.first_output(now);
         self.slot.first_output(now.saturating_sub(self.at));
     }
 
     /// Ends it with a whole answer.
-    pub fn finish(self, now: Duration, output_tokens: u32, decode: Duration) {
+    pub fn finish(self, now: Duration, status: u16, output_tokens: u32, decode: Duration) {
         let took = now.saturating_sub(self.at);
-        self.end(now, End::Finished { took, output_tokens, decode });
+        self.track.answered(now, status, self.upstream());
+        self.slot.end(End::Finished { took, output_tokens, decode });
+    }
+
+    /// Ends it in the middle of its answer.
+    pub fn break_off(self, now: Duration, end: End, reason: &str, events: u32) {
+        self.track.broke_off(now, self.upstream(), reason, events);
+        self.slot.end(end);
     }
 
-    /// Ends it.
-    pub fn end(self, now: Duration, end: End) {
-        let took_ms = now.saturating_sub(self.at).as_millis() as u64;
-        let upstream = self.upstream();
-        debug!(id = self.id(), upstream, took_ms, end:? = end; "The upstream is done.");
+    /// Ends it without an answer for the caller.
+    fn fail(self, now: Duration, end: End, reason: &str) {
+        let may_have_run = !matches!(end, End::Declined | End::Misdirected | End::Unreachable);
+        self.track.send_failed(now, self.upstream(), reason, may_have_run);
         self.slot.end(end);
     }
 }
@@ -99,12 +101,28 @@
     body: Bytes,
     caller: CallerHead,
     admitted: Admitted,
+    track: Arc<Track>,
     service: ServiceName,
     fingerprint: u64,
     began: Duration,
     until: Duration,
 }
 
+/// What was tried for a request so far.
+#[derive(Default)]
+struct Tries {
+    /// Upstreams that it was granted.
+    avoid: Vec<UpstreamName>,
+    /// Sends that count.
+    sends: u32,
+    /// Upstreams that could not be reached.
+    unreached: u32,
+    /// Whether it may have run.
+    may_have_run: bool,
+    /// An upstream's answer that tells a failure.
+    kept: Option<(Response<AnswerBody>, UpstreamName)>,
+}
+
 /// What a send came to.
 enum Outcome {
     /// An answer for the caller.
@@ -113,6 +131,8 @@
     NotRun(Failure),
     /// Something may have run, and what there is for the caller.
     MayHaveRun(Option<Response<AnswerBody>>),
+    /// The time of the request is over.
+    TimeOut,
 }
 
 impl<P> Forward<P>
@@ -123,21 +143,40 @@
     pub async fn serve(&self, began: Duration, req: Request<Incoming>) -> Response<AnswerBody> {
         let (head, body) = req.into_parts();
         let caller = self.protocol.caller_head(&head.headers);
-        let id = caller.id.clone();
-        match self.run(began, &head, body, caller).await {
-            Ok(response) => response,
-            Err(denial) => {
-                let row = denial.failure.row();
-                let took_ms = clock::now().saturating_sub(began).as_millis() as u64;
-                let retry_ms = denial.retry_after.map_or(0, |wait| wait.as_millis() as u64);
-                info!(
-                    id = &*id, reason = row.name, status = row.status.as_u16(),
-                    not_run = row.is_not_run, took_ms, retry_ms;
-                    "The request is refused."
-                );
-                denial.into_response().map(|body| AnswerBody::Whole(Full::new(body)))
-            }
-        }
+        let admitted = match self.admit(&head, &caller) {
+            Ok(admitted) => admitted,
+            Err(failure) => return self.deny_stranger(began, &caller, failure),
+        };
+        let track = Arc::new(Track::new(began, &caller, &admitted, self.metrics.clone()));
+        let served = self.run(began, &head, body, caller, admitted, track.clone()).await;
+        served.unwrap_or_else(|denial| {
+            track.refused(clock::now(), &denial);
+            whole(denial.into_response())
+        })
+    }
+
+    fn admit(&self, head: &Parts, caller: &CallerHead) -> Result<Admitted, Failure> {
+        let declared = self.declared.load_full().ok_or(Failure::NotConfigured)?;
+        admit(&declared, head, caller)
+    }
+
+    /// Refuses a request that belongs to no route or workspace.
+    fn deny_stranger(
+        &self,
+        began: Duration,
+        caller: &CallerHead,
+        failure: Failure,
+    ) -> Response<AnswerBody> {
+        let row = failure.row();
+        self.metrics.refused(row.name);
+        let took_ms = clock::now().saturating_sub(began).as_millis() as u64;
+        let version = self.declared.load().as_ref().map_or(0, |declared| declared.version);
+        info!(
+            id = &*caller.id, reason = row.name, status = row.status.as_u16(), version,
+            not_run = row.is_not_run, took_ms;
+            "The request is not admitted."
+        );
+        whole(Denial::from(failure).into_response())
     }
 
     async fn run(
@@ -146,109 +185,91 @@
         head: &Parts,
         body: Incoming,
         caller: CallerHead,
+        admitted: Admitted,
+        track: Arc<Track>,
     ) -> Result<Response<AnswerBody>, Denial> {
-        let declared = self.declared.load_full().ok_or(Failure::NotConfigured)?;
-        let admitted = admit(&declared, head, &caller)?;
         let until = began + admitted.time;
-        let limit = declared.limits.body_bytes;
-        let body = timeout_at(instant(until), read(body, limit)).await;
+        let body = timeout_at(clock::instant(until), read(body, admitted.body_bytes)).await;
         let body = body.map_err(|_| Failure::TimeOut)??;
         let service = admitted.route.choose().ok_or(Failure::NotFound)?.clone();
         let fingerprint = fingerprint(head, &admitted, &body);
-        let job = Job { head, body, caller, admitted, service, fingerprint, began, until };
+        let job = Job { head, body, caller, admitted, track, service, fingerprint, began, until };
         self.drive(job).await
     }
 
     /// Sends a request until it has an answer or may be sent no more.
     async fn drive(&self, job: Job<'_>) -> Result<Response<AnswerBody>, Denial> {
-        let mut avoid = Vec::new();
-        let mut sends = 0;
-        let mut unreached = 0;
-        let mut kept: Option<Response<AnswerBody>> = None;
-        let mut may_have_run = false;
+        let mut tries = Tries::default();
+        let max_sends = job.admitted.route.max_sends;
+        let is_repeatable = job.admitted.route.kind.is_repeatable();
         loop {
-            let slot = self.slot(&job, sends, &avoid).await;
-            let slot = match slot {
+            let slot = match self.slot(&job, &tries).await {
                 Ok(slot) => slot,
-                Err(denial) => return last(kept, may_have_run, denial),
+                Err(denial) => return job.last(tries, denial),
             };
             let upstream = slot.grant().upstream.clone();
-            avoid.push(upstream);
+            tries.avoid.push(upstream.clone());
             match self.send(&job, slot).await {
                 Outcome::Answered(response) => return Ok(response),
-                Outcome::NotRun(Failure::Unreachable) if unreached < MOST_UNREACHED => {
-                    unreached += 1;
+                Outcome::TimeOut => return Err(Failure::TimeOutSent.into()),
+                Outcome::NotRun(Failure::Unreachable) if tries.unreached < MOST_UNREACHED => {
+                    tries.unreached += 1;
                 }
                 Outcome::NotRun(failure) => {
-                    sends += 1;
-                    if sends >= job.admitted.route.max_sends {
-                        return last(kept, may_have_run, retry_soon(failure));
+                    tries.sends += 1;
+                    if tries.sends >= max_sends {
+                        return job.last(tries, retry_soon(failure));
                     }
                 }
                 Outcome::MayHaveRun(response) => {
-                    sends += 1;
-                    may_have_run = true;
-                    kept = response.or(kept);
-                    let is_repeatable = job.admitted.route.kind.is_repeatable();
-                    if !is_repeatable || sends >= job.admitted.route.max_sends {
-                        return last(kept, may_have_run, Failure::AnswerLost.into());
+                    tries.sends += 1;
+                    tries.may_have_run = true;
+                    tries.kept = response.map(|response| (response, upstream)).or(tries.kept);
+                    if !is_repeatable || tries.sends >= max_sends {
+                        return job.last(tries, Failure::AnswerLost.into());
                     }
                 }
             }
         }
     }
 
-    async fn slot(
-        &self,
-        job: &Job<'_>,
-        sends: u32,
-        avoid: &[UpstreamName],
-    ) -> Result<Slot, Denial> {
+    async fn slot(&self, job: &Job<'_>, tries: &Tries) -> Result<Slot, Denial> {
         let now = clock::now();
-        let ask = job.ask(now, sends, avoid);
+        let ask = job.ask(now, tries);
         let waiting = self.gate.ask(now, ask);
-        let decided = timeout_at(instant(job.until), waiting.decided()).await;
+        let decided = timeout_at(clock::instant(job.until), waiting.decided()).await;
         let decided: Result<Slot, Refusal> = decided.map_err(|_| Failure::TimeOut)?;
         let slot = decided?;
-        let waited_ms = clock::now().saturating_sub(now).as_millis() as u64;
-        info!(
-            id = &*job.caller.id, route = &*job.admitted.route.name, sends, waited_ms,
-            version = job.admitted.version, upstream = slot.grant().upstream.as_str();
-            "The request is placed."
-        );
+        job.track.placed(clock::now(), tries.sends, slot.grant());
         Ok(slot)
     }
 
     async fn send(&self, job: &Job<'_>, slot: Slot) -> Outcome {
         if self.leaving.contains(&slot.grant().upstream) {
-            info!(
-                id = &*job.caller.id, upstream = slot.grant().upstream.as_str();
-                "The gate does not know that the upstream leaves."
-            );
+            let upstream = slot.grant().upstream.as_str();
+            job.track.send_failed(clock::now(), upstream, "leaving", false);
             slot.end(End::Leaving);
             return Outcome::NotRun(Failure::Unreachable);
         }
-        let sent = Sent { slot, id: job.caller.id.clone(), at: clock::now() };
-        let exchange = timeout_at(instant(job.until), self.exchange(job, &sent)).await;
+        let sent = Sent { slot, track: job.track.clone(), at: clock::now() };
+        let exchange = timeout_at(clock::instant(job.until), self.exchange(job, &sent)).await;
         let now = clock::now();
         match exchange {
             Ok(Ok(answer)) => self.take(job, sent, answer).await,
             Ok(Err(e)) => {
+                job.track.exchange_failed(now, sent.upstream(), &e);
                 let (end, outcome) = match &e {
                     ExchangeError::Unreachable(_) => {
                         (End::Unreachable, Outcome::NotRun(Failure::Unreachable))
                     }
                     ExchangeError::Broken(_) => (End::Broken, Outcome::MayHaveRun(None)),
                 };
-                info!(id = sent.id(), upstream = sent.upstream(), error:% = e; "A send failed.");
-                sent.end(now, end);
+                sent.slot.end(end);
                 outcome
             }
             Err(_) => {
-                sent.end(now, End::Cancelled);
-                let denial = Denial::from(Failure::TimeOutSent).into_response();
-                let response = denial.map(|body| AnswerBody::Whole(Full::new(body)));
-                Outcome::Answered(response)
+                sent.fail(now, End::Cancelled, "time");
+                Outcome::TimeOut
             }
         }
     }
@@ -270,35 +291,40 @@
         exchange::send(stream, req).await
     }
 
+    /// Returns the tokens in each event of a request's answer.
+    fn tokens_an_event(&self, job: &Job<'_>) -> u32 {
+        let declared = self.declared.load();
+        let service = declared.as_ref().and_then(|declared| declared.services.get(&job.service));
+        service.map_or(1, |service| service.tokens_an_event)
+    }
+
     /// Judges an answer and passes it on.
     async fn take(&self, job: &Job<'_>, sent: Sent, answer: Answer) -> Outcome {
         let status = answer.head.status;
         let marks = self.protocol.answer_head(status.as_u16(), &answer.head.headers);
         let now = clock::now();
         if marks.id.as_deref().is_some_and(|id| id != &*job.caller.id) {
-            info!(id = sent.id(), upstream = sent.upstream(); "An answer belongs to another request.");
-            sent.end(now, End::Broken);
+            sent.fail(now, End::Broken, "answer of another request");
             return Outcome::MayHaveRun(None);
         }
         if marks.is_misdirected {
-            sent.end(now, End::Misdirected);
+            sent.fail(now, End::Misdirected, "misdirected");
             return Outcome::NotRun(Failure::Unreachable);
         }
         if marks.is_declined {
-            sent.end(now, End::Declined);
+            sent.fail(now, End::Declined, "declined");
             return Outcome::NotRun(Failure::Declined);
         }
         if status.is_success() && !marks.is_signed {
-            info!(id = sent.id(), upstream = sent.upstream(); "An answer lacks its signature.");
-            sent.end(now, End::Broken);
+            sent.fail(now, End::Broken, "no signature");
             return Outcome::MayHaveRun(None);
         }
         let mut response = Response::new(());
         *response.status_mut() = status;
         *response.headers_mut() = self.protocol.answer_headers(&answer.head.headers);
         if job.admitted.route.kind.is_stream() && status.is_success() {
-            let until = instant(job.until);
-            let relayed = Relayed::new(answer, sent, until, TOKENS_AN_EVENT);
+            let until = clock::instant(job.until);
+            let relayed = Relayed::new(answer, sent, until, self.tokens_an_event(job));
             return Outcome::Answered(response.map(|()| AnswerBody::Relayed(Box::new(relayed))));
         }
         self.take_whole(job, sent, answer, response).await
@@ -314,38 +340,50 @@
     ) -> Outcome {
         let is_short = answer.body.size_hint().upper().is_some_and(|len| len <= WHOLE_ANSWER_LEN);
         if !is_short {
-            let relayed = Relayed::new(answer, sent, instant(job.until), 0);
+            let relayed = Relayed::new(answer, sent, clock::instant(job.until), 0);
             return Outcome::Answered(response.map(|()| AnswerBody::Relayed(Box::new(relayed))));
         }
         let Answer { body, connection, .. } = answer;
-        let read = timeout_at(instant(job.until), body.collect()).await;
+        let read = timeout_at(clock::instant(job.until), body.collect()).await;
         drop(connection);
         let now = clock::now();
         let data = match read {
             Ok(Ok(whole)) => whole.to_bytes(),
             Ok(Err(e)) => {
-                info!(id = sent.id(), upstream = sent.upstream(), error:% = e; "An answer broke off.");
-                sent.end(now, End::Broken);
+                sent.fail(now, End::Broken, &format!("broke off: {e}"));
                 return Outcome::MayHaveRun(None);
             }
             Err(_) => {
-                sent.end(now, End::Cancelled);
-                return Outcome::MayHaveRun(None);
+                sent.fail(now, End::Cancelled, "time");
+                return Outcome::TimeOut;
             }
         };
         let status = response.status();
         let response = response.map(|()| AnswerBody::Whole(Full::new(data)));
         if status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT {
-            sent.end(now, End::Failed);
+            sent.fail(now, End::Failed, status.as_str());
             return Outcome::MayHaveRun(Some(response));
         }
-        sent.finish(now, 0, Duration::ZERO);
+        sent.finish(now, status.as_u16(), 0, Duration::ZERO);
         Outcome::Answered(response)
     }
 }
 
 impl Job<'_> {
-    fn ask(&self, now: Duration, sends: u32, avoid: &[UpstreamName]) -> Ask {
+    /// Returns the answer of a request that is sent no more.
+    fn last(&self, tries: Tries, denial: Denial) -> Result<Response<AnswerBody>, Denial> {
+        match tries.kept {
+            Some((response, upstream)) => {
+                let status = response.status().as_u16();
+                self.track.answered(clock::now(), status, upstream.as_str());
+                Ok(response)
+            }
+            None if tries.may_have_run => Err(Failure::AnswerLost.into()),
+            None => Err(denial),
+        }
+    }
+
+    fn ask(&self, now: Duration, tries: &Tries) -> Ask {
         let first_until = self.began + self.admitted.route.first_patience();
         let late_at = self.began + self.admitted.route.aim.saturating_sub(WAY_BACK);
         Ask {
@@ -358,31 +396,18 @@
             time_left: self.until.saturating_sub(now + WAY_BACK),
             first_left: first_until.saturating_sub(now + WAY_BACK),
             charge: self.admitted.charge,
-            sends,
-            avoid: avoid.to_vec(),
+            sends: tries.sends,
+            avoid: tries.avoid.clone(),
             fingerprint: self.fingerprint,
         }
     }
 }
 
-/// Returns the answer of a request that is sent no more.
-fn last(
-    kept: Option<Response<AnswerBody>>,
-    may_have_run: bool,
-    denial: Denial,
-) -> Result<Response<AnswerBody>, Denial> {
-    match kept {
-        Some(response) => Ok(response),
-        None if may_have_run => Err(Failure::AnswerLost.into()),
-        None => Err(denial),
-    }
-}
-
 /// Time after which a caller comes back whose request was declined or could not be sent.
 const DECLINED_RETRY: Duration = Duration::from_millis(200);
 
 fn retry_soon(failure: Failure) -> Denial {
-    Denial { failure, retry_after: Some(DECLINED_RETRY) }
+    Denial { retry_after: Some(DECLINED_RETRY), ..failure.into() }
 }
 
 async fn read(body: Incoming, limit: usize) -> Result<Bytes, Failure> {
@@ -406,7 +431,6 @@
     hasher.finish()
 }
 
-/// Returns the instant of a time of [`clock`] for the timers of the runtime.
-fn instant(at: Duration) -> Instant {
-    clock::instant(at)
+fn whole(response: Response<Bytes>) -> Response<AnswerBody> {
+    response.map(|body| AnswerBody::Whole(Full::new(body)))
 }
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -354,13 +354,14 @@
     pub async fn decided(mut self) -> Result<Slot, Refusal> {
         let decided = (&mut self.rx).await;
         self.is_settled = true;
-        let grant = decided.unwrap_or(Err(LOST))?;
+        let lost = Refusal::new(Reason::Overload, LOST_RETRY);
+        let grant = decided.unwrap_or(Err(lost))?;
         Ok(Slot { gate: self.gate.clone(), number: self.number, grant, is_ended: false })
     }
 }
 
-/// Refusal of a request whose link was dropped; only at the end of the process.
-const LOST: Refusal = Refusal { reason: Reason::Overload, retry_after: Duration::from_millis(500) };
+/// Time after which a caller comes back whose request was dropped at the end of the process.
+const LOST_RETRY: Duration = Duration::from_millis(500);
 
 impl Drop for Waiting {
     fn drop(&mut self) {
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -3,7 +3,9 @@
 use std::{io, sync::Arc, time::Duration};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use http::{Request, Response};
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use lacewingspring_core::dispatch::{Limits, QuotaBounds, UpstreamInfo};
 use log::{error, info, warn};
@@ -16,6 +18,7 @@
 use crate::{
     answer::AnswerBody,
     clock,
+    counted::CountedStore,
     declared::{CallerLimits, Declared},
     directory::Directory,
     follow::Follow,
@@ -23,6 +26,7 @@
     gate::{host::Host, ledger::Ledger, link::Gate},
     leaving::Leaving,
     members::{MEMBERS_PREFIX, Member, Members, Registration, SharedMembers, draw_incarnation},
+    metrics::SharedMetrics,
     mirror::Mirror,
     protocol::Protocol,
     server::{ConnectionLimits, OpenConnections, Server},
@@ -42,6 +46,9 @@
 /// Time between looks at what is still open.
 const STOP_CHECK: Duration = Duration::from_millis(100);
 
+/// Content type of metrics.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// Translates what the platform holds.
 pub trait Platform: Send + Sync + 'static {
     /// Prefix of the operators' configuration.
@@ -76,6 +83,7 @@
     members: SharedMembers,
     host: Arc<Host>,
     is_ready: watch::Sender<bool>,
+    metrics: SharedMetrics,
     settings: Settings,
 }
 
@@ -94,6 +102,7 @@
             retries: bounds.retries(),
         };
         self.host.set_limits(limits);
+        self.metrics.declared(declared.version);
         self.declared.store(Some(Arc::new(declared)));
         self.apply_upstreams(now);
         self.is_ready.send_replace(true);
@@ -119,6 +128,7 @@
     }
 
     fn take_members(&self, now: Duration, members: Members) {
+        self.metrics.instances(members.len());
         self.members.store(Arc::new(members));
         self.host.members_changed(now);
     }
@@ -150,12 +160,20 @@
         peers: settings.listen.peers,
         is_leaving: false,
     };
-    info!(instance = settings.instance.as_str(), incarnation; "The instance starts.");
+    info!(
+        instance = settings.instance.as_str(), incarnation, callers:% = settings.listen.callers,
+        peers:% = settings.listen.peers, metrics:% = settings.listen.metrics;
+        "The instance starts."
+    );
     let (member_tx, member) = watch::channel(member);
     let (closing_tx, closing) = watch::channel(false);
     let (ready_tx, is_ready) = watch::channel(false);
     let (ending_tx, ending) = watch::channel(false);
     let members = SharedMembers::default();
+    let metrics = SharedMetrics::default();
+    let store = CountedStore { inner: parts.store.clone(), metrics: metrics.clone() };
+    let parts =
+        Parts { store: Arc::new(store), protocol: parts.protocol, platform: parts.platform };
     let host = Arc::new(Host::new(members.clone()));
     let name = settings.instance.clone();
     let gate = Gate::new(name, members.clone(), host.clone());
@@ -167,6 +185,7 @@
         members: members.clone(),
         host: host.clone(),
         is_ready: ready_tx,
+        metrics: metrics.clone(),
         settings: settings.clone(),
     });
     follow(&beliefs, &parts);
@@ -184,6 +203,7 @@
     let open = Arc::new(OpenConnections::default());
     serve_directory(&settings, &parts, &beliefs, &member, is_ready, &closing);
     serve_callers(&settings, &parts, &beliefs, gate, &closing, &open);
+    serve_metrics(&settings, &beliefs, &closing);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -302,6 +322,7 @@
         declared: beliefs.declared.clone(),
         leaving: beliefs.leaving.clone(),
         gate,
+        metrics: beliefs.metrics.clone(),
     });
     let server =
         Server { address: settings.listen.callers, closing: closing.clone(), open: open.clone() };
@@ -320,6 +341,33 @@
     tokio::spawn(watched("callers", server.run(limits, handler)));
 }
 
+fn serve_metrics(settings: &Settings, beliefs: &Arc<Beliefs>, closing: &watch::Receiver<bool>) {
+    let server =
+        Server { address: settings.listen.metrics, closing: closing.clone(), open: Arc::default() };
+    let beliefs = beliefs.clone();
+    let handler = move |_: Request<Incoming>| {
+        let counts = beliefs.host.counts();
+        let text = beliefs.metrics.text(clock::now(), &counts);
+        let mut response = Response::new(Full::<Bytes>::default());
+        match text {
+            Ok(text) => *response.body_mut() = Full::new(Bytes::from(text)),
+            Err(e) => {
+                error!(error:% = e; "The metrics can't be written.");
+                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            }
+        }
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(METRICS_TYPE));
+        async move { response }
+    };
+    tokio::spawn(watched("metrics", server.run(small_requests, handler)));
+}
+
+/// Bounds of connections that bring small questions.
+fn small_requests() -> ConnectionLimits {
+    let limits = CallerLimits::default();
+    ConnectionLimits { head_bytes: limits.head_bytes, idle_time: limits.idle_time }
+}
+
 /// Tells of a server that ends.
 async fn watched<F>(name: &'static str, server: F)
 where
--- a/lacewingspring_proxy/src/refusal.rs
+++ b/lacewingspring_proxy/src/refusal.rs
@@ -79,18 +79,23 @@
     pub failure: Failure,
     /// Time after which it is worth to come back.
     pub retry_after: Option<Duration>,
+    /// Requests that waited for the service.
+    pub waiting: u32,
+    /// Wait that was expected.
+    pub expected_wait: Duration,
 }
 
 impl From<Failure> for Denial {
     fn from(failure: Failure) -> Self {
-        Self { failure, retry_after: None }
+        Self { failure, retry_after: None, waiting: 0, expected_wait: Duration::ZERO }
     }
 }
 
 impl From<Refusal> for Denial {
     fn from(refusal: Refusal) -> Self {
-        let failure = Failure::Refused(refusal.reason);
-        Self { failure, retry_after: Some(refusal.retry_after) }
+        let Refusal { reason, retry_after, waiting, expected_wait } = refusal;
+        let retry_after = Some(retry_after);
+        Self { failure: Failure::Refused(reason), retry_after, waiting, expected_wait }
     }
 }
 
