--- a/lacewingspring_ctl/src/cli.rs
+++ b/lacewingspring_ctl/src/cli.rs
@@ -243,10 +243,15 @@
 /// Arguments of `explain`.
 #[derive(Debug, Args)]
 pub struct ExplainArgs {
-    /// Workspace of the request
-    pub workspace: String,
+    /// Workspace of the request; with --log the id of the request
+    #[arg(value_name = "WORKSPACE|ID")]
+    pub request: String,
     /// Idempotency key
-    pub key: String,
+    #[arg(required_unless_present = "logs", conflicts_with = "logs")]
+    pub key: Option<String>,
+    /// Log of an instance to read instead of asking the fleet; - is standard input
+    #[arg(long = "log", value_name = "PATH", num_args = 1..)]
+    pub logs: Vec<PathBuf>,
 }
 
 /// Arguments of `completion`.
--- a/lacewingspring_ctl/src/commands/explain.rs
+++ b/lacewingspring_ctl/src/commands/explain.rs
@@ -14,7 +14,8 @@
 
 /// Runs the command.
 pub async fn run(client: &Client, format: Format, args: &ExplainArgs) -> Result<Exit, Error> {
-    let (workspace, key) = (encode(&args.workspace), encode(&args.key));
+    let key = args.key.as_deref().unwrap_or_default();
+    let (workspace, key) = (encode(&args.request), encode(key));
     let path = format!("/operator/v1/explain?workspace={workspace}&key={key}");
     show::<Explanation>(client, format, Call::get(&path)?).await
 }
--- a/lacewingspring_ctl/src/commands/mod.rs
+++ b/lacewingspring_ctl/src/commands/mod.rs
@@ -24,6 +24,7 @@
 mod metrics;
 mod request;
 mod status;
+mod story;
 mod transaction;
 mod wait;
 
@@ -42,6 +43,11 @@
     if let Command::Completion(args) = cli.command {
         return completion::run(args.shell);
     }
+    if let Command::Explain(args) = &cli.command
+        && !args.logs.is_empty()
+    {
+        return story::run(cli.global.output, &args.request, &args.logs);
+    }
     let runtime = Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(run_remote(&cli.global, cli.command))
 }
--- a/lacewingspring_proxy/src/follow.rs
+++ b/lacewingspring_proxy/src/follow.rs
@@ -24,16 +24,15 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
 /// Keys that are followed, and who is told of changes.
 pub struct Follow<S, F> {
-    /// The key-value service.
-    pub store: Arc<S>,
-    /// Prefix of the keys.
-    pub prefix: &'static str,
+    store: Arc<S>,
+    prefix: &'static str,
     /// Called with the copy after each change of it.
-    pub on_change: F,
+    on_change: F,
+    failed_calls: u32,
 }
 
 impl<S, F> Follow<S, F>
@@ -41,6 +40,11 @@
     S: Store,
     F: FnMut(Duration, &Mirror) + Send,
 {
+    /// Creates a follower of the keys below a prefix.
+    pub fn new(store: Arc<S>, prefix: &'static str, on_change: F) -> Self {
+        Self { store, prefix, on_change, failed_calls: 0 }
+    }
+
     /// Follows the keys for ever.
     pub async fn run(mut self) {
         let mut mirror = Mirror::default();
@@ -102,15 +106,24 @@
         Ok(())
     }
 
-    fn reached(&self, mirror: &mut Mirror, now: Duration) {
+    fn reached(&mut self, mirror: &mut Mirror, now: Duration) {
         if mirror.reached(now) {
-            info!(prefix = self.prefix; "The key-value service answers again.");
+            let failed_calls = std::mem::take(&mut self.failed_calls);
+            info!(
+                prefix = self.prefix, failed_calls, revision = mirror.at();
+                "The key-value service answers again."
+            );
         }
     }
 
     async fn failed(&mut self, mirror: &mut Mirror, e: &StoreError) {
-        warn!(prefix = self.prefix, error:% = e; "The key-value service failed a call.");
-        mirror.lost();
+        if mirror.lost() {
+            warn!(
+                prefix = self.prefix, error:% = e, revision = mirror.at();
+                "The key-value service does not answer."
+            );
+        }
+        self.failed_calls += 1;
         sleep(RETRY_PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
         let now = clock::now();
         if mirror.sweep(now) {
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -244,35 +244,23 @@
 {
     let platform = parts.platform.clone();
     let known = beliefs.clone();
-    let declared = Follow {
-        store: parts.store.clone(),
-        prefix: T::DECLARED_PREFIX,
-        on_change: move |now: Duration, mirror: &Mirror| {
-            if let Some(declared) = platform.declared(mirror) {
-                known.take_declared(now, declared);
-            }
-        },
+    let declared = move |now: Duration, mirror: &Mirror| {
+        if let Some(declared) = platform.declared(mirror) {
+            known.take_declared(now, declared);
+        }
     };
-    tokio::spawn(declared.run());
+    tokio::spawn(Follow::new(parts.store.clone(), T::DECLARED_PREFIX, declared).run());
     let platform = parts.platform.clone();
     let known = beliefs.clone();
-    let upstreams = Follow {
-        store: parts.store.clone(),
-        prefix: T::UPSTREAMS_PREFIX,
-        on_change: move |now: Duration, mirror: &Mirror| {
-            known.take_upstreams(now, platform.upstreams(mirror));
-        },
+    let upstreams = move |now: Duration, mirror: &Mirror| {
+        known.take_upstreams(now, platform.upstreams(mirror));
     };
-    tokio::spawn(upstreams.run());
+    tokio::spawn(Follow::new(parts.store.clone(), T::UPSTREAMS_PREFIX, upstreams).run());
     let known = beliefs.clone();
-    let members = Follow {
-        store: parts.store.clone(),
-        prefix: MEMBERS_PREFIX,
-        on_change: move |now: Duration, mirror: &Mirror| {
-            known.take_members(now, Members::read(mirror));
-        },
+    let members = move |now: Duration, mirror: &Mirror| {
+        known.take_members(now, Members::read(mirror));
     };
-    tokio::spawn(members.run());
+    tokio::spawn(Follow::new(parts.store.clone(), MEMBERS_PREFIX, members).run());
 }
 
 fn serve_directory<S, P, T>(
--- a/lacewingspring_proxy/src/members.rs
+++ b/lacewingspring_proxy/src/members.rs
@@ -28,7 +28,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
 /// Most addresses that callers are given.
 const MOST_ADDRESSES: usize = 64;
@@ -125,15 +125,24 @@
     /// Registers this instance and renews its lease until the process ends.
     pub async fn run(mut self) {
         let mut lease = None;
+        let mut failed_calls = 0_u32;
         while !*self.ending.borrow() {
             let result = match lease {
                 None => self.register().await.map(|granted| lease = Some(granted)),
                 Some(granted) => self.renew(granted).await,
             };
             let pause = match result {
-                Ok(()) => RENEWAL,
+                Ok(()) => {
+                    if std::mem::take(&mut failed_calls) > 0 {
+                        info!("This instance renews its lease again.");
+                    }
+                    RENEWAL
+                }
                 Err(e) => {
-                    warn!(error:% = e; "This instance is not registered.");
+                    if failed_calls == 0 {
+                        warn!(error:% = e; "This instance can't renew its lease.");
+                    }
+                    failed_calls += 1;
                     if matches!(e, StoreError::NoLease) {
                         lease = None;
                     }
--- a/lacewingspring_proxy/src/mirror.rs
+++ b/lacewingspring_proxy/src/mirror.rs
@@ -37,9 +37,9 @@
         self.entries.values().map(|entry| &entry.item)
     }
 
-    /// Notes that the service can't be reached.
-    pub fn lost(&mut self) {
-        self.is_away = true;
+    /// Notes that the service can't be reached; returns whether that is new.
+    pub fn lost(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_away, true)
     }
 
     /// Returns whether the service can't be reached.
