--- a/lacewingspring_proxy/src/members.rs
+++ b/lacewingspring_proxy/src/members.rs
@@ -7,7 +7,10 @@
 use lacewingspring_core::names::{DataCentreName, InstanceName};
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
-use tokio::{sync::watch, time::timeout};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 use crate::{
     clock,
@@ -131,34 +134,23 @@
                 None => self.register().await.map(|granted| lease = Some(granted)),
                 Some(granted) => self.renew(granted).await,
             };
-            let pause = match result {
+            match result {
                 Ok(()) => {
                     if std::mem::take(&mut failed_calls) > 0 {
-                        info!("This instance renews its lease again.");
+                        info!("This instance is known to the platform again.");
                     }
-                    RENEWAL
+                    self.wait_for_change(RENEWAL).await;
                 }
                 Err(e) => {
                     if failed_calls == 0 {
-                        warn!(error:% = e; "This instance can't renew its lease.");
+                        warn!(error:% = e; "This instance can't tell the platform of itself.");
                     }
                     failed_calls += 1;
                     if matches!(e, StoreError::NoLease) {
                         lease = None;
                     }
-                    RETRY_PAUSE
+                    self.wait_for_end(RETRY_PAUSE).await;
                 }
-            };
-            let is_changed = tokio::select! {
-                changed = timeout(pause, self.member.changed()) => matches!(changed, Ok(Ok(()))),
-                _ = self.ending.changed() => false,
-            };
-            if is_changed
-                && let Some(granted) = lease
-                && let Err(e) = self.write(granted).await
-            {
-                warn!(error:% = e; "The change of this instance was not written.");
-                self.member.mark_changed();
             }
         }
         if let Some(granted) = lease
@@ -168,6 +160,20 @@
         }
     }
 
+    /// Waits until the lease is to be renewed, or there is something to tell.
+    async fn wait_for_change(&mut self, limit: Duration) {
+        tokio::select! {
+            () = sleep(limit) => {}
+            _ = self.member.changed() => self.member.mark_changed(),
+            _ = self.ending.changed() => {}
+        }
+    }
+
+    async fn wait_for_end(&mut self, limit: Duration) {
+        // Both ends of the wait lead to the same look at what is to be done.
+        let _ = timeout(limit, self.ending.changed()).await;
+    }
+
     async fn register(&mut self) -> Result<LeaseId, StoreError> {
         let granted = self.store.grant_lease(LEASE.max(self.min_lease));
         let granted = limited(granted).await?;
@@ -176,15 +182,25 @@
         Ok(granted)
     }
 
+    /// Writes what this instance says of itself; until that is done it counts as changed.
     async fn write(&mut self, lease: LeaseId) -> Result<(), StoreError> {
         let member = self.member.borrow_and_update().clone();
+        self.member.mark_changed();
         let value = serde_json::to_vec(&member);
         let value = value.map_err(|e| StoreError::Malformed(e.to_string()))?;
         let key = format!("{MEMBERS_PREFIX}{}", member.instance);
-        limited(self.store.put(&key, Bytes::from(value), Some(lease))).await
+        limited(self.store.put(&key, Bytes::from(value), Some(lease))).await?;
+        if *self.member.borrow() == member {
+            self.member.mark_unchanged();
+        }
+        Ok(())
     }
 
-    async fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
+    /// Renews the lease, and writes what changed.
+    async fn renew(&mut self, lease: LeaseId) -> Result<(), StoreError> {
+        if self.member.has_changed().unwrap_or(false) {
+            self.write(lease).await?;
+        }
         limited(self.store.keep_lease(lease)).await
     }
 }
