--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -93,7 +93,7 @@
         let linked = state.links.values().filter(|link| link.instance.is_some()).count();
         let part = if linked * 2 > members { 1.0 } else { linked as f64 / members as f64 };
         if (part - state.dispatcher.part()).abs() > f64::EPSILON {
-            info!(linked, members, part; "The part of the fleet that is decided here changes.");
+            info!(linked, members, share = part; "The part of the fleet that is decided here changes.");
             let decisions = state.dispatcher.set_part(now, part);
             state.tell(decisions);
         }
