--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -197,7 +197,7 @@
                 && server.has_room(now, slots(&server.info, part), memory)
                 && server.whole_ms(now, &ask.work) <= longest_ms
         });
-        let costs = servers.map(|server| (server.cost_ms(now, &ask.work), &server.info.name));
+        let costs = servers.map(|server| (server.cost_ms(now, ask), &server.info.name));
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)))?;
         Some(best.1.clone())
     }
--- a/lacewingspring_core/src/dispatch/server.rs
+++ b/lacewingspring_core/src/dispatch/server.rs
@@ -7,7 +7,7 @@
 
 use super::{
     upstream::UpstreamInfo,
-    work::{End, PromptPart, Work},
+    work::{Ask, End, PromptPart, Work},
 };
 
 /// Weight of a new sample in a learned speed.
@@ -43,6 +43,9 @@
 /// Time that a failed request costs beyond its own, as it is asked again or lost.
 const FAILURE_COST_MS: f64 = 2_000.0;
 
+/// Cost of a request that crosses data centres, as a multiple of its own.
+const REMOTE_FACTOR: f64 = 1.1;
+
 /// Speeds of an upstream.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Speed {
@@ -157,7 +160,8 @@
     }
 
     /// Returns the cost of a request here, in milliseconds; the lowest is chosen.
-    pub fn cost_ms(&self, now: Duration, work: &Work) -> f64 {
+    pub fn cost_ms(&self, now: Duration, ask: &Ask) -> f64 {
+        let work = &ask.work;
         let busy = f64::from(self.running) / f64::from(self.info.slots.max(1));
         let rest = match work {
             Work::Plain => self.speed.plain_ms * busy,
@@ -165,7 +169,9 @@
                 f64::from(*output_tokens) * self.speed.decode_ms * (1.0 + busy / 2.0)
             }
         };
-        self.first_ms(now, work) + rest + self.failures(now) * FAILURE_COST_MS
+        let is_remote = self.info.data_centre != ask.data_centre;
+        let distance = if is_remote { REMOTE_FACTOR } else { 1.0 };
+        (self.first_ms(now, work) + rest) * distance + self.failures(now) * FAILURE_COST_MS
     }
 
     /// Returns the share of requests that failed lately.
--- a/lacewingspring_core/src/dispatch/work.rs
+++ b/lacewingspring_core/src/dispatch/work.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::names::{ServiceName, UpstreamName, WorkspaceName};
+use crate::names::{DataCentreName, ServiceName, UpstreamName, WorkspaceName};
 
 /// A part of a prompt that an upstream may still hold in its KV cache.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,6 +40,8 @@
     pub class: Arc<str>,
     /// Urgency of the kind; 0 is the most urgent.
     pub rank: u8,
+    /// Data centre of the instance that sends it.
+    pub data_centre: DataCentreName,
     /// Workspace that sent the request; none on routes that need no credential.
     pub workspace: Option<WorkspaceName>,
     /// What the upstream has to do.
--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -34,6 +34,7 @@
         service: ServiceName::from("models"),
         class: Arc::from(class),
         rank: 0,
+        data_centre: DataCentreName::from("a"),
         workspace: Some(WorkspaceName::from("w")),
         work: Work::Generation { prompt_tokens: 100, output_tokens: 50, parts: Vec::new() },
         aim_left: ms(400),
@@ -201,6 +202,17 @@
     assert!((few - many).abs() < 0.3, "few {few}, many {many}");
 }
 
+#[test]
+fn prefers_an_upstream_of_its_own_data_centre_among_like_ones() {
+    let mut far = upstream("far", 4);
+    far.data_centre = DataCentreName::from("b");
+    let mut dispatcher = dispatcher(&[far, upstream("near", 4)]);
+    assert_eq!(granted(&dispatcher.ask(ms(0), ticket(1), ask("a"))), [(1, "near")]);
+    let mut there = ask("a");
+    there.data_centre = DataCentreName::from("b");
+    assert_eq!(granted(&dispatcher.ask(ms(0), ticket(2), there)), [(2, "far")]);
+}
+
 #[test]
 fn prefers_the_faster_upstream() {
     let mut dispatcher = dispatcher(&[upstream("fast", 4), upstream("slow", 4)]);
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -13,7 +13,7 @@
 use hyper::body::{Body, Incoming};
 use lacewingspring_core::{
     dispatch::{Ask, End, Refusal},
-    names::{ServiceName, UpstreamName},
+    names::{DataCentreName, ServiceName, UpstreamName},
 };
 use log::info;
 use tokio::time::timeout_at;
@@ -45,6 +45,8 @@
 pub struct Forward<P> {
     /// Protocol of callers and upstreams.
     pub protocol: Arc<P>,
+    /// Data centre of this instance.
+    pub data_centre: DataCentreName,
     /// What is declared; none until it was read.
     pub declared: Arc<ArcSwapOption<Declared>>,
     /// Upstreams that take no new work.
@@ -235,7 +237,7 @@
 
     async fn slot(&self, job: &Job<'_>, tries: &Tries) -> Result<Slot, Denial> {
         let now = clock::now();
-        let ask = job.ask(now, tries);
+        let ask = job.ask(now, &self.data_centre, tries);
         let waiting = self.gate.ask(now, ask);
         let decided = timeout_at(clock::instant(job.until), waiting.decided()).await;
         let decided: Result<Slot, Refusal> = decided.map_err(|_| Failure::TimeOut)?;
@@ -383,13 +385,14 @@
         }
     }
 
-    fn ask(&self, now: Duration, tries: &Tries) -> Ask {
+    fn ask(&self, now: Duration, data_centre: &DataCentreName, tries: &Tries) -> Ask {
         let first_until = self.began + self.admitted.route.first_patience();
         let late_at = self.began + self.admitted.route.aim.saturating_sub(WAY_BACK);
         Ask {
             service: self.service.clone(),
             class: self.admitted.route.name.clone(),
             rank: self.admitted.rank,
+            data_centre: data_centre.clone(),
             workspace: self.admitted.workspace.as_ref().map(|workspace| workspace.name.clone()),
             work: self.caller.work.clone(),
             aim_left: late_at.saturating_sub(now),
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -307,6 +307,7 @@
 {
     let forward = Arc::new(Forward {
         protocol: parts.protocol.clone(),
+        data_centre: settings.data_centre.clone(),
         declared: beliefs.declared.clone(),
         leaving: beliefs.leaving.clone(),
         gate,
--- a/lacewingspring_proxy/src/track.rs
+++ b/lacewingspring_proxy/src/track.rs
@@ -1,12 +1,19 @@
 //! Tells the story of one request: log lines and metrics of each decision on its way.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use lacewingspring_core::dispatch::{Grant, Work};
 use log::info;
 
 use crate::{
     admission::Admitted,
+    clock,
     exchange::ExchangeError,
     metrics::{Series, SharedMetrics},
     protocol::CallerHead,
@@ -25,6 +32,15 @@
     began: Duration,
     aim: Duration,
     metrics: SharedMetrics,
+    is_ended: AtomicBool,
+}
+
+impl Drop for Track {
+    fn drop(&mut self) {
+        if !*self.is_ended.get_mut() {
+            self.left(clock::now());
+        }
+    }
 }
 
 impl Track {
@@ -49,9 +65,27 @@
             began,
             aim: admitted.route.aim,
             metrics,
+            is_ended: AtomicBool::new(false),
         }
     }
 
+    /// Counts the end of the request.
+    fn end(&self, outcome: &str, took: Duration) {
+        self.is_ended.store(true, Ordering::Relaxed);
+        self.metrics.ended(&self.series, outcome, took);
+    }
+
+    /// The caller left before there was an answer.
+    fn left(&self, now: Duration) {
+        let took = self.took(now);
+        self.end("caller", took);
+        info!(
+            id = &*self.id, route = &*self.route, workspace = self.series.workspace.as_str(),
+            took_ms = millis(took);
+            "The caller leaves without an answer."
+        );
+    }
+
     fn took(&self, now: Duration) -> Duration {
         now.saturating_sub(self.began)
     }
@@ -72,7 +106,7 @@
     pub fn refused(&self, now: Duration, denial: &Denial) {
         let row = denial.failure.row();
         self.metrics.refused(row.name);
-        self.metrics.ended(&self.series, row.name, self.took(now));
+        self.end(row.name, self.took(now));
         info!(
             id = &*self.id, route = &*self.route, workspace = self.series.workspace.as_str(),
             version = self.version, reason = row.name, status = row.status.as_u16(),
@@ -114,7 +148,7 @@
     pub fn answered(&self, now: Duration, status: u16, upstream: &str) {
         let took = self.took(now);
         let outcome = if status < 400 { "answered" } else { "upstream_error" };
-        self.metrics.ended(&self.series, outcome, took);
+        self.end(outcome, took);
         info!(
             id = &*self.id, route = &*self.route, upstream, status, took_ms = millis(took);
             "The request is answered."
@@ -124,7 +158,7 @@
     /// The answer ended early.
     pub fn broke_off(&self, now: Duration, upstream: &str, reason: &str, events: u32) {
         let took = self.took(now);
-        self.metrics.ended(&self.series, reason, took);
+        self.end(reason, took);
         self.metrics.wasted(self.prompt_tokens);
         info!(
             id = &*self.id, route = &*self.route, upstream, reason, events,
