--- a/lacewingspring_proxy/src/answer.rs
+++ b/lacewingspring_proxy/src/answer.rs
@@ -16,7 +16,7 @@
 use crate::{
     clock,
     exchange::{Answer, Connection},
-    forward::Sent,
+    sent::Sent,
 };
 
 /// Why the body of an answer ends early.
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -29,6 +29,7 @@
     metrics::SharedMetrics,
     protocol::{CallerHead, Protocol, SendHead},
     refusal::{Denial, Failure},
+    sent::Sent,
     track::Track,
 };
 
@@ -57,46 +58,6 @@
     pub metrics: SharedMetrics,
 }
 
-/// A request that was sent to an upstream and holds its slot there.
-#[derive(Debug)]
-pub struct Sent {
-    slot: Slot,
-    track: Arc<Track>,
-    at: Duration,
-}
-
-impl Sent {
-    fn upstream(&self) -> &str {
-        self.slot.grant().upstream.as_str()
-    }
-
-    /// Notes the first event of the answer.
-    pub fn first_output(&self, now: Duration) {
-        self.track.first_output(now);
-        self.slot.first_output(now.saturating_sub(self.at));
-    }
-
-    /// Ends it with a whole answer.
-    pub fn finish(self, now: Duration, status: u16, output_tokens: u32, decode: Duration) {
-        let took = now.saturating_sub(self.at);
-        self.track.answered(now, status, self.upstream());
-        self.slot.end(End::Finished { took, output_tokens, decode });
-    }
-
-    /// Ends it in the middle of its answer.
-    pub fn break_off(self, now: Duration, end: End, reason: &str, events: u32) {
-        self.track.broke_off(now, self.upstream(), reason, events);
-        self.slot.end(end);
-    }
-
-    /// Ends it without an answer for the caller.
-    fn fail(self, now: Duration, end: End, reason: &str) {
-        let may_have_run = !matches!(end, End::Declined | End::Misdirected | End::Unreachable);
-        self.track.send_failed(now, self.upstream(), reason, may_have_run);
-        self.slot.end(end);
-    }
-}
-
 /// A request on its way.
 struct Job<'a> {
     head: &'a Parts,
@@ -253,7 +214,7 @@
             slot.end(End::Leaving);
             return Outcome::NotRun(Failure::Unreachable);
         }
-        let sent = Sent { slot, track: job.track.clone(), at: clock::now() };
+        let sent = Sent::new(clock::now(), slot, job.track.clone());
         let exchange = timeout_at(clock::instant(job.until), self.exchange(job, &sent)).await;
         let now = clock::now();
         match exchange {
@@ -266,7 +227,7 @@
                     }
                     ExchangeError::Broken(_) => (End::Broken, Outcome::MayHaveRun(None)),
                 };
-                sent.slot.end(end);
+                sent.end(end);
                 outcome
             }
             Err(_) => {
@@ -277,7 +238,7 @@
     }
 
     async fn exchange(&self, job: &Job<'_>, sent: &Sent) -> Result<Answer, ExchangeError> {
-        let grant = sent.slot.grant();
+        let grant = sent.grant();
         let stream = exchange::connect(grant.address).await?;
         let send = SendHead {
             upstream: &grant.upstream,
--- a/lacewingspring_proxy/src/logging.rs
+++ b/lacewingspring_proxy/src/logging.rs
@@ -4,7 +4,7 @@
 //! nothing that logs ever waits for a reader.
 
 use std::{
-    fmt::Write as _,
+    fmt::{self, Write as _},
     io::{self, Write},
     sync::{
         atomic::{AtomicU64, Ordering},
@@ -110,19 +110,25 @@
 
 /// Returns a record as one line.
 fn line(record: &Record<'_>) -> String {
+    let mut line = to_json(record.args(), record).to_string();
+    line.push('\n');
+    line
+}
+
+/// Returns a record as a JSON object.
+pub fn to_json(message: &fmt::Arguments<'_>, record: &Record<'_>) -> Json {
     let mut fields = Map::new();
     fields.insert("at_ms".into(), Json::from(clock::wall().as_millis() as u64));
     fields.insert("level".into(), Json::from(record.level().as_str()));
     fields.insert("part".into(), Json::from(part(record)));
-    fields.insert("message".into(), Json::from(record.args().to_string()));
+    fields.insert("message".into(), Json::from(message.to_string()));
+    // The visitor takes any value, so that it can't fail.
     let _ = record.key_values().visit(&mut Fields(&mut fields));
-    let mut line = Json::Object(fields).to_string();
-    line.push('\n');
-    line
+    Json::Object(fields)
 }
 
-/// Part of the program that a record came from: the module below the crate.
-fn part<'a>(record: &'a Record<'_>) -> &'a str {
+/// Returns the part of the program that a record came from: the module below the crate.
+pub fn part<'a>(record: &'a Record<'_>) -> &'a str {
     let target = record.target();
     let below = target.split_once("::").map_or(target, |(_, below)| below);
     below.split("::").next().unwrap_or(below)
