--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -89,13 +89,23 @@
             let known = earlier.remove(&info.name).filter(|known| known.info.born == info.born);
             let mut server = match known {
                 Some(known) => known,
-                None => Server::new(info.clone(), speed),
+                None => self.new_server(info.clone(), speed),
             };
             server.info = info;
             self.servers.insert(server.info.name.clone(), server);
         }
     }
 
+    /// Creates an upstream; what runs there, as it was known before, is counted.
+    fn new_server(&self, info: UpstreamInfo, speed: Speed) -> Server {
+        let name = info.name.clone();
+        let mut server = Server::new(info, speed);
+        for running in self.runs.values().filter(|running| running.upstream == name) {
+            server.carry(&running.run);
+        }
+        server
+    }
+
     /// Speed that a new upstream is given: the median of the others.
     fn typical_speed(&self) -> Speed {
         let mut speeds: Vec<Speed> = self.servers.values().map(|server| server.speed).collect();
--- a/lacewingspring_core/src/dispatch/server.rs
+++ b/lacewingspring_core/src/dispatch/server.rs
@@ -195,10 +195,17 @@
                 self.remember(now, part.id);
             }
         }
+        self.carry(&run);
+        run
+    }
+
+    /// Counts a run.
+    pub fn carry(&mut self, run: &Run) {
         self.running += 1;
-        self.pending_prefill += u64::from(run.prefill_tokens);
         self.memory += run.memory_tokens;
-        run
+        if !run.started {
+            self.pending_prefill += u64::from(run.prefill_tokens);
+        }
     }
 
     fn remember(&mut self, now: Duration, id: u64) {
--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -454,6 +454,16 @@
     assert_eq!(filled, 6);
 }
 
+#[test]
+fn counts_what_runs_at_an_upstream_that_was_away_for_a_while() {
+    let mut dispatcher = dispatcher(&[upstream("u", 1)]);
+    assert_eq!(granted(&dispatcher.ask(ms(0), ticket(1), ask("a"))), [(1, "u")]);
+    dispatcher.set_upstreams(ms(1), []);
+    dispatcher.set_upstreams(ms(2), [upstream("u", 1)]);
+    assert_eq!(granted(&dispatcher.ask(ms(3), ticket(2), ask("a"))), []);
+    assert_eq!(granted(&dispatcher.end(ms(4), ticket(1), finished(4, 0))), [(2, "u")]);
+}
+
 #[test]
 fn frees_the_slots_of_an_instance_that_is_gone() {
     let mut dispatcher = dispatcher(&[upstream("u", 1)]);
