--- a/lacewingspring_core/src/dispatch/crashers.rs
+++ b/lacewingspring_core/src/dispatch/crashers.rs
@@ -32,15 +32,14 @@
         })
     }
 
-    /// Counts a run that ended with a broken connection; returns the breaks in a row.
-    pub fn broke(&mut self, now: Duration, fingerprint: u64) -> u32 {
+    /// Counts a run that ended with a broken connection.
+    pub fn broke(&mut self, now: Duration, fingerprint: u64) {
         if self.known.len() >= MOST_KNOWN {
             self.known.retain(|_, breaks| now.saturating_sub(breaks.last) < MEMORY);
         }
         let breaks = self.known.entry(fingerprint).or_insert(Breaks { count: 0, last: now });
         breaks.count += 1;
         breaks.last = now;
-        breaks.count
     }
 
     /// Forgets a fingerprint that ran to its end.
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -245,9 +245,7 @@
     pub fn end(&mut self, now: Duration, ticket: Ticket, end: End) -> Vec<Decision> {
         let Some(open) = self.open.remove(&ticket) else { return Vec::new() };
         match end {
-            End::Broken => {
-                self.crashers.broke(now, open.fingerprint);
-            }
+            End::Broken => self.crashers.broke(now, open.fingerprint),
             End::Finished { .. } | End::Failed => self.crashers.ran(open.fingerprint),
             End::Declined | End::Unreachable | End::Misdirected | End::Leaving | End::Cancelled => {
             }
--- a/lacewingspring_proxy/src/refusal.rs
+++ b/lacewingspring_proxy/src/refusal.rs
@@ -23,8 +23,6 @@
     TooLarge,
     /// Nothing is declared yet.
     NotConfigured,
-    /// The instance is about to stop.
-    Leaving,
     /// The request got no slot.
     Refused(Reason),
     /// An upstream declined the request.
@@ -59,7 +57,6 @@
             Self::NotFound => (StatusCode::NOT_FOUND, "not_found", true),
             Self::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "too_large", true),
             Self::NotConfigured => (StatusCode::SERVICE_UNAVAILABLE, "not_configured", true),
-            Self::Leaving => (StatusCode::SERVICE_UNAVAILABLE, "leaving", true),
             Self::Refused(Reason::Limit) => (StatusCode::TOO_MANY_REQUESTS, "limit", true),
             Self::Refused(reason) => (StatusCode::SERVICE_UNAVAILABLE, reason.name(), true),
             Self::Declined => (StatusCode::SERVICE_UNAVAILABLE, "declined", true),
@@ -114,7 +111,7 @@
                 headers.insert(RETRY_AFTER, value);
             }
         }
-        if matches!(self.failure, Failure::Leaving | Failure::Malformed | Failure::TooLarge) {
+        if matches!(self.failure, Failure::Malformed | Failure::TooLarge) {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
