--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -156,6 +156,7 @@
         instance: settings.instance.clone(),
         incarnation,
         data_centre: settings.data_centre.clone(),
+        millicores: settings.machine.millicores(),
         callers: settings.listen.callers,
         peers: settings.listen.peers,
         is_leaving: false,
--- a/lacewingspring_proxy/src/members.rs
+++ b/lacewingspring_proxy/src/members.rs
@@ -1,6 +1,6 @@
 //! The instances of the fleet, as they register themselves in the key-value service.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{cmp::Reverse, net::SocketAddr, sync::Arc, time::Duration};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -48,6 +48,9 @@
     pub incarnation: u64,
     /// Data centre that it stands in.
     pub data_centre: DataCentreName,
+    /// Processor that its machine gives it, in thousandths of a core; 0 when it isn't told.
+    #[serde(default)]
+    pub millicores: u32,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address for other instances.
@@ -56,7 +59,9 @@
     pub is_leaving: bool,
 }
 
-/// The instances of the fleet, the longest known first.
+/// The instances of the fleet: those of larger machines first, then the longest known.
+///
+/// The first decides for the fleet, which takes more than a small machine has.
 #[derive(Clone, Debug, Default)]
 pub struct Members(Vec<Member>);
 
@@ -70,11 +75,13 @@
                 Err(e) => warn!(key = item.key.as_str(), error:% = e; "An instance is unreadable."),
             }
         }
-        members.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.instance.cmp(&b.1.instance)));
+        members.sort_by_cached_key(|(created, member)| {
+            (Reverse(member.millicores), *created, member.instance.clone())
+        });
         Self(members.into_iter().map(|(_, member)| member).collect())
     }
 
-    /// Returns the instances that stay, the longest known first.
+    /// Returns the instances that stay, in the order of the fleet.
     pub fn staying(&self) -> impl Iterator<Item = &Member> {
         self.0.iter().filter(|member| !member.is_leaving)
     }
--- a/lacewingspring_proxy/src/settings.rs
+++ b/lacewingspring_proxy/src/settings.rs
@@ -15,6 +15,9 @@
     pub instance: InstanceName,
     /// Data centre that it stands in.
     pub data_centre: DataCentreName,
+    /// Machine that it runs on.
+    #[serde(default)]
+    pub machine: Machine,
     /// Addresses that it listens on.
     pub listen: Listen,
     /// Address of the key-value service.
@@ -23,6 +26,22 @@
     pub bounds: Bounds,
 }
 
+/// What the machine of an instance gives it.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub struct Machine {
+    /// Part of a core that the instance may use; 0 when it isn't known.
+    pub cores: f64,
+    /// Speed of the core, as a multiple of the usual one.
+    pub speed: f64,
+}
+
+impl Machine {
+    /// Returns the processor time that it gives, in thousandths of a usual core.
+    pub fn millicores(&self) -> u32 {
+        (self.cores * self.speed * 1_000.0) as u32
+    }
+}
+
 /// Addresses that an instance listens on.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Listen {
--- a/lacewingspring_proxy/tests/members.rs
+++ b/lacewingspring_proxy/tests/members.rs
@@ -64,6 +64,7 @@
         instance: InstanceName::from(name),
         incarnation: 1,
         data_centre: DataCentreName::from(data_centre),
+        millicores: 120,
         callers: SocketAddr::from(([10, 0, 0, last], 80)),
         peers: SocketAddr::from(([10, 0, 0, last], 81)),
         is_leaving: false,
@@ -162,3 +163,25 @@
     assert_eq!(mirror.items().count(), 1);
     assert_eq!(mirror.at(), 6);
 }
+
+fn entry(member: &Member, revision: u64) -> Item {
+    Item {
+        key: format!("lacewingspring/instances/{}", member.instance),
+        value: Bytes::from(serde_json::to_vec(member).expect("a member is JSON")),
+        revision,
+        created_revision: revision,
+    }
+}
+
+#[test]
+fn names_larger_machines_before_older_instances() {
+    let small = |name, last| member(name, "a", last);
+    let large = |name, last| Member { millicores: 500, ..member(name, "a", last) };
+    let items =
+        [entry(&small("i1", 1), 1), entry(&large("i2", 2), 2), entry(&large("i3", 3), 3)].into();
+    let mut mirror = Mirror::default();
+    mirror.load(Duration::ZERO, items, 3);
+    let members = Members::read(&mirror);
+    let names: Vec<&str> = members.staying().map(|member| member.instance.as_str()).collect();
+    assert_eq!(names, ["i2", "i3", "i1"], "the gate of a fleet takes more than a small machine");
+}
