--- /dev/null
+++ b/lacewingspring_core/examples/dispatch_cost.rs
@@ -0,0 +1,121 @@
+//! Measures what one decision of the fleet's gate costs, by the number of upstreams.
+//!
+//! Each pool is asked for about twice what it can serve, as the cost of a decision grows with what
+//! waits.
+
+#![allow(clippy::disallowed_methods, reason = "a benchmark reads the clock")]
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use lacewingspring_core::{
+    dispatch::{Ask, Decision, Dispatcher, End, PromptPart, Ticket, UpstreamInfo, Work},
+    names::{DataCentreName, ServiceName, UpstreamName, WorkspaceName},
+};
+
+/// Requests of a measurement.
+const REQUESTS: u64 = 20_000;
+
+/// Slots of an upstream.
+const SLOTS: u32 = 7;
+
+/// Requests a second for each slot; a run takes about a second.
+const ASKED_A_SLOT: f64 = 2.0;
+
+/// Requests between two looks at what waited too long.
+const ASKS_A_TICK: u64 = 40;
+
+/// Runs by the time of their end.
+type Ends = BinaryHeap<Reverse<(Duration, u64)>>;
+
+fn upstream(number: usize) -> UpstreamInfo {
+    UpstreamInfo {
+        name: UpstreamName::from(format!("upstream-{number}")),
+        service: ServiceName::from("models"),
+        address: SocketAddr::from(([10, 0, 0, 1], 8000)),
+        data_centre: DataCentreName::from("a"),
+        slots: SLOTS,
+        memory_tokens: 450_000,
+        draining: false,
+        born: 1,
+    }
+}
+
+fn ask(number: u64) -> Ask {
+    let kind = (number % 3) as u8;
+    Ask {
+        service: ServiceName::from("models"),
+        class: Arc::from(["review", "coach", "tag"][usize::from(kind)]),
+        rank: kind,
+        data_centre: DataCentreName::from("a"),
+        workspace: Some(WorkspaceName::from("workspace")),
+        work: Work::Generation {
+            prompt_tokens: 2_000,
+            output_tokens: 300,
+            parts: vec![
+                PromptPart { id: number % 40, tokens: 60 },
+                PromptPart { id: 1_000 + number, tokens: 1_900 },
+            ],
+        },
+        aim_left: Duration::from_millis(400),
+        time_left: Duration::from_secs(12),
+        first_left: Duration::from_secs(3),
+        charge: 2_300,
+        sends: 0,
+        avoid: Vec::new(),
+        fingerprint: number,
+    }
+}
+
+fn ticket(number: u64) -> Ticket {
+    Ticket { link: 1, number }
+}
+
+/// Notes the ends of what was granted; returns how many requests were refused.
+fn note(now: Duration, decisions: &[Decision], ends: &mut Ends) -> usize {
+    for decision in decisions {
+        if let Decision::Granted(ticket, _) = decision {
+            let took = Duration::from_millis(700 + ticket.number * 7_919 % 600);
+            ends.push(Reverse((now + took, ticket.number)));
+        }
+    }
+    decisions.iter().filter(|decision| matches!(decision, Decision::Refused(..))).count()
+}
+
+fn measure(upstreams: usize) {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(Duration::ZERO, (0..upstreams).map(upstream));
+    dispatcher.set_part(Duration::ZERO, 1.0);
+    let rate = upstreams as f64 * f64::from(SLOTS) * ASKED_A_SLOT;
+    let mut ends = Ends::new();
+    let (mut calls, mut refused) = (0_u32, 0);
+    let began = Instant::now();
+    for number in 0..REQUESTS {
+        let now = Duration::from_secs_f64(number as f64 / rate);
+        while let Some(Reverse((at, ended))) = ends.peek().copied().filter(|end| end.0.0 <= now) {
+            ends.pop();
+            let took = Duration::from_millis(1_000);
+            let end = End::Finished { took, output_tokens: 300, decode: took };
+            refused += note(at, &dispatcher.end(at, ticket(ended), end), &mut ends);
+            calls += 1;
+        }
+        if number % ASKS_A_TICK == 0 {
+            refused += note(now, &dispatcher.tick(now), &mut ends);
+        }
+        refused += note(now, &dispatcher.ask(now, ticket(number), ask(number)), &mut ends);
+        calls += 1;
+    }
+    let cost = began.elapsed() / calls;
+    println!("{upstreams:>5} upstreams: {cost:>10?} a call, {refused} of {REQUESTS} refused");
+}
+
+fn main() {
+    for upstreams in [9, 30, 120, 350] {
+        measure(upstreams);
+    }
+}
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -126,13 +126,14 @@
         let first_ms = self.expected_first_ms(now, &ask.work) * FIRST_MARGIN;
         let first = Duration::from_secs_f64(first_ms / 1_000.0);
         let due = now + ask.aim_left.saturating_sub(first);
-        let refusal = self.foresee(part, first, &ask);
         let class = ask.class.clone();
         let is_late = ask.aim_left.is_zero();
         let waiting = Waiting { ticket, due, expires: now + longest_wait(&ask), ask };
         self.queue.push(now, waiting);
         let mut decisions = self.fill(now, part);
-        let Some(wait) = refusal.filter(|_| self.queue.contains(ticket)) else { return decisions };
+        let waiting = self.queue.get(ticket);
+        let refusal = waiting.and_then(|waiting| self.foresee(part, first, &waiting.ask));
+        let Some(wait) = refusal else { return decisions };
         let better = self.queue.newest_of_better_served(&class).filter(|_| !is_late);
         let victim = better.unwrap_or(ticket);
         if let Some(waiting) = self.queue.remove(victim) {
@@ -141,8 +142,8 @@
         decisions
     }
 
-    /// Returns the expected wait of a request that can't be answered on time, or that comes back
-    /// late and can't be answered before its caller leaves.
+    /// Returns the expected wait of a waiting request that can't be answered on time, or that comes
+    /// back late and can't be answered before its caller leaves.
     ///
     /// A caller that is told so at once can come back when there is room; one that is kept waiting
     /// in vain can't.
@@ -150,11 +151,11 @@
         let slots = f64::from(self.slots(part).max(1));
         let wait_for = |ahead: usize| self.hold.mul_f64(ahead as f64 / slots);
         if ask.aim_left.is_zero() {
-            let wait = wait_for(self.queue.len());
+            let wait = wait_for(self.queue.len() - 1);
             return (wait > longest_wait(ask)).then_some(wait);
         }
-        let wait = wait_for(self.queue.timely_len());
-        (wait.mul_f64(WAIT_MARGIN) + first > ask.aim_left).then(|| wait_for(self.queue.len()))
+        let wait = wait_for(self.queue.timely_len().saturating_sub(1));
+        (wait.mul_f64(WAIT_MARGIN) + first > ask.aim_left).then(|| wait_for(self.queue.len() - 1))
     }
 
     /// Refuses a request and finds a time for its return.
@@ -184,6 +185,9 @@
     pub fn fill(&mut self, now: Duration, part: f64) -> Vec<Decision> {
         let mut decisions = self.expire(now, part);
         loop {
+            if !self.has_room(now, part) {
+                return decisions;
+            }
             let heads = self.queue.heads();
             let next = heads
                 .into_iter()
@@ -199,14 +203,20 @@
         gone.iter().map(|waiting| self.give_up(now, part, Duration::ZERO, waiting)).collect()
     }
 
+    /// Returns whether any upstream has a free slot.
+    fn has_room(&self, now: Duration, part: f64) -> bool {
+        self.servers.values().any(|server| server.has_slot(now, slots(&server.info, part)))
+    }
+
     fn choose(&self, now: Duration, part: f64, ask: &Ask) -> Option<UpstreamName> {
         let memory = memory_tokens(&ask.work);
-        let longest_ms = self.longest_ms(now, ask);
-        let servers = self.servers.values().filter(|server| {
-            is_allowed(server, ask)
-                && server.has_room(now, slots(&server.info, part), memory)
-                && server.whole_ms(now, &ask.work) <= longest_ms
+        let mut open = self.servers.values().filter(|server| {
+            is_allowed(server, ask) && server.has_room(now, slots(&server.info, part), memory)
         });
+        let first = open.next()?;
+        let longest_ms = self.longest_ms(now, ask);
+        let servers = std::iter::once(first).chain(open);
+        let servers = servers.filter(|server| server.whole_ms(now, &ask.work) <= longest_ms);
         let costs = servers.map(|server| (server.cost_ms(now, ask), &server.info.name));
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)))?;
         Some(best.1.clone())
@@ -253,9 +263,11 @@
 
     /// Ends a request, whether it waits or runs.
     pub fn end(&mut self, now: Duration, part: f64, ticket: Ticket, end: End) -> Vec<Decision> {
-        self.queue.remove(ticket);
-        if let Some(running) = self.runs.remove(&ticket) {
-            self.end_run(now, &running, end);
+        match self.runs.remove(&ticket) {
+            Some(running) => self.end_run(now, &running, end),
+            None => {
+                self.queue.remove(ticket);
+            }
         }
         self.fill(now, part)
     }
--- a/lacewingspring_core/src/dispatch/queue.rs
+++ b/lacewingspring_core/src/dispatch/queue.rs
@@ -88,15 +88,9 @@
             while class.timely.front().is_some_and(|waiting| waiting.due <= now) {
                 class.late.extend(class.timely.pop_front());
             }
-            let mut kept = VecDeque::with_capacity(class.late.len());
-            for waiting in class.late.drain(..) {
-                if waiting.expires <= now {
-                    gone.push(waiting);
-                } else {
-                    kept.push_back(waiting);
-                }
+            while let Some(place) = class.late.iter().position(|waiting| waiting.expires <= now) {
+                gone.extend(class.late.remove(place));
             }
-            class.late = kept;
         }
         gone
     }
@@ -154,10 +148,10 @@
         None
     }
 
-    /// Returns whether a request waits.
-    pub fn contains(&self, ticket: Ticket) -> bool {
+    /// Returns a request that waits.
+    pub fn get(&self, ticket: Ticket) -> Option<&Waiting> {
         let lanes = self.classes.values().flat_map(|class| [&class.timely, &class.late]);
-        lanes.flatten().any(|waiting| waiting.ticket == ticket)
+        lanes.flat_map(|lane| lane.iter().rev()).find(|waiting| waiting.ticket == ticket)
     }
 
     /// Removes all requests of a link.
--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -62,34 +62,43 @@
 struct Account {
     /// In order of time.
     taken: VecDeque<Taken>,
+    /// Units of all that is in `taken`.
+    sum: f64,
     /// Units that were given out and not yet told.
     untold: f64,
 }
 
 impl Account {
     fn forget(&mut self, now: Duration, window: Duration) {
-        while self.taken.front().is_some_and(|taken| taken.at + window <= now) {
+        while let Some(oldest) = self.taken.front().filter(|taken| taken.at + window <= now) {
+            self.sum -= oldest.units;
             self.taken.pop_front();
         }
     }
 
-    fn sum(&self) -> f64 {
-        self.taken.iter().map(|taken| taken.units).sum()
-    }
-
     fn insert(&mut self, taken: Taken) {
         let place = self.taken.partition_point(|other| other.at <= taken.at);
+        self.sum += taken.units;
         self.taken.insert(place, taken);
     }
 
+    fn remove(&mut self, ticket: Ticket) {
+        let place = self.taken.iter().rposition(|taken| taken.ticket == Some(ticket));
+        if let Some(removed) = place.and_then(|place| self.taken.remove(place)) {
+            self.sum -= removed.units;
+        }
+    }
+
     /// Takes what was told, if it is more than what was told before.
     fn learn(&mut self, told: Vec<Taken>) {
-        let sum = |taken: &Taken| taken.units;
-        let before = self.taken.iter().filter(|taken| taken.ticket.is_none()).map(sum).sum::<f64>();
-        if told.iter().map(sum).sum::<f64>() <= before {
+        let units = |taken: &Taken| taken.units;
+        let before = self.taken.iter().filter(|taken| taken.ticket.is_none());
+        let before: f64 = before.map(units).sum();
+        if told.iter().map(units).sum::<f64>() <= before {
             return;
         }
         self.taken.retain(|taken| taken.ticket.is_some());
+        self.sum -= before;
         for taken in told {
             self.insert(taken);
         }
@@ -97,7 +106,7 @@
 
     /// Returns the time until units were forgotten so that the sum is at most `room`.
     fn wait(&self, now: Duration, window: Duration, room: f64) -> Duration {
-        let mut sum = self.sum();
+        let mut sum = self.sum;
         for taken in &self.taken {
             sum -= taken.units;
             if sum <= room {
@@ -206,8 +215,8 @@
         let account = self.accounts.entry(charge.workspace.clone()).or_default();
         account.forget(now, window);
         let room = limit - charge.units as f64;
-        if account.sum() > room {
-            let refill = Duration::try_from_secs_f64((account.sum() - room) / rate);
+        if account.sum > room {
+            let refill = Duration::try_from_secs_f64((account.sum - room) / rate);
             return Err(account.wait(now, window, room).min(refill.unwrap_or(window)));
         }
         let taken = Taken { at: now, ticket: Some(charge.ticket), units: charge.units as f64 };
@@ -218,10 +227,8 @@
 
     /// Gives back the units of a request that was not sent.
     pub fn give_back(&mut self, charge: &Charge) {
-        let Some(account) = self.accounts.get_mut(&charge.workspace) else { return };
-        let place = account.taken.iter().position(|taken| taken.ticket == Some(charge.ticket));
-        if let Some(place) = place {
-            account.taken.remove(place);
+        if let Some(account) = self.accounts.get_mut(&charge.workspace) {
+            account.remove(charge.ticket);
         }
     }
 }
--- a/lacewingspring_core/src/dispatch/server.rs
+++ b/lacewingspring_core/src/dispatch/server.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, VecDeque},
+    hash::{BuildHasherDefault, Hasher},
     time::Duration,
 };
 
@@ -46,6 +47,32 @@
 /// Cost of a request that crosses data centres, as a multiple of its own.
 const REMOTE_FACTOR: f64 = 1.1;
 
+/// Hash of the identities of prompt parts, which are digests already.
+type PartHash = BuildHasherDefault<PartHasher>;
+
+/// Spreads the bits of an identity over the whole hash.
+#[derive(Debug, Default)]
+struct PartHasher(u64);
+
+impl Hasher for PartHasher {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.write_u64(self.0 ^ u64::from(*byte));
+        }
+    }
+
+    fn write_u64(&mut self, id: u64) {
+        self.0 = id.wrapping_mul(SPREAD);
+    }
+}
+
+/// Odd number whose multiples differ in their upper bits (the golden ratio).
+const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
+
 /// Speeds of an upstream.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Speed {
@@ -92,7 +119,7 @@
     failed_at: Duration,
     down_until: Duration,
     down_for: Duration,
-    cached: HashMap<u64, Duration>,
+    cached: HashMap<u64, Duration, PartHash>,
     cache_order: VecDeque<u64>,
 }
 
@@ -109,7 +136,7 @@
             failed_at: Duration::ZERO,
             down_until: Duration::ZERO,
             down_for: FIRST_DOWN,
-            cached: HashMap::new(),
+            cached: HashMap::default(),
             cache_order: VecDeque::new(),
         }
     }
@@ -117,7 +144,12 @@
     /// Returns whether a request can be sent to it now.
     pub fn has_room(&self, now: Duration, slots: u32, memory: u64) -> bool {
         let fits = self.running == 0 || self.memory + memory <= self.info.memory_tokens;
-        self.is_usable(now) && self.running < slots && fits
+        self.has_slot(now, slots) && fits
+    }
+
+    /// Returns whether it has a free slot.
+    pub fn has_slot(&self, now: Duration, slots: u32) -> bool {
+        self.is_usable(now) && self.running < slots
     }
 
     /// Returns whether it is neither leaving nor left alone.
