Let the gate follow the store for a large fleet

Now, from 17 instances on, the gate tells the others of changes over their links and proves every half second how old its copy is; without a proof younger than 1.5 s an instance follows the store itself. First sites keep their own watches.

--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -1,7 +1,7 @@
 //! The side of the gate that decides.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -24,7 +24,12 @@
 };
 
 use super::message::{Frames, FromGate, ToGate, decode, frames, send_all};
-use crate::{clock, members::SharedMembers, net};
+use crate::{
+    clock,
+    members::SharedMembers,
+    net,
+    replica::{ByTopic, Replicas, Topic, Update},
+};
 
 /// Time between looks at what waits.
 const TICK: Duration = Duration::from_millis(20);
@@ -39,6 +44,8 @@
 struct Link {
     tx: UnboundedSender<FromGate>,
     instance: Option<InstanceName>,
+    /// Revisions up to which it was told of changes; none of what it doesn't follow here.
+    told: ByTopic<Option<u64>>,
 }
 
 #[derive(Debug, Default)]
@@ -53,13 +60,14 @@
 pub struct Host {
     state: Mutex<State>,
     members: SharedMembers,
+    replicas: Arc<Replicas>,
     waiting: Notify,
 }
 
 impl Host {
     /// Creates a host that knows no upstreams yet.
-    pub fn new(members: SharedMembers) -> Self {
-        Self { state: Mutex::default(), members, waiting: Notify::new() }
+    pub fn new(members: SharedMembers, replicas: Arc<Replicas>) -> Self {
+        Self { state: Mutex::default(), members, replicas, waiting: Notify::new() }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -104,7 +112,7 @@
         let mut state = self.state();
         let id = state.next_link;
         state.next_link += 1;
-        state.links.insert(id, Link { tx, instance: None });
+        state.links.insert(id, Link { tx, instance: None, told: ByTopic::default() });
         id
     }
 
@@ -147,14 +155,64 @@
                 Vec::new()
             }
             ToGate::End { number, end } => state.dispatcher.end(now, ticket(number), end),
-            ToGate::Ping => {
-                state.send(link, FromGate::Pong);
+            ToGate::Ping { number, follow } => {
+                self.answer_ping(now, &mut state, link, number, follow);
                 Vec::new()
             }
         };
         state.tell(decisions);
     }
 
+    /// Tells a link of what it doesn't know yet, and how fresh that is.
+    fn answer_ping(
+        &self,
+        now: Duration,
+        state: &mut State,
+        link: u64,
+        number: u64,
+        follow: ByTopic<Option<u64>>,
+    ) {
+        let Some(known) = state.links.get_mut(&link) else { return };
+        let mut ages = ByTopic::default();
+        for topic in Topic::ALL {
+            let told = known.told.get_mut(topic);
+            // What was told may still be on its way, so that a link can be behind what it was told.
+            *told = follow.get(topic).map(|at| told.unwrap_or_default().max(at));
+            let Some(from) = *told else { continue };
+            let Some(update) = self.replicas.update_after(now, topic, from) else { continue };
+            *ages.get_mut(topic) = self.replicas.of(topic).age(now);
+            known.tell(Arc::new(update));
+        }
+        // A closed receiver means that the link is about to be removed.
+        let _ = known.tx.send(FromGate::Pong { number, ages });
+        let is_followed = state.links.values().any(Link::is_following);
+        self.replicas.set_followed(is_followed);
+    }
+
+    /// Tells those that follow the copies here of changes, for ever.
+    pub async fn tell_changes(self: Arc<Self>) {
+        let mut changes = self.replicas.changes();
+        while changes.changed().await.is_ok() {
+            let now = clock::now();
+            for topic in Topic::ALL {
+                self.tell_topic(now, topic);
+            }
+        }
+    }
+
+    fn tell_topic(&self, now: Duration, topic: Topic) {
+        let mut updates: BTreeMap<u64, Option<Arc<Update>>> = BTreeMap::new();
+        for link in self.state().links.values_mut() {
+            let Some(from) = *link.told.get(topic) else { continue };
+            let update = updates
+                .entry(from)
+                .or_insert_with(|| self.replicas.update_after(now, topic, from).map(Arc::new));
+            if let Some(update) = update {
+                link.tell(update.clone());
+            }
+        }
+    }
+
     /// Returns whether most of the fleet asks here.
     pub fn is_main(&self) -> bool {
         let state = self.state();
@@ -261,6 +319,22 @@
     }
 }
 
+impl Link {
+    fn is_following(&self) -> bool {
+        Topic::ALL.iter().any(|topic| self.told.get(*topic).is_some())
+    }
+
+    /// Tells of changes, if there are any.
+    fn tell(&mut self, update: Arc<Update>) {
+        if update.changes.is_empty() {
+            return;
+        }
+        *self.told.get_mut(update.topic) = Some(update.at);
+        // A closed receiver means that the link is about to be removed.
+        let _ = self.tx.send(FromGate::Update(update));
+    }
+}
+
 impl State {
     fn tell(&mut self, decisions: Vec<Decision>) {
         for decision in decisions {
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -1,4 +1,7 @@
 //! Tells and stores what was given out of the limits of workspaces, for the next gate.
+//!
+//! Instances are told at once when much was given out. The store, which counts calls, is needed
+//! only when all instances end together, and is written at most twice a second.
 
 use std::{sync::Arc, time::Duration};
 
@@ -19,6 +22,9 @@
 /// Time between writes.
 const INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Shortest time between writes, when much is given out.
+const SHORTEST_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time between looks whether this instance decides for the fleet and how much it gave out.
 const CHECK: Duration = Duration::from_millis(100);
 
@@ -46,10 +52,13 @@
             }
             self.take_over().await;
             let mut written = Vec::new();
+            let mut written_at = Duration::ZERO;
             while self.host.is_main() {
-                self.next_write().await;
-                let usage = self.host.tell_usage(clock::now());
-                if usage != written {
+                self.next_tell().await;
+                let now = clock::now();
+                let usage = self.host.tell_usage(now);
+                if usage != written && now.saturating_sub(written_at) >= SHORTEST_INTERVAL {
+                    written_at = now;
                     match self.write(&usage).await {
                         Ok(()) => written = usage,
                         Err(e) => warn!(error:% = e; "The usage of limits was not stored."),
@@ -59,8 +68,8 @@
         }
     }
 
-    /// Waits until the usage is to be written: regularly, and at once when much was given out.
-    async fn next_write(&self) {
+    /// Waits until the usage is to be told: regularly, and at once when much was given out.
+    async fn next_tell(&self) {
         let until = clock::now() + INTERVAL;
         while clock::now() < until && !self.host.must_tell_usage() {
             sleep(CHECK).await;
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -31,6 +31,7 @@
     clock,
     members::{Member, SharedMembers},
     net,
+    replica::{ByTopic, Replicas, Topic},
 };
 
 /// Longest time to connect to a gate.
@@ -42,6 +43,12 @@
 /// Silence after which a gate is asked for a sign of life.
 const QUIET: Duration = Duration::from_millis(400);
 
+/// Time between questions for a proof that the gate's copies are fresh.
+const PROOF_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Instances from which on the gate follows the key-value service for the others.
+const FOLLOW_GATE_FROM: usize = 17;
+
 /// Silence after which a gate is taken to be dead.
 const SILENT: Duration = Duration::from_millis(1_000);
 
@@ -96,6 +103,7 @@
     usage: Vec<StoredUsage>,
     /// When it told.
     usage_at: Duration,
+    pinged: Option<Pinged>,
 }
 
 /// Asks the gate for slots.
@@ -105,9 +113,17 @@
     next: AtomicU64,
     instance: InstanceName,
     members: SharedMembers,
+    replicas: Arc<Replicas>,
     host: Arc<Host>,
 }
 
+/// The last ping on a link.
+#[derive(Clone, Copy, Debug)]
+struct Pinged {
+    number: u64,
+    at: Duration,
+}
+
 /// A request that waits for a slot.
 #[derive(Debug)]
 pub struct Waiting {
@@ -128,8 +144,13 @@
 
 impl Gate {
     /// Creates a link that is not connected yet.
-    pub fn new(instance: InstanceName, members: SharedMembers, host: Arc<Host>) -> Self {
-        Self { state: Mutex::default(), next: AtomicU64::new(0), instance, members, host }
+    pub fn new(
+        instance: InstanceName,
+        members: SharedMembers,
+        replicas: Arc<Replicas>,
+        host: Arc<Host>,
+    ) -> Self {
+        Self { state: Mutex::default(), next: AtomicU64::new(0), instance, members, replicas, host }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -179,8 +200,50 @@
                 state.usage = usage;
                 state.usage_at = clock::now();
             }
-            FromGate::Pong => {}
+            FromGate::Update(update) => {
+                let update = Arc::unwrap_or_clone(update);
+                self.replicas.of(update.topic).tell(update);
+            }
+            FromGate::Pong { number, ages } => {
+                if let Some(pinged) = state.pinged.filter(|pinged| pinged.number == number) {
+                    self.take_proof(pinged.at, &ages);
+                }
+            }
+        }
+    }
+
+    /// Notes how fresh the gate's copies were when it answered a ping, whose changes were told
+    /// before that answer.
+    fn take_proof(&self, pinged_at: Duration, ages: &ByTopic<Option<Duration>>) {
+        for topic in Topic::ALL {
+            if let Some(age) = ages.get(topic) {
+                self.replicas.of(topic).prove(pinged_at.saturating_sub(*age));
+            }
+        }
+    }
+
+    /// Returns the revisions after which the gate is to tell of changes.
+    fn follows(&self) -> ByTopic<Option<u64>> {
+        if self.members.load().len() < FOLLOW_GATE_FROM {
+            return ByTopic::default();
         }
+        self.replicas.revisions()
+    }
+
+    fn ping(&self, now: Duration) {
+        let follow = self.follows();
+        let mut state = self.state();
+        let number = state.pinged.map_or(0, |pinged| pinged.number + 1);
+        state.pinged = Some(Pinged { number, at: now });
+        state.send(ToGate::Ping { number, follow });
+    }
+
+    /// Returns whether the gate is to be asked for a sign of life or a proof.
+    fn must_ping(&self, now: Duration, silence: Duration) -> bool {
+        let last = self.state().pinged.map_or(Duration::ZERO, |pinged| pinged.at);
+        let since = now.saturating_sub(last);
+        let is_proof_due = since >= PROOF_INTERVAL && self.members.load().len() >= FOLLOW_GATE_FROM;
+        silence >= QUIET || is_proof_due
     }
 
     /// Keeps a link to the gate for ever.
@@ -253,8 +316,8 @@
                     if !self.is_first(now, member, suspects) {
                         return MOVED;
                     }
-                    if silence >= QUIET {
-                        self.state().send(ToGate::Ping);
+                    if self.must_ping(now, silence) {
+                        self.ping(now);
                     }
                 }
             }
--- a/lacewingspring_proxy/src/gate/message.rs
+++ b/lacewingspring_proxy/src/gate/message.rs
@@ -1,6 +1,6 @@
 //! Messages between an instance and the instance that decides for the fleet.
 
-use std::{io, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::SinkExt;
@@ -12,8 +12,10 @@
 use tokio::{net::TcpStream, sync::mpsc::UnboundedReceiver};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// Largest message, in bytes.
-const MAX_MESSAGE_LEN: usize = 256 * 1024;
+use crate::replica::{ByTopic, Update};
+
+/// Largest message, in bytes; a value of the key-value service is at most half as long.
+const MAX_MESSAGE_LEN: usize = 2 * 1024 * 1024;
 
 /// What an instance tells the gate.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -58,7 +60,13 @@
         end: End,
     },
     /// The link is alive; the gate answers.
-    Ping,
+    Ping {
+        /// Number of the ping.
+        number: u64,
+        /// Revisions after which the gate is to tell of changes; none of what is not followed
+        /// over this link.
+        follow: ByTopic<Option<u64>>,
+    },
 }
 
 /// What the gate tells an instance.
@@ -85,8 +93,15 @@
     },
     /// What was given out of limits.
     Usage(Vec<StoredUsage>),
+    /// What changed in the key-value service.
+    Update(Arc<Update>),
     /// Answer to a ping.
-    Pong,
+    Pong {
+        /// Number of the ping.
+        number: u64,
+        /// Age of the gate's copies, all of whose changes were told; none of what isn't told.
+        ages: ByTopic<Option<Duration>>,
+    },
 }
 
 /// Frames of a link.
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -29,6 +29,7 @@
     metrics::SharedMetrics,
     mirror::Mirror,
     protocol::Protocol,
+    replica::{Replicas, Topic},
     server::{ConnectionLimits, OpenConnections, Server},
     settings::Settings,
     store::Store,
@@ -175,9 +176,10 @@
     let store = CountedStore { inner: parts.store.clone(), metrics: metrics.clone() };
     let parts =
         Parts { store: Arc::new(store), protocol: parts.protocol, platform: parts.platform };
-    let host = Arc::new(Host::new(members.clone()));
+    let replicas = Arc::new(Replicas::default());
+    let host = Arc::new(Host::new(members.clone(), replicas.clone()));
     let name = settings.instance.clone();
-    let gate = Gate::new(name, members.clone(), host.clone());
+    let gate = Gate::new(name, members.clone(), replicas.clone(), host.clone());
     let gate = Arc::new(gate);
     let beliefs = Arc::new(Beliefs {
         declared: Arc::default(),
@@ -189,8 +191,9 @@
         metrics: metrics.clone(),
         settings: settings.clone(),
     });
-    follow(&beliefs, &parts);
+    follow(&beliefs, &parts, &replicas);
     tokio::spawn(host.clone().tick());
+    tokio::spawn(host.clone().tell_changes());
     tokio::spawn(Ledger { store: parts.store.clone(), host: host.clone() }.run());
     tokio::spawn(gate.clone().run());
     tokio::spawn(watched("peers", host.serve(settings.listen.peers)));
@@ -238,7 +241,7 @@
     info!(connections = open.count(); "The instance stops.");
 }
 
-fn follow<S, P, T>(beliefs: &Arc<Beliefs>, parts: &Parts<S, P, T>)
+fn follow<S, P, T>(beliefs: &Arc<Beliefs>, parts: &Parts<S, P, T>, replicas: &Arc<Replicas>)
 where
     S: Store,
     T: Platform,
@@ -250,18 +253,32 @@
             known.take_declared(now, declared);
         }
     };
-    tokio::spawn(Follow::new(parts.store.clone(), T::DECLARED_PREFIX, declared).run());
+    start_follow(parts, replicas, Topic::Declared, T::DECLARED_PREFIX, declared);
     let platform = parts.platform.clone();
     let known = beliefs.clone();
     let upstreams = move |now: Duration, mirror: &Mirror| {
         known.take_upstreams(now, platform.upstreams(mirror));
     };
-    tokio::spawn(Follow::new(parts.store.clone(), T::UPSTREAMS_PREFIX, upstreams).run());
+    start_follow(parts, replicas, Topic::Upstreams, T::UPSTREAMS_PREFIX, upstreams);
     let known = beliefs.clone();
     let members = move |now: Duration, mirror: &Mirror| {
         known.take_members(now, Members::read(mirror));
     };
-    tokio::spawn(Follow::new(parts.store.clone(), MEMBERS_PREFIX, members).run());
+    start_follow(parts, replicas, Topic::Members, MEMBERS_PREFIX, members);
+}
+
+fn start_follow<S, P, T, F>(
+    parts: &Parts<S, P, T>,
+    replicas: &Arc<Replicas>,
+    topic: Topic,
+    prefix: &'static str,
+    on_change: F,
+) where
+    S: Store,
+    F: FnMut(Duration, &Mirror) + Send + Sync + 'static,
+{
+    let follow = Follow::new(parts.store.clone(), replicas.clone(), topic, prefix, on_change);
+    tokio::spawn(follow.run());
 }
 
 fn serve_directory<S, P, T>(
--- a/lacewingspring_proxy/src/lib.rs
+++ b/lacewingspring_proxy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod net;
 pub mod protocol;
 pub mod refusal;
+pub mod replica;
 pub mod sent;
 pub mod server;
 pub mod settings;
--- a/lacewingspring_proxy/src/mirror.rs
+++ b/lacewingspring_proxy/src/mirror.rs
@@ -2,11 +2,17 @@
 //!
 //! Keys that hang on leases may lapse while the service is away although their owners live, and
 //! come back soon after. A key that is found gone right after an outage is kept for a while.
+//!
+//! Other instances may follow a copy in place of the service. So it remembers deletions for a
+//! while, and tells what changed after any revision that it still covers.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::store::{Batch, Change, Item};
 
+/// Deletions that are remembered.
+const MOST_DELETIONS: usize = 1_024;
+
 /// Time after an outage within which lapsed keys may come back.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 
@@ -22,6 +28,10 @@
 pub struct Mirror {
     entries: BTreeMap<String, Entry>,
     at: u64,
+    /// Keys that were deleted, by the revision of that.
+    deletions: BTreeMap<u64, String>,
+    /// Revision up to which deletions are not remembered.
+    forgotten: u64,
     is_away: bool,
     grace_until: Duration,
 }
@@ -67,12 +77,18 @@
             self.put(item);
         }
         self.at = at;
+        self.deletions.clear();
+        self.forgotten = at;
     }
 
-    /// Applies changes; returns whether there were any.
+    /// Applies changes; returns whether there were any that were not known.
     pub fn apply(&mut self, now: Duration, batch: Batch) -> bool {
-        let is_changed = !batch.changes.is_empty();
+        let mut is_changed = false;
         for change in batch.changes {
+            if change.revision() <= self.at {
+                continue;
+            }
+            is_changed = true;
             match change {
                 Change::Put(item) => self.put(item),
                 Change::Deleted { key, revision } => {
@@ -81,6 +97,7 @@
                     if is_newer {
                         self.delete(now, &key);
                     }
+                    self.remember_deletion(revision, key);
                 }
             }
         }
@@ -88,6 +105,43 @@
         is_changed
     }
 
+    fn remember_deletion(&mut self, revision: u64, key: String) {
+        self.deletions.insert(revision, key);
+        while self.deletions.len() > MOST_DELETIONS {
+            if let Some((revision, _)) = self.deletions.pop_first() {
+                self.forgotten = revision;
+            }
+        }
+    }
+
+    /// Returns what changed after a revision, in order; none when that is no longer known.
+    pub fn changes_after(&self, revision: u64) -> Option<Batch> {
+        if revision < self.forgotten {
+            return None;
+        }
+        let puts = self.entries.values().filter(|entry| entry.gone_at.is_none());
+        let puts = puts.filter(|entry| entry.item.revision > revision);
+        let puts = puts.map(|entry| Change::Put(entry.item.clone()));
+        let deletions = self.deletions.range(revision + 1..);
+        let deletions = deletions
+            .map(|(revision, key)| Change::Deleted { key: key.clone(), revision: *revision });
+        let mut changes: Vec<Change> = puts.chain(deletions).collect();
+        changes.sort_by_key(Change::revision);
+        Some(Batch { changes, at: self.at })
+    }
+
+    /// Returns for how long lapsed keys may still come back.
+    pub fn grace_left(&self, now: Duration) -> Duration {
+        self.grace_until.saturating_sub(now)
+    }
+
+    /// Keeps lapsed keys for a time, as the one does whose copy this follows.
+    pub fn extend_grace(&mut self, now: Duration, left: Duration) {
+        if !left.is_zero() {
+            self.grace_until = self.grace_until.max(now + left);
+        }
+    }
+
     fn put(&mut self, item: Item) {
         let is_older =
             self.entries.get(&item.key).is_some_and(|known| known.item.revision > item.revision);
--- a/lacewingspring_proxy/src/store.rs
+++ b/lacewingspring_proxy/src/store.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// Identity of a lease.
@@ -10,7 +11,7 @@
 pub struct LeaseId(pub u64);
 
 /// A key with its value.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
     /// The key.
     pub key: String,
@@ -23,7 +24,7 @@
 }
 
 /// A change of one key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// It was written.
     Put(Item),
@@ -36,6 +37,16 @@
     },
 }
 
+impl Change {
+    /// Returns the revision of the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Put(item) => item.revision,
+            Self::Deleted { revision, .. } => *revision,
+        }
+    }
+}
+
 /// A part of the keys below a prefix.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page {
