Share an overload among sizes of a kind too

Now the queue shares evenly among kinds and three bands of sizes in each (largest tenth, the fifth below, the others), with 0.75 and 0.85 for the larger, as a small one takes less from others. Ruled out: a longer wait for large ones alone (it moves the edge, the starving stays). Test: serves_large_requests_of_a_kind_at_least_half_as_often, failed first.

--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -24,6 +24,7 @@
 mod quota;
 mod returns;
 mod server;
+mod sizes;
 mod upstream;
 mod work;
 
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -115,8 +115,9 @@
 
     /// Takes a request; the decisions are those that follow from it.
     pub fn ask(&mut self, now: Duration, part: f64, ticket: Ticket, ask: Ask) -> Vec<Decision> {
+        let band = self.queue.band(&ask);
         if ask.sends == 0 {
-            self.queue.count_asked(now, &ask.class, ask.rank);
+            self.queue.count_asked(now, &ask, band);
         }
         if !self.servers.values().any(|server| is_allowed(server, &ask)) {
             let retry_after = return_in(NO_UPSTREAM_RETRY, &ask);
@@ -128,13 +129,13 @@
         let due = now + ask.aim_left.saturating_sub(first);
         let class = ask.class.clone();
         let is_late = ask.aim_left.is_zero();
-        let waiting = Waiting { ticket, due, expires: now + longest_wait(&ask), ask };
+        let waiting = Waiting { ticket, due, expires: now + longest_wait(&ask), ask, band };
         self.queue.push(now, waiting);
         let mut decisions = self.fill(now, part);
         let waiting = self.queue.get(ticket);
         let refusal = waiting.and_then(|waiting| self.foresee(part, first, &waiting.ask));
         let Some(wait) = refusal else { return decisions };
-        let better = self.queue.newest_of_better_served(&class).filter(|_| !is_late);
+        let better = self.queue.newest_of_better_served(&class, band).filter(|_| !is_late);
         let victim = better.unwrap_or(ticket);
         if let Some(waiting) = self.queue.remove(victim) {
             decisions.push(self.give_up(now, part, wait, &waiting));
--- a/lacewingspring_core/src/dispatch/queue.rs
+++ b/lacewingspring_core/src/dispatch/queue.rs
@@ -1,7 +1,8 @@
 //! Requests that wait for a slot of one service.
 //!
-//! Kinds of request share the service evenly under overload: next is the kind of which the
-//! smallest part was served on time. Requests that are late already yield to those that aren't.
+//! Kinds of request share the service evenly under overload, and so do the sizes within a kind,
+//! with less for the larger: next is the class of which the smallest part was served on time.
+//! Requests that are late already yield to those that aren't.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -9,7 +10,10 @@
     time::Duration,
 };
 
-use super::work::{Ask, Ticket};
+use super::{
+    sizes::{Band, Sizes, size},
+    work::{Ask, Ticket},
+};
 
 /// Time over which the served part of a kind is remembered.
 const SHARE_MEMORY: Duration = Duration::from_secs(8);
@@ -24,16 +28,19 @@
     pub ticket: Ticket,
     /// What it asked for.
     pub ask: Ask,
+    /// How large it is among those of its kind.
+    pub band: Band,
     /// Time by which it must be sent to be answered on time.
     pub due: Duration,
     /// Time after which it is given up.
     pub expires: Duration,
 }
 
-/// Requests of one kind.
+/// Requests of one kind and band of sizes.
 #[derive(Debug, Default)]
 struct Class {
     rank: u8,
+    band: Band,
     timely: VecDeque<Waiting>,
     late: VecDeque<Waiting>,
     asked: f64,
@@ -50,30 +57,47 @@
         self.counted_at = now;
     }
 
-    /// Part that was served on time, with the head start of its rank.
+    /// Part that was served on time, with the weight of its band and the head start of its rank.
     fn share(&self) -> f64 {
-        self.served / self.asked.max(1.0) + f64::from(self.rank) * RANK_STEP
+        let served = self.served / self.asked.max(1.0);
+        served / self.band.weight() + f64::from(self.rank) * RANK_STEP
     }
 }
 
+/// Kind and band of sizes.
+type ClassKey = (Arc<str>, Band);
+
 /// Waiting requests of one service.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
-    classes: BTreeMap<Arc<str>, Class>,
+    classes: BTreeMap<ClassKey, Class>,
+    sizes: BTreeMap<Arc<str>, Sizes>,
 }
 
 impl Queue {
-    /// Counts a new request of a kind.
-    pub fn count_asked(&mut self, now: Duration, class: &Arc<str>, rank: u8) {
-        let class = self.classes.entry(class.clone()).or_default();
-        class.rank = rank;
+    /// Returns how large a request is among those of its kind.
+    pub fn band(&mut self, ask: &Ask) -> Band {
+        let Some(size) = size(&ask.work) else { return Band::Small };
+        self.sizes.entry(ask.class.clone()).or_default().add(size)
+    }
+
+    /// Counts a new request.
+    pub fn count_asked(&mut self, now: Duration, ask: &Ask, band: Band) {
+        let class = self.class(ask, band);
+        class.rank = ask.rank;
         class.age(now);
         class.asked += 1.0;
     }
 
+    fn class(&mut self, ask: &Ask, band: Band) -> &mut Class {
+        let class = self.classes.entry((ask.class.clone(), band)).or_default();
+        class.band = band;
+        class
+    }
+
     /// Adds a request.
     pub fn push(&mut self, now: Duration, waiting: Waiting) {
-        let class = self.classes.entry(waiting.ask.class.clone()).or_default();
+        let class = self.class(&waiting.ask, waiting.band);
         if waiting.due > now {
             class.timely.push_back(waiting);
         } else {
@@ -95,7 +119,7 @@
         gone
     }
 
-    /// Returns waiting requests in the order in which they are to be sent, the first of each kind.
+    /// Returns waiting requests in the order in which they are to be sent, the first of each class.
     pub fn heads(&self) -> Vec<&Waiting> {
         let mut heads: Vec<(bool, f64, &Waiting)> = Vec::new();
         for class in self.classes.values() {
@@ -109,10 +133,10 @@
         heads.into_iter().map(|(_, _, waiting)| waiting).collect()
     }
 
-    /// Returns the newest request of the kind that is served best, if it is served better than
-    /// `class`; it is given up when there is room for one of them only.
-    pub fn newest_of_better_served(&self, class: &Arc<str>) -> Option<Ticket> {
-        let share = self.classes.get(class).map_or(0.0, Class::share);
+    /// Returns the newest request of the class that is served best, if it is served better than
+    /// that of `kind` and `band`; it is given up when there is room for one of them only.
+    pub fn newest_of_better_served(&self, kind: &Arc<str>, band: Band) -> Option<Ticket> {
+        let share = self.classes.get(&(kind.clone(), band)).map_or(0.0, Class::share);
         let waiting = self.classes.values().filter(|other| !other.timely.is_empty());
         let best = waiting.max_by(|a, b| a.share().total_cmp(&b.share()))?;
         let newest = best.timely.back().filter(|_| best.share() > share)?;
@@ -128,11 +152,10 @@
 
     /// Counts a request that is sent now.
     fn count_sent(&mut self, now: Duration, waiting: &Waiting) {
-        if let Some(class) = self.classes.get_mut(&waiting.ask.class) {
-            class.age(now);
-            if waiting.due > now && waiting.ask.sends == 0 {
-                class.served += 1.0;
-            }
+        let class = self.class(&waiting.ask, waiting.band);
+        class.age(now);
+        if waiting.due > now && waiting.ask.sends == 0 {
+            class.served += 1.0;
         }
     }
 
--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -202,6 +202,46 @@
     assert!((few - many).abs() < 0.3, "few {few}, many {many}");
 }
 
+/// Plays an overload of one kind, one in ten of which has a prompt of `large` tokens; returns the
+/// served parts of the others and of these.
+fn served_by_size(large: u32) -> (f64, f64) {
+    let mut dispatcher = dispatcher(&[upstream("u", 4)]);
+    let mut running: Vec<(Duration, u64)> = Vec::new();
+    let (mut asked, mut served) = ([0_u32; 2], [0_u32; 2]);
+    for number in 0..6_000_u64 {
+        let now = ms(number * 5);
+        let is_large = number % 10 == 3;
+        asked[usize::from(is_large)] += 1;
+        let prompt_tokens = if is_large { large } else { 200 };
+        let work = Work::Generation { prompt_tokens, output_tokens: 50, parts: Vec::new() };
+        let ask = Ask { fingerprint: number, work, ..ask("a") };
+        let mut decisions = dispatcher.ask(now, ticket(number), ask);
+        running.retain(|(until, number)| {
+            let ends = *until <= now;
+            if ends {
+                decisions.extend(dispatcher.end(now, ticket(*number), finished(50, 0)));
+            }
+            !ends
+        });
+        decisions.extend(dispatcher.tick(now));
+        for (number, _) in granted(&decisions) {
+            running.push((now + ms(50), number));
+            served[usize::from(number % 10 == 3)] += 1;
+        }
+    }
+    let part = |size: usize| f64::from(served[size]) / f64::from(asked[size]);
+    (part(0), part(1))
+}
+
+#[test]
+fn serves_large_requests_of_a_kind_at_least_half_as_often() {
+    let (small, large) = served_by_size(8_000);
+    let all = small * 0.9 + large * 0.1;
+    assert!(all < 0.8, "the load is beyond the capacity: {all}");
+    assert!(large > all / 2.0, "of the large {large}, of all {all}");
+    assert!(large < small, "under overload small ones serve more callers: {large}, {small}");
+}
+
 #[test]
 fn prefers_an_upstream_of_its_own_data_centre_among_like_ones() {
     let mut far = upstream("far", 4);
