Weigh engines by how often a slot becomes free there

Cause: the plain mean counts slow engines as much as fast ones, which free most slots; at the first sites, with nine engines of 0.55 to 2.8 times the usual time, large requests were refused in vain.

--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -177,12 +177,14 @@
     }
 
     /// Returns milliseconds from a send to the first event, at the mean of the upstreams: a request
-    /// that waits goes to the one that has a slot first.
+    /// that waits goes to the one that has a slot first, which is mostly a fast one.
     fn expected_first_ms(&self, now: Duration, work: &Work) -> f64 {
         let usable = self.servers.values().filter(|server| server.is_usable(now));
-        let times = usable.map(|server| server.first_ms(now, work));
-        let (sum, count) = times.fold((0.0, 0.0_f64), |(sum, count), ms| (sum + ms, count + 1.0));
-        sum / count.max(1.0)
+        let times = usable.map(|server| (server.first_ms(now, work), server.pace(work)));
+        let (sum, weight) = times.fold((0.0, 0.0), |(sum, weight), (first_ms, pace)| {
+            (sum + first_ms * pace, weight + pace)
+        });
+        if weight > 0.0 { sum / weight } else { 0.0 }
     }
 
     /// Sends what waits to upstreams with room.
--- a/lacewingspring_core/src/dispatch/server.rs
+++ b/lacewingspring_core/src/dispatch/server.rs
@@ -32,6 +32,9 @@
 /// Least time to read a prompt token that is learned, in milliseconds.
 const LEAST_PREFILL_MS: f64 = 0.001;
 
+/// Least time of an output token or a plain call that speeds are compared by, in milliseconds.
+const LEAST_HOLD_MS: f64 = 0.1;
+
 /// Prompt length from which the time to the first event tells the speed of prefill, in tokens.
 const PREFILL_SAMPLE_TOKENS: u32 = 1_000;
 
@@ -198,6 +201,15 @@
         all_ms.min(millis(self.read_until.saturating_sub(now)))
     }
 
+    /// Returns how often a slot becomes free here, relative to other upstreams.
+    pub fn pace(&self, work: &Work) -> f64 {
+        let hold_ms = match work {
+            Work::Plain => self.speed.plain_ms,
+            Work::Generation { .. } => self.speed.decode_ms,
+        };
+        f64::from(self.info.slots) / hold_ms.max(LEAST_HOLD_MS)
+    }
+
     /// Returns milliseconds until the end of a request's answer.
     pub fn whole_ms(&self, now: Duration, work: &Work) -> f64 {
         let rest = match work {
