--- a/lacewingspring_core/src/dispatch/sizes.rs
+++ b/lacewingspring_core/src/dispatch/sizes.rs
@@ -38,8 +38,8 @@
     pub const fn weight(self) -> f64 {
         match self {
             Self::Small => 1.0,
-            Self::Middle => 0.85,
-            Self::Large => 0.75,
+            Self::Middle => 0.8,
+            Self::Large => 0.6,
         }
     }
 }
