Send one request more where calls are short; follow a cut run again

Cause: with six slots no request more is sent than run; where a call takes 20 to 60 ms, a slot stands idle a good part of that until the next request arrives. Now a pool whose slots are taken for 150 ms at most gets one more for six slots. The own interface's daemon told 'answer gone' when its exchange with the instance that has the answer was cut, which says nothing of the answer; it asks again now until the caller's deadline.

--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -96,7 +96,9 @@
                 }
                 self.follow_or_take_over(homes, request, runner).await
             }
-            RegisterVerdict::Finished { runner, outcome } => self.answer_of(runner, outcome).await,
+            RegisterVerdict::Finished { runner, outcome } => {
+                self.answer_of(runner, outcome, deadline).await
+            }
             RegisterVerdict::Conflict => Err(Refusal::last(ErrorKind::KeyConflict)),
             RegisterVerdict::Voided => Err(self.voided().await),
             RegisterVerdict::Full => Err(Refusal::new(ErrorKind::Overloaded, FULL_RETRY_AFTER)),
@@ -324,22 +326,34 @@
     }
 
     /// Fetches the answer of a run that ended.
-    async fn answer_of(&self, runner: Runner, outcome: Outcome) -> Result<(), Refusal> {
+    ///
+    /// An exchange that is cut says nothing of the answer: after a freeze of this process its
+    /// connections are closed while the runner still has it.
+    async fn answer_of(
+        &self,
+        runner: Runner,
+        outcome: Outcome,
+        deadline: Duration,
+    ) -> Result<(), Refusal> {
         match outcome {
             Outcome::NotRun => return Err(Refusal::last(ErrorKind::Voided)),
             Outcome::MayHaveRun => return Err(Refusal::last(ErrorKind::AnswerLost)),
             Outcome::Answered => {}
         }
         let gone = Refusal::last(ErrorKind::AnswerGone);
-        let peer = self.node.fleet.live(&runner.instance, runner.incarnation).ok_or(gone)?;
         if self.node.is_run(&runner.instance, runner.incarnation) {
             return Err(gone);
         }
-        let key = self.run.id.key.clone();
-        match self.follow(&peer, key, runner.incarnation).await {
-            Followed::Whole => Ok(()),
-            Followed::Failed(refusal) => Err(refusal),
-            Followed::NoRun | Followed::Cut => Err(gone),
+        loop {
+            let peer = self.node.fleet.live(&runner.instance, runner.incarnation).ok_or(gone)?;
+            let key = self.run.id.key.clone();
+            match self.follow(&peer, key, runner.incarnation).await {
+                Followed::Whole => return Ok(()),
+                Followed::Failed(refusal) => return Err(refusal),
+                Followed::NoRun => return Err(gone),
+                Followed::Cut if clock::now() >= deadline => return Err(gone),
+                Followed::Cut => sleep(RUNNER_POLL).await,
+            }
         }
     }
 
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -44,6 +44,13 @@
 /// request is on its way.
 const SLOTS_A_SPARE: u32 = 8;
 
+/// As [`SLOTS_A_SPARE`], where slots are taken for a short time only: there the way of the next
+/// request is a larger part of it.
+const SHORT_SLOTS_A_SPARE: u32 = 6;
+
+/// Mean time that a slot is taken up to which it counts as short.
+const SHORT_HOLD: Duration = Duration::from_millis(150);
+
 /// Shortest time after which a refused caller is told to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(200);
 
@@ -211,13 +218,16 @@
 
     /// Returns whether any upstream has a free slot.
     fn has_room(&self, now: Duration, part: f64) -> bool {
-        self.servers.values().any(|server| server.has_slot(now, slots(&server.info, part)))
+        self.servers
+            .values()
+            .any(|server| server.has_slot(now, self.sent_at_once(&server.info, part)))
     }
 
     fn choose(&self, now: Duration, part: f64, ask: &Ask) -> Option<UpstreamName> {
         let memory = memory_tokens(&ask.work);
         let mut open = self.servers.values().filter(|server| {
-            is_allowed(server, ask) && server.has_room(now, slots(&server.info, part), memory)
+            is_allowed(server, ask)
+                && server.has_room(now, self.sent_at_once(&server.info, part), memory)
         });
         let first = open.next()?;
         let longest_ms = self.longest_ms(now, ask);
@@ -318,7 +328,15 @@
 
     fn slots(&self, part: f64) -> u32 {
         let open = self.servers.values().filter(|server| !server.info.draining);
-        open.map(|server| slots(&server.info, part)).sum()
+        open.map(|server| self.sent_at_once(&server.info, part)).sum()
+    }
+
+    /// Requests that this gate may send to an upstream at once.
+    fn sent_at_once(&self, info: &UpstreamInfo, part: f64) -> u32 {
+        let slots_a_spare =
+            if self.hold <= SHORT_HOLD { SHORT_SLOTS_A_SPARE } else { SLOTS_A_SPARE };
+        let sent = info.slots + info.slots / slots_a_spare;
+        ((f64::from(sent) * part).floor() as u32).max(1)
     }
 }
 
@@ -335,12 +353,6 @@
     ask.aim_left.mul_f64(WAITING_AIMS).min(first_left.mul_f64(WAITING_PART))
 }
 
-/// Requests that this gate may send to an upstream at once.
-fn slots(info: &UpstreamInfo, part: f64) -> u32 {
-    let sent = info.slots + info.slots / SLOTS_A_SPARE;
-    ((f64::from(sent) * part).floor() as u32).max(1)
-}
-
 fn memory_tokens(work: &Work) -> u64 {
     match work {
         Work::Plain => 0,
--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -96,6 +96,25 @@
     assert_eq!(asks.map(|decisions| granted(&decisions).len()).sum::<usize>(), 12);
 }
 
+#[test]
+fn sends_one_more_where_calls_are_short() {
+    let mut dispatcher = dispatcher(&[upstream("u", 6)]);
+    let plain = || Ask { work: Work::Plain, ..ask("a") };
+    let fill = |dispatcher: &mut Dispatcher, now: Duration, from: u64| {
+        let asks = (from..from + 7).map(|number| dispatcher.ask(now, ticket(number), plain()));
+        asks.map(|decisions| granted(&decisions).len()).sum::<usize>()
+    };
+    assert_eq!(fill(&mut dispatcher, ms(0), 0), 6, "nothing is known of the calls");
+    for number in 0..7 {
+        dispatcher.end(ms(20), ticket(number), finished(20, 0));
+    }
+    for number in 100..200 {
+        dispatcher.ask(ms(number), ticket(number), plain());
+        dispatcher.end(ms(number), ticket(number), finished(20, 0));
+    }
+    assert_eq!(fill(&mut dispatcher, ms(300), 300), 7, "a slot is free again in 20 ms");
+}
+
 #[test]
 fn refuses_at_once_what_cannot_be_on_time_and_spreads_the_returns() {
     let mut dispatcher = dispatcher(&[upstream("u", 1)]);
