--- a/lacewingspring_proxy/src/follow.rs
+++ b/lacewingspring_proxy/src/follow.rs
@@ -48,6 +48,8 @@
     /// Called with the copy after each change of it.
     on_change: F,
     failed_calls: u32,
+    /// Whether the gate stands for the service.
+    is_told: bool,
 }
 
 impl<S, F> Follow<S, F>
@@ -63,7 +65,7 @@
         prefix: &'static str,
         on_change: F,
     ) -> Self {
-        Self { store, replicas, topic, prefix, on_change, failed_calls: 0 }
+        Self { store, replicas, topic, prefix, on_change, failed_calls: 0, is_told: false }
     }
 
     /// Follows the keys for ever.
@@ -74,9 +76,11 @@
         let mut proofs = replica.proofs();
         let mut is_loaded = false;
         loop {
+            let fresh_until = replica.fresh_until(clock::now());
+            self.note_source(fresh_until.is_some());
             let result = if !is_loaded {
                 self.load().await
-            } else if let Some(until) = replica.fresh_until(clock::now()) {
+            } else if let Some(until) = fresh_until {
                 self.listen(until, &mut updates, &mut proofs).await
             } else {
                 self.watch().await
@@ -93,6 +97,20 @@
         }
     }
 
+    /// Tells when the gate begins or ceases to stand for the service.
+    fn note_source(&mut self, is_told: bool) {
+        if std::mem::replace(&mut self.is_told, is_told) == is_told {
+            return;
+        }
+        let (topic, revision) = (self.topic.name(), self.replica().mirror().at());
+        if is_told {
+            info!(topic, revision; "Changes are told by the gate.");
+        } else {
+            let age_ms = self.replica().age(clock::now()).map_or(0, |age| age.as_millis() as u64);
+            info!(topic, revision, age_ms; "The gate proves nothing, the service is followed.");
+        }
+    }
+
     fn replica(&self) -> &Replica {
         self.replicas.of(self.topic)
     }
--- a/lacewingspring_proxy/src/settings.rs
+++ b/lacewingspring_proxy/src/settings.rs
@@ -1,15 +1,37 @@
 //! Settings of one instance.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, ops::RangeInclusive, time::Duration};
 
 use lacewingspring_core::{
     dispatch::RetryBound,
     names::{DataCentreName, InstanceName},
 };
 use serde::Deserialize;
+use thiserror::Error;
+
+/// Longest time that a setting may name, in seconds.
+const LONGEST_S: f64 = 86_400.0;
+
+/// Largest count or ratio that a setting may name.
+const LARGEST: f64 = 1_000_000.0;
+
+/// A setting whose value can't be.
+#[derive(Clone, Copy, Debug, Error, PartialEq)]
+#[error("{key} is {value}, not from {least} to {most}")]
+pub struct SettingsError {
+    /// Path of the setting.
+    pub key: &'static str,
+    /// Its value.
+    pub value: f64,
+    /// Least value that is taken.
+    pub least: f64,
+    /// Largest value that is taken.
+    pub most: f64,
+}
 
 /// Settings of one instance.
 #[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of this instance.
     pub instance: InstanceName,
@@ -26,8 +48,45 @@
     pub bounds: Bounds,
 }
 
+impl Settings {
+    /// Checks the values that have a type but no sense.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first setting that is out of its range.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let Machine { cores, speed } = self.machine;
+        let bounds = &self.bounds;
+        let count = 0.0..=LARGEST;
+        let time = 0.0..=LONGEST_S;
+        let checks = [
+            ("machine.cores", cores, &count),
+            ("machine.speed", speed, &count),
+            ("bounds.grace_s", bounds.grace_s, &time),
+            ("bounds.retry_ratio", bounds.retry_ratio, &count),
+            ("bounds.retry_slack", bounds.retry_slack, &count),
+            ("bounds.retry_window_s", bounds.retry_window_s, &time),
+            ("bounds.quota_window_s", bounds.quota_window_s, &time),
+            ("bounds.directory_ttl_s", bounds.directory_ttl_s, &time),
+        ];
+        checks.into_iter().try_for_each(|(key, value, range)| in_range(key, value, range))
+    }
+}
+
+fn in_range(
+    key: &'static str,
+    value: f64,
+    range: &RangeInclusive<f64>,
+) -> Result<(), SettingsError> {
+    if range.contains(&value) {
+        return Ok(());
+    }
+    Err(SettingsError { key, value, least: *range.start(), most: *range.end() })
+}
+
 /// What the machine of an instance gives it.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Machine {
     /// Part of a core that the instance may use; 0 when it isn't known.
     pub cores: f64,
@@ -44,6 +103,7 @@
 
 /// Addresses that an instance listens on.
 #[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Listen {
     /// Requests of callers.
     pub callers: SocketAddr,
@@ -59,6 +119,7 @@
 
 /// Bounds that the fleet keeps.
 #[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Bounds {
     /// Time from the request to stop to the kill, in seconds.
     pub grace_s: f64,
@@ -97,7 +158,7 @@
     }
 }
 
-/// Returns a time from a number of seconds; what is no time is none at all.
+/// Returns a time from a number of seconds; what is no time is refused by [`Settings::check`].
 fn seconds(number: f64) -> Duration {
     Duration::try_from_secs_f64(number).unwrap_or_default()
 }
--- a/lacewingspring_proxy/tests/replica.rs
+++ b/lacewingspring_proxy/tests/replica.rs
@@ -224,9 +224,3 @@
     host.handle(clock::now(), link, ToGate::Ping { number: 2, follow: ByTopic::default() });
     assert!(!replicas.is_followed());
 }
-
-#[test]
-fn settings_tell_the_processor_of_a_machine() {
-    let machine = lacewingspring_proxy::settings::Machine { cores: 0.12, speed: 2.0 };
-    assert_eq!(machine.millicores(), 240);
-}
