Read a topic on where a page was turned away

Now a page behind others is tried up to ten times. Test: reads_on_where_a_page_was_turned_away (with the old loop no read came to its end, as each second call is turned away).

--- a/lacewingspring_proxy/src/follow.rs
+++ b/lacewingspring_proxy/src/follow.rs
@@ -12,7 +12,7 @@
     clock,
     mirror::Mirror,
     replica::{Replica, Replicas, Topic, Update},
-    store::{Item, Store, StoreError},
+    store::{Item, Page, Store, StoreError},
 };
 
 /// Time for which one watch waits for changes.
@@ -33,6 +33,9 @@
 /// Time for which one read may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Tries to read one page behind others.
+const PAGE_TRIES: u32 = 10;
+
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -140,9 +143,7 @@
         let mut first_at = None;
         loop {
             let after = items.last().map(|item| item.key.clone());
-            let page = self.store.range(self.prefix, after.as_deref());
-            let page = timeout(READ_TIMEOUT, page).await;
-            let page = page.map_err(|_| StoreError::NoAnswer("time is up".into()))??;
+            let page = self.read_page(after.as_deref()).await?;
             let at = *first_at.get_or_insert(page.at);
             let is_last = !page.has_more || page.items.is_empty();
             items.extend(page.items);
@@ -152,6 +153,21 @@
         }
     }
 
+    /// Reads one page, more than once if need be: with what was read before, a large topic is read
+    /// whole also while the service turns calls away as too many instances read at once.
+    async fn read_page(&self, after: Option<&str>) -> Result<Page, StoreError> {
+        let mut failed_tries = 0;
+        loop {
+            let page = timeout(READ_TIMEOUT, self.store.range(self.prefix, after)).await;
+            let page = page.unwrap_or_else(|_| Err(StoreError::NoAnswer("time is up".into())));
+            failed_tries += 1;
+            if page.is_ok() || after.is_none() || failed_tries == PAGE_TRIES {
+                return page;
+            }
+            sleep(RETRY_PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
+        }
+    }
+
     async fn watch(&mut self) -> Result<(), StoreError> {
         let (wait, at) = {
             let mirror = self.replica().mirror();
--- a/lacewingspring_proxy/tests/replica.rs
+++ b/lacewingspring_proxy/tests/replica.rs
@@ -28,17 +28,26 @@
 
 const SOON: Duration = Duration::from_millis(100);
 
-/// A service that holds one key, whose watches find nothing.
+/// A service whose watches find nothing; it holds one key, or as many pages of one.
 #[derive(Debug, Default)]
 struct Quiet {
     watches: AtomicUsize,
     reads: AtomicUsize,
+    /// Pages beyond the first.
+    more_pages: usize,
+    /// Whether each second read is turned away.
+    is_pressed: bool,
 }
 
 impl Store for Quiet {
-    async fn range(&self, _: &str, _: Option<&str>) -> Result<Page, StoreError> {
-        self.reads.fetch_add(1, Ordering::Relaxed);
-        Ok(Page { items: vec![item("a", 5)], has_more: false, at: 5 })
+    async fn range(&self, _: &str, after: Option<&str>) -> Result<Page, StoreError> {
+        let read = self.reads.fetch_add(1, Ordering::Relaxed);
+        if self.is_pressed && read % 2 == 1 {
+            return Err(StoreError::Refused(429));
+        }
+        let number = after.map_or(0, |after| after.len());
+        let key = "a".repeat(number + 1);
+        Ok(Page { items: vec![item(&key, 5)], has_more: number < self.more_pages, at: 5 })
     }
 
     async fn watch(&self, _: &str, after: u64, wait: Duration) -> Result<Batch, StoreError> {
@@ -224,3 +233,15 @@
     host.handle(clock::now(), link, ToGate::Ping { number: 2, follow: ByTopic::default() });
     assert!(!replicas.is_followed());
 }
+
+#[tokio::test]
+async fn reads_on_where_a_page_was_turned_away() {
+    let replicas = Arc::new(Replicas::default());
+    let store = Arc::new(Quiet { more_pages: 4, is_pressed: true, ..Quiet::default() });
+    replicas.of(Topic::Members).prove(clock::now());
+    let seen = follow(&replicas, &store);
+    sleep(Duration::from_millis(2_500)).await;
+    let seen = seen.lock().expect("no test panics with the lock").clone();
+    assert_eq!(seen.first().map(Vec::len), Some(5), "all five pages");
+    assert_eq!(store.reads.load(Ordering::Relaxed), 9, "no page is read twice");
+}
