Keep what the gate tells within its link, and usage to ten instances

Now ten links learn the usage (all did before, and still do in fleets up to that size); updates take a quarter of the link (new setting machine.link_mbps), what is beyond is read from the store. Tests: a_gate_tells_no_more_than_its_link_carries, a_gate_tells_usage_to_a_few_instances.

--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -23,7 +23,10 @@
     time::{sleep, timeout},
 };
 
-use super::message::{Frames, FromGate, ToGate, decode, frames, send_all};
+use super::{
+    allowance::Allowance,
+    message::{Frames, FromGate, ToGate, decode, frames, send_all},
+};
 use crate::{
     clock,
     members::SharedMembers,
@@ -37,6 +40,9 @@
 /// Silence after which an instance is taken to be gone.
 const LINK_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Links that are told what was given out of limits, the longest open first.
+const USAGE_HOLDERS: usize = 10;
+
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -48,11 +54,13 @@
     told: ByTopic<Option<u64>>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     dispatcher: Dispatcher,
     links: HashMap<u64, Link>,
     next_link: u64,
+    /// Bytes for telling others of changes.
+    allowance: Allowance,
 }
 
 /// Decides for all instances that ask.
@@ -65,9 +73,16 @@
 }
 
 impl Host {
-    /// Creates a host that knows no upstreams yet.
-    pub fn new(members: SharedMembers, replicas: Arc<Replicas>) -> Self {
-        Self { state: Mutex::default(), members, replicas, waiting: Notify::new() }
+    /// Creates a host that knows no upstreams yet, on a machine whose link carries so many bytes a
+    /// second; none when that isn't known.
+    pub fn new(members: SharedMembers, replicas: Arc<Replicas>, link_bytes: Option<f64>) -> Self {
+        let state = State {
+            dispatcher: Dispatcher::default(),
+            links: HashMap::new(),
+            next_link: 0,
+            allowance: Allowance::new(link_bytes),
+        };
+        Self { state: Mutex::new(state), members, replicas, waiting: Notify::new() }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -172,7 +187,8 @@
         number: u64,
         follow: ByTopic<Option<u64>>,
     ) {
-        let Some(known) = state.links.get_mut(&link) else { return };
+        let State { links, allowance, .. } = state;
+        let Some(known) = links.get_mut(&link) else { return };
         let mut ages = ByTopic::default();
         for topic in Topic::ALL {
             let told = known.told.get_mut(topic);
@@ -180,8 +196,9 @@
             *told = follow.get(topic).map(|at| told.unwrap_or_default().max(at));
             let Some(from) = *told else { continue };
             let Some(update) = self.replicas.update_after(now, topic, from) else { continue };
-            *ages.get_mut(topic) = self.replicas.of(topic).age(now);
-            known.tell(Arc::new(update));
+            if known.tell(now, allowance, Arc::new(update)) {
+                *ages.get_mut(topic) = self.replicas.of(topic).age(now);
+            }
         }
         // A closed receiver means that the link is about to be removed.
         let _ = known.tx.send(FromGate::Pong { number, ages });
@@ -202,13 +219,15 @@
 
     fn tell_topic(&self, now: Duration, topic: Topic) {
         let mut updates: BTreeMap<u64, Option<Arc<Update>>> = BTreeMap::new();
-        for link in self.state().links.values_mut() {
+        let mut state = self.state();
+        let State { links, allowance, .. } = &mut *state;
+        for link in links.values_mut() {
             let Some(from) = *link.told.get(topic) else { continue };
             let update = updates
                 .entry(from)
                 .or_insert_with(|| self.replicas.update_after(now, topic, from).map(Arc::new));
             if let Some(update) = update {
-                link.tell(update.clone());
+                link.tell(now, allowance, update.clone());
             }
         }
     }
@@ -229,11 +248,14 @@
         self.state().dispatcher.must_tell_usage()
     }
 
-    /// Returns what was given out of limits, and tells it to all instances.
+    /// Returns what was given out of limits, and tells it to a few instances, whose word the next
+    /// gate takes.
     pub fn tell_usage(&self, now: Duration) -> Vec<StoredUsage> {
         let mut state = self.state();
         let usage = state.dispatcher.usage(now);
-        for link in state.links.values() {
+        let mut links: Vec<(&u64, &Link)> = state.links.iter().collect();
+        links.sort_unstable_by_key(|(id, _)| **id);
+        for (_, link) in links.into_iter().take(USAGE_HOLDERS) {
             // A closed receiver means that the link is about to be removed.
             let _ = link.tx.send(FromGate::Usage(usage.clone()));
         }
@@ -324,14 +346,21 @@
         Topic::ALL.iter().any(|topic| self.told.get(*topic).is_some())
     }
 
-    /// Tells of changes, if there are any.
-    fn tell(&mut self, update: Arc<Update>) {
-        if update.changes.is_empty() {
-            return;
+    /// Tells of changes, if there are any; returns whether all was told.
+    ///
+    /// What the machine's link can't carry is not told; the other end follows the service then,
+    /// until it asks again.
+    fn tell(&mut self, now: Duration, allowance: &mut Allowance, update: Arc<Update>) -> bool {
+        if update.is_empty() {
+            return true;
         }
-        *self.told.get_mut(update.topic) = Some(update.at);
-        // A closed receiver means that the link is about to be removed.
-        let _ = self.tx.send(FromGate::Update(update));
+        let is_told = allowance.spend(now, update.len());
+        *self.told.get_mut(update.topic) = is_told.then_some(update.at);
+        if is_told {
+            // A closed receiver means that the link is about to be removed.
+            let _ = self.tx.send(FromGate::Update(update));
+        }
+        is_told
     }
 }
 
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -177,7 +177,8 @@
     let parts =
         Parts { store: Arc::new(store), protocol: parts.protocol, platform: parts.platform };
     let replicas = Arc::new(Replicas::default());
-    let host = Arc::new(Host::new(members.clone(), replicas.clone()));
+    let host =
+        Arc::new(Host::new(members.clone(), replicas.clone(), settings.machine.link_bytes()));
     let name = settings.instance.clone();
     let gate = Gate::new(name, members.clone(), replicas.clone(), host.clone());
     let gate = Arc::new(gate);
--- a/lacewingspring_proxy/src/replica.rs
+++ b/lacewingspring_proxy/src/replica.rs
@@ -24,6 +24,9 @@
 /// Age of a proof up to which it stands for following the service.
 pub const FRESH: Duration = Duration::from_millis(1_500);
 
+/// Bytes of a change on a link beside its key and value, to a small error.
+const CHANGE_OVERHEAD: usize = 40;
+
 /// What is followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Topic {
@@ -81,6 +84,20 @@
 }
 
 impl Update {
+    /// Returns how long it is on a link, in bytes, to a small error.
+    pub fn len(&self) -> usize {
+        let each = self.changes.iter().map(|change| match change {
+            Change::Put(item) => item.key.len() + item.value.len(),
+            Change::Deleted { key, .. } => key.len(),
+        });
+        each.map(|len| len + CHANGE_OVERHEAD).sum()
+    }
+
+    /// Returns whether it tells of no change.
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+
     /// Returns the changes.
     pub fn into_batch(self) -> Batch {
         Batch { changes: self.changes, at: self.at }
--- a/lacewingspring_proxy/src/settings.rs
+++ b/lacewingspring_proxy/src/settings.rs
@@ -12,6 +12,9 @@
 /// Longest time that a setting may name, in seconds.
 const LONGEST_S: f64 = 86_400.0;
 
+/// Bytes in a megabit.
+const BYTES_A_MEGABIT: f64 = 1_000_000.0 / 8.0;
+
 /// Largest count or ratio that a setting may name.
 const LARGEST: f64 = 1_000_000.0;
 
@@ -55,13 +58,14 @@
     ///
     /// Fails with the first setting that is out of its range.
     pub fn check(&self) -> Result<(), SettingsError> {
-        let Machine { cores, speed } = self.machine;
+        let Machine { cores, speed, link_mbps } = self.machine;
         let bounds = &self.bounds;
         let count = 0.0..=LARGEST;
         let time = 0.0..=LONGEST_S;
         let checks = [
             ("machine.cores", cores, &count),
             ("machine.speed", speed, &count),
+            ("machine.link_mbps", link_mbps, &count),
             ("bounds.grace_s", bounds.grace_s, &time),
             ("bounds.retry_ratio", bounds.retry_ratio, &count),
             ("bounds.retry_slack", bounds.retry_slack, &count),
@@ -92,6 +96,9 @@
     pub cores: f64,
     /// Speed of the core, as a multiple of the usual one.
     pub speed: f64,
+    /// Bandwidth of its link, in megabits a second; 0 when it isn't known.
+    #[serde(default)]
+    pub link_mbps: f64,
 }
 
 impl Machine {
@@ -99,6 +106,11 @@
     pub fn millicores(&self) -> u32 {
         (self.cores * self.speed * 1_000.0) as u32
     }
+
+    /// Returns the bytes a second that its link carries; none when it isn't known.
+    pub fn link_bytes(&self) -> Option<f64> {
+        (self.link_mbps > 0.0).then_some(self.link_mbps * BYTES_A_MEGABIT)
+    }
 }
 
 /// Addresses that an instance listens on.
--- a/lacewingspring_proxy/tests/replica.rs
+++ b/lacewingspring_proxy/tests/replica.rs
@@ -178,12 +178,17 @@
 
 /// A gate whose copy of the members was read at revision 5, confirmed `age` ago.
 fn host(age: Duration) -> (Arc<Host>, Arc<Replicas>) {
+    host_with(age, None)
+}
+
+/// The same on a machine whose link carries so many bytes a second.
+fn host_with(age: Duration, link_bytes: Option<f64>) -> (Arc<Host>, Arc<Replicas>) {
     let replicas = Arc::new(Replicas::default());
     let replica = replicas.of(Topic::Members);
     replica.mirror().load(Duration::ZERO, vec![item("a", 5)], 5);
     replica.set_loaded(true);
     replica.confirm(clock::now() - age);
-    let host = Arc::new(Host::new(SharedMembers::default(), replicas.clone()));
+    let host = Arc::new(Host::new(SharedMembers::default(), replicas.clone(), link_bytes));
     (host, replicas)
 }
 
@@ -245,3 +250,47 @@
     assert_eq!(seen.first().map(Vec::len), Some(5), "all five pages");
     assert_eq!(store.reads.load(Ordering::Relaxed), 9, "no page is read twice");
 }
+
+#[tokio::test]
+async fn a_gate_tells_no_more_than_its_link_carries() {
+    // A quarter of 1,600 bytes a second for half a second: 200 bytes, two changes with two keys.
+    let (host, replicas) = host_with(Duration::ZERO, Some(1_600.0));
+    let mut links = Vec::new();
+    for _ in 0..10 {
+        let (tx, mut rx) = unbounded_channel();
+        let link = host.connect(tx);
+        host.handle(clock::now(), link, ping(1, 5));
+        assert!(matches!(next(&mut rx).await, FromGate::Pong { .. }));
+        links.push((link, rx));
+    }
+    let batch = Batch { changes: vec![put("a", 6), put("b", 7)], at: 7 };
+    replicas.of(Topic::Members).mirror().apply(Duration::ZERO, batch);
+    let (mut told, mut proved) = (0, 0);
+    for (link, rx) in &mut links {
+        host.handle(clock::now(), *link, ping(2, 5));
+        if let FromGate::Update(_) = next(rx).await {
+            told += 1;
+            continue;
+        }
+        host.handle(clock::now(), *link, ping(3, 5));
+        let FromGate::Pong { ages, .. } = next(rx).await else { panic!("no answer") };
+        proved += usize::from(ages.get(Topic::Members).is_some());
+    }
+    assert_eq!((told, proved), (2, 0), "what is not told is not proved");
+}
+
+#[test]
+fn a_gate_tells_usage_to_a_few_instances() {
+    let (host, _) = host(Duration::ZERO);
+    let mut links = Vec::new();
+    for _ in 0..30 {
+        let (tx, rx) = unbounded_channel();
+        host.connect(tx);
+        links.push(rx);
+    }
+    host.tell_usage(clock::now());
+    host.tell_usage(clock::now());
+    let told = links.iter_mut().map(|rx| rx.try_recv());
+    let told = told.filter(|told| matches!(told, Ok(FromGate::Usage(_))));
+    assert_eq!(told.count(), 10, "the word of a few is enough for the next gate");
+}
--- a/lacewingspring_proxy/tests/settings.rs
+++ b/lacewingspring_proxy/tests/settings.rs
@@ -53,6 +53,8 @@
 
 #[test]
 fn tells_the_processor_of_a_machine() {
-    assert_eq!(Machine { cores: 0.12, speed: 2.0 }.millicores(), 240);
+    assert_eq!(Machine { cores: 0.12, speed: 2.0, link_mbps: 8.0 }.millicores(), 240);
+    assert_eq!(Machine { cores: 0.12, speed: 2.0, link_mbps: 8.0 }.link_bytes(), Some(1e6));
     assert_eq!(Machine::default().millicores(), 0, "it isn't known");
+    assert_eq!(Machine::default().link_bytes(), None);
 }
