--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -16,9 +16,6 @@
 /// Mean time that a slot is taken while nothing was observed.
 const ASSUMED_HOLD: Duration = Duration::from_millis(500);
 
-/// Part of the expected time to the first event that is added as a margin.
-const FIRST_MARGIN: f64 = 1.0;
-
 /// Part of the time in which the first part of an answer must come that a request waits at most.
 const WAITING_PART: f64 = 0.6;
 
@@ -131,7 +128,7 @@
             let refusal = Refusal::new(Reason::NoUpstream, retry_after);
             return vec![Decision::Refused(ticket, refusal)];
         }
-        let first_ms = self.expected_first_ms(now, &ask.work) * FIRST_MARGIN;
+        let first_ms = self.expected_first_ms(now, &ask.work);
         let first = Duration::from_secs_f64(first_ms / 1_000.0);
         let due = now + ask.aim_left.saturating_sub(first);
         let class = ask.class.clone();
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -1,7 +1,7 @@
 //! The side of the gate that decides.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeSet, HashMap},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -135,6 +135,7 @@
     pub fn disconnect(&self, now: Duration, id: u64) {
         let mut state = self.state();
         state.links.remove(&id);
+        self.note_followers(&state);
         let decisions = state.dispatcher.end_link(now, id);
         state.tell(decisions);
         self.set_part(now, &mut state);
@@ -142,6 +143,10 @@
 
     /// Takes a message of a link.
     pub fn handle(&self, now: Duration, link: u64, message: ToGate) {
+        if let ToGate::Ping { number, follow } = message {
+            self.answer_ping(now, link, number, follow);
+            return;
+        }
         let mut state = self.state();
         let ticket = |number| Ticket { link, number };
         let decisions = match message {
@@ -170,40 +175,53 @@
                 Vec::new()
             }
             ToGate::End { number, end } => state.dispatcher.end(now, ticket(number), end),
-            ToGate::Ping { number, follow } => {
-                self.answer_ping(now, &mut state, link, number, follow);
-                Vec::new()
-            }
+            ToGate::Ping { .. } => Vec::new(),
         };
         state.tell(decisions);
     }
 
     /// Tells a link of what it doesn't know yet, and how fresh that is.
-    fn answer_ping(
-        &self,
-        now: Duration,
-        state: &mut State,
-        link: u64,
-        number: u64,
-        follow: ByTopic<Option<u64>>,
-    ) {
-        let State { links, allowance, .. } = state;
+    fn answer_ping(&self, now: Duration, link: u64, number: u64, follow: ByTopic<Option<u64>>) {
+        let Some(told) = self.subscribe(link, &follow) else { return };
+        let updates = self.updates_after(now, &told);
+        let mut state = self.state();
+        let State { links, allowance, .. } = &mut *state;
         let Some(known) = links.get_mut(&link) else { return };
         let mut ages = ByTopic::default();
-        for topic in Topic::ALL {
-            let told = known.told.get_mut(topic);
-            // What was told may still be on its way, so that a link can be behind what it was told.
-            *told = follow.get(topic).map(|at| told.unwrap_or_default().max(at));
-            let Some(from) = *told else { continue };
-            let Some(update) = self.replicas.update_after(now, topic, from) else { continue };
+        for update in updates {
+            let topic = update.topic;
             if known.tell(now, allowance, Arc::new(update)) {
                 *ages.get_mut(topic) = self.replicas.of(topic).age(now);
             }
         }
         // A closed receiver means that the link is about to be removed.
         let _ = known.tx.send(FromGate::Pong { number, ages });
-        let is_followed = state.links.values().any(Link::is_following);
-        self.replicas.set_followed(is_followed);
+        self.note_followers(&state);
+    }
+
+    /// Notes what a link follows here; returns the revisions up to which it was told.
+    fn subscribe(&self, link: u64, follow: &ByTopic<Option<u64>>) -> Option<ByTopic<Option<u64>>> {
+        let mut state = self.state();
+        let known = state.links.get_mut(&link)?;
+        for topic in Topic::ALL {
+            let told = known.told.get_mut(topic);
+            // What was told may still be on its way, so that a link can be behind what it was told.
+            *told = follow.get(topic).map(|at| told.unwrap_or_default().max(at));
+        }
+        Some(known.told)
+    }
+
+    /// Returns what changed in each topic that is followed and covered.
+    ///
+    /// Called without the lock of the state, as a changed copy is handed on under its own lock.
+    fn updates_after(&self, now: Duration, told: &ByTopic<Option<u64>>) -> Vec<Update> {
+        let followed =
+            Topic::ALL.into_iter().filter_map(|topic| Some((topic, (*told.get(topic))?)));
+        followed.filter_map(|(topic, from)| self.replicas.update_after(now, topic, from)).collect()
+    }
+
+    fn note_followers(&self, state: &State) {
+        self.replicas.set_followed(state.links.values().any(Link::is_following));
     }
 
     /// Tells those that follow the copies here of changes, for ever.
@@ -218,15 +236,14 @@
     }
 
     fn tell_topic(&self, now: Duration, topic: Topic) {
-        let mut updates: BTreeMap<u64, Option<Arc<Update>>> = BTreeMap::new();
-        let mut state = self.state();
-        let State { links, allowance, .. } = &mut *state;
-        for link in links.values_mut() {
-            let Some(from) = *link.told.get(topic) else { continue };
-            let update = updates
-                .entry(from)
-                .or_insert_with(|| self.replicas.update_after(now, topic, from).map(Arc::new));
-            if let Some(update) = update {
+        let told = |link: &Link| *link.told.get(topic);
+        let revisions: BTreeSet<u64> = self.state().links.values().filter_map(told).collect();
+        for from in revisions {
+            let Some(update) = self.replicas.update_after(now, topic, from) else { continue };
+            let update = Arc::new(update);
+            let mut state = self.state();
+            let State { links, allowance, .. } = &mut *state;
+            for link in links.values_mut().filter(|link| told(link) == Some(from)) {
                 link.tell(now, allowance, update.clone());
             }
         }
