--- a/lacewingspring_proxy/src/follow.rs
+++ b/lacewingspring_proxy/src/follow.rs
@@ -30,13 +30,9 @@
 /// Pause after a watch that found changes, so that those that follow come together.
 const GATHER: Duration = Duration::from_millis(60);
 
-/// Time for which one read may take at first.
+/// Time for which one read may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Most times that [`READ_TIMEOUT`] is added after failed calls: many instances that read at once
-/// share the service's link.
-const MOST_PATIENCE: u32 = 3;
-
 /// Tries to read one page behind others.
 const PAGE_TRIES: u32 = 10;
 
@@ -162,9 +158,7 @@
     async fn read_page(&self, after: Option<&str>) -> Result<Page, StoreError> {
         let mut failed_tries = 0;
         loop {
-            let patience = 1 + (self.failed_calls + failed_tries).min(MOST_PATIENCE);
-            let page = self.store.range(self.prefix, after);
-            let page = timeout(READ_TIMEOUT * patience, page).await;
+            let page = timeout(READ_TIMEOUT, self.store.range(self.prefix, after)).await;
             let page = page.unwrap_or_else(|_| Err(StoreError::NoAnswer("time is up".into())));
             failed_tries += 1;
             if page.is_ok() || after.is_none() || failed_tries == PAGE_TRIES {
