Tidy what the last read-through found; behaviour unchanged

A channel that nobody listened to held a time (Replica::confirmed_at), the size from which a fleet follows its gate was compared in two places, one crate was imported in two statements, and two tests played the ends of runs with the same loop (now end_due, the assertions stay).

--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -80,6 +80,24 @@
     End::Finished { took: ms(took), output_tokens: tokens, decode: ms(took) }
 }
 
+/// Ends the runs whose time has come, each of which took 50 ms, and looks at what waits.
+fn end_due(
+    dispatcher: &mut Dispatcher,
+    running: &mut Vec<(Duration, u64)>,
+    now: Duration,
+) -> Vec<Decision> {
+    let mut decisions = Vec::new();
+    running.retain(|(until, number)| {
+        let ends = *until <= now;
+        if ends {
+            decisions.extend(dispatcher.end(now, ticket(*number), finished(50, 0)));
+        }
+        !ends
+    });
+    decisions.extend(dispatcher.tick(now));
+    decisions
+}
+
 #[test]
 fn fills_free_slots_and_no_more() {
     let mut dispatcher = dispatcher(&[upstream("u", 2)]);
@@ -185,7 +203,7 @@
 #[test]
 fn serves_kinds_evenly_under_overload() {
     let mut dispatcher = dispatcher(&[upstream("u", 4)]);
-    let mut running = Vec::new();
+    let mut running: Vec<(Duration, u64)> = Vec::new();
     let mut served: HashMap<&str, u32> = HashMap::new();
     let mut number = 0;
     let mut classes = HashMap::new();
@@ -201,14 +219,7 @@
                 decisions.extend(dispatcher.ask(now, ticket(number), ask));
             }
         }
-        running.retain(|(until, number): &(Duration, u64)| {
-            let ends = *until <= now;
-            if ends {
-                decisions.extend(dispatcher.end(now, ticket(*number), finished(50, 0)));
-            }
-            !ends
-        });
-        decisions.extend(dispatcher.tick(now));
+        decisions.extend(end_due(&mut dispatcher, &mut running, now));
         for (number, _) in granted(&decisions) {
             running.push((now + ms(50), number));
             *served.entry(classes[&number]).or_default() += 1;
@@ -235,14 +246,7 @@
         let work = Work::Generation { prompt_tokens, output_tokens: 50, parts: Vec::new() };
         let ask = Ask { fingerprint: number, work, ..ask("a") };
         let mut decisions = dispatcher.ask(now, ticket(number), ask);
-        running.retain(|(until, number)| {
-            let ends = *until <= now;
-            if ends {
-                decisions.extend(dispatcher.end(now, ticket(*number), finished(50, 0)));
-            }
-            !ends
-        });
-        decisions.extend(dispatcher.tick(now));
+        decisions.extend(end_due(&mut dispatcher, &mut running, now));
         for (number, _) in granted(&decisions) {
             running.push((now + ms(50), number));
             served[usize::from(number % 10 == 3)] += 1;
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -224,10 +224,12 @@
 
     /// Returns the revisions after which the gate is to tell of changes.
     fn follows(&self) -> ByTopic<Option<u64>> {
-        if self.members.load().len() < FOLLOW_GATE_FROM {
-            return ByTopic::default();
-        }
-        self.replicas.revisions()
+        if self.is_following() { self.replicas.revisions() } else { ByTopic::default() }
+    }
+
+    /// Returns whether the fleet is so large that the gate follows the service for the others.
+    fn is_following(&self) -> bool {
+        self.members.load().len() >= FOLLOW_GATE_FROM
     }
 
     fn ping(&self, now: Duration) {
@@ -242,7 +244,7 @@
     fn must_ping(&self, now: Duration, silence: Duration) -> bool {
         let last = self.state().pinged.map_or(Duration::ZERO, |pinged| pinged.at);
         let since = now.saturating_sub(last);
-        let is_proof_due = since >= PROOF_INTERVAL && self.members.load().len() >= FOLLOW_GATE_FROM;
+        let is_proof_due = since >= PROOF_INTERVAL && self.is_following();
         silence >= QUIET || is_proof_due
     }
 
--- a/lacewingspring_proxy/src/replica.rs
+++ b/lacewingspring_proxy/src/replica.rs
@@ -19,7 +19,10 @@
     watch,
 };
 
-use crate::{mirror::Mirror, store::Batch, store::Change};
+use crate::{
+    mirror::Mirror,
+    store::{Batch, Change},
+};
 
 /// Age of a proof up to which it stands for following the service.
 pub const FRESH: Duration = Duration::from_millis(1_500);
@@ -108,8 +111,8 @@
 #[derive(Debug)]
 pub struct Replica {
     mirror: Mutex<Mirror>,
-    /// Latest time at which the copy is known to have been complete.
-    confirmed_at: watch::Sender<Duration>,
+    /// Latest time at which the copy is known to have been complete; zero before that.
+    confirmed_at: Mutex<Duration>,
     /// Latest time at which another instance proved that it had told all.
     proved_at: watch::Sender<Duration>,
     told_tx: UnboundedSender<Update>,
@@ -122,7 +125,7 @@
         let (told_tx, told) = unbounded_channel();
         Self {
             mirror: Mutex::default(),
-            confirmed_at: watch::Sender::new(Duration::ZERO),
+            confirmed_at: Mutex::default(),
             proved_at: watch::Sender::new(Duration::ZERO),
             told_tx,
             told: Mutex::new(Some(told)),
@@ -171,12 +174,13 @@
 
     /// Notes that the copy was complete at a time.
     pub fn confirm(&self, at: Duration) {
-        self.confirmed_at.send_modify(|confirmed| *confirmed = at.max(*confirmed));
+        let mut confirmed = self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
+        *confirmed = at.max(*confirmed);
     }
 
     /// Returns how long ago the copy was known to be complete; none before that.
     pub fn age(&self, now: Duration) -> Option<Duration> {
-        let confirmed = *self.confirmed_at.borrow();
+        let confirmed = *self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
         (!confirmed.is_zero()).then(|| now.saturating_sub(confirmed))
     }
 
