Log how an upstream delimited its response and what was read of it

Change: the lines "The request is answered." and "The response ends before it is complete." have `framing` (length, chunked, close), `bytes`, `events` and `inside_event`; the metric `upstream_bodies_total` counts ends by framing. With them a body that ends with its connection inside an event (hypothesis 1), one whose chunks end inside an event (2) and one whose length or last chunk is missing (3) look different. What callers get does not change.

Events are counted by a scanner that keeps its state from one read to the next. Before, an event whose blank line was split between two reads, or written with CRLF, was not counted.

--- a/lacewingspring_proxy/src/answer.rs
+++ b/lacewingspring_proxy/src/answer.rs
@@ -17,6 +17,7 @@
     attempt::Attempt,
     clock,
     exchange::{ConnectionGuard, UpstreamResponse},
+    framing::BodyProgress,
 };
 
 /// Why a response body ends before it is complete.
@@ -46,18 +47,18 @@
     deadline: Pin<Box<Sleep>>,
     attempt: Option<Attempt>,
     first_output_at: Option<Duration>,
-    events: u32,
+    progress: BodyProgress,
     tokens_per_event: u32,
     status: u16,
     _connection: ConnectionGuard,
 }
 
 impl StreamedBody {
-    /// Creates the body of a response that must be complete by `deadline`; each event after the
-    /// first counts as `tokens_per_event` output tokens, which is 0 if the response is not a stream
-    /// of events.
+    /// Creates the body of a response that must be complete by `deadline` and of which nothing was
+    /// read; each event after the first counts as `tokens_per_event` output tokens.
     pub fn new(
         response: UpstreamResponse,
+        progress: BodyProgress,
         attempt: Attempt,
         deadline: Instant,
         tokens_per_event: u32,
@@ -68,33 +69,33 @@
             deadline: Box::pin(sleep_until(deadline)),
             attempt: Some(attempt),
             first_output_at: None,
-            events: 0,
+            progress,
             tokens_per_event,
             _connection: response.connection,
         }
     }
 
-    fn count_events(&mut self, now: Duration, data: &Bytes) {
+    fn record_data(&mut self, now: Duration, data: &Bytes) {
         if self.first_output_at.is_none() {
             self.first_output_at = Some(now);
             if let Some(attempt) = &self.attempt {
                 attempt.first_output(now);
             }
         }
-        let event_ends = data.windows(2).filter(|pair| pair == b"\n\n").count();
-        self.events = self.events.saturating_add(u32::try_from(event_ends).unwrap_or(u32::MAX));
+        self.progress.push(data);
     }
 
     fn finish(&mut self, now: Duration) {
         let Some(attempt) = self.attempt.take() else { return };
         let decode = now.saturating_sub(self.first_output_at.unwrap_or(now));
-        let output_tokens = self.events.saturating_sub(1) * self.tokens_per_event;
-        attempt.finish(now, self.status, output_tokens, decode);
+        let output_tokens =
+            self.progress.complete_events().saturating_sub(1) * self.tokens_per_event;
+        attempt.finish(now, self.status, &self.progress, output_tokens, decode);
     }
 
     fn fail(&mut self, now: Duration, end: End, reason: &str) {
         let Some(attempt) = self.attempt.take() else { return };
-        attempt.cut_short(now, end, reason, self.events);
+        attempt.cut_short(now, end, reason, &self.progress);
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
@@ -107,7 +108,7 @@
         match &next {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
-                    self.count_events(now, data);
+                    self.record_data(now, data);
                 }
                 if self.body.is_end_stream() {
                     self.finish(now);
--- a/lacewingspring_proxy/src/attempt.rs
+++ b/lacewingspring_proxy/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use lacewingspring_core::dispatch::{End, Grant};
 
-use crate::{gate::link::Slot, track::RequestTrace};
+use crate::{framing::BodyProgress, gate::link::Slot, track::RequestTrace};
 
 /// An attempt at an upstream, which holds a slot there until it ends.
 #[derive(Debug)]
@@ -38,15 +38,22 @@
 
     /// Ends the attempt after a complete response; `output_tokens` are those after the first event,
     /// and `decode` is the time that they took.
-    pub fn finish(self, now: Duration, status: u16, output_tokens: u32, decode: Duration) {
+    pub fn finish(
+        self,
+        now: Duration,
+        status: u16,
+        progress: &BodyProgress,
+        output_tokens: u32,
+        decode: Duration,
+    ) {
         let took = now.saturating_sub(self.started_at);
-        self.trace.answered(now, status, self.upstream());
+        self.trace.answered(now, status, self.upstream(), progress);
         self.slot.end(End::Finished { took, output_tokens, decode });
     }
 
-    /// Ends the attempt after a part of the response was passed on, in `events` complete events.
-    pub fn cut_short(self, now: Duration, end: End, reason: &str, events: u32) {
-        self.trace.response_cut_short(now, self.upstream(), reason, events);
+    /// Ends the attempt after a part of the response was passed on.
+    pub fn cut_short(self, now: Duration, end: End, reason: &str, progress: &BodyProgress) {
+        self.trace.response_cut_short(now, self.upstream(), reason, progress);
         self.slot.end(end);
     }
 
--- a/lacewingspring_proxy/src/exchange.rs
+++ b/lacewingspring_proxy/src/exchange.rs
@@ -10,7 +10,7 @@
 use thiserror::Error;
 use tokio::task::AbortHandle;
 
-use crate::net;
+use crate::{framing::Framing, net};
 
 /// Time limit for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -44,6 +44,8 @@
 pub struct UpstreamResponse {
     /// Status and headers.
     pub head: http::response::Parts,
+    /// How the response delimits its body.
+    pub framing: Framing,
     /// Body, read from the connection as it is polled.
     pub body: Incoming,
     /// Connection of the response; dropping it ends the body.
@@ -78,5 +80,6 @@
     let connection = ConnectionGuard(task.abort_handle());
     let response: Response<Incoming> = sender.send_request(req).await?;
     let (head, body) = response.into_parts();
-    Ok(UpstreamResponse { head, body, connection })
+    let framing = Framing::of(&head.headers, &body);
+    Ok(UpstreamResponse { head, framing, body, connection })
 }
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -25,6 +25,7 @@
     clock,
     declared::Declared,
     exchange::{self, ExchangeError, UpstreamResponse},
+    framing::{BodyProgress, is_event_stream},
     gate::link::{GateClient, Slot},
     leaving::LeavingUpstreams,
     metrics::SharedMetrics,
@@ -84,9 +85,16 @@
     unreachable: u32,
     /// Whether an upstream may have run the request.
     may_have_run: bool,
-    /// Last complete error response of an upstream (5xx but 504), and the upstream; returned if no
-    /// later attempt succeeds.
-    error_response: Option<(Response<ResponseBody>, UpstreamName)>,
+    /// Last complete error response of an upstream (5xx but 504); returned if no later attempt
+    /// succeeds.
+    error_response: Option<UpstreamError>,
+}
+
+/// A complete error response of an upstream.
+struct UpstreamError {
+    response: Response<ResponseBody>,
+    upstream: UpstreamName,
+    progress: BodyProgress,
 }
 
 /// Result of one attempt at an upstream.
@@ -96,7 +104,7 @@
     /// The upstream did not run the request, so that it may be sent to another one.
     NotRun(Failure),
     /// The upstream may have run the request; holds its error response if it sent a complete one.
-    MayHaveRun(Option<Response<ResponseBody>>),
+    MayHaveRun(Option<UpstreamError>),
     /// The deadline of the request passed.
     Timeout,
 }
@@ -182,7 +190,7 @@
                 Err(error) => return job.final_response(attempts, error),
             };
             let upstream = slot.grant().upstream.clone();
-            attempts.avoid.push(upstream.clone());
+            attempts.avoid.push(upstream);
             match self.send(&job, slot).await {
                 Outcome::Answered(response) => return Ok(response),
                 Outcome::Timeout => return Err(Failure::TimeoutAfterSend.into()),
@@ -197,11 +205,10 @@
                         return job.final_response(attempts, declined_error(failure));
                     }
                 }
-                Outcome::MayHaveRun(response) => {
+                Outcome::MayHaveRun(error) => {
                     attempts.counted += 1;
                     attempts.may_have_run = true;
-                    attempts.error_response =
-                        response.map(|response| (response, upstream)).or(attempts.error_response);
+                    attempts.error_response = error.or(attempts.error_response);
                     if !is_repeatable || attempts.counted >= max_attempts {
                         return job.final_response(attempts, Failure::ResponseLost.into());
                     }
@@ -315,15 +322,19 @@
         let mut response = Response::new(());
         *response.status_mut() = status;
         *response.headers_mut() = self.protocol.response_headers(&received.head.headers);
-        if job.admitted.route.kind.is_stream() && status.is_success() {
+        let is_stream = job.admitted.route.kind.is_stream() && status.is_success();
+        let is_event_stream = is_event_stream(&received.head.headers, is_stream);
+        let progress = BodyProgress::new(received.framing, is_event_stream);
+        if is_stream {
             let deadline = clock::instant(job.deadline);
+            let tokens_per_event = self.tokens_per_event(job);
             let streamed =
-                StreamedBody::new(received, attempt, deadline, self.tokens_per_event(job));
+                StreamedBody::new(received, progress, attempt, deadline, tokens_per_event);
             return Outcome::Answered(
                 response.map(|()| ResponseBody::Streamed(Box::new(streamed))),
             );
         }
-        self.buffer_response(job, attempt, received, response).await
+        self.buffer_response(job, attempt, received, progress, response).await
     }
 
     /// Buffers a short response, so that an incomplete one is never passed on; streams a long one.
@@ -332,12 +343,14 @@
         job: &Job<'_>,
         attempt: Attempt,
         received: UpstreamResponse,
+        mut progress: BodyProgress,
         response: Response<()>,
     ) -> Outcome {
         let is_bufferable =
             received.body.size_hint().upper().is_some_and(|len| len <= MAX_BUFFERED_BODY_BYTES);
         if !is_bufferable {
-            let streamed = StreamedBody::new(received, attempt, clock::instant(job.deadline), 0);
+            let deadline = clock::instant(job.deadline);
+            let streamed = StreamedBody::new(received, progress, attempt, deadline, 0);
             return Outcome::Answered(
                 response.map(|()| ResponseBody::Streamed(Box::new(streamed))),
             );
@@ -358,12 +371,14 @@
             }
         };
         let status = response.status();
+        progress.push(&data);
         let response = response.map(|()| ResponseBody::Buffered(Full::new(data)));
         if status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT {
+            let upstream = attempt.grant().upstream.clone();
             attempt.fail(now, End::Failed, status.as_str());
-            return Outcome::MayHaveRun(Some(response));
+            return Outcome::MayHaveRun(Some(UpstreamError { response, upstream, progress }));
         }
-        attempt.finish(now, status.as_u16(), 0, Duration::ZERO);
+        attempt.finish(now, status.as_u16(), &progress, 0, Duration::ZERO);
         Outcome::Answered(response)
     }
 }
@@ -377,9 +392,9 @@
         error: ErrorResponse,
     ) -> Result<Response<ResponseBody>, ErrorResponse> {
         match attempts.error_response {
-            Some((response, upstream)) => {
+            Some(UpstreamError { response, upstream, progress }) => {
                 let status = response.status().as_u16();
-                self.trace.answered(clock::now(), status, upstream.as_str());
+                self.trace.answered(clock::now(), status, upstream.as_str(), &progress);
                 Ok(response)
             }
             None if attempts.may_have_run => Err(Failure::ResponseLost.into()),
--- a/lacewingspring_proxy/src/metrics.rs
+++ b/lacewingspring_proxy/src/metrics.rs
@@ -19,7 +19,7 @@
     registry::Registry,
 };
 
-use crate::{declared::RequestKind, logging};
+use crate::{declared::RequestKind, framing::Framing, logging};
 
 /// Number of request series from which on new workspaces are counted together, so that the metrics
 /// stay bounded in size.
@@ -69,6 +69,12 @@
     reason: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BodyLabels {
+    framing: &'static str,
+    end: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PurposeLabels {
     purpose: &'static str,
@@ -86,6 +92,7 @@
     requests: Family<OutcomeLabels, Counter>,
     refusals: Family<ReasonLabels, Counter>,
     on_time: Family<Series, Counter>,
+    bodies: Family<BodyLabels, Counter>,
     retries: Counter,
     wasted_tokens: Counter,
     first_output: Family<Series, Histogram>,
@@ -115,6 +122,7 @@
             requests: Family::default(),
             refusals: Family::default(),
             on_time: Family::default(),
+            bodies: Family::default(),
             retries: Counter::default(),
             wasted_tokens: Counter::default(),
             first_output: Family::new_with_constructor(histogram),
@@ -144,6 +152,11 @@
         registry.register("requests", "Requests by their outcome", self.requests.clone());
         registry.register("refusals", "Refusals by their reason", self.refusals.clone());
         registry.register("on_time", "Answers that began on time", self.on_time.clone());
+        registry.register(
+            "upstream_bodies",
+            "Response bodies of upstreams by their framing and end",
+            self.bodies.clone(),
+        );
         registry.register("repeated_sends", "Sends beyond the first", self.retries.clone());
         registry.register(
             "wasted_prompt_tokens",
@@ -214,6 +227,12 @@
         }
     }
 
+    /// Counts a response body that ended: `complete`, or the reason why it was cut short.
+    pub fn body_ended(&self, framing: Framing, end: &str) {
+        let labels = BodyLabels { framing: framing.name(), end: end.to_owned() };
+        self.bodies.get_or_create(&labels).inc();
+    }
+
     /// Counts the prompt tokens of an attempt that yielded no complete response.
     pub fn prompt_tokens_wasted(&self, prompt_tokens: u32) {
         self.wasted_tokens.inc_by(prompt_tokens.into());
--- a/lacewingspring_proxy/src/track.rs
+++ b/lacewingspring_proxy/src/track.rs
@@ -15,6 +15,7 @@
     admission::Admitted,
     clock,
     exchange::ExchangeError,
+    framing::BodyProgress,
     metrics::{Series, SharedMetrics},
     protocol::CallerHead,
     refusal::ErrorResponse,
@@ -146,24 +147,37 @@
     }
 
     /// Records a complete response of an upstream; a status of 400 and above is an upstream error.
-    pub fn answered(&self, now: Duration, status: u16, upstream: &str) {
+    pub fn answered(&self, now: Duration, status: u16, upstream: &str, progress: &BodyProgress) {
         let elapsed = self.elapsed(now);
         let outcome = if status < 400 { "answered" } else { "upstream_error" };
         self.end(outcome, elapsed);
+        self.metrics.body_ended(progress.framing, "complete");
         info!(
-            id = &*self.id, route = &*self.route, upstream, status, took_ms = millis(elapsed);
+            id = &*self.id, route = &*self.route, upstream, status,
+            framing = progress.framing.name(), bytes = progress.bytes,
+            events = progress.complete_events(),
+            inside_event = progress.is_inside_event(), took_ms = millis(elapsed);
             "The request is answered."
         );
     }
 
     /// Records a response that ended after a part of it was passed on.
-    pub fn response_cut_short(&self, now: Duration, upstream: &str, reason: &str, events: u32) {
+    pub fn response_cut_short(
+        &self,
+        now: Duration,
+        upstream: &str,
+        reason: &str,
+        progress: &BodyProgress,
+    ) {
         let elapsed = self.elapsed(now);
         self.end(reason, elapsed);
+        self.metrics.body_ended(progress.framing, reason);
         self.metrics.prompt_tokens_wasted(self.prompt_tokens);
         info!(
-            id = &*self.id, route = &*self.route, upstream, reason, events,
-            took_ms = millis(elapsed);
+            id = &*self.id, route = &*self.route, upstream, reason,
+            framing = progress.framing.name(), bytes = progress.bytes,
+            events = progress.complete_events(),
+            inside_event = progress.is_inside_event(), took_ms = millis(elapsed);
             "The response ends before it is complete."
         );
     }
