Do not frame a truncated stream as complete

Cause: the end of the upstream's framing was taken for the end of its stream. A response with neither a length nor chunks ends with its connection, and a crashed upstream ends its connection like one that is done. The instance passes such a stream on in chunks and then sent the last chunk, which turns "the connection ended" into "the response is complete". The class of fault: an end on one hop, which proves nothing, is translated into an end on the next hop that does.

Change: a stream of events is complete only if its framing ends between two events, and an unframed one only after its first event. Otherwise the body ends with an error, so that hyper closes the caller's connection without the last chunk; the last bytes of a response with a length are withheld, as they would complete it. The log says reason `truncated`.

Why it works: server-sent events mark their own ends (a blank line), so that a stream that stops inside one is known to be cut whatever its framing says. An unframed stream cut exactly between two events can't be told from a complete one; that remains.

--- a/lacewingspring_proxy/src/answer.rs
+++ b/lacewingspring_proxy/src/answer.rs
@@ -26,6 +26,9 @@
     /// The connection to the upstream failed.
     #[error("the connection to the upstream failed in the response body: {0}")]
     Upstream(#[from] hyper::Error),
+    /// The framing of the body ended, but the upstream had not sent all of it.
+    #[error("the upstream broke off the stream of events in its response body")]
+    Truncated,
     /// The deadline of the request passed.
     #[error("the deadline of the request passed before its response was complete")]
     Timeout,
@@ -105,17 +108,26 @@
         }
         let next = ready!(Pin::new(&mut self.body).poll_frame(cx));
         let now = clock::now();
-        match &next {
+        let is_last = match &next {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
                     self.record_data(now, data);
                 }
-                if self.body.is_end_stream() {
-                    self.finish(now);
-                }
+                self.body.is_end_stream()
+            }
+            Some(Err(_)) => {
+                self.fail(now, End::Broken, "upstream");
+                false
             }
-            Some(Err(_)) => self.fail(now, End::Broken, "upstream"),
-            None => self.finish(now),
+            None => true,
+        };
+        if is_last && self.progress.is_truncated() {
+            // A last frame is withheld, as it would complete a response that has a length.
+            self.fail(now, End::Broken, "truncated");
+            return Poll::Ready(Some(Err(BodyError::Truncated)));
+        }
+        if is_last {
+            self.finish(now);
         }
         Poll::Ready(next.map(|frame| frame.map_err(BodyError::from)))
     }
--- a/lacewingspring_proxy/src/framing.rs
+++ b/lacewingspring_proxy/src/framing.rs
@@ -82,6 +82,15 @@
         self.events.map_or(0, |events| events.complete())
     }
 
+    /// Returns whether the upstream broke the body off, although its framing ended here.
+    ///
+    /// The end of a connection alone does not make a stream without events complete: a crashed
+    /// upstream ends its connection too.
+    pub fn is_truncated(&self) -> bool {
+        let Some(events) = self.events else { return false };
+        events.is_inside_event() || (self.framing == Framing::Close && events.complete() == 0)
+    }
+
     /// Returns whether the body is a stream of events and an event has begun whose end has not been
     /// read.
     pub fn is_inside_event(&self) -> bool {
