Move the handling of upstreams' responses out of forward.rs

forward.rs had grown to 470 lines and mixed which upstream gets a request with how its response is passed on. Nothing changes in behaviour: the functions are moved, and the choice between streaming and buffering reads the same facts. 18 tests of `path` and 5 of `truncated_responses` pass.

--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -1,4 +1,4 @@
-//! Forwards one request: admission, slot, attempts at upstreams, and the head of the response.
+//! Forwards one request: admission, slot, and attempts at upstreams.
 
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header::CONTENT_LENGTH, request::Parts};
+use http::{Request, Response, header::CONTENT_LENGTH, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use lacewingspring_core::{
@@ -20,23 +20,20 @@
 
 use crate::{
     admission::{Admitted, admit},
-    answer::{ResponseBody, StreamedBody},
+    answer::ResponseBody,
     attempt::Attempt,
     clock,
     declared::Declared,
     exchange::{self, ExchangeError, UpstreamResponse},
-    framing::{BodyProgress, is_event_stream},
     gate::link::{GateClient, Slot},
     leaving::LeavingUpstreams,
     metrics::SharedMetrics,
     protocol::{CallerHead, Protocol, SendHead},
     refusal::{ErrorResponse, Failure},
+    relay::{Outcome, Relay, UpstreamError},
     track::RequestTrace,
 };
 
-/// Largest response body, in bytes, that is buffered in full before it is passed on.
-const MAX_BUFFERED_BODY_BYTES: u64 = 64 * 1024;
-
 /// Time reserved for passing a response back to the caller; the deadlines that the gate gets are
 /// earlier by this margin.
 const RETURN_MARGIN: Duration = Duration::from_millis(4);
@@ -90,25 +87,6 @@
     error_response: Option<UpstreamError>,
 }
 
-/// A complete error response of an upstream.
-struct UpstreamError {
-    response: Response<ResponseBody>,
-    upstream: UpstreamName,
-    progress: BodyProgress,
-}
-
-/// Result of one attempt at an upstream.
-enum Outcome {
-    /// A response to pass on to the caller.
-    Answered(Response<ResponseBody>),
-    /// The upstream did not run the request, so that it may be sent to another one.
-    NotRun(Failure),
-    /// The upstream may have run the request; holds its error response if it sent a complete one.
-    MayHaveRun(Option<UpstreamError>),
-    /// The deadline of the request passed.
-    Timeout,
-}
-
 impl<P> Forwarder<P>
 where
     P: Protocol,
@@ -246,7 +224,16 @@
         let exchange = timeout_at(clock::instant(job.deadline), self.exchange(job, &attempt)).await;
         let now = clock::now();
         match exchange {
-            Ok(Ok(response)) => self.handle_response(job, attempt, response).await,
+            Ok(Ok(response)) => {
+                let relay = Relay {
+                    protocol: &*self.protocol,
+                    id: &job.caller.id,
+                    is_stream_route: job.admitted.route.kind.is_stream(),
+                    tokens_per_event: self.tokens_per_event(job),
+                    deadline: clock::instant(job.deadline),
+                };
+                relay.pass_on(attempt, response).await
+            }
             Ok(Err(e)) => {
                 job.trace.exchange_failed(now, attempt.upstream(), &e);
                 let (end, outcome) = match &e {
@@ -292,95 +279,6 @@
         let service = declared.as_ref().and_then(|declared| declared.services.get(&job.service));
         service.map_or(1, |service| service.tokens_per_event)
     }
-
-    /// Validates the head of an upstream's response and decides whether to pass the response on.
-    async fn handle_response(
-        &self,
-        job: &Job<'_>,
-        attempt: Attempt,
-        received: UpstreamResponse,
-    ) -> Outcome {
-        let status = received.head.status;
-        let upstream_head = self.protocol.response_head(status.as_u16(), &received.head.headers);
-        let now = clock::now();
-        if upstream_head.id.as_deref().is_some_and(|id| id != &*job.caller.id) {
-            attempt.fail(now, End::Broken, "response has the id of another request");
-            return Outcome::MayHaveRun(None);
-        }
-        if upstream_head.is_misdirected {
-            attempt.fail(now, End::Misdirected, "misdirected");
-            return Outcome::NotRun(Failure::Unreachable);
-        }
-        if upstream_head.is_declined {
-            attempt.fail(now, End::Declined, "declined");
-            return Outcome::NotRun(Failure::Declined);
-        }
-        if status.is_success() && !upstream_head.is_signed {
-            attempt.fail(now, End::Broken, "response has no signature");
-            return Outcome::MayHaveRun(None);
-        }
-        let mut response = Response::new(());
-        *response.status_mut() = status;
-        *response.headers_mut() = self.protocol.response_headers(&received.head.headers);
-        let is_stream = job.admitted.route.kind.is_stream() && status.is_success();
-        let is_event_stream = is_event_stream(&received.head.headers, is_stream);
-        let progress = BodyProgress::new(received.framing, is_event_stream);
-        if is_stream {
-            let deadline = clock::instant(job.deadline);
-            let tokens_per_event = self.tokens_per_event(job);
-            let streamed =
-                StreamedBody::new(received, progress, attempt, deadline, tokens_per_event);
-            return Outcome::Answered(
-                response.map(|()| ResponseBody::Streamed(Box::new(streamed))),
-            );
-        }
-        self.buffer_response(job, attempt, received, progress, response).await
-    }
-
-    /// Buffers a short response, so that an incomplete one is never passed on; streams a long one.
-    async fn buffer_response(
-        &self,
-        job: &Job<'_>,
-        attempt: Attempt,
-        received: UpstreamResponse,
-        mut progress: BodyProgress,
-        response: Response<()>,
-    ) -> Outcome {
-        let is_bufferable =
-            received.body.size_hint().upper().is_some_and(|len| len <= MAX_BUFFERED_BODY_BYTES);
-        if !is_bufferable {
-            let deadline = clock::instant(job.deadline);
-            let streamed = StreamedBody::new(received, progress, attempt, deadline, 0);
-            return Outcome::Answered(
-                response.map(|()| ResponseBody::Streamed(Box::new(streamed))),
-            );
-        }
-        let UpstreamResponse { body, connection, .. } = received;
-        let collected = timeout_at(clock::instant(job.deadline), body.collect()).await;
-        drop(connection);
-        let now = clock::now();
-        let data = match collected {
-            Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(e)) => {
-                attempt.fail(now, End::Broken, &format!("response body broke off: {e}"));
-                return Outcome::MayHaveRun(None);
-            }
-            Err(_) => {
-                attempt.fail(now, End::Cancelled, "time");
-                return Outcome::Timeout;
-            }
-        };
-        let status = response.status();
-        progress.push(&data);
-        let response = response.map(|()| ResponseBody::Buffered(Full::new(data)));
-        if status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT {
-            let upstream = attempt.grant().upstream.clone();
-            attempt.fail(now, End::Failed, status.as_str());
-            return Outcome::MayHaveRun(Some(UpstreamError { response, upstream, progress }));
-        }
-        attempt.finish(now, status.as_u16(), &progress, 0, Duration::ZERO);
-        Outcome::Answered(response)
-    }
 }
 
 impl Job<'_> {
--- a/lacewingspring_proxy/src/lib.rs
+++ b/lacewingspring_proxy/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! The path of a request: [`server`] reads it, [`admission`] finds its route and workspace, the
 //! [`gate`] decides when and where it runs, [`forward`] makes an [`attempt`] at that upstream
-//! through [`exchange`], [`answer`] streams the response back, and [`track`] logs each step. Error
-//! responses of the proxy itself come from [`refusal`].
+//! through [`exchange`], [`relay`] passes the response on as a body of [`answer`], and [`track`] logs
+//! each step. [`framing`] and [`events`] tell whether a body is complete. Error responses of the proxy
+//! itself come from [`refusal`].
 //!
 //! Separate tasks keep the configuration and the lists of upstreams and instances up to date;
 //! requests read them through shared snapshots.
@@ -30,6 +31,7 @@
 pub mod net;
 pub mod protocol;
 pub mod refusal;
+pub mod relay;
 pub mod replica;
 pub mod server;
 pub mod settings;
--- /dev/null
+++ b/lacewingspring_proxy/src/relay.rs
@@ -0,0 +1,150 @@
+//! Passes the response of an upstream on to the caller, in one piece or as it arrives.
+
+use std::time::Duration;
+
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Body;
+use lacewingspring_core::{dispatch::End, names::UpstreamName};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    answer::{ResponseBody, StreamedBody},
+    attempt::Attempt,
+    clock,
+    exchange::UpstreamResponse,
+    framing::{BodyProgress, is_event_stream},
+    protocol::Protocol,
+    refusal::Failure,
+};
+
+/// Largest response body, in bytes, that is buffered in full before it is passed on.
+const MAX_BUFFERED_BODY_BYTES: u64 = 64 * 1024;
+
+/// Result of one attempt at an upstream.
+pub enum Outcome {
+    /// A response to pass on to the caller.
+    Answered(Response<ResponseBody>),
+    /// The upstream did not run the request, so that it may be sent to another one.
+    NotRun(Failure),
+    /// The upstream may have run the request; holds its error response if it sent a complete one.
+    MayHaveRun(Option<UpstreamError>),
+    /// The deadline of the request passed.
+    Timeout,
+}
+
+/// A complete error response of an upstream.
+pub struct UpstreamError {
+    /// Response to pass on if no later attempt succeeds.
+    pub response: Response<ResponseBody>,
+    /// Upstream that sent it.
+    pub upstream: UpstreamName,
+    /// What was read of its body.
+    pub progress: BodyProgress,
+}
+
+/// What decides how the response to a request is passed on.
+pub struct Relay<'a, P> {
+    /// Headers that upstreams use.
+    pub protocol: &'a P,
+    /// Id of the request, which its response must have if it has one.
+    pub id: &'a str,
+    /// Whether successful responses are streams.
+    pub is_stream_route: bool,
+    /// Output tokens in each event of a stream.
+    pub tokens_per_event: u32,
+    /// Time by which the response must be complete.
+    pub deadline: Instant,
+}
+
+impl<P> Relay<'_, P>
+where
+    P: Protocol,
+{
+    /// Validates the head of a response and passes the response on, unless it is not an answer to
+    /// the request.
+    pub async fn pass_on(&self, attempt: Attempt, received: UpstreamResponse) -> Outcome {
+        let status = received.head.status;
+        let upstream_head = self.protocol.response_head(status.as_u16(), &received.head.headers);
+        let now = clock::now();
+        if upstream_head.id.as_deref().is_some_and(|id| id != self.id) {
+            attempt.fail(now, End::Broken, "response has the id of another request");
+            return Outcome::MayHaveRun(None);
+        }
+        if upstream_head.is_misdirected {
+            attempt.fail(now, End::Misdirected, "misdirected");
+            return Outcome::NotRun(Failure::Unreachable);
+        }
+        if upstream_head.is_declined {
+            attempt.fail(now, End::Declined, "declined");
+            return Outcome::NotRun(Failure::Declined);
+        }
+        if status.is_success() && !upstream_head.is_signed {
+            attempt.fail(now, End::Broken, "response has no signature");
+            return Outcome::MayHaveRun(None);
+        }
+        let mut response = Response::new(());
+        *response.status_mut() = status;
+        *response.headers_mut() = self.protocol.response_headers(&received.head.headers);
+        let is_stream = self.is_stream_route && status.is_success();
+        let is_event_stream = is_event_stream(&received.head.headers, is_stream);
+        let progress = BodyProgress::new(received.framing, is_event_stream);
+        if is_stream {
+            return self.stream(attempt, received, progress, response, self.tokens_per_event);
+        }
+        self.buffer(attempt, received, progress, response).await
+    }
+
+    /// Passes a response on as it arrives.
+    fn stream(
+        &self,
+        attempt: Attempt,
+        received: UpstreamResponse,
+        progress: BodyProgress,
+        response: Response<()>,
+        tokens_per_event: u32,
+    ) -> Outcome {
+        let body = StreamedBody::new(received, progress, attempt, self.deadline, tokens_per_event);
+        Outcome::Answered(response.map(|()| ResponseBody::Streamed(Box::new(body))))
+    }
+
+    /// Buffers a short response, so that an incomplete one is never passed on; streams a long one.
+    async fn buffer(
+        &self,
+        attempt: Attempt,
+        received: UpstreamResponse,
+        mut progress: BodyProgress,
+        response: Response<()>,
+    ) -> Outcome {
+        let is_bufferable =
+            received.body.size_hint().upper().is_some_and(|len| len <= MAX_BUFFERED_BODY_BYTES);
+        if !is_bufferable {
+            return self.stream(attempt, received, progress, response, 0);
+        }
+        let UpstreamResponse { body, connection, .. } = received;
+        let collected = timeout_at(self.deadline, body.collect()).await;
+        drop(connection);
+        let now = clock::now();
+        let data = match collected {
+            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Err(e)) => {
+                attempt.fail(now, End::Broken, &format!("response body broke off: {e}"));
+                return Outcome::MayHaveRun(None);
+            }
+            Err(_) => {
+                attempt.fail(now, End::Cancelled, "time");
+                return Outcome::Timeout;
+            }
+        };
+        let status = response.status();
+        progress.push(&data);
+        let response = response.map(|()| ResponseBody::Buffered(Full::new(data)));
+        if status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT {
+            let upstream = attempt.grant().upstream.clone();
+            attempt.fail(now, End::Failed, status.as_str());
+            return Outcome::MayHaveRun(Some(UpstreamError { response, upstream, progress }));
+        }
+        attempt.finish(now, status.as_u16(), &progress, 0, Duration::ZERO);
+        Outcome::Answered(response)
+    }
+}
