Buffer short responses whose length is not known

Callers of idempotent routes got status 200, a part of the body and a closed connection when an upstream broke off a response that has neither a length nor chunks, or lacks its last chunk; a response with a length that breaks off the same way is sent to another upstream.

Cause: only responses with a known length of at most 64 KiB were buffered; hyper tells no length for chunks and unframed bodies, so that these were taken for long ones and their head was passed on at once.

Evidence: `retries_an_idempotent_request_whose_response_without_length_breaks` failed before: "ResetWithoutLength: Response { status: 200, ... body: half, is_complete: false }".

Change: a response that is not a stream of events is read up to 64 KiB first, and passed on as it arrives once it turns out to be longer. A buffered stream of events that is truncated counts as broken too.

--- a/lacewingspring_proxy/src/answer.rs
+++ b/lacewingspring_proxy/src/answer.rs
@@ -46,6 +46,8 @@
 /// Body that is passed on as the upstream sends it, and that ends its [`Attempt`].
 #[derive(Debug)]
 pub struct StreamedBody {
+    /// Bytes that were read from `body` already and are passed on first.
+    start: Option<Bytes>,
     body: Incoming,
     deadline: Pin<Box<Sleep>>,
     attempt: Option<Attempt>,
@@ -58,26 +60,38 @@
 
 impl StreamedBody {
     /// Creates the body of a response that must be complete by `deadline` and of which nothing was
-    /// read; each event after the first counts as `tokens_per_event` output tokens.
+    /// read.
     pub fn new(
         response: UpstreamResponse,
         progress: BodyProgress,
         attempt: Attempt,
         deadline: Instant,
-        tokens_per_event: u32,
     ) -> Self {
         Self {
             status: response.head.status.as_u16(),
+            start: None,
             body: response.body,
             deadline: Box::pin(sleep_until(deadline)),
             attempt: Some(attempt),
             first_output_at: None,
             progress,
-            tokens_per_event,
+            tokens_per_event: 0,
             _connection: response.connection,
         }
     }
 
+    /// Counts each event after the first as so many output tokens.
+    pub fn tokens_per_event(mut self, tokens_per_event: u32) -> Self {
+        self.tokens_per_event = tokens_per_event;
+        self
+    }
+
+    /// Passes on bytes that were read from the body already.
+    pub fn starting_with(mut self, start: Bytes) -> Self {
+        self.start = Some(start);
+        self
+    }
+
     fn record_data(&mut self, now: Duration, data: &Bytes) {
         if self.first_output_at.is_none() {
             self.first_output_at = Some(now);
@@ -88,6 +102,10 @@
         self.progress.push(data);
     }
 
+    fn is_end_stream(&self) -> bool {
+        self.start.is_none() && self.body.is_end_stream()
+    }
+
     fn finish(&mut self, now: Duration) {
         let Some(attempt) = self.attempt.take() else { return };
         let decode = now.saturating_sub(self.first_output_at.unwrap_or(now));
@@ -106,14 +124,17 @@
             self.fail(clock::now(), End::Cancelled, "time");
             return Poll::Ready(Some(Err(BodyError::Timeout)));
         }
-        let next = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let next = match self.start.take() {
+            Some(data) => Some(Ok(Frame::data(data))),
+            None => ready!(Pin::new(&mut self.body).poll_frame(cx)),
+        };
         let now = clock::now();
         let is_last = match &next {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
                     self.record_data(now, data);
                 }
-                self.body.is_end_stream()
+                self.is_end_stream()
             }
             Some(Err(_)) => {
                 self.fail(now, End::Broken, "upstream");
@@ -135,8 +156,7 @@
 
 impl Drop for StreamedBody {
     fn drop(&mut self) {
-        let is_complete = self.body.is_end_stream();
-        if is_complete {
+        if self.is_end_stream() {
             self.finish(clock::now());
         } else {
             self.fail(clock::now(), End::Cancelled, "caller");
@@ -164,7 +184,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(body) => body.is_end_stream(),
-            Self::Streamed(body) => body.body.is_end_stream(),
+            Self::Streamed(body) => body.is_end_stream(),
         }
     }
 
--- a/lacewingspring_proxy/src/relay.rs
+++ b/lacewingspring_proxy/src/relay.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 use lacewingspring_core::{dispatch::End, names::UpstreamName};
 use tokio::time::{Instant, timeout_at};
 
@@ -13,13 +14,13 @@
     attempt::Attempt,
     clock,
     exchange::UpstreamResponse,
-    framing::{BodyProgress, is_event_stream},
+    framing::{BodyProgress, Framing, is_event_stream},
     protocol::Protocol,
     refusal::Failure,
 };
 
 /// Largest response body, in bytes, that is buffered in full before it is passed on.
-const MAX_BUFFERED_BODY_BYTES: u64 = 64 * 1024;
+const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
 
 /// Result of one attempt at an upstream.
 pub enum Outcome {
@@ -90,43 +91,36 @@
         let is_event_stream = is_event_stream(&received.head.headers, is_stream);
         let progress = BodyProgress::new(received.framing, is_event_stream);
         if is_stream {
-            return self.stream(attempt, received, progress, response, self.tokens_per_event);
+            let body = StreamedBody::new(received, progress, attempt, self.deadline)
+                .tokens_per_event(self.tokens_per_event);
+            return streamed(response, body);
         }
-        self.buffer(attempt, received, progress, response).await
-    }
-
-    /// Passes a response on as it arrives.
-    fn stream(
-        &self,
-        attempt: Attempt,
-        received: UpstreamResponse,
-        progress: BodyProgress,
-        response: Response<()>,
-        tokens_per_event: u32,
-    ) -> Outcome {
-        let body = StreamedBody::new(received, progress, attempt, self.deadline, tokens_per_event);
-        Outcome::Answered(response.map(|()| ResponseBody::Streamed(Box::new(body))))
+        let has_short_length = received.framing == Framing::Length
+            && received.body.size_hint().lower() <= MAX_BUFFERED_BODY_BYTES as u64;
+        let may_be_short = received.framing != Framing::Length && !is_event_stream;
+        if has_short_length || may_be_short {
+            return self.buffer(attempt, received, progress, response).await;
+        }
+        streamed(response, StreamedBody::new(received, progress, attempt, self.deadline))
     }
 
-    /// Buffers a short response, so that an incomplete one is never passed on; streams a long one.
+    /// Buffers a response, so that an incomplete one is never passed on; one that turns out to be
+    /// long is passed on as it arrives from then on.
     async fn buffer(
         &self,
         attempt: Attempt,
-        received: UpstreamResponse,
+        mut received: UpstreamResponse,
         mut progress: BodyProgress,
         response: Response<()>,
     ) -> Outcome {
-        let is_bufferable =
-            received.body.size_hint().upper().is_some_and(|len| len <= MAX_BUFFERED_BODY_BYTES);
-        if !is_bufferable {
-            return self.stream(attempt, received, progress, response, 0);
-        }
-        let UpstreamResponse { body, connection, .. } = received;
-        let collected = timeout_at(self.deadline, body.collect()).await;
-        drop(connection);
+        let read = timeout_at(self.deadline, read_start(&mut received.body)).await;
         let now = clock::now();
-        let data = match collected {
-            Ok(Ok(collected)) => collected.to_bytes(),
+        let data = match read {
+            Ok(Ok(BodyStart::Complete(data))) => data,
+            Ok(Ok(BodyStart::Long(data))) => {
+                let body = StreamedBody::new(received, progress, attempt, self.deadline);
+                return streamed(response, body.starting_with(data));
+            }
             Ok(Err(e)) => {
                 attempt.fail(now, End::Broken, &format!("response body broke off: {e}"));
                 return Outcome::MayHaveRun(None);
@@ -136,8 +130,12 @@
                 return Outcome::Timeout;
             }
         };
-        let status = response.status();
         progress.push(&data);
+        if progress.is_truncated() {
+            attempt.fail(now, End::Broken, "response body is truncated");
+            return Outcome::MayHaveRun(None);
+        }
+        let status = response.status();
         let response = response.map(|()| ResponseBody::Buffered(Full::new(data)));
         if status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT {
             let upstream = attempt.grant().upstream.clone();
@@ -148,3 +146,28 @@
         Outcome::Answered(response)
     }
 }
+
+fn streamed(response: Response<()>, body: StreamedBody) -> Outcome {
+    Outcome::Answered(response.map(|()| ResponseBody::Streamed(Box::new(body))))
+}
+
+/// Start of a response body.
+enum BodyStart {
+    /// All of the body.
+    Complete(Bytes),
+    /// More than [`MAX_BUFFERED_BODY_BYTES`]; the rest has not been read.
+    Long(Bytes),
+}
+
+async fn read_start(body: &mut Incoming) -> Result<BodyStart, hyper::Error> {
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            buf.extend_from_slice(&data);
+        }
+        if buf.len() > MAX_BUFFERED_BODY_BYTES {
+            return Ok(BodyStart::Long(buf.freeze()));
+        }
+    }
+    Ok(BodyStart::Complete(buf.freeze()))
+}
