Send responses to callers of HTTP/1.0 whole

A caller of HTTP/1.0 got a truncated stream that looks complete: status 200 and a connection that ends cleanly.

Cause: HTTP/1.0 has no chunks, so that a body without a length ends with the connection there; when the body failed, hyper closed that connection in the same way.

Change: a response to a caller below HTTP/1.1 is read whole, at most 4 MiB, and sent with its length; if it breaks off, the caller gets 502, or 504 at the deadline.

--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -8,19 +8,19 @@
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
-use http::{Request, Response, header::CONTENT_LENGTH, request::Parts};
+use http::{Request, Response, Version, header::CONTENT_LENGTH, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use lacewingspring_core::{
     dispatch::{End, Refusal, SlotRequest},
     names::{DataCentreName, ServiceName, UpstreamName},
 };
-use log::info;
+use log::{info, warn};
 use tokio::time::timeout_at;
 
 use crate::{
     admission::{Admitted, admit},
-    answer::ResponseBody,
+    answer::{BodyError, ResponseBody},
     attempt::Attempt,
     clock,
     declared::Declared,
@@ -38,6 +38,9 @@
 /// earlier by this margin.
 const RETURN_MARGIN: Duration = Duration::from_millis(4);
 
+/// Largest response body, in bytes, for a caller of HTTP/1.0.
+const MAX_HTTP_1_0_BODY_BYTES: usize = 4 * 1024 * 1024;
+
 /// Maximum number of attempts at unreachable, leaving or misdirected upstreams that do not count
 /// towards the route's limit of attempts.
 const MAX_UNREACHABLE_ATTEMPTS: u32 = 3;
@@ -93,6 +96,12 @@
 {
     /// Serves a request; `began` is the time at which its head was read.
     pub async fn serve(&self, began: Duration, req: Request<Incoming>) -> Response<ResponseBody> {
+        let version = req.version();
+        let response = self.respond(began, req).await;
+        if version >= Version::HTTP_11 { response } else { buffer_for_http_1_0(response).await }
+    }
+
+    async fn respond(&self, began: Duration, req: Request<Incoming>) -> Response<ResponseBody> {
         let (head, body) = req.into_parts();
         let caller = self.protocol.caller_head(&head.headers);
         let admitted = match self.admit(&head, &caller) {
@@ -359,6 +368,24 @@
     hasher.finish()
 }
 
+/// Reads a whole response before it is passed on.
+///
+/// HTTP/1.0 has no chunks: without a length, a caller can't tell a body that breaks off from a complete
+/// one.
+async fn buffer_for_http_1_0(response: Response<ResponseBody>) -> Response<ResponseBody> {
+    let (head, body) = response.into_parts();
+    match Limited::new(body, MAX_HTTP_1_0_BODY_BYTES).collect().await {
+        Ok(body) => buffered(Response::from_parts(head, body.to_bytes())),
+        Err(e) => {
+            let is_timeout = matches!(e.downcast_ref(), Some(BodyError::Timeout));
+            let failure =
+                if is_timeout { Failure::TimeoutAfterSend } else { Failure::ResponseLost };
+            warn!(error:% = e; "A response to a caller of HTTP/1.0 is replaced by an error.");
+            buffered(ErrorResponse::from(failure).into_response())
+        }
+    }
+}
+
 fn buffered(response: Response<Bytes>) -> Response<ResponseBody> {
     response.map(|body| ResponseBody::Buffered(Full::new(body)))
 }
