Do not store a truncated event stream of a plain service as its answer

A caller of a plain service got a truncated `text/event-stream` as a whole answer with a length. For a non-idempotent service it was also written to the claim, so that each repeat of the key got the same part for the retention of claims (7 days).

The body was collected up to the end of its framing, and for a response with neither a length nor chunks that is the end of the connection, of a crashed server too.

Evidence: `rejects_an_event_stream_that_ends_inside_an_event` failed before: "Ok(StoredAnswer { status: 200, content_type: "text/event-stream", body: "" })".

Change: `PlainCall` asks the same type as the platform's path (`BodyProgress`) whether the body is truncated, and reports it as interrupted, which ends as `answer-lost`. Other unframed answers are still taken when their connection ends without an error; docs/ADAPTERS.md says so.

Searched without a finding, by reading: completions of engines (an end marker is required), runs followed or resumed at another instance (an end part is required, a closed exchange is reported), the stored answer of a completion (written after its end part), answers that repeats join, messages between instances (each has a length; a partial one is an error), calls to the key-value service (JSON objects, which do not parse when cut), request bodies of callers (a missing end is `malformed`), the command-line tool (requires [DONE] or parses JSON) and the load tool (compares with the expected text).

--- a/lacewingspring/src/upstreams/plain.rs
+++ b/lacewingspring/src/upstreams/plain.rs
@@ -6,6 +6,7 @@
 use http::{Method, Request, header};
 use http_body_util::{BodyExt, Full, Limited};
 use lacewingspring_core::{claim::StoredAnswer, request::Dispatch};
+use lacewingspring_proxy::framing::{BodyProgress, Framing, is_event_stream};
 
 use super::{DispatchError, REQUEST_ID, ResponseChecks, UpstreamError, check_label, exchange};
 
@@ -64,8 +65,14 @@
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok());
         let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
+        let framing = Framing::of(response.headers(), response.body());
+        let mut progress = BodyProgress::new(framing, is_event_stream(response.headers(), false));
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
         let body = body.map_err(|_| UpstreamError::Interrupted)?.to_bytes();
+        progress.push(&body);
+        if progress.is_truncated() {
+            return Err(UpstreamError::Interrupted);
+        }
         let body = String::from_utf8(body.to_vec());
         let body = body.map_err(|_| UpstreamError::Protocol("response body is not UTF-8"))?;
         Ok(StoredAnswer { status, content_type, body })
