Take servers at their word that they leave or want a pause

Cause: by the users' new rules a server that leaves says so in its responses (`Server-Leaving: 1`), which may come before the store knows, and one that turns a request away with 503 may name a pause in `Retry-After`. Nothing in the code read either.

Change: `UnavailableUpstreams` replaces `LeavingUpstreams`. Beside the registry it holds what upstreams said themselves: a mark lasts until another process of that name registers, also while the entry is gone; a pause is at most an hour, counted by the clock that goes on in a freeze, and a shorter one does not cut it. Slot requests name such upstreams as ones to avoid, so that the gate places elsewhere, and each send looks once more, which covers requests that waited and retries. A slot that is given back unused for a pause (`End::Unused`) teaches the gate nothing about the upstream and refunds the workspace. `Retry-After` is parsed as seconds or a date; other values are logged and ignored. Two log lines, a metric.

Weighed: to tell the gate at once. It would spare each other instance one response with the mark; a message more on the links for a gain that ends when the store knows.

--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -280,11 +280,16 @@
         match end {
             End::Broken => self.crashes.record_crash(now, open.fingerprint),
             End::Finished { .. } | End::Failed => self.crashes.clear(open.fingerprint),
-            End::Declined | End::Unreachable | End::Misdirected | End::Leaving | End::Cancelled => {
-            }
+            End::Declined
+            | End::Unreachable
+            | End::Misdirected
+            | End::Leaving
+            | End::Cancelled
+            | End::Unused => {}
         }
         let Some(pool) = self.pools.get_mut(&open.service) else { return Vec::new() };
-        let is_unsent = matches!(end, End::Unreachable | End::Misdirected | End::Leaving);
+        let is_unsent =
+            matches!(end, End::Unreachable | End::Misdirected | End::Leaving | End::Unused);
         if let Some(charge) = &open.charge
             && (is_unsent || !pool.is_running(ticket))
         {
--- a/lacewingspring_core/src/dispatch/upstream_state.rs
+++ b/lacewingspring_core/src/dispatch/upstream_state.rs
@@ -350,7 +350,7 @@
             End::Declined => self.backoff_until = self.backoff_until.max(now + DECLINED_PAUSE),
             End::Unreachable | End::Misdirected => self.back_off(now),
             End::Leaving => self.info.draining = true,
-            End::Cancelled => {}
+            End::Cancelled | End::Unused => {}
         }
     }
 
--- a/lacewingspring_core/src/dispatch/work.rs
+++ b/lacewingspring_core/src/dispatch/work.rs
@@ -165,4 +165,6 @@
     Leaving,
     /// The caller left or the request timed out.
     Cancelled,
+    /// The instance may not use the upstream at present; nothing was sent.
+    Unused,
 }
--- a/lacewingspring_proxy/src/attempt.rs
+++ b/lacewingspring_proxy/src/attempt.rs
@@ -4,7 +4,9 @@
 
 use lacewingspring_core::dispatch::{End, Grant};
 
-use crate::{framing::BodyProgress, gate::link::Slot, track::RequestTrace};
+use crate::{
+    framing::BodyProgress, gate::link::Slot, retry_after::InvalidRetryAfter, track::RequestTrace,
+};
 
 /// An attempt at an upstream, which holds a slot there until it ends.
 #[derive(Debug)]
@@ -36,6 +38,21 @@
         self.slot.first_output(now.saturating_sub(self.started_at));
     }
 
+    /// Records that the upstream said that it leaves.
+    pub fn upstream_leaves(&self) {
+        self.trace.upstream_leaves(self.upstream());
+    }
+
+    /// Records that the upstream asked for a pause.
+    pub fn upstream_pauses(&self, pause: Duration) {
+        self.trace.upstream_pauses(self.upstream(), pause);
+    }
+
+    /// Records a `Retry-After` of the upstream that can't be parsed.
+    pub fn invalid_retry_after(&self, value: &str, e: &InvalidRetryAfter) {
+        self.trace.invalid_retry_after(self.upstream(), value, e);
+    }
+
     /// Ends the attempt after a complete response; `output_tokens` are those after the first event,
     /// and `decode` is the time that they took.
     pub fn finish(
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -26,12 +26,12 @@
     declared::Declared,
     exchange::{self, ExchangeError, UpstreamResponse},
     gate::link::{GateClient, Slot},
-    leaving::LeavingUpstreams,
     metrics::SharedMetrics,
     protocol::{CallerHead, Protocol, SendHead},
     refusal::{ErrorResponse, Failure},
     relay::{Outcome, Relay, UpstreamError},
     track::RequestTrace,
+    unavailable::UnavailableUpstreams,
 };
 
 /// Time reserved for passing a response back to the caller; the deadlines that the gate gets are
@@ -53,8 +53,8 @@
     pub data_centre: DataCentreName,
     /// Declared configuration; `None` until it has been read for the first time.
     pub declared: Arc<ArcSwapOption<Declared>>,
-    /// Upstreams that drain or are gone and accept no new requests.
-    pub leaving: Arc<LeavingUpstreams>,
+    /// Upstreams that get no new requests from this instance.
+    pub unavailable: Arc<UnavailableUpstreams>,
     /// Client of the gate, which grants slots.
     pub gate: Arc<GateClient>,
     /// Metrics of this instance.
@@ -211,7 +211,8 @@
         attempts: &Attempts,
     ) -> Result<Slot, ErrorResponse> {
         let now = clock::now();
-        let request = job.slot_request(now, &self.data_centre, attempts);
+        let mut request = job.slot_request(now, &self.data_centre, attempts);
+        request.avoid.extend(self.unavailable.to_avoid(now));
         let pending = self.gate.request_slot(now, request);
         let decision = timeout_at(clock::instant(job.deadline), pending.wait()).await;
         let decision: Result<Slot, Refusal> = decision.map_err(|_| Failure::TimeoutBeforeSend)?;
@@ -220,22 +221,24 @@
         Ok(slot)
     }
 
-    /// Sends a request to the upstream of its slot, unless this instance knows that the upstream is
-    /// leaving.
+    /// Sends a request to the upstream of its slot, unless this instance knows that the upstream
+    /// takes none.
     async fn send(&self, job: &Job<'_>, slot: Slot) -> Outcome {
-        if self.leaving.contains(&slot.grant().upstream) {
+        let now = clock::now();
+        if let Some(reason) = self.unavailable.reason(now, &slot.grant().upstream) {
             let upstream = slot.grant().upstream.as_str();
-            job.trace.attempt_failed(clock::now(), upstream, "leaving", false);
-            slot.end(End::Leaving);
+            job.trace.attempt_failed(now, upstream, reason.name(), false);
+            slot.end(reason.end());
             return Outcome::NotRun(Failure::Unreachable);
         }
-        let attempt = Attempt::new(clock::now(), slot, job.trace.clone());
+        let attempt = Attempt::new(now, slot, job.trace.clone());
         let exchange = timeout_at(clock::instant(job.deadline), self.exchange(job, &attempt)).await;
         let now = clock::now();
         match exchange {
             Ok(Ok(response)) => {
                 let relay = Relay {
                     protocol: &*self.protocol,
+                    unavailable: &self.unavailable,
                     id: &job.caller.id,
                     is_stream_route: job.admitted.route.kind.is_stream(),
                     tokens_per_event: self.tokens_per_event(job),
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -24,7 +24,6 @@
     follow::Follower,
     forward::Forwarder,
     gate::{host::GateHost, ledger::UsageLedger, link::GateClient},
-    leaving::LeavingUpstreams,
     members::{MEMBERS_PREFIX, Member, Members, Registration, SharedMembers, random_incarnation},
     metrics::SharedMetrics,
     mirror::Mirror,
@@ -33,6 +32,7 @@
     server::{ConnectionLimits, OpenConnections, Server},
     settings::Settings,
     store::Store,
+    unavailable::UnavailableUpstreams,
 };
 
 /// Time after SIGTERM for which connections and requests are still accepted, while callers learn
@@ -81,7 +81,7 @@
 struct SharedState {
     declared: Arc<ArcSwapOption<Declared>>,
     upstreams: ArcSwap<Vec<UpstreamInfo>>,
-    leaving: Arc<LeavingUpstreams>,
+    unavailable: Arc<UnavailableUpstreams>,
     members: SharedMembers,
     host: Arc<GateHost>,
     is_ready: watch::Sender<bool>,
@@ -115,7 +115,7 @@
     }
 
     fn update_upstreams(&self, now: Duration, upstreams: Vec<UpstreamInfo>) {
-        self.leaving.update(&self.upstreams.load(), &upstreams);
+        self.unavailable.update(&upstreams);
         self.upstreams.store(Arc::new(upstreams));
         self.apply_upstreams(now);
     }
@@ -196,7 +196,7 @@
     let state = Arc::new(SharedState {
         declared: Arc::default(),
         upstreams: ArcSwap::default(),
-        leaving: Arc::default(),
+        unavailable: Arc::default(),
         members: members.clone(),
         host: host.clone(),
         is_ready: ready_tx,
@@ -347,7 +347,7 @@
         protocol: components.protocol.clone(),
         data_centre: settings.data_centre.clone(),
         declared: state.declared.clone(),
-        leaving: state.leaving.clone(),
+        unavailable: state.unavailable.clone(),
         gate,
         metrics: state.metrics.clone(),
     });
--- a/lacewingspring_proxy/src/metrics.rs
+++ b/lacewingspring_proxy/src/metrics.rs
@@ -75,6 +75,11 @@
     end: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnnouncementLabels {
+    kind: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PurposeLabels {
     purpose: &'static str,
@@ -93,6 +98,7 @@
     refusals: Family<ReasonLabels, Counter>,
     on_time: Family<Series, Counter>,
     bodies: Family<BodyLabels, Counter>,
+    announcements: Family<AnnouncementLabels, Counter>,
     retries: Counter,
     wasted_tokens: Counter,
     first_output: Family<Series, Histogram>,
@@ -123,6 +129,7 @@
             refusals: Family::default(),
             on_time: Family::default(),
             bodies: Family::default(),
+            announcements: Family::default(),
             retries: Counter::default(),
             wasted_tokens: Counter::default(),
             first_output: Family::new_with_constructor(histogram),
@@ -157,6 +164,11 @@
             "Response bodies of upstreams by their framing and end",
             self.bodies.clone(),
         );
+        registry.register(
+            "upstream_announcements",
+            "Upstreams that said that they leave, and pauses that they asked for",
+            self.announcements.clone(),
+        );
         registry.register("repeated_sends", "Sends beyond the first", self.retries.clone());
         registry.register(
             "wasted_prompt_tokens",
@@ -233,6 +245,11 @@
         self.bodies.get_or_create(&labels).inc();
     }
 
+    /// Counts an upstream that said that it leaves (`leaving`) or asked for a pause (`pause`).
+    pub fn announced(&self, kind: &'static str) {
+        self.announcements.get_or_create(&AnnouncementLabels { kind }).inc();
+    }
+
     /// Counts the prompt tokens of an attempt that yielded no complete response.
     pub fn prompt_tokens_wasted(&self, prompt_tokens: u32) {
         self.wasted_tokens.inc_by(prompt_tokens.into());
--- a/lacewingspring_proxy/src/protocol.rs
+++ b/lacewingspring_proxy/src/protocol.rs
@@ -50,6 +50,8 @@
     pub is_declined: bool,
     /// Whether the upstream at the address is not the expected one.
     pub is_misdirected: bool,
+    /// Whether the upstream says that it leaves and is to get no new requests.
+    pub is_leaving: bool,
 }
 
 /// Query of a caller for the addresses of instances.
--- a/lacewingspring_proxy/src/relay.rs
+++ b/lacewingspring_proxy/src/relay.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, header::RETRY_AFTER, response::Parts};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use lacewingspring_core::{dispatch::End, names::UpstreamName};
@@ -15,8 +15,10 @@
     clock,
     exchange::UpstreamResponse,
     framing::{BodyProgress, Framing, is_event_stream},
-    protocol::Protocol,
+    protocol::{Protocol, ResponseHead},
     refusal::Failure,
+    retry_after::parse_retry_after,
+    unavailable::UnavailableUpstreams,
 };
 
 /// Largest response body, in bytes, that is buffered in full before it is passed on.
@@ -48,6 +50,8 @@
 pub struct Relay<'a, P> {
     /// Headers that upstreams use.
     pub protocol: &'a P,
+    /// Takes what upstreams say of themselves.
+    pub unavailable: &'a UnavailableUpstreams,
     /// Id of the request, which its response must have if it has one.
     pub id: &'a str,
     /// Whether successful responses are streams.
@@ -76,6 +80,7 @@
             attempt.fail(now, End::Misdirected, "misdirected");
             return Outcome::NotRun(Failure::Unreachable);
         }
+        self.record_announcements(now, &attempt, &received.head, &upstream_head);
         if upstream_head.is_declined {
             attempt.fail(now, End::Declined, "declined");
             return Outcome::NotRun(Failure::Declined);
@@ -104,6 +109,32 @@
         streamed(response, StreamedBody::new(received, progress, attempt, self.deadline))
     }
 
+    /// Records whether the upstream leaves or wants a pause.
+    fn record_announcements(
+        &self,
+        now: Duration,
+        attempt: &Attempt,
+        head: &Parts,
+        upstream_head: &ResponseHead,
+    ) {
+        let upstream = &attempt.grant().upstream;
+        if upstream_head.is_leaving && self.unavailable.record_leaving(upstream) {
+            attempt.upstream_leaves();
+        }
+        if head.status != StatusCode::SERVICE_UNAVAILABLE {
+            return;
+        }
+        let Some(value) = head.headers.get(RETRY_AFTER) else { return };
+        let value = value.to_str().unwrap_or_default();
+        match parse_retry_after(clock::wall(), value) {
+            Ok(pause) => {
+                self.unavailable.record_pause(now, upstream, pause);
+                attempt.upstream_pauses(pause);
+            }
+            Err(e) => attempt.invalid_retry_after(value, &e),
+        }
+    }
+
     /// Buffers a response, so that an incomplete one is never passed on; one that turns out to be
     /// long is passed on as it arrives from then on.
     async fn buffer(
--- a/lacewingspring_proxy/src/track.rs
+++ b/lacewingspring_proxy/src/track.rs
@@ -9,7 +9,7 @@
 };
 
 use lacewingspring_core::dispatch::{Grant, Work};
-use log::info;
+use log::{info, warn};
 
 use crate::{
     admission::Admitted,
@@ -19,6 +19,7 @@
     metrics::{Series, SharedMetrics},
     protocol::CallerHead,
     refusal::ErrorResponse,
+    retry_after::InvalidRetryAfter,
 };
 
 /// Records what happens to one request. If it is dropped before an outcome is recorded, the caller
@@ -140,6 +141,32 @@
         }
     }
 
+    /// Records that an upstream said that it leaves.
+    pub fn upstream_leaves(&self, upstream: &str) {
+        self.metrics.announced("leaving");
+        info!(
+            id = &*self.id, upstream;
+            "The upstream says that it leaves; it gets no new requests from this instance."
+        );
+    }
+
+    /// Records that an upstream asked for a pause.
+    pub fn upstream_pauses(&self, upstream: &str, pause: Duration) {
+        self.metrics.announced("pause");
+        info!(
+            id = &*self.id, upstream, pause_ms = millis(pause);
+            "The upstream asks for a pause; it gets no requests from this instance until its end."
+        );
+    }
+
+    /// Records a `Retry-After` of an upstream that can't be parsed.
+    pub fn invalid_retry_after(&self, upstream: &str, value: &str, e: &InvalidRetryAfter) {
+        warn!(
+            id = &*self.id, upstream, value, error:% = e;
+            "The Retry-After of an upstream is ignored."
+        );
+    }
+
     /// Records the first output of the response; it is on time within the target latency.
     pub fn first_output(&self, now: Duration) {
         let elapsed = self.elapsed(now);
