Compare revisions of the key-value service within their era

All copies compared bare numbers. After such a restore an entry that was written again at a lower number than the known one was ignored until the numbers had passed it: a new configuration was not applied, a server that drains was used on. A lease whose id had been given to another was renewed for it, so that the instance never registered again.

Change: `Revision` is an era and a number, ordered so, in items, changes, pages, updates between instances and what a link has been sent; `Lease` carries its era. A watch or read that crosses eras reads all keys again; keys that the copy lacks stay for the grace period of an outage. A server's process that was draining stays out of use whatever an older copy says. The usage of limits is written again.

--- a/lacewingspring_proxy/src/counted.rs
+++ b/lacewingspring_proxy/src/counted.rs
@@ -7,7 +7,7 @@
 use crate::{
     clock,
     metrics::SharedMetrics,
-    store::{Batch, LeaseId, Page, Store, StoreError},
+    store::{Batch, Era, Lease, Page, Revision, Store, StoreError},
 };
 
 /// A [`Store`] that counts its calls by purpose and records when the service last responded.
@@ -30,6 +30,7 @@
     {
         self.metrics.store_called(purpose);
         let result = call.await;
+        self.metrics.set_store_era(self.inner.era());
         if result.is_ok() {
             self.metrics.store_responded(clock::now());
         }
@@ -41,27 +42,36 @@
 where
     S: Store,
 {
+    fn era(&self) -> Era {
+        self.inner.era()
+    }
+
     async fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
         self.count("read", self.inner.range(prefix, after)).await
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Batch, StoreError> {
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Batch, StoreError> {
         self.count("watch", self.inner.watch(prefix, after, wait)).await
     }
 
-    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+    async fn grant_lease(&self, ttl: Duration) -> Result<Lease, StoreError> {
         self.count("grant_lease", self.inner.grant_lease(ttl)).await
     }
 
-    async fn keep_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+    async fn keep_lease(&self, lease: Lease) -> Result<(), StoreError> {
         self.count("keep_lease", self.inner.keep_lease(lease)).await
     }
 
-    async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+    async fn end_lease(&self, lease: Lease) -> Result<(), StoreError> {
         self.count("end_lease", self.inner.end_lease(lease)).await
     }
 
-    async fn put(&self, key: &str, value: Bytes, lease: Option<LeaseId>) -> Result<(), StoreError> {
+    async fn put(&self, key: &str, value: Bytes, lease: Option<Lease>) -> Result<(), StoreError> {
         self.count("write", self.inner.put(key, value, lease)).await
     }
 }
--- a/lacewingspring_proxy/src/follow.rs
+++ b/lacewingspring_proxy/src/follow.rs
@@ -12,7 +12,7 @@
     clock,
     mirror::Mirror,
     replica::{Replica, Replicas, Topic, Update},
-    store::{Item, Page, Store, StoreError},
+    store::{Item, Page, Revision, Store, StoreError},
 };
 
 /// Maximum time that one watch call waits for changes.
@@ -110,11 +110,11 @@
         }
         let (topic, revision) = (self.topic.name(), self.replica().mirror().revision());
         if follows_gate {
-            info!(topic, revision; "Changes now come from the gate.");
+            info!(topic, revision:%; "Changes now come from the gate.");
         } else {
             let age_ms = self.replica().age(clock::now()).map_or(0, |age| age.as_millis() as u64);
             info!(
-                topic, revision, age_ms;
+                topic, revision:%, age_ms;
                 "The gate's confirmation is too old; the instance watches the service."
             );
         }
@@ -145,13 +145,16 @@
         Ok(())
     }
 
-    async fn read_all(&self) -> Result<(Vec<Item>, u64), StoreError> {
+    async fn read_all(&self) -> Result<(Vec<Item>, Revision), StoreError> {
         let mut items: Vec<Item> = Vec::new();
         let mut first_revision = None;
         loop {
             let after = items.last().map(|item| item.key.clone());
             let page = self.read_page(after.as_deref()).await?;
             let revision = *first_revision.get_or_insert(page.revision);
+            if page.revision.era != revision.era {
+                return Err(StoreError::Compacted);
+            }
             let is_last = !page.has_more || page.items.is_empty();
             items.extend(page.items);
             if is_last {
@@ -186,6 +189,10 @@
         let batch = batch.map_err(|_| StoreError::NoAnswer("timed out".into()))??;
         let now = clock::now();
         self.mark_reachable(now);
+        if batch.revision.era != revision.era {
+            // The changes between the two eras are not known.
+            return Err(StoreError::Compacted);
+        }
         let is_changed = self.replica().mirror().apply(now, batch);
         self.publish(now, now, is_changed);
         if is_changed {
@@ -236,7 +243,7 @@
         if mirror.mark_reachable(now) {
             let failed_calls = std::mem::take(&mut self.failed_calls);
             info!(
-                prefix = self.prefix, failed_calls, revision = mirror.revision();
+                prefix = self.prefix, failed_calls, revision:% = mirror.revision();
                 "The key-value service answers again."
             );
         }
@@ -247,7 +254,7 @@
             let mut mirror = self.replica().mirror();
             if mirror.mark_unreachable() {
                 warn!(
-                    prefix = self.prefix, error:% = e, revision = mirror.revision();
+                    prefix = self.prefix, error:% = e, revision:% = mirror.revision();
                     "The key-value service does not answer."
                 );
             }
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -32,6 +32,7 @@
     members::SharedMembers,
     net,
     replica::{ByTopic, Replicas, Topic, Update},
+    store::Revision,
 };
 
 /// Interval of the dispatcher's ticks while requests are queued.
@@ -54,7 +55,7 @@
     instance: Option<InstanceName>,
     /// Revision of each topic up to which updates were sent; `None` for a topic that the link does
     /// not follow here.
-    sent_revisions: ByTopic<Option<u64>>,
+    sent_revisions: ByTopic<Option<Revision>>,
 }
 
 #[derive(Debug)]
@@ -195,7 +196,13 @@
 
     /// Sends a link the changes that it lacks, then a pong with the age of each replica that is
     /// sent in full.
-    fn answer_ping(&self, now: Duration, link: u64, number: u64, follow: ByTopic<Option<u64>>) {
+    fn answer_ping(
+        &self,
+        now: Duration,
+        link: u64,
+        number: u64,
+        follow: ByTopic<Option<Revision>>,
+    ) {
         let Some(sent) = self.subscribe(link, &follow) else { return };
         let updates = self.updates_after(now, &sent);
         let mut state = self.state();
@@ -215,7 +222,11 @@
 
     /// Sets which topics a link follows here; returns the revisions up to which updates were sent
     /// to it.
-    fn subscribe(&self, link: u64, follow: &ByTopic<Option<u64>>) -> Option<ByTopic<Option<u64>>> {
+    fn subscribe(
+        &self,
+        link: u64,
+        follow: &ByTopic<Option<Revision>>,
+    ) -> Option<ByTopic<Option<Revision>>> {
         let mut state = self.state();
         let target = state.links.get_mut(&link)?;
         for topic in Topic::ALL {
@@ -232,7 +243,7 @@
     /// Must be called without the lock of the state. A follower holds the lock of its replica while
     /// it passes a change on to this host, which then locks the state; locking the replica under
     /// the lock of the state could deadlock with it.
-    fn updates_after(&self, now: Duration, sent: &ByTopic<Option<u64>>) -> Vec<Update> {
+    fn updates_after(&self, now: Duration, sent: &ByTopic<Option<Revision>>) -> Vec<Update> {
         let followed =
             Topic::ALL.into_iter().filter_map(|topic| Some((topic, (*sent.get(topic))?)));
         followed
@@ -258,7 +269,7 @@
 
     fn push_topic(&self, now: Duration, topic: Topic) {
         let sent = |link: &Link| *link.sent_revisions.get(topic);
-        let revisions: BTreeSet<u64> = self.state().links.values().filter_map(sent).collect();
+        let revisions: BTreeSet<Revision> = self.state().links.values().filter_map(sent).collect();
         for after in revisions {
             let Some(update) = self.replicas.update_after(now, topic, after) else { continue };
             let update = Arc::new(update);
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -54,15 +54,20 @@
             }
             self.load_usage().await;
             let mut written = Vec::new();
+            let mut written_in = self.store.era();
             let mut written_at = Duration::ZERO;
             while self.host.serves_majority() {
                 self.wait_until_due().await;
                 let now = clock::now();
                 let usage = self.host.publish_usage(now);
+                if self.store.era() != written_in {
+                    // A service restored from a copy has an older usage.
+                    written.clear();
+                }
                 if usage != written && now.saturating_sub(written_at) >= MIN_WRITE_INTERVAL {
                     written_at = now;
                     match self.write(&usage).await {
-                        Ok(()) => written = usage,
+                        Ok(()) => (written, written_in) = (usage, self.store.era()),
                         Err(e) => warn!(
                             error:% = e;
                             "Storing the usage of limits failed; trying again later."
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -32,6 +32,7 @@
     members::{Member, SharedMembers},
     net,
     replica::{ByTopic, Replicas, Topic},
+    store::Revision,
 };
 
 /// Time limit of connecting to a gate.
@@ -241,7 +242,7 @@
     }
 
     /// Returns the revisions after which the gate is to send updates.
-    fn followed_revisions(&self) -> ByTopic<Option<u64>> {
+    fn followed_revisions(&self) -> ByTopic<Option<Revision>> {
         if self.follows_gate() { self.replicas.revisions() } else { ByTopic::default() }
     }
 
--- a/lacewingspring_proxy/src/gate/message.rs
+++ b/lacewingspring_proxy/src/gate/message.rs
@@ -12,7 +12,10 @@
 use tokio::{net::TcpStream, sync::mpsc::UnboundedReceiver};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::replica::{ByTopic, Update};
+use crate::{
+    replica::{ByTopic, Update},
+    store::Revision,
+};
 
 /// Maximum length of a message, in bytes; a value of the key-value service is at most half as long.
 const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
@@ -68,7 +71,7 @@
         number: u64,
         /// Revision of each topic after which the gate sends updates; `None` for a topic that is
         /// not followed over this link.
-        follow: ByTopic<Option<u64>>,
+        follow: ByTopic<Option<Revision>>,
     },
 }
 
--- a/lacewingspring_proxy/src/members.rs
+++ b/lacewingspring_proxy/src/members.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock,
     mirror::Mirror,
-    store::{LeaseId, Store, StoreError},
+    store::{Lease, Revision, Store, StoreError},
 };
 
 /// Prefix of the keys of instances.
@@ -71,7 +71,7 @@
 impl Members {
     /// Reads the instances from a copy of their keys; invalid entries are left out.
     pub fn from_mirror(mirror: &Mirror) -> Self {
-        let mut members: Vec<(u64, Member)> = Vec::new();
+        let mut members: Vec<(Revision, Member)> = Vec::new();
         for item in mirror.items() {
             match serde_json::from_slice(&item.value) {
                 Ok(member) => members.push((item.created_revision, member)),
@@ -193,7 +193,7 @@
         let _ = timeout(limit, self.shutdown.changed()).await;
     }
 
-    async fn register(&mut self) -> Result<LeaseId, StoreError> {
+    async fn register(&mut self) -> Result<Lease, StoreError> {
         let granted = self.store.grant_lease(LEASE_TTL.max(self.min_lease));
         let granted = with_timeout(granted).await?;
         self.write(granted).await?;
@@ -202,7 +202,7 @@
     }
 
     /// Writes the entry of this instance; it counts as changed until the write succeeded.
-    async fn write(&mut self, lease: LeaseId) -> Result<(), StoreError> {
+    async fn write(&mut self, lease: Lease) -> Result<(), StoreError> {
         let member = self.member.borrow_and_update().clone();
         self.member.mark_changed();
         let value = serde_json::to_vec(&member);
@@ -216,7 +216,7 @@
     }
 
     /// Renews the lease, and writes the entry if it changed.
-    async fn renew(&mut self, lease: LeaseId) -> Result<(), StoreError> {
+    async fn renew(&mut self, lease: Lease) -> Result<(), StoreError> {
         if self.member.has_changed().unwrap_or(false) {
             self.write(lease).await?;
         }
--- a/lacewingspring_proxy/src/metrics.rs
+++ b/lacewingspring_proxy/src/metrics.rs
@@ -19,7 +19,7 @@
     registry::Registry,
 };
 
-use crate::{declared::RequestKind, framing::Framing, logging};
+use crate::{declared::RequestKind, framing::Framing, logging, store::Era};
 
 /// Number of request series from which on new workspaces are counted together, so that the metrics
 /// stay bounded in size.
@@ -109,6 +109,7 @@
     running: Family<ServiceLabels, Gauge>,
     version: Gauge,
     members: Gauge,
+    store_era: Gauge,
     view_age: Gauge<f64, AtomicU64>,
     dropped_log_lines: Gauge,
     store_responded_at_ms: AtomicU64,
@@ -140,6 +141,7 @@
             running: Family::default(),
             version: Gauge::default(),
             members: Gauge::default(),
+            store_era: Gauge::default(),
             view_age: Gauge::default(),
             dropped_log_lines: Gauge::default(),
             store_responded_at_ms: AtomicU64::new(0),
@@ -185,6 +187,7 @@
         registry.register("running", "Requests that run, at the gate", self.running.clone());
         registry.register("declared_version", "Version in force", self.version.clone());
         registry.register("instances", "Instances that stay", self.members.clone());
+        registry.register("store_era", "Era of the key-value service", self.store_era.clone());
         registry.register(
             "view_age_seconds",
             "Time since the key-value service answered last",
@@ -270,6 +273,11 @@
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Sets the era of the key-value service.
+    pub fn set_store_era(&self, era: Era) {
+        self.store_era.set(i64::try_from(era.0).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of instances that are not leaving.
     pub fn set_instances(&self, count: usize) {
         self.members.set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/lacewingspring_proxy/src/mirror.rs
+++ b/lacewingspring_proxy/src/mirror.rs
@@ -7,9 +7,13 @@
 //! Other instances may follow a copy instead of the service. So it remembers recent deletions and
 //! returns the changes after any revision that it still covers.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    ops::Bound::{Excluded, Unbounded},
+    time::Duration,
+};
 
-use crate::store::{Batch, Change, Item};
+use crate::store::{Batch, Change, Item, Revision};
 
 /// Maximum number of deletions that are remembered.
 const MAX_DELETIONS: usize = 1_024;
@@ -28,18 +32,18 @@
 #[derive(Debug, Default)]
 pub struct Mirror {
     entries: BTreeMap<String, Entry>,
-    revision: u64,
+    revision: Revision,
     /// Deleted keys by the revision of their deletion.
-    deletions: BTreeMap<u64, String>,
+    deletions: BTreeMap<Revision, String>,
     /// Revision up to which deletions are no longer remembered.
-    compacted_revision: u64,
+    compacted_revision: Revision,
     is_unreachable: bool,
     grace_until: Duration,
 }
 
 impl Mirror {
     /// Returns the revision up to which the copy is complete.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -70,7 +74,13 @@
 
     /// Replaces the copy with the items read; `revision` is that of the service when the read
     /// began.
-    pub fn load(&mut self, now: Duration, items: Vec<Item>, revision: u64) {
+    ///
+    /// In a later era, the grace period starts: what the service has lost is written again soon.
+    pub fn load(&mut self, now: Duration, items: Vec<Item>, revision: Revision) {
+        let is_restored = revision.era > self.revision.era && self.revision != Revision::default();
+        if is_restored {
+            self.grace_until = self.grace_until.max(now + LEASE_EXPIRY_GRACE);
+        }
         let mut missing: Vec<String> = self.entries.keys().cloned().collect();
         missing.retain(|key| !items.iter().any(|item| item.key == *key));
         for key in missing {
@@ -108,7 +118,7 @@
         is_changed
     }
 
-    fn remember_deletion(&mut self, revision: u64, key: String) {
+    fn remember_deletion(&mut self, revision: Revision, key: String) {
         self.deletions.insert(revision, key);
         while self.deletions.len() > MAX_DELETIONS {
             if let Some((revision, _)) = self.deletions.pop_first() {
@@ -119,14 +129,14 @@
 
     /// Returns the changes after a revision, in order; `None` if deletions since then are no longer
     /// remembered.
-    pub fn changes_after(&self, revision: u64) -> Option<Batch> {
+    pub fn changes_after(&self, revision: Revision) -> Option<Batch> {
         if revision < self.compacted_revision {
             return None;
         }
         let puts = self.entries.values().filter(|entry| entry.remove_at.is_none());
         let puts = puts.filter(|entry| entry.item.revision > revision);
         let puts = puts.map(|entry| Change::Put(entry.item.clone()));
-        let deletions = self.deletions.range(revision + 1..);
+        let deletions = self.deletions.range((Excluded(revision), Unbounded));
         let deletions = deletions
             .map(|(revision, key)| Change::Deleted { key: key.clone(), revision: *revision });
         let mut changes: Vec<Change> = puts.chain(deletions).collect();
--- a/lacewingspring_proxy/src/replica.rs
+++ b/lacewingspring_proxy/src/replica.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     mirror::Mirror,
-    store::{Batch, Change},
+    store::{Batch, Change, Revision},
 };
 
 /// Maximum age of the state confirmed by the gate for which instances rely on the gate instead of
@@ -83,10 +83,10 @@
     pub topic: Topic,
     /// Revision after which the changes begin.
     #[serde(rename = "from")]
-    pub after: u64,
+    pub after: Revision,
     /// Revision up to which the changes are complete.
     #[serde(rename = "at")]
-    pub revision: u64,
+    pub revision: Revision,
     /// Rest of the sender's grace period for deleted keys.
     pub grace: Duration,
     /// Changes in the order of their revisions.
@@ -201,7 +201,7 @@
     }
 
     /// Returns the revision of the copy; `None` before it was read from the service.
-    pub fn revision(&self) -> Option<u64> {
+    pub fn revision(&self) -> Option<Revision> {
         self.is_loaded.load(Ordering::Relaxed).then(|| self.mirror().revision())
     }
 }
@@ -223,7 +223,7 @@
     }
 
     /// Returns the revision of each copy; `None` before it was read from the service.
-    pub fn revisions(&self) -> ByTopic<Option<u64>> {
+    pub fn revisions(&self) -> ByTopic<Option<Revision>> {
         ByTopic(Topic::ALL.map(|topic| self.get(topic).revision()))
     }
 
@@ -248,7 +248,7 @@
     }
 
     /// Returns the changes of a topic after a revision; `None` if they are no longer all known.
-    pub fn update_after(&self, now: Duration, topic: Topic, after: u64) -> Option<Update> {
+    pub fn update_after(&self, now: Duration, topic: Topic, after: Revision) -> Option<Update> {
         let mirror = self.get(topic).mirror();
         let Batch { changes, revision } = mirror.changes_after(after)?;
         Some(Update { topic, after, revision, grace: mirror.grace_left(now), changes })
--- a/lacewingspring_proxy/src/store.rs
+++ b/lacewingspring_proxy/src/store.rs
@@ -1,14 +1,43 @@
 //! Interface to the platform's key-value service.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// Identity of a lease.
+/// Era of the service's content. It rises each time that the service is restored from a copy, which
+/// lacks the latest writes and leases; revisions and lease ids are then given out again.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Era(pub u64);
+
+/// Revision of the service's content; any revision of a later era is later.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Revision {
+    /// Era in which the revision was given out.
+    pub era: Era,
+    /// Number within the era.
+    pub number: u64,
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era.0, self.number)
+    }
+}
+
+/// A lease, which does not outlast its era.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaseId(pub u64);
+pub struct Lease {
+    /// Era in which the lease was granted.
+    pub era: Era,
+    /// Identity of the lease within the era.
+    pub id: u64,
+}
 
 /// A key with its value.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,9 +47,9 @@
     /// The value.
     pub value: Bytes,
     /// Revision of its last change.
-    pub revision: u64,
+    pub revision: Revision,
     /// Revision of its creation.
-    pub created_revision: u64,
+    pub created_revision: Revision,
 }
 
 /// Change of one key.
@@ -33,13 +62,13 @@
         /// The key.
         key: String,
         /// Revision of the deletion.
-        revision: u64,
+        revision: Revision,
     },
 }
 
 impl Change {
     /// Returns the revision of the change.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         match self {
             Self::Put(item) => item.revision,
             Self::Deleted { revision, .. } => *revision,
@@ -55,7 +84,7 @@
     /// Whether more keys follow.
     pub has_more: bool,
     /// Revision of the service at the time of the answer.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Changes below a prefix, from one watch call.
@@ -64,7 +93,7 @@
     /// Changes in the order of their revisions.
     pub changes: Vec<Change>,
     /// Revision after which the next watch continues.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Why a call to the key-value service failed.
@@ -73,7 +102,10 @@
     /// The service no longer keeps the requested changes.
     #[error("the requested changes are no longer kept")]
     Compacted,
-    /// The lease has ended or never existed.
+    /// The answer is from an earlier era than one before it.
+    #[error("the answer is from before the key-value service was restored")]
+    EarlierEra,
+    /// The lease has ended or never existed, or is from an earlier era.
     #[error("lease does not exist or has ended")]
     NoLease,
     /// The service rejected the call, with this HTTP status.
@@ -89,6 +121,9 @@
 
 /// Client of the key-value service.
 pub trait Store: Send + Sync + 'static {
+    /// Returns the latest era of which the service has answered a call.
+    fn era(&self) -> Era;
+
     /// Reads a page of the keys below a prefix, starting after the key `after` if it is given.
     fn range(
         &self,
@@ -100,27 +135,24 @@
     fn watch(
         &self,
         prefix: &str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> impl Future<Output = Result<Batch, StoreError>> + Send;
 
     /// Creates a lease.
-    fn grant_lease(
-        &self,
-        ttl: Duration,
-    ) -> impl Future<Output = Result<LeaseId, StoreError>> + Send;
+    fn grant_lease(&self, ttl: Duration) -> impl Future<Output = Result<Lease, StoreError>> + Send;
 
     /// Renews a lease.
-    fn keep_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+    fn keep_lease(&self, lease: Lease) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Ends a lease, which deletes its keys.
-    fn end_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+    fn end_lease(&self, lease: Lease) -> impl Future<Output = Result<(), StoreError>> + Send;
 
     /// Writes a key; if a lease is given, the key is deleted when the lease ends.
     fn put(
         &self,
         key: &str,
         value: Bytes,
-        lease: Option<LeaseId>,
+        lease: Option<Lease>,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
--- a/lacewingspring_proxy/src/unavailable.rs
+++ b/lacewingspring_proxy/src/unavailable.rs
@@ -62,16 +62,17 @@
     /// Start of its process in Unix milliseconds; `None` if its entry has not been read.
     started_at_ms: Option<u64>,
     registration: Registration,
-    /// Whether this process of it said that it leaves.
-    said_it_leaves: bool,
+    /// Whether this process of it was seen to leave, by its own word or as draining. A process that
+    /// leaves does not come back, whatever an older copy of its entry says.
+    has_left: bool,
     /// End of the pause that it asked for.
     paused_until: Duration,
 }
 
 impl Known {
-    /// Returns why it gets no requests by its own word.
-    fn announced(&self, now: Duration) -> Option<Unavailable> {
-        if self.said_it_leaves {
+    /// Returns why it gets no requests even if its entry shows it as ready.
+    fn withheld(&self, now: Duration) -> Option<Unavailable> {
+        if self.has_left {
             return Some(Unavailable::Leaving);
         }
         (self.paused_until > now).then_some(Unavailable::Paused)
@@ -107,6 +108,7 @@
                 *upstream = Known::default();
             }
             upstream.started_at_ms = Some(info.started_at_ms);
+            upstream.has_left |= info.draining;
             upstream.registration =
                 if info.draining { Registration::Leaving } else { Registration::Ready };
         }
@@ -116,7 +118,7 @@
     pub fn record_leaving(&self, name: &UpstreamName) -> bool {
         let mut known = self.known();
         let upstream = known.entry(name.clone()).or_default();
-        !std::mem::replace(&mut upstream.said_it_leaves, true)
+        !std::mem::replace(&mut upstream.has_left, true)
     }
 
     /// Records at `now` that an upstream asked for a pause; a longer one stays in force.
@@ -133,16 +135,16 @@
         if upstream.registration == Registration::Leaving {
             return Some(Unavailable::Leaving);
         }
-        upstream.announced(now)
+        upstream.withheld(now)
     }
 
-    /// Returns the upstreams that get no new requests by their own word although their entries
-    /// show them as ready. The gate can't know of them.
+    /// Returns the upstreams that get no new requests although their entries show them as ready;
+    /// the gate may not know that.
     pub fn to_avoid(&self, now: Duration) -> Vec<UpstreamName> {
         let known = self.known();
-        let unknown_to_gate = known.iter().filter(|(_, upstream)| {
-            upstream.registration != Registration::Leaving && upstream.announced(now).is_some()
+        let withheld = known.iter().filter(|(_, upstream)| {
+            upstream.registration != Registration::Leaving && upstream.withheld(now).is_some()
         });
-        unknown_to_gate.map(|(name, _)| name.clone()).collect()
+        withheld.map(|(name, _)| name.clone()).collect()
     }
 }
