Split the check of a response's head and bound the search for withheld upstreams

The check of a head is a function of its own that returns a `Rejection`; announcements are recorded before it, as before. `UnavailableUpstreams` keeps the few names that a slot request must avoid in a set of their own: with 3,000 servers each request had walked over all of them.

--- a/lacewingspring_proxy/src/answer.rs
+++ b/lacewingspring_proxy/src/answer.rs
@@ -81,13 +81,13 @@
     }
 
     /// Counts each event after the first as so many output tokens.
-    pub fn tokens_per_event(mut self, tokens_per_event: u32) -> Self {
+    pub fn with_tokens_per_event(mut self, tokens_per_event: u32) -> Self {
         self.tokens_per_event = tokens_per_event;
         self
     }
 
     /// Passes on bytes that were read from the body already.
-    pub fn starting_with(mut self, start: Bytes) -> Self {
+    pub fn with_start(mut self, start: Bytes) -> Self {
         self.start = Some(start);
         self
     }
--- a/lacewingspring_proxy/src/relay.rs
+++ b/lacewingspring_proxy/src/relay.rs
@@ -46,11 +46,21 @@
     pub progress: BodyProgress,
 }
 
+/// Why a response is not passed on.
+struct Rejection {
+    /// End of its attempt.
+    end: End,
+    /// Reason for the log.
+    reason: &'static str,
+    /// What follows for the request.
+    outcome: Outcome,
+}
+
 /// What decides how the response to a request is passed on.
 pub struct Relay<'a, P> {
     /// Headers that upstreams use.
     pub protocol: &'a P,
-    /// Takes what upstreams say of themselves.
+    /// Records the upstreams that leave or want a pause.
     pub unavailable: &'a UnavailableUpstreams,
     /// Id of the request, which its response must have if it has one.
     pub id: &'a str,
@@ -72,22 +82,14 @@
         let status = received.head.status;
         let upstream_head = self.protocol.response_head(status.as_u16(), &received.head.headers);
         let now = clock::now();
-        if upstream_head.id.as_deref().is_some_and(|id| id != self.id) {
-            attempt.fail(now, End::Broken, "response has the id of another request");
-            return Outcome::MayHaveRun(None);
+        let is_own = upstream_head.id.as_deref().is_none_or(|id| id == self.id);
+        if is_own && !upstream_head.is_misdirected {
+            self.record_announcements(now, &attempt, &received.head, &upstream_head);
         }
-        if upstream_head.is_misdirected {
-            attempt.fail(now, End::Misdirected, "misdirected");
-            return Outcome::NotRun(Failure::Unreachable);
-        }
-        self.record_announcements(now, &attempt, &received.head, &upstream_head);
-        if upstream_head.is_declined {
-            attempt.fail(now, End::Declined, "declined");
-            return Outcome::NotRun(Failure::Declined);
-        }
-        if status.is_success() && !upstream_head.is_signed {
-            attempt.fail(now, End::Broken, "response has no signature");
-            return Outcome::MayHaveRun(None);
+        if let Some(rejection) = self.rejection(status, &upstream_head) {
+            let Rejection { end, reason, outcome } = rejection;
+            attempt.fail(now, end, reason);
+            return outcome;
         }
         let mut response = Response::new(());
         *response.status_mut() = status;
@@ -97,7 +99,7 @@
         let progress = BodyProgress::new(received.framing, is_event_stream);
         if is_stream {
             let body = StreamedBody::new(received, progress, attempt, self.deadline)
-                .tokens_per_event(self.tokens_per_event);
+                .with_tokens_per_event(self.tokens_per_event);
             return streamed(response, body);
         }
         let has_short_length = received.framing == Framing::Length
@@ -109,6 +111,23 @@
         streamed(response, StreamedBody::new(received, progress, attempt, self.deadline))
     }
 
+    /// Returns why a response is not passed on by its head; `None` if it may be.
+    fn rejection(&self, status: StatusCode, head: &ResponseHead) -> Option<Rejection> {
+        let (end, reason, outcome) = if head.id.as_deref().is_some_and(|id| id != self.id) {
+            let reason = "response has the id of another request";
+            (End::Broken, reason, Outcome::MayHaveRun(None))
+        } else if head.is_misdirected {
+            (End::Misdirected, "misdirected", Outcome::NotRun(Failure::Unreachable))
+        } else if head.is_declined {
+            (End::Declined, "declined", Outcome::NotRun(Failure::Declined))
+        } else if status.is_success() && !head.is_signed {
+            (End::Broken, "response has no signature", Outcome::MayHaveRun(None))
+        } else {
+            return None;
+        };
+        Some(Rejection { end, reason, outcome })
+    }
+
     /// Records whether the upstream leaves or wants a pause.
     fn record_announcements(
         &self,
@@ -150,7 +169,7 @@
             Ok(Ok(BodyStart::Complete(data))) => data,
             Ok(Ok(BodyStart::Long(data))) => {
                 let body = StreamedBody::new(received, progress, attempt, self.deadline);
-                return streamed(response, body.starting_with(data));
+                return streamed(response, body.with_start(data));
             }
             Ok(Err(e)) => {
                 attempt.fail(now, End::Broken, &format!("response body broke off: {e}"));
--- a/lacewingspring_proxy/src/unavailable.rs
+++ b/lacewingspring_proxy/src/unavailable.rs
@@ -1,10 +1,10 @@
 //! Upstreams to which this instance must send no new requests: those that the registry shows as
-//! draining or gone, and those that said so themselves in their responses.
+//! draining or gone, and those that announced in their responses that they leave or want a pause.
 //!
 //! A gate may not know of either yet, or be cut off from the platform, and grant a slot there.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -58,42 +58,55 @@
 
 /// What this instance knows of one upstream.
 #[derive(Debug, Default)]
-struct Known {
+struct KnownUpstream {
     /// Start of its process in Unix milliseconds; `None` if its entry has not been read.
     started_at_ms: Option<u64>,
     registration: Registration,
-    /// Whether this process of it was seen to leave, by its own word or as draining. A process that
-    /// leaves does not come back, whatever an older copy of its entry says.
+    /// Whether this process of it announced that it leaves, or was registered as draining. Such a
+    /// process does not come back, whatever an older copy of its entry says.
     has_left: bool,
     /// End of the pause that it asked for.
     paused_until: Duration,
 }
 
-impl Known {
-    /// Returns why it gets no requests even if its entry shows it as ready.
+impl KnownUpstream {
+    /// Returns why it gets no requests although its entry may show it as ready.
     fn withheld(&self, now: Duration) -> Option<Unavailable> {
         if self.has_left {
             return Some(Unavailable::Leaving);
         }
         (self.paused_until > now).then_some(Unavailable::Paused)
     }
+
+    /// Returns whether a gate that knows its entry grants slots there.
+    fn is_used_by_gate(&self) -> bool {
+        self.registration != Registration::Leaving
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    known: HashMap<UpstreamName, KnownUpstream>,
+    /// Upstreams whose entry does not tell that they get no requests, or did not until lately.
+    withheld: BTreeSet<UpstreamName>,
 }
 
 /// Upstreams that get no new requests from this instance.
 #[derive(Debug, Default)]
-pub struct UnavailableUpstreams(Mutex<HashMap<UpstreamName, Known>>);
+pub struct UnavailableUpstreams(Mutex<State>);
 
 impl UnavailableUpstreams {
-    fn known(&self) -> MutexGuard<'_, HashMap<UpstreamName, Known>> {
+    fn state(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Applies a change of the registered upstreams.
     ///
-    /// What an upstream said outlives it, also if its entry was gone for a while, until another
+    /// An announcement outlives it, also if the upstream's entry was gone for a while, until another
     /// process of that name registers.
     pub fn update(&self, upstreams: &[UpstreamInfo]) {
-        let mut known = self.known();
+        let mut state = self.state();
+        let State { known, withheld } = &mut *state;
         if known.len() > MAX_NAMES {
             known.retain(|_, upstream| upstream.registration != Registration::Leaving);
         }
@@ -105,46 +118,50 @@
         for info in upstreams {
             let upstream = known.entry(info.name.clone()).or_default();
             if upstream.started_at_ms.is_some_and(|start| start != info.started_at_ms) {
-                *upstream = Known::default();
+                *upstream = KnownUpstream::default();
             }
             upstream.started_at_ms = Some(info.started_at_ms);
             upstream.has_left |= info.draining;
             upstream.registration =
                 if info.draining { Registration::Leaving } else { Registration::Ready };
+            if upstream.has_left && !info.draining {
+                withheld.insert(info.name.clone());
+            }
         }
+        withheld.retain(|name| known.get(name).is_some_and(KnownUpstream::is_used_by_gate));
     }
 
     /// Records that an upstream said that it leaves; returns whether that is new.
     pub fn record_leaving(&self, name: &UpstreamName) -> bool {
-        let mut known = self.known();
-        let upstream = known.entry(name.clone()).or_default();
+        let mut state = self.state();
+        state.withheld.insert(name.clone());
+        let upstream = state.known.entry(name.clone()).or_default();
         !std::mem::replace(&mut upstream.has_left, true)
     }
 
     /// Records at `now` that an upstream asked for a pause; a longer one stays in force.
     pub fn record_pause(&self, now: Duration, name: &UpstreamName, pause: Duration) {
-        let mut known = self.known();
-        let upstream = known.entry(name.clone()).or_default();
+        let mut state = self.state();
+        state.withheld.insert(name.clone());
+        let upstream = state.known.entry(name.clone()).or_default();
         upstream.paused_until = upstream.paused_until.max(now + pause);
     }
 
     /// Returns why an upstream gets no new requests; `None` if it may get them.
     pub fn reason(&self, now: Duration, name: &UpstreamName) -> Option<Unavailable> {
-        let known = self.known();
-        let upstream = known.get(name)?;
-        if upstream.registration == Registration::Leaving {
-            return Some(Unavailable::Leaving);
-        }
-        upstream.withheld(now)
+        let state = self.state();
+        let upstream = state.known.get(name)?;
+        if upstream.is_used_by_gate() { upstream.withheld(now) } else { Some(Unavailable::Leaving) }
     }
 
     /// Returns the upstreams that get no new requests although their entries show them as ready;
     /// the gate may not know that.
     pub fn to_avoid(&self, now: Duration) -> Vec<UpstreamName> {
-        let known = self.known();
-        let withheld = known.iter().filter(|(_, upstream)| {
-            upstream.registration != Registration::Leaving && upstream.withheld(now).is_some()
-        });
-        withheld.map(|(name, _)| name.clone()).collect()
+        let state = self.state();
+        let is_withheld = |name: &&UpstreamName| {
+            let known = state.known.get(*name).filter(|upstream| upstream.is_used_by_gate());
+            known.is_some_and(|upstream| upstream.withheld(now).is_some())
+        };
+        state.withheld.iter().filter(is_withheld).cloned().collect()
     }
 }
