--- a/lacewingspring_proxy/tests/unavailable.rs
+++ b/lacewingspring_proxy/tests/unavailable.rs
@@ -1,4 +1,4 @@
-//! Which upstreams an instance must not use, by the registry and by their own word.
+//! Which upstreams an instance must not use, by the registry and by what they announced.
 
 use std::time::Duration;
 
