--- a/lacewingspring_proxy/src/attempt.rs
+++ b/lacewingspring_proxy/src/attempt.rs
@@ -5,7 +5,7 @@
 use lacewingspring_core::dispatch::{End, Grant};
 
 use crate::{
-    framing::BodyProgress, gate::link::Slot, retry_after::InvalidRetryAfter, track::RequestTrace,
+    framing::BodyProgress, gate::slot::Slot, retry_after::InvalidRetryAfter, track::RequestTrace,
 };
 
 /// An attempt at an upstream, which holds a slot there until it ends.
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -25,7 +25,7 @@
     clock,
     declared::Declared,
     exchange::{self, ExchangeError, UpstreamResponse},
-    gate::link::{GateClient, Slot},
+    gate::{link::GateClient, slot::Slot},
     metrics::SharedMetrics,
     protocol::{CallerHead, Protocol, SendHead},
     refusal::{ErrorResponse, Failure},
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -11,7 +11,7 @@
 
 use futures_util::StreamExt;
 use lacewingspring_core::{
-    dispatch::{End, Grant, Reason, Refusal, SlotRequest, StoredUsage},
+    dispatch::{End, Grant, Refusal, SlotRequest, StoredUsage},
     names::{InstanceName, UpstreamName},
 };
 use log::{info, warn};
@@ -26,6 +26,8 @@
 use super::{
     host::GateHost,
     message::{Frames, FromGate, ToGate, decode, frames, send_all},
+    slot::PendingSlot,
+    suspects::Suspects,
 };
 use crate::{
     clock,
@@ -57,32 +59,12 @@
 /// Time within which the gate must grant, refuse or queue a request.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time for which an instance that failed as the gate is not tried again.
-const SUSPECT_DURATION: Duration = Duration::from_millis(1_500);
-
 /// Time limit of writing to the gate.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Reason for closing a link to a working gate: another instance takes precedence.
 const MOVED: &str = "moved";
 
-/// Instances that recently failed as the gate, by name and incarnation, with the time until which
-/// they are not tried again.
-#[derive(Debug, Default)]
-struct Suspects(HashMap<(InstanceName, u64), Duration>);
-
-impl Suspects {
-    fn add(&mut self, now: Duration, member: Member) {
-        self.0.retain(|_, until| *until > now);
-        self.0.insert((member.instance, member.incarnation), now + SUSPECT_DURATION);
-    }
-
-    fn contains(&self, now: Duration, member: &Member) -> bool {
-        let until = self.0.get(&(member.instance.clone(), member.incarnation));
-        until.is_some_and(|until| *until > now)
-    }
-}
-
 /// Request that the gate has not decided yet.
 #[derive(Debug)]
 struct Pending {
@@ -132,24 +114,6 @@
     at: Duration,
 }
 
-/// A request that waits for the gate's decision; it is cancelled when dropped.
-#[derive(Debug)]
-pub struct PendingSlot {
-    gate: Arc<GateClient>,
-    number: u64,
-    rx: oneshot::Receiver<Result<Grant, Refusal>>,
-    is_decided: bool,
-}
-
-/// A granted slot at an upstream; it is released as cancelled when dropped.
-#[derive(Debug)]
-pub struct Slot {
-    gate: Arc<GateClient>,
-    number: u64,
-    grant: Grant,
-    is_ended: bool,
-}
-
 impl GateClient {
     /// Creates a client without a link; [`run`](Self::run) connects it.
     pub fn new(
@@ -181,10 +145,16 @@
         state
             .pending
             .insert(number, Pending { request, requested_at: now, is_acknowledged: false, tx });
-        PendingSlot { gate: self.clone(), number, rx, is_decided: false }
+        PendingSlot::new(self.clone(), number, rx)
+    }
+
+    /// Reports the first event of a response.
+    pub(super) fn first_output(&self, number: u64, took: Duration) {
+        self.state().send(ToGate::FirstOutput { number, took });
     }
 
-    fn end(&self, number: u64, end: End) {
+    /// Ends a request that waits or has a slot.
+    pub(super) fn end(&self, number: u64, end: End) {
         let mut state = self.state();
         let was_pending = state.pending.remove(&number).is_some();
         let was_running = state.running.remove(&number).is_some();
@@ -442,51 +412,3 @@
         }
     }
 }
-
-impl PendingSlot {
-    /// Waits for the gate's decision.
-    pub async fn wait(mut self) -> Result<Slot, Refusal> {
-        let decided = (&mut self.rx).await;
-        self.is_decided = true;
-        let lost = Refusal::new(Reason::Overload, UNDECIDED_RETRY_AFTER);
-        let grant = decided.unwrap_or(Err(lost))?;
-        Ok(Slot { gate: self.gate.clone(), number: self.number, grant, is_ended: false })
-    }
-}
-
-/// Time after which the caller may retry if its request got no decision because the process ends.
-const UNDECIDED_RETRY_AFTER: Duration = Duration::from_millis(500);
-
-impl Drop for PendingSlot {
-    fn drop(&mut self) {
-        if !self.is_decided {
-            self.gate.end(self.number, End::Cancelled);
-        }
-    }
-}
-
-impl Slot {
-    /// Returns the upstream to send the request to.
-    pub fn grant(&self) -> &Grant {
-        &self.grant
-    }
-
-    /// Reports the first event of the response, `took` after the request was sent.
-    pub fn first_output(&self, took: Duration) {
-        self.gate.state().send(ToGate::FirstOutput { number: self.number, took });
-    }
-
-    /// Releases the slot.
-    pub fn end(mut self, end: End) {
-        self.is_ended = true;
-        self.gate.end(self.number, end);
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        if !self.is_ended {
-            self.gate.end(self.number, End::Cancelled);
-        }
-    }
-}
--- /dev/null
+++ b/lacewingspring_proxy/src/gate/slot.rs
@@ -0,0 +1,83 @@
+//! Slots at upstreams, from the request to the gate to their release.
+
+use std::{sync::Arc, time::Duration};
+
+use lacewingspring_core::dispatch::{End, Grant, Reason, Refusal};
+use tokio::sync::oneshot;
+
+use super::link::GateClient;
+
+/// Time after which the caller may retry if its request got no decision because the process ends.
+const UNDECIDED_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// A request that waits for the gate's decision; it is cancelled when dropped.
+#[derive(Debug)]
+pub struct PendingSlot {
+    gate: Arc<GateClient>,
+    number: u64,
+    rx: oneshot::Receiver<Result<Grant, Refusal>>,
+    is_decided: bool,
+}
+
+/// A granted slot at an upstream; it is released as cancelled when dropped.
+#[derive(Debug)]
+pub struct Slot {
+    gate: Arc<GateClient>,
+    number: u64,
+    grant: Grant,
+    is_ended: bool,
+}
+
+impl PendingSlot {
+    /// Creates a request that waits; `rx` receives the decision.
+    pub(super) fn new(
+        gate: Arc<GateClient>,
+        number: u64,
+        rx: oneshot::Receiver<Result<Grant, Refusal>>,
+    ) -> Self {
+        Self { gate, number, rx, is_decided: false }
+    }
+
+    /// Waits for the gate's decision.
+    pub async fn wait(mut self) -> Result<Slot, Refusal> {
+        let decided = (&mut self.rx).await;
+        self.is_decided = true;
+        let lost = Refusal::new(Reason::Overload, UNDECIDED_RETRY_AFTER);
+        let grant = decided.unwrap_or(Err(lost))?;
+        Ok(Slot { gate: self.gate.clone(), number: self.number, grant, is_ended: false })
+    }
+}
+
+impl Drop for PendingSlot {
+    fn drop(&mut self) {
+        if !self.is_decided {
+            self.gate.end(self.number, End::Cancelled);
+        }
+    }
+}
+
+impl Slot {
+    /// Returns the upstream to send the request to.
+    pub fn grant(&self) -> &Grant {
+        &self.grant
+    }
+
+    /// Reports the first event of the response, `took` after the request was sent.
+    pub fn first_output(&self, took: Duration) {
+        self.gate.first_output(self.number, took);
+    }
+
+    /// Releases the slot.
+    pub fn end(mut self, end: End) {
+        self.is_ended = true;
+        self.gate.end(self.number, end);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.gate.end(self.number, End::Cancelled);
+        }
+    }
+}
