Log the prompt parts of broken runs and what the gate counts of them

Change: the two lines of an instance on a broken run have `parts`; the gate logs each run that ended with a broken connection with the digest of its request and the number of its consecutive crashes. No logic is changed.

--- a/lacewingspring_core/src/dispatch/crash_history.rs
+++ b/lacewingspring_core/src/dispatch/crash_history.rs
@@ -33,14 +33,15 @@
         })
     }
 
-    /// Counts a run that ended with a broken connection.
-    pub fn record_crash(&mut self, now: Duration, fingerprint: u64) {
+    /// Counts a run that ended with a broken connection; returns the number of consecutive ones.
+    pub fn record_crash(&mut self, now: Duration, fingerprint: u64) -> u32 {
         if self.records.len() >= CLEANUP_THRESHOLD {
             self.records.retain(|_, record| now.saturating_sub(record.last) < CRASH_RETENTION);
         }
         let record = self.records.entry(fingerprint).or_insert(CrashRecord { count: 0, last: now });
         record.count += 1;
         record.last = now;
+        record.count
     }
 
     /// Forgets the crashes of a fingerprint, as a run of it has ended without one.
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 
 pub use self::{
     budget::RetryBound,
+    finding::Finding,
     quota::{Quota, QuotaBounds, StoredUsage},
     upstream::UpstreamInfo,
     work::{Decision, End, Grant, PromptPart, Reason, Refusal, SlotRequest, Ticket, Work},
@@ -26,6 +27,7 @@
 
 mod budget;
 mod crash_history;
+mod finding;
 mod pool;
 mod queue;
 mod quota;
@@ -94,6 +96,8 @@
     quotas: Quotas,
     retries: RetryBudgets,
     crashes: CrashHistory,
+    /// What was learned of crashes and not yet taken.
+    findings: Vec<Finding>,
     refusals: RefusalHistory,
     fleet_fraction: f64,
     /// Time at which it last stopped deciding for the whole fleet.
@@ -108,6 +112,7 @@
             quotas: Quotas::default(),
             retries: RetryBudgets::default(),
             crashes: CrashHistory::default(),
+            findings: Vec::new(),
             refusals: RefusalHistory::default(),
             fleet_fraction: 0.0,
             whole_fleet_until: None,
@@ -278,7 +283,7 @@
     pub fn end(&mut self, now: Duration, ticket: Ticket, end: End) -> Vec<Decision> {
         let Some(open) = self.open.remove(&ticket) else { return Vec::new() };
         match end {
-            End::Broken => self.crashes.record_crash(now, open.fingerprint),
+            End::Broken => self.record_crash(now, ticket, &open),
             End::Finished { .. } | End::Failed => self.crashes.clear(open.fingerprint),
             End::Declined
             | End::Unreachable
@@ -299,6 +304,21 @@
         self.close_refused(now, decisions)
     }
 
+    fn record_crash(&mut self, now: Duration, ticket: Ticket, open: &OpenRequest) {
+        let crashes = self.crashes.record_crash(now, open.fingerprint);
+        let pool = self.pools.get(&open.service);
+        if let Some(upstream) = pool.and_then(|pool| pool.upstream_of(ticket)) {
+            let upstream = upstream.clone();
+            let fingerprint = open.fingerprint;
+            self.findings.push(Finding::RunBroken { upstream, fingerprint, crashes });
+        }
+    }
+
+    /// Returns what was learned of crashes since the last call.
+    pub fn take_findings(&mut self) -> Vec<Finding> {
+        std::mem::take(&mut self.findings)
+    }
+
     /// Ends all requests of an instance whose connection to the gate is lost.
     pub fn end_link(&mut self, now: Duration, link: u64) -> Vec<Decision> {
         self.open.retain(|ticket, _| ticket.link != link);
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -366,6 +366,11 @@
         }
     }
 
+    /// Returns the upstream at which a request holds a slot.
+    pub fn upstream_of(&self, ticket: Ticket) -> Option<&UpstreamName> {
+        self.runs.get(&ticket).map(|running| &running.upstream)
+    }
+
     /// Returns whether a request holds a slot.
     pub fn is_running(&self, ticket: Ticket) -> bool {
         self.runs.contains_key(&ticket)
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -10,7 +10,9 @@
 
 use futures_util::StreamExt;
 use lacewingspring_core::{
-    dispatch::{Decision, Dispatcher, Limits, ServiceCounts, StoredUsage, Ticket, UpstreamInfo},
+    dispatch::{
+        Decision, Dispatcher, Finding, Limits, ServiceCounts, StoredUsage, Ticket, UpstreamInfo,
+    },
     names::{InstanceName, ServiceName},
 };
 use log::{info, warn};
@@ -427,6 +429,9 @@
 
 impl State {
     fn send_decisions(&mut self, decisions: Vec<Decision>) {
+        for finding in self.dispatcher.take_findings() {
+            log_finding(&finding);
+        }
         for decision in decisions {
             let link = ticket_of(&decision).link;
             let message = match decision {
@@ -448,6 +453,15 @@
     }
 }
 
+fn log_finding(finding: &Finding) {
+    match finding {
+        Finding::RunBroken { upstream, fingerprint, crashes } => info!(
+            upstream = upstream.as_str(), fingerprint:% = format_args!("{fingerprint:x}"), crashes;
+            "A run ended with a broken connection."
+        ),
+    }
+}
+
 fn ticket_of(decision: &Decision) -> Ticket {
     match decision {
         Decision::Granted(ticket, _) | Decision::Refused(ticket, _) => *ticket,
--- a/lacewingspring_proxy/src/track.rs
+++ b/lacewingspring_proxy/src/track.rs
@@ -1,6 +1,7 @@
 //! Log lines and metrics of the decisions about one request.
 
 use std::{
+    fmt,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -8,7 +9,7 @@
     time::Duration,
 };
 
-use lacewingspring_core::dispatch::{Grant, Work};
+use lacewingspring_core::dispatch::{Grant, PromptPart, Work};
 use log::{info, warn};
 
 use crate::{
@@ -32,6 +33,7 @@
     version: u64,
     series: Series,
     prompt_tokens: u32,
+    prompt_parts: Vec<PromptPart>,
     began: Duration,
     target_latency: Duration,
     metrics: SharedMetrics,
@@ -55,16 +57,18 @@
         metrics: SharedMetrics,
     ) -> Self {
         let workspace = admitted.workspace.as_ref();
+        let (prompt_tokens, prompt_parts) = match &caller.work {
+            Work::Plain => (0, Vec::new()),
+            Work::Generation { prompt_tokens, parts, .. } => (*prompt_tokens, parts.clone()),
+        };
         let workspace = workspace.map_or("", |workspace| workspace.name.as_str());
         Self {
             id: caller.id.clone(),
             route: admitted.route.name.clone(),
             version: admitted.version,
             series: Series::new(workspace, admitted.rank, admitted.route.kind),
-            prompt_tokens: match &caller.work {
-                Work::Plain => 0,
-                Work::Generation { prompt_tokens, .. } => *prompt_tokens,
-            },
+            prompt_tokens,
+            prompt_parts,
             began,
             target_latency: admitted.route.target_latency,
             metrics,
@@ -124,7 +128,8 @@
     pub fn attempt_failed(&self, now: Duration, upstream: &str, reason: &str, may_have_run: bool) {
         self.metrics.prompt_tokens_wasted(if may_have_run { self.prompt_tokens } else { 0 });
         info!(
-            id = &*self.id, upstream, reason, may_have_run, took_ms = millis(self.elapsed(now));
+            id = &*self.id, upstream, reason, may_have_run, parts:% = PartIds(&self.prompt_parts),
+            took_ms = millis(self.elapsed(now));
             "An attempt at an upstream fails."
         );
     }
@@ -204,12 +209,26 @@
             id = &*self.id, route = &*self.route, upstream, reason,
             framing = progress.framing.name(), bytes = progress.bytes,
             events = progress.complete_events(),
-            inside_event = progress.is_inside_event(), took_ms = millis(elapsed);
+            inside_event = progress.is_inside_event(), parts:% = PartIds(&self.prompt_parts),
+            took_ms = millis(elapsed);
             "The response ends before it is complete."
         );
     }
 }
 
+/// Ids of the parts of a prompt as the log shows them: hexadecimal, separated by commas.
+struct PartIds<'a>(&'a [PromptPart]);
+
+impl fmt::Display for PartIds<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{:x}", part.id)?;
+        }
+        Ok(())
+    }
+}
+
 fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
 }
