Find prompt parts that crash upstreams and refuse requests with them

Cause: the crash history knows a request by a digest of method, path, workspace and body. Requests that share only a part of their prompts have digests of their own, so each crashed once and none was ever blocked. Class: failures are counted by an identity that is narrower than what causes them.

Change: the gate counts crashes of upstreams, not of requests, for each part that other requests may share. The parts with the most crashes since a run with them completed are suspects and run one at a time. A probe that completes clears its parts; one that breaks off blocks requests with all its suspects for ten minutes. Requests that wait when their part becomes a suspect are refused. A run that had written for a second is no suspect.

Why this works: the part stands in every crash that it causes and in no completed run, a sound part is cleared by its next completed run, and what is left in doubt is settled by one run.

--- a/lacewingspring_core/src/dispatch/finding.rs
+++ b/lacewingspring_core/src/dispatch/finding.rs
@@ -14,4 +14,22 @@
         /// Number of consecutive runs of the request that ended so.
         crashes: u32,
     },
+    /// A prompt part is among those with the most crashes; requests with it are run one at a time.
+    Suspected {
+        /// Digest of the part.
+        part: u64,
+        /// Number of crashes that broke runs with it since one completed.
+        crashes: u32,
+    },
+    /// A prompt part is no longer a suspect: a run with it completed, or other parts have more
+    /// crashes or explain those that it had.
+    NoLongerSuspected {
+        /// Digest of the part.
+        part: u64,
+    },
+    /// A run with suspected parts broke off; requests with all of them are refused.
+    Blocked {
+        /// Digests of the parts.
+        parts: Vec<u64>,
+    },
 }
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -20,17 +20,20 @@
     work::{Decision, End, Grant, PromptPart, Reason, Refusal, SlotRequest, Ticket, Work},
 };
 use self::{
-    budget::RetryBudgets, crash_history::CrashHistory, pool::Pool, quota::Quotas,
-    refusal_history::RefusalHistory,
+    budget::RetryBudgets, crash_history::CrashHistory, crashing_parts::CrashingParts, pool::Pool,
+    quota::Quotas, refusal_history::RefusalHistory,
 };
 use crate::names::{ServiceName, UpstreamName, WorkspaceName};
 
 mod budget;
+mod crash_events;
 mod crash_history;
+mod crashing_parts;
 mod finding;
 mod pool;
 mod queue;
 mod quota;
+mod recent_parts;
 mod refusal_history;
 mod sizes;
 mod upstream;
@@ -40,6 +43,10 @@
 /// Retry-after time of a request that is blocked because it crashes upstreams.
 const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Time from the first event of an answer after which its request is not the cause of a crash:
+/// those that crash upstreams do so when the answer begins.
+const SURVIVAL_TIME: Duration = Duration::from_secs(1);
+
 /// Fleet fraction of a gate that decides for the whole fleet.
 const WHOLE_FLEET: f64 = 1.0;
 
@@ -65,12 +72,35 @@
 struct OpenRequest {
     service: ServiceName,
     fingerprint: u64,
+    /// Prompt parts that other requests may share.
+    parts: Vec<u64>,
+    /// Time of the first event of its answer.
+    first_output_at: Option<Duration>,
     /// Time at which its latency target passes.
     late_at: Duration,
     /// Units taken from the limit of its workspace; refunded if the request is not sent.
     charge: Option<Charge>,
 }
 
+impl OpenRequest {
+    fn new(now: Duration, request: &SlotRequest, parts: Vec<u64>, charge: Option<Charge>) -> Self {
+        Self {
+            service: request.service.clone(),
+            fingerprint: request.fingerprint,
+            parts,
+            first_output_at: None,
+            late_at: now + request.target_left,
+            charge,
+        }
+    }
+
+    /// Returns whether its upstream has written the answer for so long that the request does not
+    /// crash it.
+    fn is_survived(&self, now: Duration) -> bool {
+        self.first_output_at.is_some_and(|at| now.saturating_sub(at) >= SURVIVAL_TIME)
+    }
+}
+
 /// Units that a request took from the limit of its workspace.
 #[derive(Debug)]
 struct Charge {
@@ -96,6 +126,7 @@
     quotas: Quotas,
     retries: RetryBudgets,
     crashes: CrashHistory,
+    crashing_parts: CrashingParts,
     /// What was learned of crashes and not yet taken.
     findings: Vec<Finding>,
     refusals: RefusalHistory,
@@ -112,6 +143,7 @@
             quotas: Quotas::default(),
             retries: RetryBudgets::default(),
             crashes: CrashHistory::default(),
+            crashing_parts: CrashingParts::default(),
             findings: Vec::new(),
             refusals: RefusalHistory::default(),
             fleet_fraction: 0.0,
@@ -208,36 +240,59 @@
         ticket: Ticket,
         mut request: SlotRequest,
     ) -> Vec<Decision> {
-        let charge = match self.charge(now, ticket, &request) {
+        let parts = request.work.shared_parts();
+        let charge = match self.admit(now, ticket, &request, &parts) {
             Ok(charge) => charge,
-            Err(refusal) => return vec![Decision::Refused(ticket, refusal)],
+            Err(refusal) => {
+                self.crashing_parts.end_probe(ticket);
+                return vec![Decision::Refused(ticket, refusal)];
+            }
         };
         if let Some(late_at) = self.refusals.late_at(request.fingerprint) {
             request.target_left = request.target_left.min(late_at.saturating_sub(now));
         }
-        let open = OpenRequest {
-            service: request.service.clone(),
-            fingerprint: request.fingerprint,
-            late_at: now + request.target_left,
-            charge,
-        };
+        let open = OpenRequest::new(now, &request, parts, charge);
         let pool = self.pools.entry(request.service.clone()).or_default();
         self.open.insert(ticket, open);
         let decisions = pool.request_slot(now, self.fleet_fraction, ticket, request);
         self.close_refused(now, decisions)
     }
 
-    /// Charges the retry budget for a repeated send, or the limit of the workspace for a first one.
-    /// The error is the refusal if the request is blocked, or the budget or limit is used up.
-    fn charge(
+    /// Refuses a request that crashes upstreams, and charges the budgets and limits for another one.
+    fn admit(
         &mut self,
         now: Duration,
         ticket: Ticket,
         request: &SlotRequest,
+        parts: &[u64],
     ) -> Result<Option<Charge>, Refusal> {
         if self.crashes.is_blocked(now, request.fingerprint) {
             return Err(Refusal::new(Reason::Crashes, BLOCKED_RETRY_AFTER));
         }
+        self.end_survived_probes(now);
+        let admitted = self.crashing_parts.admit(now, ticket, parts);
+        admitted.map_err(|retry_after| Refusal::new(Reason::Crashes, retry_after))?;
+        self.charge(now, ticket, request)
+    }
+
+    /// Clears the parts of the probes whose upstreams have survived them.
+    fn end_survived_probes(&mut self, now: Duration) {
+        let probes: Vec<Ticket> = self.crashing_parts.probes().copied().collect();
+        for ticket in probes {
+            if let Some(open) = self.open.get(&ticket).filter(|open| open.is_survived(now)) {
+                self.crashing_parts.record_success(now, ticket, &open.parts);
+            }
+        }
+    }
+
+    /// Charges the retry budget for a repeated send, or the limit of the workspace for a first one.
+    /// The error is the refusal if the budget or limit is used up.
+    fn charge(
+        &mut self,
+        now: Duration,
+        ticket: Ticket,
+        request: &SlotRequest,
+    ) -> Result<Option<Charge>, Refusal> {
         if request.sends > 0 {
             let is_allowed =
                 self.retries.take_repeated_send(now, self.fleet_fraction, &request.service);
@@ -260,20 +315,16 @@
         request: &SlotRequest,
         upstream: UpstreamName,
     ) {
-        let open = OpenRequest {
-            service: request.service.clone(),
-            fingerprint: request.fingerprint,
-            late_at: now + request.target_left,
-            charge: None,
-        };
+        let open = OpenRequest::new(now, request, request.work.shared_parts(), None);
         self.open.insert(ticket, open);
         let pool = self.pools.entry(request.service.clone()).or_default();
         pool.adopt(now, ticket, upstream, &request.work);
     }
 
-    /// Records that the first event of a run arrived `took` after its send.
-    pub fn first_output(&mut self, ticket: Ticket, took: Duration) {
-        let Some(open) = self.open.get(&ticket) else { return };
+    /// Records at `now` that the first event of a run arrived `took` after its send.
+    pub fn first_output(&mut self, now: Duration, ticket: Ticket, took: Duration) {
+        let Some(open) = self.open.get_mut(&ticket) else { return };
+        open.first_output_at.get_or_insert(now);
         if let Some(pool) = self.pools.get_mut(&open.service) {
             pool.first_output(ticket, took);
         }
@@ -282,16 +333,7 @@
     /// Ends a request, whether it waits or runs, and dispatches to the slot that it frees.
     pub fn end(&mut self, now: Duration, ticket: Ticket, end: End) -> Vec<Decision> {
         let Some(open) = self.open.remove(&ticket) else { return Vec::new() };
-        match end {
-            End::Broken => self.record_crash(now, ticket, &open),
-            End::Finished { .. } | End::Failed => self.crashes.clear(open.fingerprint),
-            End::Declined
-            | End::Unreachable
-            | End::Misdirected
-            | End::Leaving
-            | End::Cancelled
-            | End::Unused => {}
-        }
+        let is_new_crash = self.record_end(now, ticket, &open, end);
         let Some(pool) = self.pools.get_mut(&open.service) else { return Vec::new() };
         let is_unsent =
             matches!(end, End::Unreachable | End::Misdirected | End::Leaving | End::Unused);
@@ -300,28 +342,81 @@
         {
             self.quotas.refund(charge);
         }
-        let decisions = pool.end(now, self.fleet_fraction, ticket, end);
+        let fleet_fraction = self.fleet_fraction;
+        let mut decisions =
+            if is_new_crash { self.refuse_crashing_waiting(now) } else { Vec::new() };
+        if let Some(pool) = self.pools.get_mut(&open.service) {
+            decisions.extend(pool.end(now, fleet_fraction, ticket, end));
+        }
         self.close_refused(now, decisions)
     }
 
-    fn record_crash(&mut self, now: Duration, ticket: Ticket, open: &OpenRequest) {
+    /// Records what the end of a request tells of the requests that crash upstreams; returns
+    /// whether requests are blocked or suspected that were not before.
+    fn record_end(&mut self, now: Duration, ticket: Ticket, open: &OpenRequest, end: End) -> bool {
+        match end {
+            End::Broken => return self.record_crash(now, ticket, open),
+            End::Finished { .. } => {
+                self.crashes.clear(open.fingerprint);
+                self.crashing_parts.record_success(now, ticket, &open.parts);
+            }
+            End::Failed => self.crashes.clear(open.fingerprint),
+            End::Cancelled if open.is_survived(now) => {
+                self.crashing_parts.record_success(now, ticket, &open.parts);
+            }
+            End::Declined
+            | End::Unreachable
+            | End::Misdirected
+            | End::Leaving
+            | End::Cancelled
+            | End::Unused => {}
+        }
+        self.crashing_parts.end_probe(ticket);
+        false
+    }
+
+    fn record_crash(&mut self, now: Duration, ticket: Ticket, open: &OpenRequest) -> bool {
         let crashes = self.crashes.record_crash(now, open.fingerprint);
         let pool = self.pools.get(&open.service);
-        if let Some(upstream) = pool.and_then(|pool| pool.upstream_of(ticket)) {
-            let upstream = upstream.clone();
-            let fingerprint = open.fingerprint;
-            self.findings.push(Finding::RunBroken { upstream, fingerprint, crashes });
-        }
+        let Some(upstream) = pool.and_then(|pool| pool.upstream_of(ticket)) else { return false };
+        let fingerprint = open.fingerprint;
+        let upstream = upstream.clone();
+        let is_new = !open.is_survived(now)
+            && self.crashing_parts.record_crash(now, ticket, &upstream, &open.parts);
+        self.findings.push(Finding::RunBroken { upstream, fingerprint, crashes });
+        self.crashing_parts.end_probe(ticket);
+        is_new
+    }
+
+    /// Refuses the waiting requests that may not be sent since the latest crash.
+    fn refuse_crashing_waiting(&mut self, now: Duration) -> Vec<Decision> {
+        let Self { open, crashing_parts, pools, .. } = self;
+        let refused = open.iter().filter_map(|(ticket, open)| {
+            Some((*ticket, crashing_parts.refusal_of_waiting(now, *ticket, &open.parts)?))
+        });
+        let mut refused: Vec<(Ticket, Duration)> = refused.collect();
+        refused.retain(|(ticket, _)| {
+            let pool = open.get(ticket).and_then(|open| pools.get_mut(&open.service));
+            pool.is_some_and(|pool| pool.remove_waiting(*ticket))
+        });
+        refused.sort_unstable();
+        let refusals = refused.into_iter().map(|(ticket, retry_after)| {
+            Decision::Refused(ticket, Refusal::new(Reason::Crashes, retry_after))
+        });
+        refusals.collect()
     }
 
     /// Returns what was learned of crashes since the last call.
     pub fn take_findings(&mut self) -> Vec<Finding> {
-        std::mem::take(&mut self.findings)
+        let mut findings = std::mem::take(&mut self.findings);
+        findings.extend(self.crashing_parts.take_findings());
+        findings
     }
 
     /// Ends all requests of an instance whose connection to the gate is lost.
     pub fn end_link(&mut self, now: Duration, link: u64) -> Vec<Decision> {
         self.open.retain(|ticket, _| ticket.link != link);
+        self.crashing_parts.end_link(link);
         for pool in self.pools.values_mut() {
             pool.end_link(now, link);
         }
@@ -344,6 +439,7 @@
             if let Decision::Refused(ticket, _) = decision
                 && let Some(open) = self.open.remove(ticket)
             {
+                self.crashing_parts.end_probe(*ticket);
                 self.refusals.record(now, open.fingerprint, open.late_at);
                 if let Some(charge) = &open.charge {
                     self.quotas.refund(charge);
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -366,6 +366,11 @@
         }
     }
 
+    /// Removes a request from the queue; returns whether it waited there.
+    pub fn remove_waiting(&mut self, ticket: Ticket) -> bool {
+        self.queue.remove(ticket).is_some()
+    }
+
     /// Returns the upstream at which a request holds a slot.
     pub fn upstream_of(&self, ticket: Ticket) -> Option<&UpstreamName> {
         self.runs.get(&ticket).map(|running| &running.upstream)
--- a/lacewingspring_core/src/dispatch/work.rs
+++ b/lacewingspring_core/src/dispatch/work.rs
@@ -31,6 +31,16 @@
     },
 }
 
+impl Work {
+    /// Returns the ids of the prompt parts that other requests may share: all but the last one,
+    /// which belongs to the request or its session.
+    pub fn shared_parts(&self) -> Vec<u64> {
+        let Self::Generation { parts, .. } = self else { return Vec::new() };
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id).collect()
+    }
+}
+
 /// A request for a slot at an upstream of a service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SlotRequest {
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -33,6 +33,7 @@
     clock,
     members::SharedMembers,
     net,
+    part_ids::PartIds,
     replica::{ByTopic, Replicas, Topic, Update},
     store::Revision,
 };
@@ -187,7 +188,7 @@
                 decisions
             }
             ToGate::FirstOutput { number, took } => {
-                state.dispatcher.first_output(ticket(number), took);
+                state.dispatcher.first_output(now, ticket(number), took);
                 Vec::new()
             }
             ToGate::End { number, end } => state.dispatcher.end(now, ticket(number), end),
@@ -459,6 +460,18 @@
             upstream = upstream.as_str(), fingerprint:% = format_args!("{fingerprint:x}"), crashes;
             "A run ended with a broken connection."
         ),
+        Finding::Suspected { part, crashes } => warn!(
+            part:% = format_args!("{part:x}"), crashes;
+            "A prompt part may crash upstreams; requests with it run one at a time."
+        ),
+        Finding::NoLongerSuspected { part } => info!(
+            part:% = format_args!("{part:x}");
+            "A prompt part is no longer suspected of crashing upstreams."
+        ),
+        Finding::Blocked { parts } => warn!(
+            parts:% = PartIds(parts);
+            "A run with suspected prompt parts broke off; requests with all of them are refused."
+        ),
     }
 }
 
--- a/lacewingspring_proxy/src/lib.rs
+++ b/lacewingspring_proxy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod metrics;
 pub mod mirror;
 pub mod net;
+mod part_ids;
 pub mod protocol;
 pub mod refusal;
 pub mod relay;
--- a/lacewingspring_proxy/src/track.rs
+++ b/lacewingspring_proxy/src/track.rs
@@ -1,7 +1,6 @@
 //! Log lines and metrics of the decisions about one request.
 
 use std::{
-    fmt,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -9,7 +8,7 @@
     time::Duration,
 };
 
-use lacewingspring_core::dispatch::{Grant, PromptPart, Work};
+use lacewingspring_core::dispatch::{Grant, Work};
 use log::{info, warn};
 
 use crate::{
@@ -18,6 +17,7 @@
     exchange::ExchangeError,
     framing::BodyProgress,
     metrics::{Series, SharedMetrics},
+    part_ids::PartIds,
     protocol::CallerHead,
     refusal::ErrorResponse,
     retry_after::InvalidRetryAfter,
@@ -33,7 +33,7 @@
     version: u64,
     series: Series,
     prompt_tokens: u32,
-    prompt_parts: Vec<PromptPart>,
+    prompt_parts: Vec<u64>,
     began: Duration,
     target_latency: Duration,
     metrics: SharedMetrics,
@@ -59,7 +59,9 @@
         let workspace = admitted.workspace.as_ref();
         let (prompt_tokens, prompt_parts) = match &caller.work {
             Work::Plain => (0, Vec::new()),
-            Work::Generation { prompt_tokens, parts, .. } => (*prompt_tokens, parts.clone()),
+            Work::Generation { prompt_tokens, parts, .. } => {
+                (*prompt_tokens, parts.iter().map(|part| part.id).collect())
+            }
         };
         let workspace = workspace.map_or("", |workspace| workspace.name.as_str());
         Self {
@@ -216,19 +218,6 @@
     }
 }
 
-/// Ids of the parts of a prompt as the log shows them: hexadecimal, separated by commas.
-struct PartIds<'a>(&'a [PromptPart]);
-
-impl fmt::Display for PartIds<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, part) in self.0.iter().enumerate() {
-            let separator = if index == 0 { "" } else { "," };
-            write!(f, "{separator}{:x}", part.id)?;
-        }
-        Ok(())
-    }
-}
-
 fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
 }
