Hand over which requests and prompt parts crash upstreams

What callers saw: after the gate moved to another instance, or all instances started again, requests that were known to crash servers crashed them anew.

Cause: the crash history lives in the gate's memory only. Usage of limits is handed over, this was not. An instance that decided for itself for a moment at its start did not tell the gate either what it had learned.

Change: the gate sends what is blocked or counted to all instances when it changes, at most twice a second, and stores it; a new gate learns it from each instance that links to it and from the store, also before it serves most of the fleet. The writing of stored records is one type (gate/record) for usage and this.

--- a/lacewingspring_core/src/dispatch/crashing_parts.rs
+++ b/lacewingspring_core/src/dispatch/crashing_parts.rs
@@ -12,11 +12,17 @@
 //!   suspects broke off in the same crash.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
-use super::{crash_events::CrashEvents, finding::Finding, recent_parts::RecentParts, work::Ticket};
+use super::{
+    crash_events::CrashEvents,
+    finding::Finding,
+    hand_over::{BlockedParts, CrashedPart, MAX_ENTRIES},
+    recent_parts::RecentParts,
+    work::Ticket,
+};
 use crate::names::UpstreamName;
 
 /// Number of crashes after which a part is a suspect.
@@ -26,6 +32,12 @@
 /// crashes that others cause.
 const MIN_CRASHES_OF_RECENT: u32 = 5;
 
+/// Number of crashes from which on a part is handed over to the next gate.
+const MIN_CRASHES_HANDED_OVER: u32 = 2;
+
+/// Time for which the crashes that an earlier gate counted are remembered.
+const INHERITED_RETENTION: Duration = Duration::from_secs(120);
+
 /// Time for which requests are blocked.
 const BLOCK_DURATION: Duration = Duration::from_secs(600);
 
@@ -40,8 +52,8 @@
 struct Block {
     parts: Vec<u64>,
     until: Duration,
-    /// Crash in which the probe of these parts broke off.
-    crash: u64,
+    /// Crash in which the probe of these parts broke off; `None` if an earlier gate blocked them.
+    crash: Option<u64>,
 }
 
 impl Block {
@@ -50,16 +62,26 @@
     }
 }
 
+/// Crashes of a part that an earlier gate counted.
+#[derive(Clone, Copy, Debug)]
+struct Inherited {
+    crashes: u32,
+    until: Duration,
+}
+
 /// What is known of the prompt parts that may crash upstreams.
 #[derive(Debug, Default)]
 pub(super) struct CrashingParts {
     events: CrashEvents,
     completed: RecentParts,
+    inherited: HashMap<u64, Inherited>,
     suspects: BTreeSet<u64>,
     /// Suspects in the prompt of each probe.
     probes: HashMap<Ticket, Vec<u64>>,
     blocks: Vec<Block>,
     findings: Vec<Finding>,
+    /// Number of changes of what is handed over.
+    version: u64,
 }
 
 impl CrashingParts {
@@ -126,8 +148,9 @@
         }
         let was_in_crash = self.events.clear(parts);
         let was_blocked = self.unblock(parts);
-        if was_in_crash || was_blocked {
-            self.update_suspects();
+        let was_inherited = parts.iter().any(|part| self.inherited.remove(part).is_some());
+        if was_in_crash || was_blocked || was_inherited {
+            self.update_suspects(now);
         }
     }
 
@@ -140,6 +163,7 @@
             is_changed |= block.parts.len() != before;
         }
         self.blocks.retain(|block| !block.parts.is_empty());
+        self.version += u64::from(is_changed);
         is_changed
     }
 
@@ -152,15 +176,24 @@
         upstream: &UpstreamName,
         parts: &[u64],
     ) -> bool {
-        self.blocks.retain(|block| now < block.until);
+        self.remove_expired(now);
         let probe = self.probes.remove(&ticket);
         let crash = self.events.add(now, upstream, parts);
-        let mut is_changed = self.update_suspects();
+        let counts = self.count_crashes(now);
+        let is_handed_over =
+            |part| counts.get(part).is_some_and(|crashes| *crashes >= MIN_CRASHES_HANDED_OVER);
+        self.version += u64::from(parts.iter().any(is_handed_over));
+        let mut is_changed = self.update_suspects(now);
         if let Some(suspects) = probe {
             is_changed |= self.block(now, crash, suspects);
         }
         self.remove_ambiguous_block(crash);
-        is_changed | self.update_suspects()
+        is_changed | self.update_suspects(now)
+    }
+
+    fn remove_expired(&mut self, now: Duration) {
+        self.blocks.retain(|block| now < block.until);
+        self.inherited.retain(|_, inherited| now < inherited.until);
     }
 
     /// Blocks requests with all the suspects of a probe that broke off; returns whether they were
@@ -171,7 +204,8 @@
             return false;
         }
         self.findings.push(Finding::Blocked { parts: parts.clone() });
-        self.blocks.push(Block { parts, until: now + BLOCK_DURATION, crash });
+        self.blocks.push(Block { parts, until: now + BLOCK_DURATION, crash: Some(crash) });
+        self.version += 1;
         true
     }
 
@@ -180,32 +214,103 @@
         let Self { blocks, events, suspects, .. } = self;
         blocks.retain(|block| {
             let is_other = |part| suspects.contains(&part) && !block.parts.contains(&part);
-            block.crash != crash || !events.has_part(crash, is_other)
+            block.crash != Some(crash) || !events.has_part(crash, is_other)
         });
     }
 
+    /// Returns whether requests are blocked by this part alone.
+    fn is_known(&self, part: u64) -> bool {
+        self.blocks.iter().any(|block| block.parts == [part])
+    }
+
+    /// Counts the crashes of each part that no blocked part explains, those that an earlier gate
+    /// counted included.
+    fn count_crashes(&self, now: Duration) -> BTreeMap<u64, u32> {
+        let mut counts = self.events.unexplained(|part| self.is_known(part));
+        let inherited = self.inherited.iter().filter(|(_, inherited)| now < inherited.until);
+        for (part, inherited) in inherited.filter(|(part, _)| !self.is_known(**part)) {
+            *counts.entry(*part).or_default() += inherited.crashes;
+        }
+        counts
+    }
+
     /// Makes the parts with the most crashes the suspects; returns whether there are new ones.
-    fn update_suspects(&mut self) -> bool {
-        let Self { blocks, completed, .. } = &*self;
-        let is_known = |part| blocks.iter().any(|block| block.parts == [part]);
-        let mut counts = self.events.unexplained(is_known);
+    fn update_suspects(&mut self, now: Duration) -> bool {
+        let mut counts = self.count_crashes(now);
         counts.retain(|part, crashes| {
-            let is_recent = completed.contains(*part);
+            let is_recent = self.completed.contains(*part);
             *crashes >= if is_recent { MIN_CRASHES_OF_RECENT } else { MIN_CRASHES }
         });
         let most = counts.values().copied().max().unwrap_or_default();
         counts.retain(|_, crashes| *crashes == most);
         let suspects: BTreeSet<u64> = counts.into_keys().collect();
         let new: Vec<u64> = suspects.difference(&self.suspects).copied().collect();
-        let cleared = self.suspects.difference(&suspects).filter(|part| !is_known(**part));
+        let cleared = self.suspects.difference(&suspects).filter(|part| !self.is_known(**part));
         let cleared: Vec<u64> = cleared.copied().collect();
         let suspected = new.iter().map(|part| Finding::Suspected { part: *part, crashes: most });
         self.findings.extend(suspected);
         self.findings.extend(cleared.into_iter().map(|part| Finding::NoLongerSuspected { part }));
-        self.suspects = suspects;
+        if suspects != self.suspects {
+            self.suspects = suspects;
+            self.version += 1;
+        }
         !new.is_empty()
     }
 
+    /// Returns the number of changes of what is handed over.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the parts that block requests, the latest first.
+    pub fn export_blocks(&self, now: Duration) -> Vec<BlockedParts> {
+        let valid = self.blocks.iter().rev().filter(|block| now < block.until);
+        let exported = valid.map(|block| {
+            let left_ms = block.until.saturating_sub(now).as_millis() as u64;
+            BlockedParts { parts: block.parts.clone(), left_ms }
+        });
+        exported.take(MAX_ENTRIES).collect()
+    }
+
+    /// Returns the parts that are or may soon be suspects, those with the most crashes first.
+    pub fn export_crashes(&self, now: Duration) -> Vec<CrashedPart> {
+        let counts = self.count_crashes(now).into_iter();
+        let exported = counts.map(|(part, crashes)| CrashedPart { part, crashes });
+        let mut exported: Vec<CrashedPart> =
+            exported.filter(|part| part.crashes >= MIN_CRASHES_HANDED_OVER).collect();
+        exported.sort_unstable_by_key(|part| (u32::MAX - part.crashes, part.part));
+        exported.truncate(MAX_ENTRIES);
+        exported
+    }
+
+    /// Blocks what an earlier gate blocked, of which `age` has passed since.
+    pub fn import_blocks(&mut self, now: Duration, age: Duration, blocks: &[BlockedParts]) {
+        for imported in blocks {
+            let left = Duration::from_millis(imported.left_ms).saturating_sub(age);
+            if left.is_zero() || self.is_blocked(now, &imported.parts) {
+                continue;
+            }
+            let parts = imported.parts.clone();
+            self.blocks.push(Block { parts, until: now + left, crash: None });
+            self.version += 1;
+        }
+        self.update_suspects(now);
+    }
+
+    /// Adds the crashes that an earlier gate counted, but for those that this one counted itself.
+    pub fn import_crashes(&mut self, now: Duration, parts: &[CrashedPart]) {
+        let counts = self.count_crashes(now);
+        for imported in parts {
+            let known = counts.get(&imported.part).copied().unwrap_or_default();
+            let crashes = imported.crashes.saturating_sub(known);
+            if crashes > 0 {
+                let inherited = Inherited { crashes, until: now + INHERITED_RETENTION };
+                self.inherited.insert(imported.part, inherited);
+            }
+        }
+        self.update_suspects(now);
+    }
+
     /// Returns what was found since the last call.
     pub fn take_findings(&mut self) -> Vec<Finding> {
         std::mem::take(&mut self.findings)
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 pub use self::{
     budget::RetryBound,
     finding::Finding,
+    hand_over::{BlockedParts, BlockedRequest, CrashedPart, HandOver},
     quota::{Quota, QuotaBounds, StoredUsage},
     upstream::UpstreamInfo,
     work::{Decision, End, Grant, PromptPart, Reason, Refusal, SlotRequest, Ticket, Work},
@@ -30,6 +31,7 @@
 mod crash_history;
 mod crashing_parts;
 mod finding;
+mod hand_over;
 mod pool;
 mod queue;
 mod quota;
@@ -182,6 +184,27 @@
         self.quotas.import_usage(now, age, usage);
     }
 
+    /// Returns what the next gate must know, besides the usage of limits.
+    pub fn hand_over(&self, now: Duration) -> HandOver {
+        HandOver {
+            blocked_requests: self.crashes.export(now),
+            blocked_parts: self.crashing_parts.export_blocks(now),
+            crashed_parts: self.crashing_parts.export_crashes(now),
+        }
+    }
+
+    /// Returns a number that changes when the next gate must know something else.
+    pub fn hand_over_version(&self) -> u64 {
+        self.crashes.version() + self.crashing_parts.version()
+    }
+
+    /// Adds what an earlier gate handed over `age` ago.
+    pub fn take_over(&mut self, now: Duration, age: Duration, hand_over: &HandOver) {
+        self.crashes.import(now, age, &hand_over.blocked_requests);
+        self.crashing_parts.import_blocks(now, age, &hand_over.blocked_parts);
+        self.crashing_parts.import_crashes(now, &hand_over.crashed_parts);
+    }
+
     /// Returns whether so much usage is unpublished that it must be published at once.
     pub fn must_publish_usage(&self) -> bool {
         self.quotas.must_publish()
--- a/lacewingspring_core/tests/crashing_parts.rs
+++ b/lacewingspring_core/tests/crashing_parts.rs
@@ -161,6 +161,22 @@
         }
     }
 
+    /// Lets a new gate take over, which is told what runs.
+    fn change_gate(&mut self) {
+        let hand_over = self.gate.hand_over(self.now);
+        self.gate = new_gate(self.now);
+        self.gate.take_over(self.now, Duration::ZERO, &hand_over);
+        let decisions = self.gate.set_upstreams(self.now, self.upstreams.clone());
+        self.apply(decisions);
+        let mut numbers: Vec<u64> = self.runs.keys().copied().collect();
+        numbers.sort_unstable();
+        for number in numbers {
+            let request = request(number, &self.sent[number as usize].parts);
+            let upstream = self.runs[&number].upstream.clone();
+            self.gate.adopt(self.now, ticket(number), &request, upstream);
+        }
+    }
+
     fn start_servers(&mut self) {
         let before = self.upstreams.len();
         let now = self.now;
@@ -423,3 +439,19 @@
         assert!(granted > 0.97, "{granted:.3} of the sound requests are granted a slot");
     }
 }
+
+#[test]
+fn a_gate_that_takes_over_stops_a_crashing_part() {
+    for seed in SEEDS {
+        let mut play = Play::new(seed, SCRIPT);
+        // Some seeds change the gate before the part is blocked, some after.
+        for change_at in [9, 10, 20] {
+            play.run_until(secs(change_at) - ms(seed * 40));
+            play.change_gate();
+        }
+        play.run_until(PLAY_TIME);
+        play.assert_crashing_requests_are_stopped();
+        play.assert_sound_requests_are_served(|part| part == SHARED_FIRST_PART);
+        play.assert_sound_requests_are_served(|_| true);
+    }
+}
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -11,7 +11,8 @@
 use futures_util::StreamExt;
 use lacewingspring_core::{
     dispatch::{
-        Decision, Dispatcher, Finding, Limits, ServiceCounts, StoredUsage, Ticket, UpstreamInfo,
+        Decision, Dispatcher, Finding, HandOver, Limits, ServiceCounts, StoredUsage, Ticket,
+        UpstreamInfo,
     },
     names::{InstanceName, ServiceName},
 };
@@ -168,13 +169,21 @@
         let ticket = |number| Ticket { link, number };
         let decisions = match message {
             ToGate::Hello { instance, usage, usage_age } => {
+                let hand_over = state.dispatcher.hand_over(now);
                 if let Some(target) = state.links.get_mut(&link) {
                     target.instance = Some(instance);
                 }
+                if !hand_over.is_empty() {
+                    state.send(link, FromGate::HandOver(Arc::new(hand_over)));
+                }
                 self.update_fleet_fraction(now, &mut state);
                 state.dispatcher.import_usage(now, usage_age, &usage);
                 Vec::new()
             }
+            ToGate::HandOver { hand_over, age } => {
+                state.dispatcher.take_over(now, age, &hand_over);
+                Vec::new()
+            }
             ToGate::Running { number, request, upstream } => {
                 state.dispatcher.adopt(now, ticket(number), &request, upstream);
                 Vec::new()
@@ -314,6 +323,32 @@
         usage
     }
 
+    /// Adds what an earlier gate stored.
+    pub fn take_over(&self, now: Duration, hand_over: &HandOver) {
+        self.state().dispatcher.take_over(now, Duration::ZERO, hand_over);
+    }
+
+    /// Returns what the next gate must know, besides the usage of limits.
+    pub fn hand_over(&self, now: Duration) -> HandOver {
+        self.state().dispatcher.hand_over(now)
+    }
+
+    /// Returns a number that changes when the next gate must know something else.
+    pub fn hand_over_version(&self) -> u64 {
+        self.state().dispatcher.hand_over_version()
+    }
+
+    /// Sends what the next gate must know to all instances, and returns it.
+    pub fn publish_hand_over(&self, now: Duration) -> HandOver {
+        let state = self.state();
+        let hand_over = Arc::new(state.dispatcher.hand_over(now));
+        for link in state.links.values() {
+            // A closed receiver means that the link is about to be removed.
+            let _ = link.tx.send(FromGate::HandOver(hand_over.clone()));
+        }
+        Arc::unwrap_or_clone(hand_over)
+    }
+
     /// Returns the request counts of each service.
     pub fn counts(&self) -> Vec<(ServiceName, ServiceCounts)> {
         let state = self.state();
@@ -461,11 +496,11 @@
             "A run ended with a broken connection."
         ),
         Finding::Suspected { part, crashes } => warn!(
-            part:% = format_args!("{part:x}"), crashes;
+            prompt_part:% = format_args!("{part:x}"), crashes;
             "A prompt part may crash upstreams; requests with it run one at a time."
         ),
         Finding::NoLongerSuspected { part } => info!(
-            part:% = format_args!("{part:x}");
+            prompt_part:% = format_args!("{part:x}");
             "A prompt part is no longer suspected of crashing upstreams."
         ),
         Finding::Blocked { parts } => warn!(
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -1,119 +1,135 @@
-//! Hands the usage of the workspaces' limits on to the next gate.
+//! Hands what a gate knows on to the next gate: the usage of the workspaces' limits, and which
+//! requests crash upstreams.
 //!
-//! The gate sends the usage to some instances, at once when much of a limit was used, and these
-//! report it to the next gate. It also stores the usage in the key-value service. As the service
-//! counts its calls, and that copy is needed only if all instances end together, it is written at
-//! most twice a second.
+//! The gate sends it to other instances, at once when it matters, and these report it to the next
+//! gate. It also stores it in the key-value service. As the service counts its calls, and that copy
+//! is needed only if all instances end together, each record is written at most twice a second.
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use lacewingspring_core::dispatch::StoredUsage;
+use lacewingspring_core::dispatch::{HandOver, StoredUsage};
 use log::{info, warn};
-use tokio::time::{sleep, timeout};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::sleep;
 
-use super::host::GateHost;
-use crate::{
-    clock,
-    store::{Store, StoreError},
-};
+use super::{host::GateHost, record::Record};
+use crate::{clock, store::Store};
 
 /// Key of the stored usage.
 const USAGE_KEY: &str = "lacewingspring/usage";
 
+/// Key of what else the next gate must know.
+const HAND_OVER_KEY: &str = "lacewingspring/hand-over";
+
 /// Interval at which the usage is published if little of the limits is used.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Minimum time between writes to the key-value service while much of the limits is used.
-const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
+/// Minimum time between two publications of what else the next gate must know.
+const MIN_HAND_OVER_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Interval of the checks whether this instance is the gate and whether the usage is due.
+/// Interval of the checks whether this instance is the gate and whether something is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time limit of a call to the key-value service.
-const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Publishes and stores the usage of the workspaces' limits while this instance is the gate.
-pub struct UsageLedger<S> {
+/// Publishes and stores what the next gate must know while this instance is the gate.
+pub struct Ledger<S> {
     /// The key-value service.
     pub store: Arc<S>,
     /// Gate host of this instance.
     pub host: Arc<GateHost>,
 }
 
-impl<S> UsageLedger<S>
+/// What was published last of what the next gate must know, besides the usage.
+#[derive(Debug, Default)]
+struct Published {
+    version: u64,
+    at: Duration,
+}
+
+impl<S> Ledger<S>
 where
     S: Store,
 {
-    /// Loads the stored usage when this instance becomes the gate, and publishes and stores the
-    /// usage while it is. Never returns.
+    /// Loads what is stored at the start and when this instance becomes the gate, and publishes and
+    /// stores what it knows while it is the gate. Never returns.
     pub async fn run(self) {
+        // An instance that does not reach the others yet may serve requests before it is the gate.
+        self.load_hand_over(|| true).await;
         loop {
             while !self.host.serves_majority() {
                 sleep(CHECK_INTERVAL).await;
             }
             self.load_usage().await;
-            let mut written = Vec::new();
-            let mut written_in = self.store.era();
-            let mut written_at = Duration::ZERO;
+            self.load_hand_over(|| self.host.serves_majority()).await;
+            let mut usage: Record<Vec<StoredUsage>> = Record::new(USAGE_KEY);
+            let mut hand_over: Record<HandOver> = Record::new(HAND_OVER_KEY);
+            let mut published = Published::default();
             while self.host.serves_majority() {
-                self.wait_until_due().await;
+                self.wait_until_due(&published).await;
                 let now = clock::now();
-                let usage = self.host.publish_usage(now);
-                if self.store.era() != written_in {
-                    // A service restored from a copy has an older usage.
-                    written.clear();
-                }
-                if usage != written && now.saturating_sub(written_at) >= MIN_WRITE_INTERVAL {
-                    written_at = now;
-                    match self.write(&usage).await {
-                        Ok(()) => (written, written_in) = (usage, self.store.era()),
-                        Err(e) => warn!(
-                            error:% = e;
-                            "Storing the usage of limits failed; trying again later."
-                        ),
-                    }
+                usage.set(self.host.publish_usage(now));
+                usage.write(now, &*self.store).await;
+                if self.is_hand_over_due(now, &published) {
+                    published = Published { version: self.host.hand_over_version(), at: now };
+                    hand_over.set(self.host.publish_hand_over(now));
                 }
+                hand_over.write(now, &*self.store).await;
             }
         }
     }
 
-    /// Waits until the usage is due: after the regular interval, or as soon as much of a limit was
-    /// used.
-    async fn wait_until_due(&self) {
+    /// Waits until something is due: the usage after the regular interval or as soon as much of a
+    /// limit was used, the rest as soon as it has changed.
+    async fn wait_until_due(&self, published: &Published) {
         let until = clock::now() + PUBLISH_INTERVAL;
-        while clock::now() < until && !self.host.is_usage_due() {
+        loop {
+            let now = clock::now();
+            if now >= until || self.host.is_usage_due() || self.is_hand_over_due(now, published) {
+                return;
+            }
             sleep(CHECK_INTERVAL).await;
         }
     }
 
+    fn is_hand_over_due(&self, now: Duration, published: &Published) -> bool {
+        self.host.hand_over_version() != published.version
+            && now.saturating_sub(published.at) >= MIN_HAND_OVER_INTERVAL
+    }
+
     async fn load_usage(&self) {
-        while self.host.serves_majority() {
-            match self.read().await {
-                Ok(usage) => {
-                    info!(workspaces = usage.len(); "The stored usage of limits is loaded.");
-                    self.host.import_usage(clock::now(), &usage);
-                    return;
-                }
+        let usage = self.read(Record::new(USAGE_KEY), || self.host.serves_majority()).await;
+        let Some(usage): Option<Vec<StoredUsage>> = usage else { return };
+        info!(workspaces = usage.len(); "The stored usage of limits is loaded.");
+        self.host.import_usage(clock::now(), &usage);
+    }
+
+    async fn load_hand_over<F>(&self, is_needed: F)
+    where
+        F: Fn() -> bool,
+    {
+        let hand_over = self.read(Record::new(HAND_OVER_KEY), is_needed).await;
+        let Some(hand_over): Option<HandOver> = hand_over else { return };
+        info!(
+            requests = hand_over.blocked_requests.len(), parts = hand_over.blocked_parts.len();
+            "The stored hand-over of an earlier gate is loaded."
+        );
+        self.host.take_over(clock::now(), &hand_over);
+    }
+
+    /// Reads a record until that succeeds; `None` if it is no longer needed.
+    async fn read<T, F>(&self, record: Record<T>, is_needed: F) -> Option<T>
+    where
+        T: Clone + Default + PartialEq + Serialize + DeserializeOwned,
+        F: Fn() -> bool,
+    {
+        while is_needed() {
+            match record.read(&*self.store).await {
+                Ok(value) => return Some(value),
                 Err(e) => {
-                    warn!(error:% = e; "Reading the stored usage of limits failed; trying again.");
+                    warn!(error:% = e; "Reading a record of an earlier gate failed; trying again.");
                     sleep(CHECK_INTERVAL).await;
                 }
             }
         }
-    }
-
-    async fn read(&self) -> Result<Vec<StoredUsage>, StoreError> {
-        let page = timeout(CALL_TIMEOUT, self.store.range(USAGE_KEY, None)).await;
-        let page = page.map_err(|_| StoreError::NoAnswer("timed out".into()))??;
-        let Some(item) = page.items.first() else { return Ok(Vec::new()) };
-        serde_json::from_slice(&item.value).map_err(|e| StoreError::Malformed(e.to_string()))
-    }
-
-    async fn write(&self, usage: &[StoredUsage]) -> Result<(), StoreError> {
-        let value = serde_json::to_vec(usage);
-        let value = value.map_err(|e| StoreError::Malformed(e.to_string()))?;
-        let put = timeout(CALL_TIMEOUT, self.store.put(USAGE_KEY, Bytes::from(value), None)).await;
-        put.map_err(|_| StoreError::NoAnswer("timed out".into()))?
+        None
     }
 }
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -11,7 +11,7 @@
 
 use futures_util::StreamExt;
 use lacewingspring_core::{
-    dispatch::{End, Grant, Refusal, SlotRequest, StoredUsage},
+    dispatch::{End, Grant, HandOver, Refusal, SlotRequest, StoredUsage},
     names::{InstanceName, UpstreamName},
 };
 use log::{info, warn};
@@ -93,9 +93,18 @@
     usage: Vec<StoredUsage>,
     /// Time at which the gate reported it.
     usage_received_at: Duration,
+    /// What the gate handed over last, and when.
+    hand_over: Option<ReceivedHandOver>,
     last_ping: Option<LastPing>,
 }
 
+/// What a gate handed over.
+#[derive(Clone, Debug)]
+struct ReceivedHandOver {
+    hand_over: Arc<HandOver>,
+    at: Duration,
+}
+
 /// Asks the current gate for slots at upstreams.
 #[derive(Debug)]
 pub struct GateClient {
@@ -189,6 +198,9 @@
                 state.usage = usage;
                 state.usage_received_at = clock::now();
             }
+            FromGate::HandOver(hand_over) => {
+                state.hand_over = Some(ReceivedHandOver { hand_over, at: clock::now() });
+            }
             FromGate::Update(update) => {
                 let update = Arc::unwrap_or_clone(update);
                 self.replicas.get(update.topic).push_update(update);
@@ -269,6 +281,7 @@
         info!(gate = member.instance.as_str(); "The gate is at another instance.");
         let mut frames = frames(stream);
         let rx = self.open_link();
+        self.pass_on_own_hand_over(clock::now());
         let reason = self.exchange(member, suspects, &mut frames, rx).await;
         self.state().gate_tx = None;
         reason
@@ -369,6 +382,15 @@
         self.first_candidate(now, suspects).is_some_and(|member| member.instance != self.instance)
     }
 
+    /// Tells another gate what this instance learned while it was the gate.
+    fn pass_on_own_hand_over(&self, now: Duration) {
+        let hand_over = self.host.hand_over(now);
+        if !hand_over.is_empty() {
+            let hand_over = Arc::new(hand_over);
+            self.state().send(ToGate::HandOver { hand_over, age: Duration::ZERO });
+        }
+    }
+
     /// Opens a link and reports all running and queued requests on it.
     fn open_link(&self) -> UnboundedReceiver<ToGate> {
         let (tx, rx) = unbounded_channel();
@@ -381,6 +403,10 @@
             usage_age: now.saturating_sub(state.usage_received_at),
         };
         state.send(hello);
+        if let Some(received) = state.hand_over.clone() {
+            let age = now.saturating_sub(received.at);
+            state.send(ToGate::HandOver { hand_over: received.hand_over, age });
+        }
         let State { pending, running, gate_tx, .. } = &mut *state;
         let Some(gate_tx) = gate_tx else { return rx };
         for (number, running) in running.iter() {
--- a/lacewingspring_proxy/src/gate/message.rs
+++ b/lacewingspring_proxy/src/gate/message.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::SinkExt;
 use lacewingspring_core::{
-    dispatch::{End, Grant, Refusal, SlotRequest, StoredUsage},
+    dispatch::{End, Grant, HandOver, Refusal, SlotRequest, StoredUsage},
     names::{InstanceName, UpstreamName},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -73,6 +73,13 @@
         /// not followed over this link.
         follow: ByTopic<Option<Revision>>,
     },
+    /// Passes on what an earlier gate handed over.
+    HandOver {
+        /// What the earlier gate handed over.
+        hand_over: Arc<HandOver>,
+        /// Time since the instance received it.
+        age: Duration,
+    },
 }
 
 /// Message from the gate to an instance.
@@ -110,6 +117,8 @@
         /// message; `None` for a topic that the gate does not send over this link.
         ages: ByTopic<Option<Duration>>,
     },
+    /// What the instance is to pass on to the next gate.
+    HandOver(Arc<HandOver>),
 }
 
 /// Length-delimited frames of a link.
--- a/lacewingspring_proxy/src/gate/mod.rs
+++ b/lacewingspring_proxy/src/gate/mod.rs
@@ -3,13 +3,14 @@
 //! Each instance has both sides of it: the [`host`] grants slots at upstreams while this instance
 //! is the gate, and the client in [`link`] asks the current gate for a [`slot`]. A link is a TCP
 //! connection from an instance to the gate, or a pair of channels if the gate is its own host; it
-//! carries the messages in [`message`]. The [`ledger`] hands the usage of the workspaces' limits on
-//! to the next gate, and the [`allowance`] bounds the bandwidth that replica updates take.
+//! carries the messages in [`message`]. The [`ledger`] hands what a gate knows on to the next gate,
+//! and the [`allowance`] bounds the bandwidth that replica updates take.
 
 pub mod allowance;
 pub mod host;
 pub mod ledger;
 pub mod link;
 pub mod message;
+mod record;
 pub mod slot;
 mod suspects;
--- /dev/null
+++ b/lacewingspring_proxy/src/gate/record.rs
@@ -0,0 +1,99 @@
+//! A record in the key-value service, written when its value has changed.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::warn;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::timeout;
+
+use crate::store::{Era, Store, StoreError};
+
+/// Minimum time between two writes of a record.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time limit of a call to the key-value service.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A record whose default value need not be stored.
+#[derive(Debug)]
+pub(super) struct Record<T> {
+    key: &'static str,
+    value: T,
+    written: T,
+    written_in: Era,
+    written_at: Duration,
+}
+
+impl<T> Record<T>
+where
+    T: Clone + Default + PartialEq + Serialize + DeserializeOwned,
+{
+    /// Creates a record of which nothing was written.
+    pub(super) fn new(key: &'static str) -> Self {
+        Self {
+            key,
+            value: T::default(),
+            written: T::default(),
+            written_in: Era::default(),
+            written_at: Duration::ZERO,
+        }
+    }
+
+    /// Sets the value to write.
+    pub(super) fn set(&mut self, value: T) {
+        self.value = value;
+    }
+
+    /// Writes the value at `now` if it has changed and the last write is long enough ago. A failed
+    /// write is logged, and done again at a later call.
+    pub(super) async fn write<S>(&mut self, now: Duration, store: &S)
+    where
+        S: Store,
+    {
+        if store.era() != self.written_in {
+            // A service restored from a copy has an older value.
+            self.written = T::default();
+            self.written_in = store.era();
+        }
+        if self.value == self.written || now.saturating_sub(self.written_at) < MIN_WRITE_INTERVAL {
+            return;
+        }
+        self.written_at = now;
+        match self.put(store).await {
+            Ok(()) => {
+                self.written = self.value.clone();
+                self.written_in = store.era();
+            }
+            Err(e) => warn!(
+                key = self.key, error:% = e;
+                "Storing a record for the next gate failed; trying again later."
+            ),
+        }
+    }
+
+    async fn put<S>(&self, store: &S) -> Result<(), StoreError>
+    where
+        S: Store,
+    {
+        let value = serde_json::to_vec(&self.value);
+        let value = value.map_err(|e| StoreError::Malformed(e.to_string()))?;
+        let put = timeout(CALL_TIMEOUT, store.put(self.key, Bytes::from(value), None)).await;
+        put.map_err(|_| StoreError::NoAnswer("timed out".into()))?
+    }
+
+    /// Reads the stored value; the default one if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer or the value can't be read.
+    pub(super) async fn read<S>(&self, store: &S) -> Result<T, StoreError>
+    where
+        S: Store,
+    {
+        let page = timeout(CALL_TIMEOUT, store.range(self.key, None)).await;
+        let page = page.map_err(|_| StoreError::NoAnswer("timed out".into()))??;
+        let Some(item) = page.items.first() else { return Ok(T::default()) };
+        serde_json::from_slice(&item.value).map_err(|e| StoreError::Malformed(e.to_string()))
+    }
+}
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -23,7 +23,7 @@
     directory::Directory,
     follow::Follower,
     forward::Forwarder,
-    gate::{host::GateHost, ledger::UsageLedger, link::GateClient},
+    gate::{host::GateHost, ledger::Ledger, link::GateClient},
     members::{MEMBERS_PREFIX, Member, Members, Registration, SharedMembers, random_incarnation},
     metrics::SharedMetrics,
     mirror::Mirror,
@@ -206,7 +206,7 @@
     follow_store(&state, &components, &replicas);
     tokio::spawn(host.clone().run_ticks());
     tokio::spawn(host.clone().push_updates());
-    tokio::spawn(UsageLedger { store: components.store.clone(), host: host.clone() }.run());
+    tokio::spawn(Ledger { store: components.store.clone(), host: host.clone() }.run());
     tokio::spawn(gate.clone().run());
     tokio::spawn(log_bind_error("peers", host.serve(settings.listen.peers)));
     let registration = Registration {
