--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -21,17 +21,23 @@
     work::{Decision, End, Grant, PromptPart, Reason, Refusal, SlotRequest, Ticket, Work},
 };
 use self::{
-    budget::RetryBudgets, crash_history::CrashHistory, crashing_parts::CrashingParts, pool::Pool,
-    quota::Quotas, refusal_history::RefusalHistory,
+    budget::RetryBudgets,
+    crashes::Crashes,
+    open_request::{Charge, OpenRequest},
+    pool::Pool,
+    quota::Quotas,
+    refusal_history::RefusalHistory,
 };
-use crate::names::{ServiceName, UpstreamName, WorkspaceName};
+use crate::names::{ServiceName, UpstreamName};
 
 mod budget;
 mod crash_events;
 mod crash_history;
+mod crashes;
 mod crashing_parts;
 mod finding;
 mod hand_over;
+mod open_request;
 mod pool;
 mod queue;
 mod quota;
@@ -42,13 +48,6 @@
 mod upstream_state;
 mod work;
 
-/// Retry-after time of a request that is blocked because it crashes upstreams.
-const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(5);
-
-/// Time from the first event of an answer after which its request is not the cause of a crash:
-/// those that crash upstreams do so when the answer begins.
-const SURVIVAL_TIME: Duration = Duration::from_secs(1);
-
 /// Fleet fraction of a gate that decides for the whole fleet.
 const WHOLE_FLEET: f64 = 1.0;
 
@@ -69,48 +68,6 @@
     pub retries: RetryBound,
 }
 
-/// State of a request that waits or runs.
-#[derive(Debug)]
-struct OpenRequest {
-    service: ServiceName,
-    fingerprint: u64,
-    /// Prompt parts that other requests may share.
-    parts: Vec<u64>,
-    /// Time of the first event of its answer.
-    first_output_at: Option<Duration>,
-    /// Time at which its latency target passes.
-    late_at: Duration,
-    /// Units taken from the limit of its workspace; refunded if the request is not sent.
-    charge: Option<Charge>,
-}
-
-impl OpenRequest {
-    fn new(now: Duration, request: &SlotRequest, parts: Vec<u64>, charge: Option<Charge>) -> Self {
-        Self {
-            service: request.service.clone(),
-            fingerprint: request.fingerprint,
-            parts,
-            first_output_at: None,
-            late_at: now + request.target_left,
-            charge,
-        }
-    }
-
-    /// Returns whether its upstream has written the answer for so long that the request does not
-    /// crash it.
-    fn is_survived(&self, now: Duration) -> bool {
-        self.first_output_at.is_some_and(|at| now.saturating_sub(at) >= SURVIVAL_TIME)
-    }
-}
-
-/// Units that a request took from the limit of its workspace.
-#[derive(Debug)]
-struct Charge {
-    ticket: Ticket,
-    workspace: WorkspaceName,
-    units: u64,
-}
-
 /// Request counts of one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServiceCounts {
@@ -127,10 +84,7 @@
     open: HashMap<Ticket, OpenRequest>,
     quotas: Quotas,
     retries: RetryBudgets,
-    crashes: CrashHistory,
-    crashing_parts: CrashingParts,
-    /// What was learned of crashes and not yet taken.
-    findings: Vec<Finding>,
+    crashes: Crashes,
     refusals: RefusalHistory,
     fleet_fraction: f64,
     /// Time at which it last stopped deciding for the whole fleet.
@@ -144,9 +98,7 @@
             open: HashMap::new(),
             quotas: Quotas::default(),
             retries: RetryBudgets::default(),
-            crashes: CrashHistory::default(),
-            crashing_parts: CrashingParts::default(),
-            findings: Vec::new(),
+            crashes: Crashes::default(),
             refusals: RefusalHistory::default(),
             fleet_fraction: 0.0,
             whole_fleet_until: None,
@@ -186,23 +138,17 @@
 
     /// Returns what the next gate must know, besides the usage of limits.
     pub fn hand_over(&self, now: Duration) -> HandOver {
-        HandOver {
-            blocked_requests: self.crashes.export(now),
-            blocked_parts: self.crashing_parts.export_blocks(now),
-            crashed_parts: self.crashing_parts.export_crashes(now),
-        }
+        self.crashes.hand_over(now)
     }
 
     /// Returns a number that changes when the next gate must know something else.
     pub fn hand_over_version(&self) -> u64 {
-        self.crashes.version() + self.crashing_parts.version()
+        self.crashes.version()
     }
 
     /// Adds what an earlier gate handed over `age` ago.
     pub fn take_over(&mut self, now: Duration, age: Duration, hand_over: &HandOver) {
-        self.crashes.import(now, age, &hand_over.blocked_requests);
-        self.crashing_parts.import_blocks(now, age, &hand_over.blocked_parts);
-        self.crashing_parts.import_crashes(now, &hand_over.crashed_parts);
+        self.crashes.take_over(now, age, hand_over);
     }
 
     /// Returns whether so much usage is unpublished that it must be published at once.
@@ -263,18 +209,17 @@
         ticket: Ticket,
         mut request: SlotRequest,
     ) -> Vec<Decision> {
-        let parts = request.work.shared_parts();
-        let charge = match self.admit(now, ticket, &request, &parts) {
+        let charge = match self.admit(now, ticket, &request) {
             Ok(charge) => charge,
             Err(refusal) => {
-                self.crashing_parts.end_probe(ticket);
+                self.crashes.end_probe(ticket);
                 return vec![Decision::Refused(ticket, refusal)];
             }
         };
         if let Some(late_at) = self.refusals.late_at(request.fingerprint) {
             request.target_left = request.target_left.min(late_at.saturating_sub(now));
         }
-        let open = OpenRequest::new(now, &request, parts, charge);
+        let open = OpenRequest::new(now, &request, charge);
         let pool = self.pools.entry(request.service.clone()).or_default();
         self.open.insert(ticket, open);
         let decisions = pool.request_slot(now, self.fleet_fraction, ticket, request);
@@ -287,27 +232,13 @@
         now: Duration,
         ticket: Ticket,
         request: &SlotRequest,
-        parts: &[u64],
     ) -> Result<Option<Charge>, Refusal> {
-        if self.crashes.is_blocked(now, request.fingerprint) {
-            return Err(Refusal::new(Reason::Crashes, BLOCKED_RETRY_AFTER));
-        }
-        self.end_survived_probes(now);
-        let admitted = self.crashing_parts.admit(now, ticket, parts);
-        admitted.map_err(|retry_after| Refusal::new(Reason::Crashes, retry_after))?;
+        self.crashes.end_survived_probes(now, &self.open);
+        let parts = request.work.shared_parts();
+        self.crashes.admit(now, ticket, request.fingerprint, &parts)?;
         self.charge(now, ticket, request)
     }
 
-    /// Clears the parts of the probes whose upstreams have survived them.
-    fn end_survived_probes(&mut self, now: Duration) {
-        let probes: Vec<Ticket> = self.crashing_parts.probes().copied().collect();
-        for ticket in probes {
-            if let Some(open) = self.open.get(&ticket).filter(|open| open.is_survived(now)) {
-                self.crashing_parts.record_success(now, ticket, &open.parts);
-            }
-        }
-    }
-
     /// Charges the retry budget for a repeated send, or the limit of the workspace for a first one.
     /// The error is the refusal if the budget or limit is used up.
     fn charge(
@@ -338,7 +269,7 @@
         request: &SlotRequest,
         upstream: UpstreamName,
     ) {
-        let open = OpenRequest::new(now, request, request.work.shared_parts(), None);
+        let open = OpenRequest::new(now, request, None);
         self.open.insert(ticket, open);
         let pool = self.pools.entry(request.service.clone()).or_default();
         pool.adopt(now, ticket, upstream, &request.work);
@@ -356,90 +287,48 @@
     /// Ends a request, whether it waits or runs, and dispatches to the slot that it frees.
     pub fn end(&mut self, now: Duration, ticket: Ticket, end: End) -> Vec<Decision> {
         let Some(open) = self.open.remove(&ticket) else { return Vec::new() };
-        let is_new_crash = self.record_end(now, ticket, &open, end);
-        let Some(pool) = self.pools.get_mut(&open.service) else { return Vec::new() };
+        let Some(pool) = self.pools.get(&open.service) else { return Vec::new() };
+        let upstream = pool.upstream_of(ticket);
+        let is_new_crash = self.crashes.record_end(now, ticket, &open, upstream, end);
         let is_unsent =
             matches!(end, End::Unreachable | End::Misdirected | End::Leaving | End::Unused);
         if let Some(charge) = &open.charge
-            && (is_unsent || !pool.is_running(ticket))
+            && (is_unsent || upstream.is_none())
         {
             self.quotas.refund(charge);
         }
-        let fleet_fraction = self.fleet_fraction;
         let mut decisions =
             if is_new_crash { self.refuse_crashing_waiting(now) } else { Vec::new() };
         if let Some(pool) = self.pools.get_mut(&open.service) {
-            decisions.extend(pool.end(now, fleet_fraction, ticket, end));
+            decisions.extend(pool.end(now, self.fleet_fraction, ticket, end));
         }
         self.close_refused(now, decisions)
     }
 
-    /// Records what the end of a request tells of the requests that crash upstreams; returns
-    /// whether requests are blocked or suspected that were not before.
-    fn record_end(&mut self, now: Duration, ticket: Ticket, open: &OpenRequest, end: End) -> bool {
-        match end {
-            End::Broken => return self.record_crash(now, ticket, open),
-            End::Finished { .. } => {
-                self.crashes.clear(open.fingerprint);
-                self.crashing_parts.record_success(now, ticket, &open.parts);
-            }
-            End::Failed => self.crashes.clear(open.fingerprint),
-            End::Cancelled if open.is_survived(now) => {
-                self.crashing_parts.record_success(now, ticket, &open.parts);
-            }
-            End::Declined
-            | End::Unreachable
-            | End::Misdirected
-            | End::Leaving
-            | End::Cancelled
-            | End::Unused => {}
-        }
-        self.crashing_parts.end_probe(ticket);
-        false
-    }
-
-    fn record_crash(&mut self, now: Duration, ticket: Ticket, open: &OpenRequest) -> bool {
-        let crashes = self.crashes.record_crash(now, open.fingerprint);
-        let pool = self.pools.get(&open.service);
-        let Some(upstream) = pool.and_then(|pool| pool.upstream_of(ticket)) else { return false };
-        let fingerprint = open.fingerprint;
-        let upstream = upstream.clone();
-        let is_new = !open.is_survived(now)
-            && self.crashing_parts.record_crash(now, ticket, &upstream, &open.parts);
-        self.findings.push(Finding::RunBroken { upstream, fingerprint, crashes });
-        self.crashing_parts.end_probe(ticket);
-        is_new
-    }
-
     /// Refuses the waiting requests that may not be sent since the latest crash.
     fn refuse_crashing_waiting(&mut self, now: Duration) -> Vec<Decision> {
-        let Self { open, crashing_parts, pools, .. } = self;
+        let Self { open, crashes, pools, .. } = self;
         let refused = open.iter().filter_map(|(ticket, open)| {
-            Some((*ticket, crashing_parts.refusal_of_waiting(now, *ticket, &open.parts)?))
+            Some((*ticket, crashes.refusal_of_waiting(now, *ticket, open)?))
         });
-        let mut refused: Vec<(Ticket, Duration)> = refused.collect();
+        let mut refused: Vec<(Ticket, Refusal)> = refused.collect();
         refused.retain(|(ticket, _)| {
             let pool = open.get(ticket).and_then(|open| pools.get_mut(&open.service));
             pool.is_some_and(|pool| pool.remove_waiting(*ticket))
         });
-        refused.sort_unstable();
-        let refusals = refused.into_iter().map(|(ticket, retry_after)| {
-            Decision::Refused(ticket, Refusal::new(Reason::Crashes, retry_after))
-        });
-        refusals.collect()
+        refused.sort_unstable_by_key(|(ticket, _)| *ticket);
+        refused.into_iter().map(|(ticket, refusal)| Decision::Refused(ticket, refusal)).collect()
     }
 
     /// Returns what was learned of crashes since the last call.
     pub fn take_findings(&mut self) -> Vec<Finding> {
-        let mut findings = std::mem::take(&mut self.findings);
-        findings.extend(self.crashing_parts.take_findings());
-        findings
+        self.crashes.take_findings()
     }
 
     /// Ends all requests of an instance whose connection to the gate is lost.
     pub fn end_link(&mut self, now: Duration, link: u64) -> Vec<Decision> {
         self.open.retain(|ticket, _| ticket.link != link);
-        self.crashing_parts.end_link(link);
+        self.crashes.end_link(link);
         for pool in self.pools.values_mut() {
             pool.end_link(now, link);
         }
@@ -462,7 +351,7 @@
             if let Decision::Refused(ticket, _) = decision
                 && let Some(open) = self.open.remove(ticket)
             {
-                self.crashing_parts.end_probe(*ticket);
+                self.crashes.end_probe(*ticket);
                 self.refusals.record(now, open.fingerprint, open.late_at);
                 if let Some(charge) = &open.charge {
                     self.quotas.refund(charge);
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -376,11 +376,6 @@
         self.runs.get(&ticket).map(|running| &running.upstream)
     }
 
-    /// Returns whether a request holds a slot.
-    pub fn is_running(&self, ticket: Ticket) -> bool {
-        self.runs.contains_key(&ticket)
-    }
-
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Charge, Ticket};
+use super::{open_request::Charge, work::Ticket};
 use crate::names::WorkspaceName;
 
 /// Time after its reset in which a new gate imports the usage of earlier gates.
--- /dev/null
+++ b/lacewingspring_proxy/src/gate/findings.rs
@@ -0,0 +1,28 @@
+//! Log lines of what the gate learns of requests that crash upstreams.
+
+use lacewingspring_core::dispatch::Finding;
+use log::{info, warn};
+
+use crate::part_ids::PartIds;
+
+/// Logs what the gate has learned.
+pub(super) fn log_finding(finding: &Finding) {
+    match finding {
+        Finding::RunBroken { upstream, fingerprint, crashes } => info!(
+            upstream = upstream.as_str(), fingerprint:% = format_args!("{fingerprint:x}"), crashes;
+            "A run ended with a broken connection."
+        ),
+        Finding::Suspected { part, crashes } => warn!(
+            prompt_part:% = format_args!("{part:x}"), crashes;
+            "A prompt part may crash upstreams; requests with it run one at a time."
+        ),
+        Finding::NoLongerSuspected { part } => info!(
+            prompt_part:% = format_args!("{part:x}");
+            "A prompt part is no longer suspected of crashing upstreams."
+        ),
+        Finding::Blocked { parts } => warn!(
+            parts:% = PartIds(parts);
+            "A run with suspected prompt parts broke off; requests with all of them are refused."
+        ),
+    }
+}
--- a/lacewingspring_proxy/src/gate/mod.rs
+++ b/lacewingspring_proxy/src/gate/mod.rs
@@ -7,6 +7,7 @@
 //! and the [`allowance`] bounds the bandwidth that replica updates take.
 
 pub mod allowance;
+mod findings;
 pub mod host;
 pub mod ledger;
 pub mod link;
