--- a/lacewingspring_proxy/src/attempt.rs
+++ b/lacewingspring_proxy/src/attempt.rs
@@ -48,6 +48,16 @@
         self.trace.upstream_pauses(self.upstream(), pause);
     }
 
+    /// Records that the upstream named the requests a second that it takes.
+    pub fn upstream_limits(&self, rate: f64) {
+        self.trace.upstream_limits(self.upstream(), rate);
+    }
+
+    /// Records a limit of the upstream that can't be parsed.
+    pub fn invalid_rate_limit(&self, value: &str) {
+        self.trace.invalid_rate_limit(self.upstream(), value);
+    }
+
     /// Records a `Retry-After` of the upstream that can't be parsed.
     pub fn invalid_retry_after(&self, value: &str, e: &InvalidRetryAfter) {
         self.trace.invalid_retry_after(self.upstream(), value, e);
--- a/lacewingspring_proxy/src/metrics.rs
+++ b/lacewingspring_proxy/src/metrics.rs
@@ -168,7 +168,7 @@
         );
         registry.register(
             "upstream_announcements",
-            "Upstreams that said that they leave, and pauses that they asked for",
+            "Upstreams that said that they leave, and pauses and limits that they asked for",
             self.announcements.clone(),
         );
         registry.register("repeated_sends", "Sends beyond the first", self.retries.clone());
@@ -248,7 +248,8 @@
         self.bodies.get_or_create(&labels).inc();
     }
 
-    /// Counts an upstream that said that it leaves (`leaving`) or asked for a pause (`pause`).
+    /// Counts an upstream that said that it leaves (`leaving`), asked for a pause (`pause`) or
+    /// named a limit (`limit`).
     pub fn announced(&self, kind: &'static str) {
         self.announcements.get_or_create(&AnnouncementLabels { kind }).inc();
     }
--- a/lacewingspring_proxy/src/protocol.rs
+++ b/lacewingspring_proxy/src/protocol.rs
@@ -39,8 +39,20 @@
     pub last_event: Option<u64>,
 }
 
+/// What a response states of the requests that its upstream takes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum RateLimit {
+    /// The upstream names no limit.
+    #[default]
+    None,
+    /// Requests a second that it takes from all instances together.
+    PerSecond(f64),
+    /// The value is not a number of requests.
+    Invalid(Arc<str>),
+}
+
 /// What the status and headers of an upstream's response state.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// Id of the request that the response belongs to; `None` if the upstream states none.
     pub id: Option<Arc<str>>,
@@ -52,6 +64,8 @@
     pub is_misdirected: bool,
     /// Whether the upstream says that it leaves and is to get no new requests.
     pub is_leaving: bool,
+    /// Requests that the upstream takes.
+    pub rate_limit: RateLimit,
 }
 
 /// Query of a caller for the addresses of instances.
--- a/lacewingspring_proxy/src/relay.rs
+++ b/lacewingspring_proxy/src/relay.rs
@@ -15,7 +15,7 @@
     clock,
     exchange::UpstreamResponse,
     framing::{BodyProgress, Framing, is_event_stream},
-    protocol::{Protocol, ResponseHead},
+    protocol::{Protocol, RateLimit, ResponseHead},
     refusal::Failure,
     retry_after::parse_retry_after,
     unavailable::UnavailableUpstreams,
@@ -128,7 +128,7 @@
         Some(Rejection { end, reason, outcome })
     }
 
-    /// Records whether the upstream leaves or wants a pause.
+    /// Records whether the upstream leaves, names a limit or wants a pause.
     fn record_announcements(
         &self,
         now: Duration,
@@ -140,6 +140,11 @@
         if upstream_head.is_leaving && self.unavailable.record_leaving(upstream) {
             attempt.upstream_leaves();
         }
+        match &upstream_head.rate_limit {
+            RateLimit::None => {}
+            RateLimit::PerSecond(rate) => attempt.upstream_limits(*rate),
+            RateLimit::Invalid(value) => attempt.invalid_rate_limit(value),
+        }
         if head.status != StatusCode::SERVICE_UNAVAILABLE {
             return;
         }
--- a/lacewingspring_proxy/src/track.rs
+++ b/lacewingspring_proxy/src/track.rs
@@ -166,6 +166,20 @@
         );
     }
 
+    /// Records that an upstream named the requests a second that it takes from all instances.
+    pub fn upstream_limits(&self, upstream: &str, rate: f64) {
+        self.metrics.announced("limit");
+        info!(
+            id = &*self.id, upstream, per_s = rate;
+            "The upstream names a limit on the requests that it takes."
+        );
+    }
+
+    /// Records a limit of an upstream that can't be parsed.
+    pub fn invalid_rate_limit(&self, upstream: &str, value: &str) {
+        warn!(id = &*self.id, upstream, value; "The limit that an upstream names is ignored.");
+    }
+
     /// Records a `Retry-After` of an upstream that can't be parsed.
     pub fn invalid_retry_after(&self, upstream: &str, value: &str, e: &InvalidRetryAfter) {
         warn!(
