Keep the limit that a server names over all instances

Cause: nothing read Server-Limit. Class: a statement of an upstream that binds the whole fleet has no way from the instance that reads it to the one that decides for the fleet.

Change: the instance reports the limit in a response's head to the gate, which grants slots there by a token bucket of that rate (half a second's requests, one at least; in proportion to the part of the fleet that it schedules). Grants say that their upstream has a limit, so that a response that names none is reported too and ends it. Limits belong to a process of the upstream, outlast a gap in its entry, and are part of the hand-over. The estimates of waits count the slots that the rate can keep busy.

--- a/lacewingspring_core/src/dispatch/crashes.rs
+++ b/lacewingspring_core/src/dispatch/crashes.rs
@@ -136,13 +136,11 @@
         findings
     }
 
-    /// Returns what the next gate must know.
-    pub fn hand_over(&self, now: Duration) -> HandOver {
-        HandOver {
-            blocked_requests: self.requests.export(now),
-            blocked_parts: self.parts.export_blocks(now),
-            crashed_parts: self.parts.export_crashes(now),
-        }
+    /// Adds what the next gate must know to a hand-over.
+    pub fn export(&self, now: Duration, hand_over: &mut HandOver) {
+        hand_over.blocked_requests = self.requests.export(now);
+        hand_over.blocked_parts = self.parts.export_blocks(now);
+        hand_over.crashed_parts = self.parts.export_crashes(now);
     }
 
     /// Returns a number that changes when the next gate must know something else.
--- a/lacewingspring_core/src/dispatch/finding.rs
+++ b/lacewingspring_core/src/dispatch/finding.rs
@@ -1,9 +1,9 @@
-//! What a gate learns of crashing upstreams, for its log.
+//! What a gate learns of upstreams and the requests that crash them, for its log.
 
 use crate::names::UpstreamName;
 
-/// Something that the gate has learned of the requests that crash upstreams.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Something that the gate has learned.
+#[derive(Clone, Debug, PartialEq)]
 pub enum Finding {
     /// A run ended with a broken connection.
     RunBroken {
@@ -27,6 +27,18 @@
         /// Digest of the part.
         part: u64,
     },
+    /// An upstream named a limit, or one that differs from that before.
+    Limited {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// Requests a second that it takes from all instances together.
+        per_s: f64,
+    },
+    /// An upstream no longer names a limit.
+    NoLongerLimited {
+        /// The upstream.
+        upstream: UpstreamName,
+    },
     /// A run with suspected parts broke off; requests with all of them are refused.
     Blocked {
         /// Digests of the parts.
--- a/lacewingspring_core/src/dispatch/hand_over.rs
+++ b/lacewingspring_core/src/dispatch/hand_over.rs
@@ -2,11 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::names::{ServiceName, UpstreamName};
+
 /// Largest number of entries of each kind in a hand-over.
 pub(super) const MAX_ENTRIES: usize = 256;
 
 /// What a gate hands over to its successor.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct HandOver {
     /// Requests that crash upstreams.
     pub blocked_requests: Vec<BlockedRequest>,
@@ -14,6 +16,8 @@
     pub blocked_parts: Vec<BlockedParts>,
     /// Prompt parts that are suspected of it, or may soon be.
     pub crashed_parts: Vec<CrashedPart>,
+    /// Limits that upstreams named.
+    pub rate_limits: Vec<UpstreamLimit>,
 }
 
 /// A request that is refused since it crashes upstreams.
@@ -43,6 +47,19 @@
     pub crashes: u32,
 }
 
+/// Requests that an upstream takes from all instances together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct UpstreamLimit {
+    /// Service of the upstream.
+    pub service: ServiceName,
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Start of its process in Unix milliseconds; `None` if it is not known.
+    pub started_at_ms: Option<u64>,
+    /// Requests a second.
+    pub per_s: f64,
+}
+
 impl HandOver {
     /// Returns whether there is nothing to hand over.
     pub fn is_empty(&self) -> bool {
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -15,7 +15,7 @@
 pub use self::{
     budget::RetryBound,
     finding::Finding,
-    hand_over::{BlockedParts, BlockedRequest, CrashedPart, HandOver},
+    hand_over::{BlockedParts, BlockedRequest, CrashedPart, HandOver, UpstreamLimit},
     quota::{Quota, QuotaBounds, StoredUsage},
     upstream::UpstreamInfo,
     work::{Decision, End, Grant, PromptPart, Reason, Refusal, SlotRequest, Ticket, Work},
@@ -41,6 +41,7 @@
 mod pool;
 mod queue;
 mod quota;
+mod rate_limits;
 mod recent_parts;
 mod refusal_history;
 mod sizes;
@@ -85,6 +86,7 @@
     quotas: Quotas,
     retries: RetryBudgets,
     crashes: Crashes,
+    findings: Vec<Finding>,
     refusals: RefusalHistory,
     fleet_fraction: f64,
     /// Time at which it last stopped deciding for the whole fleet.
@@ -99,6 +101,7 @@
             quotas: Quotas::default(),
             retries: RetryBudgets::default(),
             crashes: Crashes::default(),
+            findings: Vec::new(),
             refusals: RefusalHistory::default(),
             fleet_fraction: 0.0,
             whole_fleet_until: None,
@@ -138,17 +141,25 @@
 
     /// Returns what the next gate must know, besides the usage of limits.
     pub fn hand_over(&self, now: Duration) -> HandOver {
-        self.crashes.hand_over(now)
+        let limits = self.pools.iter().flat_map(|(service, pool)| pool.rate_limits.export(service));
+        let mut hand_over = HandOver { rate_limits: limits.collect(), ..HandOver::default() };
+        self.crashes.export(now, &mut hand_over);
+        hand_over
     }
 
     /// Returns a number that changes when the next gate must know something else.
     pub fn hand_over_version(&self) -> u64 {
-        self.crashes.version()
+        let limits = self.pools.values().map(|pool| pool.rate_limits.version());
+        self.crashes.version() + limits.sum::<u64>()
     }
 
     /// Adds what an earlier gate handed over `age` ago.
     pub fn take_over(&mut self, now: Duration, age: Duration, hand_over: &HandOver) {
         self.crashes.take_over(now, age, hand_over);
+        for limit in &hand_over.rate_limits {
+            let pool = self.pools.entry(limit.service.clone()).or_default();
+            pool.rate_limits.import(now, limit);
+        }
     }
 
     /// Returns whether so much usage is unpublished that it must be published at once.
@@ -284,6 +295,19 @@
         }
     }
 
+    /// Records that the response to a run named the requests a second that its upstream takes from
+    /// all instances together; `None` if it named no limit.
+    pub fn set_rate_limit(&mut self, now: Duration, ticket: Ticket, rate: Option<f64>) {
+        let Some(open) = self.open.get(&ticket) else { return };
+        let pool = self.pools.get_mut(&open.service);
+        let changed = pool.and_then(|pool| pool.set_rate_limit(now, ticket, rate).cloned());
+        let Some(upstream) = changed else { return };
+        self.findings.push(match rate {
+            Some(per_s) => Finding::Limited { upstream, per_s },
+            None => Finding::NoLongerLimited { upstream },
+        });
+    }
+
     /// Ends a request, whether it waits or runs, and dispatches to the slot that it frees.
     pub fn end(&mut self, now: Duration, ticket: Ticket, end: End) -> Vec<Decision> {
         let Some(open) = self.open.remove(&ticket) else { return Vec::new() };
@@ -320,9 +344,11 @@
         refused.into_iter().map(|(ticket, refusal)| Decision::Refused(ticket, refusal)).collect()
     }
 
-    /// Returns what was learned of crashes since the last call.
+    /// Returns what was learned since the last call.
     pub fn take_findings(&mut self) -> Vec<Finding> {
-        self.crashes.take_findings()
+        let mut findings = std::mem::take(&mut self.findings);
+        findings.extend(self.crashes.take_findings());
+        findings
     }
 
     /// Ends all requests of an instance whose connection to the gate is lost.
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -4,6 +4,7 @@
 
 use super::{
     queue::{Queue, WaitingRequest},
+    rate_limits::RateLimits,
     upstream::UpstreamInfo,
     upstream_state::{Run, Speed, UpstreamState},
     work::{Decision, End, Grant, Reason, Refusal, SlotRequest, Ticket, Work},
@@ -71,6 +72,8 @@
     upstreams: HashMap<UpstreamName, UpstreamState>,
     runs: HashMap<Ticket, Running>,
     queue: Queue,
+    /// Limits that upstreams named.
+    pub rate_limits: RateLimits,
     /// Moving average of the service times of finished requests.
     service_time: Duration,
     /// Time at which the latest refused caller is expected to retry.
@@ -83,6 +86,7 @@
             upstreams: HashMap::new(),
             runs: HashMap::new(),
             queue: Queue::default(),
+            rate_limits: RateLimits::default(),
             service_time: ASSUMED_SERVICE_TIME,
             last_retry_at: Duration::ZERO,
         }
@@ -95,6 +99,7 @@
         let speed = self.median_speed();
         let mut earlier = std::mem::take(&mut self.upstreams);
         for info in infos {
+            self.rate_limits.remove_of_other_process(&info.name, info.started_at_ms);
             let known = earlier
                 .remove(&info.name)
                 .filter(|known| known.info.started_at_ms == info.started_at_ms);
@@ -241,7 +246,7 @@
             });
             let Some((ticket, upstream)) = next else { return decisions };
             let Some(waiting) = self.queue.dequeue(now, ticket) else { return decisions };
-            decisions.extend(self.grant(now, &waiting, upstream));
+            decisions.extend(self.grant(now, fleet_fraction, &waiting, upstream));
         }
     }
 
@@ -255,9 +260,10 @@
 
     /// Returns whether any upstream has a free slot.
     fn has_free_slot(&self, now: Duration, fleet_fraction: f64) -> bool {
-        self.upstreams
-            .values()
-            .any(|state| state.has_slot(now, self.max_in_progress(&state.info, fleet_fraction)))
+        self.upstreams.values().any(|state| {
+            state.has_slot(now, self.max_in_progress(&state.info, fleet_fraction))
+                && self.rate_limits.allows(now, fleet_fraction, &state.info.name)
+        })
     }
 
     fn choose_upstream(
@@ -269,6 +275,7 @@
         let needed_tokens = memory_tokens(&request.work);
         let mut open = self.upstreams.values().filter(|state| {
             is_eligible(state, request)
+                && self.rate_limits.allows(now, fleet_fraction, &state.info.name)
                 && state.has_room(
                     now,
                     self.max_in_progress(&state.info, fleet_fraction),
@@ -301,6 +308,7 @@
     fn grant(
         &mut self,
         now: Duration,
+        fleet_fraction: f64,
         waiting: &WaitingRequest,
         upstream: UpstreamName,
     ) -> Option<Decision> {
@@ -308,7 +316,9 @@
         let run = state.start_run(now, &waiting.request.work);
         let address = state.info.address;
         self.runs.insert(waiting.ticket, Running { upstream: upstream.clone(), run });
-        Some(Decision::Granted(waiting.ticket, Grant { upstream, address }))
+        self.rate_limits.take(now, fleet_fraction, &upstream);
+        let is_limited = self.rate_limits.rate(&upstream).is_some();
+        Some(Decision::Granted(waiting.ticket, Grant { upstream, address, is_limited }))
     }
 
     /// Registers a request that already runs under a grant of another gate.
@@ -371,6 +381,26 @@
         self.queue.remove(ticket).is_some()
     }
 
+    /// Records that the response to a run named the requests a second that its upstream takes, or
+    /// named no limit; returns the upstream if that differs from what was known.
+    pub fn set_rate_limit(
+        &mut self,
+        now: Duration,
+        ticket: Ticket,
+        rate: Option<f64>,
+    ) -> Option<&UpstreamName> {
+        let upstream = &self.runs.get(&ticket)?.upstream;
+        let info = self.upstreams.get(upstream).map(|state| &state.info);
+        let is_changed = match rate {
+            Some(rate) => {
+                let started_at_ms = info.map(|info| info.started_at_ms);
+                self.rate_limits.set(now, upstream, started_at_ms, rate)
+            }
+            None => self.rate_limits.remove(upstream),
+        };
+        is_changed.then_some(upstream)
+    }
+
     /// Returns the upstream at which a request holds a slot.
     pub fn upstream_of(&self, ticket: Ticket) -> Option<&UpstreamName> {
         self.runs.get(&ticket).map(|running| &running.upstream)
@@ -388,7 +418,15 @@
 
     fn total_slots(&self, fleet_fraction: f64) -> u32 {
         let open = self.upstreams.values().filter(|state| !state.info.draining);
-        open.map(|state| self.max_in_progress(&state.info, fleet_fraction)).sum()
+        open.map(|state| self.expected_in_progress(&state.info, fleet_fraction)).sum()
+    }
+
+    /// Returns the number of requests that can be in progress at an upstream under its limit.
+    fn expected_in_progress(&self, info: &UpstreamInfo, fleet_fraction: f64) -> u32 {
+        let max = self.max_in_progress(info, fleet_fraction);
+        let Some(rate) = self.rate_limits.rate(&info.name) else { return max };
+        let expected = rate * fleet_fraction * self.service_time.as_secs_f64();
+        max.min(expected.ceil() as u32)
     }
 
     /// Returns the number of requests that this gate may have in progress at an upstream.
--- a/lacewingspring_core/src/dispatch/work.rs
+++ b/lacewingspring_core/src/dispatch/work.rs
@@ -138,6 +138,8 @@
     pub upstream: UpstreamName,
     /// Address of the upstream.
     pub address: SocketAddr,
+    /// Whether the upstream has named a limit, so that the gate must know if its response does not.
+    pub is_limited: bool,
 }
 
 /// A decision on a slot request.
--- a/lacewingspring_proxy/src/attempt.rs
+++ b/lacewingspring_proxy/src/attempt.rs
@@ -51,6 +51,14 @@
     /// Records that the upstream named the requests a second that it takes.
     pub fn upstream_limits(&self, rate: f64) {
         self.trace.upstream_limits(self.upstream(), rate);
+        self.slot.rate_limit(Some(rate));
+    }
+
+    /// Records that the upstream named no limit.
+    pub fn upstream_has_no_limit(&self) {
+        if self.grant().is_limited {
+            self.slot.rate_limit(None);
+        }
     }
 
     /// Records a limit of the upstream that can't be parsed.
--- a/lacewingspring_proxy/src/gate/findings.rs
+++ b/lacewingspring_proxy/src/gate/findings.rs
@@ -1,4 +1,4 @@
-//! Log lines of what the gate learns of requests that crash upstreams.
+//! Log lines of what the gate learns.
 
 use lacewingspring_core::dispatch::Finding;
 use log::{info, warn};
@@ -20,6 +20,14 @@
             prompt_part:% = format_args!("{part:x}");
             "A prompt part is no longer suspected of crashing upstreams."
         ),
+        Finding::Limited { upstream, per_s } => info!(
+            upstream = upstream.as_str(), per_s;
+            "The gate keeps to the limit that an upstream names."
+        ),
+        Finding::NoLongerLimited { upstream } => info!(
+            upstream = upstream.as_str();
+            "An upstream no longer names a limit."
+        ),
         Finding::Blocked { parts } => warn!(
             parts:% = PartIds(parts);
             "A run with suspected prompt parts broke off; requests with all of them are refused."
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -181,6 +181,10 @@
                 state.dispatcher.import_usage(now, usage_age, &usage);
                 Vec::new()
             }
+            ToGate::RateLimit { number, per_s } => {
+                state.dispatcher.set_rate_limit(now, ticket(number), per_s);
+                Vec::new()
+            }
             ToGate::HandOver { hand_over, age } => {
                 state.dispatcher.take_over(now, age, &hand_over);
                 Vec::new()
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -162,6 +162,11 @@
         self.state().send(ToGate::FirstOutput { number, took });
     }
 
+    /// Reports the limit in the head of a response; `None` if it names none.
+    pub(super) fn rate_limit(&self, number: u64, per_s: Option<f64>) {
+        self.state().send(ToGate::RateLimit { number, per_s });
+    }
+
     /// Ends a request that waits or has a slot.
     pub(super) fn end(&self, number: u64, end: End) {
         let mut state = self.state();
--- a/lacewingspring_proxy/src/gate/message.rs
+++ b/lacewingspring_proxy/src/gate/message.rs
@@ -73,6 +73,14 @@
         /// not followed over this link.
         follow: ByTopic<Option<Revision>>,
     },
+    /// Reports the limit in the response to a request that runs.
+    RateLimit {
+        /// Number of the slot request.
+        number: u64,
+        /// Requests a second that the upstream takes from all instances together; `None` if the
+        /// response names no limit.
+        per_s: Option<f64>,
+    },
     /// Passes on what an earlier gate handed over.
     HandOver {
         /// What the earlier gate handed over.
--- a/lacewingspring_proxy/src/gate/slot.rs
+++ b/lacewingspring_proxy/src/gate/slot.rs
@@ -67,6 +67,11 @@
         self.gate.first_output(self.number, took);
     }
 
+    /// Reports the requests a second that the upstream takes; `None` if its response names no limit.
+    pub fn rate_limit(&self, per_s: Option<f64>) {
+        self.gate.rate_limit(self.number, per_s);
+    }
+
     /// Releases the slot.
     pub fn end(mut self, end: End) {
         self.is_ended = true;
--- a/lacewingspring_proxy/src/relay.rs
+++ b/lacewingspring_proxy/src/relay.rs
@@ -141,6 +141,10 @@
             attempt.upstream_leaves();
         }
         match &upstream_head.rate_limit {
+            // A response that is not the upstream's own says nothing of it.
+            RateLimit::None if upstream_head.is_signed || upstream_head.is_declined => {
+                attempt.upstream_has_no_limit();
+            }
             RateLimit::None => {}
             RateLimit::PerSecond(rate) => attempt.upstream_limits(*rate),
             RateLimit::Invalid(value) => attempt.invalid_rate_limit(value),
