Give up on an upstream that sends informational responses without end

Cause: responses with 1xx before the response were read until the deadline of the request, as fast as they came. Heads without end were bounded by their size already, bodies by the deadline.

Change: an exchange with more than 16 informational responses ends as broken, and its connection is closed.

--- a/lacewingspring_proxy/src/exchange.rs
+++ b/lacewingspring_proxy/src/exchange.rs
@@ -1,14 +1,22 @@
 //! One HTTP/1.1 exchange with an upstream, on a connection of its own.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::{body::Incoming, client::conn::http1};
+use hyper::{body::Incoming, client::conn::http1, ext::on_informational};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
-use tokio::task::AbortHandle;
+use tokio::{sync::Notify, task::AbortHandle};
 
 use crate::{framing::Framing, net};
 
@@ -18,6 +26,9 @@
 /// Largest response head, in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
+/// Largest number of informational responses (1xx) before a response.
+const MAX_INFORMATIONAL: u32 = 16;
+
 /// Why an exchange yielded no response.
 #[derive(Debug, Error)]
 pub enum ExchangeError {
@@ -27,6 +38,9 @@
     /// The connection broke or the response was invalid; the request may have run.
     #[error("no valid response from the upstream: {0}")]
     Broken(#[from] hyper::Error),
+    /// The upstream sent informational responses without end; the request may have run.
+    #[error("more than {MAX_INFORMATIONAL} informational responses from the upstream")]
+    Informational,
 }
 
 /// Closes the connection of an exchange when dropped.
@@ -65,10 +79,11 @@
 ///
 /// # Errors
 ///
-/// Fails if the connection breaks or the response is not valid HTTP/1.1.
+/// Fails if the connection breaks, the response is not valid HTTP/1.1, or too many informational
+/// responses come before it.
 pub async fn send(
     stream: tokio::net::TcpStream,
-    req: Request<Full<Bytes>>,
+    mut req: Request<Full<Bytes>>,
 ) -> Result<UpstreamResponse, ExchangeError> {
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_RESPONSE_HEAD_BYTES).preserve_header_case(true);
@@ -78,8 +93,26 @@
         let _ = connection.await;
     });
     let connection = ConnectionGuard(task.abort_handle());
-    let response: Response<Incoming> = sender.send_request(req).await?;
+    let has_too_many = notify_of_too_many_informational(&mut req);
+    let response: Response<Incoming> = tokio::select! {
+        response = sender.send_request(req) => response?,
+        () = has_too_many.notified() => return Err(ExchangeError::Informational),
+    };
     let (head, body) = response.into_parts();
     let framing = Framing::of(&head.headers, &body);
     Ok(UpstreamResponse { head, framing, body, connection })
 }
+
+/// Counts the informational responses to a request; returns what is notified when there are more
+/// than [`MAX_INFORMATIONAL`].
+fn notify_of_too_many_informational(req: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let has_too_many = Arc::new(Notify::new());
+    let notify = has_too_many.clone();
+    let count = AtomicU32::new(0);
+    on_informational(req, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL {
+            notify.notify_one();
+        }
+    });
+    has_too_many
+}
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -252,7 +252,9 @@
                     ExchangeError::Unreachable(_) => {
                         (End::Unreachable, Outcome::NotRun(Failure::Unreachable))
                     }
-                    ExchangeError::Broken(_) => (End::Broken, Outcome::MayHaveRun(None)),
+                    ExchangeError::Broken(_) | ExchangeError::Informational => {
+                        (End::Broken, Outcome::MayHaveRun(None))
+                    }
                 };
                 attempt.end(end);
                 outcome
--- a/lacewingspring_proxy/src/track.rs
+++ b/lacewingspring_proxy/src/track.rs
@@ -145,6 +145,9 @@
             ExchangeError::Broken(e) => {
                 self.attempt_failed(now, upstream, &format!("broken: {e}"), true);
             }
+            ExchangeError::Informational => {
+                self.attempt_failed(now, upstream, &format!("broken: {e}"), true);
+            }
         }
     }
 
