Give up on a stream of which an event has no end

Cause: an event without its end was passed on until the deadline of the request, as fast as it came.

Change: a stream with more than 1 MiB since its last complete event ends as broken, with reason event_too_long in the log; its caller's connection is closed without the end of the framing.

Measured: ends_a_stream_with_an_event_without_end_before_the_deadline failed before (3.06 s, the deadline) and passes; endless_responses and truncated_responses pass.

--- a/lacewingspring_proxy/src/answer.rs
+++ b/lacewingspring_proxy/src/answer.rs
@@ -29,6 +29,9 @@
     /// The framing of the body ended, but the upstream had not sent all of it.
     #[error("the upstream broke off the stream of events in its response body")]
     Truncated,
+    /// An event of the stream has no end.
+    #[error("the upstream sent an event that is too long in its response body")]
+    EventTooLong,
     /// The deadline of the request passed.
     #[error("the deadline of the request passed before its response was complete")]
     Timeout,
@@ -142,6 +145,10 @@
             }
             None => true,
         };
+        if self.progress.is_event_too_long() {
+            self.fail(now, End::Broken, "event_too_long");
+            return Poll::Ready(Some(Err(BodyError::EventTooLong)));
+        }
         if is_last && self.progress.is_truncated() {
             // A last frame is withheld, as it would complete a response that has a length.
             self.fail(now, End::Broken, "truncated");
--- a/lacewingspring_proxy/src/events.rs
+++ b/lacewingspring_proxy/src/events.rs
@@ -19,6 +19,8 @@
 pub struct EventScanner {
     complete: u32,
     position: Position,
+    /// Bytes since the last complete event.
+    event_bytes: usize,
     /// Whether the last byte was a CR, so that an LF belongs to the same line end.
     is_after_cr: bool,
 }
@@ -27,6 +29,7 @@
     /// Reads the next bytes of the stream.
     pub fn push(&mut self, data: &[u8]) {
         for byte in data {
+            self.event_bytes = self.event_bytes.saturating_add(1);
             match byte {
                 b'\n' if self.is_after_cr => {}
                 b'\n' | b'\r' => self.end_line(),
@@ -42,6 +45,7 @@
             Position::InLine => Position::AfterLine,
             Position::AfterLine => {
                 self.complete = self.complete.saturating_add(1);
+                self.event_bytes = 0;
                 Position::BetweenEvents
             }
         };
@@ -52,6 +56,11 @@
         self.complete
     }
 
+    /// Returns the number of bytes since the last complete event.
+    pub fn event_bytes(&self) -> usize {
+        self.event_bytes
+    }
+
     /// Returns whether an event has begun whose end has not been read.
     pub fn is_inside_event(&self) -> bool {
         self.position != Position::BetweenEvents
--- a/lacewingspring_proxy/src/framing.rs
+++ b/lacewingspring_proxy/src/framing.rs
@@ -41,6 +41,9 @@
     }
 }
 
+/// Largest size of an event of a stream, in bytes.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -77,6 +80,11 @@
         }
     }
 
+    /// Returns whether the stream has more bytes without the end of an event than any event has.
+    pub fn is_event_too_long(&self) -> bool {
+        self.events.is_some_and(|events| events.event_bytes() > MAX_EVENT_BYTES)
+    }
+
     /// Returns the number of complete events; 0 if the body is not a stream of events.
     pub fn complete_events(&self) -> u32 {
         self.events.map_or(0, |events| events.complete())
