Count handed-over crashes right, tell a new gate only once

Found on reading the diff; callers saw nothing of it.

Cause: a second hand-over with more crashes of a part replaced the count of the first by the difference. A completed run cleared only the first of its parts that a hand-over had told of. An instance that had once been the gate told each later gate what it had learned then, however long ago, so that a limit or a block that was gone could come back.

Change: differences are added; all parts of a completed run are cleared; an instance tells the next gate of its own knowledge once, when it ceases to be the gate. The retry-after time of blocked requests and the duration of a crash stand in one place each.

Measured: adds_up_the_crashes_of_several_hand_overs failed before (two requests at a time with a part of 2 and then 3 crashes), and a_completed_run_clears_all_of_its_parts fails with the old line; both pass. For the third there is no test but gate_hand_over, which passes as before.

--- a/lacewingspring_core/src/dispatch/crash_events.rs
+++ b/lacewingspring_core/src/dispatch/crash_events.rs
@@ -9,7 +9,7 @@
 
 /// Time within which all broken runs of an upstream count as one crash: they are reported by
 /// several instances.
-const CRASH_DURATION: Duration = Duration::from_secs(1);
+pub(super) const CRASH_DURATION: Duration = Duration::from_secs(1);
 
 /// Time for which a crash is remembered.
 const RETENTION: Duration = Duration::from_secs(120);
@@ -47,7 +47,7 @@
         crash.number
     }
 
-    /// Returns whether broken runs of an upstream count as part of a known crash.
+    /// Returns whether an upstream crashed within [`CRASH_DURATION`].
     pub fn has_crashed(&self, now: Duration, upstream: &UpstreamName) -> bool {
         self.index_of_present(now, upstream).is_some()
     }
--- a/lacewingspring_core/src/dispatch/crashes.rs
+++ b/lacewingspring_core/src/dispatch/crashes.rs
@@ -4,7 +4,7 @@
 
 use super::{
     crash_history::CrashHistory,
-    crashing_parts::CrashingParts,
+    crashing_parts::{BLOCKED_RETRY_AFTER, CrashingParts},
     finding::Finding,
     hand_over::HandOver,
     open_request::OpenRequest,
@@ -13,9 +13,6 @@
 };
 use crate::names::UpstreamName;
 
-/// Retry-after time of a request that is blocked because it crashes upstreams.
-const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(5);
-
 /// Requests and prompt parts that crash upstreams.
 #[derive(Debug, Default)]
 pub(super) struct Crashes {
--- a/lacewingspring_core/src/dispatch/crashing_parts.rs
+++ b/lacewingspring_core/src/dispatch/crashing_parts.rs
@@ -41,8 +41,8 @@
 /// Time for which requests are blocked.
 const BLOCK_DURATION: Duration = Duration::from_secs(600);
 
-/// Retry-after time of a blocked request.
-const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Retry-after time of a request that is blocked because it crashes upstreams.
+pub(super) const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 /// Retry-after time of a request that is refused because a probe runs.
 const PROBE_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -148,8 +148,9 @@
         }
         let was_in_crash = self.events.clear(parts);
         let was_blocked = self.unblock(parts);
-        let was_inherited = parts.iter().any(|part| self.inherited.remove(part).is_some());
-        if was_in_crash || was_blocked || was_inherited {
+        let inherited = self.inherited.len();
+        self.inherited.retain(|part, _| !parts.contains(part));
+        if was_in_crash || was_blocked || self.inherited.len() != inherited {
             self.update_suspects(now);
         }
     }
@@ -167,7 +168,7 @@
         is_changed
     }
 
-    /// Returns whether runs of an upstream broke off at present.
+    /// Returns whether runs of an upstream broke off within the last second.
     pub fn has_crashed(&self, now: Duration, upstream: &UpstreamName) -> bool {
         self.events.has_crashed(now, upstream)
     }
@@ -307,10 +308,13 @@
         let counts = self.count_crashes(now);
         for imported in parts {
             let known = counts.get(&imported.part).copied().unwrap_or_default();
-            let crashes = imported.crashes.saturating_sub(known);
-            if crashes > 0 {
-                let inherited = Inherited { crashes, until: now + INHERITED_RETENTION };
-                self.inherited.insert(imported.part, inherited);
+            let missing = imported.crashes.saturating_sub(known);
+            if missing > 0 {
+                let until = now + INHERITED_RETENTION;
+                let inherited =
+                    self.inherited.entry(imported.part).or_insert(Inherited { crashes: 0, until });
+                inherited.crashes += missing;
+                inherited.until = until;
             }
         }
         self.update_suspects(now);
--- a/lacewingspring_core/src/dispatch/unframed_ends.rs
+++ b/lacewingspring_core/src/dispatch/unframed_ends.rs
@@ -2,12 +2,9 @@
 
 use std::time::Duration;
 
-use super::work::Ticket;
+use super::{crash_events::CRASH_DURATION, work::Ticket};
 use crate::names::UpstreamName;
 
-/// Time after which the crash of an upstream that ended an answer would have been noticed by others.
-const DOUBT_DURATION: Duration = Duration::from_secs(1);
-
 /// An answer that ended with its connection.
 #[derive(Debug)]
 pub(super) struct UnframedEnd {
@@ -18,7 +15,7 @@
     at: Duration,
 }
 
-/// The answers of the last [`DOUBT_DURATION`] that ended with their connections, oldest first.
+/// The answers of the last [`CRASH_DURATION`] that ended with their connections, oldest first.
 #[derive(Debug, Default)]
 pub(super) struct UnframedEnds(Vec<UnframedEnd>);
 
@@ -31,7 +28,7 @@
 
     /// Removes and returns the answers that are complete, as their upstreams have not crashed.
     pub fn take_complete(&mut self, now: Duration) -> Vec<UnframedEnd> {
-        let is_complete = |end: &mut UnframedEnd| now.saturating_sub(end.at) >= DOUBT_DURATION;
+        let is_complete = |end: &mut UnframedEnd| now.saturating_sub(end.at) >= CRASH_DURATION;
         self.0.extract_if(.., is_complete).collect()
     }
 
--- a/lacewingspring_core/tests/crashing_parts.rs
+++ b/lacewingspring_core/tests/crashing_parts.rs
@@ -4,7 +4,10 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use lacewingspring_core::{
-    dispatch::{Decision, Dispatcher, End, PromptPart, SlotRequest, Ticket, UpstreamInfo, Work},
+    dispatch::{
+        CrashedPart, Decision, Dispatcher, End, HandOver, PromptPart, SlotRequest, Ticket,
+        UpstreamInfo, Work,
+    },
     names::{DataCentreName, ServiceName, UpstreamName, WorkspaceName},
 };
 
@@ -470,3 +473,40 @@
         play.assert_sound_requests_are_served(|_| true);
     }
 }
+
+/// Parts that an earlier gate handed over with this number of crashes.
+fn crashed(parts: &[u64], crashes: u32) -> HandOver {
+    let parts = parts.iter().map(|part| CrashedPart { part: *part, crashes });
+    HandOver { crashed_parts: parts.collect(), ..HandOver::default() }
+}
+
+/// Asks for slots for two requests with these parts; returns whether each is granted at once.
+fn grants_two(gate: &mut Dispatcher, first: u64, parts: &[u64]) -> [bool; 2] {
+    [first, first + 1].map(|number| {
+        let parts: Vec<u64> = parts.iter().copied().chain([LAST_PARTS + number]).collect();
+        let decisions = gate.request_slot(ms(number), ticket(number), request(number, &parts));
+        matches!(decisions[..], [Decision::Granted(..)])
+    })
+}
+
+#[test]
+fn adds_up_the_crashes_of_several_hand_overs() {
+    let mut gate = new_gate(ms(0));
+    gate.set_upstreams(ms(0), [upstream("u1")]);
+    gate.take_over(ms(0), ms(0), &crashed(&[CRASHING_PART], 2));
+    assert_eq!(grants_two(&mut gate, 1, &[CRASHING_PART]), [true, true]);
+    gate.take_over(ms(2), ms(0), &crashed(&[CRASHING_PART], 3));
+    assert_eq!(grants_two(&mut gate, 3, &[CRASHING_PART]), [true, false], "one is a probe");
+}
+
+#[test]
+fn a_completed_run_clears_all_of_its_parts() {
+    let parts = [SHARED_FIRST_PART, CRASHING_PART];
+    let mut gate = new_gate(ms(0));
+    gate.set_upstreams(ms(0), [upstream("u1")]);
+    gate.take_over(ms(0), ms(0), &crashed(&parts, 5));
+    assert_eq!(grants_two(&mut gate, 1, &parts), [true, false], "one is a probe");
+    gate.end(ms(10), ticket(1), finished(ms(9), true));
+    assert_eq!(grants_two(&mut gate, 11, &[SHARED_FIRST_PART]), [true, true]);
+    assert_eq!(grants_two(&mut gate, 13, &[CRASHING_PART]), [true, true]);
+}
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -259,14 +259,17 @@
     /// Keeps a link to the gate. Never returns.
     pub async fn run(self: Arc<Self>) {
         let mut suspects = Suspects::default();
+        // Whether another gate must be told what this instance learned while it was the gate.
+        let mut was_gate = false;
         loop {
             let candidate = self.first_candidate(clock::now(), &suspects);
             let remote = candidate.filter(|member| member.instance != self.instance);
             let Some(member) = remote else {
                 self.link_to_self(&suspects).await;
+                was_gate = true;
                 continue;
             };
-            let reason = self.link_to(&member, &suspects).await;
+            let reason = self.link_to(&member, &suspects, &mut was_gate).await;
             let gate = member.instance.as_str();
             if reason == MOVED {
                 info!(gate; "Another instance takes precedence as the gate.");
@@ -279,14 +282,21 @@
 
     /// Keeps a link to another instance, which is the gate, until the link ends; returns the reason
     /// for the log.
-    async fn link_to(&self, member: &Member, suspects: &Suspects) -> &'static str {
+    async fn link_to(
+        &self,
+        member: &Member,
+        suspects: &Suspects,
+        was_gate: &mut bool,
+    ) -> &'static str {
         let Ok(stream) = net::connect(member.peer_address, CONNECT_TIMEOUT).await else {
             return "unreachable";
         };
         info!(gate = member.instance.as_str(); "The gate is at another instance.");
         let mut frames = frames(stream);
         let rx = self.open_link();
-        self.pass_on_own_hand_over(clock::now());
+        if std::mem::take(was_gate) {
+            self.pass_on_own_hand_over(clock::now());
+        }
         let reason = self.exchange(member, suspects, &mut frames, rx).await;
         self.state().gate_tx = None;
         reason
