--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -9,39 +9,28 @@
     time::Duration,
 };
 
-use futures_util::StreamExt;
 use lacewingspring_core::{
     dispatch::{End, Grant, HandOver, Refusal, SlotRequest, StoredUsage},
     names::{InstanceName, UpstreamName},
 };
-use log::{info, warn};
-use tokio::{
-    sync::{
-        mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
-        oneshot,
-    },
-    time::{interval, timeout},
+use tokio::sync::{
+    mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    oneshot,
 };
 
 use super::{
     host::GateHost,
-    message::{Frames, FromGate, ToGate, decode, frames, send_all},
+    message::{FromGate, ToGate},
     slot::PendingSlot,
-    suspects::Suspects,
 };
 use crate::{
     clock,
-    members::{Member, SharedMembers},
-    net,
+    members::SharedMembers,
     replica::{ByTopic, Replicas, Topic},
     store::Revision,
 };
 
-/// Time limit of connecting to a gate.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// Interval of the checks of the link and of the choice of gate.
-const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+mod connection;
 
 /// Time without a message from the gate after which it is pinged.
 const PING_AFTER: Duration = Duration::from_millis(400);
@@ -53,18 +42,6 @@
 /// service.
 const MIN_MEMBERS_TO_FOLLOW_GATE: usize = 17;
 
-/// Time without a message from the gate after which it is considered failed.
-const GATE_TIMEOUT: Duration = Duration::from_millis(1_000);
-
-/// Time within which the gate must grant, refuse or queue a request.
-const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Time limit of writing to the gate.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Reason for closing a link to a working gate: another instance takes precedence.
-const MOVED: &str = "moved";
-
 /// Request that the gate has not decided yet.
 #[derive(Debug)]
 struct Pending {
@@ -256,156 +233,6 @@
         silence >= PING_AFTER || is_confirmation_due
     }
 
-    /// Keeps a link to the gate. Never returns.
-    pub async fn run(self: Arc<Self>) {
-        let mut suspects = Suspects::default();
-        // Whether another gate must be told what this instance learned while it was the gate.
-        let mut was_gate = false;
-        loop {
-            let candidate = self.first_candidate(clock::now(), &suspects);
-            let remote = candidate.filter(|member| member.instance != self.instance);
-            let Some(member) = remote else {
-                self.link_to_self(&suspects).await;
-                was_gate = true;
-                continue;
-            };
-            let reason = self.link_to(&member, &suspects, &mut was_gate).await;
-            let gate = member.instance.as_str();
-            if reason == MOVED {
-                info!(gate; "Another instance takes precedence as the gate.");
-            } else {
-                warn!(gate, reason; "The link to the gate failed; the next candidate is tried.");
-                suspects.add(clock::now(), member);
-            }
-        }
-    }
-
-    /// Keeps a link to another instance, which is the gate, until the link ends; returns the reason
-    /// for the log.
-    async fn link_to(
-        &self,
-        member: &Member,
-        suspects: &Suspects,
-        was_gate: &mut bool,
-    ) -> &'static str {
-        let Ok(stream) = net::connect(member.peer_address, CONNECT_TIMEOUT).await else {
-            return "unreachable";
-        };
-        info!(gate = member.instance.as_str(); "The gate is at another instance.");
-        let mut frames = frames(stream);
-        let rx = self.open_link();
-        if std::mem::take(was_gate) {
-            self.pass_on_own_hand_over(clock::now());
-        }
-        let reason = self.exchange(member, suspects, &mut frames, rx).await;
-        self.state().gate_tx = None;
-        reason
-    }
-
-    async fn exchange(
-        &self,
-        member: &Member,
-        suspects: &Suspects,
-        frames: &mut Frames,
-        mut rx: UnboundedReceiver<ToGate>,
-    ) -> &'static str {
-        let mut check = interval(CHECK_INTERVAL);
-        let mut received_at = clock::now();
-        loop {
-            tokio::select! {
-                next = frames.next() => match next {
-                    Some(Ok(bytes)) => match decode(&bytes) {
-                        Ok(message) => {
-                            received_at = clock::now();
-                            self.handle(message);
-                        }
-                        Err(_) => return "unreadable",
-                    },
-                    Some(Err(_)) | None => return "closed",
-                },
-                Some(message) = rx.recv() => {
-                    let sent = timeout(WRITE_TIMEOUT, send_all(frames, message, &mut rx)).await;
-                    if !matches!(sent, Ok(Ok(()))) {
-                        return "unwritable";
-                    }
-                }
-                _ = check.tick() => {
-                    let now = clock::now();
-                    let silence = now.saturating_sub(received_at);
-                    if silence >= GATE_TIMEOUT || self.has_overdue_request(now) {
-                        return "silent";
-                    }
-                    if !self.is_first_candidate(now, member, suspects) {
-                        return MOVED;
-                    }
-                    if self.is_ping_due(now, silence) {
-                        self.ping(now);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Returns whether a member is still the [`first_candidate`](Self::first_candidate), with the
-    /// same process.
-    fn is_first_candidate(&self, now: Duration, member: &Member, suspects: &Suspects) -> bool {
-        self.first_candidate(now, suspects).is_some_and(|first| {
-            first.instance == member.instance && first.incarnation == member.incarnation
-        })
-    }
-
-    /// Returns the instance that is to act as the gate: the first one that is neither leaving nor
-    /// suspected.
-    fn first_candidate(&self, now: Duration, suspects: &Suspects) -> Option<Member> {
-        let members = self.members.load();
-        let first = members.active().find(|member| !suspects.contains(now, member));
-        first.cloned()
-    }
-
-    fn has_overdue_request(&self, now: Duration) -> bool {
-        let state = self.state();
-        state.pending.values().any(|pending| {
-            !pending.is_acknowledged
-                && now.saturating_sub(pending.requested_at) > ACKNOWLEDGE_TIMEOUT
-        })
-    }
-
-    /// Keeps a link to the host of this instance while no other instance takes precedence.
-    async fn link_to_self(&self, suspects: &Suspects) {
-        info!("The gate is at this instance.");
-        let (tx, mut from_gate) = unbounded_channel();
-        let link = self.host.connect(tx);
-        let mut rx = self.open_link();
-        let mut check = interval(CHECK_INTERVAL);
-        loop {
-            tokio::select! {
-                Some(message) = rx.recv() => self.host.handle(clock::now(), link, message),
-                Some(message) = from_gate.recv() => self.handle(message),
-                _ = check.tick() => {
-                    if self.prefers_other(clock::now(), suspects) {
-                        break;
-                    }
-                }
-            }
-        }
-        self.state().gate_tx = None;
-        self.host.disconnect(clock::now(), link);
-    }
-
-    /// Returns whether another instance takes precedence as the gate.
-    fn prefers_other(&self, now: Duration, suspects: &Suspects) -> bool {
-        self.first_candidate(now, suspects).is_some_and(|member| member.instance != self.instance)
-    }
-
-    /// Tells another gate what this instance learned while it was the gate.
-    fn pass_on_own_hand_over(&self, now: Duration) {
-        let hand_over = self.host.hand_over(now);
-        if !hand_over.is_empty() {
-            let hand_over = Arc::new(hand_over);
-            self.state().send(ToGate::HandOver { hand_over, age: Duration::ZERO });
-        }
-    }
-
     /// Opens a link and reports all running and queued requests on it.
     fn open_link(&self) -> UnboundedReceiver<ToGate> {
         let (tx, rx) = unbounded_channel();
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -3,38 +3,34 @@
 use std::{io, sync::Arc, time::Duration};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
-use http_body_util::Full;
-use hyper::body::Incoming;
 use lacewingspring_core::dispatch::{Limits, QuotaBounds, UpstreamInfo};
-use log::{error, info, warn};
+use log::{info, warn};
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::watch,
     time::{sleep, timeout},
 };
 
+use self::serve::{log_bind_error, serve_callers, serve_directory, serve_metrics};
 use crate::{
-    answer::ResponseBody,
     clock,
     counted::CountedStore,
     declared::{CallerLimits, Declared},
-    directory::Directory,
     follow::Follower,
-    forward::Forwarder,
     gate::{host::GateHost, ledger::Ledger, link::GateClient},
     members::{MEMBERS_PREFIX, Member, Members, Registration, SharedMembers, random_incarnation},
     metrics::SharedMetrics,
     mirror::Mirror,
     protocol::Protocol,
     replica::{Replicas, Topic},
-    server::{ConnectionLimits, OpenConnections, Server},
+    server::OpenConnections,
     settings::Settings,
     store::Store,
     unavailable::UnavailableUpstreams,
 };
 
+mod serve;
+
 /// Time after SIGTERM for which connections and requests are still accepted, while callers learn
 /// from the directory that the instance leaves.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_600);
@@ -48,9 +44,6 @@
 /// Time between checks for open connections at shutdown.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Content type of the metrics.
-const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-
 /// Decodes the platform's entries in the key-value service.
 pub trait StateDecoder: Send + Sync + 'static {
     /// Key prefix of the operators' configuration.
@@ -299,111 +292,3 @@
         Follower::new(components.store.clone(), replicas.clone(), topic, prefix, on_change);
     tokio::spawn(follow.run());
 }
-
-/// Serves the address queries of callers and the readiness probes, each at its address.
-fn serve_directory<S, P, T>(
-    settings: &Settings,
-    components: &Components<S, P, T>,
-    state: &Arc<SharedState>,
-    member: &watch::Receiver<Member>,
-    is_ready: watch::Receiver<bool>,
-    closing: &watch::Receiver<bool>,
-) where
-    P: Protocol,
-{
-    let directory = Arc::new(Directory {
-        protocol: components.protocol.clone(),
-        members: state.members.clone(),
-        member: member.clone(),
-        is_ready,
-        max_ttl: Duration::try_from_secs_f64(settings.bounds.directory_ttl_s)
-            .unwrap_or(Duration::MAX),
-    });
-    for address in [settings.listen.directory, settings.listen.readiness] {
-        let server = Server { address, closing: closing.clone(), open: Arc::default() };
-        let directory = directory.clone();
-        let handler = move |req: Request<Incoming>| {
-            let response = directory.answer(&req);
-            async move { response }
-        };
-        let limits = CallerLimits::default();
-        let limits =
-            ConnectionLimits { head_bytes: limits.head_bytes, idle_timeout: limits.idle_timeout };
-        tokio::spawn(log_bind_error("directory", server.run(move || limits, handler)));
-    }
-}
-
-fn serve_callers<S, P, T>(
-    settings: &Settings,
-    components: &Components<S, P, T>,
-    state: &Arc<SharedState>,
-    gate: Arc<GateClient>,
-    closing: &watch::Receiver<bool>,
-    open: &Arc<OpenConnections>,
-) where
-    P: Protocol,
-{
-    let forwarder = Arc::new(Forwarder {
-        protocol: components.protocol.clone(),
-        data_centre: settings.data_centre.clone(),
-        declared: state.declared.clone(),
-        unavailable: state.unavailable.clone(),
-        gate,
-        metrics: state.metrics.clone(),
-    });
-    let server =
-        Server { address: settings.listen.callers, closing: closing.clone(), open: open.clone() };
-    let state = state.clone();
-    let limits = move || {
-        let limits = state.caller_limits();
-        ConnectionLimits { head_bytes: limits.head_bytes, idle_timeout: limits.idle_timeout }
-    };
-    let handler = move |req: Request<Incoming>| {
-        let forwarder = forwarder.clone();
-        async move {
-            let response: Response<ResponseBody> = forwarder.serve(clock::now(), req).await;
-            response
-        }
-    };
-    tokio::spawn(log_bind_error("callers", server.run(limits, handler)));
-}
-
-fn serve_metrics(settings: &Settings, state: &Arc<SharedState>, closing: &watch::Receiver<bool>) {
-    let server =
-        Server { address: settings.listen.metrics, closing: closing.clone(), open: Arc::default() };
-    let state = state.clone();
-    let handler = move |_: Request<Incoming>| {
-        let counts = state.host.counts();
-        let text = state.metrics.text(clock::now(), &counts);
-        let mut response = Response::new(Full::<Bytes>::default());
-        match text {
-            Ok(text) => *response.body_mut() = Full::new(Bytes::from(text)),
-            Err(e) => {
-                error!(error:% = e; "Encoding the metrics failed.");
-                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-            }
-        }
-        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(METRICS_CONTENT_TYPE));
-        async move { response }
-    };
-    tokio::spawn(log_bind_error("metrics", server.run(fixed_limits, handler)));
-}
-
-/// Connection limits of servers that get only small requests, independent of the configuration.
-fn fixed_limits() -> ConnectionLimits {
-    let limits = CallerLimits::default();
-    ConnectionLimits { head_bytes: limits.head_bytes, idle_timeout: limits.idle_timeout }
-}
-
-/// Runs a server and logs the error if it can't listen.
-async fn log_bind_error<F>(name: &'static str, server: F)
-where
-    F: Future<Output = io::Result<()>>,
-{
-    if let Err(e) = server.await {
-        error!(
-            server = name, error:% = e;
-            "A server can't listen on its address; the instance runs without it."
-        );
-    }
-}
