Keep broken requests without parts out of the crashes of prompt parts

Found on reading the diff; callers saw nothing of it.

Cause: each broken run, also of plain services, took one of the 256 crashes that are remembered. Where a plain service breaks off many of its responses, the crashes of a prompt part were pushed out before it had enough of them.

Change: only runs with parts that others may share are counted, and a crash all of whose parts are cleared is forgotten after a second.

Measured: remembers_a_crashing_part_beside_many_broken_requests_without_parts (298 broken requests between the second and the third crash) failed before and passes; crashing_parts passes.

--- a/lacewingspring_core/src/dispatch/crash_events.rs
+++ b/lacewingspring_core/src/dispatch/crash_events.rs
@@ -70,8 +70,11 @@
     }
 
     fn remove_expired(&mut self, now: Duration) {
-        let is_expired = |crash: &Crash| now.saturating_sub(crash.at) >= RETENTION;
-        while self.crashes.len() >= MAX_CRASHES || self.crashes.front().is_some_and(is_expired) {
+        self.crashes.retain(|crash| {
+            let retention = if crash.parts.is_empty() { CRASH_DURATION } else { RETENTION };
+            now.saturating_sub(crash.at) < retention
+        });
+        if self.crashes.len() >= MAX_CRASHES {
             self.crashes.pop_front();
         }
     }
--- a/lacewingspring_core/src/dispatch/crashes.rs
+++ b/lacewingspring_core/src/dispatch/crashes.rs
@@ -70,7 +70,9 @@
                 self.record_crash_of_unframed(now, upstream) | is_new
             }
             (End::Unreachable, Some(upstream)) => self.record_crash_of_unframed(now, upstream),
-            (End::Finished { is_framed: false, .. }, Some(upstream)) if !open.is_survived(now) => {
+            (End::Finished { is_framed: false, .. }, Some(upstream))
+                if !open.parts.is_empty() && !open.is_survived(now) =>
+            {
                 self.requests.clear(open.fingerprint);
                 // The probe ends when it is known whether the answer is complete.
                 self.unframed_ends.add(now, ticket, upstream, &open.parts);
--- a/lacewingspring_core/src/dispatch/crashing_parts.rs
+++ b/lacewingspring_core/src/dispatch/crashing_parts.rs
@@ -182,6 +182,9 @@
         upstream: &UpstreamName,
         parts: &[u64],
     ) -> bool {
+        if parts.is_empty() {
+            return false;
+        }
         self.remove_expired(now);
         let probe = self.probes.remove(&ticket);
         let crash = self.events.add(now, upstream, parts);
--- a/lacewingspring_core/tests/crashing_parts.rs
+++ b/lacewingspring_core/tests/crashing_parts.rs
@@ -510,3 +510,25 @@
     assert_eq!(grants_two(&mut gate, 11, &[SHARED_FIRST_PART]), [true, true]);
     assert_eq!(grants_two(&mut gate, 13, &[CRASHING_PART]), [true, true]);
 }
+
+#[test]
+fn remembers_a_crashing_part_beside_many_broken_requests_without_parts() {
+    let mut gate = new_gate(ms(0));
+    let mut now = ms(0);
+    let mut crash = |gate: &mut Dispatcher, number: u64, parts: &[u64]| {
+        now += secs(1) / 10;
+        let name = format!("u{number}");
+        gate.set_upstreams(now, [upstream(&name)]);
+        let decisions = gate.request_slot(now, ticket(number), request(number, parts));
+        assert!(matches!(decisions[..], [Decision::Granted(..)]), "{decisions:?}");
+        gate.end(now, ticket(number), End::Broken);
+    };
+    crash(&mut gate, 0, &[CRASHING_PART, LAST_PARTS]);
+    crash(&mut gate, 1, &[CRASHING_PART, LAST_PARTS + 1]);
+    for number in 2..300 {
+        crash(&mut gate, number, &[LAST_PARTS + number]);
+    }
+    crash(&mut gate, 300, &[CRASHING_PART, LAST_PARTS + 300]);
+    gate.set_upstreams(secs(31), [upstream("next")]);
+    assert_eq!(grants_two(&mut gate, 31_000, &[CRASHING_PART]), [true, false], "one is a probe");
+}
