Ignore stored records that can't be parsed

Found on reading the diff; callers saw nothing of it.

Cause: a gate read a record of an earlier gate until that succeeded, also where its value can't be parsed, as after a change of its format. It then neither told nor stored the usage of limits or anything else, for good.

Change: such a value is logged and ignored, and replaced by the next write. Fields that a stored hand-over lacks are taken as empty.

Measured: stored_records_that_cannot_be_read_are_replaced failed before (a blocked part was sent to a server after a restart) and passes with the rest of gate_hand_over.

--- a/lacewingspring_core/src/dispatch/hand_over.rs
+++ b/lacewingspring_core/src/dispatch/hand_over.rs
@@ -9,6 +9,7 @@
 
 /// What a gate hands over to its successor.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct HandOver {
     /// Requests that crash upstreams.
     pub blocked_requests: Vec<BlockedRequest>,
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -115,7 +115,8 @@
         self.host.take_over(clock::now(), &hand_over);
     }
 
-    /// Reads a record until that succeeds; `None` if it is no longer needed.
+    /// Reads a record until the service answers; `None` if its value can't be parsed or it is no
+    /// longer needed.
     async fn read<T, F>(&self, record: Record<T>, is_needed: F) -> Option<T>
     where
         T: Clone + Default + PartialEq + Serialize + DeserializeOwned,
@@ -123,7 +124,7 @@
     {
         while is_needed() {
             match record.read(&*self.store).await {
-                Ok(value) => return Some(value),
+                Ok(value) => return value,
                 Err(e) => {
                     warn!(error:% = e; "Reading a record of an earlier gate failed; trying again.");
                     sleep(CHECK_INTERVAL).await;
--- a/lacewingspring_proxy/src/gate/record.rs
+++ b/lacewingspring_proxy/src/gate/record.rs
@@ -82,18 +82,27 @@
         put.map_err(|_| StoreError::NoAnswer("timed out".into()))?
     }
 
-    /// Reads the stored value; the default one if there is none.
+    /// Reads the stored value; the default one if there is none, `None` if it can't be parsed.
     ///
     /// # Errors
     ///
-    /// Fails if the service does not answer or the value can't be read.
-    pub(super) async fn read<S>(&self, store: &S) -> Result<T, StoreError>
+    /// Fails if the service does not answer.
+    pub(super) async fn read<S>(&self, store: &S) -> Result<Option<T>, StoreError>
     where
         S: Store,
     {
         let page = timeout(CALL_TIMEOUT, store.range(self.key, None)).await;
         let page = page.map_err(|_| StoreError::NoAnswer("timed out".into()))??;
-        let Some(item) = page.items.first() else { return Ok(T::default()) };
-        serde_json::from_slice(&item.value).map_err(|e| StoreError::Malformed(e.to_string()))
+        let Some(item) = page.items.first() else { return Ok(Some(T::default())) };
+        match serde_json::from_slice(&item.value) {
+            Ok(value) => Ok(Some(value)),
+            Err(e) => {
+                warn!(
+                    key = self.key, error:% = e;
+                    "A record of an earlier gate can't be parsed; it is ignored."
+                );
+                Ok(None)
+            }
+        }
     }
 }
