--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -238,7 +238,7 @@
         self.close_refused(now, decisions)
     }
 
-    /// Refuses a request that crashes upstreams, and charges the budgets and limits for another one.
+    /// Refuses a request that crashes upstreams; charges the budgets and limits for another one.
     fn admit(
         &mut self,
         now: Duration,
--- a/lacewingspring_proxy/src/gate/slot.rs
+++ b/lacewingspring_proxy/src/gate/slot.rs
@@ -67,7 +67,7 @@
         self.gate.first_output(self.number, took);
     }
 
-    /// Reports the requests a second that the upstream takes; `None` if its response names no limit.
+    /// Reports the requests a second that the upstream takes; `None` if its response names none.
     pub fn rate_limit(&self, per_s: Option<f64>) {
         self.gate.rate_limit(self.number, per_s);
     }
