--- a/lacewingspring_core/tests/crashing_parts.rs
+++ b/lacewingspring_core/tests/crashing_parts.rs
@@ -5,8 +5,8 @@
 
 use lacewingspring_core::{
     dispatch::{
-        CrashedPart, Decision, Dispatcher, End, HandOver, PromptPart, SlotRequest, Ticket,
-        UpstreamInfo, Work,
+        BlockedParts, CrashedPart, Decision, Dispatcher, End, HandOver, PromptPart, SlotRequest,
+        Ticket, UpstreamInfo, Work,
     },
     names::{DataCentreName, ServiceName, UpstreamName, WorkspaceName},
 };
@@ -532,3 +532,15 @@
     gate.set_upstreams(secs(31), [upstream("next")]);
     assert_eq!(grants_two(&mut gate, 31_000, &[CRASHING_PART]), [true, false], "one is a probe");
 }
+
+#[test]
+fn refuses_the_repeat_of_a_request_with_a_blocked_part() {
+    let mut gate = new_gate(ms(0));
+    gate.set_upstreams(ms(0), [upstream("u1"), upstream("u2")]);
+    let blocked = BlockedParts { parts: vec![CRASHING_PART], left_ms: 600_000 };
+    let hand_over = HandOver { blocked_parts: vec![blocked], ..HandOver::default() };
+    gate.take_over(ms(0), ms(0), &hand_over);
+    let repeat = SlotRequest { sends: 1, ..request(1, &[CRASHING_PART, LAST_PARTS]) };
+    let decisions = gate.request_slot(ms(1), ticket(1), repeat);
+    assert!(matches!(decisions[..], [Decision::Refused(..)]), "{decisions:?}");
+}
--- a/lacewingspring_core/tests/rate_limits.rs
+++ b/lacewingspring_core/tests/rate_limits.rs
@@ -245,3 +245,21 @@
     let fraction = play.granted as f64 / play.next_number as f64;
     assert!(fraction > 0.7, "{fraction:.2} of the requests are granted a slot");
 }
+
+#[test]
+fn follows_a_limit_that_falls_and_rises() {
+    let mut play = Play::new(Some(8.0));
+    play.run_for(Duration::from_secs(5));
+    play.limit = Some(1.3);
+    play.run_for(Duration::from_secs(2));
+    let from = play.now;
+    play.run_for(WINDOW);
+    let count = play.limited_since(from);
+    assert!((1..=allowed(1.3)).contains(&count), "{count} requests in 4 s at 1.3 a second");
+    play.limit = Some(8.0);
+    play.run_for(Duration::from_secs(2));
+    let from = play.now;
+    play.run_for(WINDOW);
+    let count = play.limited_since(from);
+    assert!((20..=allowed(8.0)).contains(&count), "{count} requests in 4 s at 8 a second");
+}
