Log the software version of upstreams and which stream a request resumes

Cause: the logs could not tell the three hypotheses of the incident with software versions apart: the line of a granted slot names the upstream, but not the version of its software, and nothing says that a request takes a stream up again.

Change: the version of a server's entry and the header Resumes are decoded; the line "The request is granted a slot at an upstream." has software, resumes and last_event. Nothing is decided by them yet. The grants between instances have a new field, so all are replaced at once.

--- a/lacewingspring_core/examples/dispatch_cost.rs
+++ b/lacewingspring_core/examples/dispatch_cost.rs
@@ -15,7 +15,7 @@
 
 use lacewingspring_core::{
     dispatch::{Decision, Dispatcher, End, PromptPart, SlotRequest, Ticket, UpstreamInfo, Work},
-    names::{DataCentreName, ServiceName, UpstreamName, WorkspaceName},
+    names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName},
 };
 
 /// Number of requests in a measurement.
@@ -37,6 +37,7 @@
     UpstreamInfo {
         name: UpstreamName::from(format!("upstream-{number}")),
         service: ServiceName::from("models"),
+        software: SoftwareVersion::from("v1"),
         address: SocketAddr::from(([10, 0, 0, 1], 8000)),
         data_centre: DataCentreName::from("a"),
         slots: SLOTS,
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -314,11 +314,12 @@
     ) -> Option<Decision> {
         let state = self.upstreams.get_mut(&upstream)?;
         let run = state.start_run(now, &waiting.request.work);
-        let address = state.info.address;
+        let UpstreamInfo { address, ref software, .. } = state.info;
+        let software = software.clone();
         self.runs.insert(waiting.ticket, Running { upstream: upstream.clone(), run });
         self.rate_limits.take(now, fleet_fraction, &upstream);
         let is_limited = self.rate_limits.rate(&upstream).is_some();
-        Some(Decision::Granted(waiting.ticket, Grant { upstream, address, is_limited }))
+        Some(Decision::Granted(waiting.ticket, Grant { upstream, address, software, is_limited }))
     }
 
     /// Registers a request that already runs under a grant of another gate.
--- a/lacewingspring_core/src/dispatch/upstream.rs
+++ b/lacewingspring_core/src/dispatch/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::names::{DataCentreName, ServiceName, UpstreamName};
+use crate::names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName};
 
 /// An upstream that is known to the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,6 +11,8 @@
     pub name: UpstreamName,
     /// Service that the upstream runs.
     pub service: ServiceName,
+    /// Version of its software; empty if its entry states none.
+    pub software: SoftwareVersion,
     /// Address that it listens on.
     pub address: SocketAddr,
     /// Data centre in which it runs.
--- a/lacewingspring_core/src/dispatch/work.rs
+++ b/lacewingspring_core/src/dispatch/work.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::names::{DataCentreName, ServiceName, UpstreamName, WorkspaceName};
+use crate::names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName};
 
 /// A part of a prompt that an upstream may still hold in its KV cache.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -138,6 +138,8 @@
     pub upstream: UpstreamName,
     /// Address of the upstream.
     pub address: SocketAddr,
+    /// Version of the upstream's software.
+    pub software: SoftwareVersion,
     /// Whether the upstream has named a limit, so that the gate must know if its response does not.
     pub is_limited: bool,
 }
--- a/lacewingspring_core/src/names.rs
+++ b/lacewingspring_core/src/names.rs
@@ -61,6 +61,8 @@
     UpstreamName,
     /// Name of a service to which callers send requests.
     ServiceName,
+    /// Version of the software of an upstream, which is not that of its model weights.
+    SoftwareVersion,
     /// Name of a priority tier.
     TierName,
     /// Name of an engine pool.
--- a/lacewingspring_core/tests/crashing_parts.rs
+++ b/lacewingspring_core/tests/crashing_parts.rs
@@ -8,7 +8,7 @@
         BlockedParts, CrashedPart, Decision, Dispatcher, End, HandOver, PromptPart, SlotRequest,
         Ticket, UpstreamInfo, Work,
     },
-    names::{DataCentreName, ServiceName, UpstreamName, WorkspaceName},
+    names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName},
 };
 
 /// Time between two steps of a play.
@@ -343,6 +343,7 @@
     UpstreamInfo {
         name: UpstreamName::from(name),
         service: ServiceName::from("models"),
+        software: SoftwareVersion::from("v1"),
         address: SocketAddr::from(([10, 0, 0, 1], 8000)),
         data_centre: DataCentreName::from("a"),
         slots: 11,
--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -8,7 +8,7 @@
         Decision, Dispatcher, End, Limits, Quota, QuotaBounds, Reason, RetryBound, SlotRequest,
         Ticket, UpstreamInfo, Work,
     },
-    names::{DataCentreName, ServiceName, UpstreamName, WorkspaceName},
+    names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName},
 };
 
 const LINK: u64 = 1;
@@ -21,6 +21,7 @@
     UpstreamInfo {
         name: UpstreamName::from(name),
         service: ServiceName::from("models"),
+        software: SoftwareVersion::from("v1"),
         address: SocketAddr::from(([10, 0, 0, 1], 8000)),
         data_centre: DataCentreName::from("a"),
         slots,
--- a/lacewingspring_core/tests/rate_limits.rs
+++ b/lacewingspring_core/tests/rate_limits.rs
@@ -4,7 +4,7 @@
 
 use lacewingspring_core::{
     dispatch::{Decision, Dispatcher, End, Grant, SlotRequest, Ticket, UpstreamInfo, Work},
-    names::{DataCentreName, ServiceName, UpstreamName},
+    names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName},
 };
 
 const LIMITED: &str = "limited";
@@ -26,6 +26,7 @@
     UpstreamInfo {
         name: UpstreamName::from(name),
         service: ServiceName::from("models"),
+        software: SoftwareVersion::from("v1"),
         address: SocketAddr::from(([10, 0, 0, 1], 8000)),
         data_centre: DataCentreName::from("a"),
         slots: 4,
--- a/lacewingspring_proxy/src/protocol.rs
+++ b/lacewingspring_proxy/src/protocol.rs
@@ -24,6 +24,9 @@
     pub work: Work,
     /// Last event that the caller received of an earlier response to the same request.
     pub last_event: Option<u64>,
+    /// Id of the request whose response brought the first event of the stream that the caller takes
+    /// up again; `None` if it names none.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// Values for the headers that are added to a request when it is sent to an upstream.
--- a/lacewingspring_proxy/src/track.rs
+++ b/lacewingspring_proxy/src/track.rs
@@ -34,6 +34,11 @@
     series: Series,
     prompt_tokens: u32,
     prompt_parts: Vec<u64>,
+    /// Id of the request that brought the first event of the stream that this one resumes; empty if
+    /// it resumes none.
+    resumes: Arc<str>,
+    /// Last event that the caller has of that stream; 0 if it resumes none.
+    last_event: u64,
     began: Duration,
     target_latency: Duration,
     metrics: SharedMetrics,
@@ -71,6 +76,8 @@
             series: Series::new(workspace, admitted.rank, admitted.route.kind),
             prompt_tokens,
             prompt_parts,
+            resumes: caller.resumes.clone().unwrap_or_default(),
+            last_event: caller.last_event.unwrap_or_default(),
             began,
             target_latency: admitted.route.target_latency,
             metrics,
@@ -106,7 +113,8 @@
         info!(
             id = &*self.id, route = &*self.route, workspace = self.series.workspace.as_str(),
             version = self.version, upstream = grant.upstream.as_str(),
-            sends = attempts, waited_ms = millis(waited);
+            software = grant.software.as_str(), resumes = &*self.resumes,
+            last_event = self.last_event, sends = attempts, waited_ms = millis(waited);
             "The request is granted a slot at an upstream."
         );
     }
--- a/lacewingspring_proxy/tests/unavailable.rs
+++ b/lacewingspring_proxy/tests/unavailable.rs
@@ -4,7 +4,7 @@
 
 use lacewingspring_core::{
     dispatch::UpstreamInfo,
-    names::{DataCentreName, ServiceName, UpstreamName},
+    names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName},
 };
 use lacewingspring_proxy::{
     retry_after::{InvalidRetryAfter, MAX_RETRY_AFTER, parse_retry_after},
@@ -15,6 +15,7 @@
     UpstreamInfo {
         name: UpstreamName::from(name),
         service: ServiceName::from("app"),
+        software: SoftwareVersion::from("v1"),
         address: ([127, 0, 0, 1], 8000).into(),
         data_centre: DataCentreName::from("a"),
         slots: 4,
