Let the last attempt tell which version began a stream

Cause: a request whose first attempt fails before its first event is granted a second slot, perhaps at another version. Copies of the gate's notes kept what they knew first, so an instance that learned of both took the version of the failed attempt. Class: facts of several attempts without an order.

Change: each attempt to get a slot has a number that grows at its instance, also when it is asked for again over another link; the highest wins. At most 8,192 streams are stored, so that the record stays below half a mebibyte (tested).

--- a/lacewingspring_core/src/dispatch/known_streams.rs
+++ b/lacewingspring_core/src/dispatch/known_streams.rs
@@ -48,6 +48,15 @@
     pub software: SoftwareVersion,
 }
 
+/// A stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct KnownStream {
+    /// Digest of the id of the request that brought its first event.
+    pub id: u64,
+    /// Number of the last attempt to get a slot for it.
+    pub attempt: u64,
+}
+
 /// Streams that one process began.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamGroup {
@@ -55,6 +64,6 @@
     pub process: UpstreamProcess,
     /// Time for which the streams are remembered, in milliseconds.
     pub left_ms: u64,
-    /// Digests of the ids of the requests that brought their first events.
-    pub ids: Vec<u64>,
+    /// The streams.
+    pub streams: Vec<KnownStream>,
 }
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -16,7 +16,7 @@
     budget::RetryBound,
     finding::Finding,
     hand_over::{BlockedParts, BlockedRequest, CrashedPart, HandOver, UpstreamLimit},
-    known_streams::{KnownStreams, ServedVersion, StreamGroup, UpstreamProcess},
+    known_streams::{KnownStream, KnownStreams, ServedVersion, StreamGroup, UpstreamProcess},
     quota::{Quota, QuotaBounds, StoredUsage},
     upstream::UpstreamInfo,
     work::{
--- a/lacewingspring_core/src/dispatch/resumptions.rs
+++ b/lacewingspring_core/src/dispatch/resumptions.rs
@@ -6,7 +6,7 @@
 use super::{
     finding::Finding,
     known_streams::{KnownStreams, UpstreamProcess},
-    stream_versions::{Export, StreamVersions},
+    stream_versions::StreamVersions,
     upstream::UpstreamInfo,
     work::{Grant, Reason, Refusal, SlotRequest, StreamRef, Ticket},
 };
@@ -224,13 +224,13 @@
 
     /// Returns all that is known here, for a new gate.
     pub fn export(&self, now: Duration) -> KnownStreams {
-        KnownStreams { knows_past: self.knows_past(now), ..self.streams.export(now, Export::All) }
+        KnownStreams { knows_past: self.knows_past(now), ..self.streams.export(now) }
     }
 
     /// Returns what must outlive this instance: the streams of services with upstreams of several
     /// versions.
     pub fn export_mixed(&self, now: Duration) -> KnownStreams {
-        KnownStreams { knows_past: self.knows_past(now), ..self.streams.export(now, Export::Mixed) }
+        KnownStreams { knows_past: self.knows_past(now), ..self.streams.export_mixed(now) }
     }
 
     /// Returns whether some service has upstreams of several versions, or had lately.
--- a/lacewingspring_core/src/dispatch/stream_versions.rs
+++ b/lacewingspring_core/src/dispatch/stream_versions.rs
@@ -1,13 +1,14 @@
 //! Which process of an upstream began which stream.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, HashMap},
     sync::Arc,
     time::Duration,
 };
 
 use super::{
-    known_streams::{KnownStreams, StreamGroup, UpstreamProcess},
+    known_streams::{KnownStream, KnownStreams, StreamGroup, UpstreamProcess},
     served_versions::ServedVersions,
     upstream::UpstreamInfo,
     work::StreamRef,
@@ -17,6 +18,9 @@
 /// Largest number of streams that are remembered.
 const MAX_STREAMS: usize = 65_536;
 
+/// Largest number of streams that are stored, so that the value stays below half a mebibyte.
+const MAX_STORED_STREAMS: usize = 8_192;
+
 /// Fraction of the streams that is forgotten above [`MAX_STREAMS`].
 const EVICTED_FRACTION: usize = 4;
 
@@ -39,6 +43,8 @@
 #[derive(Debug)]
 struct StreamRecord {
     process: Arc<UpstreamProcess>,
+    /// Number of the last attempt to get a slot for it.
+    attempt: u64,
     granted_at: Duration,
     expires: Duration,
 }
@@ -95,7 +101,14 @@
     pub fn record(&mut self, now: Duration, stream: StreamRef, process: UpstreamProcess) {
         let lifetime = stream.lifetime.min(MAX_LIFETIME) + LIFETIME_MARGIN;
         self.served.lengthen_retention(lifetime);
-        self.insert(now, stream.id, lifetime, Arc::new(process));
+        let known = self.streams.get_mut(&stream.id);
+        if let Some(known) = known.filter(|_| stream.is_resumed) {
+            known.expires = known.expires.max(now + lifetime);
+            return;
+        }
+        let (process, expires) = (Arc::new(process), now + lifetime);
+        let StreamRef { id, attempt, .. } = stream;
+        self.insert(now, id, StreamRecord { process, attempt, granted_at: now, expires });
     }
 
     /// Marks streams as to be published if their services have upstreams of several versions.
@@ -112,16 +125,15 @@
         }
     }
 
-    fn insert(
-        &mut self,
-        now: Duration,
-        id: u64,
-        lifetime: Duration,
-        process: Arc<UpstreamProcess>,
-    ) {
+    /// Adds a stream, unless the same or a later attempt at it is known; returns whether it was
+    /// added.
+    fn insert(&mut self, now: Duration, id: u64, stream: StreamRecord) -> bool {
         self.prune(now);
-        let expires = now + lifetime;
-        self.streams.insert(id, StreamRecord { process, granted_at: now, expires });
+        if self.streams.get(&id).is_some_and(|known| known.attempt >= stream.attempt) {
+            return false;
+        }
+        self.streams.insert(id, stream);
+        true
     }
 
     fn prune(&mut self, now: Duration) {
@@ -161,16 +173,25 @@
         group(now, streams)
     }
 
-    /// Returns what another instance must know.
-    pub fn export(&self, now: Duration, is_exported: Export) -> KnownStreams {
-        let streams = self.streams.iter().filter(|(_, stream)| {
-            is_exported == Export::All || self.served.is_mixed(now, &stream.process.service)
+    /// Returns all that another instance must know.
+    pub fn export(&self, now: Duration) -> KnownStreams {
+        let streams = self.streams.iter().map(|(id, stream)| (*id, stream));
+        let groups = group(now, streams.filter(|(_, stream)| stream.expires > now));
+        KnownStreams { knows_past: false, versions: self.served.export(now), groups }
+    }
+
+    /// Returns what a gate must know after all instances have ended: the streams of mixed services,
+    /// and of these at most [`MAX_STORED_STREAMS`], which end last.
+    pub fn export_mixed(&self, now: Duration) -> KnownStreams {
+        let streams = self.streams.iter().map(|(id, stream)| (*id, stream));
+        let streams = streams.filter(|(_, stream)| {
+            stream.expires > now && self.served.is_mixed(now, &stream.process.service)
         });
-        KnownStreams {
-            knows_past: false,
-            versions: self.served.export(now),
-            groups: group(now, streams.map(|(id, stream)| (*id, stream))),
-        }
+        let mut streams: Vec<(u64, &StreamRecord)> = streams.collect();
+        streams.sort_unstable_by_key(|(id, stream)| (Reverse(stream.expires), *id));
+        streams.truncate(MAX_STORED_STREAMS);
+        let groups = group(now, streams);
+        KnownStreams { knows_past: false, versions: self.served.export(now), groups }
     }
 
     /// Returns whether some service has upstreams of several versions, or had within the longest
@@ -189,12 +210,13 @@
     pub fn import(&mut self, now: Duration, known: &KnownStreams) -> Vec<u64> {
         self.served.import(now, &known.versions);
         let mut new = Vec::new();
-        for StreamGroup { process, left_ms, ids } in &known.groups {
+        for StreamGroup { process, left_ms, streams } in &known.groups {
             let lifetime = Duration::from_millis(*left_ms).min(MAX_LIFETIME + LIFETIME_MARGIN);
-            let process = Arc::new(process.clone());
-            for id in ids {
-                if !self.streams.contains_key(id) {
-                    self.insert(now, *id, lifetime, process.clone());
+            let (process, expires) = (Arc::new(process.clone()), now + lifetime);
+            for KnownStream { id, attempt } in streams {
+                let (process, attempt) = (process.clone(), *attempt);
+                let stream = StreamRecord { process, attempt, granted_at: now, expires };
+                if self.insert(now, *id, stream) {
                     new.push(*id);
                 }
             }
@@ -208,29 +230,21 @@
     }
 }
 
-/// Which streams are exported.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Export {
-    /// All.
-    All,
-    /// Those of services with upstreams of several versions.
-    Mixed,
-}
-
 /// Groups streams by their process and the rest of their time.
 fn group<'a, I>(now: Duration, streams: I) -> Vec<StreamGroup>
 where
-    I: Iterator<Item = (u64, &'a StreamRecord)>,
+    I: IntoIterator<Item = (u64, &'a StreamRecord)>,
 {
-    let mut groups: BTreeMap<(&UpstreamProcess, u64), Vec<u64>> = BTreeMap::new();
-    for (id, stream) in streams.filter(|(_, stream)| stream.expires > now) {
-        let left_ms = (stream.expires - now).as_millis() as u64;
+    let mut groups: BTreeMap<(&UpstreamProcess, u64), Vec<KnownStream>> = BTreeMap::new();
+    for (id, stream) in streams {
+        let left_ms = stream.expires.saturating_sub(now).as_millis() as u64;
         let left_ms = left_ms.div_ceil(LEFT_STEP_MS) * LEFT_STEP_MS;
-        groups.entry((&*stream.process, left_ms)).or_default().push(id);
+        let known = KnownStream { id, attempt: stream.attempt };
+        groups.entry((&*stream.process, left_ms)).or_default().push(known);
     }
-    let groups = groups.into_iter().map(|((process, left_ms), mut ids)| {
-        ids.sort_unstable();
-        StreamGroup { process: process.clone(), left_ms, ids }
+    let groups = groups.into_iter().map(|((process, left_ms), mut streams)| {
+        streams.sort_unstable();
+        StreamGroup { process: process.clone(), left_ms, streams }
     });
     groups.collect()
 }
--- a/lacewingspring_core/src/dispatch/work.rs
+++ b/lacewingspring_core/src/dispatch/work.rs
@@ -49,6 +49,9 @@
     /// Whether its caller has received events of it, so that it may go on only at the software
     /// version that wrote them.
     pub is_resumed: bool,
+    /// Number of the attempt to get a slot for it, which grows at the instance of the request. Only
+    /// the upstream of the last slot can have written events.
+    pub attempt: u64,
     /// Time within which its caller may take it up again.
     pub lifetime: Duration,
 }
@@ -96,6 +99,13 @@
         self.stream.is_some_and(|stream| stream.is_resumed)
     }
 
+    /// Sets the number of the attempt to get a slot for its stream.
+    pub fn number_attempt(&mut self, number: u64) {
+        if let Some(stream) = &mut self.stream {
+            stream.attempt = number;
+        }
+    }
+
     /// Shortens the times that are left by one that has passed.
     pub fn take_off(&mut self, passed: Duration) {
         self.target_left = self.target_left.saturating_sub(passed);
--- a/lacewingspring_core/tests/resumed_streams.rs
+++ b/lacewingspring_core/tests/resumed_streams.rs
@@ -52,14 +52,20 @@
         sends: 0,
         avoid: Vec::new(),
         fingerprint: id,
-        stream: Some(StreamRef { id, is_resumed: false, lifetime: LIFETIME }),
+        stream: Some(StreamRef { id, is_resumed: false, attempt: 0, lifetime: LIFETIME }),
         software: None,
     }
 }
 
+/// The second attempt of a request that begins a stream.
+fn begin_again(id: u64) -> SlotRequest {
+    let stream = Some(StreamRef { id, is_resumed: false, attempt: 1, lifetime: LIFETIME });
+    SlotRequest { stream, ..begin(id) }
+}
+
 /// A request that takes a stream up again.
 fn resume(id: u64) -> SlotRequest {
-    let stream = Some(StreamRef { id, is_resumed: true, lifetime: LIFETIME });
+    let stream = Some(StreamRef { id, is_resumed: true, attempt: 0, lifetime: LIFETIME });
     SlotRequest { stream, ..begin(id) }
 }
 
@@ -157,7 +163,7 @@
     let mut gate = gate(&[upstream("a", "v1", 1), upstream("b", "v2", 1)]);
     assert_eq!(request(&mut gate, ms(0), 1, begin(1)), granted("a"));
     gate.end(ms(10), ticket(1), End::Unreachable);
-    let again = SlotRequest { avoid: vec![UpstreamName::from("a")], ..begin(1) };
+    let again = SlotRequest { avoid: vec![UpstreamName::from("a")], ..begin_again(1) };
     assert_eq!(request(&mut gate, ms(20), 2, again), granted("b"));
     gate.end(ms(300), ticket(2), End::Broken);
     assert_eq!(request(&mut gate, ms(1_000), 3, resume(1)), granted("b"));
@@ -262,7 +268,8 @@
     request(&mut gate, ms(0), 1, begin(1));
     assert!(!gate.has_unpublished_streams() && gate.mixed_streams(ms(10)).is_empty());
     gate.set_upstreams(ms(20), vec![upstream("a", "v1", 9), upstream("b", "v2", 9)]);
-    let count = |known: &KnownStreams| -> usize { known.groups.iter().map(|g| g.ids.len()).sum() };
+    let count =
+        |known: &KnownStreams| -> usize { known.groups.iter().map(|g| g.streams.len()).sum() };
     assert_eq!(count(&gate.take_unpublished_streams(ms(30))), 1, "those that began before");
     request(&mut gate, ms(40), 2, begin(2));
     assert_eq!(count(&gate.take_unpublished_streams(ms(50))), 1);
@@ -281,10 +288,13 @@
         gate.end(now, ticket(id), End::Cancelled);
     }
     let known = gate.known_streams(ms(700));
-    let count: usize = known.groups.iter().map(|group| group.ids.len()).sum();
+    let count: usize = known.groups.iter().map(|group| group.streams.len()).sum();
     assert!((49_000..=65_536).contains(&count), "{count} streams are remembered");
-    let newest = known.groups.iter().any(|group| group.ids.contains(&69_999));
-    assert!(newest, "the newest are kept");
+    let mut streams = known.groups.iter().flat_map(|group| &group.streams);
+    assert!(streams.any(|stream| stream.id == 69_999), "the newest are kept");
+    gate.set_upstreams(ms(700), vec![upstream("a", "v1", 1_000), upstream("b", "v2", 1_000)]);
+    let stored = serde_json::to_vec(&gate.mixed_streams(ms(700))).expect("a record");
+    assert!(stored.len() < 512 * 1024, "the record has {} bytes", stored.len());
 }
 
 /// Counts of a played release.
@@ -405,7 +415,11 @@
                 }
                 2 => {
                     asked = Some(false);
-                    gate.request_slot(now, ticket(number), begin(stream))
+                    let lifetime = LIFETIME;
+                    let attempt =
+                        StreamRef { id: stream, is_resumed: false, attempt: number, lifetime };
+                    let request = SlotRequest { stream: Some(attempt), ..begin(stream) };
+                    gate.request_slot(now, ticket(number), request)
                 }
                 _ => {
                     asked = Some(true);
@@ -432,3 +446,28 @@
         TestResult::passed()
     }
 }
+
+/// A gate's message with the streams that it has granted slots since the last one.
+fn message(gate: &mut Dispatcher, now: Duration) -> KnownStreams {
+    gate.take_unpublished_streams(now)
+}
+
+#[test]
+fn an_instance_follows_the_last_attempt_of_a_stream_whichever_it_learns_first() {
+    let both = [upstream("a", "v1", 1), upstream("b", "v2", 1)];
+    let mut first_gate = gate(&both);
+    assert_eq!(request(&mut first_gate, ms(0), 1, begin(1)), granted("a"));
+    let first = message(&mut first_gate, ms(20));
+    first_gate.end(ms(30), ticket(1), End::Unreachable);
+    let again = SlotRequest { avoid: vec![UpstreamName::from("a")], ..begin_again(1) };
+    assert_eq!(request(&mut first_gate, ms(40), 2, again), granted("b"));
+    let second = message(&mut first_gate, ms(60));
+    for messages in [[&first, &second], [&second, &first]] {
+        let mut other = gate(&both);
+        for known in messages {
+            other.learn_streams(ms(70), known);
+        }
+        let software = other.software_of(ms(80), &resume(1));
+        assert_eq!(software, Some(SoftwareVersion::from("v2")));
+    }
+}
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -349,7 +349,8 @@
         let first_id = resumes.as_ref().unwrap_or(id);
         let is_resumed = resumes.is_some() || last_event.is_some_and(|event| event > 0);
         let lifetime = timeout.unwrap_or(self.admitted.route.timeout);
-        let stream = StreamRef { id: digest(first_id), is_resumed, lifetime };
+        // The client of the gate numbers the attempts.
+        let stream = StreamRef { id: digest(first_id), is_resumed, attempt: 0, lifetime };
         self.admitted.route.kind.is_stream().then_some(stream)
     }
 }
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -127,7 +127,8 @@
         if request.is_resumed() {
             request.software = self.host.software_of(now, &request);
         }
-        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let number = self.next_number();
+        request.number_attempt(number);
         let (tx, rx) = oneshot::channel();
         let mut state = self.state();
         state.send(ToGate::RequestSlot { number, request: request.clone() });
@@ -137,6 +138,10 @@
         PendingSlot::new(self.clone(), number, rx)
     }
 
+    fn next_number(&self) -> u64 {
+        self.next_number.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Reports the first event of a response.
     pub(super) fn first_output(&self, number: u64, took: Duration) {
         self.state().send(ToGate::FirstOutput { number, took });
@@ -265,6 +270,8 @@
         for (number, pending) in pending.iter_mut() {
             let waited = now.saturating_sub(pending.requested_at);
             pending.request.take_off(waited);
+            // The gate before may have granted a slot without this instance having learned of it.
+            pending.request.number_attempt(self.next_number());
             pending.requested_at = now;
             pending.is_acknowledged = false;
             let _ = gate_tx
