--- a/lacewingspring_core/src/dispatch/finding.rs
+++ b/lacewingspring_core/src/dispatch/finding.rs
@@ -45,6 +45,13 @@
         /// The service.
         service: ServiceName,
     },
+    /// No connection to an upstream could be made from an instance.
+    Unreachable {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// Connection to the gate of the instance.
+        link: u64,
+    },
     /// A run with suspected parts broke off; requests with all of them are refused.
     Blocked {
         /// Digests of the parts.
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -340,6 +340,10 @@
         let Some(pool) = self.pools.get(&open.service) else { return Vec::new() };
         let upstream = pool.upstream_of(ticket);
         let is_new_crash = self.crashes.record_end(now, ticket, &open, upstream, end);
+        if let (End::Unreachable, Some(upstream)) = (end, upstream) {
+            let finding = Finding::Unreachable { upstream: upstream.clone(), link: ticket.link };
+            self.findings.push(finding);
+        }
         let is_unsent =
             matches!(end, End::Unreachable | End::Misdirected | End::Leaving | End::Unused);
         if let Some(charge) = &open.charge
--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -5,8 +5,8 @@
 
 use lacewingspring_core::{
     dispatch::{
-        Decision, Dispatcher, End, Limits, Quota, QuotaBounds, Reason, RetryBound, SlotRequest,
-        Ticket, UpstreamInfo, Work,
+        Decision, Dispatcher, End, Finding, Limits, Quota, QuotaBounds, Reason, RetryBound,
+        SlotRequest, Ticket, UpstreamInfo, Work,
     },
     names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName},
 };
@@ -638,3 +638,12 @@
     assert_eq!(granted(&dispatcher.request_slot(ms(0), ticket(2), request("a"))).len(), 0);
     assert_eq!(granted(&dispatcher.end(ms(1), ticket(1), finished(10, 0))), [(2, "u")]);
 }
+
+#[test]
+fn reports_which_instance_cannot_connect_to_an_upstream() {
+    let mut dispatcher = dispatcher(&[upstream("s1", 1)]);
+    dispatcher.request_slot(ms(0), ticket(1), request("a"));
+    dispatcher.end(ms(400), ticket(1), End::Unreachable);
+    let finding = Finding::Unreachable { upstream: UpstreamName::from("s1"), link: LINK };
+    assert_eq!(dispatcher.take_findings(), [finding]);
+}
--- a/lacewingspring_proxy/src/gate/findings.rs
+++ b/lacewingspring_proxy/src/gate/findings.rs
@@ -32,6 +32,10 @@
             service = service.as_str();
             "Upstreams have several software versions; a stream goes on only at its own."
         ),
+        Finding::Unreachable { upstream, link } => info!(
+            upstream = upstream.as_str(), link;
+            "An instance can't connect to an upstream, which gets no requests for a while."
+        ),
         Finding::Blocked { parts } => warn!(
             parts:% = PartIds(parts);
             "A run with suspected prompt parts broke off; requests with all of them are refused."
