--- a/lacewingspring_proxy/src/exchange.rs
+++ b/lacewingspring_proxy/src/exchange.rs
@@ -1,8 +1,10 @@
 //! One HTTP/1.1 exchange with an upstream, on a connection of its own.
 
 use std::{
+    fmt::Debug,
     io,
     net::SocketAddr,
+    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -16,7 +18,7 @@
 use hyper::{body::Incoming, client::conn::http1, ext::on_informational};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
-use tokio::{sync::Notify, task::AbortHandle};
+use tokio::{net::TcpStream, sync::Notify, task::AbortHandle};
 
 use crate::{framing::Framing, net};
 
@@ -66,13 +68,27 @@
     pub connection: ConnectionGuard,
 }
 
-/// Connects to an upstream.
-///
-/// # Errors
-///
-/// Fails if the upstream refuses the connection or does not accept it in time.
-pub async fn connect(address: SocketAddr) -> Result<tokio::net::TcpStream, ExchangeError> {
-    Ok(net::connect(address, CONNECT_TIMEOUT).await?)
+/// Result of opening a connection.
+pub type ConnectFuture<'a> = Pin<Box<dyn Future<Output = io::Result<TcpStream>> + Send + 'a>>;
+
+/// Opens connections to upstreams.
+pub trait Connect: Debug + Send + Sync {
+    /// Connects to an address.
+    ///
+    /// # Errors
+    ///
+    /// The future fails if the connection is refused or not accepted in time.
+    fn connect(&self, address: SocketAddr) -> ConnectFuture<'_>;
+}
+
+/// Opens TCP connections.
+#[derive(Clone, Copy, Debug)]
+pub struct TcpConnector;
+
+impl Connect for TcpConnector {
+    fn connect(&self, address: SocketAddr) -> ConnectFuture<'_> {
+        Box::pin(net::connect(address, CONNECT_TIMEOUT))
+    }
 }
 
 /// Sends a request on a new connection and waits for the head of the response.
@@ -82,7 +98,7 @@
 /// Fails if the connection breaks, the response is not valid HTTP/1.1, or too many informational
 /// responses come before it.
 pub async fn send(
-    stream: tokio::net::TcpStream,
+    stream: TcpStream,
     mut req: Request<Full<Bytes>>,
 ) -> Result<UpstreamResponse, ExchangeError> {
     let mut builder = http1::Builder::new();
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -24,7 +24,7 @@
     attempt::Attempt,
     clock,
     declared::Declared,
-    exchange::{self, ExchangeError, UpstreamResponse},
+    exchange::{self, Connect, ExchangeError, UpstreamResponse},
     gate::{link::GateClient, slot::Slot},
     metrics::SharedMetrics,
     protocol::{CallerHead, Protocol, SendHead},
@@ -55,6 +55,8 @@
     pub declared: Arc<ArcSwapOption<Declared>>,
     /// Upstreams that get no new requests from this instance.
     pub unavailable: Arc<UnavailableUpstreams>,
+    /// Opens connections to upstreams.
+    pub upstreams: Arc<dyn Connect>,
     /// Client of the gate, which grants slots.
     pub gate: Arc<GateClient>,
     /// Metrics of this instance.
@@ -272,7 +274,7 @@
         attempt: &Attempt,
     ) -> Result<UpstreamResponse, ExchangeError> {
         let grant = attempt.grant();
-        let stream = exchange::connect(grant.address).await?;
+        let stream = self.upstreams.connect(grant.address).await?;
         let send = SendHead {
             upstream: &grant.upstream,
             workspace: job.admitted.workspace.as_ref().map(|workspace| &workspace.name),
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -16,6 +16,7 @@
     clock,
     counted::CountedStore,
     declared::{CallerLimits, Declared},
+    exchange::Connect,
     follow::Follower,
     gate::{host::GateHost, ledger::Ledger, link::GateClient},
     members::{MEMBERS_PREFIX, Member, Members, Registration, SharedMembers, random_incarnation},
@@ -68,6 +69,8 @@
     pub protocol: Arc<P>,
     /// Decoder of the entries in the key-value service.
     pub decoder: Arc<T>,
+    /// Opens connections to upstreams.
+    pub upstreams: Arc<dyn Connect>,
 }
 
 /// State of the fleet as this instance knows it, shared by its tasks.
@@ -176,6 +179,7 @@
         store: Arc::new(store),
         protocol: components.protocol,
         decoder: components.decoder,
+        upstreams: components.upstreams,
     };
     let replicas = Arc::new(Replicas::default());
     let host = Arc::new(GateHost::new(
--- a/lacewingspring_proxy/src/instance/serve.rs
+++ b/lacewingspring_proxy/src/instance/serve.rs
@@ -74,6 +74,7 @@
         data_centre: settings.data_centre.clone(),
         declared: state.declared.clone(),
         unavailable: state.unavailable.clone(),
+        upstreams: components.upstreams.clone(),
         gate,
         metrics: state.metrics.clone(),
     });
