Pass requests on while an instance reaches no upstream

Cause: each failed connection was judged by itself. The instance went on trying upstreams, 400 ms each, and refused, though other instances reached all of them. Class: a fault of a pair taken for one of its far end.

A request that reached no upstream in all its attempts is passed on, too. What may have run is not passed on.

--- a/lacewingspring_proxy/src/answer.rs
+++ b/lacewingspring_proxy/src/answer.rs
@@ -18,6 +18,7 @@
     clock,
     exchange::{ConnectionGuard, UpstreamResponse},
     framing::BodyProgress,
+    pass_on::PassedBody,
 };
 
 /// Why a response body ends before it is complete.
@@ -44,6 +45,8 @@
     Buffered(Full<Bytes>),
     /// A body that is passed on as the upstream sends it.
     Streamed(Box<StreamedBody>),
+    /// A body that another instance sends.
+    PassedOn(Box<PassedBody>),
 }
 
 /// Body that is passed on as the upstream sends it, and that ends its [`Attempt`].
@@ -185,6 +188,7 @@
                 Poll::Ready(next.map(|frame| frame.map_err(|never| match never {})))
             }
             Self::Streamed(body) => body.poll(cx),
+            Self::PassedOn(body) => body.poll(cx),
         }
     }
 
@@ -192,6 +196,7 @@
         match self {
             Self::Buffered(body) => body.is_end_stream(),
             Self::Streamed(body) => body.is_end_stream(),
+            Self::PassedOn(body) => body.is_end_stream(),
         }
     }
 
@@ -199,6 +204,7 @@
         match self {
             Self::Buffered(body) => body.size_hint(),
             Self::Streamed(body) => body.body.size_hint(),
+            Self::PassedOn(body) => body.size_hint(),
         }
     }
 }
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -27,11 +27,13 @@
     exchange::{self, Connect, ExchangeError, UpstreamResponse},
     gate::{link::GateClient, slot::Slot},
     metrics::SharedMetrics,
+    pass_on::{OtherInstances, PassedOn, mark_no_path, take_mark},
     protocol::{CallerHead, Protocol, SendHead},
     refusal::{ErrorResponse, Failure},
     relay::{Outcome, Relay, UpstreamError},
     track::RequestTrace,
     unavailable::UnavailableUpstreams,
+    upstream_path::{self, UpstreamPath},
 };
 
 /// Time reserved for passing a response back to the caller; the deadlines that the gate gets are
@@ -57,6 +59,10 @@
     pub unavailable: Arc<UnavailableUpstreams>,
     /// Opens connections to upstreams.
     pub upstreams: Arc<dyn Connect>,
+    /// Whether this instance reaches upstreams.
+    pub path: Arc<UpstreamPath>,
+    /// Instances that take requests while it reaches none.
+    pub others: OtherInstances,
     /// Client of the gate, which grants slots.
     pub gate: Arc<GateClient>,
     /// Metrics of this instance.
@@ -74,6 +80,17 @@
     fingerprint: u64,
     began: Duration,
     deadline: Duration,
+    /// Whether another instance has passed the request on to this one.
+    is_passed_on: bool,
+}
+
+/// An admitted request whose body has not been read.
+struct Received<'a> {
+    head: &'a Parts,
+    body: Incoming,
+    caller: CallerHead,
+    admitted: Admitted,
+    is_passed_on: bool,
 }
 
 /// Attempts made for a request so far.
@@ -104,17 +121,23 @@
     }
 
     async fn respond(&self, began: Duration, req: Request<Incoming>) -> Response<ResponseBody> {
-        let (head, body) = req.into_parts();
+        let (mut head, body) = req.into_parts();
+        let is_passed_on = take_mark(&mut head.headers);
         let caller = self.protocol.caller_head(&head.headers);
         let admitted = match self.admit(&head, &caller) {
             Ok(admitted) => admitted,
             Err(failure) => return self.refuse_unadmitted(began, &caller, failure),
         };
         let trace = Arc::new(RequestTrace::new(began, &caller, &admitted, self.metrics.clone()));
-        let result = self.forward(began, &head, body, caller, admitted, trace.clone()).await;
+        let received = Received { head: &head, body, caller, admitted, is_passed_on };
+        let result = self.forward(began, received, trace.clone()).await;
         result.unwrap_or_else(|error| {
             trace.refused(clock::now(), &error);
-            buffered(error.into_response())
+            let mut response = error.into_response();
+            if is_passed_on && error.failure == Failure::Unreachable {
+                mark_no_path(response.headers_mut());
+            }
+            buffered(response)
         })
     }
 
@@ -147,23 +170,41 @@
     async fn forward(
         &self,
         began: Duration,
-        head: &Parts,
-        body: Incoming,
-        caller: CallerHead,
-        admitted: Admitted,
+        received: Received<'_>,
         trace: Arc<RequestTrace>,
     ) -> Result<Response<ResponseBody>, ErrorResponse> {
+        let Received { head, body, caller, admitted, is_passed_on } = received;
         let deadline = began + admitted.timeout;
         let body =
             timeout_at(clock::instant(deadline), read_body(body, admitted.max_body_bytes)).await;
         let body = body.map_err(|_| Failure::TimeoutBeforeSend)??;
         let service = admitted.route.choose().ok_or(Failure::NotFound)?.clone();
         let fingerprint = fingerprint(head, &admitted, &body);
-        let job =
-            Job { head, body, caller, admitted, trace, service, fingerprint, began, deadline };
+        let job = Job {
+            head,
+            body,
+            caller,
+            admitted,
+            trace,
+            service,
+            fingerprint,
+            began,
+            deadline,
+            is_passed_on,
+        };
         self.send_with_retries(job).await
     }
 
+    /// Sends a request that has not run through another instance, unless one has done so already.
+    async fn pass_on(&self, job: &Job<'_>) -> Result<Response<ResponseBody>, ErrorResponse> {
+        if job.is_passed_on {
+            return Err(declined_error(Failure::Unreachable));
+        }
+        let (head, body, trace) = (job.head, job.body.clone(), &job.trace);
+        let request = PassedOn { head, body, deadline: job.deadline, trace };
+        self.others.pass_on(&*self.protocol, request).await
+    }
+
     /// Sends a request to one upstream after another, until one of them answers it or no further
     /// attempt is allowed.
     async fn send_with_retries(
@@ -174,6 +215,9 @@
         let max_attempts = job.admitted.route.max_attempts;
         let is_repeatable = job.admitted.route.kind.is_repeatable();
         loop {
+            if self.path.is_lost() && !attempts.may_have_run {
+                return self.pass_on(&job).await;
+            }
             let slot = match self.acquire_slot(&job, &attempts).await {
                 Ok(slot) => slot,
                 Err(error) => return job.final_response(attempts, error),
@@ -188,6 +232,9 @@
                 {
                     attempts.unreachable += 1;
                 }
+                Outcome::NotRun(Failure::Unreachable) if !attempts.may_have_run => {
+                    return self.pass_on(&job).await;
+                }
                 Outcome::NotRun(failure) => {
                     attempts.counted += 1;
                     if attempts.counted >= max_attempts {
@@ -274,7 +321,9 @@
         attempt: &Attempt,
     ) -> Result<UpstreamResponse, ExchangeError> {
         let grant = attempt.grant();
-        let stream = self.upstreams.connect(grant.address).await?;
+        let stream = self.upstreams.connect(grant.address).await;
+        upstream_path::record(&self.path, &grant.upstream, &stream);
+        let stream = stream?;
         let send = SendHead {
             upstream: &grant.upstream,
             workspace: job.admitted.workspace.as_ref().map(|workspace| &workspace.name),
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -28,6 +28,7 @@
     settings::Settings,
     store::Store,
     unavailable::UnavailableUpstreams,
+    upstream_path::UpstreamPath,
 };
 
 mod serve;
@@ -76,7 +77,8 @@
 /// State of the fleet as this instance knows it, shared by its tasks.
 struct SharedState {
     declared: Arc<ArcSwapOption<Declared>>,
-    upstreams: ArcSwap<Vec<UpstreamInfo>>,
+    upstreams: Arc<ArcSwap<Vec<UpstreamInfo>>>,
+    path: Arc<UpstreamPath>,
     unavailable: Arc<UnavailableUpstreams>,
     members: SharedMembers,
     host: Arc<GateHost>,
@@ -190,9 +192,11 @@
     let name = settings.instance.clone();
     let gate = GateClient::new(name, members.clone(), replicas.clone(), host.clone());
     let gate = Arc::new(gate);
+    let upstreams = Arc::<ArcSwap<Vec<UpstreamInfo>>>::default();
     let state = Arc::new(SharedState {
         declared: Arc::default(),
-        upstreams: ArcSwap::default(),
+        path: Arc::new(UpstreamPath::new(upstreams.clone())),
+        upstreams,
         unavailable: Arc::default(),
         members: members.clone(),
         host: host.clone(),
@@ -204,6 +208,7 @@
     tokio::spawn(host.clone().run_ticks());
     tokio::spawn(host.clone().push_updates());
     tokio::spawn(host.clone().publish_streams());
+    tokio::spawn(state.path.clone().run_probes(components.upstreams.clone()));
     tokio::spawn(Ledger { store: components.store.clone(), host: host.clone() }.run());
     tokio::spawn(gate.clone().run());
     tokio::spawn(log_bind_error("peers", host.serve(settings.listen.peers)));
--- a/lacewingspring_proxy/src/instance/serve.rs
+++ b/lacewingspring_proxy/src/instance/serve.rs
@@ -1,6 +1,10 @@
 //! Starts the HTTP servers of an instance.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    io,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
@@ -18,6 +22,7 @@
     forward::Forwarder,
     gate::link::GateClient,
     members::Member,
+    pass_on::OtherInstances,
     protocol::Protocol,
     server::{ConnectionLimits, OpenConnections, Server},
     settings::Settings,
@@ -75,6 +80,13 @@
         declared: state.declared.clone(),
         unavailable: state.unavailable.clone(),
         upstreams: components.upstreams.clone(),
+        path: state.path.clone(),
+        others: OtherInstances {
+            instance: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            members: state.members.clone(),
+            avoided: Mutex::default(),
+        },
         gate,
         metrics: state.metrics.clone(),
     });
--- a/lacewingspring_proxy/src/lib.rs
+++ b/lacewingspring_proxy/src/lib.rs
@@ -3,7 +3,8 @@
 //! The path of a request: [`server`] reads it, [`admission`] finds its route and workspace, the
 //! [`gate`] decides when and where it runs, [`forward`] makes an [`attempt`] at that upstream
 //! through [`exchange`], [`relay`] passes the response on as a body of [`answer`], and [`track`] logs
-//! each step. [`framing`] and [`events`] tell whether a body is complete. Error responses of the proxy
+//! each step. While the [`upstream_path`] of this instance is lost, [`pass_on`] sends requests through
+//! another instance. [`framing`] and [`events`] tell whether a body is complete. Error responses of the proxy
 //! itself come from [`refusal`].
 //!
 //! Separate tasks keep the configuration and the lists of upstreams and instances up to date;
@@ -29,6 +30,7 @@
 pub mod mirror;
 pub mod net;
 mod part_ids;
+pub mod pass_on;
 pub mod protocol;
 pub mod refusal;
 pub mod relay;
@@ -39,3 +41,4 @@
 pub mod store;
 pub mod track;
 pub mod unavailable;
+pub mod upstream_path;
--- a/lacewingspring_proxy/src/protocol.rs
+++ b/lacewingspring_proxy/src/protocol.rs
@@ -86,6 +86,10 @@
     /// Returns the headers of a request to an upstream, from those of the caller.
     fn upstream_headers(&self, caller: &HeaderMap, send: &SendHead<'_>) -> HeaderMap;
 
+    /// Returns the headers of a caller's request that is passed on to another instance, whose
+    /// response must be complete within `time_left`.
+    fn passed_on_headers(&self, caller: &HeaderMap, time_left: Duration) -> HeaderMap;
+
     /// Parses the status and headers of an upstream's response.
     fn response_head(&self, status: u16, headers: &HeaderMap) -> ResponseHead;
 
--- a/lacewingspring_proxy/src/track.rs
+++ b/lacewingspring_proxy/src/track.rs
@@ -106,6 +106,32 @@
         now.saturating_sub(self.began)
     }
 
+    /// Records that the request is passed on to another instance.
+    pub fn passed_on(&self, now: Duration, instance: &str) {
+        info!(
+            id = &*self.id, route = &*self.route, instance, took_ms = millis(self.elapsed(now));
+            "The request is passed on to another instance."
+        );
+    }
+
+    /// Records that the instance that the request was passed on to responds.
+    pub fn passed_back(&self, now: Duration, instance: &str, status: u16) {
+        let elapsed = self.elapsed(now);
+        self.end("passed_on", elapsed);
+        info!(
+            id = &*self.id, route = &*self.route, instance, status, took_ms = millis(elapsed);
+            "Another instance responds to the request."
+        );
+    }
+
+    /// Records that the response of the other instance ends before it is complete.
+    pub fn passed_back_cut(&self, now: Duration, reason: &str) {
+        info!(
+            id = &*self.id, route = &*self.route, reason, took_ms = millis(self.elapsed(now));
+            "The response of another instance ends before it is complete."
+        );
+    }
+
     /// Records that the request was granted a slot; `attempts` were counted for it before.
     pub fn slot_granted(&self, now: Duration, attempts: u32, grant: &Grant) {
         let waited = self.elapsed(now);
