Keep upstreams in use that only an instance without a path can't reach

Change: the gate notes to which upstreams an instance's connections failed since one was answered; from the third on the fault is taken for the instance's, and the upstream is neither backed off nor counted as crashed. The gate's log line has backs_off.

Result: core test an_instance_without_a_path_does_not_back_upstreams_off_for_the_others: with the limit out of reach, as before, no request of the others is granted a slot, now three are.

--- a/lacewingspring_core/src/dispatch/finding.rs
+++ b/lacewingspring_core/src/dispatch/finding.rs
@@ -51,6 +51,9 @@
         upstream: UpstreamName,
         /// Connection to the gate of the instance.
         link: u64,
+        /// Whether the upstream gets no requests for a while; not if the fault is taken for that of
+        /// the instance.
+        backs_off: bool,
     },
     /// A run with suspected parts broke off; requests with all of them are refused.
     Blocked {
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -26,6 +26,7 @@
 use self::{
     budget::RetryBudgets,
     crashes::Crashes,
+    link_paths::LinkPaths,
     open_request::{Charge, OpenRequest},
     pool::Pool,
     quota::Quotas,
@@ -42,6 +43,7 @@
 mod finding;
 mod hand_over;
 mod known_streams;
+mod link_paths;
 mod open_request;
 mod pool;
 mod queue;
@@ -97,6 +99,7 @@
     retries: RetryBudgets,
     crashes: Crashes,
     resumptions: Resumptions,
+    link_paths: LinkPaths,
     findings: Vec<Finding>,
     refusals: RefusalHistory,
     fleet_fraction: f64,
@@ -113,6 +116,7 @@
             retries: RetryBudgets::default(),
             crashes: Crashes::default(),
             resumptions: Resumptions::default(),
+            link_paths: LinkPaths::default(),
             findings: Vec::new(),
             refusals: RefusalHistory::default(),
             fleet_fraction: 0.0,
@@ -315,6 +319,7 @@
     pub fn first_output(&mut self, now: Duration, ticket: Ticket, took: Duration) {
         let Some(open) = self.open.get_mut(&ticket) else { return };
         open.first_output_at.get_or_insert(now);
+        self.link_paths.record_response(ticket.link);
         if let Some(pool) = self.pools.get_mut(&open.service) {
             pool.first_output(ticket, took);
         }
@@ -338,12 +343,10 @@
         self.resumptions.remove(ticket);
         let Some(open) = self.open.remove(&ticket) else { return Vec::new() };
         let Some(pool) = self.pools.get(&open.service) else { return Vec::new() };
-        let upstream = pool.upstream_of(ticket);
+        let upstream = pool.upstream_of(ticket).cloned();
+        let end = self.judge_connection(ticket, &open, upstream.as_ref(), end);
+        let upstream = upstream.as_ref();
         let is_new_crash = self.crashes.record_end(now, ticket, &open, upstream, end);
-        if let (End::Unreachable, Some(upstream)) = (end, upstream) {
-            let finding = Finding::Unreachable { upstream: upstream.clone(), link: ticket.link };
-            self.findings.push(finding);
-        }
         let is_unsent =
             matches!(end, End::Unreachable | End::Misdirected | End::Leaving | End::Unused);
         if let Some(charge) = &open.charge
@@ -359,6 +362,33 @@
         self.settle(now, decisions)
     }
 
+    /// Decides whether a connection that failed says something of its upstream; if not, the upstream
+    /// was not used.
+    fn judge_connection(
+        &mut self,
+        ticket: Ticket,
+        open: &OpenRequest,
+        upstream: Option<&UpstreamName>,
+        end: End,
+    ) -> End {
+        match (end, upstream) {
+            (End::Unreachable, Some(upstream)) => {
+                let backs_off = self.link_paths.record_failure(ticket.link, upstream);
+                let (link, upstream) = (ticket.link, upstream.clone());
+                self.findings.push(Finding::Unreachable { upstream, link, backs_off });
+                if backs_off { end } else { End::Unused }
+            }
+            // A stream that had begun may go on over a connection from before.
+            (End::Finished { .. } | End::Failed | End::Declined | End::Misdirected, Some(_))
+                if open.first_output_at.is_none() =>
+            {
+                self.link_paths.record_response(ticket.link);
+                end
+            }
+            _ => end,
+        }
+    }
+
     /// Refuses the waiting requests that may not be sent since the latest crash.
     fn refuse_crashing_waiting(&mut self, now: Duration) -> Vec<Decision> {
         let Self { open, crashes, pools, .. } = self;
@@ -387,6 +417,7 @@
         self.open.retain(|ticket, _| ticket.link != link);
         self.crashes.end_link(link);
         self.resumptions.end_link(link);
+        self.link_paths.record_response(link);
         for pool in self.pools.values_mut() {
             pool.end_link(now, link);
         }
--- a/lacewingspring_proxy/src/gate/findings.rs
+++ b/lacewingspring_proxy/src/gate/findings.rs
@@ -32,9 +32,9 @@
             service = service.as_str();
             "Upstreams have several software versions; a stream goes on only at its own."
         ),
-        Finding::Unreachable { upstream, link } => info!(
-            upstream = upstream.as_str(), link;
-            "An instance can't connect to an upstream, which gets no requests for a while."
+        Finding::Unreachable { upstream, link, backs_off } => info!(
+            upstream = upstream.as_str(), link, backs_off;
+            "An instance can't connect to an upstream."
         ),
         Finding::Blocked { parts } => warn!(
             parts:% = PartIds(parts);
