Leave room at servers that crash if they have to decline requests

Cause: nothing read Server-Brittle, and the gate sends an upstream an eighth (short calls: a sixth) more requests than it has slots, which it then has to queue or decline.

Change: the instance that reads the header tells the gate, which takes all upstreams of the service for brittle until two seconds after the last such answer: each gets one request less than it has slots, and none for a second after it declined one. Message between instances: a new one, so all are replaced at once.

--- a/lacewingspring_core/src/dispatch/finding.rs
+++ b/lacewingspring_core/src/dispatch/finding.rs
@@ -45,6 +45,11 @@
         /// The service.
         service: ServiceName,
     },
+    /// The upstreams of a service may crash if they have to decline requests.
+    Brittle {
+        /// The service.
+        service: ServiceName,
+    },
     /// No connection to an upstream could be made from an instance.
     Unreachable {
         /// The upstream.
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -338,6 +338,15 @@
         });
     }
 
+    /// Records that the upstream of a run may crash if it has to decline requests.
+    pub fn set_brittle(&mut self, now: Duration, ticket: Ticket) {
+        let Some(open) = self.open.get(&ticket) else { return };
+        let pool = self.pools.get_mut(&open.service);
+        if pool.is_some_and(|pool| pool.set_brittle(now)) {
+            self.findings.push(Finding::Brittle { service: open.service.clone() });
+        }
+    }
+
     /// Ends a request, whether it waits or runs, and dispatches to the slot that it frees.
     pub fn end(&mut self, now: Duration, ticket: Ticket, end: End) -> Vec<Decision> {
         self.resumptions.remove(ticket);
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -53,6 +53,12 @@
 /// Mean service time up to which calls count as short.
 const SHORT_SERVICE_TIME: Duration = Duration::from_millis(150);
 
+/// Time after the last statement of an upstream for which all of its service count as brittle.
+const BRITTLE_TIME: Duration = Duration::from_secs(2);
+
+/// Time for which a brittle upstream that declined a request gets no further ones.
+const BRITTLE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Shortest retry-after time of a refusal.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -78,6 +84,10 @@
     service_time: Duration,
     /// Time at which the latest refused caller is expected to retry.
     last_retry_at: Duration,
+    /// Time until which the upstreams count as brittle: they may crash if they decline requests.
+    brittle_until: Duration,
+    /// Time until which each brittle upstream gets no requests, as it has declined one.
+    declined_until: HashMap<UpstreamName, Duration>,
 }
 
 impl Default for Pool {
@@ -89,6 +99,8 @@
             rate_limits: RateLimits::default(),
             service_time: ASSUMED_SERVICE_TIME,
             last_retry_at: Duration::ZERO,
+            brittle_until: Duration::ZERO,
+            declined_until: HashMap::new(),
         }
     }
 }
@@ -163,7 +175,7 @@
         let mut decisions = self.dispatch_waiting(now, fleet_fraction);
         let waiting = self.queue.get(ticket).filter(|waiting| !waiting.request.is_resumed());
         let refusal = waiting.and_then(|waiting| {
-            self.unservable_wait(fleet_fraction, first_output, &waiting.request)
+            self.unservable_wait(now, fleet_fraction, first_output, &waiting.request)
         });
         let Some(wait) = refusal else { return decisions };
         let better = self.queue.newest_of_better_served(&class, band).filter(|_| !is_late);
@@ -180,11 +192,12 @@
     /// A caller that is refused at once can retry when there is room; one that waits in vain can't.
     fn unservable_wait(
         &self,
+        now: Duration,
         fleet_fraction: f64,
         first_output: Duration,
         request: &SlotRequest,
     ) -> Option<Duration> {
-        let slots = f64::from(self.total_slots(fleet_fraction).max(1));
+        let slots = f64::from(self.total_slots(now, fleet_fraction).max(1));
         let wait_for = |ahead: usize| self.service_time.mul_f64(ahead as f64 / slots);
         if request.target_left.is_zero() {
             let wait = wait_for(self.queue.len() - 1);
@@ -205,7 +218,7 @@
         wait: Duration,
         waiting: &WaitingRequest,
     ) -> Decision {
-        let slots = f64::from(self.total_slots(fleet_fraction).max(1));
+        let slots = f64::from(self.total_slots(now, fleet_fraction).max(1));
         let soonest = now + wait.max(MIN_OVERLOAD);
         self.last_retry_at = self.last_retry_at.max(soonest) + self.service_time.div_f64(slots);
         let retry_after =
@@ -262,8 +275,9 @@
     /// Returns whether any upstream has a free slot.
     fn has_free_slot(&self, now: Duration, fleet_fraction: f64) -> bool {
         self.upstreams.values().any(|state| {
-            state.has_slot(now, self.max_in_progress(&state.info, fleet_fraction))
+            state.has_slot(now, self.max_in_progress(now, &state.info, fleet_fraction))
                 && self.rate_limits.allows(now, fleet_fraction, &state.info.name)
+                && !self.is_paused(now, &state.info.name)
         })
     }
 
@@ -277,9 +291,10 @@
         let mut open = self.upstreams.values().filter(|state| {
             is_eligible(state, request)
                 && self.rate_limits.allows(now, fleet_fraction, &state.info.name)
+                && !self.is_paused(now, &state.info.name)
                 && state.has_room(
                     now,
-                    self.max_in_progress(&state.info, fleet_fraction),
+                    self.max_in_progress(now, &state.info, fleet_fraction),
                     needed_tokens,
                 )
         });
@@ -365,6 +380,10 @@
             let mean = mean + (took.as_secs_f64() - mean) * SERVICE_TIME_SAMPLE_WEIGHT;
             self.service_time = Duration::from_secs_f64(mean);
         }
+        if end == End::Declined {
+            self.declined_until.retain(|_, until| now < *until);
+            self.declined_until.insert(running.upstream.clone(), now + BRITTLE_PAUSE);
+        }
         if let Some(state) = self.upstreams.get_mut(&running.upstream) {
             state.end_run(now, &running.run, end);
         }
@@ -407,6 +426,23 @@
         is_changed.then_some(upstream)
     }
 
+    /// Records that an upstream said that it may crash if it has to decline requests, which then
+    /// holds for all of the service; returns whether none had said so lately.
+    pub fn set_brittle(&mut self, now: Duration) -> bool {
+        let is_new = !self.is_brittle(now);
+        self.brittle_until = now + BRITTLE_TIME;
+        is_new
+    }
+
+    fn is_brittle(&self, now: Duration) -> bool {
+        now < self.brittle_until
+    }
+
+    /// Returns whether a brittle upstream has declined a request within the pause.
+    fn is_paused(&self, now: Duration, upstream: &UpstreamName) -> bool {
+        self.is_brittle(now) && self.declined_until.get(upstream).is_some_and(|until| now < *until)
+    }
+
     /// Returns the upstream at which a request holds a slot.
     pub fn upstream_of(&self, ticket: Ticket) -> Option<&UpstreamName> {
         self.runs.get(&ticket).map(|running| &running.upstream)
@@ -422,27 +458,31 @@
         self.runs.len()
     }
 
-    fn total_slots(&self, fleet_fraction: f64) -> u32 {
+    fn total_slots(&self, now: Duration, fleet_fraction: f64) -> u32 {
         let open = self.upstreams.values().filter(|state| !state.info.draining);
-        open.map(|state| self.expected_in_progress(&state.info, fleet_fraction)).sum()
+        open.map(|state| self.expected_in_progress(now, &state.info, fleet_fraction)).sum()
     }
 
     /// Returns the number of requests that can be in progress at an upstream under its limit.
-    fn expected_in_progress(&self, info: &UpstreamInfo, fleet_fraction: f64) -> u32 {
-        let max = self.max_in_progress(info, fleet_fraction);
+    fn expected_in_progress(&self, now: Duration, info: &UpstreamInfo, fleet_fraction: f64) -> u32 {
+        let max = self.max_in_progress(now, info, fleet_fraction);
         let Some(rate) = self.rate_limits.rate(&info.name) else { return max };
         let expected = rate * fleet_fraction * self.service_time.as_secs_f64();
         max.min(expected.ceil() as u32)
     }
 
     /// Returns the number of requests that this gate may have in progress at an upstream.
-    fn max_in_progress(&self, info: &UpstreamInfo, fleet_fraction: f64) -> u32 {
+    fn max_in_progress(&self, now: Duration, info: &UpstreamInfo, fleet_fraction: f64) -> u32 {
         let slots_per_extra = if self.service_time <= SHORT_SERVICE_TIME {
             SLOTS_PER_EXTRA_SHORT_CALL
         } else {
             SLOTS_PER_EXTRA_REQUEST
         };
-        let sent = info.slots + info.slots / slots_per_extra;
+        let sent = if self.is_brittle(now) {
+            info.slots.saturating_sub(1)
+        } else {
+            info.slots + info.slots / slots_per_extra
+        };
         ((f64::from(sent) * fleet_fraction).floor() as u32).max(1)
     }
 }
--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -690,3 +690,33 @@
     let findings = dispatcher.take_findings();
     assert!(matches!(findings[..], [Finding::Unreachable { backs_off: true, .. }]), "{findings:?}");
 }
+
+/// Requests slots at `now` for plain calls until none is granted; returns how many were.
+fn fill(dispatcher: &mut Dispatcher, now: Duration, numbers: std::ops::Range<u64>) -> usize {
+    let plain = || SlotRequest { work: Work::Plain, ..request("a") };
+    let granted_at = |number| granted(&dispatcher.request_slot(now, ticket(number), plain())).len();
+    numbers.map(granted_at).sum()
+}
+
+#[test]
+fn keeps_a_slot_of_brittle_upstreams_free_until_none_says_so() {
+    let mut dispatcher = dispatcher(&[upstream("s1", 8), upstream("s2", 8)]);
+    assert_eq!(fill(&mut dispatcher, ms(0), 0..1), 1);
+    dispatcher.set_brittle(ms(10), ticket(0));
+    assert_eq!(dispatcher.take_findings().len(), 1);
+    assert_eq!(fill(&mut dispatcher, ms(20), 1..30), 13, "seven at each, less the one before");
+    dispatcher.end_link(ms(30), LINK);
+    let after = ms(10) + ms(2_000);
+    assert_eq!(fill(&mut dispatcher, after, 30..60), 18, "nine at each");
+}
+
+#[test]
+fn sends_nothing_to_a_brittle_upstream_for_a_second_after_it_declined() {
+    let mut dispatcher = dispatcher(&[upstream("s1", 8)]);
+    assert_eq!(fill(&mut dispatcher, ms(0), 0..2), 2);
+    dispatcher.set_brittle(ms(10), ticket(0));
+    dispatcher.end(ms(20), ticket(1), End::Declined);
+    assert_eq!(fill(&mut dispatcher, ms(900), 2..3), 0);
+    dispatcher.end_link(ms(950), LINK);
+    assert_eq!(fill(&mut dispatcher, ms(1_020), 3..4), 1);
+}
--- a/lacewingspring_proxy/src/attempt.rs
+++ b/lacewingspring_proxy/src/attempt.rs
@@ -57,6 +57,12 @@
         self.slot.rate_limit(Some(rate));
     }
 
+    /// Records that the upstream crashes if it declines more than so many requests in a second.
+    pub fn upstream_is_brittle(&self, max_declined: u32) {
+        self.trace.upstream_is_brittle(self.upstream(), max_declined);
+        self.slot.brittle();
+    }
+
     /// Records that the upstream named no limit.
     pub fn upstream_has_no_limit(&self) {
         if self.grant().is_limited {
--- a/lacewingspring_proxy/src/gate/findings.rs
+++ b/lacewingspring_proxy/src/gate/findings.rs
@@ -32,6 +32,10 @@
             service = service.as_str();
             "Upstreams have several software versions; a stream goes on only at its own."
         ),
+        Finding::Brittle { service } => info!(
+            service = service.as_str();
+            "The gate keeps a slot of each upstream of a service free, as they may crash if they decline."
+        ),
         Finding::Unreachable { upstream, link, backs_off } => info!(
             upstream = upstream.as_str(), link, backs_off;
             "An instance can't connect to an upstream."
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -191,6 +191,10 @@
                 state.dispatcher.set_rate_limit(now, ticket(number), per_s);
                 Vec::new()
             }
+            ToGate::Brittle { number } => {
+                state.dispatcher.set_brittle(now, ticket(number));
+                Vec::new()
+            }
             ToGate::HandOver { hand_over, age } => {
                 state.dispatcher.take_over(now, age, &hand_over);
                 Vec::new()
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -152,6 +152,11 @@
         self.state().send(ToGate::RateLimit { number, per_s });
     }
 
+    /// Reports that an upstream may crash if it has to decline requests.
+    pub(super) fn brittle(&self, number: u64) {
+        self.state().send(ToGate::Brittle { number });
+    }
+
     /// Ends a request that waits or has a slot.
     pub(super) fn end(&self, number: u64, end: End) {
         let mut state = self.state();
--- a/lacewingspring_proxy/src/gate/message.rs
+++ b/lacewingspring_proxy/src/gate/message.rs
@@ -81,6 +81,11 @@
         /// response names no limit.
         per_s: Option<f64>,
     },
+    /// Reports that the upstream of a request that runs may crash if it has to decline requests.
+    Brittle {
+        /// Number of the slot request.
+        number: u64,
+    },
     /// Passes on what an earlier gate handed over.
     HandOver {
         /// What the earlier gate handed over.
--- a/lacewingspring_proxy/src/gate/slot.rs
+++ b/lacewingspring_proxy/src/gate/slot.rs
@@ -72,6 +72,11 @@
         self.gate.rate_limit(self.number, per_s);
     }
 
+    /// Reports that the upstream may crash if it has to decline requests.
+    pub fn brittle(&self) {
+        self.gate.brittle(self.number);
+    }
+
     /// Releases the slot.
     pub fn end(mut self, end: End) {
         self.is_ended = true;
--- a/lacewingspring_proxy/src/protocol.rs
+++ b/lacewingspring_proxy/src/protocol.rs
@@ -69,6 +69,9 @@
     pub is_leaving: bool,
     /// Requests that the upstream takes.
     pub rate_limit: RateLimit,
+    /// Requests in a second above which the upstream crashes if it must decline them for lack of
+    /// room; `None` if it states none.
+    pub max_declined: Option<u32>,
 }
 
 /// Query of a caller for the addresses of instances.
--- a/lacewingspring_proxy/src/relay.rs
+++ b/lacewingspring_proxy/src/relay.rs
@@ -140,6 +140,9 @@
         if upstream_head.is_leaving && self.unavailable.record_leaving(upstream) {
             attempt.upstream_leaves();
         }
+        if let Some(max_declined) = upstream_head.max_declined {
+            attempt.upstream_is_brittle(max_declined);
+        }
         match &upstream_head.rate_limit {
             // A response that is not the upstream's own says nothing of it.
             RateLimit::None if upstream_head.is_signed || upstream_head.is_declined => {
--- a/lacewingspring_proxy/src/track.rs
+++ b/lacewingspring_proxy/src/track.rs
@@ -212,6 +212,15 @@
         );
     }
 
+    /// Records that an upstream crashes if it declines more than so many requests in a second.
+    pub fn upstream_is_brittle(&self, upstream: &str, max_declined: u32) {
+        self.metrics.announced("brittle");
+        info!(
+            id = &*self.id, upstream, max_declined;
+            "The upstream says that it may crash if it has to decline requests."
+        );
+    }
+
     /// Records a limit of an upstream that can't be parsed.
     pub fn invalid_rate_limit(&self, upstream: &str, value: &str) {
         warn!(id = &*self.id, upstream, value; "The limit that an upstream names is ignored.");
