--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -1,19 +1,15 @@
 //! Forwards one request: admission, slot, and attempts at upstreams.
 
-use std::{
-    hash::{DefaultHasher, Hash, Hasher},
-    sync::Arc,
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
-use http::{Request, Response, Version, header::CONTENT_LENGTH, request::Parts};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use http::{Request, Response, Version, request::Parts};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use lacewingspring_core::{
-    dispatch::{End, Refusal, SlotRequest, StreamRef},
-    names::{DataCentreName, ServiceName, UpstreamName},
+    dispatch::{End, Refusal},
+    names::DataCentreName,
 };
 use log::{info, warn};
 use tokio::time::timeout_at;
@@ -26,20 +22,17 @@
     declared::Declared,
     exchange::{self, Connect, ExchangeError, UpstreamResponse},
     gate::{link::GateClient, slot::Slot},
+    job::{Attempts, Job, fingerprint, read_body},
     metrics::SharedMetrics,
     pass_on::{OtherInstances, PassedOn, mark_no_path, take_mark},
     protocol::{CallerHead, Protocol, SendHead},
     refusal::{ErrorResponse, Failure},
-    relay::{Outcome, Relay, UpstreamError},
+    relay::{Outcome, Relay},
     track::RequestTrace,
     unavailable::UnavailableUpstreams,
     upstream_path::{self, UpstreamPath},
 };
 
-/// Time reserved for passing a response back to the caller; the deadlines that the gate gets are
-/// earlier by this margin.
-const RETURN_MARGIN: Duration = Duration::from_millis(4);
-
 /// Largest response body, in bytes, for a caller of HTTP/1.0.
 const MAX_HTTP_1_0_BODY_BYTES: usize = 4 * 1024 * 1024;
 
@@ -69,21 +62,6 @@
     pub metrics: SharedMetrics,
 }
 
-/// An admitted request and the state that all of its attempts share.
-struct Job<'a> {
-    head: &'a Parts,
-    body: Bytes,
-    caller: CallerHead,
-    admitted: Admitted,
-    trace: Arc<RequestTrace>,
-    service: ServiceName,
-    fingerprint: u64,
-    began: Duration,
-    deadline: Duration,
-    /// Whether another instance has passed the request on to this one.
-    is_passed_on: bool,
-}
-
 /// An admitted request whose body has not been read.
 struct Received<'a> {
     head: &'a Parts,
@@ -93,22 +71,6 @@
     is_passed_on: bool,
 }
 
-/// Attempts made for a request so far.
-#[derive(Default)]
-struct Attempts {
-    /// Upstreams where a slot was granted; they are not tried again.
-    avoid: Vec<UpstreamName>,
-    /// Attempts that count towards the route's limit of attempts.
-    counted: u32,
-    /// Uncounted attempts at upstreams that were unreachable, leaving or misdirected.
-    unreachable: u32,
-    /// Whether an upstream may have run the request.
-    may_have_run: bool,
-    /// Last complete error response of an upstream (5xx but 504); returned if no later attempt
-    /// succeeds.
-    error_response: Option<UpstreamError>,
-}
-
 impl<P> Forwarder<P>
 where
     P: Protocol,
@@ -346,66 +308,6 @@
     }
 }
 
-impl Job<'_> {
-    /// Returns the result after the last attempt: the error response of an upstream if there is
-    /// one, [`Failure::ResponseLost`] if the request may have run, else `error`.
-    fn final_response(
-        &self,
-        attempts: Attempts,
-        error: ErrorResponse,
-    ) -> Result<Response<ResponseBody>, ErrorResponse> {
-        match attempts.error_response {
-            Some(UpstreamError { response, upstream, progress }) => {
-                let status = response.status().as_u16();
-                self.trace.answered(clock::now(), status, upstream.as_str(), &progress);
-                Ok(response)
-            }
-            None if attempts.may_have_run => Err(Failure::ResponseLost.into()),
-            None => Err(error),
-        }
-    }
-
-    /// Builds the request for a slot, whose times count from `now`.
-    fn slot_request(
-        &self,
-        now: Duration,
-        data_centre: &DataCentreName,
-        attempts: &Attempts,
-    ) -> SlotRequest {
-        let first_deadline = self.began + self.admitted.route.first_output_timeout();
-        let target_deadline =
-            self.began + self.admitted.route.target_latency.saturating_sub(RETURN_MARGIN);
-        SlotRequest {
-            service: self.service.clone(),
-            class: self.admitted.route.name.clone(),
-            rank: self.admitted.rank,
-            data_centre: data_centre.clone(),
-            workspace: self.admitted.workspace.as_ref().map(|workspace| workspace.name.clone()),
-            work: self.caller.work.clone(),
-            target_left: target_deadline.saturating_sub(now),
-            time_left: self.deadline.saturating_sub(now + RETURN_MARGIN),
-            first_output_left: first_deadline.saturating_sub(now + RETURN_MARGIN),
-            charge: self.admitted.charge,
-            sends: attempts.counted,
-            avoid: attempts.avoid.clone(),
-            fingerprint: self.fingerprint,
-            stream: self.stream(),
-            software: None,
-        }
-    }
-
-    /// Returns the stream that the request begins or resumes; `None` if its response is none.
-    fn stream(&self) -> Option<StreamRef> {
-        let CallerHead { id, resumes, last_event, timeout, .. } = &self.caller;
-        let first_id = resumes.as_ref().unwrap_or(id);
-        let is_resumed = resumes.is_some() || last_event.is_some_and(|event| event > 0);
-        let lifetime = timeout.unwrap_or(self.admitted.route.timeout);
-        // The client of the gate numbers the attempts.
-        let stream = StreamRef { id: digest(first_id), is_resumed, attempt: 0, lifetime };
-        self.admitted.route.kind.is_stream().then_some(stream)
-    }
-}
-
 /// Time after which the caller may retry if the last allowed attempt was declined or reached no
 /// upstream.
 const DECLINED_RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -414,35 +316,6 @@
     ErrorResponse { retry_after: Some(DECLINED_RETRY_AFTER), ..failure.into() }
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Failure> {
-    if body.size_hint().lower() > limit as u64 {
-        return Err(Failure::TooLarge);
-    }
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Failure::TooLarge),
-        Err(_) => Err(Failure::Malformed),
-    }
-}
-
-fn digest(id: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
-    hasher.finish()
-}
-
-/// Returns a digest of method, URI, workspace, `Content-Length` and body, by which the gate
-/// recognises a repeated request.
-fn fingerprint(head: &Parts, admitted: &Admitted, body: &Bytes) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    head.method.hash(&mut hasher);
-    head.uri.hash(&mut hasher);
-    admitted.workspace.as_ref().map(|workspace| &workspace.name).hash(&mut hasher);
-    body.hash(&mut hasher);
-    head.headers.get(CONTENT_LENGTH).hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Reads a whole response before it is passed on.
 ///
 /// HTTP/1.0 has no chunks: without a length, a caller can't tell a body that breaks off from a complete
--- a/lacewingspring_proxy/src/lib.rs
+++ b/lacewingspring_proxy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod framing;
 pub mod gate;
 pub mod instance;
+mod job;
 pub mod logging;
 pub mod members;
 pub mod metrics;
