--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -35,6 +35,7 @@
 };
 use crate::names::{ServiceName, UpstreamName};
 
+mod brittle;
 mod budget;
 mod crash_events;
 mod crash_history;
@@ -51,6 +52,7 @@
 mod rate_limits;
 mod recent_parts;
 mod refusal_history;
+mod reports;
 mod resumptions;
 mod served_versions;
 mod sizes;
@@ -315,38 +317,6 @@
         pool.adopt(now, ticket, upstream, &request.work);
     }
 
-    /// Records at `now` that the first event of a run arrived `took` after its send.
-    pub fn first_output(&mut self, now: Duration, ticket: Ticket, took: Duration) {
-        let Some(open) = self.open.get_mut(&ticket) else { return };
-        open.first_output_at.get_or_insert(now);
-        self.link_paths.record_response(ticket.link);
-        if let Some(pool) = self.pools.get_mut(&open.service) {
-            pool.first_output(ticket, took);
-        }
-    }
-
-    /// Records that the response to a run named the requests a second that its upstream takes from
-    /// all instances together; `None` if it named no limit.
-    pub fn set_rate_limit(&mut self, now: Duration, ticket: Ticket, rate: Option<f64>) {
-        let Some(open) = self.open.get(&ticket) else { return };
-        let pool = self.pools.get_mut(&open.service);
-        let changed = pool.and_then(|pool| pool.set_rate_limit(now, ticket, rate).cloned());
-        let Some(upstream) = changed else { return };
-        self.findings.push(match rate {
-            Some(per_s) => Finding::Limited { upstream, per_s },
-            None => Finding::NoLongerLimited { upstream },
-        });
-    }
-
-    /// Records that the upstream of a run may crash if it has to decline requests.
-    pub fn set_brittle(&mut self, now: Duration, ticket: Ticket) {
-        let Some(open) = self.open.get(&ticket) else { return };
-        let pool = self.pools.get_mut(&open.service);
-        if pool.is_some_and(|pool| pool.set_brittle(now)) {
-            self.findings.push(Finding::Brittle { service: open.service.clone() });
-        }
-    }
-
     /// Ends a request, whether it waits or runs, and dispatches to the slot that it frees.
     pub fn end(&mut self, now: Duration, ticket: Ticket, end: End) -> Vec<Decision> {
         self.resumptions.remove(ticket);
@@ -371,33 +341,6 @@
         self.settle(now, decisions)
     }
 
-    /// Decides whether a connection that failed says something of its upstream; if not, the upstream
-    /// was not used.
-    fn judge_connection(
-        &mut self,
-        ticket: Ticket,
-        open: &OpenRequest,
-        upstream: Option<&UpstreamName>,
-        end: End,
-    ) -> End {
-        match (end, upstream) {
-            (End::Unreachable, Some(upstream)) => {
-                let backs_off = self.link_paths.record_failure(ticket.link, upstream);
-                let (link, upstream) = (ticket.link, upstream.clone());
-                self.findings.push(Finding::Unreachable { upstream, link, backs_off });
-                if backs_off { end } else { End::Unused }
-            }
-            // A stream that had begun may go on over a connection from before.
-            (End::Finished { .. } | End::Failed | End::Declined | End::Misdirected, Some(_))
-                if open.first_output_at.is_none() =>
-            {
-                self.link_paths.record_response(ticket.link);
-                end
-            }
-            _ => end,
-        }
-    }
-
     /// Refuses the waiting requests that may not be sent since the latest crash.
     fn refuse_crashing_waiting(&mut self, now: Duration) -> Vec<Decision> {
         let Self { open, crashes, pools, .. } = self;
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use super::{
+    brittle::BrittleUpstreams,
     queue::{Queue, WaitingRequest},
     rate_limits::RateLimits,
     upstream::UpstreamInfo,
@@ -11,6 +12,8 @@
 };
 use crate::names::UpstreamName;
 
+mod capacity;
+
 /// Weight of a new sample in the moving average of the service time.
 const SERVICE_TIME_SAMPLE_WEIGHT: f64 = 0.05;
 
@@ -42,23 +45,6 @@
 /// again.
 const MIN_OVERLOAD: Duration = Duration::from_secs(3);
 
-/// Number of declared slots per extra request: an upstream with this many slots is sent one request
-/// more than it has slots, so that no slot is idle while the next request is on its way.
-const SLOTS_PER_EXTRA_REQUEST: u32 = 8;
-
-/// As [`SLOTS_PER_EXTRA_REQUEST`], for short service times: there the time on the way is a larger
-/// fraction of the service time.
-const SLOTS_PER_EXTRA_SHORT_CALL: u32 = 6;
-
-/// Mean service time up to which calls count as short.
-const SHORT_SERVICE_TIME: Duration = Duration::from_millis(150);
-
-/// Time after the last statement of an upstream for which all of its service count as brittle.
-const BRITTLE_TIME: Duration = Duration::from_secs(2);
-
-/// Time for which a brittle upstream that declined a request gets no further ones.
-const BRITTLE_PAUSE: Duration = Duration::from_secs(1);
-
 /// Shortest retry-after time of a refusal.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -84,10 +70,8 @@
     service_time: Duration,
     /// Time at which the latest refused caller is expected to retry.
     last_retry_at: Duration,
-    /// Time until which the upstreams count as brittle: they may crash if they decline requests.
-    brittle_until: Duration,
-    /// Time until which each brittle upstream gets no requests, as it has declined one.
-    declined_until: HashMap<UpstreamName, Duration>,
+    /// Whether the upstreams may crash if they decline requests.
+    pub brittle: BrittleUpstreams,
 }
 
 impl Default for Pool {
@@ -99,8 +83,7 @@
             rate_limits: RateLimits::default(),
             service_time: ASSUMED_SERVICE_TIME,
             last_retry_at: Duration::ZERO,
-            brittle_until: Duration::ZERO,
-            declined_until: HashMap::new(),
+            brittle: BrittleUpstreams::default(),
         }
     }
 }
@@ -277,7 +260,7 @@
         self.upstreams.values().any(|state| {
             state.has_slot(now, self.max_in_progress(now, &state.info, fleet_fraction))
                 && self.rate_limits.allows(now, fleet_fraction, &state.info.name)
-                && !self.is_paused(now, &state.info.name)
+                && !self.brittle.is_paused(now, &state.info.name)
         })
     }
 
@@ -291,7 +274,7 @@
         let mut open = self.upstreams.values().filter(|state| {
             is_eligible(state, request)
                 && self.rate_limits.allows(now, fleet_fraction, &state.info.name)
-                && !self.is_paused(now, &state.info.name)
+                && !self.brittle.is_paused(now, &state.info.name)
                 && state.has_room(
                     now,
                     self.max_in_progress(now, &state.info, fleet_fraction),
@@ -381,8 +364,7 @@
             self.service_time = Duration::from_secs_f64(mean);
         }
         if end == End::Declined {
-            self.declined_until.retain(|_, until| now < *until);
-            self.declined_until.insert(running.upstream.clone(), now + BRITTLE_PAUSE);
+            self.brittle.record_declined(now, &running.upstream);
         }
         if let Some(state) = self.upstreams.get_mut(&running.upstream) {
             state.end_run(now, &running.run, end);
@@ -426,23 +408,6 @@
         is_changed.then_some(upstream)
     }
 
-    /// Records that an upstream said that it may crash if it has to decline requests, which then
-    /// holds for all of the service; returns whether none had said so lately.
-    pub fn set_brittle(&mut self, now: Duration) -> bool {
-        let is_new = !self.is_brittle(now);
-        self.brittle_until = now + BRITTLE_TIME;
-        is_new
-    }
-
-    fn is_brittle(&self, now: Duration) -> bool {
-        now < self.brittle_until
-    }
-
-    /// Returns whether a brittle upstream has declined a request within the pause.
-    fn is_paused(&self, now: Duration, upstream: &UpstreamName) -> bool {
-        self.is_brittle(now) && self.declined_until.get(upstream).is_some_and(|until| now < *until)
-    }
-
     /// Returns the upstream at which a request holds a slot.
     pub fn upstream_of(&self, ticket: Ticket) -> Option<&UpstreamName> {
         self.runs.get(&ticket).map(|running| &running.upstream)
@@ -457,34 +422,6 @@
     pub fn running(&self) -> usize {
         self.runs.len()
     }
-
-    fn total_slots(&self, now: Duration, fleet_fraction: f64) -> u32 {
-        let open = self.upstreams.values().filter(|state| !state.info.draining);
-        open.map(|state| self.expected_in_progress(now, &state.info, fleet_fraction)).sum()
-    }
-
-    /// Returns the number of requests that can be in progress at an upstream under its limit.
-    fn expected_in_progress(&self, now: Duration, info: &UpstreamInfo, fleet_fraction: f64) -> u32 {
-        let max = self.max_in_progress(now, info, fleet_fraction);
-        let Some(rate) = self.rate_limits.rate(&info.name) else { return max };
-        let expected = rate * fleet_fraction * self.service_time.as_secs_f64();
-        max.min(expected.ceil() as u32)
-    }
-
-    /// Returns the number of requests that this gate may have in progress at an upstream.
-    fn max_in_progress(&self, now: Duration, info: &UpstreamInfo, fleet_fraction: f64) -> u32 {
-        let slots_per_extra = if self.service_time <= SHORT_SERVICE_TIME {
-            SLOTS_PER_EXTRA_SHORT_CALL
-        } else {
-            SLOTS_PER_EXTRA_REQUEST
-        };
-        let sent = if self.is_brittle(now) {
-            info.slots.saturating_sub(1)
-        } else {
-            info.slots + info.slots / slots_per_extra
-        };
-        ((f64::from(sent) * fleet_fraction).floor() as u32).max(1)
-    }
 }
 
 fn is_eligible(state: &UpstreamState, request: &SlotRequest) -> bool {
