--- a/lacewingspring_core/src/dispatch/resumptions.rs
+++ b/lacewingspring_core/src/dispatch/resumptions.rs
@@ -154,7 +154,7 @@
             let Some(stream) = request.stream else { continue };
             request.software = self.software_of(now, is_whole_fleet, &request.service, stream);
             if request.software.is_some() {
-                request.take_off(now.saturating_sub(since));
+                request.shorten_times(now.saturating_sub(since));
                 resolved.push((ticket, Resolution::Queue(Box::new(waiting.request))));
             } else if now >= until {
                 resolved.push((ticket, Resolution::Refuse(unknown(request))));
--- a/lacewingspring_core/src/dispatch/work.rs
+++ b/lacewingspring_core/src/dispatch/work.rs
@@ -107,7 +107,7 @@
     }
 
     /// Shortens the times that are left by one that has passed.
-    pub fn take_off(&mut self, passed: Duration) {
+    pub fn shorten_times(&mut self, passed: Duration) {
         self.target_left = self.target_left.saturating_sub(passed);
         self.time_left = self.time_left.saturating_sub(passed);
         self.first_output_left = self.first_output_left.saturating_sub(passed);
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -274,7 +274,7 @@
         }
         for (number, pending) in pending.iter_mut() {
             let waited = now.saturating_sub(pending.requested_at);
-            pending.request.take_off(waited);
+            pending.request.shorten_times(waited);
             // The gate before may have granted a slot without this instance having learned of it.
             pending.request.number_attempt(self.next_number());
             pending.requested_at = now;
