Name what is recorded of a path, and what is forgotten of a link

On reading the diff: the path records the outcome of a connection by a method of its own, and the end of a link is no response of an upstream. No logic changed; the tests of lost paths, brittle servers and the platform's path pass.

--- a/lacewingspring_core/src/dispatch/link_paths.rs
+++ b/lacewingspring_core/src/dispatch/link_paths.rs
@@ -23,6 +23,11 @@
 
     /// Records that an upstream responded to a request of an instance.
     pub fn record_response(&mut self, link: u64) {
+        self.remove_link(link);
+    }
+
+    /// Forgets an instance whose connection to the gate is lost.
+    pub fn remove_link(&mut self, link: u64) {
         self.0.remove(&link);
     }
 }
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -369,7 +369,7 @@
         self.open.retain(|ticket, _| ticket.link != link);
         self.crashes.end_link(link);
         self.resumptions.end_link(link);
-        self.link_paths.record_response(link);
+        self.link_paths.remove_link(link);
         for pool in self.pools.values_mut() {
             pool.end_link(now, link);
         }
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -30,7 +30,7 @@
     relay::{Outcome, Relay},
     track::RequestTrace,
     unavailable::UnavailableUpstreams,
-    upstream_path::{self, UpstreamPath},
+    upstream_path::UpstreamPath,
 };
 
 /// Largest response body, in bytes, for a caller of HTTP/1.0.
@@ -284,7 +284,7 @@
     ) -> Result<UpstreamResponse, ExchangeError> {
         let grant = attempt.grant();
         let stream = self.upstreams.connect(grant.address).await;
-        upstream_path::record(&self.path, &grant.upstream, &stream);
+        self.path.record(&grant.upstream, &stream);
         let stream = stream?;
         let send = SendHead {
             upstream: &grant.upstream,
--- a/lacewingspring_proxy/src/upstream_path.rs
+++ b/lacewingspring_proxy/src/upstream_path.rs
@@ -56,8 +56,16 @@
         self.state().is_lost
     }
 
+    /// Records the outcome of a connection to an upstream.
+    pub fn record<T, E>(&self, upstream: &UpstreamName, result: &Result<T, E>) {
+        match result {
+            Ok(_) => self.record_connected(),
+            Err(_) => self.record_failure(clock::now(), upstream),
+        }
+    }
+
     /// Records that a connection to an upstream was made.
-    pub fn record_connected(&self) {
+    fn record_connected(&self) {
         let mut state = self.state();
         state.failed.clear();
         if std::mem::take(&mut state.is_lost) {
@@ -66,7 +74,7 @@
     }
 
     /// Records that a connection to an upstream failed.
-    pub fn record_failure(&self, now: Duration, upstream: &UpstreamName) {
+    fn record_failure(&self, now: Duration, upstream: &UpstreamName) {
         let known = self.upstreams.load().len();
         let mut state = self.state();
         state.failed.retain(|_, at| now.saturating_sub(*at) < FAILURE_WINDOW);
@@ -100,11 +108,3 @@
         is_needed.then(|| upstreams[number % upstreams.len()].address)
     }
 }
-
-/// Records the outcome of a connection to an upstream.
-pub fn record<T, E>(path: &UpstreamPath, upstream: &UpstreamName, result: &Result<T, E>) {
-    match result {
-        Ok(_) => path.record_connected(),
-        Err(_) => path.record_failure(clock::now(), upstream),
-    }
-}
