Order the attempts at a stream over the instances that pass it on

What callers saw: streams with events of two software versions, if their request was passed on after an attempt of the first instance had failed.

Cause: attempts are numbered by each instance, so an instance that a request is passed on to may give its attempt a lower number than the failed one before, and the failed one's version counts.

--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -84,7 +84,11 @@
 
     async fn respond(&self, began: Duration, req: Request<Incoming>) -> Response<ResponseBody> {
         let (mut head, body) = req.into_parts();
-        let is_passed_on = take_mark(&mut head.headers);
+        let mark = take_mark(&mut head.headers);
+        if let Some(mark) = mark {
+            self.gate.number_attempts_after(mark.last_attempt);
+        }
+        let is_passed_on = mark.is_some();
         let caller = self.protocol.caller_head(&head.headers);
         let admitted = match self.admit(&head, &caller) {
             Ok(admitted) => admitted,
@@ -163,7 +167,8 @@
             return Err(declined_error(Failure::Unreachable));
         }
         let (head, body, trace) = (job.head, job.body.clone(), &job.trace);
-        let request = PassedOn { head, body, deadline: job.deadline, trace };
+        let last_attempt = self.gate.last_attempt();
+        let request = PassedOn { head, body, deadline: job.deadline, last_attempt, trace };
         self.others.pass_on(&*self.protocol, request).await
     }
 
--- a/lacewingspring_proxy/src/pass_on.rs
+++ b/lacewingspring_proxy/src/pass_on.rs
@@ -27,7 +27,8 @@
     track::RequestTrace,
 };
 
-/// Present in a request that another instance has passed on.
+/// Present in a request that another instance has passed on: the number of its last attempt to get a
+/// slot.
 const PASSED_ON: HeaderName = HeaderName::from_static("lacewingspring-passed-on");
 
 /// Present in the refusal of such a request by an instance that reaches no upstream either.
@@ -67,13 +68,25 @@
     pub body: Bytes,
     /// Time by which its response must be complete.
     pub deadline: Duration,
+    /// Number of the last attempt to get a slot at this instance.
+    pub last_attempt: u64,
     /// Record of the request.
     pub trace: &'a Arc<RequestTrace>,
 }
 
-/// Removes the mark of a request that was passed on; returns whether it had one.
-pub fn take_mark(headers: &mut HeaderMap) -> bool {
-    headers.remove(PASSED_ON).is_some()
+/// Mark of a request that was passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mark {
+    /// Number of the last attempt to get a slot at the instance that passed it on; 0 if the mark does
+    /// not state it.
+    pub last_attempt: u64,
+}
+
+/// Removes the mark of a request that was passed on, and returns it.
+pub fn take_mark(headers: &mut HeaderMap) -> Option<Mark> {
+    let value = headers.remove(PASSED_ON)?;
+    let number = value.to_str().ok().and_then(|value| value.parse().ok());
+    Some(Mark { last_attempt: number.unwrap_or_default() })
 }
 
 /// Marks the refusal of a request that was passed on to an instance without a path.
@@ -153,7 +166,7 @@
         let path = self.head.uri.path_and_query().cloned();
         *message.uri_mut() = path.map(http::Uri::from).unwrap_or_default();
         *message.headers_mut() = protocol.passed_on_headers(&self.head.headers, time_left);
-        message.headers_mut().insert(PASSED_ON, HeaderValue::from_static("1"));
+        message.headers_mut().insert(PASSED_ON, HeaderValue::from(self.last_attempt));
         message
     }
 }
