Let the gate decide which attempt began a stream

Cause: an instance that knew a version for a resumed stream put it into its request for a slot, and the gate took it, also if it knew a later attempt. A copy at an instance that was cut off, frozen or slow may be that of a failed attempt.

Change: the instance tells the gate what it knows, with the number of the attempt, before it asks for the slot; the gate goes by the latest attempt.

--- a/lacewingspring_core/src/dispatch/resumptions.rs
+++ b/lacewingspring_core/src/dispatch/resumptions.rs
@@ -206,9 +206,10 @@
         self.streams.publish(now, ids);
     }
 
-    /// Returns the version that began a stream if it is noted here.
-    pub fn version_of(&self, now: Duration, id: u64) -> Option<&SoftwareVersion> {
-        self.streams.version_of(now, id)
+    /// Returns what is known of one stream.
+    pub fn export_stream(&self, now: Duration, id: u64) -> Option<KnownStreams> {
+        let groups = vec![self.streams.export_stream(now, id)?];
+        Some(KnownStreams { groups, ..KnownStreams::default() })
     }
 
     /// Returns the streams that other instances must know of and were not returned before.
--- a/lacewingspring_core/src/dispatch/stream_versions.rs
+++ b/lacewingspring_core/src/dispatch/stream_versions.rs
@@ -173,6 +173,12 @@
         group(now, streams)
     }
 
+    /// Returns what is known of one stream.
+    pub fn export_stream(&self, now: Duration, id: u64) -> Option<StreamGroup> {
+        let stream = self.streams.get(&id).filter(|stream| stream.expires > now)?;
+        group(now, [(id, stream)]).pop()
+    }
+
     /// Returns all that another instance must know.
     pub fn export(&self, now: Duration) -> KnownStreams {
         let streams = self.streams.iter().map(|(id, stream)| (*id, stream));
--- a/lacewingspring_core/src/dispatch/streams.rs
+++ b/lacewingspring_core/src/dispatch/streams.rs
@@ -8,7 +8,6 @@
     resumptions::Resolution,
     work::{Decision, Grant, SlotRequest, Ticket},
 };
-use crate::names::SoftwareVersion;
 
 impl Dispatcher {
     /// Records where the stream of a request is about to run.
@@ -55,11 +54,11 @@
         }
     }
 
-    /// Returns the software version that began the stream that a request resumes, if that is noted
-    /// here.
-    pub fn software_of(&self, now: Duration, request: &SlotRequest) -> Option<SoftwareVersion> {
+    /// Returns what is noted here of the stream that a request resumes, for the gate, which may know
+    /// a later attempt.
+    pub fn known_stream(&self, now: Duration, request: &SlotRequest) -> Option<KnownStreams> {
         let stream = request.stream.filter(|stream| stream.is_resumed)?;
-        self.resumptions.version_of(now, stream.id).cloned()
+        self.resumptions.export_stream(now, stream.id)
     }
 
     /// Records that the copy of the registry was complete at the time `at`.
--- a/lacewingspring_core/src/dispatch/work.rs
+++ b/lacewingspring_core/src/dispatch/work.rs
@@ -89,7 +89,7 @@
     pub fingerprint: u64,
     /// Stream that the request is for; `None` if its response is no stream.
     pub stream: Option<StreamRef>,
-    /// Software version that must run it; `None` if any may, or if it is not known.
+    /// Software version that must run it, which the gate sets; `None` if any may.
     pub software: Option<SoftwareVersion>,
 }
 
--- a/lacewingspring_core/tests/resumed_streams.rs
+++ b/lacewingspring_core/tests/resumed_streams.rs
@@ -467,7 +467,22 @@
         for known in messages {
             other.learn_streams(ms(70), known);
         }
-        let software = other.software_of(ms(80), &resume(1));
-        assert_eq!(software, Some(SoftwareVersion::from("v2")));
+        assert_eq!(request(&mut other, ms(80), 9, resume(1)), granted("b"));
     }
 }
+
+#[test]
+fn the_gate_goes_by_a_later_attempt_than_the_instance_knows() {
+    let both = [upstream("a", "v1", 1), upstream("b", "v2", 1)];
+    let mut gate_before = gate(&both);
+    assert_eq!(request(&mut gate_before, ms(0), 1, begin(1)), granted("a"));
+    let mut instance = gate(&both);
+    instance.learn_streams(ms(20), &message(&mut gate_before, ms(20)));
+    let mut next_gate = gate(&both);
+    let again = SlotRequest { avoid: vec![UpstreamName::from("a")], ..begin_again(1) };
+    assert_eq!(request(&mut next_gate, ms(100), 1, again), granted("b"));
+    next_gate.end(ms(150), ticket(1), End::Cancelled);
+    let known = instance.known_stream(ms(200), &resume(1)).expect("it knows the first attempt");
+    next_gate.take_over_streams(ms(200), &known);
+    assert_eq!(request(&mut next_gate, ms(200), 2, resume(1)), granted("b"));
+}
--- a/lacewingspring_proxy/src/gate/host/streams.rs
+++ b/lacewingspring_proxy/src/gate/host/streams.rs
@@ -3,10 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lacewingspring_core::{
-    dispatch::{Grant, KnownStreams, SlotRequest},
-    names::SoftwareVersion,
-};
+use lacewingspring_core::dispatch::{Grant, KnownStreams, SlotRequest};
 use tokio::time::sleep;
 
 use super::{FromGate, GateHost, Link, State};
@@ -38,10 +35,9 @@
         self.state().dispatcher.note_stream(now, request, grant);
     }
 
-    /// Returns the software version that began the stream that a request resumes, if this instance
-    /// knows it.
-    pub fn software_of(&self, now: Duration, request: &SlotRequest) -> Option<SoftwareVersion> {
-        self.state().dispatcher.software_of(now, request)
+    /// Returns what this instance knows of the stream that a request resumes.
+    pub fn known_stream(&self, now: Duration, request: &SlotRequest) -> Option<KnownStreams> {
+        self.state().dispatcher.known_stream(now, request)
     }
 
     /// Returns all that this instance knows of streams.
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -128,13 +128,14 @@
 
     /// Asks for a slot; the request is sent again on the next link if this one fails.
     pub fn request_slot(self: &Arc<Self>, now: Duration, mut request: SlotRequest) -> PendingSlot {
-        if request.is_resumed() {
-            request.software = self.host.software_of(now, &request);
-        }
+        let known = self.host.known_stream(now, &request);
         let number = self.next_number();
         request.number_attempt(number);
         let (tx, rx) = oneshot::channel();
         let mut state = self.state();
+        if let Some(known) = known {
+            state.send(ToGate::Streams(known));
+        }
         state.send(ToGate::RequestSlot { number, request: request.clone() });
         state
             .pending
