--- a/lacewingspring_core/src/dispatch/queue.rs
+++ b/lacewingspring_core/src/dispatch/queue.rs
@@ -3,8 +3,8 @@
 //! Under overload the request classes of a service get equal fractions of their requests served,
 //! and so do the size bands within a class, with less for the larger sizes: the next request comes
 //! from the class queue that had the smallest fraction served on time. Requests that are already
-//! late yield to those that aren't. Requests that resume a stream go first, as only the upstreams of
-//! one software version can run them.
+//! late yield to those that aren't. Requests that resume a stream go first, as only the upstreams
+//! of one software version can run them.
 
 use std::{
     collections::{BTreeMap, VecDeque},
--- a/lacewingspring_core/src/dispatch/reports.rs
+++ b/lacewingspring_core/src/dispatch/reports.rs
@@ -43,8 +43,8 @@
         }
     }
 
-    /// Decides whether a connection that failed says something of its upstream; if not, the upstream
-    /// was not used.
+    /// Decides whether a connection that failed says something of its upstream; if not, the
+    /// upstream was not used.
     pub(super) fn judge_connection(
         &mut self,
         ticket: Ticket,
--- a/lacewingspring_core/src/dispatch/streams.rs
+++ b/lacewingspring_core/src/dispatch/streams.rs
@@ -54,8 +54,8 @@
         }
     }
 
-    /// Returns what is noted here of the stream that a request resumes, for the gate, which may know
-    /// a later attempt.
+    /// Returns what is noted here of the stream that a request resumes, for the gate, which may
+    /// know a later attempt.
     pub fn known_stream(&self, now: Duration, request: &SlotRequest) -> Option<KnownStreams> {
         let stream = request.stream.filter(|stream| stream.is_resumed)?;
         self.resumptions.export_stream(now, stream.id)
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -323,8 +323,8 @@
 
 /// Reads a whole response before it is passed on.
 ///
-/// HTTP/1.0 has no chunks: without a length, a caller can't tell a body that breaks off from a complete
-/// one.
+/// HTTP/1.0 has no chunks: without a length, a caller can't tell a body that breaks off from a
+/// complete one.
 async fn buffer_for_http_1_0(response: Response<ResponseBody>) -> Response<ResponseBody> {
     let (head, body) = response.into_parts();
     match Limited::new(body, MAX_HTTP_1_0_BODY_BYTES).collect().await {
--- a/lacewingspring_proxy/src/gate/findings.rs
+++ b/lacewingspring_proxy/src/gate/findings.rs
@@ -34,7 +34,7 @@
         ),
         Finding::Brittle { service } => info!(
             service = service.as_str();
-            "The gate keeps a slot of each upstream of a service free, as they may crash if they decline."
+            "The gate keeps a slot of each upstream free, as they may crash if they decline."
         ),
         Finding::Unreachable { upstream, link, backs_off } => info!(
             upstream = upstream.as_str(), link, backs_off;
--- a/lacewingspring_proxy/src/lib.rs
+++ b/lacewingspring_proxy/src/lib.rs
@@ -2,10 +2,10 @@
 //!
 //! The path of a request: [`server`] reads it, [`admission`] finds its route and workspace, the
 //! [`gate`] decides when and where it runs, [`forward`] makes an [`attempt`] at that upstream
-//! through [`exchange`], [`relay`] passes the response on as a body of [`answer`], and [`track`] logs
-//! each step. While the [`upstream_path`] of this instance is lost, [`pass_on`] sends requests through
-//! another instance. [`framing`] and [`events`] tell whether a body is complete. Error responses of the proxy
-//! itself come from [`refusal`].
+//! through [`exchange`], [`relay`] passes the response on as a body of [`answer`], and [`track`]
+//! logs each step. While the [`upstream_path`] of this instance is lost, [`pass_on`] sends requests
+//! through another instance. [`framing`] and [`events`] tell whether a body is complete. Error
+//! responses of the proxy itself come from [`refusal`].
 //!
 //! Separate tasks keep the configuration and the lists of upstreams and instances up to date;
 //! requests read them through shared snapshots.
--- a/lacewingspring_proxy/src/pass_on.rs
+++ b/lacewingspring_proxy/src/pass_on.rs
@@ -27,8 +27,8 @@
     track::RequestTrace,
 };
 
-/// Present in a request that another instance has passed on: the number of its last attempt to get a
-/// slot.
+/// Present in a request that another instance has passed on: the number of its last attempt to get
+/// a slot.
 const PASSED_ON: HeaderName = HeaderName::from_static("lacewingspring-passed-on");
 
 /// Present in the refusal of such a request by an instance that reaches no upstream either.
@@ -77,8 +77,8 @@
 /// Mark of a request that was passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Mark {
-    /// Number of the last attempt to get a slot at the instance that passed it on; 0 if the mark does
-    /// not state it.
+    /// Number of the last attempt to get a slot at the instance that passed it on; 0 if the mark
+    /// does not state it.
     pub last_attempt: u64,
 }
 
