Pass requests on to another data centre after one try in the own

What callors saw: 503 at an instance without a path while other data centres reach all upstreams, for the first requests of each second, if all of a data centre had lost their paths.

Cause: the three instances that are tried were taken from the own data centre first, so that all of them could be without a path, too.

Change: one instance of the own data centre is tried, then those of others, then the rest of the own.

--- a/lacewingspring_proxy/src/pass_on.rs
+++ b/lacewingspring_proxy/src/pass_on.rs
@@ -130,7 +130,8 @@
         Err(ErrorResponse { retry_after: Some(RETRY_AFTER), ..Failure::Unreachable.into() })
     }
 
-    /// Returns the instances to try: those of the own data centre first.
+    /// Returns the instances to try: one of the own data centre, then those of others, as all of a
+    /// data centre may have lost their paths together.
     fn candidates(&self, now: Duration) -> Vec<Member> {
         let avoided = {
             let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
@@ -143,7 +144,11 @@
         });
         let mut others: Vec<Member> = others.cloned().collect();
         others.shuffle(&mut rand::rng());
-        others.sort_by_key(|member| member.data_centre != self.data_centre);
+        others.sort_by_key(|member| member.data_centre == self.data_centre);
+        let is_local = |member: &Member| member.data_centre == self.data_centre;
+        if let Some(index) = others.iter().position(is_local) {
+            others[..=index].rotate_right(1);
+        }
         others.truncate(MAX_INSTANCES);
         others
     }
