Pass on what reached no upstream of a service that has few

What callers saw: 503 at an instance that reaches no server of one service, but those of another.

Cause: docs/PLATFORM.md says that a request whose attempts all ended without a connection is passed on. It was only after four attempts; with fewer upstreams the gate's refusal (none is left) went to the caller.

Change: such a refusal, after attempts that reached none, has the request passed on.

--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use lacewingspring_core::{
-    dispatch::{End, Refusal},
+    dispatch::{End, Reason, Refusal},
     names::DataCentreName,
 };
 use log::{info, warn};
@@ -40,6 +40,9 @@
 /// towards the route's limit of attempts.
 const MAX_UNREACHABLE_ATTEMPTS: u32 = 3;
 
+/// Refusal of the gate if each upstream was tried or takes no requests.
+const NO_UPSTREAM_LEFT: Failure = Failure::Refused(Reason::NoUpstream);
+
 /// Forwards the requests of callers to upstreams.
 pub struct Forwarder<P> {
     /// Headers that callers and upstreams use.
@@ -187,6 +190,9 @@
             }
             let slot = match self.acquire_slot(&job, &attempts).await {
                 Ok(slot) => slot,
+                Err(error) if attempts.reached_none() && error.failure == NO_UPSTREAM_LEFT => {
+                    return self.pass_on(&job).await;
+                }
                 Err(error) => return job.final_response(attempts, error),
             };
             let upstream = slot.grant().upstream.clone();
--- a/lacewingspring_proxy/src/job.rs
+++ b/lacewingspring_proxy/src/job.rs
@@ -69,6 +69,13 @@
     pub error_response: Option<UpstreamError>,
 }
 
+impl Attempts {
+    /// Returns whether there were attempts, of which none reached an upstream.
+    pub fn reached_none(&self) -> bool {
+        self.unreachable > 0 && self.counted == 0 && !self.may_have_run
+    }
+}
+
 impl Job<'_> {
     /// Returns the result after the last attempt: the error response of an upstream if there is
     /// one, [`Failure::ResponseLost`] if the request may have run, else `error`.
