Take a failed connection for its upstream's fault once two instances agree

What callers saw: 503 (overload) at instances that reach an upstream, while one that does not reach it kept putting it into a back-off for all.

Cause: the first two upstreams that failed an instance were backed off for all, so with a path lost to two upstreams only, again and again.

Evidence: serves_the_callers_of_an_instance_that_reaches_no_server_of_one_service gets 503 also when its requests are passed on. The core test an_instance_without_a_path_does_not_back_upstreams_off_for_the_others asks now that none is backed off (two were before, by that test's earlier form).

--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -240,6 +240,7 @@
         ticket: Ticket,
         request: SlotRequest,
     ) -> Vec<Decision> {
+        self.link_paths.record_request(ticket.link);
         let is_whole_fleet = self.fleet_fraction >= WHOLE_FLEET;
         let resolution = self.resumptions.resolve(now, is_whole_fleet, ticket, request);
         self.follow_resolution(now, ticket, resolution)
@@ -263,6 +264,10 @@
         }
         let open = OpenRequest::new(now, &request, charge);
         let pool = self.pools.entry(request.service.clone()).or_default();
+        let avoided = self.link_paths.to_avoid(now, ticket.link);
+        if !avoided.is_empty() {
+            pool.avoid_if_others(now, self.fleet_fraction, &mut request, avoided);
+        }
         self.open.insert(ticket, open);
         let decisions = pool.request_slot(now, self.fleet_fraction, ticket, request);
         self.settle(now, decisions)
@@ -323,7 +328,7 @@
         let Some(open) = self.open.remove(&ticket) else { return Vec::new() };
         let Some(pool) = self.pools.get(&open.service) else { return Vec::new() };
         let upstream = pool.upstream_of(ticket).cloned();
-        let end = self.judge_connection(ticket, &open, upstream.as_ref(), end);
+        let end = self.judge_connection(now, ticket, &open, upstream.as_ref(), end);
         let upstream = upstream.as_ref();
         let is_new_crash = self.crashes.record_end(now, ticket, &open, upstream, end);
         let is_unsent =
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -126,6 +126,23 @@
         speeds.get(speeds.len() / 2).copied().unwrap_or(Speed::ASSUMED)
     }
 
+    /// Keeps a request from some upstreams if another one has a free slot for it.
+    pub fn avoid_if_others(
+        &self,
+        now: Duration,
+        fleet_fraction: f64,
+        request: &mut SlotRequest,
+        avoided: Vec<UpstreamName>,
+    ) {
+        let avoided_too = SlotRequest {
+            avoid: request.avoid.iter().cloned().chain(avoided).collect(),
+            ..request.clone()
+        };
+        if self.choose_upstream(now, fleet_fraction, &avoided_too).is_some() {
+            *request = avoided_too;
+        }
+    }
+
     /// Queues a request and dispatches what can be sent.
     ///
     /// If the request still waits and can't be answered on time, one request is refused: the newest
--- a/lacewingspring_core/src/dispatch/reports.rs
+++ b/lacewingspring_core/src/dispatch/reports.rs
@@ -15,9 +15,10 @@
     pub fn first_output(&mut self, now: Duration, ticket: Ticket, took: Duration) {
         let Some(open) = self.open.get_mut(&ticket) else { return };
         open.first_output_at.get_or_insert(now);
-        self.link_paths.record_response(ticket.link);
-        if let Some(pool) = self.pools.get_mut(&open.service) {
-            pool.first_output(ticket, took);
+        let Some(pool) = self.pools.get_mut(&open.service) else { return };
+        pool.first_output(ticket, took);
+        if let Some(upstream) = pool.upstream_of(ticket) {
+            self.link_paths.record_response(ticket.link, upstream);
         }
     }
 
@@ -47,6 +48,7 @@
     /// upstream was not used.
     pub(super) fn judge_connection(
         &mut self,
+        now: Duration,
         ticket: Ticket,
         open: &OpenRequest,
         upstream: Option<&UpstreamName>,
@@ -54,16 +56,17 @@
     ) -> End {
         match (end, upstream) {
             (End::Unreachable, Some(upstream)) => {
-                let backs_off = self.link_paths.record_failure(ticket.link, upstream);
+                let backs_off = self.link_paths.record_failure(now, ticket.link, upstream);
                 let (link, upstream) = (ticket.link, upstream.clone());
                 self.findings.push(Finding::Unreachable { upstream, link, backs_off });
                 if backs_off { end } else { End::Unused }
             }
             // A stream that had begun may go on over a connection from before.
-            (End::Finished { .. } | End::Failed | End::Declined | End::Misdirected, Some(_))
-                if open.first_output_at.is_none() =>
-            {
-                self.link_paths.record_response(ticket.link);
+            (
+                End::Finished { .. } | End::Failed | End::Declined | End::Misdirected,
+                Some(upstream),
+            ) if open.first_output_at.is_none() => {
+                self.link_paths.record_response(ticket.link, upstream);
                 end
             }
             _ => end,
