Judge the path to each service

What callers saw: 503 at an instance that reaches no server of one service, but those of another.

Cause: the path counted as lost for all upstreams together only, and each connection to a reachable service said that it is not. So each request waited for two or three connections that hang before it was passed on.

The decision takes the time as an argument and is tested without a network.

--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -185,7 +185,7 @@
         let max_attempts = job.admitted.route.max_attempts;
         let is_repeatable = job.admitted.route.kind.is_repeatable();
         loop {
-            if self.path.is_lost() && !attempts.may_have_run {
+            if self.path.is_lost(&job.service) && !attempts.may_have_run {
                 return self.pass_on(&job).await;
             }
             let slot = match self.acquire_slot(&job, &attempts).await {
@@ -295,7 +295,7 @@
     ) -> Result<UpstreamResponse, ExchangeError> {
         let grant = attempt.grant();
         let stream = self.upstreams.connect(grant.address).await;
-        self.path.record(&grant.upstream, &stream);
+        self.path.record(clock::now(), &grant.upstream, &stream);
         let stream = stream?;
         let send = SendHead {
             upstream: &grant.upstream,
