Keep a stream of an uncertain version uncertain whatever copies say

What callers saw: nothing; found on reading the diff. A stream could have gone on at another version after a server had started again under its name with other software.

Cause: what was granted at such a name in the two seconds before was forgotten, and an instance that had not read the new entry yet brought it back with its copy.

Change: such a stream stays noted as uncertain, so that a copy of the same attempt changes nothing and no version is inferred for it.

--- a/lacewingspring_core/src/dispatch/resumptions.rs
+++ b/lacewingspring_core/src/dispatch/resumptions.rs
@@ -123,7 +123,8 @@
         }
         let has_fresh_registry =
             self.registry_confirmed_at.is_some_and(|at| now.saturating_sub(at) <= MAX_REGISTRY_AGE);
-        let can_infer = self.knows_past(now) && (is_whole_fleet || has_fresh_registry);
+        let is_informed = self.knows_past(now) && (is_whole_fleet || has_fresh_registry);
+        let can_infer = is_informed && !self.streams.is_ambiguous(stream.id);
         self.streams.only_version(now, service).filter(|_| can_infer).cloned()
     }
 
--- a/lacewingspring_core/src/dispatch/stream_versions.rs
+++ b/lacewingspring_core/src/dispatch/stream_versions.rs
@@ -47,6 +47,18 @@
     attempt: u64,
     granted_at: Duration,
     expires: Duration,
+    /// Whether a process of the same name and another version may have written its first event.
+    is_ambiguous: bool,
+}
+
+impl StreamRecord {
+    fn new(now: Duration, process: Arc<UpstreamProcess>, attempt: u64, expires: Duration) -> Self {
+        Self { process, attempt, granted_at: now, expires, is_ambiguous: false }
+    }
+
+    fn is_known(&self, now: Duration) -> bool {
+        !self.is_ambiguous && self.expires > now
+    }
 }
 
 /// The processes that began streams, and the software versions that served.
@@ -64,23 +76,23 @@
 impl StreamVersions {
     /// Applies a change of the registered upstreams.
     pub fn set_upstreams(&mut self, now: Duration, infos: &[UpstreamInfo]) {
-        self.forget_ambiguous(now, infos);
+        self.mark_ambiguous(now, infos);
         let versions = infos.iter().map(|info| (info.service.clone(), info.software.clone()));
         self.served.set_registered(now, versions);
     }
 
-    /// Forgets the streams of which a process of the same name and another version may have
-    /// written the first event.
-    fn forget_ambiguous(&mut self, now: Duration, infos: &[UpstreamInfo]) {
+    /// Marks the streams of which a process of the same name and another version may have written
+    /// the first event.
+    fn mark_ambiguous(&mut self, now: Duration, infos: &[UpstreamInfo]) {
         let by_name: HashMap<_, _> = infos.iter().map(|info| (&info.name, info)).collect();
-        self.streams.retain(|_, stream| {
+        for stream in self.streams.values_mut() {
             let process = &stream.process;
             let is_recent = now.saturating_sub(stream.granted_at) < MAX_ENTRY_LAG;
             let other = by_name.get(&process.upstream).filter(|info| {
                 info.started_at_ms != process.started_at_ms && info.software != process.software
             });
-            !is_recent || other.is_none()
-        });
+            stream.is_ambiguous |= is_recent && other.is_some();
+        }
     }
 
     /// Returns the services that have upstreams of several versions and had not at the last call;
@@ -108,7 +120,7 @@
         }
         let (process, expires) = (Arc::new(process), now + lifetime);
         let StreamRef { id, attempt, .. } = stream;
-        self.insert(now, id, StreamRecord { process, attempt, granted_at: now, expires });
+        self.insert(now, id, StreamRecord::new(now, process, attempt, expires));
     }
 
     /// Marks streams as to be published if their services have upstreams of several versions.
@@ -151,10 +163,15 @@
 
     /// Returns the version that began a stream; `None` if it is not known.
     pub fn version_of(&self, now: Duration, id: u64) -> Option<&SoftwareVersion> {
-        let stream = self.streams.get(&id).filter(|stream| stream.expires > now)?;
+        let stream = self.streams.get(&id).filter(|stream| stream.is_known(now))?;
         Some(&stream.process.software)
     }
 
+    /// Returns whether it can't be known which version began a stream.
+    pub fn is_ambiguous(&self, id: u64) -> bool {
+        self.streams.get(&id).is_some_and(|stream| stream.is_ambiguous)
+    }
+
     /// Returns the version of a service if no other one served within the longest time in which a
     /// caller may take a stream up.
     pub fn only_version(&self, now: Duration, service: &ServiceName) -> Option<&SoftwareVersion> {
@@ -170,19 +187,19 @@
     pub fn take_unpublished(&mut self, now: Duration) -> Vec<StreamGroup> {
         let ids = std::mem::take(&mut self.unpublished);
         let streams = ids.iter().filter_map(|id| Some((*id, self.streams.get(id)?)));
-        group(now, streams)
+        group(now, streams.filter(|(_, stream)| stream.is_known(now)))
     }
 
     /// Returns what is known of one stream.
     pub fn export_stream(&self, now: Duration, id: u64) -> Option<StreamGroup> {
-        let stream = self.streams.get(&id).filter(|stream| stream.expires > now)?;
+        let stream = self.streams.get(&id).filter(|stream| stream.is_known(now))?;
         group(now, [(id, stream)]).pop()
     }
 
     /// Returns all that another instance must know.
     pub fn export(&self, now: Duration) -> KnownStreams {
         let streams = self.streams.iter().map(|(id, stream)| (*id, stream));
-        let groups = group(now, streams.filter(|(_, stream)| stream.expires > now));
+        let groups = group(now, streams.filter(|(_, stream)| stream.is_known(now)));
         KnownStreams { knows_past: false, versions: self.served.export(now), groups }
     }
 
@@ -191,7 +208,7 @@
     pub fn export_mixed(&self, now: Duration) -> KnownStreams {
         let streams = self.streams.iter().map(|(id, stream)| (*id, stream));
         let streams = streams.filter(|(_, stream)| {
-            stream.expires > now && self.served.is_mixed(now, &stream.process.service)
+            stream.is_known(now) && self.served.is_mixed(now, &stream.process.service)
         });
         let mut streams: Vec<(u64, &StreamRecord)> = streams.collect();
         streams.sort_unstable_by_key(|(id, stream)| (Reverse(stream.expires), *id));
@@ -221,7 +238,7 @@
             let (process, expires) = (Arc::new(process.clone()), now + lifetime);
             for KnownStream { id, attempt } in streams {
                 let (process, attempt) = (process.clone(), *attempt);
-                let stream = StreamRecord { process, attempt, granted_at: now, expires };
+                let stream = StreamRecord::new(now, process, attempt, expires);
                 if self.insert(now, *id, stream) {
                     new.push(*id);
                 }
--- a/lacewingspring_core/tests/resumed_streams.rs
+++ b/lacewingspring_core/tests/resumed_streams.rs
@@ -486,3 +486,17 @@
     next_gate.take_over_streams(ms(200), &known);
     assert_eq!(request(&mut next_gate, ms(200), 2, resume(1)), granted("b"));
 }
+
+#[test]
+fn a_copy_does_not_bring_back_what_a_process_born_anew_made_uncertain() {
+    let mut gate_here = gate(&[upstream("a", "v1", 4)]);
+    let mut instance = gate(&[upstream("a", "v1", 4)]);
+    assert_eq!(request(&mut gate_here, ms(0), 1, begin(1)), granted("a"));
+    instance.learn_streams(ms(10), &gate_here.known_streams(ms(10)));
+    let reborn = UpstreamInfo { started_at_ms: 2, ..upstream("a", "v2", 4) };
+    gate_here.set_upstreams(ms(1_000), vec![reborn, upstream("b", "v1", 4)]);
+    let known = instance.known_stream(ms(1_010), &resume(1)).expect("its entry is older");
+    gate_here.take_over_streams(ms(1_010), &known);
+    gate_here.end(ms(1_010), ticket(1), End::Cancelled);
+    assert_eq!(request(&mut gate_here, ms(1_020), 2, resume(1)), refused(Reason::UnknownSoftware));
+}
