Try one resumed stream of each version for a slot

At the size to design for the gate would have been far too slow in a release in which many streams are resumed.

Cause: each grant tried every waiting request that resumes a stream at every upstream.

Change: the waiting resumed streams are kept by version, and the oldest of each is tried.

New test resumed_streams_of_a_full_version_hold_up_no_other_version (it passed before, too: the order is the same); tests of dispatch and resumed_streams pass; linter clean.

--- a/lacewingspring_core/examples/dispatch_cost.rs
+++ b/lacewingspring_core/examples/dispatch_cost.rs
@@ -1,4 +1,5 @@
-//! Measures the cost of one decision of the dispatcher, by the number of upstreams.
+//! Measures the cost of one decision of the dispatcher, by the number of upstreams, without and with
+//! streams that are resumed at an older software version of which few upstreams are left.
 //!
 //! The load is about twice what the upstreams can serve, as the cost of a decision grows with the
 //! length of the queue.
@@ -14,7 +15,9 @@
 };
 
 use lacewingspring_core::{
-    dispatch::{Decision, Dispatcher, End, PromptPart, SlotRequest, Ticket, UpstreamInfo, Work},
+    dispatch::{
+        Decision, Dispatcher, End, PromptPart, SlotRequest, StreamRef, Ticket, UpstreamInfo, Work,
+    },
     names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName},
 };
 
@@ -30,14 +33,25 @@
 /// Number of requests between two ticks, which refuse expired requests.
 const REQUESTS_PER_TICK: u64 = 40;
 
+/// One upstream out of so many has the older software version.
+const OLD_UPSTREAM_INTERVAL: usize = 10;
+
+/// In a release one request out of so many resumes a stream at the older version, which is twice as
+/// many as its upstreams can serve.
+const RESUMED_INTERVAL: u64 = 5;
+
 /// Running requests by the time at which they end.
 type Ends = BinaryHeap<Reverse<(Duration, u64)>>;
 
+fn software(is_old: bool) -> SoftwareVersion {
+    SoftwareVersion::from(if is_old { "v1" } else { "v2" })
+}
+
 fn upstream(number: usize) -> UpstreamInfo {
     UpstreamInfo {
         name: UpstreamName::from(format!("upstream-{number}")),
         service: ServiceName::from("models"),
-        software: SoftwareVersion::from("v1"),
+        software: software(number.is_multiple_of(OLD_UPSTREAM_INTERVAL)),
         address: SocketAddr::from(([10, 0, 0, 1], 8000)),
         data_centre: DataCentreName::from("a"),
         slots: SLOTS,
@@ -90,7 +104,17 @@
     decisions.iter().filter(|decision| matches!(decision, Decision::Refused(..))).count()
 }
 
-fn measure(upstreams: usize) {
+/// Returns a request that resumes a stream at the older version.
+fn resumed(number: u64) -> SlotRequest {
+    let lifetime = Duration::from_secs(12);
+    SlotRequest {
+        stream: Some(StreamRef { id: number, is_resumed: true, attempt: number, lifetime }),
+        software: Some(software(true)),
+        ..request(number)
+    }
+}
+
+fn measure(upstreams: usize, is_release: bool) {
     let mut dispatcher = Dispatcher::default();
     dispatcher.set_upstreams(Duration::ZERO, (0..upstreams).map(upstream));
     dispatcher.set_fleet_fraction(Duration::ZERO, 1.0);
@@ -110,19 +134,20 @@
         if number % REQUESTS_PER_TICK == 0 {
             refused += record_grants(now, &dispatcher.tick(now), &mut ends);
         }
-        refused += record_grants(
-            now,
-            &dispatcher.request_slot(now, ticket(number), request(number)),
-            &mut ends,
-        );
+        let is_resumed = is_release && number.is_multiple_of(RESUMED_INTERVAL);
+        let next = if is_resumed { resumed(number) } else { request(number) };
+        refused +=
+            record_grants(now, &dispatcher.request_slot(now, ticket(number), next), &mut ends);
         calls += 1;
     }
     let cost = began.elapsed() / calls;
-    println!("{upstreams:>5} upstreams: {cost:>10?} a call, {refused} of {REQUESTS} refused");
+    let release = if is_release { ", release" } else { "" };
+    println!("{upstreams:>5} upstreams{release}: {cost:?} a call, {refused} of {REQUESTS} refused");
 }
 
 fn main() {
     for upstreams in [9, 30, 120, 350] {
-        measure(upstreams);
+        measure(upstreams, false);
+        measure(upstreams, true);
     }
 }
--- a/lacewingspring_core/src/dispatch/queue.rs
+++ b/lacewingspring_core/src/dispatch/queue.rs
@@ -16,6 +16,7 @@
     sizes::{ClassSizes, SizeBand, size},
     work::{SlotRequest, Ticket},
 };
+use crate::names::SoftwareVersion;
 
 /// Time constant of the exponential decay of the counts from which the served fractions follow.
 const SERVED_DECAY_TIME: Duration = Duration::from_secs(8);
@@ -72,8 +73,8 @@
 /// Waiting requests of one service.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
-    /// Requests that resume a stream, the oldest first.
-    resumed: VecDeque<WaitingRequest>,
+    /// Requests that resume a stream, by the version that must run them, the oldest first.
+    resumed: BTreeMap<Option<SoftwareVersion>, VecDeque<WaitingRequest>>,
     classes: BTreeMap<ClassKey, ClassQueue>,
     sizes: BTreeMap<Arc<str>, ClassSizes>,
 }
@@ -101,7 +102,8 @@
 
     pub fn push(&mut self, now: Duration, waiting: WaitingRequest) {
         if waiting.request.is_resumed() {
-            self.resumed.push_back(waiting);
+            let software = waiting.request.software.clone();
+            self.resumed.entry(software).or_default().push_back(waiting);
             return;
         }
         let class = self.class(&waiting.request, waiting.band);
@@ -115,7 +117,11 @@
     /// Moves requests that have become late from the front of the timely queues to the late queues;
     /// removes the expired ones from the late queues and returns them.
     pub fn expire(&mut self, now: Duration) -> Vec<WaitingRequest> {
-        let mut expired = take_expired(&mut self.resumed, now);
+        let mut expired = Vec::new();
+        for resumed in self.resumed.values_mut() {
+            expired.extend(take_expired(resumed, now));
+        }
+        self.resumed.retain(|_, resumed| !resumed.is_empty());
         for class in self.classes.values_mut() {
             while class.timely.front().is_some_and(|waiting| waiting.due <= now) {
                 class.late.extend(class.timely.pop_front());
@@ -125,8 +131,8 @@
         expired
     }
 
-    /// Returns all requests that resume a stream and the first request of each class queue, in the
-    /// order in which they are to be dispatched.
+    /// Returns the first request that resumes a stream of each version, and the first one of each
+    /// class queue, in the order in which they are to be dispatched.
     pub fn heads(&self) -> Vec<&WaitingRequest> {
         let mut heads: Vec<(bool, f64, &WaitingRequest)> = Vec::new();
         for class in self.classes.values() {
@@ -137,7 +143,8 @@
             }
         }
         heads.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        self.resumed.iter().chain(heads.into_iter().map(|(_, _, waiting)| waiting)).collect()
+        let resumed = self.resumed.values().filter_map(VecDeque::front);
+        resumed.chain(heads.into_iter().map(|(_, _, waiting)| waiting)).collect()
     }
 
     /// Returns the newest request of the class queue with the largest served fraction, if that is
@@ -171,7 +178,7 @@
     pub fn remove(&mut self, ticket: Ticket) -> Option<WaitingRequest> {
         let of_classes =
             self.classes.values_mut().flat_map(|class| [&mut class.timely, &mut class.late]);
-        for queue in std::iter::once(&mut self.resumed).chain(of_classes) {
+        for queue in self.resumed.values_mut().chain(of_classes) {
             if let Some(index) = queue.iter().position(|waiting| waiting.ticket == ticket) {
                 return queue.remove(index);
             }
@@ -181,29 +188,35 @@
 
     pub fn get(&self, ticket: Ticket) -> Option<&WaitingRequest> {
         let of_classes = self.classes.values().flat_map(|class| [&class.timely, &class.late]);
-        let queues = std::iter::once(&self.resumed).chain(of_classes);
+        let queues = self.resumed.values().chain(of_classes);
         queues.flat_map(|queue| queue.iter().rev()).find(|waiting| waiting.ticket == ticket)
     }
 
     /// Removes all requests of a link.
     pub fn remove_link(&mut self, link: u64) {
-        self.resumed.retain(|waiting| waiting.ticket.link != link);
+        for resumed in self.resumed.values_mut() {
+            resumed.retain(|waiting| waiting.ticket.link != link);
+        }
         for class in self.classes.values_mut() {
             class.timely.retain(|waiting| waiting.ticket.link != link);
             class.late.retain(|waiting| waiting.ticket.link != link);
         }
     }
 
+    fn resumed_len(&self) -> usize {
+        self.resumed.values().map(VecDeque::len).sum()
+    }
+
     /// Returns the number of waiting requests that can still be on time.
     pub fn timely_len(&self) -> usize {
         let timely: usize = self.classes.values().map(|class| class.timely.len()).sum();
-        self.resumed.len() + timely
+        self.resumed_len() + timely
     }
 
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         let of_classes = self.classes.values().map(|class| class.timely.len() + class.late.len());
-        self.resumed.len() + of_classes.sum::<usize>()
+        self.resumed_len() + of_classes.sum::<usize>()
     }
 }
 
--- a/lacewingspring_core/tests/resumed_streams.rs
+++ b/lacewingspring_core/tests/resumed_streams.rs
@@ -500,3 +500,22 @@
     gate_here.end(ms(1_010), ticket(1), End::Cancelled);
     assert_eq!(request(&mut gate_here, ms(1_020), 2, resume(1)), refused(Reason::UnknownSoftware));
 }
+
+#[test]
+fn resumed_streams_of_a_full_version_hold_up_no_other_version() {
+    let mut gate = gate(&[upstream("a", "v1", 1), upstream("b", "v2", 2)]);
+    let avoid =
+        |name: &str, request| SlotRequest { avoid: vec![UpstreamName::from(name)], ..request };
+    assert_eq!(request(&mut gate, ms(0), 1, avoid("b", begin(1))), granted("a"));
+    assert_eq!(request(&mut gate, ms(0), 2, avoid("a", begin(2))), granted("b"));
+    gate.end(ms(10), ticket(2), End::Cancelled);
+    assert_eq!(request(&mut gate, ms(20), 3, resume(1)), None);
+    assert_eq!(request(&mut gate, ms(30), 4, resume(1)), None);
+    assert_eq!(request(&mut gate, ms(40), 5, resume(2)), granted("b"));
+    let decisions = gate.end(ms(50), ticket(1), End::Cancelled);
+    assert_eq!(
+        (fate(&decisions, 3), fate(&decisions, 4)),
+        (granted("a"), None),
+        "the oldest first"
+    );
+}
