Blame no request that ran for long for a crash of its upstream

What callers saw: a stream that two crashes of its upstreams cut one after the other, as in a release with crashes, was refused (crashes) at its next return, also if it had been written for seconds each time.

Cause: each broken run counted against its request. That a run which has written for a second is not the cause was known for prompt parts only.

Change: such a run clears the crashes of its request, as a completed one does; the gate logs crashes 0 for it.

--- a/lacewingspring_core/src/dispatch/crashes.rs
+++ b/lacewingspring_core/src/dispatch/crashes.rs
@@ -114,11 +114,14 @@
         open: &OpenRequest,
         upstream: &UpstreamName,
     ) -> bool {
-        let fingerprint = open.fingerprint;
-        let crashes = self.requests.record_crash(now, fingerprint);
-        let upstream = upstream.clone();
-        let is_new =
-            !open.is_survived(now) && self.parts.record_crash(now, ticket, &upstream, &open.parts);
+        let (fingerprint, upstream) = (open.fingerprint, upstream.clone());
+        let (crashes, is_new) = if open.is_survived(now) {
+            self.requests.clear(fingerprint);
+            (0, false)
+        } else {
+            let crashes = self.requests.record_crash(now, fingerprint);
+            (crashes, self.parts.record_crash(now, ticket, &upstream, &open.parts))
+        };
         self.findings.push(Finding::RunBroken { upstream, fingerprint, crashes });
         is_new
     }
--- a/lacewingspring_core/tests/resumed_streams.rs
+++ b/lacewingspring_core/tests/resumed_streams.rs
@@ -519,3 +519,15 @@
         "the oldest first"
     );
 }
+
+#[test]
+fn a_stream_that_ran_for_long_is_not_refused_after_two_crashes() {
+    let mut gate = gate(&[upstream("a", "v1", 4)]);
+    for number in 0..3 {
+        let start = ms(number * 10_000);
+        let next = if number == 0 { begin(1) } else { resume(1) };
+        assert_eq!(request(&mut gate, start, number, next), granted("a"));
+        gate.first_output(start + ms(100), ticket(number), ms(100));
+        gate.end(start + ms(2_000), ticket(number), End::Broken);
+    }
+}
