Believe the mark of a request that is passed on from instances only

What callers saw: nothing; found on reading the diff. A caller that sends the header by which instances mark requests could raise the numbers of an instance's attempts so far that those of others no longer compare.

Cause: the number in the mark was believed from anyone, up to 2^48.

Change: the mark has the incarnation of its instance, a random number that only instances know, and its number counts only with that of a member. A request with any mark is still never passed on again.

Result: a_caller_cannot_pass_for_an_instance (the old code would have bounded the number, so this test did not fail there); eleven tests each of instances_without_links.rs and stream_versions.rs pass; linter clean.

--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -24,7 +24,7 @@
     gate::{link::GateClient, slot::Slot},
     job::{Attempts, Job, fingerprint, read_body},
     metrics::SharedMetrics,
-    pass_on::{OtherInstances, PassedOn, mark_no_path, take_mark},
+    pass_on::{OtherInstances, PassedOn, mark_no_path},
     protocol::{CallerHead, Protocol, SendHead},
     refusal::{ErrorResponse, Failure},
     relay::{Outcome, Relay},
@@ -87,9 +87,9 @@
 
     async fn respond(&self, began: Duration, req: Request<Incoming>) -> Response<ResponseBody> {
         let (mut head, body) = req.into_parts();
-        let mark = take_mark(&mut head.headers);
-        if let Some(mark) = mark {
-            self.gate.number_attempts_after(mark.last_attempt);
+        let mark = self.others.take_mark(&mut head.headers);
+        if let Some(last_attempt) = mark.and_then(|mark| mark.last_attempt) {
+            self.gate.number_attempts_after(last_attempt);
         }
         let is_passed_on = mark.is_some();
         let caller = self.protocol.caller_head(&head.headers);
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -42,10 +42,6 @@
 /// service.
 const MIN_MEMBERS_TO_FOLLOW_GATE: usize = 17;
 
-/// Number up to which an attempt of another instance is believed, so that no header of a caller can
-/// exhaust the numbers.
-const MAX_FOREIGN_ATTEMPT: u64 = 1 << 48;
-
 /// Request that the gate has not decided yet.
 #[derive(Debug)]
 struct Pending {
@@ -151,9 +147,7 @@
     /// Gives later attempts higher numbers than one of another instance, which tried to get a slot
     /// for the same stream before.
     pub fn number_attempts_after(&self, attempt: u64) {
-        if attempt < MAX_FOREIGN_ATTEMPT {
-            self.next_number.fetch_max(attempt + 1, Ordering::Relaxed);
-        }
+        self.next_number.fetch_max(attempt.saturating_add(1), Ordering::Relaxed);
     }
 
     fn next_number(&self) -> u64 {
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -221,7 +221,7 @@
     let registration = tokio::spawn(registration.run());
     let open = Arc::new(OpenConnections::default());
     serve_directory(&settings, &components, &state, &member, is_ready, &closing);
-    serve_callers(&settings, &components, &state, gate, &closing, &open);
+    serve_callers(&settings, &components, &state, &member, gate, &closing, &open);
     serve_metrics(&settings, &state, &closing);
     loop {
         tokio::select! {
--- a/lacewingspring_proxy/src/instance/serve.rs
+++ b/lacewingspring_proxy/src/instance/serve.rs
@@ -68,6 +68,7 @@
     settings: &Settings,
     components: &Components<S, P, T>,
     state: &Arc<SharedState>,
+    member: &watch::Receiver<Member>,
     gate: Arc<GateClient>,
     closing: &watch::Receiver<bool>,
     open: &Arc<OpenConnections>,
@@ -83,6 +84,7 @@
         path: state.path.clone(),
         others: OtherInstances {
             instance: settings.instance.clone(),
+            incarnation: member.borrow().incarnation,
             data_centre: settings.data_centre.clone(),
             members: state.members.clone(),
             avoided: Mutex::default(),
--- a/lacewingspring_proxy/src/members.rs
+++ b/lacewingspring_proxy/src/members.rs
@@ -92,6 +92,11 @@
         self.0.iter().filter(|member| !member.is_leaving)
     }
 
+    /// Returns whether an instance has this incarnation.
+    pub fn has_incarnation(&self, incarnation: u64) -> bool {
+        self.0.iter().any(|member| member.incarnation == incarnation)
+    }
+
     /// Returns the number of instances that are not leaving.
     pub fn len(&self) -> usize {
         self.active().count()
--- a/lacewingspring_proxy/src/pass_on.rs
+++ b/lacewingspring_proxy/src/pass_on.rs
@@ -27,8 +27,7 @@
     track::RequestTrace,
 };
 
-/// Present in a request that another instance has passed on: the number of its last attempt to get
-/// a slot.
+/// Present in a request that another instance has passed on.
 const PASSED_ON: HeaderName = HeaderName::from_static("lacewingspring-passed-on");
 
 /// Present in the refusal of such a request by an instance that reaches no upstream either.
@@ -51,6 +50,8 @@
 pub struct OtherInstances {
     /// Name of this instance.
     pub instance: InstanceName,
+    /// Incarnation of this instance.
+    pub incarnation: u64,
     /// Data centre of this instance.
     pub data_centre: DataCentreName,
     /// The instances of the fleet.
@@ -74,19 +75,19 @@
     pub trace: &'a Arc<RequestTrace>,
 }
 
-/// Mark of a request that was passed on.
+/// A request that was passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Mark {
-    /// Number of the last attempt to get a slot at the instance that passed it on; 0 if the mark
-    /// does not state it.
-    pub last_attempt: u64,
+    /// Number of the last attempt to get a slot at the instance that passed it on; `None` if no
+    /// instance of the fleet has set the mark.
+    pub last_attempt: Option<u64>,
 }
 
-/// Removes the mark of a request that was passed on, and returns it.
-pub fn take_mark(headers: &mut HeaderMap) -> Option<Mark> {
-    let value = headers.remove(PASSED_ON)?;
-    let number = value.to_str().ok().and_then(|value| value.parse().ok());
-    Some(Mark { last_attempt: number.unwrap_or_default() })
+/// Parses the value of [`PASSED_ON`]: the incarnation of the instance that passed the request on,
+/// which only instances know, and the number of its last attempt.
+fn parse_mark(value: &HeaderValue) -> Option<(u64, u64)> {
+    let (incarnation, last_attempt) = value.to_str().ok()?.split_once(' ')?;
+    Some((incarnation.parse().ok()?, last_attempt.parse().ok()?))
 }
 
 /// Marks the refusal of a request that was passed on to an instance without a path.
@@ -95,6 +96,14 @@
 }
 
 impl OtherInstances {
+    /// Removes the mark of a request that was passed on, and returns it.
+    pub fn take_mark(&self, headers: &mut HeaderMap) -> Option<Mark> {
+        let value = headers.remove(PASSED_ON)?;
+        let members = self.members.load();
+        let parsed = parse_mark(&value).filter(|(sender, _)| members.has_incarnation(*sender));
+        Some(Mark { last_attempt: parsed.map(|(_, last_attempt)| last_attempt) })
+    }
+
     /// Passes a request on to another instance, and its response back.
     ///
     /// # Errors
@@ -115,8 +124,8 @@
             };
             request.trace.passed_on(clock::now(), member.instance.as_str());
             let deadline = clock::instant(request.deadline);
-            let response =
-                timeout_at(deadline, exchange::send(stream, request.message(protocol))).await;
+            let message = self.message(protocol, &request);
+            let response = timeout_at(deadline, exchange::send(stream, message)).await;
             let response = response.map_err(|_| Failure::TimeoutAfterSend)?;
             let response = response.map_err(|_| Failure::ResponseLost)?;
             let has_no_path = response.head.status == StatusCode::SERVICE_UNAVAILABLE
@@ -130,6 +139,23 @@
         Err(ErrorResponse { retry_after: Some(RETRY_AFTER), ..Failure::Unreachable.into() })
     }
 
+    /// Returns a request as it is sent to another instance.
+    fn message<P>(&self, protocol: &P, request: &PassedOn<'_>) -> Request<Full<Bytes>>
+    where
+        P: Protocol,
+    {
+        let time_left = request.deadline.saturating_sub(clock::now());
+        let mut message = Request::new(Full::new(request.body.clone()));
+        *message.method_mut() = request.head.method.clone();
+        let path = request.head.uri.path_and_query().cloned();
+        *message.uri_mut() = path.map(http::Uri::from).unwrap_or_default();
+        *message.headers_mut() = protocol.passed_on_headers(&request.head.headers, time_left);
+        let mark = format!("{} {}", self.incarnation, request.last_attempt);
+        let mark = HeaderValue::try_from(mark).unwrap_or(HeaderValue::from_static("unknown"));
+        message.headers_mut().insert(PASSED_ON, mark);
+        message
+    }
+
     /// Returns the instances to try: one of the own data centre, then those of others, as all of a
     /// data centre may have lost their paths together.
     fn candidates(&self, now: Duration) -> Vec<Member> {
@@ -159,23 +185,6 @@
     }
 }
 
-impl PassedOn<'_> {
-    /// Returns the request as it is sent to the other instance.
-    fn message<P>(&self, protocol: &P) -> Request<Full<Bytes>>
-    where
-        P: Protocol,
-    {
-        let time_left = self.deadline.saturating_sub(clock::now());
-        let mut message = Request::new(Full::new(self.body.clone()));
-        *message.method_mut() = self.head.method.clone();
-        let path = self.head.uri.path_and_query().cloned();
-        *message.uri_mut() = path.map(http::Uri::from).unwrap_or_default();
-        *message.headers_mut() = protocol.passed_on_headers(&self.head.headers, time_left);
-        message.headers_mut().insert(PASSED_ON, HeaderValue::from(self.last_attempt));
-        message
-    }
-}
-
 fn pass_back<P>(
     protocol: &P,
     received: UpstreamResponse,
