Recognise a crashing request also when it was passed on

What callors saw: nothing; found on reading the diff. A request that crashes servers could crash more of them if it came to instances with and without a path.

Cause: the digest by which the gate knows it had Content-Length and the whole URI, which a request that is passed on may get or lose.

Change: the digest is of method, path and query, workspace and body.

--- a/lacewingspring_proxy/src/job.rs
+++ b/lacewingspring_proxy/src/job.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use http::{Response, header::CONTENT_LENGTH, request::Parts};
+use http::{Response, request::Parts, uri::PathAndQuery};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use lacewingspring_core::{
@@ -153,14 +153,13 @@
     hasher.finish()
 }
 
-/// Returns a digest of method, URI, workspace, `Content-Length` and body, by which the gate
-/// recognises a repeated request.
+/// Returns a digest of method, path, query, workspace and body, by which the gate recognises a
+/// repeated request, also one that was passed on.
 pub(crate) fn fingerprint(head: &Parts, admitted: &Admitted, body: &Bytes) -> u64 {
     let mut hasher = DefaultHasher::new();
     head.method.hash(&mut hasher);
-    head.uri.hash(&mut hasher);
+    head.uri.path_and_query().map(PathAndQuery::as_str).hash(&mut hasher);
     admitted.workspace.as_ref().map(|workspace| &workspace.name).hash(&mut hasher);
     body.hash(&mut hasher);
-    head.headers.get(CONTENT_LENGTH).hash(&mut hasher);
     hasher.finish()
 }
