--- a/lacewingspring_core/tests/rate_limits.rs
+++ b/lacewingspring_core/tests/rate_limits.rs
@@ -1,12 +1,14 @@
 //! Limits that upstreams name on the requests that they take from all instances together.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::time::Duration;
 
-use lacewingspring_core::{
-    dispatch::{Decision, Dispatcher, End, Grant, SlotRequest, Ticket, UpstreamInfo, Work},
-    names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName},
+use dispatch_support::ticket;
+use lacewingspring_core::dispatch::{
+    Decision, Dispatcher, End, Grant, SlotRequest, Ticket, UpstreamInfo, Work,
 };
 
+mod dispatch_support;
+
 const LIMITED: &str = "limited";
 
 /// Time between two requests, each of which runs for [`RUN_TIME`].
@@ -23,43 +25,20 @@
 }
 
 fn upstream(name: &str, started_at_ms: u64) -> UpstreamInfo {
-    UpstreamInfo {
-        name: UpstreamName::from(name),
-        service: ServiceName::from("models"),
-        software: SoftwareVersion::from("v1"),
-        address: SocketAddr::from(([10, 0, 0, 1], 8000)),
-        data_centre: DataCentreName::from("a"),
-        slots: 4,
-        memory_tokens: 100_000,
-        draining: false,
-        started_at_ms,
-    }
+    UpstreamInfo { started_at_ms, ..dispatch_support::upstream(name, 4) }
 }
 
 fn request(number: u64) -> SlotRequest {
     SlotRequest {
-        service: ServiceName::from("models"),
-        class: Arc::from("class"),
-        rank: 0,
-        data_centre: DataCentreName::from("a"),
         workspace: None,
         work: Work::Plain,
-        target_left: Duration::from_millis(400),
-        time_left: Duration::from_secs(15),
         first_output_left: Duration::from_secs(3),
         charge: 1,
-        sends: 0,
-        avoid: Vec::new(),
         fingerprint: number,
-        stream: None,
-        software: None,
+        ..dispatch_support::request("class")
     }
 }
 
-fn ticket(number: u64) -> Ticket {
-    Ticket { link: 1, number }
-}
-
 /// A gate that gets a request each [`REQUEST_INTERVAL`].
 struct Play {
     now: Duration,
--- a/lacewingspring_core/tests/resumed_streams.rs
+++ b/lacewingspring_core/tests/resumed_streams.rs
@@ -1,59 +1,36 @@
 //! Decisions of the dispatcher on streams that callers take up again while upstreams of several
 //! software versions serve.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
+use dispatch_support::{LINK, ms, ticket};
 use lacewingspring_core::{
     dispatch::{
-        Decision, Dispatcher, End, KnownStreams, Reason, SlotRequest, StreamRef, Ticket,
-        UpstreamInfo, Work,
+        Decision, Dispatcher, End, KnownStreams, Reason, SlotRequest, StreamRef, UpstreamInfo,
     },
-    names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName},
+    names::{SoftwareVersion, UpstreamName},
 };
 use quickcheck::{TestResult, quickcheck};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-const LINK: u64 = 1;
+mod dispatch_support;
 
 /// Time for which the caller of each stream waits.
 const LIFETIME: Duration = Duration::from_secs(15);
 
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
-
 fn upstream(name: &str, software: &str, slots: u32) -> UpstreamInfo {
-    UpstreamInfo {
-        name: UpstreamName::from(name),
-        service: ServiceName::from("models"),
-        software: SoftwareVersion::from(software),
-        address: SocketAddr::from(([10, 0, 0, 1], 8000)),
-        data_centre: DataCentreName::from("a"),
-        slots,
-        memory_tokens: 100_000,
-        draining: false,
-        started_at_ms: 1,
-    }
+    let software = SoftwareVersion::from(software);
+    UpstreamInfo { software, ..dispatch_support::upstream(name, slots) }
 }
 
 /// A request that begins a stream.
 fn begin(id: u64) -> SlotRequest {
+    let stream = StreamRef { id, is_resumed: false, attempt: 0, lifetime: LIFETIME };
     SlotRequest {
-        service: ServiceName::from("models"),
-        class: Arc::from("chat"),
-        rank: 0,
-        data_centre: DataCentreName::from("a"),
         workspace: None,
-        work: Work::Generation { prompt_tokens: 100, output_tokens: 50, parts: Vec::new() },
-        target_left: ms(400),
-        time_left: LIFETIME,
-        first_output_left: ms(2_400),
-        charge: 150,
-        sends: 0,
-        avoid: Vec::new(),
         fingerprint: id,
-        stream: Some(StreamRef { id, is_resumed: false, attempt: 0, lifetime: LIFETIME }),
-        software: None,
+        stream: Some(stream),
+        ..dispatch_support::request("chat")
     }
 }
 
@@ -69,10 +46,6 @@
     SlotRequest { stream, ..begin(id) }
 }
 
-fn ticket(number: u64) -> Ticket {
-    Ticket { link: LINK, number }
-}
-
 /// A gate of the whole fleet that knows of no stream, and that there was none.
 fn gate(upstreams: &[UpstreamInfo]) -> Dispatcher {
     let mut gate = Dispatcher::default();
--- /dev/null
+++ b/lacewingspring_core/tests/upstream_trouble.rs
@@ -0,0 +1,132 @@
+//! Decisions of the dispatcher about upstreams that can't be reached or may crash.
+
+use std::{ops::Range, time::Duration};
+
+use dispatch_support::{LINK, granted, ms, request, ticket, upstream};
+use lacewingspring_core::dispatch::{
+    Dispatcher, End, Finding, SlotRequest, Ticket, UpstreamInfo, Work,
+};
+
+mod dispatch_support;
+
+fn dispatcher(upstreams: &[UpstreamInfo]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(Duration::ZERO, upstreams.to_vec());
+    dispatcher.set_fleet_fraction(Duration::ZERO, 1.0);
+    dispatcher
+}
+
+#[test]
+fn backs_off_from_an_unreachable_upstream() {
+    let mut dispatcher = dispatcher(&[upstream("a", 1), upstream("b", 1)]);
+    let decisions = dispatcher.request_slot(ms(0), ticket(1), request("a"));
+    let dead = granted(&decisions)[0].1.to_owned();
+    dispatcher.end(ms(1), ticket(1), End::Unreachable);
+    let decisions = dispatcher.request_slot(ms(2), ticket(2), request("a"));
+    assert_ne!(granted(&decisions)[0].1, dead);
+    assert_eq!(granted(&dispatcher.request_slot(ms(3), ticket(3), request("a"))), []);
+    assert_eq!(granted(&dispatcher.tick(ms(300))), [(3, dead.as_str())]);
+}
+
+#[test]
+fn an_instance_without_a_path_does_not_back_upstreams_off_for_the_others() {
+    let upstreams: Vec<UpstreamInfo> =
+        (1..=5).map(|number| upstream(&format!("s{number}"), 1)).collect();
+    let mut dispatcher = dispatcher(&upstreams);
+    dispatcher.request_slot(ms(0), ticket(1), request("a"));
+    dispatcher.end(ms(0), ticket(1), End::Cancelled);
+    let cut = |number| Ticket { link: 2, number };
+    for number in 1..=5 {
+        assert_eq!(granted(&dispatcher.request_slot(ms(0), cut(number), request("a"))).len(), 1);
+    }
+    for number in 1..=5 {
+        dispatcher.end(ms(400), cut(number), End::Unreachable);
+    }
+    let backs_off = dispatcher.take_findings().into_iter().map(|finding| match finding {
+        Finding::Unreachable { link: 2, backs_off, .. } => backs_off,
+        other => panic!("unexpected finding {other:?}"),
+    });
+    assert_eq!(backs_off.collect::<Vec<bool>>(), [false; 5]);
+    for number in 10..15 {
+        assert_eq!(
+            granted(&dispatcher.request_slot(ms(410), ticket(number), request("a"))).len(),
+            1
+        );
+    }
+}
+
+#[test]
+fn two_instances_that_cannot_connect_to_an_upstream_back_it_off() {
+    let mut dispatcher = dispatcher(&[upstream("s1", 9), upstream("s2", 9)]);
+    let sent = |dispatcher: &mut Dispatcher, at, link, number| {
+        let decisions = dispatcher.request_slot(ms(at), Ticket { link, number }, request("a"));
+        granted(&decisions).first().map(|(_, upstream)| (*upstream).to_owned())
+    };
+    let mut fail = |at, link, number| {
+        let upstream = sent(&mut dispatcher, at, link, number);
+        dispatcher.end(ms(at), Ticket { link, number }, End::Unreachable);
+        let is_backed_off = dispatcher
+            .take_findings()
+            .into_iter()
+            .any(|finding| matches!(finding, Finding::Unreachable { backs_off: true, .. }));
+        (upstream.expect("a slot"), is_backed_off)
+    };
+    // The third instance only keeps the first from being alone.
+    assert_eq!(fail(0, 3, 1), ("s1".into(), true), "it is alone");
+    let first = fail(3_000, 1, 1);
+    assert_eq!(first, ("s1".into(), false));
+    assert_eq!(fail(3_010, 1, 2), ("s2".into(), false), "the pair of the first is paused");
+    assert_eq!(fail(3_020, 2, 1), ("s1".into(), true), "two agree");
+}
+
+#[test]
+fn a_response_shows_that_an_instance_has_a_path() {
+    let upstreams = [upstream("s1", 1), upstream("s2", 1), upstream("s3", 1)];
+    let mut dispatcher = dispatcher(&upstreams);
+    let mut fail = |at: u64, is_answered: bool| {
+        let decisions = dispatcher.request_slot(ms(at), ticket(at), request("a"));
+        assert_eq!(granted(&decisions).len(), 1);
+        dispatcher.end(
+            ms(at),
+            ticket(at),
+            if is_answered { End::Declined } else { End::Unreachable },
+        );
+        dispatcher.take_findings().len()
+    };
+    assert_eq!([fail(1, false), fail(2, false), fail(3, true), fail(300, false)], [1, 1, 0, 1]);
+    let decisions = dispatcher.request_slot(ms(310), ticket(310), request("a"));
+    assert_eq!(granted(&decisions).len(), 1);
+    dispatcher.end(ms(310), ticket(310), End::Unreachable);
+    let findings = dispatcher.take_findings();
+    assert!(matches!(findings[..], [Finding::Unreachable { backs_off: true, .. }]), "{findings:?}");
+}
+
+/// Requests slots at `now` for plain calls until none is granted; returns how many were.
+fn fill(dispatcher: &mut Dispatcher, now: Duration, numbers: Range<u64>) -> usize {
+    let plain = || SlotRequest { work: Work::Plain, ..request("a") };
+    let granted_at = |number| granted(&dispatcher.request_slot(now, ticket(number), plain())).len();
+    numbers.map(granted_at).sum()
+}
+
+#[test]
+fn keeps_a_slot_of_brittle_upstreams_free_until_none_says_so() {
+    let mut dispatcher = dispatcher(&[upstream("s1", 8), upstream("s2", 8)]);
+    assert_eq!(fill(&mut dispatcher, ms(0), 0..1), 1);
+    dispatcher.set_brittle(ms(10), ticket(0));
+    assert_eq!(dispatcher.take_findings().len(), 1);
+    assert_eq!(fill(&mut dispatcher, ms(20), 1..30), 13, "seven at each, less the one before");
+    dispatcher.end_link(ms(30), LINK);
+    let after = ms(10) + ms(2_000);
+    assert_eq!(fill(&mut dispatcher, after, 30..60), 18, "nine at each");
+}
+
+#[test]
+fn sends_nothing_to_a_brittle_upstream_for_a_second_after_it_declined() {
+    let mut dispatcher = dispatcher(&[upstream("s1", 8)]);
+    assert_eq!(fill(&mut dispatcher, ms(0), 0..2), 2);
+    dispatcher.set_brittle(ms(10), ticket(0));
+    dispatcher.end(ms(20), ticket(1), End::Declined);
+    assert_eq!(fill(&mut dispatcher, ms(900), 2..3), 0);
+    dispatcher.end_link(ms(950), LINK);
+    assert_eq!(fill(&mut dispatcher, ms(1_020), 3..4), 1);
+}
