Publish the usage of limits while the key-value service is silent

Cause: a gate published the usage of limits to other instances and stored it in one loop. While the service did not answer, each record held the loop for its time limit of 0.5 s, so that a gate that was cut off from the service published up to half a second late. Its successor assumes a sixteenth of a window unpublished.

Change: publishing and storing are two loops; the second one loads first and writes the latest that was published.

--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -10,7 +10,7 @@
 use lacewingspring_core::dispatch::{HandOver, KnownStreams, StoredUsage};
 use log::{info, warn};
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::time::sleep;
+use tokio::{sync::watch, time::sleep};
 
 use super::{host::GateHost, record::Record};
 use crate::{clock, store::Store};
@@ -62,6 +62,14 @@
     streams: Publication,
 }
 
+/// What is to be stored, each the latest that was published.
+#[derive(Clone, Debug, Default)]
+struct Stored {
+    usage: Vec<StoredUsage>,
+    hand_over: HandOver,
+    streams: KnownStreams,
+}
+
 impl<S> Ledger<S>
 where
     S: Store,
@@ -76,36 +84,60 @@
             while !self.host.serves_majority() {
                 sleep(CHECK_INTERVAL).await;
             }
-            self.load_usage().await;
-            self.load_hand_over(|| self.host.serves_majority()).await;
-            self.load_streams(|| self.host.serves_majority()).await;
-            let mut usage: Record<Vec<StoredUsage>> = Record::new(USAGE_KEY);
-            let mut hand_over: Record<HandOver> = Record::new(HAND_OVER_KEY);
-            let mut streams: Record<KnownStreams> = Record::new(STREAMS_KEY);
-            let mut published = Published::default();
-            while self.host.serves_majority() {
-                self.wait_until_due(&published).await;
-                let now = clock::now();
-                usage.set(self.host.publish_usage(now));
-                usage.write(now, &*self.store).await;
-                if self.is_hand_over_due(now, &published) {
-                    let version = self.host.hand_over_version();
-                    published.hand_over = Publication { version, at: now };
-                    hand_over.set(self.host.publish_hand_over(now));
-                }
-                hand_over.write(now, &*self.store).await;
-                if self.are_streams_due(now, &published) {
-                    let version = self.host.streams_version();
-                    published.streams = Publication { version, at: now };
-                    streams.set(self.host.mixed_streams(now));
-                } else if !self.host.has_mixed_software(now) {
-                    streams.set(KnownStreams::default());
-                }
-                streams.write(now, &*self.store).await;
+            // The service may be slow or away while the other instances are not.
+            let (tx, rx) = watch::channel(Stored::default());
+            tokio::join!(self.publish(tx), self.load_and_write(rx));
+        }
+    }
+
+    /// Publishes what the next gate must know while this instance is the gate.
+    async fn publish(&self, stored: watch::Sender<Stored>) {
+        let mut published = Published::default();
+        while self.host.serves_majority() {
+            self.wait_until_due(&published).await;
+            let now = clock::now();
+            let usage = self.host.publish_usage(now);
+            stored.send_modify(|stored| stored.usage = usage);
+            if self.is_hand_over_due(now, &published) {
+                let version = self.host.hand_over_version();
+                published.hand_over = Publication { version, at: now };
+                let hand_over = self.host.publish_hand_over(now);
+                stored.send_modify(|stored| stored.hand_over = hand_over);
+            }
+            if self.are_streams_due(now, &published) {
+                let version = self.host.streams_version();
+                published.streams = Publication { version, at: now };
+                let streams = self.host.mixed_streams(now);
+                stored.send_modify(|stored| stored.streams = streams);
+            } else if !self.host.has_mixed_software(now) {
+                stored.send_modify(|stored| stored.streams = KnownStreams::default());
             }
         }
     }
 
+    /// Loads what an earlier gate stored, then stores what is published while this instance is the
+    /// gate.
+    async fn load_and_write(&self, stored: watch::Receiver<Stored>) {
+        self.load_usage().await;
+        self.load_hand_over(|| self.host.serves_majority()).await;
+        self.load_streams(|| self.host.serves_majority()).await;
+        // What was loaded is published before anything of an earlier gate is overwritten.
+        sleep(MIN_HAND_OVER_INTERVAL + CHECK_INTERVAL).await;
+        let mut usage: Record<Vec<StoredUsage>> = Record::new(USAGE_KEY);
+        let mut hand_over: Record<HandOver> = Record::new(HAND_OVER_KEY);
+        let mut streams: Record<KnownStreams> = Record::new(STREAMS_KEY);
+        while self.host.serves_majority() {
+            let latest = stored.borrow().clone();
+            usage.set(latest.usage);
+            hand_over.set(latest.hand_over);
+            streams.set(latest.streams);
+            usage.write(clock::now(), &*self.store).await;
+            hand_over.write(clock::now(), &*self.store).await;
+            streams.write(clock::now(), &*self.store).await;
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+
     /// Waits until something is due: the usage after the regular interval or as soon as much of a
     /// limit was used, the rest as soon as it has changed.
     async fn wait_until_due(&self, published: &Published) {
