Keep a limit while two gates hand it out

Cause: a gate of a majority handed out limits in full while one of a minority handed out half of its part, at once and whatever had been used before; with 30 of 87 instances cut off that is 1.17 of the limit. And the first instance that links to a new gate passed for a proof of all usage, although it may have been told none, or none for long.

Change: FleetRoster tells a gate its share. An instance whose entry vanished although it did not leave may decide alone; the majority reserves for it, and for those not linked, what a minority may hand out, until a new process registers or it has been linked for a window. A minority's gate hands out its part, and no more than is left of the whole by what it knows. Usage that is older than a publication can be leaves a gap that counts as used; usage older than a window says nothing. A published step is as old as its newest units.

A workspace at half of its limit gets 0.95 or more of what it asks on both sides.

--- a/lacewingspring_core/examples/dispatch_cost.rs
+++ b/lacewingspring_core/examples/dispatch_cost.rs
@@ -16,7 +16,8 @@
 
 use lacewingspring_core::{
     dispatch::{
-        Decision, Dispatcher, End, PromptPart, SlotRequest, StreamRef, Ticket, UpstreamInfo, Work,
+        Decision, Dispatcher, End, FleetShare, PromptPart, SlotRequest, StreamRef, Ticket,
+        UpstreamInfo, Work,
     },
     names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName},
 };
@@ -117,7 +118,7 @@
 fn measure(upstreams: usize, is_release: bool) {
     let mut dispatcher = Dispatcher::default();
     dispatcher.set_upstreams(Duration::ZERO, (0..upstreams).map(upstream));
-    dispatcher.set_fleet_fraction(Duration::ZERO, 1.0);
+    dispatcher.set_fleet_share(Duration::ZERO, FleetShare::WHOLE);
     let rate = upstreams as f64 * f64::from(SLOTS) * REQUESTS_PER_SECOND_PER_SLOT;
     let mut ends = Ends::new();
     let (mut calls, mut refused) = (0_u32, 0);
--- /dev/null
+++ b/lacewingspring_core/src/dispatch/fleet_share.rs
@@ -0,0 +1,157 @@
+//! Part of the fleet's slots and limits that a gate may use.
+//!
+//! Two gates may decide at the same time, each for the instances on its side of a network partition.
+//! Each uses a part, such that the parts of the limits add up to the whole at most. An instance
+//! whose entry vanished although it did not leave may still decide on its own, so a majority's gate
+//! goes on reserving for it what a minority's gate may hand out.
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::names::InstanceName;
+
+/// Factor on the fraction of the workspace limits that a gate hands out while it decides for a
+/// minority of the fleet only. A majority's gate reserves this much for each instance that is not
+/// linked to it.
+const MINORITY_LIMIT_FACTOR: f64 = 0.5;
+
+/// Time after which an instance without an entry no longer counts as one that may decide alone.
+const MISSING_RETENTION: Duration = Duration::from_secs(600);
+
+/// Part of the fleet's slots and limits that a gate may use, each from 0 to 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct FleetShare {
+    /// Fraction of all slots.
+    pub slots: f64,
+    /// Fraction of all limits.
+    pub limits: f64,
+}
+
+impl FleetShare {
+    /// The whole fleet.
+    pub const WHOLE: Self = Self { slots: 1.0, limits: 1.0 };
+
+    /// Creates the share of a gate that schedules a minority of the fleet.
+    pub fn of_minority(fraction: f64) -> Self {
+        Self { slots: fraction, limits: fraction * MINORITY_LIMIT_FACTOR }
+    }
+
+    /// Returns whether this is the share of a gate that schedules more than half of the fleet.
+    pub fn is_majority(&self) -> bool {
+        self.slots >= Self::WHOLE.slots
+    }
+
+    /// Returns whether nothing of the limits is reserved for other gates.
+    pub fn has_all_limits(&self) -> bool {
+        self.limits >= Self::WHOLE.limits
+    }
+}
+
+/// An instance of the fleet, as far as the shares of gates depend on it.
+#[derive(Clone, Debug)]
+pub struct RegisteredInstance {
+    /// Name of the instance.
+    pub name: InstanceName,
+    /// Number that distinguishes its process from earlier ones.
+    pub incarnation: u64,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+}
+
+/// An instance that vanished although it did not leave: it crashed, or is cut off.
+#[derive(Debug)]
+struct Missing {
+    incarnation: u64,
+    since: Duration,
+    /// Time since which it is linked here; `None` if it is not.
+    linked_since: Option<Duration>,
+}
+
+/// The instances that may hand out slots and limits.
+#[derive(Debug, Default)]
+pub struct FleetRoster {
+    registered: HashMap<InstanceName, RegisteredInstance>,
+    missing: HashMap<InstanceName, Missing>,
+    /// Number of links of each linked instance.
+    linked: HashMap<InstanceName, usize>,
+}
+
+impl FleetRoster {
+    /// Replaces the registered instances.
+    pub fn set_registered<I>(&mut self, now: Duration, instances: I)
+    where
+        I: IntoIterator<Item = RegisteredInstance>,
+    {
+        let instances = instances.into_iter().map(|instance| (instance.name.clone(), instance));
+        let before = std::mem::replace(&mut self.registered, instances.collect());
+        for (name, instance) in before {
+            if !instance.is_leaving && !self.registered.contains_key(&name) {
+                let incarnation = instance.incarnation;
+                self.missing.insert(name, Missing { incarnation, since: now, linked_since: None });
+            }
+        }
+        // A new process of an instance has taken the place of the one that is missing.
+        let registered = &self.registered;
+        self.missing.retain(|name, missing| {
+            registered.get(name).is_none_or(|known| known.incarnation == missing.incarnation)
+        });
+    }
+
+    /// Records a link of an instance.
+    pub fn link(&mut self, instance: InstanceName) {
+        *self.linked.entry(instance).or_default() += 1;
+    }
+
+    /// Records that a link of an instance was closed.
+    pub fn unlink(&mut self, instance: &InstanceName) {
+        let Some(links) = self.linked.get_mut(instance) else { return };
+        *links -= 1;
+        if *links == 0 {
+            self.linked.remove(instance);
+        }
+    }
+
+    /// Returns the number of linked instances.
+    pub fn linked(&self) -> usize {
+        self.linked.len()
+    }
+
+    /// Returns the number of registered instances that are not leaving.
+    pub fn active(&self) -> usize {
+        self.registered.values().filter(|instance| !instance.is_leaving).count()
+    }
+
+    /// Returns the share of the gate with these links, where limits are counted in windows of
+    /// `limit_window`.
+    pub fn share(&mut self, now: Duration, limit_window: Duration) -> FleetShare {
+        self.track_missing(now, limit_window);
+        let active = self.active().max(1);
+        let linked = self.linked.len();
+        if linked * 2 <= active {
+            return FleetShare::of_minority(linked as f64 / active as f64);
+        }
+        let unlinked = self.registered.values().filter(|instance| {
+            let name = &instance.name;
+            let is_apart = !self.linked.contains_key(name) && !self.missing.contains_key(name);
+            is_apart && !instance.is_leaving
+        });
+        let apart = unlinked.count() + self.missing.len();
+        let unregistered = |name: &&InstanceName| !self.registered.contains_key(*name);
+        let known = active + self.missing.keys().filter(unregistered).count();
+        let reserved = MINORITY_LIMIT_FACTOR * apart as f64 / known.max(apart) as f64;
+        FleetShare { limits: FleetShare::WHOLE.limits - reserved, ..FleetShare::WHOLE }
+    }
+
+    /// Forgets missing instances that have been linked for a whole window, after which nothing
+    /// counts that they handed out before, and those that have been missing for long.
+    fn track_missing(&mut self, now: Duration, limit_window: Duration) {
+        let linked = &self.linked;
+        self.missing.retain(|name, missing| {
+            if !linked.contains_key(name) {
+                missing.linked_since = None;
+                return now.saturating_sub(missing.since) < MISSING_RETENTION;
+            }
+            let since = *missing.linked_since.get_or_insert(now);
+            now.saturating_sub(since) < limit_window
+        });
+    }
+}
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 pub use self::{
     budget::RetryBound,
     finding::Finding,
+    fleet_share::{FleetRoster, FleetShare, RegisteredInstance},
     hand_over::{BlockedParts, BlockedRequest, CrashedPart, HandOver, UpstreamLimit},
     known_streams::{KnownStream, KnownStreams, ServedVersion, StreamGroup, UpstreamProcess},
     quota::{Quota, QuotaBounds, StoredUsage},
@@ -42,6 +43,7 @@
 mod crashes;
 mod crashing_parts;
 mod finding;
+mod fleet_share;
 mod hand_over;
 mod known_streams;
 mod link_paths;
@@ -63,13 +65,6 @@
 mod upstream_state;
 mod work;
 
-/// Fleet fraction of a gate that decides for the whole fleet.
-const WHOLE_FLEET: f64 = 1.0;
-
-/// Factor on the fraction of the workspace limits that a gate hands out while it decides for a
-/// minority of the fleet only, since the majority may hand out the limits in full.
-const MINORITY_QUOTA_FACTOR: f64 = 0.5;
-
 /// Longest interruption of the control over the whole fleet during which no other gate can have
 /// taken over.
 const MAX_INTERRUPTION: Duration = Duration::from_millis(500);
@@ -93,7 +88,7 @@
 }
 
 /// Schedules the requests of all services onto their upstreams.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Dispatcher {
     pools: BTreeMap<ServiceName, Pool>,
     open: HashMap<Ticket, OpenRequest>,
@@ -104,29 +99,11 @@
     link_paths: LinkPaths,
     findings: Vec<Finding>,
     refusals: RefusalHistory,
-    fleet_fraction: f64,
+    share: FleetShare,
     /// Time at which it last stopped deciding for the whole fleet.
     whole_fleet_until: Option<Duration>,
 }
 
-impl Default for Dispatcher {
-    fn default() -> Self {
-        Self {
-            pools: BTreeMap::new(),
-            open: HashMap::new(),
-            quotas: Quotas::default(),
-            retries: RetryBudgets::default(),
-            crashes: Crashes::default(),
-            resumptions: Resumptions::default(),
-            link_paths: LinkPaths::default(),
-            findings: Vec::new(),
-            refusals: RefusalHistory::default(),
-            fleet_fraction: 0.0,
-            whole_fleet_until: None,
-        }
-    }
-}
-
 impl Dispatcher {
     /// Replaces the known upstreams and dispatches waiting requests to those that have free slots.
     pub fn set_upstreams<I>(&mut self, now: Duration, upstreams: I) -> Vec<Decision>
@@ -193,41 +170,36 @@
         self.quotas.export_usage(now)
     }
 
-    /// Sets the fraction of all slots and limits that may be used here, from 0 to 1.
+    /// Sets the part of all slots and limits that may be used here.
     ///
-    /// If the fraction becomes 1 and was not 1 within the last `MAX_INTERRUPTION`, the recorded
-    /// usage is discarded, since another gate may have handed out limits until now.
-    pub fn set_fleet_fraction(&mut self, now: Duration, fraction: f64) -> Vec<Decision> {
-        let had_whole_fleet = self.fleet_fraction >= WHOLE_FLEET;
-        if had_whole_fleet && fraction < WHOLE_FLEET {
+    /// If it becomes that of a majority and was not within the last `MAX_INTERRUPTION`, or of a
+    /// minority after it was nothing, another gate may have handed out limits until now.
+    pub fn set_fleet_share(&mut self, now: Duration, share: FleetShare) -> Vec<Decision> {
+        let before = std::mem::replace(&mut self.share, share);
+        if before.is_majority() && !share.is_majority() {
             self.whole_fleet_until = Some(now);
         }
-        if !had_whole_fleet && fraction >= WHOLE_FLEET && !self.had_whole_fleet_recently(now) {
-            self.quotas.reset(now);
+        let begins = before.slots <= 0.0 || (share.is_majority() && !before.is_majority());
+        if begins && share.slots > 0.0 && !self.had_whole_fleet_recently(now) {
+            self.quotas.begin(now);
         }
-        self.fleet_fraction = fraction.clamp(0.0, 1.0);
-        self.tick(now)
+        self.quotas.set_share(now, share);
+        // Limits are charged on arrival, so that only more slots let waiting requests run.
+        if share.slots > before.slots { self.tick(now) } else { Vec::new() }
     }
 
     fn had_whole_fleet_recently(&self, now: Duration) -> bool {
         self.whole_fleet_until.is_some_and(|until| now.saturating_sub(until) < MAX_INTERRUPTION)
     }
 
-    /// Returns the fraction of the workspace limits that may be handed out here.
-    ///
-    /// A minority hands out less than its fraction, since the rest of the fleet may consider its
-    /// instances gone and hand out the limits in full.
-    fn quota_fraction(&self) -> f64 {
-        if self.fleet_fraction >= WHOLE_FLEET {
-            WHOLE_FLEET
-        } else {
-            self.fleet_fraction * MINORITY_QUOTA_FACTOR
-        }
+    /// Returns the length of the window in which the usage of limits is counted.
+    pub fn limit_window(&self) -> Duration {
+        self.quotas.window()
     }
 
-    /// Returns the fraction of all slots and limits that may be used here.
-    pub fn fleet_fraction(&self) -> f64 {
-        self.fleet_fraction
+    /// Returns the part of all slots and limits that may be used here.
+    pub fn fleet_share(&self) -> FleetShare {
+        self.share
     }
 
     /// Queues a request for a slot and dispatches what can be sent.
@@ -241,7 +213,7 @@
         request: SlotRequest,
     ) -> Vec<Decision> {
         self.link_paths.record_request(ticket.link);
-        let is_whole_fleet = self.fleet_fraction >= WHOLE_FLEET;
+        let is_whole_fleet = self.share.is_majority();
         let resolution = self.resumptions.resolve(now, is_whole_fleet, ticket, request);
         self.follow_resolution(now, ticket, resolution)
     }
@@ -266,10 +238,10 @@
         let pool = self.pools.entry(request.service.clone()).or_default();
         let avoided = self.link_paths.to_avoid(now, ticket.link);
         if !avoided.is_empty() {
-            pool.avoid_if_others(now, self.fleet_fraction, &mut request, avoided);
+            pool.avoid_if_others(now, self.share.slots, &mut request, avoided);
         }
         self.open.insert(ticket, open);
-        let decisions = pool.request_slot(now, self.fleet_fraction, ticket, request);
+        let decisions = pool.request_slot(now, self.share.slots, ticket, request);
         self.settle(now, decisions)
     }
 
@@ -296,14 +268,14 @@
     ) -> Result<Option<Charge>, Refusal> {
         if request.sends > 0 {
             let is_allowed =
-                self.retries.take_repeated_send(now, self.fleet_fraction, &request.service);
+                self.retries.take_repeated_send(now, self.share.slots, &request.service);
             let refusal = Refusal::new(Reason::RetryBudget, request.time_left / 3);
             return if is_allowed { Ok(None) } else { Err(refusal) };
         }
         self.retries.count_first_send(now, &request.service);
         let Some(workspace) = &request.workspace else { return Ok(None) };
         let charge = Charge { ticket, workspace: workspace.clone(), units: request.charge };
-        let taken = self.quotas.take(now, self.quota_fraction(), &charge);
+        let taken = self.quotas.take(now, &charge);
         taken.map_err(|retry_after| Refusal::new(Reason::Limit, retry_after))?;
         Ok(Some(charge))
     }
@@ -341,7 +313,7 @@
         let mut decisions =
             if is_new_crash { self.refuse_crashing_waiting(now) } else { Vec::new() };
         if let Some(pool) = self.pools.get_mut(&open.service) {
-            decisions.extend(pool.end(now, self.fleet_fraction, ticket, end));
+            decisions.extend(pool.end(now, self.share.slots, ticket, end));
         }
         self.settle(now, decisions)
     }
@@ -383,7 +355,7 @@
 
     /// Refuses requests that have waited too long and dispatches those for which there is a slot.
     pub fn tick(&mut self, now: Duration) -> Vec<Decision> {
-        let fleet_fraction = self.fleet_fraction;
+        let fleet_fraction = self.share.slots;
         let dispatched = self
             .pools
             .values_mut()
--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -2,6 +2,10 @@
 //!
 //! A gate publishes and stores the usage it has handed out, so that its successor can import it. A
 //! successor counts usage that it can't know of as if the limit had been used up.
+//!
+//! Two gates may hand out one limit at the same time ([`FleetShare`]). That of a majority hands out
+//! no more than its part, whatever it knows to be used included. That of a minority hands out no more
+//! than its part, and no more than is left of the whole.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -10,7 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{open_request::Charge, work::Ticket};
+use super::{fleet_share::FleetShare, open_request::Charge, work::Ticket};
 use crate::names::WorkspaceName;
 
 /// Time after its reset in which a new gate imports the usage of earlier gates.
@@ -20,6 +24,10 @@
 /// published its usage. Usage is published at once when half of it has been handed out.
 const MAX_UNPUBLISHED_FRACTION: f64 = 1.0 / 16.0;
 
+/// Age up to which imported usage lacks no more than [`MAX_UNPUBLISHED_FRACTION`]: the longest
+/// interval at which a gate publishes its usage, and the time of the message.
+const MAX_FRESH_AGE: Duration = Duration::from_millis(1_500);
+
 /// Time resolution of exported usage.
 const EXPORT_STEP: Duration = Duration::from_millis(250);
 
@@ -83,6 +91,18 @@
         self.entries.insert(index, entry);
     }
 
+    /// Discards all units but those that were handed out here since a time.
+    fn retain_handed_out_since(&mut self, since: Duration) {
+        self.entries.retain(|entry| entry.ticket.is_some() && entry.at >= since);
+        self.sum = self.entries.iter().map(|entry| entry.units).sum();
+    }
+
+    /// Returns the units that were handed out here since a time.
+    fn handed_out_since(&self, since: Duration) -> f64 {
+        let recent = self.entries.iter().rev().take_while(|entry| entry.at >= since);
+        recent.filter(|entry| entry.ticket.is_some()).map(|entry| entry.units).sum()
+    }
+
     fn remove(&mut self, ticket: Ticket) {
         let index = self.entries.iter().rposition(|entry| entry.ticket == Some(ticket));
         if let Some(removed) = index.and_then(|index| self.entries.remove(index)) {
@@ -118,15 +138,40 @@
     }
 }
 
+/// Part of the limits that may be handed out here.
+#[derive(Clone, Copy, Debug)]
+enum LimitPart {
+    /// This fraction, in which all that is known to be used counts.
+    Majority(f64),
+    /// This fraction of what is handed out since a time, if the whole limit has that much left.
+    Minority { fraction: f64, since: Duration },
+}
+
 /// Usage and limits of all workspaces.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Quotas {
     bounds: QuotaBounds,
     accounts: HashMap<WorkspaceName, Account>,
-    /// Time since which all usage is known.
-    usage_known_since: Duration,
-    /// Time at which this gate began to decide for the whole fleet.
-    reset_at: Duration,
+    part: LimitPart,
+    /// Time since which all usage is known, but for that between `known_until` and `began_at`.
+    known_since: Duration,
+    /// Time until which imported usage is known; `None` if none was imported.
+    known_until: Option<Duration>,
+    /// Time at which this gate began to decide for its part of the fleet.
+    began_at: Duration,
+}
+
+impl Default for Quotas {
+    fn default() -> Self {
+        Self {
+            bounds: QuotaBounds::default(),
+            accounts: HashMap::new(),
+            part: LimitPart::Majority(0.0),
+            known_since: Duration::ZERO,
+            known_until: None,
+            began_at: Duration::ZERO,
+        }
+    }
 }
 
 impl Quotas {
@@ -136,23 +181,53 @@
         self.bounds = bounds;
     }
 
-    /// Discards all usage, since it is not known what other gates have handed out in the meantime.
-    pub fn reset(&mut self, now: Duration) {
-        self.accounts.clear();
-        self.usage_known_since = now;
-        self.reset_at = now;
+    /// Returns the length of the sliding window.
+    pub fn window(&self) -> Duration {
+        self.bounds.window
+    }
+
+    /// Sets the part of the limits that may be handed out here.
+    pub fn set_share(&mut self, now: Duration, share: FleetShare) {
+        let fraction = share.limits;
+        self.part = match self.part {
+            _ if share.is_majority() => LimitPart::Majority(fraction),
+            LimitPart::Minority { since, .. } => LimitPart::Minority { fraction, since },
+            LimitPart::Majority(_) => LimitPart::Minority { fraction, since: now },
+        };
+    }
+
+    /// Begins to count for a larger part of the fleet, for which another gate may have handed out
+    /// limits until now. What was counted or imported long ago is discarded, except for what only
+    /// this gate can know: what it handed out to a minority.
+    pub fn begin(&mut self, now: Duration) {
+        if now.saturating_sub(self.began_at) > IMPORT_PERIOD {
+            let own_since = match self.part {
+                LimitPart::Minority { since, .. } => since,
+                LimitPart::Majority(_) => now,
+            };
+            for account in self.accounts.values_mut() {
+                account.retain_handed_out_since(own_since);
+            }
+            self.known_until = None;
+        }
+        if self.known_until.is_none() {
+            self.known_since = now;
+        }
+        self.began_at = now;
     }
 
     /// Imports usage that an earlier gate published `age` ago.
     ///
     /// The same usage may arrive from several sources; for each workspace the largest total counts.
-    /// It is accepted only for a short time after a reset, since later it repeats what is already
-    /// known.
+    /// It is accepted only for a short time after the begin, since later it repeats what is already
+    /// known. Usage from before the window says nothing.
     pub fn import_usage(&mut self, now: Duration, age: Duration, stored: &[StoredUsage]) {
-        if now.saturating_sub(self.reset_at) > IMPORT_PERIOD {
+        let is_too_late = now.saturating_sub(self.began_at) > IMPORT_PERIOD;
+        if is_too_late || age >= self.bounds.window {
             return;
         }
-        self.usage_known_since = now.saturating_sub(self.bounds.window + age);
+        self.known_since = Duration::ZERO;
+        self.known_until = self.known_until.max(Some(now.saturating_sub(age)));
         for StoredUsage { workspace, steps } in stored {
             // The earlier gate may have handed out this much after it last published its usage.
             let unpublished = self.window_limit(workspace) * MAX_UNPUBLISHED_FRACTION;
@@ -169,6 +244,17 @@
         }
     }
 
+    /// Returns the part of the window that ends at `now` of which the usage is known.
+    fn known_time(&self, now: Duration) -> Duration {
+        let window = self.bounds.window;
+        let start = now.saturating_sub(window).max(self.known_since);
+        let imported_until = self.known_until.unwrap_or(self.began_at);
+        let is_fresh = self.began_at.saturating_sub(imported_until) <= MAX_FRESH_AGE;
+        let unknown_from = if is_fresh { self.began_at } else { imported_until.max(start) };
+        let unknown = self.began_at.saturating_sub(unknown_from);
+        now.saturating_sub(start).min(window).saturating_sub(unknown)
+    }
+
     /// Exports the usage for a later gate and marks it as published.
     pub fn export_usage(&mut self, now: Duration) -> Vec<StoredUsage> {
         let window = self.bounds.window;
@@ -177,14 +263,19 @@
             account.remove_expired(now, window);
             account.unpublished = 0.0;
             let mut steps: Vec<(u64, u64)> = Vec::new();
+            let mut step_began = Duration::ZERO;
             for entry in &account.entries {
                 let ago = now.saturating_sub(entry.at).as_millis() as u64;
                 let units = entry.units as u64;
                 match steps.last_mut() {
-                    Some((start, sum)) if *start - ago < EXPORT_STEP.as_millis() as u64 => {
-                        *sum += units
+                    // A step is as old as its newest entry, so that none leaves the window early.
+                    Some(step) if entry.at - step_began < EXPORT_STEP => {
+                        *step = (ago, step.1 + units);
+                    }
+                    _ => {
+                        step_began = entry.at;
+                        steps.push((ago, units));
                     }
-                    _ => steps.push((ago, units)),
                 }
             }
             if !steps.is_empty() {
@@ -208,26 +299,34 @@
         quota.rate.map_or(0.0, |rate| rate * self.bounds.window.as_secs_f64() + quota.burst)
     }
 
-    /// Takes the units of a request from `fraction` of the limit. The error is the time until
-    /// enough units are available.
-    pub fn take(&mut self, now: Duration, fraction: f64, charge: &Charge) -> Result<(), Duration> {
+    /// Takes the units of a request from the limit. The error is the time until enough units are
+    /// available.
+    pub fn take(&mut self, now: Duration, charge: &Charge) -> Result<(), Duration> {
         let window = self.bounds.window;
+        let known = self.known_time(now).as_secs_f64();
         let Some(quota) = self.bounds.quotas.get(&charge.workspace) else { return Ok(()) };
         let Some(rate) = quota.rate else { return Ok(()) };
-        // Usage before that time is unknown and counts as if the rate had been used up.
-        let known = now.saturating_sub(self.usage_known_since);
-        let known = known.min(window).as_secs_f64();
-        let limit = (rate * known + quota.burst) * fraction;
+        let whole = rate * window.as_secs_f64() + quota.burst;
+        // Usage that is not known counts as if the rate had been used up.
+        let known_limit = rate * known + quota.burst;
+        let units = charge.units as f64;
         let account = self.accounts.entry(charge.workspace.clone()).or_default();
         account.remove_expired(now, window);
-        let room = limit - charge.units as f64;
-        if account.sum > room {
-            let refill = Duration::try_from_secs_f64((account.sum - room) / rate);
-            return Err(account.time_until_room(now, window, room).min(refill.unwrap_or(window)));
+        let (reserved, excess_here) = match self.part {
+            LimitPart::Majority(fraction) => (whole * (1.0 - fraction), 0.0),
+            LimitPart::Minority { fraction, since } => {
+                (0.0, account.handed_out_since(since) + units - whole * fraction)
+            }
+        };
+        let room = known_limit - reserved - units;
+        if account.sum > room || excess_here > 0.0 {
+            let excess = (account.sum - room).max(excess_here);
+            let refill = Duration::try_from_secs_f64(excess / rate).unwrap_or(window);
+            return Err(account.time_until_room(now, window, account.sum - excess).min(refill));
         }
-        let entry = UsageEntry { at: now, ticket: Some(charge.ticket), units: charge.units as f64 };
+        let entry = UsageEntry { at: now, ticket: Some(charge.ticket), units };
         account.insert(entry);
-        account.unpublished += charge.units as f64;
+        account.unpublished += units;
         Ok(())
     }
 
--- a/lacewingspring_core/src/dispatch/streams.rs
+++ b/lacewingspring_core/src/dispatch/streams.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    Dispatcher, WHOLE_FLEET,
+    Dispatcher,
     known_streams::KnownStreams,
     resumptions::Resolution,
     work::{Decision, Grant, SlotRequest, Ticket},
@@ -25,7 +25,7 @@
         if !self.resumptions.is_waiting() {
             return Vec::new();
         }
-        let is_whole_fleet = self.fleet_fraction >= WHOLE_FLEET;
+        let is_whole_fleet = self.share.is_majority();
         let resolved = self.resumptions.take_resolved(now, is_whole_fleet);
         resolved
             .into_iter()
--- a/lacewingspring_core/tests/crashing_parts/play.rs
+++ b/lacewingspring_core/tests/crashing_parts/play.rs
@@ -3,7 +3,9 @@
 use std::{collections::HashMap, time::Duration};
 
 use lacewingspring_core::{
-    dispatch::{Decision, Dispatcher, End, PromptPart, SlotRequest, UpstreamInfo, Work},
+    dispatch::{
+        Decision, Dispatcher, End, FleetShare, PromptPart, SlotRequest, UpstreamInfo, Work,
+    },
     names::UpstreamName,
 };
 
@@ -327,7 +329,7 @@
 
 pub fn new_gate(now: Duration) -> Dispatcher {
     let mut gate = Dispatcher::default();
-    gate.set_fleet_fraction(now, 1.0);
+    gate.set_fleet_share(now, FleetShare::WHOLE);
     gate
 }
 
--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -6,8 +6,8 @@
 use dispatch_support::{granted, ms, refused, request, ticket, upstream};
 use lacewingspring_core::{
     dispatch::{
-        Decision, Dispatcher, End, Limits, Quota, QuotaBounds, Reason, RetryBound, SlotRequest,
-        Ticket, UpstreamInfo, Work,
+        Decision, Dispatcher, End, FleetShare, Limits, Quota, QuotaBounds, Reason, RetryBound,
+        SlotRequest, Ticket, UpstreamInfo, Work,
     },
     names::{DataCentreName, UpstreamName, WorkspaceName},
 };
@@ -17,7 +17,7 @@
 fn dispatcher(upstreams: &[UpstreamInfo]) -> Dispatcher {
     let mut dispatcher = Dispatcher::default();
     dispatcher.set_upstreams(Duration::ZERO, upstreams.to_vec());
-    dispatcher.set_fleet_fraction(Duration::ZERO, 1.0);
+    dispatcher.set_fleet_share(Duration::ZERO, FleetShare::WHOLE);
     dispatcher
 }
 
@@ -410,7 +410,7 @@
     let mut dispatcher = Dispatcher::default();
     dispatcher.set_upstreams(now, [upstream("u", 100)]);
     dispatcher.set_limits(limits(1_500.0, 1_500.0));
-    dispatcher.set_fleet_fraction(now, 1.0);
+    dispatcher.set_fleet_share(now, FleetShare::WHOLE);
     dispatcher
 }
 
@@ -471,7 +471,7 @@
     let now = Duration::from_secs(104);
     let mut majority = new_gate(now);
     let mut minority = new_gate(now);
-    minority.set_fleet_fraction(now, 2.0 / 7.0);
+    minority.set_fleet_share(now, FleetShare::of_minority(2.0 / 7.0));
     let later = now + Duration::from_secs(10);
     let taken = saturate(&mut majority, later, Duration::from_secs(8), 0)
         + saturate(&mut minority, later, Duration::from_secs(8), 0);
@@ -534,7 +534,7 @@
 #[test]
 fn a_gate_of_half_the_fleet_uses_half_the_slots() {
     let mut dispatcher = dispatcher(&[upstream("a", 6), upstream("b", 6)]);
-    dispatcher.set_fleet_fraction(ms(0), 1.0 / 2.0);
+    dispatcher.set_fleet_share(ms(0), FleetShare::of_minority(1.0 / 2.0));
     let batches =
         (0..18).map(|number| dispatcher.request_slot(ms(0), ticket(number), request("a")));
     let filled: usize = batches.map(|decisions| granted(&decisions).len()).sum();
--- /dev/null
+++ b/lacewingspring_core/tests/limits_of_two_gates.rs
@@ -0,0 +1,271 @@
+//! Two gates hand out the limit of one workspace while the fleet is parted.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use lacewingspring_core::{
+    dispatch::{
+        Decision, Dispatcher, End, FleetRoster, FleetShare, Limits, Quota, QuotaBounds,
+        RegisteredInstance, SlotRequest, Ticket,
+    },
+    names::{InstanceName, WorkspaceName},
+};
+
+use crate::dispatch_support::{ms, request, upstream};
+
+mod dispatch_support;
+
+const WINDOW: Duration = Duration::from_secs(8);
+const RATE: f64 = 1_500.0;
+const BURST: f64 = 1_500.0;
+/// Units that a workspace may take in a window.
+const LIMIT: f64 = RATE * 8.0 + BURST;
+const STEP: Duration = Duration::from_millis(10);
+
+/// A gate that is asked for more than the limit at every step, or for a part of it.
+struct Gate {
+    dispatcher: Dispatcher,
+    roster: FleetRoster,
+    /// Units that are requested in a second.
+    demand: f64,
+    requested: f64,
+}
+
+impl Gate {
+    /// Creates a gate without links, which knows all instances of the fleet.
+    fn new(fleet: &Fleet, demand: f64) -> Self {
+        let mut dispatcher = Dispatcher::default();
+        dispatcher.set_upstreams(fleet.now, [upstream("u", 10_000)]);
+        let quota = Quota { rate: Some(RATE), burst: BURST };
+        let quotas = HashMap::from([(WorkspaceName::from("w"), quota)]);
+        dispatcher.set_limits(Limits {
+            quotas: QuotaBounds { quotas, window: WINDOW },
+            ..Limits::default()
+        });
+        let mut roster = FleetRoster::default();
+        roster.set_registered(fleet.now, fleet.instances(0..fleet.size));
+        Self { dispatcher, roster, demand, requested: 0.0 }
+    }
+
+    fn link(&mut self, now: Duration, instances: std::ops::Range<usize>) {
+        for index in instances {
+            self.roster.link(name(index));
+            self.update_share(now);
+        }
+    }
+
+    fn unlink(&mut self, now: Duration, instances: std::ops::Range<usize>) {
+        for index in instances {
+            self.roster.unlink(&name(index));
+            self.update_share(now);
+        }
+    }
+
+    fn update_share(&mut self, now: Duration) {
+        let share = self.roster.share(now, WINDOW);
+        self.dispatcher.set_fleet_share(now, share);
+    }
+
+    /// Plays one step; returns the units that were handed out.
+    fn step(&mut self, now: Duration, next_number: &mut u64) -> f64 {
+        self.requested += self.demand * STEP.as_secs_f64();
+        let mut taken = 0.0;
+        while self.requested >= 150.0 {
+            self.requested -= 150.0;
+            *next_number += 1;
+            let ticket = Ticket { link: 1, number: *next_number };
+            let request = SlotRequest { class: Arc::from("a"), ..request("a") };
+            let decisions = self.dispatcher.request_slot(now, ticket, request);
+            if matches!(decisions[..], [Decision::Granted(..)]) {
+                taken += 150.0;
+                let took = ms(1);
+                let end = End::Finished { took, output_tokens: 1, decode: took, is_framed: true };
+                self.dispatcher.end(now, ticket, end);
+            }
+        }
+        taken
+    }
+}
+
+/// What all gates together hand out, in virtual time.
+struct Fleet {
+    size: usize,
+    now: Duration,
+    next_number: u64,
+    taken: Vec<(Duration, f64)>,
+}
+
+impl Fleet {
+    fn new(size: usize) -> Self {
+        Self { size, now: Duration::from_secs(100), next_number: 0, taken: Vec::new() }
+    }
+
+    fn instances(&self, indices: std::ops::Range<usize>) -> Vec<RegisteredInstance> {
+        let instance = |index| RegisteredInstance {
+            name: name(index),
+            incarnation: index as u64,
+            is_leaving: false,
+        };
+        indices.map(instance).collect()
+    }
+
+    fn play(&mut self, time: Duration, gates: &mut [&mut Gate]) {
+        let end = self.now + time;
+        while self.now < end {
+            for gate in gates.iter_mut() {
+                let units = gate.step(self.now, &mut self.next_number);
+                self.taken.push((self.now, units));
+            }
+            self.now += STEP;
+        }
+    }
+
+    /// Returns the most that was handed out in a window.
+    fn most_in_a_window(&self) -> f64 {
+        let mut most = 0.0_f64;
+        let (mut sum, mut first) = (0.0, 0);
+        for (at, units) in &self.taken {
+            sum += units;
+            while self.taken[first].0 + WINDOW <= *at {
+                sum -= self.taken[first].1;
+                first += 1;
+            }
+            most = most.max(sum);
+        }
+        most
+    }
+
+    fn taken_since(&self, since: Duration) -> f64 {
+        self.taken.iter().filter(|(at, _)| *at >= since).map(|(_, units)| units).sum()
+    }
+}
+
+fn name(index: usize) -> InstanceName {
+    InstanceName::from(format!("i{index}").as_str())
+}
+
+/// What the new gate is told of the usage before.
+#[derive(Clone, Copy, Debug)]
+enum Told {
+    /// Nothing.
+    Nothing,
+    /// What the old gate published until then, with the interval at which it is checked whether it
+    /// must publish; the usage is as old as the last publication.
+    Published(Duration),
+    /// What the old gate published 3.5 s ago.
+    Old,
+}
+
+/// The old gate, instance 0, and 29 others of 87 lose the key-value service, their entries lapse,
+/// and the rest follows a new gate.
+fn part(demand: f64, told: Told) -> (Fleet, Gate, Gate) {
+    let mut fleet = Fleet::new(87);
+    let mut old = Gate::new(&fleet, demand);
+    old.link(fleet.now, 0..87);
+    let mut new = Gate::new(&fleet, 0.0);
+    fleet.play(WINDOW, &mut [&mut old]);
+    let mut published_at = fleet.now;
+    let mut usage = old.dispatcher.export_usage(fleet.now);
+    let end = fleet.now + ms(3_500);
+    while fleet.now < end {
+        let Told::Published(interval) = told else {
+            fleet.play(ms(3_500), &mut [&mut old]);
+            break;
+        };
+        fleet.play(interval, &mut [&mut old]);
+        if old.dispatcher.must_publish_usage() {
+            published_at = fleet.now;
+            usage = old.dispatcher.export_usage(fleet.now);
+        }
+    }
+    let now = fleet.now;
+    new.roster.set_registered(now, fleet.instances(30..87));
+    old.unlink(now, 30..87);
+    new.link(now, 30..87);
+    match told {
+        Told::Nothing => new.dispatcher.import_usage(now, now, &[]),
+        Told::Published(_) | Told::Old => {
+            new.dispatcher.import_usage(now, now - published_at, &usage);
+        }
+    }
+    new.demand = demand;
+    (fleet, old, new)
+}
+
+#[test]
+fn a_parted_fleet_keeps_a_limit_at_each_moment() {
+    let (mut fleet, mut old, mut new) = part(RATE * 10.0, Told::Published(ms(100)));
+    fleet.play(Duration::from_secs(30), &mut [&mut old, &mut new]);
+    let most = fleet.most_in_a_window();
+    assert!(most <= LIMIT, "{most} units in a window, the limit is {LIMIT}");
+    let since = fleet.now - WINDOW;
+    let taken = fleet.taken_since(since);
+    assert!(taken >= 0.95 * LIMIT, "{taken} units in the last window of {LIMIT}");
+}
+
+#[test]
+fn a_parted_fleet_keeps_a_limit_with_usage_that_was_published_before() {
+    for told in [Told::Published(ms(100)), Told::Old] {
+        let (mut fleet, mut old, mut new) = part(RATE * 0.9, told);
+        new.demand = RATE * 10.0;
+        fleet.play(Duration::from_secs(20), &mut [&mut old, &mut new]);
+        let most = fleet.most_in_a_window();
+        assert!(most <= LIMIT, "{told:?}: {most} units in a window, the limit is {LIMIT}");
+    }
+}
+
+#[test]
+fn an_instance_that_was_told_no_usage_proves_none() {
+    let (mut fleet, mut old, mut new) = part(RATE, Told::Nothing);
+    new.demand = RATE * 10.0;
+    fleet.play(Duration::from_secs(20), &mut [&mut old, &mut new]);
+    let most = fleet.most_in_a_window();
+    assert!(most <= LIMIT, "{most} units in a window, the limit is {LIMIT}");
+}
+
+#[test]
+fn a_parted_fleet_serves_a_workspace_far_below_its_limit_on_both_sides() {
+    let (mut fleet, mut old, mut new) = part(RATE * 0.5, Told::Published(ms(100)));
+    old.demand = RATE * 0.15;
+    new.demand = RATE * 0.35;
+    let since = fleet.now;
+    fleet.play(Duration::from_secs(12), &mut [&mut old, &mut new]);
+    let taken = fleet.taken_since(since);
+    let wanted = RATE * 0.5 * 12.0;
+    assert!(taken >= 0.95 * wanted, "{taken} of {wanted} units were handed out");
+}
+
+#[test]
+fn a_fleet_that_meets_again_keeps_a_limit() {
+    let (mut fleet, mut old, mut new) = part(RATE * 10.0, Told::Published(ms(100)));
+    fleet.play(Duration::from_secs(12), &mut [&mut old, &mut new]);
+    let now = fleet.now;
+    old.unlink(now, 0..30);
+    new.roster.set_registered(now, fleet.instances(0..87));
+    new.link(now, 0..30);
+    for _ in 0..12 {
+        fleet.play(Duration::from_secs(1), &mut [&mut new]);
+        new.update_share(fleet.now);
+    }
+    let most = fleet.most_in_a_window();
+    assert!(most <= LIMIT, "{most} units in a window, the limit is {LIMIT}");
+    assert_eq!(new.dispatcher.fleet_share(), FleetShare::WHOLE);
+}
+
+#[test]
+fn crashed_instances_take_half_of_their_part_of_the_limits_with_them_until_they_are_back() {
+    let fleet = Fleet::new(20);
+    let mut gate = Gate::new(&fleet, 0.0);
+    gate.link(fleet.now, 0..20);
+    assert_eq!(gate.dispatcher.fleet_share(), FleetShare::WHOLE);
+    gate.unlink(fleet.now, 12..20);
+    gate.roster.set_registered(fleet.now, fleet.instances(0..12));
+    gate.update_share(fleet.now);
+    assert_eq!(gate.dispatcher.fleet_share().limits, 0.8);
+    let mut restarted = fleet.instances(0..20);
+    for instance in &mut restarted[12..] {
+        instance.incarnation += 1_000;
+    }
+    gate.roster.set_registered(fleet.now, restarted);
+    gate.link(fleet.now, 12..20);
+    assert_eq!(gate.dispatcher.fleet_share(), FleetShare::WHOLE);
+}
--- a/lacewingspring_core/tests/rate_limits.rs
+++ b/lacewingspring_core/tests/rate_limits.rs
@@ -4,7 +4,7 @@
 
 use dispatch_support::ticket;
 use lacewingspring_core::dispatch::{
-    Decision, Dispatcher, End, Grant, SlotRequest, Ticket, UpstreamInfo, Work,
+    Decision, Dispatcher, End, FleetShare, Grant, SlotRequest, Ticket, UpstreamInfo, Work,
 };
 
 mod dispatch_support;
@@ -67,7 +67,7 @@
             limited_at: Vec::new(),
             granted: 0,
         };
-        play.gate.set_fleet_fraction(Duration::ZERO, 1.0);
+        play.gate.set_fleet_share(Duration::ZERO, FleetShare::WHOLE);
         play.set_upstreams();
         play
     }
@@ -195,7 +195,7 @@
 fn a_gate_of_a_part_of_the_fleet_uses_its_part_of_a_limit() {
     let mut play = Play::new(Some(8.0));
     play.run_for(Duration::from_secs(5));
-    play.gate.set_fleet_fraction(play.now, 0.25);
+    play.gate.set_fleet_share(play.now, FleetShare::of_minority(0.25));
     let from = play.now + Duration::from_secs(1);
     play.run_for(Duration::from_secs(9));
     let count = play.limited_since(from);
@@ -208,7 +208,7 @@
     play.run_for(Duration::from_secs(5));
     let hand_over = play.gate.hand_over(play.now);
     play.gate = Dispatcher::default();
-    play.gate.set_fleet_fraction(play.now, 1.0);
+    play.gate.set_fleet_share(play.now, FleetShare::WHOLE);
     play.gate.take_over(play.now, Duration::ZERO, &hand_over);
     // The responses after the change are on their way, so that only the hand-over tells the limit.
     play.limit = None;
--- a/lacewingspring_core/tests/resumed_streams.rs
+++ b/lacewingspring_core/tests/resumed_streams.rs
@@ -6,7 +6,8 @@
 use dispatch_support::{LINK, ms, ticket};
 use lacewingspring_core::{
     dispatch::{
-        Decision, Dispatcher, End, KnownStreams, Reason, SlotRequest, StreamRef, UpstreamInfo,
+        Decision, Dispatcher, End, FleetShare, KnownStreams, Reason, SlotRequest, StreamRef,
+        UpstreamInfo,
     },
     names::{SoftwareVersion, UpstreamName},
 };
@@ -50,7 +51,7 @@
 fn gate(upstreams: &[UpstreamInfo]) -> Dispatcher {
     let mut gate = Dispatcher::default();
     gate.set_upstreams(Duration::ZERO, upstreams.to_vec());
-    gate.set_fleet_fraction(Duration::ZERO, 1.0);
+    gate.set_fleet_share(Duration::ZERO, FleetShare::WHOLE);
     gate.learn_streams(
         Duration::ZERO,
         &KnownStreams { knows_past: true, ..KnownStreams::default() },
@@ -163,7 +164,7 @@
 fn a_new_gate_infers_nothing_before_it_knows_which_versions_served() {
     let mut gate = Dispatcher::default();
     gate.set_upstreams(Duration::ZERO, vec![upstream("b", "v2", 4)]);
-    gate.set_fleet_fraction(Duration::ZERO, 1.0);
+    gate.set_fleet_share(Duration::ZERO, FleetShare::WHOLE);
     assert_eq!(request(&mut gate, ms(100), 1, resume(9)), None, "it may still be told");
     let decisions = gate.tick(ms(1_100));
     assert_eq!(fate(&decisions, 1), refused(Reason::UnknownSoftware));
@@ -207,7 +208,7 @@
 #[test]
 fn a_gate_of_a_part_of_the_fleet_infers_only_from_a_fresh_registry() {
     let mut gate = gate(&[upstream("a", "v1", 4)]);
-    gate.set_fleet_fraction(ms(100), 0.2);
+    gate.set_fleet_share(ms(100), FleetShare::of_minority(0.2));
     gate.confirm_registry(ms(1_000));
     assert_eq!(request(&mut gate, ms(3_900), 1, resume(9)), granted("a"));
     gate.end(ms(4_000), ticket(1), End::Cancelled);
--- a/lacewingspring_core/tests/upstream_trouble.rs
+++ b/lacewingspring_core/tests/upstream_trouble.rs
@@ -4,7 +4,7 @@
 
 use dispatch_support::{LINK, granted, ms, request, ticket, upstream};
 use lacewingspring_core::dispatch::{
-    Dispatcher, End, Finding, SlotRequest, Ticket, UpstreamInfo, Work,
+    Dispatcher, End, Finding, FleetShare, SlotRequest, Ticket, UpstreamInfo, Work,
 };
 
 mod dispatch_support;
@@ -12,7 +12,7 @@
 fn dispatcher(upstreams: &[UpstreamInfo]) -> Dispatcher {
     let mut dispatcher = Dispatcher::default();
     dispatcher.set_upstreams(Duration::ZERO, upstreams.to_vec());
-    dispatcher.set_fleet_fraction(Duration::ZERO, 1.0);
+    dispatcher.set_fleet_share(Duration::ZERO, FleetShare::WHOLE);
     dispatcher
 }
 
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -11,7 +11,8 @@
 use futures_util::StreamExt;
 use lacewingspring_core::{
     dispatch::{
-        Decision, Dispatcher, HandOver, Limits, ServiceCounts, StoredUsage, Ticket, UpstreamInfo,
+        Decision, Dispatcher, FleetRoster, HandOver, Limits, RegisteredInstance, ServiceCounts,
+        StoredUsage, Ticket, UpstreamInfo,
     },
     names::{InstanceName, ServiceName},
 };
@@ -32,7 +33,7 @@
 };
 use crate::{
     clock,
-    members::SharedMembers,
+    members::{Member, SharedMembers},
     net,
     replica::{ByTopic, Replicas},
     store::Revision,
@@ -67,6 +68,7 @@
 #[derive(Debug)]
 struct State {
     dispatcher: Dispatcher,
+    roster: FleetRoster,
     links: HashMap<u64, Link>,
     next_link: u64,
     /// Bandwidth for replica updates.
@@ -95,6 +97,7 @@
     ) -> Self {
         let state = State {
             dispatcher: Dispatcher::default(),
+            roster: FleetRoster::default(),
             links: HashMap::new(),
             next_link: 0,
             allowance: Allowance::new(link_bytes_per_s),
@@ -122,27 +125,12 @@
         self.state().dispatcher.set_limits(limits);
     }
 
-    /// Adjusts the fraction of the fleet that is scheduled here after a change of members.
+    /// Adjusts the share of the fleet that is scheduled here after a change of members.
     pub fn on_members_changed(&self, now: Duration) {
         let mut state = self.state();
-        self.update_fleet_fraction(now, &mut state);
-    }
-
-    /// Sets the fraction of all slots and limits that this instance grants: 1 if more than half of
-    /// the fleet is linked, else the linked fraction of the fleet.
-    fn update_fleet_fraction(&self, now: Duration, state: &mut State) {
-        let members = self.members.load().len().max(1);
-        let linked = state.links.values().filter(|link| link.instance.is_some()).count();
-        let fleet_fraction =
-            if linked * 2 > members { 1.0 } else { linked as f64 / members as f64 };
-        if (fleet_fraction - state.dispatcher.fleet_fraction()).abs() > f64::EPSILON {
-            info!(
-                linked, members, share = fleet_fraction;
-                "The share of the fleet that this instance schedules has changed."
-            );
-            let decisions = state.dispatcher.set_fleet_fraction(now, fleet_fraction);
-            state.send_decisions(decisions);
-        }
+        let members = self.members.load();
+        state.roster.set_registered(now, members.all().iter().map(registered));
+        state.update_fleet_share(now);
     }
 
     /// Opens a link whose messages are sent to `tx`; returns its number.
@@ -157,11 +145,14 @@
     /// Closes a link and ends its requests.
     pub fn disconnect(&self, now: Duration, id: u64) {
         let mut state = self.state();
-        state.links.remove(&id);
+        let link = state.links.remove(&id);
+        if let Some(instance) = link.and_then(|link| link.instance) {
+            state.roster.unlink(&instance);
+        }
         self.update_followed(&state);
         let decisions = state.dispatcher.end_link(now, id);
         state.send_decisions(decisions);
-        self.update_fleet_fraction(now, &mut state);
+        state.update_fleet_share(now);
     }
 
     /// Handles a message received over a link.
@@ -175,15 +166,13 @@
         let decisions = match message {
             ToGate::Hello { instance, usage, usage_age } => {
                 let hand_over = state.dispatcher.hand_over(now);
-                if let Some(target) = state.links.get_mut(&link) {
-                    target.instance = Some(instance);
-                }
+                state.introduce(link, instance);
                 if !hand_over.is_empty() {
                     state.send(link, FromGate::HandOver(Arc::new(hand_over)));
                 }
                 state.tell_streams(now, link);
                 state.dispatcher.record_link(now);
-                self.update_fleet_fraction(now, &mut state);
+                state.update_fleet_share(now);
                 state.dispatcher.import_usage(now, usage_age, &usage);
                 Vec::new()
             }
@@ -231,7 +220,7 @@
     /// Returns whether more than half of the fleet is linked to this instance.
     pub fn serves_majority(&self) -> bool {
         let state = self.state();
-        state.dispatcher.fleet_fraction() >= 1.0 && !state.links.is_empty()
+        state.dispatcher.fleet_share().is_majority() && !state.links.is_empty()
     }
 
     /// Adds the usage of limits that an earlier gate stored.
@@ -248,6 +237,8 @@
     /// gate.
     pub fn publish_usage(&self, now: Duration) -> Vec<StoredUsage> {
         let mut state = self.state();
+        // What is reserved for missing instances ends with time.
+        state.update_fleet_share(now);
         let usage = state.dispatcher.export_usage(now);
         let mut links: Vec<(&u64, &Link)> = state.links.iter().collect();
         links.sort_unstable_by_key(|(id, _)| **id);
@@ -373,6 +364,34 @@
 }
 
 impl State {
+    /// Notes which instance is at the other end of a link.
+    fn introduce(&mut self, link: u64, instance: InstanceName) {
+        let Some(target) = self.links.get_mut(&link) else { return };
+        if let Some(before) = target.instance.replace(instance.clone()) {
+            self.roster.unlink(&before);
+        }
+        self.roster.link(instance);
+    }
+
+    /// Sets the part of all slots and limits that this instance grants.
+    fn update_fleet_share(&mut self, now: Duration) {
+        let share = self.roster.share(now, self.dispatcher.limit_window());
+        if share == self.dispatcher.fleet_share() {
+            return;
+        }
+        let before = self.dispatcher.fleet_share();
+        // Each link of a new gate changes its part of the limits; only the end of that is logged.
+        if share.slots != before.slots || share.has_all_limits() != before.has_all_limits() {
+            info!(
+                linked = self.roster.linked(), members = self.roster.active(),
+                share = share.slots, limits = share.limits;
+                "The share of the fleet that this instance schedules has changed."
+            );
+        }
+        let decisions = self.dispatcher.set_fleet_share(now, share);
+        self.send_decisions(decisions);
+    }
+
     fn send_decisions(&mut self, decisions: Vec<Decision>) {
         for finding in self.dispatcher.take_findings() {
             log_finding(&finding);
@@ -398,6 +417,14 @@
     }
 }
 
+fn registered(member: &Member) -> RegisteredInstance {
+    RegisteredInstance {
+        name: member.instance.clone(),
+        incarnation: member.incarnation,
+        is_leaving: member.is_leaving,
+    }
+}
+
 fn ticket_of(decision: &Decision) -> Ticket {
     match decision {
         Decision::Granted(ticket, _) | Decision::Refused(ticket, _) => *ticket,
--- a/lacewingspring_proxy/src/members.rs
+++ b/lacewingspring_proxy/src/members.rs
@@ -87,6 +87,11 @@
         Self(members.into_iter().map(|(_, member)| member).collect())
     }
 
+    /// Returns all instances, those that are leaving included, in the order of the fleet.
+    pub fn all(&self) -> &[Member] {
+        &self.0
+    }
+
     /// Returns the instances that are not leaving, in the order of the fleet.
     pub fn active(&self) -> impl Iterator<Item = &Member> {
         self.0.iter().filter(|member| !member.is_leaving)
