Store a large use of a limit as soon as it is published

Cause: the stored usage was written at most twice a second. When all instances end together, the next gate knows only what was stored, and assumes a sixteenth of a window beyond it; a tenant far above its usual rate takes more than that in half a second.

Change: the usage is written as often as it is published: each second, and within 0.1 s of a thirty-second part of a window. It is the gate alone that writes, ten times a second at most.

--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -2,8 +2,9 @@
 //! requests crash upstreams, and which software versions began streams.
 //!
 //! The gate sends it to other instances, at once when it matters, and these report it to the next
-//! gate. It also stores it in the key-value service. As the service counts its calls, and that copy
-//! is needed only if all instances end together, each record is written at most twice a second.
+//! gate. It also stores it in the key-value service, for the case that all instances end together.
+//! As the service counts its calls, a record is written at most twice a second, and the usage as often
+//! as it is published.
 
 use std::{sync::Arc, time::Duration};
 
@@ -30,6 +31,12 @@
 /// Minimum time between two publications of what else the next gate must know.
 const MIN_HAND_OVER_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Minimum time between two writes of the usage.
+const MIN_USAGE_WRITE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Minimum time between two writes of another record.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Interval of the checks whether this instance is the gate and whether something is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -123,9 +130,9 @@
         self.load_streams(|| self.host.serves_majority()).await;
         // What was loaded is published before anything of an earlier gate is overwritten.
         sleep(MIN_HAND_OVER_INTERVAL + CHECK_INTERVAL).await;
-        let mut usage: Record<Vec<StoredUsage>> = Record::new(USAGE_KEY);
-        let mut hand_over: Record<HandOver> = Record::new(HAND_OVER_KEY);
-        let mut streams: Record<KnownStreams> = Record::new(STREAMS_KEY);
+        let mut usage: Record<Vec<StoredUsage>> = Record::new(USAGE_KEY, MIN_USAGE_WRITE_INTERVAL);
+        let mut hand_over: Record<HandOver> = Record::new(HAND_OVER_KEY, MIN_WRITE_INTERVAL);
+        let mut streams: Record<KnownStreams> = Record::new(STREAMS_KEY, MIN_WRITE_INTERVAL);
         while self.host.serves_majority() {
             let latest = stored.borrow().clone();
             usage.set(latest.usage);
@@ -163,7 +170,9 @@
     }
 
     async fn load_usage(&self) {
-        let usage = self.read(Record::new(USAGE_KEY), || self.host.serves_majority()).await;
+        let usage = self
+            .read(Record::new(USAGE_KEY, MIN_USAGE_WRITE_INTERVAL), || self.host.serves_majority())
+            .await;
         let Some(usage): Option<Vec<StoredUsage>> = usage else { return };
         info!(workspaces = usage.len(); "The stored usage of limits is loaded.");
         self.host.import_usage(clock::now(), &usage);
@@ -173,7 +182,7 @@
     where
         F: Fn() -> bool,
     {
-        let hand_over = self.read(Record::new(HAND_OVER_KEY), is_needed).await;
+        let hand_over = self.read(Record::new(HAND_OVER_KEY, MIN_WRITE_INTERVAL), is_needed).await;
         let Some(hand_over): Option<HandOver> = hand_over else { return };
         info!(
             requests = hand_over.blocked_requests.len(), parts = hand_over.blocked_parts.len();
@@ -186,7 +195,7 @@
     where
         F: Fn() -> bool,
     {
-        let streams = self.read(Record::new(STREAMS_KEY), is_needed).await;
+        let streams = self.read(Record::new(STREAMS_KEY, MIN_WRITE_INTERVAL), is_needed).await;
         let Some(mut streams): Option<KnownStreams> = streams else { return };
         // Without a record each service had one version only.
         streams.knows_past |= streams.is_empty();
--- a/lacewingspring_proxy/src/gate/record.rs
+++ b/lacewingspring_proxy/src/gate/record.rs
@@ -9,9 +9,6 @@
 
 use crate::store::{Era, Store, StoreError};
 
-/// Minimum time between two writes of a record.
-const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Time limit of a call to the key-value service.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -19,6 +16,8 @@
 #[derive(Debug)]
 pub(super) struct Record<T> {
     key: &'static str,
+    /// Minimum time between two writes.
+    min_write_interval: Duration,
     value: T,
     written: T,
     written_in: Era,
@@ -29,10 +28,12 @@
 where
     T: Clone + Default + PartialEq + Serialize + DeserializeOwned,
 {
-    /// Creates a record of which nothing was written.
-    pub(super) fn new(key: &'static str) -> Self {
+    /// Creates a record of which nothing was written, which is written once in each
+    /// `min_write_interval` at most.
+    pub(super) fn new(key: &'static str, min_write_interval: Duration) -> Self {
         Self {
             key,
+            min_write_interval,
             value: T::default(),
             written: T::default(),
             written_in: Era::default(),
@@ -56,7 +57,8 @@
             self.written = T::default();
             self.written_in = store.era();
         }
-        if self.value == self.written || now.saturating_sub(self.written_at) < MIN_WRITE_INTERVAL {
+        let is_too_soon = now.saturating_sub(self.written_at) < self.min_write_interval;
+        if self.value == self.written || is_too_soon {
             return;
         }
         self.written_at = now;
--- a/lacewingspring_proxy/src/members.rs
+++ b/lacewingspring_proxy/src/members.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock,
     mirror::Mirror,
-    store::{Lease, Revision, Store, StoreError},
+    store::{Item, Lease, Revision, Store, StoreError},
 };
 
 /// Prefix of the keys of instances.
@@ -71,20 +71,17 @@
 impl Members {
     /// Reads the instances from a copy of their keys; invalid entries are left out.
     pub fn from_mirror(mirror: &Mirror) -> Self {
-        let mut members: Vec<(Revision, Member)> = Vec::new();
-        for item in mirror.items() {
-            match serde_json::from_slice(&item.value) {
-                Ok(member) => members.push((item.created_revision, member)),
-                Err(e) => warn!(
+        let parse = |item: &Item| match serde_json::from_slice(&item.value) {
+            Ok(member) => Some((item.created_revision, member)),
+            Err(e) => {
+                warn!(
                     key = item.key.as_str(), error:% = e;
                     "The entry of an instance is invalid; the instance is left out."
-                ),
+                );
+                None
             }
-        }
-        members.sort_by_cached_key(|(created, member)| {
-            (Reverse(member.millicores), *created, member.instance.clone())
-        });
-        Self(members.into_iter().map(|(_, member)| member).collect())
+        };
+        mirror.items().filter_map(parse).collect()
     }
 
     /// Returns all instances, those that are leaving included, in the order of the fleet.
@@ -129,6 +126,20 @@
     }
 }
 
+impl FromIterator<(Revision, Member)> for Members {
+    /// Orders instances, each with the revision of its entry's creation.
+    fn from_iter<I>(members: I) -> Self
+    where
+        I: IntoIterator<Item = (Revision, Member)>,
+    {
+        let mut members: Vec<(Revision, Member)> = members.into_iter().collect();
+        members.sort_by_cached_key(|(created, member)| {
+            (Reverse(member.millicores), *created, member.instance.clone())
+        });
+        Self(members.into_iter().map(|(_, member)| member).collect())
+    }
+}
+
 /// The current instances, shared between tasks.
 pub type SharedMembers = Arc<ArcSwap<Members>>;
 
--- a/lacewingspring_proxy/tests/ledger.rs
+++ b/lacewingspring_proxy/tests/ledger.rs
@@ -1,7 +1,14 @@
-//! What a gate publishes to other instances does not wait for the key-value service.
-
-use std::{collections::HashMap, future::pending, net::SocketAddr, sync::Arc, time::Duration};
+//! A gate publishes and stores at once what it hands out of a limit.
+
+use std::{
+    collections::HashMap,
+    future::pending,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
 use lacewingspring_core::{
     dispatch::{Limits, Quota, QuotaBounds, SlotRequest, StoredUsage, UpstreamInfo, Work},
@@ -16,13 +23,13 @@
         ledger::Ledger,
         message::{FromGate, ToGate},
     },
-    members::SharedMembers,
+    members::{Member, Members, SharedMembers},
     replica::Replicas,
     store::{Batch, Era, Lease, Page, Revision, Store, StoreError},
 };
 use tokio::{
     sync::mpsc::{UnboundedReceiver, unbounded_channel},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 /// Units of each request; the limit of the window is 100 of them.
@@ -31,10 +38,23 @@
 /// Time in which a large use of a limit must be published.
 const MAX_PUBLICATION_DELAY: Duration = Duration::from_millis(250);
 
-/// Store that is empty and never answers a write.
-struct SilentStore;
+/// Time in which a large use of a limit must be stored.
+const MAX_STORE_DELAY: Duration = Duration::from_millis(350);
+
+/// Store that is empty; it answers no write, or counts those of each key.
+#[derive(Default)]
+struct EmptyStore {
+    is_silent: bool,
+    puts: Mutex<HashMap<String, u64>>,
+}
+
+impl EmptyStore {
+    fn puts(&self, key: &str) -> u64 {
+        self.puts.lock().expect("is not poisoned").get(key).copied().unwrap_or_default()
+    }
+}
 
-impl Store for SilentStore {
+impl Store for EmptyStore {
     fn era(&self) -> Era {
         Era::default()
     }
@@ -59,13 +79,30 @@
         pending().await
     }
 
-    async fn put(&self, _: &str, _: Bytes, _: Option<Lease>) -> Result<(), StoreError> {
-        pending().await
+    async fn put(&self, key: &str, _: Bytes, _: Option<Lease>) -> Result<(), StoreError> {
+        if self.is_silent {
+            pending::<()>().await;
+        }
+        *self.puts.lock().expect("is not poisoned").entry(key.into()).or_default() += 1;
+        Ok(())
     }
 }
 
 fn host() -> Arc<GateHost> {
-    let host = GateHost::new(SharedMembers::default(), Arc::new(Replicas::default()), None);
+    let address = SocketAddr::from(([127, 0, 0, 1], 8000));
+    let member = Member {
+        instance: InstanceName::from("i"),
+        incarnation: 1,
+        data_centre: DataCentreName::from("a"),
+        millicores: 500,
+        caller_address: address,
+        peer_address: address,
+        is_leaving: false,
+    };
+    let members = Members::from_iter([(Revision::default(), member)]);
+    let members: SharedMembers = Arc::new(ArcSwap::from_pointee(members));
+    let host = GateHost::new(members, Arc::new(Replicas::default()), None);
+    host.on_members_changed(clock::now());
     let quota = Quota { rate: Some(1_000.0), burst: 2_000.0 };
     let quotas = HashMap::from([(WorkspaceName::from("w"), quota)]);
     let window = Duration::from_secs(8);
@@ -74,7 +111,7 @@
         name: UpstreamName::from("u"),
         service: ServiceName::from("models"),
         software: SoftwareVersion::from("v1"),
-        address: SocketAddr::from(([127, 0, 0, 1], 8000)),
+        address,
         data_centre: DataCentreName::from("a"),
         slots: 1_000,
         memory_tokens: 100_000,
@@ -116,10 +153,10 @@
     }
 }
 
-#[tokio::test]
-async fn publishes_usage_while_the_store_is_silent() {
+/// Starts a gate with one link; returns it with the messages over that link.
+fn start(store: &Arc<EmptyStore>) -> (Arc<GateHost>, u64, UnboundedReceiver<FromGate>) {
     let host = host();
-    let (tx, mut rx) = unbounded_channel();
+    let (tx, rx) = unbounded_channel();
     let link = host.connect(tx);
     let hello = ToGate::Hello {
         instance: InstanceName::from("i"),
@@ -127,16 +164,44 @@
         usage_age: Duration::from_secs(3_600),
     };
     host.handle(clock::now(), link, hello);
-    tokio::spawn(Ledger { store: Arc::new(SilentStore), host: host.clone() }.run());
+    tokio::spawn(Ledger { store: store.clone(), host: host.clone() }.run());
+    (host, link, rx)
+}
+
+/// Uses a twentieth of the window's limit.
+fn use_limit(host: &GateHost, link: u64, round: u64) {
+    for number in 0..5 {
+        let number = round * 10 + number;
+        host.handle(clock::now(), link, ToGate::RequestSlot { number, request: request() });
+    }
+}
+
+#[tokio::test]
+async fn publishes_usage_while_the_store_is_silent() {
+    let store = Arc::new(EmptyStore { is_silent: true, ..EmptyStore::default() });
+    let (host, link, mut rx) = start(&store);
     for round in 1..=4 {
-        for number in 0..5 {
-            let number = round * 10 + number;
-            let request = request();
-            host.handle(clock::now(), link, ToGate::RequestSlot { number, request });
-        }
+        use_limit(&host, link, round);
         let published = timeout(MAX_PUBLICATION_DELAY, async {
             while next_usage(&mut rx).await < round * 5 * CHARGE {}
         });
         published.await.unwrap_or_else(|_| panic!("the usage of round {round} was not published"));
     }
 }
+
+#[tokio::test]
+async fn stores_a_large_use_of_a_limit_at_once() {
+    let store = Arc::new(EmptyStore::default());
+    let (host, link, _rx) = start(&store);
+    sleep(Duration::from_secs(1)).await;
+    for round in 1..=4 {
+        let puts = store.puts("lacewingspring/usage");
+        use_limit(&host, link, round);
+        let stored = timeout(MAX_STORE_DELAY, async {
+            while store.puts("lacewingspring/usage") == puts {
+                sleep(Duration::from_millis(5)).await;
+            }
+        });
+        stored.await.unwrap_or_else(|_| panic!("the usage of round {round} was not stored"));
+    }
+}
