Hand out no limits before the fleet is known

Cause: an instance that starts knows no registered instance for a moment, and took itself for the only one: its log has a share of 1.0 with one member in the first milliseconds. After all instances were killed at once, each of them might hand out a burst of its own.

Change: without a registered instance the share of slots and limits is nothing (one run at a time for each upstream, as for any minority).

--- a/lacewingspring_core/src/dispatch/fleet_share.rs
+++ b/lacewingspring_core/src/dispatch/fleet_share.rs
@@ -124,7 +124,11 @@
     /// `limit_window`.
     pub fn share(&mut self, now: Duration, limit_window: Duration) -> FleetShare {
         self.track_missing(now, limit_window);
-        let active = self.active().max(1);
+        let active = self.active();
+        if active == 0 {
+            // Before it knows the fleet, each instance of it might take itself for the only one.
+            return FleetShare::of_minority(0.0);
+        }
         let linked = self.linked.len();
         if linked * 2 <= active {
             return FleetShare::of_minority(linked as f64 / active as f64);
--- a/lacewingspring_core/tests/limits_of_two_gates.rs
+++ b/lacewingspring_core/tests/limits_of_two_gates.rs
@@ -269,3 +269,16 @@
     gate.link(fleet.now, 12..20);
     assert_eq!(gate.dispatcher.fleet_share(), FleetShare::WHOLE);
 }
+
+#[test]
+fn an_instance_that_does_not_know_the_fleet_yet_hands_out_no_limits() {
+    let mut fleet = Fleet::new(1);
+    let mut gate = Gate::new(&fleet, RATE);
+    gate.roster = FleetRoster::default();
+    gate.link(fleet.now, 0..1);
+    fleet.play(Duration::from_secs(1), &mut [&mut gate]);
+    assert_eq!(fleet.most_in_a_window(), 0.0);
+    gate.roster.set_registered(fleet.now, fleet.instances(0..1));
+    gate.update_share(fleet.now);
+    assert_eq!(gate.dispatcher.fleet_share(), FleetShare::WHOLE);
+}
