Make the gate's decisions cheaper where there are many upstreams

Cause: each request was compared with all upstreams of its service up to five times, most of it to average the expected time to the first event, which reads the cache records of each upstream, and to bound the answer time.

--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -51,6 +51,9 @@
 /// Retry-after time of a refusal because no upstream is usable.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Number of upstreams from which the expected time to the first event is averaged.
+const MAX_SAMPLED_UPSTREAMS: usize = 32;
+
 /// A request that holds a slot.
 #[derive(Debug)]
 struct Running {
@@ -164,7 +167,7 @@
             let refusal = Refusal::new(Reason::NoUpstream, retry_after);
             return vec![Decision::Refused(ticket, refusal)];
         }
-        let first_output_ms = self.expected_first_output_ms(now, &request.work);
+        let first_output_ms = self.expected_first_output_ms(now, ticket, &request.work);
         let first_output = Duration::from_secs_f64(first_output_ms / 1_000.0);
         let due = now + request.target_left.saturating_sub(first_output);
         let class = request.class.clone();
@@ -235,8 +238,14 @@
     /// Returns the expected time from a send to the first event, in milliseconds, averaged over the
     /// usable upstreams by how often their slots become free: a waiting request goes to the
     /// upstream that has a free slot first, which is mostly a fast one.
-    fn expected_first_output_ms(&self, now: Duration, work: &Work) -> f64 {
-        let usable = self.upstreams.values().filter(|state| state.is_usable(now));
+    ///
+    /// Of many upstreams it takes a sample, a different one for each request, so that its cost does
+    /// not grow with the fleet.
+    fn expected_first_output_ms(&self, now: Duration, ticket: Ticket, work: &Work) -> f64 {
+        let interval = self.upstreams.len().div_ceil(MAX_SAMPLED_UPSTREAMS).max(1);
+        let first = (ticket.number % interval as u64) as usize;
+        let sampled = self.upstreams.values().skip(first).step_by(interval);
+        let usable = sampled.filter(|state| state.is_usable(now));
         let times =
             usable.map(|state| (state.first_output_ms(now, work), state.slot_turnover(work)));
         let (sum, weight) =
@@ -274,8 +283,9 @@
 
     /// Returns whether any upstream has a free slot.
     fn has_free_slot(&self, now: Duration, fleet_fraction: f64) -> bool {
+        let limit = self.in_progress_limit(now, fleet_fraction);
         self.upstreams.values().any(|state| {
-            state.has_slot(now, self.max_in_progress(now, &state.info, fleet_fraction))
+            state.has_slot(now, limit.of(state.info.slots))
                 && self.rate_limits.allows(now, fleet_fraction, &state.info.name)
                 && !self.brittle.is_paused(now, &state.info.name)
         })
@@ -288,21 +298,21 @@
         request: &SlotRequest,
     ) -> Option<UpstreamName> {
         let needed_tokens = memory_tokens(&request.work);
-        let mut open = self.upstreams.values().filter(|state| {
-            is_eligible(state, request)
+        // The conditions are ordered by their cost, as under load most upstreams have no room.
+        let limit = self.in_progress_limit(now, fleet_fraction);
+        let open = self.upstreams.values().filter(|state| {
+            state.has_room(now, limit.of(state.info.slots), needed_tokens)
+                && is_eligible(state, request)
                 && self.rate_limits.allows(now, fleet_fraction, &state.info.name)
                 && !self.brittle.is_paused(now, &state.info.name)
-                && state.has_room(
-                    now,
-                    self.max_in_progress(now, &state.info, fleet_fraction),
-                    needed_tokens,
-                )
         });
-        let first = open.next()?;
-        let max_answer_ms = self.max_answer_ms(now, request);
-        let candidates = std::iter::once(first).chain(open);
-        let candidates =
-            candidates.filter(|state| state.completion_ms(now, &request.work) <= max_answer_ms);
+        let mut max_answer_ms = None;
+        let candidates = open.filter(|state| {
+            let completion_ms = state.completion_ms(now, &request.work);
+            completion_ms <= longest_answer_ms(request)
+                || completion_ms
+                    <= *max_answer_ms.get_or_insert_with(|| self.max_answer_ms(now, request))
+        });
         let costs = candidates.map(|state| (state.cost_ms(now, request), &state.info.name));
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)))?;
         Some(best.1.clone())
@@ -318,8 +328,7 @@
             self.upstreams.values().filter(|state| state.is_usable(now) && runs(state, request));
         let fastest =
             usable.map(|state| state.completion_ms(now, &request.work)).min_by(f64::total_cmp);
-        let longest = request.time_left.as_secs_f64() * 1_000.0 * MAX_ANSWER_TIME_FRACTION;
-        longest.max(fastest.unwrap_or_default() * FASTEST_MARGIN_FACTOR)
+        longest_answer_ms(request).max(fastest.unwrap_or_default() * FASTEST_MARGIN_FACTOR)
     }
 
     fn grant(
@@ -450,6 +459,12 @@
     request.software.as_ref().is_none_or(|software| *software == state.info.software)
 }
 
+/// Returns the longest expected answer time of a request, in milliseconds, at an upstream that is
+/// not too slow for it.
+fn longest_answer_ms(request: &SlotRequest) -> f64 {
+    request.time_left.as_secs_f64() * 1_000.0 * MAX_ANSWER_TIME_FRACTION
+}
+
 /// Returns the longest time that a request may wait in the queue before it is refused.
 fn max_wait(request: &SlotRequest) -> Duration {
     let first_left = request.first_output_left.min(request.time_left);
--- a/lacewingspring_core/src/dispatch/pool/capacity.rs
+++ b/lacewingspring_core/src/dispatch/pool/capacity.rs
@@ -15,38 +15,56 @@
 /// Mean service time up to which calls count as short.
 const SHORT_SERVICE_TIME: Duration = Duration::from_millis(150);
 
+/// Fleet fraction from which on all slots may be used.
+const WHOLE_FLEET: f64 = 1.0;
+
+/// Number of requests that this gate may have in progress at an upstream, by its slots. It is the
+/// same for all upstreams of a service, so that a search over them determines it once.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct InProgressLimit {
+    is_brittle: bool,
+    slots_per_extra: u32,
+    fleet_fraction: f64,
+}
+
+impl InProgressLimit {
+    /// Returns the number of requests for an upstream with so many slots.
+    pub(super) fn of(self, slots: u32) -> u32 {
+        let sent = if self.is_brittle {
+            slots.saturating_sub(1)
+        } else {
+            slots + slots / self.slots_per_extra
+        };
+        if self.fleet_fraction >= WHOLE_FLEET {
+            return sent.max(1);
+        }
+        ((f64::from(sent) * self.fleet_fraction) as u32).max(1)
+    }
+}
+
 impl Pool {
+    /// Returns how many requests this gate may have in progress at the upstreams.
+    pub(super) fn in_progress_limit(&self, now: Duration, fleet_fraction: f64) -> InProgressLimit {
+        let slots_per_extra = if self.service_time <= SHORT_SERVICE_TIME {
+            SLOTS_PER_EXTRA_SHORT_CALL
+        } else {
+            SLOTS_PER_EXTRA_REQUEST
+        };
+        InProgressLimit { is_brittle: self.brittle.holds(now), slots_per_extra, fleet_fraction }
+    }
+
     /// Returns the number of requests that all upstreams together can have in progress.
     pub(super) fn total_slots(&self, now: Duration, fleet_fraction: f64) -> u32 {
+        let limit = self.in_progress_limit(now, fleet_fraction);
         let open = self.upstreams.values().filter(|state| !state.info.draining);
-        open.map(|state| self.expected_in_progress(now, &state.info, fleet_fraction)).sum()
+        open.map(|state| self.expected_in_progress(limit, &state.info)).sum()
     }
 
     /// Returns the number of requests that can be in progress at an upstream under its limit.
-    fn expected_in_progress(&self, now: Duration, info: &UpstreamInfo, fleet_fraction: f64) -> u32 {
-        let max = self.max_in_progress(now, info, fleet_fraction);
+    fn expected_in_progress(&self, limit: InProgressLimit, info: &UpstreamInfo) -> u32 {
+        let max = limit.of(info.slots);
         let Some(rate) = self.rate_limits.rate(&info.name) else { return max };
-        let expected = rate * fleet_fraction * self.service_time.as_secs_f64();
+        let expected = rate * limit.fleet_fraction * self.service_time.as_secs_f64();
         max.min(expected.ceil() as u32)
     }
-
-    /// Returns the number of requests that this gate may have in progress at an upstream.
-    pub(super) fn max_in_progress(
-        &self,
-        now: Duration,
-        info: &UpstreamInfo,
-        fleet_fraction: f64,
-    ) -> u32 {
-        let slots_per_extra = if self.service_time <= SHORT_SERVICE_TIME {
-            SLOTS_PER_EXTRA_SHORT_CALL
-        } else {
-            SLOTS_PER_EXTRA_REQUEST
-        };
-        let sent = if self.brittle.holds(now) {
-            info.slots.saturating_sub(1)
-        } else {
-            info.slots + info.slots / slots_per_extra
-        };
-        ((f64::from(sent) * fleet_fraction).floor() as u32).max(1)
-    }
 }
