Reserve nothing for instances that lost only the store

Cause: an instance whose entry vanished was reserved for until it had been linked for a window, also when its link never broke.

Change: an instance that is linked when its entry vanishes counts as apart only once its link is gone.

--- a/lacewingspring_core/src/dispatch/fleet_share.rs
+++ b/lacewingspring_core/src/dispatch/fleet_share.rs
@@ -62,10 +62,19 @@
 struct Missing {
     incarnation: u64,
     since: Duration,
-    /// Time since which it is linked here; `None` if it is not.
+    /// Time since which it is linked here; zero if it was when it vanished, `None` if it is not
+    /// linked.
     linked_since: Option<Duration>,
 }
 
+impl Missing {
+    /// Returns whether it may decide alone, or has handed out units that still count: until it has
+    /// been linked for a whole window.
+    fn is_apart(&self, now: Duration, limit_window: Duration) -> bool {
+        self.linked_since.is_none_or(|since| now.saturating_sub(since) < limit_window)
+    }
+}
+
 /// The instances that may hand out slots and limits.
 #[derive(Debug, Default)]
 pub struct FleetRoster {
@@ -86,7 +95,8 @@
         for (name, instance) in before {
             if !instance.is_leaving && !self.registered.contains_key(&name) {
                 let incarnation = instance.incarnation;
-                self.missing.insert(name, Missing { incarnation, since: now, linked_since: None });
+                let linked_since = self.linked.contains_key(&name).then_some(Duration::ZERO);
+                self.missing.insert(name, Missing { incarnation, since: now, linked_since });
             }
         }
         // A new process of an instance has taken the place of the one that is missing.
@@ -123,7 +133,7 @@
     /// Returns the share of the gate with these links, where limits are counted in windows of
     /// `limit_window`.
     pub fn share(&mut self, now: Duration, limit_window: Duration) -> FleetShare {
-        self.track_missing(now, limit_window);
+        self.track_missing(now);
         let active = self.active();
         if active == 0 {
             // Before it knows the fleet, each instance of it might take itself for the only one.
@@ -138,24 +148,24 @@
             let is_apart = !self.linked.contains_key(name) && !self.missing.contains_key(name);
             is_apart && !instance.is_leaving
         });
-        let apart = unlinked.count() + self.missing.len();
+        let missing = self.missing.values().filter(|known| known.is_apart(now, limit_window));
+        let apart = unlinked.count() + missing.count();
         let unregistered = |name: &&InstanceName| !self.registered.contains_key(*name);
         let known = active + self.missing.keys().filter(unregistered).count();
         let reserved = MINORITY_LIMIT_FACTOR * apart as f64 / known.max(apart) as f64;
         FleetShare { limits: FleetShare::WHOLE.limits - reserved, ..FleetShare::WHOLE }
     }
 
-    /// Forgets missing instances that have been linked for a whole window, after which nothing
-    /// counts that they handed out before, and those that have been missing for long.
-    fn track_missing(&mut self, now: Duration, limit_window: Duration) {
+    /// Notes which missing instances are linked, and forgets those that have been missing for long.
+    fn track_missing(&mut self, now: Duration) {
         let linked = &self.linked;
         self.missing.retain(|name, missing| {
-            if !linked.contains_key(name) {
+            if linked.contains_key(name) {
+                missing.linked_since.get_or_insert(now);
+            } else {
                 missing.linked_since = None;
-                return now.saturating_sub(missing.since) < MISSING_RETENTION;
             }
-            let since = *missing.linked_since.get_or_insert(now);
-            now.saturating_sub(since) < limit_window
+            now.saturating_sub(missing.since) < MISSING_RETENTION
         });
     }
 }
--- a/lacewingspring_core/tests/limits_of_two_gates.rs
+++ b/lacewingspring_core/tests/limits_of_two_gates.rs
@@ -282,3 +282,16 @@
     gate.update_share(fleet.now);
     assert_eq!(gate.dispatcher.fleet_share(), FleetShare::WHOLE);
 }
+
+#[test]
+fn instances_that_lost_only_the_store_take_nothing_of_the_limits_with_them() {
+    let fleet = Fleet::new(20);
+    let mut gate = Gate::new(&fleet, 0.0);
+    gate.link(fleet.now, 0..20);
+    gate.roster.set_registered(fleet.now, fleet.instances(0..12));
+    gate.update_share(fleet.now);
+    assert_eq!(gate.dispatcher.fleet_share(), FleetShare::WHOLE);
+    gate.unlink(fleet.now, 12..20);
+    gate.update_share(fleet.now);
+    assert_eq!(gate.dispatcher.fleet_share().limits, 0.8, "they may decide alone now");
+}
