Tell instances that link only what they must know of streams

Cause: for each instance that linked, the gate gathered all streams that it knew, and dropped them again if 16 instances had them.

Change: a link is told the versions that served; the streams only while there are several versions and fewer than 16 others know them, as the design says. Marking ambiguous streams looks at recent ones only.

--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -173,8 +173,10 @@
     /// Sets the part of all slots and limits that may be used here.
     ///
     /// If it becomes that of a majority and was not within the last `MAX_INTERRUPTION`, or of a
-    /// minority after it was nothing, another gate may have handed out limits until now.
-    pub fn set_fleet_share(&mut self, now: Duration, share: FleetShare) -> Vec<Decision> {
+    /// minority after it was nothing, another gate may have handed out limits until now. Waiting
+    /// requests get further slots at the next tick: a gate that takes over gets a larger share with
+    /// each instance that links to it.
+    pub fn set_fleet_share(&mut self, now: Duration, share: FleetShare) {
         let before = std::mem::replace(&mut self.share, share);
         if before.is_majority() && !share.is_majority() {
             self.whole_fleet_until = Some(now);
@@ -184,8 +186,6 @@
             self.quotas.begin(now);
         }
         self.quotas.set_share(now, share);
-        // Limits are charged on arrival, so that only more slots let waiting requests run.
-        if share.slots > before.slots { self.tick(now) } else { Vec::new() }
     }
 
     fn had_whole_fleet_recently(&self, now: Duration) -> bool {
--- a/lacewingspring_core/src/dispatch/resumptions.rs
+++ b/lacewingspring_core/src/dispatch/resumptions.rs
@@ -229,6 +229,15 @@
         KnownStreams { knows_past: self.knows_past(now), ..self.streams.export(now) }
     }
 
+    /// Returns the versions that served.
+    pub fn export_versions(&self, now: Duration) -> KnownStreams {
+        KnownStreams {
+            knows_past: self.knows_past(now),
+            versions: self.streams.export_versions(now),
+            groups: Vec::new(),
+        }
+    }
+
     /// Returns what must outlive this instance: the streams of services with upstreams of several
     /// versions.
     pub fn export_mixed(&self, now: Duration) -> KnownStreams {
--- a/lacewingspring_core/src/dispatch/stream_versions.rs
+++ b/lacewingspring_core/src/dispatch/stream_versions.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    known_streams::{KnownStream, KnownStreams, StreamGroup, UpstreamProcess},
+    known_streams::{KnownStream, KnownStreams, ServedVersion, StreamGroup, UpstreamProcess},
     served_versions::ServedVersions,
     upstream::UpstreamInfo,
     work::StreamRef,
@@ -85,13 +85,14 @@
     /// the first event.
     fn mark_ambiguous(&mut self, now: Duration, infos: &[UpstreamInfo]) {
         let by_name: HashMap<_, _> = infos.iter().map(|info| (&info.name, info)).collect();
-        for stream in self.streams.values_mut() {
+        let is_recent =
+            |stream: &&mut StreamRecord| now.saturating_sub(stream.granted_at) < MAX_ENTRY_LAG;
+        for stream in self.streams.values_mut().filter(is_recent) {
             let process = &stream.process;
-            let is_recent = now.saturating_sub(stream.granted_at) < MAX_ENTRY_LAG;
             let other = by_name.get(&process.upstream).filter(|info| {
                 info.started_at_ms != process.started_at_ms && info.software != process.software
             });
-            stream.is_ambiguous |= is_recent && other.is_some();
+            stream.is_ambiguous |= other.is_some();
         }
     }
 
@@ -203,6 +204,12 @@
         KnownStreams { knows_past: false, versions: self.served.export(now), groups }
     }
 
+    /// Returns the versions that serve, or served within the longest time in which a caller may take
+    /// a stream up.
+    pub fn export_versions(&self, now: Duration) -> Vec<ServedVersion> {
+        self.served.export(now)
+    }
+
     /// Returns what a gate must know after all instances have ended: the streams of mixed services,
     /// and of these at most [`MAX_STORED_STREAMS`], which end last.
     pub fn export_mixed(&self, now: Duration) -> KnownStreams {
--- a/lacewingspring_core/src/dispatch/streams.rs
+++ b/lacewingspring_core/src/dispatch/streams.rs
@@ -76,6 +76,11 @@
         self.resumptions.export(now)
     }
 
+    /// Returns the versions that served, without the streams that they began.
+    pub fn served_versions(&self, now: Duration) -> KnownStreams {
+        self.resumptions.export_versions(now)
+    }
+
     /// Returns what must be known of streams if all instances end together: nothing while each
     /// service has upstreams of one software version, and had within the time in which callers may
     /// take streams up.
--- a/lacewingspring_proxy/src/gate/host/streams.rs
+++ b/lacewingspring_proxy/src/gate/host/streams.rs
@@ -81,13 +81,15 @@
 }
 
 impl State {
-    /// Tells a new link all that is known of streams, or only the versions that served if enough
-    /// other instances know the streams.
+    /// Tells a new link which versions served, and which streams they began if there are several and
+    /// not enough other instances know them.
     pub(super) fn tell_streams(&mut self, now: Duration, link: u64) {
-        let mut known = self.dispatcher.known_streams(now);
-        if self.links.len() > MAX_RECEIVERS {
-            known.groups.clear();
-        }
+        let is_receiver = self.links.len() <= MAX_RECEIVERS;
+        let known = if is_receiver && self.dispatcher.has_mixed_software(now) {
+            self.dispatcher.mixed_streams(now)
+        } else {
+            self.dispatcher.served_versions(now)
+        };
         self.send(link, FromGate::Streams(Arc::new(known)));
     }
 
