Keep a gate that answers late

Cause: an instance took its gate for failed when one request had no acknowledgement for 0.3 s, whatever else the gate sent meanwhile. A gate under load answers late; the next one gets the same load and, at once, the reports of all instances.

Change: a request without an acknowledgement counts only while the gate sends nothing else, and not before its first message on a link, for which it has a second (Liveness). A gate that takes over no longer dispatches at each link, but at the next tick, and logs its share in steps of a tenth.

--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -11,8 +11,8 @@
 use futures_util::StreamExt;
 use lacewingspring_core::{
     dispatch::{
-        Decision, Dispatcher, FleetRoster, HandOver, Limits, RegisteredInstance, ServiceCounts,
-        StoredUsage, Ticket, UpstreamInfo,
+        Decision, Dispatcher, FleetRoster, FleetShare, HandOver, Limits, RegisteredInstance,
+        ServiceCounts, StoredUsage, Ticket, UpstreamInfo,
     },
     names::{InstanceName, ServiceName},
 };
@@ -51,6 +51,9 @@
 /// Maximum number of links over which the usage of limits is sent, the longest open first.
 const MAX_USAGE_RECEIVERS: usize = 10;
 
+/// Change of the share that is logged.
+const MIN_LOGGED_CHANGE: f64 = 0.1;
+
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -69,6 +72,8 @@
 struct State {
     dispatcher: Dispatcher,
     roster: FleetRoster,
+    /// Share that was logged last.
+    logged_share: FleetShare,
     links: HashMap<u64, Link>,
     next_link: u64,
     /// Bandwidth for replica updates.
@@ -98,6 +103,7 @@
         let state = State {
             dispatcher: Dispatcher::default(),
             roster: FleetRoster::default(),
+            logged_share: FleetShare::default(),
             links: HashMap::new(),
             next_link: 0,
             allowance: Allowance::new(link_bytes_per_s),
@@ -379,17 +385,27 @@
         if share == self.dispatcher.fleet_share() {
             return;
         }
-        let before = self.dispatcher.fleet_share();
-        // Each link of a new gate changes its part of the limits; only the end of that is logged.
-        if share.slots != before.slots || share.has_all_limits() != before.has_all_limits() {
-            info!(
-                linked = self.roster.linked(), members = self.roster.active(),
-                share = share.slots, limits = share.limits;
-                "The share of the fleet that this instance schedules has changed."
-            );
+        self.log_share_change(share);
+        self.dispatcher.set_fleet_share(now, share);
+    }
+
+    /// Logs a share unless it is close to the last one that was logged, as each link of a new gate
+    /// changes it.
+    fn log_share_change(&mut self, share: FleetShare) {
+        let before = self.logged_share;
+        let is_close = (share.slots - before.slots).abs() < MIN_LOGGED_CHANGE
+            && (share.limits - before.limits).abs() < MIN_LOGGED_CHANGE;
+        let is_alike = share.is_majority() == before.is_majority()
+            && share.has_all_limits() == before.has_all_limits();
+        if is_close && is_alike {
+            return;
         }
-        let decisions = self.dispatcher.set_fleet_share(now, share);
-        self.send_decisions(decisions);
+        self.logged_share = share;
+        info!(
+            linked = self.roster.linked(), members = self.roster.active(), share = share.slots,
+            limits = share.limits;
+            "The share of the fleet that this instance schedules has changed."
+        );
     }
 
     fn send_decisions(&mut self, decisions: Vec<Decision>) {
--- a/lacewingspring_proxy/src/gate/link/connection.rs
+++ b/lacewingspring_proxy/src/gate/link/connection.rs
@@ -14,6 +14,7 @@
 use crate::{
     clock,
     gate::{
+        liveness::Liveness,
         message::{Frames, ToGate, decode, frames, send_all},
         suspects::Suspects,
     },
@@ -27,12 +28,6 @@
 /// Interval of the checks of the link and of the choice of gate.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time without a message from the gate after which it is considered failed.
-const GATE_TIMEOUT: Duration = Duration::from_millis(1_000);
-
-/// Time within which the gate must grant, refuse or queue a request.
-const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Time limit of writing to the gate.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -94,13 +89,13 @@
         mut rx: UnboundedReceiver<ToGate>,
     ) -> &'static str {
         let mut check = interval(CHECK_INTERVAL);
-        let mut received_at = clock::now();
+        let mut liveness = Liveness::new(clock::now());
         loop {
             tokio::select! {
                 next = frames.next() => match next {
                     Some(Ok(bytes)) => match decode(&bytes) {
                         Ok(message) => {
-                            received_at = clock::now();
+                            liveness.record_message(clock::now());
                             self.handle(message);
                         }
                         Err(_) => return "unreadable",
@@ -115,14 +110,13 @@
                 }
                 _ = check.tick() => {
                     let now = clock::now();
-                    let silence = now.saturating_sub(received_at);
-                    if silence >= GATE_TIMEOUT || self.has_overdue_request(now) {
+                    if liveness.has_failed(now, self.unacknowledged_since()) {
                         return "silent";
                     }
                     if !self.is_first_candidate(now, member, suspects) {
                         return MOVED;
                     }
-                    if self.is_ping_due(now, silence) {
+                    if self.is_ping_due(now, liveness.silence(now)) {
                         self.ping(now);
                     }
                 }
@@ -146,12 +140,11 @@
         first.cloned()
     }
 
-    fn has_overdue_request(&self, now: Duration) -> bool {
+    /// Returns the time at which the oldest request without an acknowledgement was sent.
+    fn unacknowledged_since(&self) -> Option<Duration> {
         let state = self.state();
-        state.pending.values().any(|pending| {
-            !pending.is_acknowledged
-                && now.saturating_sub(pending.requested_at) > ACKNOWLEDGE_TIMEOUT
-        })
+        let open = state.pending.values().filter(|pending| !pending.is_acknowledged);
+        open.map(|pending| pending.requested_at).min()
     }
 
     /// Keeps a link to the host of this instance while no other instance takes precedence.
--- a/lacewingspring_proxy/src/gate/mod.rs
+++ b/lacewingspring_proxy/src/gate/mod.rs
@@ -4,13 +4,15 @@
 //! is the gate, and the client in [`link`] asks the current gate for a [`slot`]. A link is a TCP
 //! connection from an instance to the gate, or a pair of channels if the gate is its own host; it
 //! carries the messages in [`message`]. The [`ledger`] hands what a gate knows on to the next gate,
-//! and the [`allowance`] bounds the bandwidth that replica updates take.
+//! the [`allowance`] bounds the bandwidth that replica updates take, and the [`liveness`] of a link
+//! tells whether its gate has failed.
 
 pub mod allowance;
 mod findings;
 pub mod host;
 pub mod ledger;
 pub mod link;
+pub mod liveness;
 pub mod message;
 mod record;
 pub mod slot;
