--- a/lacewingspring_core/tests/dispatch_support/mod.rs
+++ b/lacewingspring_core/tests/dispatch_support/mod.rs
@@ -5,7 +5,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use lacewingspring_core::{
-    dispatch::{Decision, Reason, SlotRequest, Ticket, UpstreamInfo, Work},
+    dispatch::{
+        Decision, Dispatcher, End, FleetShare, Reason, SlotRequest, Ticket, UpstreamInfo, Work,
+    },
     names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName},
 };
 
@@ -56,6 +58,19 @@
     Ticket { link: LINK, number }
 }
 
+/// Returns the gate of a whole fleet.
+pub fn dispatcher(upstreams: &[UpstreamInfo]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(Duration::ZERO, upstreams.to_vec());
+    dispatcher.set_fleet_share(Duration::ZERO, FleetShare::WHOLE);
+    dispatcher
+}
+
+/// Returns the end of a run that took so many milliseconds.
+pub fn finished(took: u64, tokens: u32) -> End {
+    End::Finished { took: ms(took), output_tokens: tokens, decode: ms(took), is_framed: true }
+}
+
 /// Returns the numbers of the granted requests with their upstreams.
 pub fn granted(decisions: &[Decision]) -> Vec<(u64, &str)> {
     let granted = decisions.iter().filter_map(|decision| match decision {
--- a/lacewingspring_core/tests/limits_of_two_gates.rs
+++ b/lacewingspring_core/tests/limits_of_two_gates.rs
@@ -4,13 +4,13 @@
 
 use lacewingspring_core::{
     dispatch::{
-        Decision, Dispatcher, End, FleetRoster, FleetShare, Limits, Quota, QuotaBounds,
+        Decision, Dispatcher, FleetRoster, FleetShare, Limits, Quota, QuotaBounds,
         RegisteredInstance, SlotRequest, Ticket,
     },
     names::{InstanceName, WorkspaceName},
 };
 
-use crate::dispatch_support::{ms, request, upstream};
+use crate::dispatch_support::{finished, ms, request, upstream};
 
 mod dispatch_support;
 
@@ -77,8 +77,7 @@
             let decisions = self.dispatcher.request_slot(now, ticket, request);
             if matches!(decisions[..], [Decision::Granted(..)]) {
                 taken += 150.0;
-                let took = ms(1);
-                let end = End::Finished { took, output_tokens: 1, decode: took, is_framed: true };
+                let end = finished(1, 1);
                 self.dispatcher.end(now, ticket, end);
             }
         }
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -11,8 +11,8 @@
 use futures_util::StreamExt;
 use lacewingspring_core::{
     dispatch::{
-        Decision, Dispatcher, FleetRoster, FleetShare, HandOver, Limits, RegisteredInstance,
-        ServiceCounts, StoredUsage, Ticket, UpstreamInfo,
+        Decision, Dispatcher, FleetRoster, FleetShare, HandOver, Limits, ServiceCounts,
+        StoredUsage, Ticket, UpstreamInfo,
     },
     names::{InstanceName, ServiceName},
 };
@@ -33,12 +33,13 @@
 };
 use crate::{
     clock,
-    members::{Member, SharedMembers},
+    members::SharedMembers,
     net,
     replica::{ByTopic, Replicas},
     store::Revision,
 };
 
+mod share;
 mod streams;
 mod updates;
 
@@ -51,9 +52,6 @@
 /// Maximum number of links over which the usage of limits is sent, the longest open first.
 const MAX_USAGE_RECEIVERS: usize = 10;
 
-/// Change of the share that is logged.
-const MIN_LOGGED_CHANGE: f64 = 0.1;
-
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -131,14 +129,6 @@
         self.state().dispatcher.set_limits(limits);
     }
 
-    /// Adjusts the share of the fleet that is scheduled here after a change of members.
-    pub fn on_members_changed(&self, now: Duration) {
-        let mut state = self.state();
-        let members = self.members.load();
-        state.roster.set_registered(now, members.all().iter().map(registered));
-        state.update_fleet_share(now);
-    }
-
     /// Opens a link whose messages are sent to `tx`; returns its number.
     pub fn connect(&self, tx: UnboundedSender<FromGate>) -> u64 {
         let mut state = self.state();
@@ -370,44 +360,6 @@
 }
 
 impl State {
-    /// Notes which instance is at the other end of a link.
-    fn introduce(&mut self, link: u64, instance: InstanceName) {
-        let Some(target) = self.links.get_mut(&link) else { return };
-        if let Some(before) = target.instance.replace(instance.clone()) {
-            self.roster.unlink(&before);
-        }
-        self.roster.link(instance);
-    }
-
-    /// Sets the part of all slots and limits that this instance grants.
-    fn update_fleet_share(&mut self, now: Duration) {
-        let share = self.roster.share(now, self.dispatcher.limit_window());
-        if share == self.dispatcher.fleet_share() {
-            return;
-        }
-        self.log_share_change(share);
-        self.dispatcher.set_fleet_share(now, share);
-    }
-
-    /// Logs a share unless it is close to the last one that was logged, as each link of a new gate
-    /// changes it.
-    fn log_share_change(&mut self, share: FleetShare) {
-        let before = self.logged_share;
-        let is_close = (share.slots - before.slots).abs() < MIN_LOGGED_CHANGE
-            && (share.limits - before.limits).abs() < MIN_LOGGED_CHANGE;
-        let is_alike = share.is_majority() == before.is_majority()
-            && share.has_all_limits() == before.has_all_limits();
-        if is_close && is_alike {
-            return;
-        }
-        self.logged_share = share;
-        info!(
-            linked = self.roster.linked(), members = self.roster.active(), share = share.slots,
-            limits = share.limits;
-            "The share of the fleet that this instance schedules has changed."
-        );
-    }
-
     fn send_decisions(&mut self, decisions: Vec<Decision>) {
         for finding in self.dispatcher.take_findings() {
             log_finding(&finding);
@@ -433,14 +385,6 @@
     }
 }
 
-fn registered(member: &Member) -> RegisteredInstance {
-    RegisteredInstance {
-        name: member.instance.clone(),
-        incarnation: member.incarnation,
-        is_leaving: member.is_leaving,
-    }
-}
-
 fn ticket_of(decision: &Decision) -> Ticket {
     match decision {
         Decision::Granted(ticket, _) | Decision::Refused(ticket, _) => *ticket,
