Reserve for linked instances that have no entry

Cause: a gate's process that starts while others have lost the store never saw their entries, so that it reserved nothing for what they had handed out on their own when they linked to it.

Change: an instance that links without an entry and was told the usage of limits before counts as one that was apart, for a window.

--- a/lacewingspring_core/src/dispatch/fleet_share.rs
+++ b/lacewingspring_core/src/dispatch/fleet_share.rs
@@ -60,7 +60,8 @@
 /// An instance that vanished although it did not leave: it crashed, or is cut off.
 #[derive(Debug)]
 struct Missing {
-    incarnation: u64,
+    /// Its process; `None` if this gate never saw its entry.
+    incarnation: Option<u64>,
     since: Duration,
     /// Time since which it is linked here; zero if it was when it vanished, `None` if it is not
     /// linked.
@@ -94,7 +95,7 @@
         let before = std::mem::replace(&mut self.registered, instances.collect());
         for (name, instance) in before {
             if !instance.is_leaving && !self.registered.contains_key(&name) {
-                let incarnation = instance.incarnation;
+                let incarnation = Some(instance.incarnation);
                 let linked_since = self.linked.contains_key(&name).then_some(Duration::ZERO);
                 self.missing.insert(name, Missing { incarnation, since: now, linked_since });
             }
@@ -102,12 +103,21 @@
         // A new process of an instance has taken the place of the one that is missing.
         let registered = &self.registered;
         self.missing.retain(|name, missing| {
-            registered.get(name).is_none_or(|known| known.incarnation == missing.incarnation)
+            let is_other = |known: &RegisteredInstance| {
+                missing.incarnation.is_some_and(|i| i != known.incarnation)
+            };
+            !registered.get(name).is_some_and(is_other)
         });
     }
 
-    /// Records a link of an instance.
-    pub fn link(&mut self, instance: InstanceName) {
+    /// Records a link of an instance, which may have been told the usage of limits before.
+    ///
+    /// If it was and has no entry, it lost the key-value service, and may have decided alone.
+    pub fn link(&mut self, now: Duration, instance: InstanceName, knows_usage: bool) {
+        if knows_usage && !self.registered.contains_key(&instance) {
+            let new = Missing { incarnation: None, since: now, linked_since: None };
+            self.missing.entry(instance.clone()).or_insert(new);
+        }
         *self.linked.entry(instance).or_default() += 1;
     }
 
--- a/lacewingspring_core/tests/limits_of_two_gates.rs
+++ b/lacewingspring_core/tests/limits_of_two_gates.rs
@@ -48,7 +48,7 @@
 
     fn link(&mut self, now: Duration, instances: std::ops::Range<usize>) {
         for index in instances {
-            self.roster.link(name(index));
+            self.roster.link(now, name(index), true);
             self.update_share(now);
         }
     }
@@ -274,7 +274,8 @@
     let mut fleet = Fleet::new(1);
     let mut gate = Gate::new(&fleet, RATE);
     gate.roster = FleetRoster::default();
-    gate.link(fleet.now, 0..1);
+    gate.roster.link(fleet.now, name(0), false);
+    gate.update_share(fleet.now);
     fleet.play(Duration::from_secs(1), &mut [&mut gate]);
     assert_eq!(fleet.most_in_a_window(), 0.0);
     gate.roster.set_registered(fleet.now, fleet.instances(0..1));
@@ -294,3 +295,26 @@
     gate.update_share(fleet.now);
     assert_eq!(gate.dispatcher.fleet_share().limits, 0.8, "they may decide alone now");
 }
+
+/// The next gate is a process that started while some instances had lost the store: it never saw
+/// their entries. They come from another gate, which may have been one of a minority.
+#[test]
+fn a_new_process_reserves_for_instances_without_entries() {
+    let mut fleet = Fleet::new(7);
+    let mut minority = Gate::new(&fleet, RATE * 10.0);
+    minority.link(fleet.now, 0..3);
+    let mut majority = Gate::new(&fleet, RATE * 10.0);
+    majority.roster.set_registered(fleet.now, fleet.instances(3..7));
+    majority.link(fleet.now, 3..6);
+    fleet.play(Duration::from_secs(10), &mut [&mut minority, &mut majority]);
+    let mut usage = majority.dispatcher.export_usage(fleet.now);
+    usage.retain(|usage| !usage.steps.is_empty());
+    let mut new = Gate::new(&fleet, RATE * 10.0);
+    new.roster = FleetRoster::default();
+    new.roster.set_registered(fleet.now, fleet.instances(3..7));
+    new.link(fleet.now, 0..7);
+    new.dispatcher.import_usage(fleet.now, ms(0), &usage);
+    fleet.play(Duration::from_secs(12), &mut [&mut new]);
+    let most = fleet.most_in_a_window();
+    assert!(most <= LIMIT, "{most} units in a window, the limit is {LIMIT}");
+}
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -162,7 +162,7 @@
         let decisions = match message {
             ToGate::Hello { instance, usage, usage_age } => {
                 let hand_over = state.dispatcher.hand_over(now);
-                state.introduce(link, instance);
+                state.introduce(now, link, instance, !usage.is_empty());
                 if !hand_over.is_empty() {
                     state.send(link, FromGate::HandOver(Arc::new(hand_over)));
                 }
--- a/lacewingspring_proxy/src/gate/host/share.rs
+++ b/lacewingspring_proxy/src/gate/host/share.rs
@@ -25,13 +25,20 @@
 }
 
 impl State {
-    /// Notes which instance is at the other end of a link.
-    pub(super) fn introduce(&mut self, link: u64, instance: InstanceName) {
+    /// Notes which instance is at the other end of a link, and whether it was told the usage of
+    /// limits before.
+    pub(super) fn introduce(
+        &mut self,
+        now: Duration,
+        link: u64,
+        instance: InstanceName,
+        knows_usage: bool,
+    ) {
         let Some(target) = self.links.get_mut(&link) else { return };
         if let Some(before) = target.instance.replace(instance.clone()) {
             self.roster.unlink(&before);
         }
-        self.roster.link(instance);
+        self.roster.link(now, instance, knows_usage);
     }
 
     /// Sets the part of all slots and limits that this instance grants.
