Wrap long comment lines, document the constants of gate_cost

Cause: read as a newcomer would; ten added lines were wider than 100 columns.

Change: comments, and the layout of an example; no code of the programs.

--- a/lacewingspring_core/src/dispatch/fleet_share.rs
+++ b/lacewingspring_core/src/dispatch/fleet_share.rs
@@ -1,9 +1,9 @@
 //! Part of the fleet's slots and limits that a gate may use.
 //!
-//! Two gates may decide at the same time, each for the instances on its side of a network partition.
-//! Each uses a part, such that the parts of the limits add up to the whole at most. An instance
-//! whose entry vanished although it did not leave may still decide on its own, so a majority's gate
-//! goes on reserving for it what a minority's gate may hand out.
+//! Two gates may decide at the same time, each for the instances on its side of a network
+//! partition. Each uses a part, such that the parts of the limits add up to the whole at most. An
+//! instance whose entry vanished although it did not leave may still decide on its own, so a
+//! majority's gate goes on reserving for it what a minority's gate may hand out.
 
 use std::{collections::HashMap, time::Duration};
 
--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -4,8 +4,8 @@
 //! successor counts usage that it can't know of as if the limit had been used up.
 //!
 //! Two gates may hand out one limit at the same time ([`FleetShare`]). That of a majority hands out
-//! no more than its part, whatever it knows to be used included. That of a minority hands out no more
-//! than its part, and no more than is left of the whole.
+//! its part at most, in which all that it knows to be used counts. That of a minority hands out its
+//! part at most, and no more than is left of the whole.
 
 use std::{
     collections::{HashMap, VecDeque},
--- a/lacewingspring_core/src/dispatch/stream_versions.rs
+++ b/lacewingspring_core/src/dispatch/stream_versions.rs
@@ -204,8 +204,8 @@
         KnownStreams { knows_past: false, versions: self.served.export(now), groups }
     }
 
-    /// Returns the versions that serve, or served within the longest time in which a caller may take
-    /// a stream up.
+    /// Returns the versions that serve, or served within the longest time in which a caller may
+    /// take a stream up.
     pub fn export_versions(&self, now: Duration) -> Vec<ServedVersion> {
         self.served.export(now)
     }
--- a/lacewingspring_proxy/examples/gate_cost.rs
+++ b/lacewingspring_proxy/examples/gate_cost.rs
@@ -1,9 +1,9 @@
 //! Measures the processor time of a gate: while all instances link to it, and for each request
 //! afterwards.
 //!
-//! The gate runs in a thread of its own, the instances in another one. Each instance reports running
-//! and waiting requests when it links, then asks for slots at a steady rate, in all somewhat more
-//! than the upstreams can serve.
+//! The gate runs in a thread of its own, the instances in another one. Each instance reports
+//! running and waiting requests when it links, then asks for slots at a steady rate, in all about
+//! as many as the upstreams can serve.
 
 use std::{
     net::SocketAddr,
@@ -39,17 +39,30 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
+/// Number of upstreams.
 const UPSTREAMS: usize = 240;
+
+/// Slots of each upstream.
 const SLOTS: u32 = 6;
-/// Requests that each instance reports as running when it links, and as waiting.
+
+/// Requests that each instance reports as running when it links.
 const RUNNING: u64 = 5;
+
+/// Requests that each instance reports as waiting when it links.
 const WAITING: u64 = 4;
+
 /// Requests a second of all instances.
 const RATE: f64 = 4_000.0;
+
 /// Time for which a request holds its slot.
 const SERVICE_TIME: Duration = Duration::from_millis(350);
+
+/// Time over which the cost of requests is measured.
 const MEASURED_TIME: Duration = Duration::from_secs(4);
 
+/// Number of instances unless the command line names another one.
+const DEFAULT_INSTANCES: usize = 190;
+
 fn cpu_time() -> Duration {
     let time = clock_gettime(ClockId::ThreadCPUTime);
     Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
@@ -185,7 +198,8 @@
                 }
             }
             _ = ticks.tick() => {
-                let _ = tx.send(ToGate::RequestSlot { number: next, request: request(base + next) });
+                let request = request(base + next);
+                let _ = tx.send(ToGate::RequestSlot { number: next, request });
                 next += 1;
             }
         }
@@ -220,15 +234,16 @@
         }
         let linking = cpu_time();
         sleep(Duration::from_millis(500)).await;
-        let before = (cpu_time(), counts.granted.load(Ordering::Relaxed), counts.refused.load(Ordering::Relaxed));
+        let decided =
+            || (counts.granted.load(Ordering::Relaxed), counts.refused.load(Ordering::Relaxed));
+        let (cpu_before, before) = (cpu_time(), decided());
         sleep(MEASURED_TIME).await;
-        let used = cpu_time() - before.0;
-        let granted = counts.granted.load(Ordering::Relaxed) - before.1;
-        let refused = counts.refused.load(Ordering::Relaxed) - before.2;
+        let (used, after) = (cpu_time() - cpu_before, decided());
+        let (granted, refused) = (after.0 - before.0, after.1 - before.1);
         let requests = granted + refused;
         println!(
-            "{instances:4} instances: {linking:?} until all are acknowledged, then {:.1}% of a core, \
-             {:?} a request ({granted} granted, {refused} refused)",
+            "{instances:4} instances: {linking:?} until all are acknowledged, then {:.1}% of a \
+             core, {:?} a request ({granted} granted, {refused} refused)",
             used.as_secs_f64() / MEASURED_TIME.as_secs_f64() * 100.0,
             used.div_f64(requests.max(1) as f64),
         );
@@ -236,6 +251,7 @@
 }
 
 fn main() {
-    let instances = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(190);
+    let instances =
+        std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_INSTANCES);
     measure(instances);
 }
--- a/lacewingspring_proxy/src/gate/host/share.rs
+++ b/lacewingspring_proxy/src/gate/host/share.rs
@@ -1,4 +1,5 @@
-//! The part of the fleet's slots and limits that this instance grants, by its links and the registry.
+//! The part of the fleet's slots and limits that this instance grants, by its links and the
+//! registry.
 
 use std::time::Duration;
 
--- a/lacewingspring_proxy/src/gate/host/streams.rs
+++ b/lacewingspring_proxy/src/gate/host/streams.rs
@@ -81,8 +81,8 @@
 }
 
 impl State {
-    /// Tells a new link which versions served, and which streams they began if there are several and
-    /// not enough other instances know them.
+    /// Tells a new link which versions served, and which streams they began if there are several
+    /// and not enough other instances know them.
     pub(super) fn tell_streams(&mut self, now: Duration, link: u64) {
         let is_receiver = self.links.len() <= MAX_RECEIVERS;
         let known = if is_receiver && self.dispatcher.has_mixed_software(now) {
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -3,8 +3,8 @@
 //!
 //! The gate sends it to other instances, at once when it matters, and these report it to the next
 //! gate. It also stores it in the key-value service, for the case that all instances end together.
-//! As the service counts its calls, a record is written at most twice a second, and the usage as often
-//! as it is published.
+//! As the service counts its calls, a record is written at most twice a second, and the usage as
+//! often as it is published.
 
 use std::{sync::Arc, time::Duration};
 
