Count usage that is loaded before the limits are known

Cause: usage older than a window says nothing and is left out, but before its first configuration a gate's window is zero, so that a process that started left out all that was stored or told.

Change: usage is left out only if it is older than the window and than a publication can be.

--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -223,7 +223,8 @@
     /// known. Usage from before the window says nothing.
     pub fn import_usage(&mut self, now: Duration, age: Duration, stored: &[StoredUsage]) {
         let is_too_late = now.saturating_sub(self.began_at) > IMPORT_PERIOD;
-        if is_too_late || age >= self.bounds.window {
+        // Before the first configuration the window is not known.
+        if is_too_late || age >= self.bounds.window.max(MAX_FRESH_AGE) {
             return;
         }
         self.known_since = Duration::ZERO;
--- a/lacewingspring_core/tests/workspace_limits.rs
+++ b/lacewingspring_core/tests/workspace_limits.rs
@@ -82,6 +82,23 @@
     assert!(taken + then >= limit * 0.8, "taken {taken} and {then} of {limit}");
 }
 
+/// A process that starts may read the stored usage before its first configuration.
+#[test]
+fn usage_that_is_loaded_before_the_limits_counts() {
+    let mut before = dispatcher(&[upstream("u", 100)]);
+    before.set_limits(limits(1_500.0, 1_500.0));
+    let taken = saturate(&mut before, Duration::from_secs(100), Duration::from_secs(4), 0);
+    let now = Duration::from_secs(104);
+    let mut after = Dispatcher::default();
+    after.set_upstreams(now, [upstream("u", 100)]);
+    after.set_fleet_share(now, FleetShare::WHOLE);
+    after.import_usage(now, ms(0), &before.export_usage(now));
+    after.set_limits(limits(1_500.0, 1_500.0));
+    let then = saturate(&mut after, now, Duration::from_secs(4), 10_000);
+    let limit = 1_500.0 * 9.0;
+    assert!(taken + then <= limit, "taken {taken} and {then} of {limit}");
+}
+
 #[test]
 fn enforces_a_limit_if_the_latest_usage_was_not_published() {
     let mut before = dispatcher(&[upstream("u", 100)]);
