Publish usage again after the role was lost for a moment

Cause: a gate's two loops, which publish and store, each ended when it noticed that the role was lost, and began again only together. If the role came back while a write was under way, the first had ended and the second had not, so that nothing was published from then on.

Change: the loop that ends first ends the other.

--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -93,7 +93,11 @@
             }
             // The service may be slow or away while the other instances are not.
             let (tx, rx) = watch::channel(Stored::default());
-            tokio::join!(self.publish(tx), self.load_and_write(rx));
+            // Both end with the role; the one that notices first ends the other.
+            tokio::select! {
+                () = self.publish(tx) => {}
+                () = self.load_and_write(rx) => {}
+            }
         }
     }
 
--- a/lacewingspring_proxy/tests/ledger.rs
+++ b/lacewingspring_proxy/tests/ledger.rs
@@ -156,6 +156,13 @@
 /// Starts a gate with one link; returns it with the messages over that link.
 fn start(store: &Arc<EmptyStore>) -> (Arc<GateHost>, u64, UnboundedReceiver<FromGate>) {
     let host = host();
+    let (link, rx) = open_link(&host);
+    tokio::spawn(Ledger { store: store.clone(), host: host.clone() }.run());
+    (host, link, rx)
+}
+
+/// Opens a link of the only instance.
+fn open_link(host: &GateHost) -> (u64, UnboundedReceiver<FromGate>) {
     let (tx, rx) = unbounded_channel();
     let link = host.connect(tx);
     let hello = ToGate::Hello {
@@ -164,8 +171,7 @@
         usage_age: Duration::from_secs(3_600),
     };
     host.handle(clock::now(), link, hello);
-    tokio::spawn(Ledger { store: store.clone(), host: host.clone() }.run());
-    (host, link, rx)
+    (link, rx)
 }
 
 /// Uses a twentieth of the window's limit.
@@ -205,3 +211,22 @@
         stored.await.unwrap_or_else(|_| panic!("the usage of round {round} was not stored"));
     }
 }
+
+/// The gate loses its only link for a moment, in which it looks whether something is to be published,
+/// and in which a write is under way.
+#[tokio::test]
+async fn publishes_usage_after_it_was_not_the_gate_for_a_moment() {
+    let store = Arc::new(EmptyStore { is_silent: true, ..EmptyStore::default() });
+    let (host, mut link, mut rx) = start(&store);
+    sleep(Duration::from_secs(1)).await;
+    for round in 1..=4 {
+        use_limit(&host, link, round);
+        while next_usage(&mut rx).await < round * 5 * CHARGE {}
+        sleep(Duration::from_millis(900)).await;
+        host.disconnect(clock::now(), link);
+        sleep(Duration::from_millis(250)).await;
+        (link, rx) = open_link(&host);
+        let published = timeout(Duration::from_secs(3), next_usage(&mut rx));
+        assert!(published.await.is_ok(), "nothing was published in round {round}");
+    }
+}
