Hand out no parts of a limit to a minority before the usage is known

Cause: after all instances were killed, each is its own gate until it has linked to the next one. Knowing nothing of the usage, each handed out its part at once, in all half of each limit beside what was used before.

Change: a minority's part is of the time of which the usage is known.

--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -316,7 +316,9 @@
         let (reserved, excess_here) = match self.part {
             LimitPart::Majority(fraction) => (whole * (1.0 - fraction), 0.0),
             LimitPart::Minority { fraction, since } => {
-                (0.0, account.handed_out_since(since) + units - whole * fraction)
+                // Other instances that know as little hand out their parts, too.
+                let part = whole * fraction * known / window.as_secs_f64();
+                (0.0, account.handed_out_since(since) + units - part)
             }
         };
         let room = known_limit - reserved - units;
--- a/lacewingspring_core/tests/limits_of_two_gates.rs
+++ b/lacewingspring_core/tests/limits_of_two_gates.rs
@@ -318,3 +318,19 @@
     let most = fleet.most_in_a_window();
     assert!(most <= LIMIT, "{most} units in a window, the limit is {LIMIT}");
 }
+
+/// After all instances were killed, each is its own gate until it has linked to the next one.
+#[test]
+fn instances_that_start_again_hand_out_no_parts_before_they_know_the_usage() {
+    let mut fleet = Fleet::new(9);
+    let mut old = Gate::new(&fleet, RATE);
+    old.link(fleet.now, 0..9);
+    fleet.play(WINDOW, &mut [&mut old]);
+    let mut gates: Vec<Gate> = (0..9).map(|_| Gate::new(&fleet, RATE * 10.0)).collect();
+    for (index, gate) in gates.iter_mut().enumerate() {
+        gate.link(fleet.now, index..index + 1);
+    }
+    fleet.play(ms(200), &mut gates.iter_mut().collect::<Vec<&mut Gate>>());
+    let most = fleet.most_in_a_window();
+    assert!(most <= LIMIT, "{most} units in a window, the limit is {LIMIT}");
+}
