--- a/lacewingspring_proxy/tests/ledger.rs
+++ b/lacewingspring_proxy/tests/ledger.rs
@@ -212,8 +212,7 @@
     }
 }
 
-/// The gate loses its only link for a moment, in which it looks whether something is to be published,
-/// and in which a write is under way.
+/// The gate loses its only link just when a publication is due and a write is under way.
 #[tokio::test]
 async fn publishes_usage_after_it_was_not_the_gate_for_a_moment() {
     let store = Arc::new(EmptyStore { is_silent: true, ..EmptyStore::default() });
