--- /dev/null
+++ b/review/standins/src/cases/mod.rs
@@ -0,0 +1,6 @@
+//! The cases.
+
+pub mod foreign;
+pub mod gone;
+pub mod load;
+pub mod order;
