--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -4,3 +4,4 @@
 pub mod gone;
 pub mod load;
 pub mod order;
+pub mod refused;
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -36,6 +36,7 @@
     let is_broken = match case.as_str() {
         "order" => cases::order::run(&setup, has_trouble),
         "gone" => cases::gone::run(&setup, has_trouble),
+        "refused" => cases::refused::run(&setup, has_trouble),
         "foreign" => cases::foreign::run(&setup, has_trouble),
         _ => {
             eprintln!("no case {case}");
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -55,6 +55,8 @@
     born: u64,
     started_at: Duration,
     beats: AtomicU64,
+    /// Requests of each so many that fail after they have run.
+    failing: Mutex<(u32, u32)>,
 }
 
 /// A running server.
@@ -79,6 +81,7 @@
             born: born as u64,
             started_at: record.now(),
             beats: AtomicU64::new(0),
+            failing: Mutex::new((0, 1)),
         }));
         server.write_entry(store);
         let accepting = server.clone();
@@ -132,6 +135,19 @@
         beat
     }
 
+    /// Sets how many of each so many calls fail after they have run.
+    pub fn fail_after_run(&self, failed: u32, period: u32) {
+        *self.0.failing.lock().expect("no panic") = (failed, period);
+    }
+
+    /// Returns whether the present run, the last one begun, is to fail.
+    fn is_to_fail(&self) -> bool {
+        let (failed, period) = *self.0.failing.lock().expect("no panic");
+        // Spread evenly over the period.
+        let number = self.0.runs.lock().expect("no panic").len() as u32 % period;
+        (number * failed) / period != ((number + 1) * failed) / period
+    }
+
     /// Reports that it drains.
     pub fn drain(&self, store: &Store) {
         *self.0.state.lock().expect("no panic") = "draining";
@@ -224,7 +240,15 @@
         match *work {
             Work::Call(time) => {
                 self.0.record.line(format!("{name} runs {id}"));
+                let is_to_fail = self.is_to_fail();
                 thread::sleep(time);
+                if is_to_fail {
+                    // It has run: nothing says `X-Lacewingspring-Not-Executed`.
+                    self.0.record.line(format!("{name} answers {id} with 503 after it has run"));
+                    let text =
+                        format!("HTTP/1.1 503 Failed\r\n{signed}Content-Length: 6\r\n\r\nfailed");
+                    return stream.write_all(text.as_bytes());
+                }
                 let body = format!("done by {name}");
                 let length = body.len();
                 let text =
