Review case 5: a gate that woke up hands out a limit a second time

Cause: the gate counts an interruption from when it notices it, so that a freeze looks short, and it then ignores the usage of the gate that acted meanwhile. Change: a script that shows it, in place of the case of an entry with fields missing, whose scenario stays with the stand-ins; the cases are numbered by gravity; no code is changed.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,7 +3,7 @@
 # with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-timeout --kill-after=2 118 target/review/release/review_case refused review/5/record.txt
+timeout --kill-after=2 118 target/review/release/review_case quota review/5/record.txt
 code=$?
 case $code in
     0 | 1) exit $code ;;
--- a/review/standins/src/instance.rs
+++ b/review/standins/src/instance.rs
@@ -100,6 +100,13 @@
         STARTED.lock().expect("no panic").retain(|started| *started != pid);
     }
 
+    /// Sends a signal to its process.
+    pub fn signal(&self, signal: &str) {
+        self.record.line(format!("{} gets SIG{signal}", self.name));
+        let pid = self.child.id().to_string();
+        let _ = Command::new("kill").args([format!("-{signal}"), pid]).status();
+    }
+
     /// Returns the lines of its log that contain a text.
     pub fn log_lines(&self, text: &str) -> Vec<String> {
         let log = fs::read_to_string(self.folder.join(format!("{}.log", self.name)));
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -37,6 +37,7 @@
         "order" => cases::order::run(&setup, has_trouble),
         "gone" => cases::gone::run(&setup, has_trouble),
         "refused" => cases::refused::run(&setup, has_trouble),
+        "quota" => cases::quota::run(&setup, has_trouble),
         "foreign" => cases::foreign::run(&setup, has_trouble),
         _ => {
             eprintln!("no case {case}");
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -50,7 +50,7 @@
     is_registered: AtomicBool,
     has_ended: AtomicBool,
     running: AtomicU64,
-    runs: Mutex<Vec<String>>,
+    runs: Mutex<Vec<(Duration, String)>>,
     connections: Mutex<Vec<TcpStream>>,
     born: u64,
     started_at: Duration,
@@ -171,6 +171,11 @@
 
     /// Returns the ids of the requests that it has begun to run.
     pub fn runs(&self) -> Vec<String> {
+        self.timed_runs().into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Returns the requests that it has begun to run, each with the time.
+    pub fn timed_runs(&self) -> Vec<(Duration, String)> {
         self.0.runs.lock().expect("no panic").clone()
     }
 
@@ -235,7 +240,8 @@
         common: &str,
     ) -> std::io::Result<()> {
         let Spec { id: name, version, work, .. } = &self.0.spec;
-        self.0.runs.lock().expect("no panic").push(id.to_owned());
+        let at = self.0.record.now();
+        self.0.runs.lock().expect("no panic").push((at, id.to_owned()));
         let signed = format!("{common}X-Lacewingspring-Response-Signature: {name}.{id}\r\n");
         match *work {
             Work::Call(time) => {
--- a/review/standins/src/setup.rs
+++ b/review/standins/src/setup.rs
@@ -60,6 +60,19 @@
 
     /// Writes the configuration: a route for each of these services, by name, kind and time-out.
     pub fn configure(&self, routes: &[(&str, &str, u32)]) {
+        self.write_configuration(routes, "\"ratePerS\":0");
+    }
+
+    /// Writes the configuration: a route for a service of streams, and a limit for the tenant, in
+    /// tokens a second and in a burst.
+    pub fn configure_limited(&self, service: &str, rate: u64, burst: u64) {
+        let limit = format!(
+            "\"unit\":\"token_count\",\"uncachedTokens\":200,\"ratePerS\":{rate},\"burst\":{burst}"
+        );
+        self.write_configuration(&[(service, "streaming", 15_000)], &limit);
+    }
+
+    fn write_configuration(&self, routes: &[(&str, &str, u32)], limit: &str) {
         let each = routes.iter().map(|(service, kind, timeout)| {
             let is_stream = *kind == "streaming";
             let stream = if is_stream { ",\"streamResumption\":true,\"gapAimMs\":300" } else { "" };
@@ -79,7 +92,7 @@
         let config = format!(
             "{{\"version\":7,\"routes\":[{}],\"services\":[{}],\"limits\":{{\"maxHeaderBytes\":16384,\
              \"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
-             \"tenants\":[{{\"name\":\"desk\",\"apiKeys\":[\"{KEY}\"],\"priority\":1,\"ratePerS\":0}}]}}",
+             \"tenants\":[{{\"name\":\"desk\",\"apiKeys\":[\"{KEY}\"],\"priority\":1,{limit}}}]}}",
             each.join(","),
             services.join(",")
         );
