Log which stream a refused request resumes

Change: the line has `resumes`, as the line of a granted slot has.

Result: logs_which_stream_a_refused_request_resumes failed before (null in place of "begun"), passes now.

--- a/lacewingspring_proxy/src/track.rs
+++ b/lacewingspring_proxy/src/track.rs
@@ -153,7 +153,7 @@
         info!(
             id = &*self.id, route = &*self.route, workspace = self.series.workspace.as_str(),
             version = self.version, reason = spec.name, status = spec.status.as_u16(),
-            not_run = spec.is_not_run, waiting = error.waiting,
+            not_run = spec.is_not_run, resumes = &*self.resumes, waiting = error.waiting,
             expected_wait_ms = millis(error.expected_wait), took_ms = millis(self.elapsed(now)),
             retry_ms = error.retry_after.map_or(0, millis), parts:% = PartIds(&self.prompt_parts);
             "The request is refused."
