Infer a stream's version only from a registry that was confirmed since

Cause: an instance without a record of a stream took a copy of the registry of up to 3 s for proof that there is one version. A gate of the whole fleet did not ask for the age at all.

Evidence: in the dispatcher alone a stream taken up 1 ms after the registry was last complete is granted a slot at v1, for a minority's share and for the whole fleet's.

Change: a resumed stream of an unknown version waits, a second at most, until the registry is confirmed by a call that was sent after the request came. A version that registers later can't have begun the stream, so nothing is inferred for a time that the copy does not reach. Instances that reach the store still resume.

Result: infers_no_version_from_a_registry_older_than_the_resumption failed on the code before (granted "a" in place of waiting).

--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -213,8 +213,7 @@
         request: SlotRequest,
     ) -> Vec<Decision> {
         self.link_paths.record_request(ticket.link);
-        let is_whole_fleet = self.share.is_majority();
-        let resolution = self.resumptions.resolve(now, is_whole_fleet, ticket, request);
+        let resolution = self.resumptions.resolve(now, ticket, request);
         self.follow_resolution(now, ticket, resolution)
     }
 
--- a/lacewingspring_core/src/dispatch/resumptions.rs
+++ b/lacewingspring_core/src/dispatch/resumptions.rs
@@ -18,10 +18,6 @@
 /// Time after a link was opened in which it may still tell which version began a stream.
 const LINK_SETTLE_TIME: Duration = Duration::from_secs(2);
 
-/// Oldest copy of the registry from which a gate of a part of the fleet may conclude that there is
-/// only one version.
-const MAX_REGISTRY_AGE: Duration = Duration::from_secs(3);
-
 /// Time after which the caller of a stream whose version is not known may retry: an instance that
 /// knows it may be linked by then.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -59,8 +55,8 @@
     /// Whether an instance or a record told the versions that served before.
     knows_past: bool,
     linked_at: Option<Duration>,
-    /// Time at which the copy of the registry was last known to be complete.
-    registry_confirmed_at: Option<Duration>,
+    /// Latest time for which the copy of the registry is known to be complete.
+    registry_complete_at: Option<Duration>,
 }
 
 impl Resumptions {
@@ -78,7 +74,16 @@
 
     /// Records that the copy of the registry was complete at the time `at`.
     pub fn confirm_registry(&mut self, at: Duration) {
-        self.registry_confirmed_at = self.registry_confirmed_at.max(Some(at));
+        self.registry_complete_at = self.registry_complete_at.max(Some(at));
+    }
+
+    /// Returns whether a waiting request depends on a registry that is complete up to its arrival.
+    pub fn needs_registry(&self) -> bool {
+        self.waiting.iter().any(|waiting| !self.is_registry_complete_since(waiting.since))
+    }
+
+    fn is_registry_complete_since(&self, since: Duration) -> bool {
+        self.registry_complete_at.is_some_and(|at| at >= since)
     }
 
     /// Records that a link was opened, which may tell of streams.
@@ -86,12 +91,10 @@
         self.linked_at = Some(now);
     }
 
-    /// Decides on a request by what is known of its stream; `is_whole_fleet` tells whether all
-    /// requests of the fleet are placed here.
+    /// Decides on a request by what is known of its stream.
     pub fn resolve(
         &mut self,
         now: Duration,
-        is_whole_fleet: bool,
         ticket: Ticket,
         mut request: SlotRequest,
     ) -> Resolution {
@@ -99,11 +102,12 @@
         let Some(stream) = resumed.filter(|_| request.software.is_none()) else {
             return Resolution::Queue(Box::new(request));
         };
-        request.software = self.software_of(now, is_whole_fleet, &request.service, stream);
+        request.software = self.software_of(now, now, &request.service, stream);
         if request.software.is_some() {
             return Resolution::Queue(Box::new(request));
         }
-        if !self.may_learn(now) {
+        let may_infer = self.inferred_version(now, &request.service, stream).is_some();
+        if !may_infer && !self.may_learn(now) {
             return Resolution::Refuse(unknown(&request));
         }
         let until = now + MAX_WAIT.min(request.time_left);
@@ -111,21 +115,35 @@
         Resolution::Wait
     }
 
+    /// Returns the version that began the stream of a request that arrived at `since`.
+    ///
+    /// Without a record of the stream it is inferred, but only from a registry that is complete up
+    /// to the arrival: a version that registered later can't have begun the stream. An older copy
+    /// may lack the version that did, whichever part of the fleet is scheduled here.
     fn software_of(
         &self,
         now: Duration,
-        is_whole_fleet: bool,
+        since: Duration,
         service: &ServiceName,
         stream: StreamRef,
     ) -> Option<SoftwareVersion> {
         if let Some(software) = self.streams.version_of(now, stream.id) {
             return Some(software.clone());
         }
-        let has_fresh_registry =
-            self.registry_confirmed_at.is_some_and(|at| now.saturating_sub(at) <= MAX_REGISTRY_AGE);
-        let is_informed = self.knows_past(now) && (is_whole_fleet || has_fresh_registry);
-        let can_infer = is_informed && !self.streams.is_ambiguous(stream.id);
-        self.streams.only_version(now, service).filter(|_| can_infer).cloned()
+        let inferred = self.inferred_version(now, service, stream);
+        inferred.filter(|_| self.is_registry_complete_since(since)).cloned()
+    }
+
+    /// Returns the version that must have begun a stream of which there is no record, if the
+    /// registry lacks none.
+    fn inferred_version(
+        &self,
+        now: Duration,
+        service: &ServiceName,
+        stream: StreamRef,
+    ) -> Option<&SoftwareVersion> {
+        let can_infer = self.knows_past(now) && !self.streams.is_ambiguous(stream.id);
+        self.streams.only_version(now, service).filter(|_| can_infer)
     }
 
     /// Returns whether all versions are known that served within the longest time in which a
@@ -144,16 +162,12 @@
 
     /// Returns the requests that no longer wait: those whose version is known by now, and those
     /// that have waited too long.
-    pub fn take_resolved(
-        &mut self,
-        now: Duration,
-        is_whole_fleet: bool,
-    ) -> Vec<(Ticket, Resolution)> {
+    pub fn take_resolved(&mut self, now: Duration) -> Vec<(Ticket, Resolution)> {
         let mut resolved = Vec::new();
         for mut waiting in std::mem::take(&mut self.waiting) {
             let Waiting { ticket, ref mut request, since, until } = waiting;
             let Some(stream) = request.stream else { continue };
-            request.software = self.software_of(now, is_whole_fleet, &request.service, stream);
+            request.software = self.software_of(now, since, &request.service, stream);
             if request.software.is_some() {
                 request.shorten_times(now.saturating_sub(since));
                 resolved.push((ticket, Resolution::Queue(Box::new(waiting.request))));
--- a/lacewingspring_core/src/dispatch/streams.rs
+++ b/lacewingspring_core/src/dispatch/streams.rs
@@ -25,8 +25,7 @@
         if !self.resumptions.is_waiting() {
             return Vec::new();
         }
-        let is_whole_fleet = self.share.is_majority();
-        let resolved = self.resumptions.take_resolved(now, is_whole_fleet);
+        let resolved = self.resumptions.take_resolved(now);
         resolved
             .into_iter()
             .flat_map(|(ticket, resolution)| self.follow_resolution(now, ticket, resolution))
@@ -61,9 +60,16 @@
         self.resumptions.export_stream(now, stream.id)
     }
 
-    /// Records that the copy of the registry was complete at the time `at`.
-    pub fn confirm_registry(&mut self, at: Duration) {
+    /// Records that the copy of the registry was complete at the time `at`, and queues the requests
+    /// whose software version follows from it.
+    pub fn confirm_registry(&mut self, now: Duration, at: Duration) -> Vec<Decision> {
         self.resumptions.confirm_registry(at);
+        self.queue_resolved(now)
+    }
+
+    /// Returns whether a request waits for a registry that is complete up to its arrival.
+    pub fn needs_registry(&self) -> bool {
+        self.resumptions.needs_registry()
     }
 
     /// Records that an instance has linked to this one and may tell of streams.
--- a/lacewingspring_core/tests/resumed_streams.rs
+++ b/lacewingspring_core/tests/resumed_streams.rs
@@ -96,6 +96,18 @@
     fate(&gate.request_slot(now, ticket(number), request), number)
 }
 
+/// Requests a slot, and confirms that the registry had no other upstreams at that time.
+fn request_confirmed(
+    gate: &mut Dispatcher,
+    now: Duration,
+    number: u64,
+    request: SlotRequest,
+) -> Option<Fate> {
+    let mut decisions = gate.request_slot(now, ticket(number), request);
+    decisions.extend(gate.confirm_registry(now, now));
+    fate(&decisions, number)
+}
+
 #[test]
 fn a_resumed_stream_waits_for_its_version_ahead_of_new_ones() {
     let mut gate = gate(&[upstream("a", "v1", 1)]);
@@ -146,18 +158,21 @@
 #[test]
 fn a_stream_that_is_not_known_goes_on_while_there_was_one_version_only() {
     let mut gate = gate(&[upstream("a", "v1", 4)]);
-    assert_eq!(request(&mut gate, ms(0), 1, resume(9)), granted("a"));
+    assert_eq!(request_confirmed(&mut gate, ms(0), 1, resume(9)), granted("a"));
     gate.set_upstreams(ms(100), vec![upstream("a", "v1", 4), upstream("b", "v2", 4)]);
-    assert_eq!(request(&mut gate, ms(200), 2, resume(8)), refused(Reason::UnknownSoftware));
+    assert_eq!(
+        request_confirmed(&mut gate, ms(200), 2, resume(8)),
+        refused(Reason::UnknownSoftware)
+    );
     gate.set_upstreams(ms(300), vec![upstream("b", "v2", 4)]);
     let while_remembered = ms(300) + LIFETIME;
     assert_eq!(
-        request(&mut gate, while_remembered, 3, resume(8)),
+        request_confirmed(&mut gate, while_remembered, 3, resume(8)),
         refused(Reason::UnknownSoftware),
         "v1 left so lately that the stream may be of it"
     );
     let later = ms(300) + ms(20_000);
-    assert_eq!(request(&mut gate, later, 4, resume(8)), granted("b"));
+    assert_eq!(request_confirmed(&mut gate, later, 4, resume(8)), granted("b"));
 }
 
 #[test]
@@ -168,7 +183,7 @@
     assert_eq!(request(&mut gate, ms(100), 1, resume(9)), None, "it may still be told");
     let decisions = gate.tick(ms(1_100));
     assert_eq!(fate(&decisions, 1), refused(Reason::UnknownSoftware));
-    assert_eq!(request(&mut gate, ms(1_200), 2, resume(9)), None);
+    assert_eq!(request_confirmed(&mut gate, ms(1_200), 2, resume(9)), None);
     let past = KnownStreams { knows_past: true, ..KnownStreams::default() };
     assert_eq!(fate(&gate.take_over_streams(ms(1_300), &past), 2), granted("b"));
 }
@@ -205,17 +220,37 @@
     assert_eq!(gate.tick(ms(1_100)), Vec::new());
 }
 
+/// An instance that was cut off from the registry just before a release sent streams of the new
+/// version to the old one.
 #[test]
-fn a_gate_of_a_part_of_the_fleet_infers_only_from_a_fresh_registry() {
-    let mut gate = gate(&[upstream("a", "v1", 4)]);
-    gate.set_fleet_share(ms(100), FleetShare::of_minority(0.2));
-    gate.confirm_registry(ms(1_000));
-    assert_eq!(request(&mut gate, ms(3_900), 1, resume(9)), granted("a"));
-    gate.end(ms(4_000), ticket(1), End::Cancelled);
-    assert_eq!(request(&mut gate, ms(4_100), 2, resume(8)), refused(Reason::UnknownSoftware));
-    assert_eq!(request(&mut gate, ms(4_200), 3, begin(3)), granted("a"));
-    gate.end(ms(4_250), ticket(3), End::Cancelled);
-    assert_eq!(request(&mut gate, ms(4_300), 4, resume(3)), granted("a"), "it knows its own");
+fn infers_no_version_from_a_registry_older_than_the_resumption() {
+    for share in [FleetShare::of_minority(0.25), FleetShare::WHOLE] {
+        let mut gate = gate(&[upstream("a", "v1", 4)]);
+        gate.set_fleet_share(ms(100), share);
+        gate.confirm_registry(ms(1_000), ms(1_000));
+        assert_eq!(request(&mut gate, ms(1_001), 1, resume(9)), None, "v2 may have begun it");
+        assert_eq!(fate(&gate.confirm_registry(ms(1_100), ms(1_000)), 1), None);
+        assert!(gate.needs_registry());
+        assert_eq!(fate(&gate.tick(ms(2_001)), 1), refused(Reason::UnknownSoftware));
+        assert!(!gate.needs_registry());
+        assert_eq!(request(&mut gate, ms(2_100), 2, begin(2)), granted("a"));
+        gate.end(ms(2_200), ticket(2), End::Broken);
+        assert_eq!(request(&mut gate, ms(2_300), 3, resume(2)), granted("a"), "it knows its own");
+    }
+}
+
+#[test]
+fn goes_on_at_the_only_version_once_the_registry_is_confirmed() {
+    for share in [FleetShare::of_minority(0.25), FleetShare::WHOLE] {
+        let mut gate = gate(&[upstream("a", "v1", 4)]);
+        gate.set_fleet_share(ms(100), share);
+        assert_eq!(request(&mut gate, ms(1_000), 1, resume(9)), None);
+        assert_eq!(fate(&gate.confirm_registry(ms(1_030), ms(1_010)), 1), granted("a"));
+        assert_eq!(request(&mut gate, ms(1_100), 2, resume(8)), None);
+        gate.set_upstreams(ms(1_110), vec![upstream("a", "v1", 4), upstream("b", "v2", 4)]);
+        assert_eq!(fate(&gate.confirm_registry(ms(1_120), ms(1_105)), 2), None, "v2 is new");
+        assert_eq!(fate(&gate.tick(ms(2_100)), 2), refused(Reason::UnknownSoftware));
+    }
 }
 
 #[test]
@@ -397,7 +432,9 @@
                 }
                 _ => {
                     asked = Some(true);
-                    gate.request_slot(now, ticket(number), resume(stream))
+                    let mut decisions = gate.request_slot(now, ticket(number), resume(stream));
+                    decisions.extend(gate.confirm_registry(now, now));
+                    decisions
                 }
             };
             for decision in &decisions {
--- a/lacewingspring_proxy/src/follow.rs
+++ b/lacewingspring_proxy/src/follow.rs
@@ -137,11 +137,13 @@
     }
 
     async fn load(&mut self) -> Result<(), StoreError> {
+        let sent_at = clock::now();
         let (items, revision) = self.read_all().await?;
         let now = clock::now();
         self.mark_reachable(now);
         self.replica().mirror().load(now, items, revision);
         self.publish(now, now, true);
+        self.replica().confirm_complete(sent_at);
         Ok(())
     }
 
@@ -179,11 +181,25 @@
         }
     }
 
+    /// Waits for changes at the service, or until a confirmation of the copy is requested.
     async fn watch(&mut self) -> Result<(), StoreError> {
-        let (wait, revision) = {
+        let wait = {
             let mirror = self.replica().mirror();
-            (watch_wait(clock::now(), &mirror, self.replicas.is_followed()), mirror.revision())
+            watch_wait(clock::now(), &mirror, self.replicas.is_followed())
         };
+        let (replicas, topic) = (self.replicas.clone(), self.topic);
+        tokio::select! {
+            result = self.watch_for(wait) => result,
+            () = replicas.get(topic).confirmation_requested() => {
+                self.watch_for(MIN_WATCH_WAIT).await
+            }
+        }
+    }
+
+    /// Applies the changes since the copy's revision; the service waits up to `wait` for the first.
+    async fn watch_for(&mut self, wait: Duration) -> Result<(), StoreError> {
+        let revision = self.replica().mirror().revision();
+        let sent_at = clock::now();
         let batch = self.store.watch(self.prefix, revision, wait);
         let batch = timeout(wait + WATCH_MARGIN, batch).await;
         let batch = batch.map_err(|_| StoreError::NoAnswer("timed out".into()))??;
@@ -195,6 +211,7 @@
         }
         let is_changed = self.replica().mirror().apply(now, batch);
         self.publish(now, now, is_changed);
+        self.replica().confirm_complete(sent_at);
         if is_changed {
             sleep(BATCH_DELAY).await;
         }
@@ -213,6 +230,9 @@
         tokio::select! {
             Some(update) = updates.recv() => self.apply_update(clock::now(), update)?,
             _ = confirmations.changed() => {}
+            () = self.replica().confirmation_requested() => {
+                return self.watch_for(MIN_WATCH_WAIT).await;
+            }
             () = sleep_until(clock::instant(expiry.min(confirmed_until))) => {}
         }
         let confirmed_at = *confirmations.borrow_and_update();
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -190,9 +190,6 @@
                 Vec::new()
             }
             ToGate::RequestSlot { number, request } => {
-                if request.is_resumed() {
-                    self.confirm_registry(now, &mut state);
-                }
                 let decisions = state.dispatcher.request_slot(now, ticket(number), request);
                 if !decisions.iter().any(|decision| ticket_of(decision) == ticket(number)) {
                     state.send(link, FromGate::Queued { number });
@@ -287,6 +284,7 @@
             let mut state = self.state();
             let decisions = state.dispatcher.tick(clock::now());
             state.send_decisions(decisions);
+            self.request_confirmation(&state);
             if state.dispatcher.has_unpublished_streams() {
                 self.streams_changed.notify_one();
             }
--- a/lacewingspring_proxy/src/gate/host/streams.rs
+++ b/lacewingspring_proxy/src/gate/host/streams.rs
@@ -72,10 +72,21 @@
         self.state().dispatcher.streams_version()
     }
 
-    /// Tells the dispatcher how old the copy of the registry is.
-    pub(super) fn confirm_registry(&self, now: Duration, state: &mut State) {
-        if let Some(age) = self.replicas.get(Topic::Upstreams).age(now) {
-            state.dispatcher.confirm_registry(now.saturating_sub(age));
+    /// Has the copy of the registry confirmed while a request waits to know its software version.
+    pub(super) fn request_confirmation(&self, state: &State) {
+        if state.dispatcher.needs_registry() {
+            self.replicas.get(Topic::Upstreams).request_confirmation();
+        }
+    }
+
+    /// Passes each confirmation of the registry on to the dispatcher. Never returns.
+    pub async fn follow_confirmations(self: Arc<Self>) {
+        let mut confirmations = self.replicas.get(Topic::Upstreams).confirmations();
+        while confirmations.changed().await.is_ok() {
+            let at = *confirmations.borrow_and_update();
+            let mut state = self.state();
+            let decisions = state.dispatcher.confirm_registry(clock::now(), at);
+            state.send_decisions(decisions);
         }
     }
 }
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -208,6 +208,7 @@
     tokio::spawn(host.clone().run_ticks());
     tokio::spawn(host.clone().push_updates());
     tokio::spawn(host.clone().publish_streams());
+    tokio::spawn(host.clone().follow_confirmations());
     tokio::spawn(state.path.clone().run_probes(components.upstreams.clone()));
     tokio::spawn(Ledger { store: components.store.clone(), host: host.clone() }.run());
     tokio::spawn(gate.clone().run());
--- a/lacewingspring_proxy/src/replica.rs
+++ b/lacewingspring_proxy/src/replica.rs
@@ -19,6 +19,7 @@
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::{
+    Notify,
     mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
     watch,
 };
@@ -121,6 +122,11 @@
     mirror: Mutex<Mirror>,
     /// Latest time at which the copy is known to have been complete; zero before the first.
     confirmed_at: Mutex<Duration>,
+    /// Latest time at which a call to the service was sent whose answer was applied: the copy has
+    /// all changes up to then. Zero before the first.
+    complete_at: watch::Sender<Duration>,
+    /// Wakes the task that keeps the copy up to date, to have it confirmed by the service.
+    confirmation_requested: Notify,
     /// Latest time for which the gate confirmed that it has sent all changes; zero before the
     /// first.
     gate_confirmed_at: watch::Sender<Duration>,
@@ -135,6 +141,8 @@
         Self {
             mirror: Mutex::default(),
             confirmed_at: Mutex::default(),
+            complete_at: watch::Sender::new(Duration::ZERO),
+            confirmation_requested: Notify::new(),
             gate_confirmed_at: watch::Sender::new(Duration::ZERO),
             updates_tx,
             updates_rx: Mutex::new(Some(updates_rx)),
@@ -189,6 +197,30 @@
         *confirmed = at.max(*confirmed);
     }
 
+    /// Notes that all changes are applied that the service had when a call was sent at `sent_at`.
+    pub fn confirm_complete(&self, sent_at: Duration) {
+        self.complete_at.send_if_modified(|latest| {
+            let is_later = sent_at > *latest;
+            *latest = sent_at.max(*latest);
+            is_later
+        });
+    }
+
+    /// Returns a receiver of the latest time up to which the copy has all changes.
+    pub fn confirmations(&self) -> watch::Receiver<Duration> {
+        self.complete_at.subscribe()
+    }
+
+    /// Has the copy confirmed by a call to the service that is sent from now on.
+    pub fn request_confirmation(&self) {
+        self.confirmation_requested.notify_one();
+    }
+
+    /// Waits until a confirmation is requested.
+    pub async fn confirmation_requested(&self) {
+        self.confirmation_requested.notified().await;
+    }
+
     /// Returns the time since the copy was last known to be complete; `None` before the first.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         let confirmed = *self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
--- a/lacewingspring_proxy/tests/replica.rs
+++ b/lacewingspring_proxy/tests/replica.rs
@@ -384,3 +384,38 @@
     assert_eq!(store.reads.load(Ordering::Relaxed), 2);
     assert_eq!(replicas.get(Topic::Members).revision(), Some(store.revision(5)));
 }
+
+/// A long watch confirms the copy only at its end.
+#[tokio::test]
+async fn confirms_a_copy_on_request_by_a_call_of_its_own() {
+    let (store, replicas) = (Arc::new(IdleStore::default()), Arc::new(Replicas::default()));
+    let follower =
+        Follower::new(store.clone(), replicas.clone(), Topic::Upstreams, "servers/", |_, _| {});
+    tokio::spawn(follower.run());
+    sleep(SETTLE_TIME).await;
+    let replica = replicas.get(Topic::Upstreams);
+    let mut confirmations = replica.confirmations();
+    let requested_at = clock::now();
+    assert!(*confirmations.borrow_and_update() < requested_at);
+    replica.request_confirmation();
+    sleep(SETTLE_TIME).await;
+    assert!(*confirmations.borrow() >= requested_at);
+    assert_eq!(store.watches.load(Ordering::Relaxed), 3, "a watch, the confirmation, a watch");
+}
+
+#[tokio::test]
+async fn confirms_a_copy_that_follows_the_gate_on_request() {
+    let (store, replicas) = (Arc::new(IdleStore::default()), Arc::new(Replicas::default()));
+    let follower =
+        Follower::new(store.clone(), replicas.clone(), Topic::Upstreams, "servers/", |_, _| {});
+    let replica = replicas.get(Topic::Upstreams);
+    replica.confirm_by_gate(clock::now());
+    tokio::spawn(follower.run());
+    sleep(SETTLE_TIME).await;
+    assert_eq!(store.watches.load(Ordering::Relaxed), 0);
+    let requested_at = clock::now();
+    replica.request_confirmation();
+    sleep(SETTLE_TIME).await;
+    assert!(*replica.confirmations().borrow() >= requested_at);
+    assert_eq!(store.watches.load(Ordering::Relaxed), 1);
+}
