Record software versions before their upstreams are used

Cause: nothing was stored before a second version registered, and a new gate took the absence of a record for proof that the version registered now had always been the only one.

Change: the gate records each version, a key each, before it gives the version's upstreams to the dispatcher (a second at most). A record is superfluous, and says so, once no caller may return to its version. Streams still go on: at the recorded version, also beside one that came during the kill.

Messages between instances keep their form.

--- a/lacewingspring_core/src/dispatch/known_streams.rs
+++ b/lacewingspring_core/src/dispatch/known_streams.rs
@@ -9,7 +9,8 @@
 #[serde(default)]
 pub struct KnownStreams {
     /// Whether the sender knows all versions that served within the longest time in which a caller
-    /// may take a stream up.
+    /// may take a stream up. Only earlier builds read it, as it is no proof for the time since the
+    /// sender was last told of versions.
     pub knows_past: bool,
     /// Versions that serve, or served within that time.
     pub versions: Vec<ServedVersion>,
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -181,6 +181,10 @@
         if before.is_majority() && !share.is_majority() {
             self.whole_fleet_until = Some(now);
         }
+        if share.is_majority() != before.is_majority() {
+            self.resumptions.outdate_recorded();
+        }
+        self.resumptions.set_sees_all(share.has_all_limits());
         let begins = before.slots <= 0.0 || (share.is_majority() && !before.is_majority());
         if begins && share.slots > 0.0 && !self.had_whole_fleet_recently(now) {
             self.quotas.begin(now);
--- a/lacewingspring_core/src/dispatch/resumptions.rs
+++ b/lacewingspring_core/src/dispatch/resumptions.rs
@@ -1,11 +1,14 @@
 //! Requests that take a stream up again, which may go on only at the software version that began
 //! it.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use super::{
     finding::Finding,
-    known_streams::{KnownStreams, UpstreamProcess},
+    known_streams::{KnownStreams, ServedVersion, UpstreamProcess},
     stream_versions::StreamVersions,
     upstream::UpstreamInfo,
     work::{Grant, Reason, Refusal, SlotRequest, StreamRef, Ticket},
@@ -22,6 +25,18 @@
 /// knows it may be linked by then.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The versions at which streams may have begun of which this gate has no record.
+#[derive(Debug)]
+struct RecordedPast {
+    at: Duration,
+    /// Versions by service; a service that is missing had no streams.
+    services: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>>,
+    /// Services of which further versions may have served.
+    incomplete: BTreeSet<ServiceName>,
+    /// Whether all streams that began since are known here.
+    is_current: bool,
+}
+
 /// A request whose version is not known yet.
 #[derive(Debug)]
 struct Waiting {
@@ -52,8 +67,10 @@
     /// Time since which all versions that served are known; `None` before the first update of the
     /// registry.
     knows_since: Option<Duration>,
-    /// Whether an instance or a record told the versions that served before.
-    knows_past: bool,
+    /// What was recorded when this gate took over; `None` before it is loaded.
+    recorded: Option<RecordedPast>,
+    /// Whether all instances that may grant slots are linked here.
+    sees_all: bool,
     linked_at: Option<Duration>,
     /// Latest time for which the copy of the registry is known to be complete.
     registry_complete_at: Option<Duration>,
@@ -107,7 +124,7 @@
             return Resolution::Queue(Box::new(request));
         }
         let may_infer = self.inferred_version(now, &request.service, stream).is_some();
-        if !may_infer && !self.may_learn(now) {
+        if !may_infer && !self.may_learn(now, &request.service) {
             return Resolution::Refuse(unknown(&request));
         }
         let until = now + MAX_WAIT.min(request.time_left);
@@ -135,29 +152,93 @@
     }
 
     /// Returns the version that must have begun a stream of which there is no record, if the
-    /// registry lacks none.
+    /// registry lacks none: the only one that served, or else the only one at which streams may
+    /// have begun before this gate took over, as it has records of all since.
     fn inferred_version(
         &self,
         now: Duration,
         service: &ServiceName,
         stream: StreamRef,
     ) -> Option<&SoftwareVersion> {
-        let can_infer = self.knows_past(now) && !self.streams.is_ambiguous(stream.id);
-        self.streams.only_version(now, service).filter(|_| can_infer)
+        if !self.knows_past(now, service) || self.streams.is_ambiguous(stream.id) {
+            return None;
+        }
+        let only = self.streams.only_version(now, service);
+        only.or_else(|| self.only_recorded_version(now, service))
+    }
+
+    fn only_recorded_version(
+        &self,
+        now: Duration,
+        service: &ServiceName,
+    ) -> Option<&SoftwareVersion> {
+        let is_lasting = |past: &&RecordedPast| {
+            past.is_current
+                && self.sees_all
+                && now.saturating_sub(past.at) < self.streams.retention()
+        };
+        let recorded = self.recorded.as_ref().filter(is_lasting)?.services.get(service)?;
+        recorded.first().filter(|_| recorded.len() == 1)
+    }
+
+    /// Adds the versions that are recorded as ones at which streams may have begun, as they were
+    /// loaded at `now`; no version is used before it is recorded. Records of services with an
+    /// `incomplete` version may be lost.
+    pub fn learn_recorded(
+        &mut self,
+        now: Duration,
+        complete: &[ServedVersion],
+        incomplete: &[ServedVersion],
+    ) {
+        let mut services: BTreeMap<ServiceName, BTreeSet<SoftwareVersion>> = BTreeMap::new();
+        for version in complete {
+            services.entry(version.service.clone()).or_default().insert(version.software.clone());
+        }
+        let versions = [complete, incomplete].concat();
+        let incomplete = incomplete.iter().map(|version| version.service.clone()).collect();
+        self.recorded = Some(RecordedPast { at: now, services, incomplete, is_current: true });
+        self.import(now, &KnownStreams { versions, ..KnownStreams::default() });
+    }
+
+    /// Records whether all instances that may grant slots are linked here, so that it is known
+    /// where each stream begins.
+    pub fn set_sees_all(&mut self, sees_all: bool) {
+        if self.sees_all && !sees_all {
+            self.outdate_recorded();
+        }
+        self.sees_all = sees_all;
     }
 
-    /// Returns whether all versions are known that served within the longest time in which a
-    /// caller may take a stream up.
-    fn knows_past(&self, now: Duration) -> bool {
+    /// Records that streams may have begun elsewhere since the recorded versions were loaded.
+    pub fn outdate_recorded(&mut self) {
+        if let Some(recorded) = &mut self.recorded {
+            recorded.is_current = false;
+        }
+    }
+
+    /// Returns whether all versions of a service are known that served within the longest time in
+    /// which a caller may take a stream up.
+    fn knows_past(&self, now: Duration, service: &ServiceName) -> bool {
+        let recorded = self.recorded.as_ref();
+        recorded.is_some_and(|past| !past.incomplete.contains(service))
+            || self.has_followed_long(now)
+    }
+
+    fn has_followed_long(&self, now: Duration) -> bool {
         let retention = self.streams.retention();
-        self.knows_past
-            || self.knows_since.is_some_and(|since| now.saturating_sub(since) >= retention)
+        self.knows_since.is_some_and(|since| now.saturating_sub(since) >= retention)
     }
 
     /// Returns whether an instance that linked lately, or a record, may still tell the version.
-    fn may_learn(&self, now: Duration) -> bool {
+    fn may_learn(&self, now: Duration, service: &ServiceName) -> bool {
         let is_settled = self.linked_at.is_none_or(|at| now.saturating_sub(at) >= LINK_SETTLE_TIME);
-        !is_settled || !self.knows_past(now)
+        !is_settled || !self.knows_past(now, service)
+    }
+
+    /// Returns whether this instance can tell others all versions that served.
+    fn can_tell_past(&self, now: Duration) -> bool {
+        self.recorded.as_ref().is_some_and(|past| past.incomplete.is_empty())
+            || self.has_followed_long(now)
     }
 
     /// Returns the requests that no longer wait: those whose version is known by now, and those
@@ -240,22 +321,28 @@
 
     /// Returns all that is known here, for a new gate.
     pub fn export(&self, now: Duration) -> KnownStreams {
-        KnownStreams { knows_past: self.knows_past(now), ..self.streams.export(now) }
+        KnownStreams { knows_past: self.can_tell_past(now), ..self.streams.export(now) }
     }
 
     /// Returns the versions that served.
     pub fn export_versions(&self, now: Duration) -> KnownStreams {
         KnownStreams {
-            knows_past: self.knows_past(now),
+            knows_past: self.can_tell_past(now),
             versions: self.streams.export_versions(now),
             groups: Vec::new(),
         }
     }
 
     /// Returns what must outlive this instance: the streams of services with upstreams of several
-    /// versions.
-    pub fn export_mixed(&self, now: Duration) -> KnownStreams {
-        KnownStreams { knows_past: self.knows_past(now), ..self.streams.export_mixed(now) }
+    /// versions that were noted at `since` or later.
+    pub fn export_mixed(&self, now: Duration, since: Duration) -> KnownStreams {
+        let known = self.streams.export_mixed(now, since);
+        KnownStreams { knows_past: self.can_tell_past(now), ..known }
+    }
+
+    /// Returns the time for which versions that no longer serve are remembered.
+    pub fn retention(&self) -> Duration {
+        self.streams.retention()
     }
 
     /// Returns whether some service has upstreams of several versions, or had lately.
@@ -270,7 +357,6 @@
 
     /// Adds what another instance or a record knows; returns the streams that are new here.
     pub fn import(&mut self, now: Duration, known: &KnownStreams) -> Vec<u64> {
-        self.knows_past |= known.knows_past;
         let new = self.streams.import(now, known);
         self.note_newly_mixed(now);
         new
--- a/lacewingspring_core/src/dispatch/stream_versions.rs
+++ b/lacewingspring_core/src/dispatch/stream_versions.rs
@@ -45,6 +45,7 @@
     process: Arc<UpstreamProcess>,
     /// Number of the last attempt to get a slot for it.
     attempt: u64,
+    /// Time at which its slot was granted here, or at which it became known here.
     granted_at: Duration,
     expires: Duration,
     /// Whether a process of the same name and another version may have written its first event.
@@ -210,12 +211,15 @@
         self.served.export(now)
     }
 
-    /// Returns what a gate must know after all instances have ended: the streams of mixed services,
-    /// and of these at most [`MAX_STORED_STREAMS`], which end last.
-    pub fn export_mixed(&self, now: Duration) -> KnownStreams {
+    /// Returns what a gate must know after all instances have ended: the streams of mixed services
+    /// that were noted here at `since` or later, and of these at most [`MAX_STORED_STREAMS`], which
+    /// end last.
+    pub fn export_mixed(&self, now: Duration, since: Duration) -> KnownStreams {
         let streams = self.streams.iter().map(|(id, stream)| (*id, stream));
         let streams = streams.filter(|(_, stream)| {
-            stream.is_known(now) && self.served.is_mixed(now, &stream.process.service)
+            stream.granted_at >= since
+                && stream.is_known(now)
+                && self.served.is_mixed(now, &stream.process.service)
         });
         let mut streams: Vec<(u64, &StreamRecord)> = streams.collect();
         streams.sort_unstable_by_key(|(id, stream)| (Reverse(stream.expires), *id));
--- a/lacewingspring_core/src/dispatch/streams.rs
+++ b/lacewingspring_core/src/dispatch/streams.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Dispatcher,
-    known_streams::KnownStreams,
+    known_streams::{KnownStreams, ServedVersion},
     resumptions::Resolution,
     work::{Decision, Grant, SlotRequest, Ticket},
 };
@@ -77,6 +77,24 @@
         self.resumptions.record_link(now);
     }
 
+    /// Adds the versions that were recorded before this gate took over, and queues the requests
+    /// whose software version follows from it. Records of services with an `incomplete` version may
+    /// be lost.
+    pub fn learn_recorded(
+        &mut self,
+        now: Duration,
+        complete: &[ServedVersion],
+        incomplete: &[ServedVersion],
+    ) -> Vec<Decision> {
+        self.resumptions.learn_recorded(now, complete, incomplete);
+        self.queue_resolved(now)
+    }
+
+    /// Returns the time for which versions that no longer serve are remembered.
+    pub fn stream_retention(&self) -> Duration {
+        self.resumptions.retention()
+    }
+
     /// Returns all that is known here of streams, for another gate.
     pub fn known_streams(&self, now: Duration) -> KnownStreams {
         self.resumptions.export(now)
@@ -91,8 +109,14 @@
     /// service has upstreams of one software version, and had within the time in which callers may
     /// take streams up.
     pub fn mixed_streams(&self, now: Duration) -> KnownStreams {
+        self.mixed_streams_since(now, Duration::ZERO)
+    }
+
+    /// As [`mixed_streams`](Self::mixed_streams), with the streams that were noted at `since` or
+    /// later.
+    pub fn mixed_streams_since(&self, now: Duration, since: Duration) -> KnownStreams {
         if self.has_mixed_software(now) {
-            self.resumptions.export_mixed(now)
+            self.resumptions.export_mixed(now, since)
         } else {
             KnownStreams::default()
         }
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -12,7 +12,7 @@
 use lacewingspring_core::{
     dispatch::{
         Decision, Dispatcher, FleetRoster, FleetShare, HandOver, Limits, ServiceCounts,
-        StoredUsage, Ticket, UpstreamInfo,
+        StoredUsage, Ticket,
     },
     names::{InstanceName, ServiceName},
 };
@@ -30,6 +30,7 @@
     allowance::Allowance,
     findings::log_finding,
     message::{Frames, FromGate, ToGate, decode, frames, send_all},
+    recorded_versions::RecordedVersions,
 };
 use crate::{
     clock,
@@ -42,6 +43,7 @@
 mod share;
 mod streams;
 mod updates;
+mod versions;
 
 /// Interval of the dispatcher's ticks while requests are queued.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -70,6 +72,9 @@
 struct State {
     dispatcher: Dispatcher,
     roster: FleetRoster,
+    versions: RecordedVersions,
+    /// Whether upstreams of versions that are not recorded are withheld.
+    withholds_upstreams: bool,
     /// Share that was logged last.
     logged_share: FleetShare,
     links: HashMap<u64, Link>,
@@ -88,6 +93,8 @@
     queued: Notify,
     /// Wakes the task that tells other instances of streams.
     streams_changed: Notify,
+    /// Wakes the task that records versions.
+    versions_changed: Notify,
 }
 
 impl GateHost {
@@ -101,29 +108,27 @@
         let state = State {
             dispatcher: Dispatcher::default(),
             roster: FleetRoster::default(),
+            versions: RecordedVersions::default(),
+            withholds_upstreams: false,
             logged_share: FleetShare::default(),
             links: HashMap::new(),
             next_link: 0,
             allowance: Allowance::new(link_bytes_per_s),
         };
-        let (queued, streams_changed) = (Notify::new(), Notify::new());
-        Self { state: Mutex::new(state), members, replicas, queued, streams_changed }
+        Self {
+            state: Mutex::new(state),
+            members,
+            replicas,
+            queued: Notify::new(),
+            streams_changed: Notify::new(),
+            versions_changed: Notify::new(),
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Replaces the known upstreams.
-    pub fn set_upstreams<I>(&self, now: Duration, upstreams: I)
-    where
-        I: IntoIterator<Item = UpstreamInfo>,
-    {
-        let mut state = self.state();
-        let decisions = state.dispatcher.set_upstreams(now, upstreams);
-        state.send_decisions(decisions);
-    }
-
     /// Replaces the limits of the operators' configuration.
     pub fn set_limits(&self, limits: Limits) {
         self.state().dispatcher.set_limits(limits);
@@ -190,6 +195,7 @@
                 Vec::new()
             }
             ToGate::RequestSlot { number, request } => {
+                state.use_overdue_upstreams(now);
                 let decisions = state.dispatcher.request_slot(now, ticket(number), request);
                 if !decisions.iter().any(|decision| ticket_of(decision) == ticket(number)) {
                     state.send(link, FromGate::Queued { number });
@@ -281,8 +287,10 @@
                 self.queued.notified().await;
             }
             sleep(TICK_INTERVAL).await;
+            let now = clock::now();
             let mut state = self.state();
-            let decisions = state.dispatcher.tick(clock::now());
+            state.use_overdue_upstreams(now);
+            let decisions = state.dispatcher.tick(now);
             state.send_decisions(decisions);
             self.request_confirmation(&state);
             if state.dispatcher.has_unpublished_streams() {
--- a/lacewingspring_proxy/src/gate/host/streams.rs
+++ b/lacewingspring_proxy/src/gate/host/streams.rs
@@ -62,6 +62,11 @@
         self.state().dispatcher.mixed_streams(now)
     }
 
+    /// As [`mixed_streams`](Self::mixed_streams), of the streams that were noted at `since` or later.
+    pub fn mixed_streams_since(&self, now: Duration, since: Duration) -> KnownStreams {
+        self.state().dispatcher.mixed_streams_since(now, since)
+    }
+
     /// Returns whether some service has upstreams of several software versions, or had lately.
     pub fn has_mixed_software(&self, now: Duration) -> bool {
         self.state().dispatcher.has_mixed_software(now)
--- /dev/null
+++ b/lacewingspring_proxy/src/gate/host/versions.rs
@@ -0,0 +1,100 @@
+//! Withholds upstreams until their software versions are recorded, and tells the dispatcher which
+//! are.
+
+use std::time::Duration;
+
+use lacewingspring_core::dispatch::{KnownStreams, ServedVersion, UpstreamInfo};
+use log::warn;
+
+use super::{GateHost, State};
+
+impl GateHost {
+    /// Withholds upstreams of versions that are not recorded from now on, for a second at most.
+    pub fn require_recorded_versions(&self) {
+        self.state().versions.enable();
+    }
+
+    /// Replaces the known upstreams.
+    pub fn set_upstreams<I>(&self, now: Duration, upstreams: I)
+    where
+        I: IntoIterator<Item = UpstreamInfo>,
+    {
+        let mut state = self.state();
+        state.versions.set_registered(now, upstreams.into_iter().collect());
+        state.apply_upstreams(now);
+        self.versions_changed.notify_one();
+    }
+
+    /// Waits until the versions of the registered upstreams may have changed.
+    pub async fn versions_changed(&self) {
+        self.versions_changed.notified().await;
+    }
+
+    /// Returns the versions that are to be recorded.
+    pub fn unrecorded_versions(&self) -> Vec<ServedVersion> {
+        self.state().versions.unrecorded()
+    }
+
+    /// Notes that versions are recorded, and uses their upstreams.
+    pub fn set_versions_recorded(&self, now: Duration, versions: &[ServedVersion]) {
+        let mut state = self.state();
+        state.versions.set_recorded(now, versions);
+        state.apply_upstreams(now);
+    }
+
+    /// Adds the versions that earlier gates recorded, as loaded at `now`: of some services all, of
+    /// others perhaps not.
+    pub fn learn_recorded_versions(
+        &self,
+        now: Duration,
+        complete: &[ServedVersion],
+        incomplete: &[ServedVersion],
+    ) {
+        let mut state = self.state();
+        state.versions.set_recorded(now, complete);
+        let decisions = state.dispatcher.learn_recorded(now, complete, incomplete);
+        state.send_decisions(decisions);
+        state.apply_upstreams(now);
+    }
+
+    /// Notes that no version is known to be recorded.
+    pub fn forget_recorded_versions(&self) {
+        self.state().versions.forget_recorded();
+    }
+
+    /// Returns the versions whose record is no longer needed.
+    pub fn take_expired_versions(&self, now: Duration) -> Vec<ServedVersion> {
+        let mut state = self.state();
+        let retention = state.dispatcher.stream_retention();
+        state.versions.take_expired(now, retention)
+    }
+
+    /// Forgets a version whose record was removed.
+    pub fn remove_version(&self, version: &ServedVersion) {
+        self.state().versions.remove(version);
+    }
+}
+
+impl State {
+    /// Uses the upstreams that were withheld for too long.
+    pub(super) fn use_overdue_upstreams(&mut self, now: Duration) {
+        if !self.withholds_upstreams {
+            return;
+        }
+        self.apply_upstreams(now);
+        if !self.withholds_upstreams {
+            warn!("Upstreams are used although their software version is not recorded.");
+        }
+    }
+
+    /// Gives the dispatcher the upstreams that may be used, and tells it of the versions of the
+    /// others, at which another gate may send streams.
+    fn apply_upstreams(&mut self, now: Duration) {
+        let (usable, withheld) = self.versions.usable(now);
+        self.withholds_upstreams = !withheld.is_empty();
+        let known = KnownStreams { versions: withheld, ..KnownStreams::default() };
+        self.dispatcher.learn_streams(now, &known);
+        let decisions = self.dispatcher.set_upstreams(now, usable);
+        self.send_decisions(decisions);
+    }
+}
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -11,9 +11,12 @@
 use lacewingspring_core::dispatch::{HandOver, KnownStreams, StoredUsage};
 use log::{info, warn};
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::{sync::watch, time::sleep};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
-use super::{host::GateHost, record::Record};
+use super::{host::GateHost, record::Record, version_record};
 use crate::{clock, store::Store};
 
 /// Key of the stored usage.
@@ -37,6 +40,9 @@
 /// Minimum time between two writes of another record.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval of the checks for versions to be recorded, if no change of the upstreams tells of one.
+const VERSION_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Interval of the checks whether this instance is the gate and whether something is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -85,6 +91,7 @@
     /// stores what it knows while it is the gate. Never returns.
     pub async fn run(self) {
         // An instance that does not reach the others yet may serve requests before it is the gate.
+        self.load_versions(|| true).await;
         self.load_hand_over(|| true).await;
         self.load_streams(|| true).await;
         loop {
@@ -93,10 +100,50 @@
             }
             // The service may be slow or away while the other instances are not.
             let (tx, rx) = watch::channel(Stored::default());
-            // Both end with the role; the one that notices first ends the other.
+            // All end with the role; the one that notices first ends the others.
             tokio::select! {
                 () = self.publish(tx) => {}
                 () = self.load_and_write(rx) => {}
+                () = self.record_versions() => {}
+            }
+        }
+    }
+
+    /// Records the software versions of upstreams while this instance is the gate.
+    async fn record_versions(&self) {
+        // What was recorded before is loaded first: it tells at which versions earlier gates began
+        // streams.
+        self.load_versions(|| self.host.serves_majority()).await;
+        let mut era = self.store.era();
+        while self.host.serves_majority() {
+            if std::mem::replace(&mut era, self.store.era()) != self.store.era() {
+                self.host.forget_recorded_versions();
+            }
+            self.write_versions().await;
+            // After either, the loop looks for versions again.
+            let _ = timeout(VERSION_CHECK_INTERVAL, self.host.versions_changed()).await;
+        }
+    }
+
+    async fn write_versions(&self) {
+        for version in self.host.unrecorded_versions() {
+            match version_record::write(&*self.store, &version, false).await {
+                Ok(()) => self.host.set_versions_recorded(clock::now(), &[version]),
+                Err(e) => warn!(
+                    service = version.service.as_str(), software = version.software.as_str(),
+                    error:% = e;
+                    "Recording a software version failed; trying again later."
+                ),
+            }
+        }
+        for version in self.host.take_expired_versions(clock::now()) {
+            match version_record::write(&*self.store, &version, true).await {
+                Ok(()) => self.host.remove_version(&version),
+                Err(e) => warn!(
+                    service = version.service.as_str(), software = version.software.as_str(),
+                    error:% = e;
+                    "Recording that a software version left failed; trying again later."
+                ),
             }
         }
     }
@@ -199,15 +246,41 @@
     where
         F: Fn() -> bool,
     {
-        let streams = self.read(Record::new(STREAMS_KEY, MIN_WRITE_INTERVAL), is_needed).await;
-        let Some(mut streams): Option<KnownStreams> = streams else { return };
-        // Without a record each service had one version only.
-        streams.knows_past |= streams.is_empty();
-        info!(
-            versions = streams.versions.len(), processes = streams.groups.len();
-            "The stored software versions of streams are loaded."
-        );
-        self.host.take_over_streams(clock::now(), &streams);
+        for key in [STREAMS_KEY] {
+            let streams = self.read(Record::new(key, MIN_WRITE_INTERVAL), &is_needed).await;
+            let Some(streams): Option<KnownStreams> = streams else { continue };
+            info!(
+                key, versions = streams.versions.len(), processes = streams.groups.len();
+                "The stored software versions of streams are loaded."
+            );
+            // Whether all versions are known is told by their own records.
+            let streams = KnownStreams { knows_past: false, ..streams };
+            self.host.take_over_streams(clock::now(), &streams);
+        }
+    }
+
+    /// Loads the recorded software versions, again until the service answers.
+    async fn load_versions<F>(&self, is_needed: F)
+    where
+        F: Fn() -> bool,
+    {
+        while is_needed() {
+            match version_record::load(&*self.store).await {
+                Ok(loaded) => {
+                    info!(
+                        versions = loaded.complete.len(), incomplete = loaded.incomplete.len();
+                        "The recorded software versions of upstreams are loaded."
+                    );
+                    let now = clock::now();
+                    self.host.learn_recorded_versions(now, &loaded.complete, &loaded.incomplete);
+                    return;
+                }
+                Err(e) => {
+                    warn!(error:% = e; "Reading the recorded software versions failed; trying again.");
+                    sleep(CHECK_INTERVAL).await;
+                }
+            }
+        }
     }
 
     /// Reads a record until the service answers; `None` if its value can't be parsed or it is no
--- a/lacewingspring_proxy/src/gate/mod.rs
+++ b/lacewingspring_proxy/src/gate/mod.rs
@@ -15,5 +15,7 @@
 pub mod liveness;
 pub mod message;
 mod record;
+pub mod recorded_versions;
 pub mod slot;
 mod suspects;
+mod version_record;
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -204,6 +204,7 @@
         metrics: metrics.clone(),
         settings: settings.clone(),
     });
+    host.require_recorded_versions();
     follow_store(&state, &components, &replicas);
     tokio::spawn(host.clone().run_ticks());
     tokio::spawn(host.clone().push_updates());
