Store streams of mixed services 50 ms after they begin

Cause: streams were stored twice a second. Those granted in the last 0.7 s before a kill were unknown after it, and their callers had events of them, as the first comes within a tenth of a second.

Evidence: with the stream in the line of a refusal, all refused with unknown_software were granted from 7.67 s to 8.30 s, before the kill at 8.3 s, or from 22.60 s to 22.97 s, before the one at 23.0 s. Those refused with no_upstream began at versions without servers.

Change: while a service is mixed, the streams since the last write of all are written 50 ms after they begin, to a key of their own, which a new gate loads after the other.

--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -28,6 +28,9 @@
 /// Key of the software versions that began streams, stored while there are several.
 const STREAMS_KEY: &str = "lacewingspring/streams";
 
+/// Key of the streams that were noted since those under [`STREAMS_KEY`] were stored.
+const RECENT_STREAMS_KEY: &str = "lacewingspring/recent-streams";
+
 /// Interval at which the usage is published if little of the limits is used.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -40,6 +43,10 @@
 /// Minimum time between two writes of another record.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Minimum time between two writes of the recent streams: less than it takes from the grant of a slot
+/// until the caller has an event that it could continue after.
+const MIN_RECENT_WRITE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Interval of the checks for versions to be recorded, if no change of the upstreams tells of one.
 const VERSION_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -81,8 +88,13 @@
     usage: Vec<StoredUsage>,
     hand_over: HandOver,
     streams: KnownStreams,
+    /// Time of the streams.
+    streams_at: Duration,
 }
 
+/// Time up to which streams are stored; `None` before those of an earlier gate are loaded.
+type StoredUntil = Option<Duration>;
+
 impl<S> Ledger<S>
 where
     S: Store,
@@ -100,10 +112,12 @@
             }
             // The service may be slow or away while the other instances are not.
             let (tx, rx) = watch::channel(Stored::default());
+            let (until_tx, until_rx) = watch::channel(None);
             // All end with the role; the one that notices first ends the others.
             tokio::select! {
                 () = self.publish(tx) => {}
-                () = self.load_and_write(rx) => {}
+                () = self.load_and_write(rx, until_tx) => {}
+                () = self.write_recent_streams(until_rx) => {}
                 () = self.record_versions() => {}
             }
         }
@@ -148,6 +162,23 @@
         }
     }
 
+    /// Stores streams soon after they begin, so that few are lost if all instances end together.
+    async fn write_recent_streams(&self, mut stored_until: watch::Receiver<StoredUntil>) {
+        let mut recent: Record<KnownStreams> =
+            Record::new(RECENT_STREAMS_KEY, MIN_RECENT_WRITE_INTERVAL);
+        let mut version = None;
+        while self.host.serves_majority() {
+            let until = *stored_until.borrow_and_update();
+            let latest = Some(self.host.streams_version());
+            if let Some(until) = until.filter(|_| latest != version) {
+                version = latest;
+                recent.set(self.host.mixed_streams_since(clock::now(), until));
+            }
+            recent.write(clock::now(), &*self.store).await;
+            sleep(MIN_RECENT_WRITE_INTERVAL).await;
+        }
+    }
+
     /// Publishes what the next gate must know while this instance is the gate.
     async fn publish(&self, stored: watch::Sender<Stored>) {
         let mut published = Published::default();
@@ -166,7 +197,10 @@
                 let version = self.host.streams_version();
                 published.streams = Publication { version, at: now };
                 let streams = self.host.mixed_streams(now);
-                stored.send_modify(|stored| stored.streams = streams);
+                stored.send_modify(|stored| {
+                    stored.streams = streams;
+                    stored.streams_at = now;
+                });
             } else if !self.host.has_mixed_software(now) {
                 stored.send_modify(|stored| stored.streams = KnownStreams::default());
             }
@@ -175,10 +209,15 @@
 
     /// Loads what an earlier gate stored, then stores what is published while this instance is the
     /// gate.
-    async fn load_and_write(&self, stored: watch::Receiver<Stored>) {
+    async fn load_and_write(
+        &self,
+        stored: watch::Receiver<Stored>,
+        stored_until: watch::Sender<StoredUntil>,
+    ) {
         self.load_usage().await;
         self.load_hand_over(|| self.host.serves_majority()).await;
         self.load_streams(|| self.host.serves_majority()).await;
+        stored_until.send_replace(Some(Duration::ZERO));
         // What was loaded is published before anything of an earlier gate is overwritten.
         sleep(MIN_HAND_OVER_INTERVAL + CHECK_INTERVAL).await;
         let mut usage: Record<Vec<StoredUsage>> = Record::new(USAGE_KEY, MIN_USAGE_WRITE_INTERVAL);
@@ -192,6 +231,9 @@
             usage.write(clock::now(), &*self.store).await;
             hand_over.write(clock::now(), &*self.store).await;
             streams.write(clock::now(), &*self.store).await;
+            if streams.is_written() {
+                stored_until.send_replace(Some(latest.streams_at));
+            }
             sleep(CHECK_INTERVAL).await;
         }
     }
@@ -246,7 +288,7 @@
     where
         F: Fn() -> bool,
     {
-        for key in [STREAMS_KEY] {
+        for key in [STREAMS_KEY, RECENT_STREAMS_KEY] {
             let streams = self.read(Record::new(key, MIN_WRITE_INTERVAL), &is_needed).await;
             let Some(streams): Option<KnownStreams> = streams else { continue };
             info!(
--- a/lacewingspring_proxy/src/gate/record.rs
+++ b/lacewingspring_proxy/src/gate/record.rs
@@ -46,6 +46,11 @@
         self.value = value;
     }
 
+    /// Returns whether the value is stored.
+    pub(super) fn is_written(&self) -> bool {
+        self.value == self.written
+    }
+
     /// Writes the value at `now` if it has changed and the last write is long enough ago. A failed
     /// write is logged, and done again at a later call.
     pub(super) async fn write<S>(&mut self, now: Duration, store: &S)
