End a gate's role when it was last confirmed, and decide nothing right after a pause

Cause: the interruption of a gate's role was measured from when it noticed that its links were gone, which is milliseconds before they come back after a freeze. So the usage that another gate had handed out meanwhile was dropped. Besides, requests of the gate's own callers were decided before the ends of the links were read.

Change: the roster notes when instances are heard; the role lasts until a majority was, a longer interruption than 0.5 s begins with the usage that instances tell. A heartbeat shows pauses of the process; after 0.25 s or more slot requests wait for 0.1 s and nothing is stored over what another gate may have stored. If no instance left, the gate goes on with what it knows.

--- a/lacewingspring_core/src/dispatch/fleet_share.rs
+++ b/lacewingspring_core/src/dispatch/fleet_share.rs
@@ -5,7 +5,7 @@
 //! instance whose entry vanished although it did not leave may still decide on its own, so a
 //! majority's gate goes on reserving for it what a minority's gate may hand out.
 
-use std::{collections::HashMap, time::Duration};
+use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
 use crate::names::InstanceName;
 
@@ -81,8 +81,16 @@
 pub struct FleetRoster {
     registered: HashMap<InstanceName, RegisteredInstance>,
     missing: HashMap<InstanceName, Missing>,
-    /// Number of links of each linked instance.
-    linked: HashMap<InstanceName, usize>,
+    linked: HashMap<InstanceName, LinkedInstance>,
+}
+
+/// An instance that is linked.
+#[derive(Debug)]
+struct LinkedInstance {
+    /// Number of its links.
+    links: usize,
+    /// Time of its last message.
+    heard_at: Duration,
 }
 
 impl FleetRoster {
@@ -118,14 +126,32 @@
             let new = Missing { incarnation: None, since: now, linked_since: None };
             self.missing.entry(instance.clone()).or_insert(new);
         }
-        *self.linked.entry(instance).or_default() += 1;
+        let new = LinkedInstance { links: 0, heard_at: now };
+        let linked = self.linked.entry(instance).or_insert(new);
+        linked.links += 1;
+        linked.heard_at = now;
+    }
+
+    /// Records a message of an instance.
+    pub fn hear(&mut self, now: Duration, instance: &InstanceName) {
+        if let Some(linked) = self.linked.get_mut(instance) {
+            linked.heard_at = now;
+        }
+    }
+
+    /// Returns the latest time at which more than half of the fleet was known to be linked: each of
+    /// them was heard then or later. `None` if no majority is linked.
+    pub fn majority_heard_at(&self) -> Option<Duration> {
+        let mut heard: Vec<Duration> = self.linked.values().map(|linked| linked.heard_at).collect();
+        heard.sort_unstable_by_key(|at| Reverse(*at));
+        heard.get(self.active() / 2).copied()
     }
 
     /// Records that a link of an instance was closed.
     pub fn unlink(&mut self, instance: &InstanceName) {
-        let Some(links) = self.linked.get_mut(instance) else { return };
-        *links -= 1;
-        if *links == 0 {
+        let Some(linked) = self.linked.get_mut(instance) else { return };
+        linked.links -= 1;
+        if linked.links == 0 {
             self.linked.remove(instance);
         }
     }
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -100,8 +100,8 @@
     findings: Vec<Finding>,
     refusals: RefusalHistory,
     share: FleetShare,
-    /// Time at which it last stopped deciding for the whole fleet.
-    whole_fleet_until: Option<Duration>,
+    /// Latest time at which it was known to decide for the whole fleet.
+    whole_fleet_at: Option<Duration>,
 }
 
 impl Dispatcher {
@@ -172,15 +172,12 @@
 
     /// Sets the part of all slots and limits that may be used here.
     ///
-    /// If it becomes that of a majority and was not within the last `MAX_INTERRUPTION`, or of a
-    /// minority after it was nothing, another gate may have handed out limits until now. Waiting
-    /// requests get further slots at the next tick: a gate that takes over gets a larger share with
-    /// each instance that links to it.
+    /// If it becomes that of a majority and was not known to be within the last `MAX_INTERRUPTION`,
+    /// or of a minority after it was nothing, another gate may have handed out limits until now.
+    /// Waiting requests get further slots at the next tick: a gate that takes over gets a larger
+    /// share with each instance that links to it.
     pub fn set_fleet_share(&mut self, now: Duration, share: FleetShare) {
         let before = std::mem::replace(&mut self.share, share);
-        if before.is_majority() && !share.is_majority() {
-            self.whole_fleet_until = Some(now);
-        }
         if share.is_majority() != before.is_majority() {
             self.resumptions.outdate_recorded();
         }
@@ -192,8 +189,18 @@
         self.quotas.set_share(now, share);
     }
 
+    /// Records that more than half of the fleet was linked at the time `at`.
+    ///
+    /// A gate notices only later that it was cut off or stood still, and that others followed
+    /// another gate meanwhile. So its role ends when it was last confirmed.
+    pub fn confirm_whole_fleet(&mut self, at: Duration) {
+        if self.share.is_majority() {
+            self.whole_fleet_at = self.whole_fleet_at.max(Some(at));
+        }
+    }
+
     fn had_whole_fleet_recently(&self, now: Duration) -> bool {
-        self.whole_fleet_until.is_some_and(|until| now.saturating_sub(until) < MAX_INTERRUPTION)
+        self.whole_fleet_at.is_some_and(|at| now.saturating_sub(at) < MAX_INTERRUPTION)
     }
 
     /// Returns the length of the window in which the usage of limits is counted.
--- a/lacewingspring_core/tests/limits_of_two_gates.rs
+++ b/lacewingspring_core/tests/limits_of_two_gates.rs
@@ -334,3 +334,109 @@
     let most = fleet.most_in_a_window();
     assert!(most <= LIMIT, "{most} units in a window, the limit is {LIMIT}");
 }
+
+/// How the gate loses its role without noticing.
+#[derive(Clone, Copy, Debug)]
+enum Interruption {
+    /// Its process stands still.
+    Frozen,
+    /// It is cut off from all others, and decides on for its own callers.
+    Cut,
+}
+
+/// Time after which a gate that is cut off notices it.
+const LINK_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// The gate of four instances loses the three others for a while; these follow another gate, and
+/// come back as soon as it can be reached.
+fn play_interruption(interruption: Interruption, away: Duration, hot: f64) -> Fleet {
+    let mut fleet = Fleet::new(4);
+    let mut first = Gate::new(&fleet, RATE * 0.55);
+    first.link(fleet.now, 0..4);
+    fleet.play(WINDOW * 2, &mut [&mut first]);
+    first.dispatcher.confirm_whole_fleet(fleet.now);
+    let usage = first.dispatcher.export_usage(fleet.now);
+    let mut second = Gate::new(&fleet, 0.0);
+    second.link(fleet.now, 1..4);
+    second.dispatcher.import_usage(fleet.now, ms(0), &usage);
+    let is_linked = match interruption {
+        Interruption::Frozen => {
+            second.demand = hot;
+            fleet.play(away, &mut [&mut second]);
+            first.requested = 0.0;
+            true
+        }
+        Interruption::Cut => {
+            (first.demand, second.demand) = (hot / 4.0, hot * 3.0 / 4.0);
+            fleet.play(away.min(LINK_TIMEOUT), &mut [&mut first, &mut second]);
+            let notices = away > LINK_TIMEOUT;
+            if notices {
+                first.unlink(fleet.now, 1..4);
+                fleet.play(away - LINK_TIMEOUT, &mut [&mut first, &mut second]);
+            }
+            !notices
+        }
+    };
+    let usage = second.dispatcher.export_usage(fleet.now);
+    if is_linked {
+        first.unlink(fleet.now, 1..4);
+    }
+    first.link(fleet.now, 1..4);
+    first.dispatcher.import_usage(fleet.now, ms(0), &usage);
+    first.demand = hot;
+    fleet.play(Duration::from_secs(12), &mut [&mut first]);
+    fleet
+}
+
+#[test]
+fn a_gate_that_stood_still_goes_on_with_the_usage_of_the_gate_meanwhile() {
+    for away in [ms(700), ms(2_300), ms(5_000)] {
+        let fleet = play_interruption(Interruption::Frozen, away, RATE * 4.0);
+        let most = fleet.most_in_a_window();
+        assert!(most <= LIMIT, "{away:?}: {most} units in a window, the limit is {LIMIT}");
+    }
+}
+
+#[test]
+fn callers_below_their_limit_are_served_after_an_interruption() {
+    for interruption in [Interruption::Frozen, Interruption::Cut] {
+        let demand = RATE * 0.55;
+        let fleet = play_interruption(interruption, ms(2_300), demand);
+        let since = fleet.now - Duration::from_secs(12);
+        let (taken, wanted) = (fleet.taken_since(since), demand * 12.0);
+        assert!(taken >= 0.98 * wanted, "{interruption:?}: {taken} of {wanted} units");
+    }
+}
+
+#[test]
+fn a_link_that_is_lost_for_a_moment_changes_nothing() {
+    let mut fleet = Fleet::new(4);
+    let mut gate = Gate::new(&fleet, RATE * 10.0);
+    gate.link(fleet.now, 0..4);
+    fleet.play(WINDOW, &mut [&mut gate]);
+    gate.dispatcher.confirm_whole_fleet(fleet.now);
+    fleet.now += ms(100);
+    gate.unlink(fleet.now, 1..4);
+    gate.link(fleet.now, 1..4);
+    fleet.play(Duration::from_secs(12), &mut [&mut gate]);
+    let most = fleet.most_in_a_window();
+    assert!(most <= LIMIT, "{most} units in a window, the limit is {LIMIT}");
+    let taken = fleet.taken_since(fleet.now - WINDOW);
+    assert!(taken >= 0.95 * LIMIT, "{taken} units in the last window of {LIMIT}");
+}
+
+#[test]
+fn a_majority_was_linked_when_the_last_of_it_was_heard() {
+    let fleet = Fleet::new(4);
+    let mut roster = FleetRoster::default();
+    roster.set_registered(ms(0), fleet.instances(0..4));
+    roster.link(ms(10), name(0), false);
+    roster.link(ms(20), name(1), false);
+    assert_eq!(roster.majority_heard_at(), None, "half of the fleet is none");
+    roster.link(ms(30), name(2), false);
+    assert_eq!(roster.majority_heard_at(), Some(ms(10)));
+    roster.hear(ms(50), &name(0));
+    assert_eq!(roster.majority_heard_at(), Some(ms(20)));
+    roster.link(ms(60), name(3), false);
+    assert_eq!(roster.majority_heard_at(), Some(ms(30)));
+}
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -26,6 +26,7 @@
     time::{sleep, timeout},
 };
 
+use self::pause::Pauses;
 use super::{
     allowance::Allowance,
     findings::log_finding,
@@ -40,6 +41,7 @@
     store::Revision,
 };
 
+mod pause;
 mod share;
 mod streams;
 mod updates;
@@ -72,6 +74,7 @@
 struct State {
     dispatcher: Dispatcher,
     roster: FleetRoster,
+    pauses: Pauses,
     versions: RecordedVersions,
     /// Whether upstreams of versions that are not recorded are withheld.
     withholds_upstreams: bool,
@@ -108,6 +111,7 @@
         let state = State {
             dispatcher: Dispatcher::default(),
             roster: FleetRoster::default(),
+            pauses: Pauses::default(),
             versions: RecordedVersions::default(),
             withholds_upstreams: false,
             logged_share: FleetShare::default(),
@@ -147,6 +151,7 @@
     pub fn disconnect(&self, now: Duration, id: u64) {
         let mut state = self.state();
         let link = state.links.remove(&id);
+        state.pauses.end_link(id);
         if let Some(instance) = link.and_then(|link| link.instance) {
             state.roster.unlink(&instance);
         }
@@ -159,10 +164,12 @@
     /// Handles a message received over a link.
     pub fn handle(&self, now: Duration, link: u64, message: ToGate) {
         if let ToGate::Ping { number, follow } = message {
+            self.hear(now, link);
             self.answer_ping(now, link, number, follow);
             return;
         }
         let mut state = self.state();
+        state.hear(now, link);
         let ticket = |number| Ticket { link, number };
         let decisions = match message {
             ToGate::Hello { instance, usage, usage_age } => {
@@ -195,6 +202,9 @@
                 Vec::new()
             }
             ToGate::RequestSlot { number, request } => {
+                let Some(request) = state.defer_while_settling(now, link, number, request) else {
+                    return;
+                };
                 state.use_overdue_upstreams(now);
                 let decisions = state.dispatcher.request_slot(now, ticket(number), request);
                 if !decisions.iter().any(|decision| ticket_of(decision) == ticket(number)) {
@@ -207,7 +217,12 @@
                 state.dispatcher.first_output(now, ticket(number), took);
                 Vec::new()
             }
-            ToGate::End { number, end } => state.dispatcher.end(now, ticket(number), end),
+            ToGate::End { number, end } => {
+                if state.pauses.remove(link, number) {
+                    return;
+                }
+                state.dispatcher.end(now, ticket(number), end)
+            }
             ToGate::Ping { .. } => Vec::new(),
         };
         state.send_decisions(decisions);
@@ -216,10 +231,13 @@
         }
     }
 
-    /// Returns whether more than half of the fleet is linked to this instance.
-    pub fn serves_majority(&self) -> bool {
-        let state = self.state();
-        state.dispatcher.fleet_share().is_majority() && !state.links.is_empty()
+    /// Returns whether more than half of the fleet is linked to this instance, as far as it knows:
+    /// not right after its process stood still.
+    pub fn serves_majority(&self, now: Duration) -> bool {
+        let mut state = self.state();
+        state.pauses.observe(now);
+        let is_majority = state.dispatcher.fleet_share().is_majority() && !state.links.is_empty();
+        is_majority && !state.pauses.is_settling(now)
     }
 
     /// Adds the usage of limits that an earlier gate stored.
@@ -289,6 +307,10 @@
             sleep(TICK_INTERVAL).await;
             let now = clock::now();
             let mut state = self.state();
+            state.pauses.observe(now);
+            if state.pauses.is_settling(now) {
+                continue;
+            }
             state.use_overdue_upstreams(now);
             let decisions = state.dispatcher.tick(now);
             state.send_decisions(decisions);
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -107,7 +107,7 @@
         self.load_hand_over(|| true).await;
         self.load_streams(|| true).await;
         loop {
-            while !self.host.serves_majority() {
+            while !self.serves_majority() {
                 sleep(CHECK_INTERVAL).await;
             }
             // The service may be slow or away while the other instances are not.
@@ -123,13 +123,17 @@
         }
     }
 
+    fn serves_majority(&self) -> bool {
+        self.host.serves_majority(clock::now())
+    }
+
     /// Records the software versions of upstreams while this instance is the gate.
     async fn record_versions(&self) {
         // What was recorded before is loaded first: it tells at which versions earlier gates began
         // streams.
-        self.load_versions(|| self.host.serves_majority()).await;
+        self.load_versions(|| self.serves_majority()).await;
         let mut era = self.store.era();
-        while self.host.serves_majority() {
+        while self.serves_majority() {
             if std::mem::replace(&mut era, self.store.era()) != self.store.era() {
                 self.host.forget_recorded_versions();
             }
@@ -167,7 +171,7 @@
         let mut recent: Record<KnownStreams> =
             Record::new(RECENT_STREAMS_KEY, MIN_RECENT_WRITE_INTERVAL);
         let mut version = None;
-        while self.host.serves_majority() {
+        while self.serves_majority() {
             let until = *stored_until.borrow_and_update();
             let latest = Some(self.host.streams_version());
             if let Some(until) = until.filter(|_| latest != version) {
@@ -182,7 +186,7 @@
     /// Publishes what the next gate must know while this instance is the gate.
     async fn publish(&self, stored: watch::Sender<Stored>) {
         let mut published = Published::default();
-        while self.host.serves_majority() {
+        while self.serves_majority() {
             self.wait_until_due(&published).await;
             let now = clock::now();
             let usage = self.host.publish_usage(now);
@@ -215,15 +219,15 @@
         stored_until: watch::Sender<StoredUntil>,
     ) {
         self.load_usage().await;
-        self.load_hand_over(|| self.host.serves_majority()).await;
-        self.load_streams(|| self.host.serves_majority()).await;
+        self.load_hand_over(|| self.serves_majority()).await;
+        self.load_streams(|| self.serves_majority()).await;
         stored_until.send_replace(Some(Duration::ZERO));
         // What was loaded is published before anything of an earlier gate is overwritten.
         sleep(MIN_HAND_OVER_INTERVAL + CHECK_INTERVAL).await;
         let mut usage: Record<Vec<StoredUsage>> = Record::new(USAGE_KEY, MIN_USAGE_WRITE_INTERVAL);
         let mut hand_over: Record<HandOver> = Record::new(HAND_OVER_KEY, MIN_WRITE_INTERVAL);
         let mut streams: Record<KnownStreams> = Record::new(STREAMS_KEY, MIN_WRITE_INTERVAL);
-        while self.host.serves_majority() {
+        while self.serves_majority() {
             let latest = stored.borrow().clone();
             usage.set(latest.usage);
             hand_over.set(latest.hand_over);
@@ -264,7 +268,7 @@
 
     async fn load_usage(&self) {
         let usage = self
-            .read(Record::new(USAGE_KEY, MIN_USAGE_WRITE_INTERVAL), || self.host.serves_majority())
+            .read(Record::new(USAGE_KEY, MIN_USAGE_WRITE_INTERVAL), || self.serves_majority())
             .await;
         let Some(usage): Option<Vec<StoredUsage>> = usage else { return };
         info!(workspaces = usage.len(); "The stored usage of limits is loaded.");
--- a/lacewingspring_proxy/src/gate/link/connection.rs
+++ b/lacewingspring_proxy/src/gate/link/connection.rs
@@ -159,7 +159,9 @@
                 Some(message) = rx.recv() => self.host.handle(clock::now(), link, message),
                 Some(message) = from_gate.recv() => self.handle(message),
                 _ = check.tick() => {
-                    if self.prefers_other(clock::now(), suspects) {
+                    let now = clock::now();
+                    self.host.hear(now, link);
+                    if self.prefers_other(now, suspects) {
                         break;
                     }
                 }
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -207,6 +207,7 @@
     host.require_recorded_versions();
     follow_store(&state, &components, &replicas);
     tokio::spawn(host.clone().run_ticks());
+    tokio::spawn(host.clone().run_heartbeat());
     tokio::spawn(host.clone().push_updates());
     tokio::spawn(host.clone().publish_streams());
     tokio::spawn(host.clone().follow_confirmations());
--- a/lacewingspring_proxy/tests/ledger.rs
+++ b/lacewingspring_proxy/tests/ledger.rs
@@ -11,7 +11,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use lacewingspring_core::{
-    dispatch::{Limits, Quota, QuotaBounds, SlotRequest, StoredUsage, UpstreamInfo, Work},
+    dispatch::{End, Limits, Quota, QuotaBounds, SlotRequest, StoredUsage, UpstreamInfo, Work},
     names::{
         DataCentreName, InstanceName, ServiceName, SoftwareVersion, UpstreamName, WorkspaceName,
     },
@@ -142,34 +142,41 @@
     }
 }
 
-/// Returns the units in the next published usage.
-async fn next_usage(rx: &mut UnboundedReceiver<FromGate>) -> u64 {
+/// Returns the next published usage.
+async fn next_published(rx: &mut UnboundedReceiver<FromGate>) -> Vec<StoredUsage> {
     loop {
         if let FromGate::Usage(usage) = rx.recv().await.expect("the link is open") {
-            let units =
-                |usage: &StoredUsage| usage.steps.iter().map(|(_, units)| units).sum::<u64>();
-            return usage.iter().map(units).sum();
+            return usage;
         }
     }
 }
 
+fn units(usage: &[StoredUsage]) -> u64 {
+    usage.iter().flat_map(|usage| &usage.steps).map(|(_, units)| units).sum()
+}
+
+/// Returns the units in the next published usage.
+async fn next_usage(rx: &mut UnboundedReceiver<FromGate>) -> u64 {
+    units(&next_published(rx).await)
+}
+
 /// Starts a gate with one link; returns it with the messages over that link.
 fn start(store: &Arc<EmptyStore>) -> (Arc<GateHost>, u64, UnboundedReceiver<FromGate>) {
     let host = host();
-    let (link, rx) = open_link(&host);
+    let (link, rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
     tokio::spawn(Ledger { store: store.clone(), host: host.clone() }.run());
     (host, link, rx)
 }
 
-/// Opens a link of the only instance.
-fn open_link(host: &GateHost) -> (u64, UnboundedReceiver<FromGate>) {
+/// Opens a link of the only instance, which was told the usage `usage_age` ago.
+fn open_link(
+    host: &GateHost,
+    usage: Vec<StoredUsage>,
+    usage_age: Duration,
+) -> (u64, UnboundedReceiver<FromGate>) {
     let (tx, rx) = unbounded_channel();
     let link = host.connect(tx);
-    let hello = ToGate::Hello {
-        instance: InstanceName::from("i"),
-        usage: Vec::new(),
-        usage_age: Duration::from_secs(3_600),
-    };
+    let hello = ToGate::Hello { instance: InstanceName::from("i"), usage, usage_age };
     host.handle(clock::now(), link, hello);
     (link, rx)
 }
@@ -220,12 +227,79 @@
     sleep(Duration::from_secs(1)).await;
     for round in 1..=4 {
         use_limit(&host, link, round);
-        while next_usage(&mut rx).await < round * 5 * CHARGE {}
+        let mut told = next_published(&mut rx).await;
+        while units(&told) < round * 5 * CHARGE {
+            told = next_published(&mut rx).await;
+        }
+        let told_at = clock::now();
         sleep(Duration::from_millis(900)).await;
         host.disconnect(clock::now(), link);
         sleep(Duration::from_millis(250)).await;
-        (link, rx) = open_link(&host);
+        (link, rx) = open_link(&host, told, clock::now() - told_at);
         let published = timeout(Duration::from_secs(3), next_usage(&mut rx));
         assert!(published.await.is_ok(), "nothing was published in round {round}");
     }
 }
+
+/// Returns what became of a slot request.
+fn fate(rx: &mut UnboundedReceiver<FromGate>, wanted: u64) -> Option<&'static str> {
+    let mut fate = None;
+    while let Ok(message) = rx.try_recv() {
+        match message {
+            FromGate::Granted { number, .. } if number == wanted => fate = Some("granted"),
+            FromGate::Refused { number, .. } if number == wanted => fate = Some("refused"),
+            _ => {}
+        }
+    }
+    fate
+}
+
+/// While the gate stood still, another one handed out the whole limit. When it goes on, requests of
+/// its own callers come before the end of the links.
+#[test]
+fn a_gate_that_stood_still_decides_nothing_before_it_knows_what_was_handed_out() {
+    let host = host();
+    let now = clock::now();
+    let (link, mut rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    let ask = |now, number| {
+        host.handle(now, link, ToGate::RequestSlot { number, request: request() });
+    };
+    for step in 0..40 {
+        host.beat(now + Duration::from_millis(step * 50));
+    }
+    let frozen = now + Duration::from_millis(2_000);
+    ask(frozen, 1);
+    assert_eq!(fate(&mut rx, 1), Some("granted"));
+    let awake = frozen + Duration::from_millis(2_300);
+    ask(awake, 2);
+    assert_eq!(fate(&mut rx, 2), None, "another gate may have handed out the limit");
+    assert!(!host.serves_majority(awake), "it stores nothing over what another gate stored");
+    ask(awake, 3);
+    host.handle(awake, link, ToGate::End { number: 3, end: End::Cancelled });
+    host.disconnect(awake, link);
+    let steps = vec![(100, 100 * CHARGE)];
+    let usage = vec![StoredUsage { workspace: WorkspaceName::from("w"), steps }];
+    let (tx, mut rx) = unbounded_channel();
+    let link = host.connect(tx);
+    let (instance, usage_age) = (InstanceName::from("i"), Duration::from_millis(50));
+    host.handle(awake, link, ToGate::Hello { instance, usage, usage_age });
+    host.handle(awake, link, ToGate::RequestSlot { number: 4, request: request() });
+    host.beat(awake + Duration::from_millis(50));
+    assert_eq!(fate(&mut rx, 4), None);
+    host.beat(awake + Duration::from_millis(100));
+    assert_eq!(fate(&mut rx, 4), Some("refused"), "the limit is used up");
+    assert!(host.serves_majority(awake + Duration::from_millis(100)));
+}
+
+#[test]
+fn a_gate_that_stood_still_goes_on_with_what_it_knows_if_no_instance_left() {
+    let host = host();
+    let now = clock::now();
+    let (link, mut rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    host.beat(now);
+    let awake = now + Duration::from_millis(400);
+    host.handle(awake, link, ToGate::RequestSlot { number: 1, request: request() });
+    assert_eq!(fate(&mut rx, 1), None);
+    host.beat(awake + Duration::from_millis(100));
+    assert_eq!(fate(&mut rx, 1), Some("granted"));
+}
