Count what a gate hands out before it notices a cut to its minority's part

What callers saw: nothing; two gates together handed out up to 1.1 of a limit.

Cause: a gate that is cut off decides as the gate of the majority until its links time out. Its part as a minority's gate began anew then, so that it handed out that part a second time.

Change: what it handed out since a majority was last linked counts to the part.

--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -186,7 +186,7 @@
         if begins && share.slots > 0.0 && !self.had_whole_fleet_recently(now) {
             self.quotas.begin(now);
         }
-        self.quotas.set_share(now, share);
+        self.quotas.set_share(share, self.whole_fleet_at.unwrap_or(now));
     }
 
     /// Records that more than half of the fleet was linked at the time `at`.
--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -186,13 +186,14 @@
         self.bounds.window
     }
 
-    /// Sets the part of the limits that may be handed out here.
-    pub fn set_share(&mut self, now: Duration, share: FleetShare) {
+    /// Sets the part of the limits that may be handed out here. What was handed out since the
+    /// majority was last linked, at `majority_at`, counts to the part of a minority.
+    pub fn set_share(&mut self, share: FleetShare, majority_at: Duration) {
         let fraction = share.limits;
         self.part = match self.part {
             _ if share.is_majority() => LimitPart::Majority(fraction),
             LimitPart::Minority { since, .. } => LimitPart::Minority { fraction, since },
-            LimitPart::Majority(_) => LimitPart::Minority { fraction, since: now },
+            LimitPart::Majority(_) => LimitPart::Minority { fraction, since: majority_at },
         };
     }
 
--- a/lacewingspring_core/tests/limits_of_two_gates.rs
+++ b/lacewingspring_core/tests/limits_of_two_gates.rs
@@ -397,6 +397,16 @@
     }
 }
 
+/// Both decide until the first notices, for a workspace that asks for 4.2 times its limit.
+#[test]
+fn a_gate_that_was_cut_off_goes_on_with_the_usage_of_the_gate_meanwhile() {
+    for away in [ms(700), ms(1_400), ms(1_900), ms(2_300), ms(5_000)] {
+        let fleet = play_interruption(Interruption::Cut, away, RATE * 4.2);
+        let most = fleet.most_in_a_window();
+        assert!(most <= LIMIT, "{away:?}: {most} units in a window, the limit is {LIMIT}");
+    }
+}
+
 #[test]
 fn callers_below_their_limit_are_served_after_an_interruption() {
     for interruption in [Interruption::Frozen, Interruption::Cut] {
