Move the recording of versions to a module, tell the dispatcher of upstreams that are withheld

Cause: the ledger held the recording of versions, too. The dispatcher was told of withheld versions only, so that a process born anew under a withheld version did not make the streams of its name uncertain.

Change: version_recorder.rs; the dispatcher notes all registered upstreams and uses those that are given to it. A failing record logs one line until it works again.

--- a/lacewingspring_core/src/dispatch/streams.rs
+++ b/lacewingspring_core/src/dispatch/streams.rs
@@ -6,6 +6,7 @@
     Dispatcher,
     known_streams::{KnownStreams, ServedVersion},
     resumptions::Resolution,
+    upstream::UpstreamInfo,
     work::{Decision, Grant, SlotRequest, Ticket},
 };
 
@@ -77,6 +78,12 @@
         self.resumptions.record_link(now);
     }
 
+    /// Notes all upstreams that are registered, also those that are not used yet: other gates may
+    /// send streams to them.
+    pub fn note_registered(&mut self, now: Duration, upstreams: &[UpstreamInfo]) {
+        self.resumptions.set_upstreams(now, upstreams);
+    }
+
     /// Adds the versions that were recorded before this gate took over, and queues the requests
     /// whose software version follows from it. Records of services with an `incomplete` version may
     /// be lost.
--- a/lacewingspring_core/tests/resumed_streams.rs
+++ b/lacewingspring_core/tests/resumed_streams.rs
@@ -296,6 +296,18 @@
     assert_eq!(fate, refused(Reason::UnknownSoftware), "it began after the gate took over");
 }
 
+/// Another gate may send streams to an upstream that this one does not use yet.
+#[test]
+fn infers_no_version_while_another_one_is_registered_but_not_used() {
+    let (old, new) = (upstream("a", "v1", 4), upstream("b", "v2", 4));
+    let mut gate = gate(std::slice::from_ref(&old));
+    gate.note_registered(ms(100), &[old.clone(), new]);
+    gate.set_upstreams(ms(100), [old]);
+    let fate = request_confirmed(&mut gate, ms(200), 1, resume(9));
+    assert_eq!(fate, refused(Reason::UnknownSoftware));
+    assert_eq!(request(&mut gate, ms(300), 2, begin(2)), granted("a"), "b is not used");
+}
+
 /// The store came back from an older copy, and all instances were killed before they wrote again.
 #[test]
 fn a_restarted_fleet_infers_nothing_from_records_of_an_earlier_era() {
--- a/lacewingspring_proxy/src/gate/host/versions.rs
+++ b/lacewingspring_proxy/src/gate/host/versions.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use lacewingspring_core::dispatch::{KnownStreams, ServedVersion, UpstreamInfo};
+use lacewingspring_core::dispatch::{ServedVersion, UpstreamInfo};
 use log::warn;
 
 use super::{GateHost, State};
@@ -87,13 +87,11 @@
         }
     }
 
-    /// Gives the dispatcher the upstreams that may be used, and tells it of the versions of the
-    /// others, at which another gate may send streams.
+    /// Gives the dispatcher the upstreams that may be used, and tells it of the others.
     fn apply_upstreams(&mut self, now: Duration) {
-        let (usable, withheld) = self.versions.usable(now);
-        self.withholds_upstreams = !withheld.is_empty();
-        let known = KnownStreams { versions: withheld, ..KnownStreams::default() };
-        self.dispatcher.learn_streams(now, &known);
+        let usable = self.versions.usable(now);
+        self.withholds_upstreams = usable.len() < self.versions.registered().len();
+        self.dispatcher.note_registered(now, self.versions.registered());
         let decisions = self.dispatcher.set_upstreams(now, usable);
         self.send_decisions(decisions);
     }
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -1,5 +1,5 @@
-//! Hands what a gate knows on to the next gate: the usage of the workspaces' limits, and which
-//! requests crash upstreams, and which software versions began streams.
+//! Hands what a gate knows on to the next gate: the usage of the workspaces' limits, which requests
+//! crash upstreams, and which software versions began streams.
 //!
 //! The gate sends it to other instances, at once when it matters, and these report it to the next
 //! gate. It also stores it in the key-value service, for the case that all instances end together.
@@ -11,12 +11,9 @@
 use lacewingspring_core::dispatch::{HandOver, KnownStreams, StoredUsage};
 use log::{info, warn};
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::{
-    sync::watch,
-    time::{sleep, timeout},
-};
+use tokio::{sync::watch, time::sleep};
 
-use super::{host::GateHost, record::Record, version_record};
+use super::{host::GateHost, record::Record, version_recorder::VersionRecorder};
 use crate::{clock, store::Store};
 
 /// Key of the stored usage.
@@ -47,9 +44,6 @@
 /// until the caller has an event that it could continue after.
 const MIN_RECENT_WRITE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Interval of the checks for versions to be recorded, if no change of the upstreams tells of one.
-const VERSION_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Interval of the checks whether this instance is the gate and whether something is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -102,8 +96,9 @@
     /// Loads what is stored at the start and when this instance becomes the gate, and publishes and
     /// stores what it knows while it is the gate. Never returns.
     pub async fn run(self) {
+        let versions = VersionRecorder { store: &*self.store, host: &self.host };
         // An instance that does not reach the others yet may serve requests before it is the gate.
-        self.load_versions(|| true).await;
+        versions.load(|| true).await;
         self.load_hand_over(|| true).await;
         self.load_streams(|| true).await;
         loop {
@@ -118,7 +113,7 @@
                 () = self.publish(tx) => {}
                 () = self.load_and_write(rx, until_tx) => {}
                 () = self.write_recent_streams(until_rx) => {}
-                () = self.record_versions() => {}
+                () = versions.run() => {}
             }
         }
     }
@@ -127,45 +122,6 @@
         self.host.serves_majority(clock::now())
     }
 
-    /// Records the software versions of upstreams while this instance is the gate.
-    async fn record_versions(&self) {
-        // What was recorded before is loaded first: it tells at which versions earlier gates began
-        // streams.
-        self.load_versions(|| self.serves_majority()).await;
-        let mut era = self.store.era();
-        while self.serves_majority() {
-            if std::mem::replace(&mut era, self.store.era()) != self.store.era() {
-                self.host.forget_recorded_versions();
-            }
-            self.write_versions().await;
-            // After either, the loop looks for versions again.
-            let _ = timeout(VERSION_CHECK_INTERVAL, self.host.versions_changed()).await;
-        }
-    }
-
-    async fn write_versions(&self) {
-        for version in self.host.unrecorded_versions() {
-            match version_record::write(&*self.store, &version, false).await {
-                Ok(()) => self.host.set_versions_recorded(clock::now(), &[version]),
-                Err(e) => warn!(
-                    service = version.service.as_str(), software = version.software.as_str(),
-                    error:% = e;
-                    "Recording a software version failed; trying again later."
-                ),
-            }
-        }
-        for version in self.host.take_expired_versions(clock::now()) {
-            match version_record::write(&*self.store, &version, true).await {
-                Ok(()) => self.host.remove_version(&version),
-                Err(e) => warn!(
-                    service = version.service.as_str(), software = version.software.as_str(),
-                    error:% = e;
-                    "Recording that a software version left failed; trying again later."
-                ),
-            }
-        }
-    }
-
     /// Stores streams soon after they begin, so that few are lost if all instances end together.
     async fn write_recent_streams(&self, mut stored_until: watch::Receiver<StoredUntil>) {
         let mut recent: Record<KnownStreams> =
@@ -305,30 +261,6 @@
         }
     }
 
-    /// Loads the recorded software versions, again until the service answers.
-    async fn load_versions<F>(&self, is_needed: F)
-    where
-        F: Fn() -> bool,
-    {
-        while is_needed() {
-            match version_record::load(&*self.store).await {
-                Ok(loaded) => {
-                    info!(
-                        versions = loaded.complete.len(), incomplete = loaded.incomplete.len();
-                        "The recorded software versions of upstreams are loaded."
-                    );
-                    let now = clock::now();
-                    self.host.learn_recorded_versions(now, &loaded.complete, &loaded.incomplete);
-                    return;
-                }
-                Err(e) => {
-                    warn!(error:% = e; "Reading the recorded software versions failed; trying again.");
-                    sleep(CHECK_INTERVAL).await;
-                }
-            }
-        }
-    }
-
     /// Reads a record until the service answers; `None` if its value can't be parsed or it is no
     /// longer needed.
     async fn read<T, F>(&self, record: Record<T>, is_needed: F) -> Option<T>
--- a/lacewingspring_proxy/src/gate/mod.rs
+++ b/lacewingspring_proxy/src/gate/mod.rs
@@ -19,3 +19,4 @@
 pub mod slot;
 mod suspects;
 mod version_record;
+mod version_recorder;
--- a/lacewingspring_proxy/src/gate/recorded_versions.rs
+++ b/lacewingspring_proxy/src/gate/recorded_versions.rs
@@ -30,6 +30,12 @@
     is_recorded: bool,
 }
 
+impl VersionState {
+    fn is_usable(&self, now: Duration) -> bool {
+        self.is_recorded || now.saturating_sub(self.since) >= MAX_RECORD_DELAY
+    }
+}
+
 /// The registered upstreams, and which of their versions are recorded.
 #[derive(Debug, Default)]
 pub struct RecordedVersions {
@@ -107,18 +113,17 @@
         }
     }
 
-    /// Returns the upstreams that may be used, and the versions of the others.
-    pub fn usable(&self, now: Duration) -> (Vec<UpstreamInfo>, Vec<ServedVersion>) {
-        let is_withheld = |key: &VersionKey| {
-            self.is_enabled
-                && self.versions.get(key).is_some_and(|version| {
-                    !version.is_recorded && now.saturating_sub(version.since) < MAX_RECORD_DELAY
-                })
+    /// Returns all registered upstreams.
+    pub fn registered(&self) -> &[UpstreamInfo] {
+        &self.upstreams
+    }
+
+    /// Returns the upstreams that may be used.
+    pub fn usable(&self, now: Duration) -> Vec<UpstreamInfo> {
+        let is_usable = |info: &&UpstreamInfo| {
+            !self.is_enabled || self.versions.get(&key_of(info)).is_none_or(|v| v.is_usable(now))
         };
-        let usable = self.upstreams.iter().filter(|info| !is_withheld(&key_of(info)));
-        let versions = self.versions.iter().filter(|(_, version)| version.is_registered);
-        let withheld = versions.map(|(key, _)| key).filter(|key| is_withheld(key));
-        (usable.cloned().collect(), withheld.map(served).collect())
+        self.upstreams.iter().filter(is_usable).cloned().collect()
     }
 }
 
--- /dev/null
+++ b/lacewingspring_proxy/src/gate/version_recorder.rs
@@ -0,0 +1,97 @@
+//! Records the software versions of upstreams while this instance is the gate.
+
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::time::{sleep, timeout};
+
+use super::{host::GateHost, version_record};
+use crate::{
+    clock,
+    store::{Store, StoreError},
+};
+
+/// Interval of the checks for versions to be recorded, if no change of the upstreams tells of one.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Delay after a failed read.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Records the versions of a gate's upstreams.
+#[derive(Debug)]
+pub(super) struct VersionRecorder<'a, S> {
+    /// The key-value service.
+    pub store: &'a S,
+    /// Gate host of this instance.
+    pub host: &'a GateHost,
+}
+
+impl<S> VersionRecorder<'_, S>
+where
+    S: Store,
+{
+    /// Records versions until this instance is no longer the gate.
+    pub(super) async fn run(&self) {
+        // What was recorded before tells at which versions earlier gates began streams.
+        self.load(|| self.serves_majority()).await;
+        let mut era = self.store.era();
+        let mut is_failing = false;
+        while self.serves_majority() {
+            if era != self.store.era() {
+                era = self.store.era();
+                self.host.forget_recorded_versions();
+            }
+            match self.write_all().await {
+                Ok(()) => is_failing = false,
+                Err(e) => {
+                    if !std::mem::replace(&mut is_failing, true) {
+                        warn!(error:% = e; "Recording software versions failed; trying again.");
+                    }
+                }
+            }
+            // A time-out is as good a reason to look for versions as a change.
+            let _ = timeout(CHECK_INTERVAL, self.host.versions_changed()).await;
+        }
+    }
+
+    fn serves_majority(&self) -> bool {
+        self.host.serves_majority(clock::now())
+    }
+
+    /// Records the new versions, and that others left.
+    async fn write_all(&self) -> Result<(), StoreError> {
+        for version in self.host.unrecorded_versions() {
+            version_record::write(self.store, &version, false).await?;
+            self.host.set_versions_recorded(clock::now(), &[version]);
+        }
+        for version in self.host.take_expired_versions(clock::now()) {
+            version_record::write(self.store, &version, true).await?;
+            self.host.remove_version(&version);
+        }
+        Ok(())
+    }
+
+    /// Loads the recorded versions, again until the service answers or they are no longer needed.
+    pub(super) async fn load<F>(&self, is_needed: F)
+    where
+        F: Fn() -> bool,
+    {
+        while is_needed() {
+            match version_record::load(self.store).await {
+                Ok(loaded) => {
+                    info!(
+                        versions = loaded.complete.len(), incomplete = loaded.incomplete.len();
+                        "The recorded software versions of upstreams are loaded."
+                    );
+                    let now = clock::now();
+                    self.host.learn_recorded_versions(now, &loaded.complete, &loaded.incomplete);
+                    return;
+                }
+                Err(e) => {
+                    warn!(error:% = e; "Reading the recorded software versions failed; trying again.");
+                    sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+}
