Apply withheld upstreams once, when their time is over

Cause: while a version could not be recorded, each slot request applied all upstreams again, for up to a second.

Change: the gate notes the time at which withheld upstreams are used all the same.

--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -76,8 +76,9 @@
     roster: FleetRoster,
     pauses: Pauses,
     versions: RecordedVersions,
-    /// Whether upstreams of versions that are not recorded are withheld.
-    withholds_upstreams: bool,
+    /// Time at which upstreams whose version is not recorded are used all the same; `None` if none
+    /// is withheld.
+    withheld_until: Option<Duration>,
     /// Share that was logged last.
     logged_share: FleetShare,
     links: HashMap<u64, Link>,
@@ -113,7 +114,7 @@
             roster: FleetRoster::default(),
             pauses: Pauses::default(),
             versions: RecordedVersions::default(),
-            withholds_upstreams: false,
+            withheld_until: None,
             logged_share: FleetShare::default(),
             links: HashMap::new(),
             next_link: 0,
--- a/lacewingspring_proxy/src/gate/host/versions.rs
+++ b/lacewingspring_proxy/src/gate/host/versions.rs
@@ -78,19 +78,16 @@
 impl State {
     /// Uses the upstreams that were withheld for too long.
     pub(super) fn use_overdue_upstreams(&mut self, now: Duration) {
-        if !self.withholds_upstreams {
-            return;
-        }
-        self.apply_upstreams(now);
-        if !self.withholds_upstreams {
+        if self.withheld_until.is_some_and(|until| until <= now) {
             warn!("Upstreams are used although their software version is not recorded.");
+            self.apply_upstreams(now);
         }
     }
 
     /// Gives the dispatcher the upstreams that may be used, and tells it of the others.
     fn apply_upstreams(&mut self, now: Duration) {
         let usable = self.versions.usable(now);
-        self.withholds_upstreams = usable.len() < self.versions.registered().len();
+        self.withheld_until = self.versions.withheld_until(now);
         self.dispatcher.note_registered(now, self.versions.registered());
         let decisions = self.dispatcher.set_upstreams(now, usable);
         self.send_decisions(decisions);
--- a/lacewingspring_proxy/src/gate/recorded_versions.rs
+++ b/lacewingspring_proxy/src/gate/recorded_versions.rs
@@ -125,6 +125,14 @@
         };
         self.upstreams.iter().filter(is_usable).cloned().collect()
     }
+
+    /// Returns the time at which the next upstream that is withheld at `now` is used all the same;
+    /// `None` if none is withheld.
+    pub fn withheld_until(&self, now: Duration) -> Option<Duration> {
+        let versions = self.versions.values().filter(|version| version.is_registered);
+        let withheld = versions.filter(|version| self.is_enabled && !version.is_usable(now));
+        withheld.map(|version| version.since + MAX_RECORD_DELAY).min()
+    }
 }
 
 fn key_of(info: &UpstreamInfo) -> VersionKey {
--- a/lacewingspring_proxy/tests/recorded_versions.rs
+++ b/lacewingspring_proxy/tests/recorded_versions.rs
@@ -62,7 +62,9 @@
     versions.set_registered(ms(0), vec![upstream("a", "v1")]);
     versions.set_registered(ms(500), vec![upstream("a", "v1"), upstream("b", "v1")]);
     assert_eq!(usable(&versions, MAX_RECORD_DELAY - ms(1)), [""; 0]);
+    assert_eq!(versions.withheld_until(ms(500)), Some(MAX_RECORD_DELAY));
     assert_eq!(usable(&versions, MAX_RECORD_DELAY), ["a", "b"]);
+    assert_eq!(versions.withheld_until(MAX_RECORD_DELAY), None);
     assert_eq!(versions.unrecorded(), [version("v1")], "it is still to be recorded");
 }
 
