Record a version at once that its service can't be served without

What callers saw: after a restart of all instances beside servers of a new version only, new streams got 503, no_upstream, until most instances were linked.

Cause: the gate of most of the fleet alone recorded versions, and no upstream of an unrecorded one was used.

Change: an instance that grants slots before there is such a gate records the versions of services that it has no other upstream of.

--- a/lacewingspring_proxy/src/gate/host/versions.rs
+++ b/lacewingspring_proxy/src/gate/host/versions.rs
@@ -35,6 +35,14 @@
         self.state().versions.unrecorded()
     }
 
+    /// Returns the versions that are to be recorded before this instance can serve their services at
+    /// all; none while it grants no slots.
+    pub fn urgent_versions(&self, now: Duration) -> Vec<ServedVersion> {
+        let state = self.state();
+        let grants_slots = state.dispatcher.fleet_share().slots > 0.0;
+        if grants_slots { state.versions.urgent(now) } else { Vec::new() }
+    }
+
     /// Notes that versions are recorded, and uses their upstreams.
     pub fn set_versions_recorded(&self, now: Duration, versions: &[ServedVersion]) {
         let mut state = self.state();
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -103,7 +103,7 @@
         self.load_streams(|| true).await;
         loop {
             while !self.serves_majority() {
-                sleep(CHECK_INTERVAL).await;
+                versions.wait_for_majority(CHECK_INTERVAL).await;
             }
             // The service may be slow or away while the other instances are not.
             let (tx, rx) = watch::channel(Stored::default());
--- a/lacewingspring_proxy/src/gate/recorded_versions.rs
+++ b/lacewingspring_proxy/src/gate/recorded_versions.rs
@@ -92,6 +92,13 @@
         unrecorded.map(|(key, _)| served(key)).collect()
     }
 
+    /// Returns the versions to be recorded of services that have no usable upstream before.
+    pub fn urgent(&self, now: Duration) -> Vec<ServedVersion> {
+        let usable: BTreeSet<ServiceName> =
+            self.usable(now).into_iter().map(|info| info.service).collect();
+        self.unrecorded().into_iter().filter(|version| !usable.contains(&version.service)).collect()
+    }
+
     /// Returns the versions whose record is no longer needed, as their last upstream left longer
     /// than `retention` ago. They count as not recorded from now on.
     pub fn take_expired(&mut self, now: Duration, retention: Duration) -> Vec<ServedVersion> {
--- a/lacewingspring_proxy/src/gate/version_recorder.rs
+++ b/lacewingspring_proxy/src/gate/version_recorder.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use lacewingspring_core::dispatch::ServedVersion;
 use log::{info, warn};
 use tokio::time::{sleep, timeout};
 
@@ -58,12 +59,27 @@
         self.host.serves_majority(clock::now())
     }
 
-    /// Records the new versions, and that others left.
-    async fn write_all(&self) -> Result<(), StoreError> {
-        for version in self.host.unrecorded_versions() {
+    /// Waits for `interval` or a change of the upstreams. Meanwhile, before there is a gate for the
+    /// fleet, records what this instance needs to serve its own callers.
+    pub(super) async fn wait_for_majority(&self, interval: Duration) {
+        if let Err(e) = self.write_new(self.host.urgent_versions(clock::now())).await {
+            warn!(error:% = e; "Recording software versions failed; trying again.");
+        }
+        // A time-out is as good a reason to look again as a change.
+        let _ = timeout(interval, self.host.versions_changed()).await;
+    }
+
+    async fn write_new(&self, versions: Vec<ServedVersion>) -> Result<(), StoreError> {
+        for version in versions {
             version_record::write(self.store, &version, false).await?;
             self.host.set_versions_recorded(clock::now(), &[version]);
         }
+        Ok(())
+    }
+
+    /// Records the new versions, and that others left.
+    async fn write_all(&self) -> Result<(), StoreError> {
+        self.write_new(self.host.unrecorded_versions()).await?;
         for version in self.host.take_expired_versions(clock::now()) {
             version_record::write(self.store, &version, true).await?;
             self.host.remove_version(&version);
--- a/lacewingspring_proxy/tests/recorded_versions.rs
+++ b/lacewingspring_proxy/tests/recorded_versions.rs
@@ -94,3 +94,15 @@
     assert_eq!(versions.unrecorded(), [version("v1")]);
     assert_eq!(usable(&versions, ms(5_000)), ["a"]);
 }
+
+/// A fleet that starts again and finds only servers of a new version refused all new streams until
+/// most instances were linked.
+#[test]
+fn a_version_is_urgent_while_its_service_has_no_other() {
+    let mut versions = enabled();
+    versions.set_registered(ms(0), vec![upstream("b", "v2")]);
+    assert_eq!(versions.urgent(ms(10)), [version("v2")]);
+    versions.set_recorded(ms(20), &[version("v1")]);
+    versions.set_registered(ms(30), vec![upstream("a", "v1"), upstream("b", "v2")]);
+    assert_eq!(versions.urgent(ms(30)), []);
+}
