Defer a slot request for 0.3 s at most

Cause, by reading: a process that gets too little processor time stands still for more than 0.25 s again and again. Each pause put off all decisions anew, so that requests were deferred without end.

Change: a request is deferred for 0.3 s at most; queued requests are dispatched while the gate settles.

--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -12,7 +12,7 @@
 use lacewingspring_core::{
     dispatch::{
         Decision, Dispatcher, FleetRoster, FleetShare, HandOver, Limits, ServiceCounts,
-        StoredUsage, Ticket,
+        SlotRequest, StoredUsage, Ticket,
     },
     names::{InstanceName, ServiceName},
 };
@@ -203,16 +203,11 @@
                 Vec::new()
             }
             ToGate::RequestSlot { number, request } => {
-                let Some(request) = state.defer_while_settling(now, link, number, request) else {
-                    return;
-                };
-                state.use_overdue_upstreams(now);
-                let decisions = state.dispatcher.request_slot(now, ticket(number), request);
-                if !decisions.iter().any(|decision| ticket_of(decision) == ticket(number)) {
-                    state.send(link, FromGate::Queued { number });
-                    self.queued.notify_one();
+                if let Some(request) = state.defer_while_settling(now, link, number, request) {
+                    drop(state);
+                    self.decide(now, link, number, request);
                 }
-                decisions
+                return;
             }
             ToGate::FirstOutput { number, took } => {
                 state.dispatcher.first_output(now, ticket(number), took);
@@ -232,6 +227,25 @@
         }
     }
 
+    /// Decides on a slot request, or queues it.
+    fn decide(&self, now: Duration, link: u64, number: u64, request: SlotRequest) {
+        let mut state = self.state();
+        if !state.links.contains_key(&link) {
+            return;
+        }
+        state.use_overdue_upstreams(now);
+        let ticket = Ticket { link, number };
+        let decisions = state.dispatcher.request_slot(now, ticket, request);
+        if !decisions.iter().any(|decision| ticket_of(decision) == ticket) {
+            state.send(link, FromGate::Queued { number });
+            self.queued.notify_one();
+        }
+        state.send_decisions(decisions);
+        if state.dispatcher.has_unpublished_streams() {
+            self.streams_changed.notify_one();
+        }
+    }
+
     /// Returns whether more than half of the fleet is linked to this instance, as far as it knows:
     /// not right after its process stood still.
     pub fn serves_majority(&self, now: Duration) -> bool {
@@ -309,9 +323,6 @@
             let now = clock::now();
             let mut state = self.state();
             state.pauses.observe(now);
-            if state.pauses.is_settling(now) {
-                continue;
-            }
             state.use_overdue_upstreams(now);
             let decisions = state.dispatcher.tick(now);
             state.send_decisions(decisions);
--- a/lacewingspring_proxy/src/gate/host/pause.rs
+++ b/lacewingspring_proxy/src/gate/host/pause.rs
@@ -10,7 +10,7 @@
 use log::info;
 use tokio::time::sleep;
 
-use super::{FromGate, GateHost, State, ToGate};
+use super::{FromGate, GateHost, State};
 use crate::clock;
 
 /// Interval at which the process notes that it runs.
@@ -23,6 +23,10 @@
 /// Time after a pause until the ends of links and the messages of new ones have been read.
 const SETTLE_TIME: Duration = Duration::from_millis(100);
 
+/// Longest time for which a slot request is deferred: a process that gets too little processor time
+/// pauses again and again.
+const MAX_DEFERRAL: Duration = Duration::from_millis(300);
+
 /// A slot request that arrived right after a pause.
 #[derive(Debug)]
 struct Deferred {
@@ -74,6 +78,16 @@
         self.deferred.len() < before
     }
 
+    /// Removes the requests that are to be decided on: all once the gate has settled, else those that
+    /// were deferred for too long.
+    fn take_due(&mut self, now: Duration) -> Vec<Deferred> {
+        let is_settled = !self.is_settling(now);
+        let is_due = |deferred: &mut Deferred| {
+            is_settled || now.saturating_sub(deferred.since) >= MAX_DEFERRAL
+        };
+        self.deferred.extract_if(.., is_due).collect()
+    }
+
     /// Removes the deferred requests of a link.
     pub(super) fn end_link(&mut self, link: u64) {
         self.deferred.retain(|deferred| deferred.link != link);
@@ -95,17 +109,16 @@
         let mut state = self.state();
         state.pauses.active_at.get_or_insert(now);
         state.pauses.observe(now);
-        if state.pauses.is_settling(now) {
-            return;
-        }
-        if let Some(at) = state.roster.majority_heard_at() {
+        if !state.pauses.is_settling(now)
+            && let Some(at) = state.roster.majority_heard_at()
+        {
             state.dispatcher.confirm_whole_fleet(at);
         }
-        let deferred = std::mem::take(&mut state.pauses.deferred);
+        let due = state.pauses.take_due(now);
         drop(state);
-        for Deferred { link, number, mut request, since } in deferred {
+        for Deferred { link, number, mut request, since } in due {
             request.shorten_times(now.saturating_sub(since));
-            self.handle(now, link, ToGate::RequestSlot { number, request });
+            self.decide(now, link, number, request);
         }
     }
 
--- a/lacewingspring_proxy/tests/ledger.rs
+++ b/lacewingspring_proxy/tests/ledger.rs
@@ -303,3 +303,20 @@
     host.beat(awake + Duration::from_millis(100));
     assert_eq!(fate(&mut rx, 1), Some("granted"));
 }
+
+/// A process with too little processor time stands still for 0.3 s again and again.
+#[test]
+fn a_gate_that_pauses_again_and_again_still_decides() {
+    let host = host();
+    let now = clock::now();
+    let (link, mut rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    host.beat(now);
+    for round in 1..10 {
+        let awake = now + Duration::from_millis(300 * round);
+        host.beat(awake);
+        if round == 1 {
+            host.handle(awake, link, ToGate::RequestSlot { number: 1, request: request() });
+        }
+    }
+    assert_eq!(fate(&mut rx, 1), Some("granted"));
+}
