Wrap long comment lines

Cause: eight added lines were wider than 100 columns, which the formatter leaves in comments and macros.

Change: line breaks only; the head of pause.rs says that requests are deferred.

Result: the formatter is clean; no behaviour changes.

--- a/lacewingspring_proxy/src/gate/host/pause.rs
+++ b/lacewingspring_proxy/src/gate/host/pause.rs
@@ -1,8 +1,8 @@
-//! Notices that the process stood still, and decides nothing until it is known who still follows this
-//! gate.
+//! Notices that the process stood still, and defers slot requests until it is known who still
+//! follows this gate.
 //!
-//! While a gate stands still, the other instances follow another one, which hands out limits. When it
-//! goes on, it finds requests of its own callers before it finds that its links are closed.
+//! While a gate stands still, the other instances follow another one, which hands out limits. When
+//! it goes on, it finds requests of its own callers before it finds that its links are closed.
 
 use std::{sync::Arc, time::Duration};
 
@@ -78,8 +78,8 @@
         self.deferred.len() < before
     }
 
-    /// Removes the requests that are to be decided on: all once the gate has settled, else those that
-    /// were deferred for too long.
+    /// Removes the requests that are to be decided on: all once the gate has settled, else those
+    /// that were deferred for too long.
     fn take_due(&mut self, now: Duration) -> Vec<Deferred> {
         let is_settled = !self.is_settling(now);
         let is_due = |deferred: &mut Deferred| {
--- a/lacewingspring_proxy/src/gate/host/streams.rs
+++ b/lacewingspring_proxy/src/gate/host/streams.rs
@@ -62,7 +62,8 @@
         self.state().dispatcher.mixed_streams(now)
     }
 
-    /// As [`mixed_streams`](Self::mixed_streams), of the streams that were noted at `since` or later.
+    /// As [`mixed_streams`](Self::mixed_streams), of the streams that were noted at `since` or
+    /// later.
     pub fn mixed_streams_since(&self, now: Duration, since: Duration) -> KnownStreams {
         self.state().dispatcher.mixed_streams_since(now, since)
     }
--- a/lacewingspring_proxy/src/gate/host/versions.rs
+++ b/lacewingspring_proxy/src/gate/host/versions.rs
@@ -35,8 +35,8 @@
         self.state().versions.unrecorded()
     }
 
-    /// Returns the versions that are to be recorded before this instance can serve their services at
-    /// all; none while it grants no slots.
+    /// Returns the versions that are to be recorded before this instance can serve their services
+    /// at all; none while it grants no slots.
     pub fn urgent_versions(&self, now: Duration) -> Vec<ServedVersion> {
         let state = self.state();
         let grants_slots = state.dispatcher.fleet_share().slots > 0.0;
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -40,8 +40,8 @@
 /// Minimum time between two writes of another record.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Minimum time between two writes of the recent streams: less than it takes from the grant of a slot
-/// until the caller has an event that it could continue after.
+/// Minimum time between two writes of the recent streams: less than it takes from the grant of a
+/// slot until the caller has an event that it could continue after.
 const MIN_RECENT_WRITE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Interval of the checks whether this instance is the gate and whether something is due.
--- a/lacewingspring_proxy/src/gate/version_record.rs
+++ b/lacewingspring_proxy/src/gate/version_record.rs
@@ -1,7 +1,7 @@
 //! Records of software versions in the key-value service, one key a version.
 //!
-//! Several gates may write at the same time, each after a freeze or a cut. As each key says the same
-//! whoever writes it, a late write takes nothing away.
+//! Several gates may write at the same time, each after a freeze or a cut. As each key says the
+//! same whoever writes it, a late write takes nothing away.
 
 use std::time::Duration;
 
--- a/lacewingspring_proxy/src/gate/version_recorder.rs
+++ b/lacewingspring_proxy/src/gate/version_recorder.rs
@@ -104,7 +104,10 @@
                     return;
                 }
                 Err(e) => {
-                    warn!(error:% = e; "Reading the recorded software versions failed; trying again.");
+                    warn!(
+                        error:% = e;
+                        "Reading the recorded software versions failed; trying again."
+                    );
                     sleep(RETRY_DELAY).await;
                 }
             }
