Shorten comments of three regression tests to a line

Cause: they told more than the failure that each test guards against; the story is in the postmortems.

Change: comments in test files only.

--- a/lacewingspring_core/tests/resumed_streams.rs
+++ b/lacewingspring_core/tests/resumed_streams.rs
@@ -218,8 +218,7 @@
     assert_eq!(gate.tick(ms(1_100)), Vec::new());
 }
 
-/// An instance that was cut off from the registry just before a release sent streams of the new
-/// version to the old one.
+/// An instance that was cut off just before a release sent new streams to the old version.
 #[test]
 fn infers_no_version_from_a_registry_older_than_the_resumption() {
     for share in [FleetShare::of_minority(0.25), FleetShare::WHOLE] {
--- a/lacewingspring_proxy/tests/ledger.rs
+++ b/lacewingspring_proxy/tests/ledger.rs
@@ -254,8 +254,7 @@
     fate
 }
 
-/// While the gate stood still, another one handed out the whole limit. When it goes on, requests of
-/// its own callers come before the end of the links.
+/// Requests of the gate's own callers come before the ends of its links.
 #[test]
 fn a_gate_that_stood_still_decides_nothing_before_it_knows_what_was_handed_out() {
     let host = host();
--- a/lacewingspring_proxy/tests/recorded_versions.rs
+++ b/lacewingspring_proxy/tests/recorded_versions.rs
@@ -95,8 +95,7 @@
     assert_eq!(usable(&versions, ms(5_000)), ["a"]);
 }
 
-/// A fleet that starts again and finds only servers of a new version refused all new streams until
-/// most instances were linked.
+/// A restarted fleet refused new streams while it had servers of an unrecorded version only.
 #[test]
 fn a_version_is_urgent_while_its_service_has_no_other() {
     let mut versions = enabled();
