Admit a request that is passed on by the newer configuration of the two instances

Cause: an instance without a path passes its requests on, and the other instance admitted them anew by its own configuration, however old: the store had turned it away since before the change. The trace of the claim shows it (admitted and granted under version 14 here, `not_found` under version 10 there). So a request was decided twice, and the second decision knew nothing of the first.

The newer configuration of the two decides. An instance with an older one, or none, serves the request as it was admitted. One that can't tell refuses as one without a path does, so that the next is tried; so does one that has no configuration yet.

Why this works: whichever instance runs the request, no configuration older than that of the caller's instance decides, and nothing is refused for it.

--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -32,7 +32,7 @@
 const EXPORT_STEP: Duration = Duration::from_millis(250);
 
 /// Usage limit of one workspace, in the units that requests are charged; the proxy charges tokens.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Quota {
     /// Units per second; `None` if the workspace has no limit.
     pub rate: Option<f64>,
--- a/lacewingspring_proxy/src/declared.rs
+++ b/lacewingspring_proxy/src/declared.rs
@@ -7,6 +7,7 @@
     names::{ServiceName, WorkspaceName},
 };
 use rand::RngExt;
+use serde::{Deserialize, Serialize};
 
 /// Minimum time after which a caller is assumed to abandon a stream without a first event.
 const MIN_FIRST_OUTPUT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -20,7 +21,7 @@
 const FIRST_OUTPUT_GAP_FACTOR: u32 = 8;
 
 /// Kind of a request: how often it may run, and whether its response is a stream of events.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RequestKind {
     /// May run any number of times.
     Idempotent,
@@ -54,7 +55,7 @@
 }
 
 /// Route from a host and path prefix to services.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route.
     pub name: Arc<str>,
@@ -72,7 +73,8 @@
     pub max_event_gap: Option<Duration>,
     /// Priority; 0 is the highest.
     pub rank: u8,
-    /// Services that it leads to.
+    /// Services that it leads to; other instances are told the chosen one only.
+    #[serde(skip)]
     pub targets: Vec<RouteTarget>,
     /// Maximum number of attempts at upstreams for one request; the first few that reach no
     /// upstream are not counted.
@@ -113,7 +115,7 @@
 }
 
 /// Workspace with its rate limit.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Workspace {
     /// Name of the workspace.
     pub name: WorkspaceName,
@@ -128,7 +130,7 @@
 }
 
 /// Service with the properties of its engines.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
     /// Name of the service.
     pub name: ServiceName,
@@ -196,6 +198,13 @@
         self.services.insert(service.name.clone(), service);
     }
 
+    /// Returns the properties of a service; those of one without engines if it is not declared.
+    pub fn service(&self, name: &ServiceName) -> Service {
+        let undeclared =
+            || Service { name: name.clone(), memory_tokens: None, tokens_per_event: 1 };
+        self.services.get(name).cloned().unwrap_or_else(undeclared)
+    }
+
     /// Requires a credential for all routes that are not public.
     pub fn require_credential(&mut self) {
         self.needs_credential = true;
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout_at;
 
 use crate::{
-    admission::{Admitted, admit},
+    admission::{Admitted, admit, admit_passed_on},
     answer::{BodyError, ResponseBody},
     attempt::Attempt,
     clock,
@@ -23,8 +23,9 @@
     exchange::{self, Connect, ExchangeError, UpstreamResponse},
     gate::{link::GateClient, slot::Slot},
     job::{Attempts, Job, fingerprint, read_body},
+    mark::{Mark, mark_refusal},
     metrics::SharedMetrics,
-    pass_on::{OtherInstances, PassedOn, mark_no_path},
+    pass_on::{OtherInstances, PassedOn},
     protocol::{CallerHead, Protocol, SendHead},
     refusal::{ErrorResponse, Failure},
     relay::{Outcome, Relay},
@@ -88,14 +89,20 @@
     async fn respond(&self, began: Duration, req: Request<Incoming>) -> Response<ResponseBody> {
         let (mut head, body) = req.into_parts();
         let mark = self.others.take_mark(&mut head.headers);
-        if let Some(last_attempt) = mark.and_then(|mark| mark.last_attempt) {
+        if let Some(last_attempt) = mark.as_ref().and_then(|mark| mark.last_attempt) {
             self.gate.number_attempts_after(last_attempt);
         }
         let is_passed_on = mark.is_some();
         let caller = self.protocol.caller_head(&head.headers);
-        let admitted = match self.admit(&head, &caller) {
+        let admitted = match self.admit(&head, &caller, mark.as_ref()) {
             Ok(admitted) => admitted,
-            Err(failure) => return self.refuse_unadmitted(began, &caller, failure),
+            Err(failure) => {
+                let mut response = self.refuse_unadmitted(began, &caller, failure);
+                if is_passed_on {
+                    mark_refusal(response.headers_mut(), failure);
+                }
+                return response;
+            }
         };
         let trace = Arc::new(RequestTrace::new(began, &caller, &admitted, self.metrics.clone()));
         let received = Received { head: &head, body, caller, admitted, is_passed_on };
@@ -103,16 +110,24 @@
         result.unwrap_or_else(|error| {
             trace.refused(clock::now(), &error);
             let mut response = error.into_response();
-            if is_passed_on && error.failure == Failure::Unreachable {
-                mark_no_path(response.headers_mut());
+            if is_passed_on {
+                mark_refusal(response.headers_mut(), error.failure);
             }
             buffered(response)
         })
     }
 
-    fn admit(&self, head: &Parts, caller: &CallerHead) -> Result<Admitted, Failure> {
-        let declared = self.declared.load_full().ok_or(Failure::NotConfigured)?;
-        admit(&declared, head, caller)
+    fn admit(
+        &self,
+        head: &Parts,
+        caller: &CallerHead,
+        mark: Option<&Mark>,
+    ) -> Result<Admitted, Failure> {
+        let declared = self.declared.load_full();
+        match mark {
+            Some(mark) => admit_passed_on(declared.as_deref(), head, caller, mark),
+            None => admit(declared.as_deref().ok_or(Failure::NotConfigured)?, head, caller),
+        }
     }
 
     /// Refuses a request that is malformed, has no route or credential, or arrives before the
@@ -147,20 +162,9 @@
         let body =
             timeout_at(clock::instant(deadline), read_body(body, admitted.max_body_bytes)).await;
         let body = body.map_err(|_| Failure::TimeoutBeforeSend)??;
-        let service = admitted.route.choose().ok_or(Failure::NotFound)?.clone();
         let fingerprint = fingerprint(head, &admitted, &body);
-        let job = Job {
-            head,
-            body,
-            caller,
-            admitted,
-            trace,
-            service,
-            fingerprint,
-            began,
-            deadline,
-            is_passed_on,
-        };
+        let job =
+            Job { head, body, caller, admitted, trace, fingerprint, began, deadline, is_passed_on };
         self.send_with_retries(job).await
     }
 
@@ -169,9 +173,14 @@
         if job.is_passed_on {
             return Err(declined_error(Failure::Unreachable));
         }
-        let (head, body, trace) = (job.head, job.body.clone(), &job.trace);
-        let last_attempt = self.gate.last_attempt();
-        let request = PassedOn { head, body, deadline: job.deadline, last_attempt, trace };
+        let request = PassedOn {
+            head: job.head,
+            body: job.body.clone(),
+            admitted: &job.admitted,
+            deadline: job.deadline,
+            last_attempt: self.gate.last_attempt(),
+            trace: &job.trace,
+        };
         self.others.pass_on(&*self.protocol, request).await
     }
 
@@ -185,7 +194,7 @@
         let max_attempts = job.admitted.route.max_attempts;
         let is_repeatable = job.admitted.route.kind.is_repeatable();
         loop {
-            if self.path.is_lost(&job.service) && !attempts.may_have_run {
+            if self.path.is_lost(&job.admitted.service.name) && !attempts.may_have_run {
                 return self.pass_on(&job).await;
             }
             let slot = match self.acquire_slot(&job, &attempts).await {
@@ -263,7 +272,7 @@
                     unavailable: &self.unavailable,
                     id: &job.caller.id,
                     is_stream_route: job.admitted.route.kind.is_stream(),
-                    tokens_per_event: self.tokens_per_event(job),
+                    tokens_per_event: job.admitted.service.tokens_per_event,
                     deadline: clock::instant(job.deadline),
                 };
                 relay.pass_on(attempt, response).await
@@ -310,13 +319,6 @@
         *req.headers_mut() = self.protocol.upstream_headers(&job.head.headers, &send);
         exchange::send(stream, req).await
     }
-
-    /// Returns the output tokens in each event of a streamed response.
-    fn tokens_per_event(&self, job: &Job<'_>) -> u32 {
-        let declared = self.declared.load();
-        let service = declared.as_ref().and_then(|declared| declared.services.get(&job.service));
-        service.map_or(1, |service| service.tokens_per_event)
-    }
 }
 
 /// Time after which the caller may retry if the last allowed attempt was declined or reached no
--- a/lacewingspring_proxy/src/instance/serve.rs
+++ b/lacewingspring_proxy/src/instance/serve.rs
@@ -21,6 +21,7 @@
     directory::Directory,
     forward::Forwarder,
     gate::link::GateClient,
+    mark::MAX_HEADER_BYTES,
     members::Member,
     pass_on::OtherInstances,
     protocol::Protocol,
@@ -97,7 +98,9 @@
     let state = state.clone();
     let limits = move || {
         let limits = state.caller_limits();
-        ConnectionLimits { head_bytes: limits.head_bytes, idle_timeout: limits.idle_timeout }
+        // Other instances add headers to the requests of callers.
+        let head_bytes = limits.head_bytes + MAX_HEADER_BYTES;
+        ConnectionLimits { head_bytes, idle_timeout: limits.idle_timeout }
     };
     let handler = move |req: Request<Incoming>| {
         let forwarder = forwarder.clone();
--- a/lacewingspring_proxy/src/job.rs
+++ b/lacewingspring_proxy/src/job.rs
@@ -12,7 +12,7 @@
 use hyper::body::{Body, Incoming};
 use lacewingspring_core::{
     dispatch::{SlotRequest, StreamRef},
-    names::{DataCentreName, ServiceName, UpstreamName},
+    names::{DataCentreName, UpstreamName},
 };
 
 use crate::{
@@ -41,8 +41,6 @@
     pub admitted: Admitted,
     /// Record of what happens to it.
     pub trace: Arc<RequestTrace>,
-    /// Service that it is sent to.
-    pub service: ServiceName,
     /// Digest by which the gate recognises a repeat of it.
     pub fingerprint: u64,
     /// Time at which its head was read.
@@ -106,7 +104,7 @@
         let target_deadline =
             self.began + self.admitted.route.target_latency.saturating_sub(RETURN_MARGIN);
         SlotRequest {
-            service: self.service.clone(),
+            service: self.admitted.service.name.clone(),
             class: self.admitted.route.name.clone(),
             rank: self.admitted.rank,
             data_centre: data_centre.clone(),
--- a/lacewingspring_proxy/src/lib.rs
+++ b/lacewingspring_proxy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod instance;
 mod job;
 pub mod logging;
+pub mod mark;
 pub mod members;
 pub mod metrics;
 pub mod mirror;
--- a/lacewingspring_proxy/src/pass_on.rs
+++ b/lacewingspring_proxy/src/pass_on.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, request::Parts};
+use http::{HeaderMap, Request, Response, StatusCode, request::Parts};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming};
 use lacewingspring_core::names::{DataCentreName, InstanceName};
@@ -17,9 +17,11 @@
 use tokio::time::{Sleep, sleep_until, timeout_at};
 
 use crate::{
+    admission::Admitted,
     answer::{BodyError, ResponseBody},
     clock,
     exchange::{self, ConnectionGuard, UpstreamResponse},
+    mark::{self, Mark},
     members::{Member, SharedMembers},
     net,
     protocol::Protocol,
@@ -27,12 +29,6 @@
     track::RequestTrace,
 };
 
-/// Present in a request that another instance has passed on.
-const PASSED_ON: HeaderName = HeaderName::from_static("lacewingspring-passed-on");
-
-/// Present in the refusal of such a request by an instance that reaches no upstream either.
-const NO_PATH: HeaderName = HeaderName::from_static("lacewingspring-no-path");
-
 /// Time limit for connecting to another instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -67,6 +63,8 @@
     pub head: &'a Parts,
     /// Its body.
     pub body: Bytes,
+    /// How this instance has admitted it.
+    pub admitted: &'a Admitted,
     /// Time by which its response must be complete.
     pub deadline: Duration,
     /// Number of the last attempt to get a slot at this instance.
@@ -75,33 +73,10 @@
     pub trace: &'a Arc<RequestTrace>,
 }
 
-/// A request that was passed on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Mark {
-    /// Number of the last attempt to get a slot at the instance that passed it on; `None` if no
-    /// instance of the fleet has set the mark.
-    pub last_attempt: Option<u64>,
-}
-
-/// Parses the value of [`PASSED_ON`]: the incarnation of the instance that passed the request on,
-/// which only instances know, and the number of its last attempt.
-fn parse_mark(value: &HeaderValue) -> Option<(u64, u64)> {
-    let (incarnation, last_attempt) = value.to_str().ok()?.split_once(' ')?;
-    Some((incarnation.parse().ok()?, last_attempt.parse().ok()?))
-}
-
-/// Marks the refusal of a request that was passed on to an instance without a path.
-pub fn mark_no_path(headers: &mut HeaderMap) {
-    headers.insert(NO_PATH, HeaderValue::from_static("1"));
-}
-
 impl OtherInstances {
     /// Removes the mark of a request that was passed on, and returns it.
     pub fn take_mark(&self, headers: &mut HeaderMap) -> Option<Mark> {
-        let value = headers.remove(PASSED_ON)?;
-        let members = self.members.load();
-        let parsed = parse_mark(&value).filter(|(sender, _)| members.has_incarnation(*sender));
-        Some(Mark { last_attempt: parsed.map(|(_, last_attempt)| last_attempt) })
+        Mark::take(headers, |incarnation| self.members.load().has_incarnation(incarnation))
     }
 
     /// Passes a request on to another instance, and its response back.
@@ -128,9 +103,9 @@
             let response = timeout_at(deadline, exchange::send(stream, message)).await;
             let response = response.map_err(|_| Failure::TimeoutAfterSend)?;
             let response = response.map_err(|_| Failure::ResponseLost)?;
-            let has_no_path = response.head.status == StatusCode::SERVICE_UNAVAILABLE
-                && response.head.headers.contains_key(NO_PATH);
-            if has_no_path {
+            let is_unable = response.head.status == StatusCode::SERVICE_UNAVAILABLE
+                && mark::may_go_to_others(&response.head.headers);
+            if is_unable {
                 self.avoid(clock::now(), &member);
                 continue;
             }
@@ -150,9 +125,8 @@
         let path = request.head.uri.path_and_query().cloned();
         *message.uri_mut() = path.map(http::Uri::from).unwrap_or_default();
         *message.headers_mut() = protocol.passed_on_headers(&request.head.headers, time_left);
-        let mark = format!("{} {}", self.incarnation, request.last_attempt);
-        let mark = HeaderValue::try_from(mark).unwrap_or(HeaderValue::from_static("unknown"));
-        message.headers_mut().insert(PASSED_ON, mark);
+        let PassedOn { last_attempt, admitted, .. } = request;
+        mark::set(message.headers_mut(), self.incarnation, *last_attempt, admitted);
         message
     }
 
--- a/lacewingspring_proxy/src/refusal.rs
+++ b/lacewingspring_proxy/src/refusal.rs
@@ -24,6 +24,9 @@
     TooLarge,
     /// The declared configuration has not been read yet.
     NotConfigured,
+    /// Another instance, which this one does not know, passed the request on and has admitted it
+    /// under a later version of the configuration than this one has.
+    Outdated,
     /// The gate refused the request a slot.
     Refused(Reason),
     /// An upstream declined to run the request.
@@ -58,6 +61,7 @@
             Self::NotFound => (StatusCode::NOT_FOUND, "not_found", true),
             Self::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "too_large", true),
             Self::NotConfigured => (StatusCode::SERVICE_UNAVAILABLE, "not_configured", true),
+            Self::Outdated => (StatusCode::SERVICE_UNAVAILABLE, "outdated", true),
             Self::Refused(Reason::Limit) => (StatusCode::TOO_MANY_REQUESTS, "limit", true),
             Self::Refused(reason) => (StatusCode::SERVICE_UNAVAILABLE, reason.name(), true),
             Self::Declined => (StatusCode::SERVICE_UNAVAILABLE, "declined", true),
