Keep to the limit of a workspace that an instance knows from a later configuration than the gate

What callers saw, in tests with processes: 429 by a limit that had been raised (17 of 20 requests), and requests beyond a limit that had been lowered or added (20 of 20, 3 are allowed).

The gate hands out limits by its own configuration; if the store turns it away, it decides for instances that have a later one.

Change: a slot request ends with the limit of its workspace and the version that declares it. The gate applies it if the version is later than its own, until its own configuration is as late. Builds without the field ignore it and are read as before (messages.rs). It is the last field, since messages have no names for fields.

--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -34,7 +34,7 @@
     refusal_history::RefusalHistory,
     resumptions::Resumptions,
 };
-use crate::names::{ServiceName, UpstreamName};
+use crate::names::{ServiceName, UpstreamName, WorkspaceName};
 
 mod brittle;
 mod budget;
@@ -131,6 +131,11 @@
         self.quotas.set_bounds(limits.quotas);
     }
 
+    /// Replaces the declared limit of one workspace; returns whether it was another one.
+    pub fn set_quota(&mut self, workspace: &WorkspaceName, quota: Quota) -> bool {
+        self.quotas.set_quota(workspace, quota)
+    }
+
     /// Imports the usage that an earlier gate published `age` ago.
     pub fn import_usage(&mut self, now: Duration, age: Duration, usage: &[StoredUsage]) {
         self.quotas.import_usage(now, age, usage);
--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -181,6 +181,11 @@
         self.bounds = bounds;
     }
 
+    /// Replaces the limit of one workspace; returns whether it was another one.
+    pub fn set_quota(&mut self, workspace: &WorkspaceName, quota: Quota) -> bool {
+        self.bounds.quotas.insert(workspace.clone(), quota) != Some(quota)
+    }
+
     /// Returns the length of the sliding window.
     pub fn window(&self) -> Duration {
         self.bounds.window
--- a/lacewingspring_proxy/examples/gate_cost.rs
+++ b/lacewingspring_proxy/examples/gate_cost.rs
@@ -25,7 +25,7 @@
     clock,
     gate::{
         host::GateHost,
-        message::{FromGate, ToGate, decode, encode, frames},
+        message::{FromGate, ToGate, Trailing, decode, encode, frames},
     },
     members::{Member, Members, SharedMembers},
     replica::Replicas,
@@ -149,7 +149,11 @@
         send(ToGate::Running { number, request: request(base + number), upstream });
     }
     for number in RUNNING..RUNNING + WAITING {
-        send(ToGate::RequestSlot { number, request: request(base + number) });
+        send(ToGate::RequestSlot {
+            number,
+            request: request(base + number),
+            quota: Trailing(None),
+        });
     }
     let reported = tx.clone();
     tokio::spawn(async move {
@@ -199,7 +203,11 @@
             }
             _ = ticks.tick() => {
                 let request = request(base + next);
-                let _ = tx.send(ToGate::RequestSlot { number: next, request });
+                let _ = tx.send(ToGate::RequestSlot {
+                    number: next,
+                    request,
+                    quota: Trailing(None),
+                });
                 next += 1;
             }
         }
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -244,7 +244,7 @@
         let now = clock::now();
         let mut request = job.slot_request(now, &self.data_centre, attempts);
         request.avoid.extend(self.unavailable.to_avoid(now));
-        let pending = self.gate.request_slot(now, request);
+        let pending = self.gate.request_slot(now, request, job.quota());
         let decision = timeout_at(clock::instant(job.deadline), pending.wait()).await;
         let decision: Result<Slot, Refusal> = decision.map_err(|_| Failure::TimeoutBeforeSend)?;
         let slot = decision?;
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -26,7 +26,7 @@
     time::{sleep, timeout},
 };
 
-use self::pause::Pauses;
+use self::{declared_limits::DeclaredLimits, pause::Pauses};
 use super::{
     allowance::Allowance,
     findings::log_finding,
@@ -41,6 +41,7 @@
     store::Revision,
 };
 
+mod declared_limits;
 mod pause;
 mod share;
 mod streams;
@@ -73,6 +74,7 @@
 #[derive(Debug)]
 struct State {
     dispatcher: Dispatcher,
+    declared_limits: DeclaredLimits,
     roster: FleetRoster,
     pauses: Pauses,
     versions: RecordedVersions,
@@ -111,6 +113,7 @@
     ) -> Self {
         let state = State {
             dispatcher: Dispatcher::default(),
+            declared_limits: DeclaredLimits::default(),
             roster: FleetRoster::default(),
             pauses: Pauses::default(),
             versions: RecordedVersions::default(),
@@ -134,9 +137,9 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Replaces the limits of the operators' configuration.
-    pub fn set_limits(&self, limits: Limits) {
-        self.state().dispatcher.set_limits(limits);
+    /// Replaces the limits of the operators' configuration, which is of this version.
+    pub fn set_limits(&self, version: u64, limits: Limits) {
+        self.state().set_limits(version, limits);
     }
 
     /// Opens a link whose messages are sent to `tx`; returns its number.
@@ -202,7 +205,8 @@
                 state.dispatcher.adopt(now, ticket(number), &request, upstream);
                 Vec::new()
             }
-            ToGate::RequestSlot { number, request } => {
+            ToGate::RequestSlot { number, request, quota } => {
+                state.apply_told_limit(&request, quota.0);
                 if let Some(request) = state.defer_while_settling(now, link, number, request) {
                     drop(state);
                     self.decide(now, link, number, request);
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -20,7 +20,7 @@
 
 use super::{
     host::GateHost,
-    message::{FromGate, ToGate},
+    message::{DeclaredQuota, FromGate, ToGate, Trailing},
     slot::PendingSlot,
 };
 use crate::{
@@ -46,6 +46,7 @@
 #[derive(Debug)]
 struct Pending {
     request: SlotRequest,
+    quota: Trailing<DeclaredQuota>,
     /// Time from which the durations in the request count.
     requested_at: Duration,
     /// Whether the current gate confirmed that the request is queued.
@@ -122,8 +123,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Asks for a slot; the request is sent again on the next link if this one fails.
-    pub fn request_slot(self: &Arc<Self>, now: Duration, mut request: SlotRequest) -> PendingSlot {
+    /// Asks for a slot for a request, whose workspace has this limit if it is known; the request is
+    /// sent again on the next link if this one fails.
+    pub fn request_slot(
+        self: &Arc<Self>,
+        now: Duration,
+        mut request: SlotRequest,
+        quota: Option<DeclaredQuota>,
+    ) -> PendingSlot {
+        let quota = Trailing(quota);
         let known = self.host.known_stream(now, &request);
         let number = self.next_number();
         request.number_attempt(number);
@@ -132,10 +140,9 @@
         if let Some(known) = known {
             state.send(ToGate::Streams(known));
         }
-        state.send(ToGate::RequestSlot { number, request: request.clone() });
-        state
-            .pending
-            .insert(number, Pending { request, requested_at: now, is_acknowledged: false, tx });
+        state.send(ToGate::RequestSlot { number, request: request.clone(), quota });
+        let pending = Pending { request, quota, requested_at: now, is_acknowledged: false, tx };
+        state.pending.insert(number, pending);
         PendingSlot::new(self.clone(), number, rx)
     }
 
@@ -291,8 +298,8 @@
             pending.request.number_attempt(self.next_number());
             pending.requested_at = now;
             pending.is_acknowledged = false;
-            let _ = gate_tx
-                .send(ToGate::RequestSlot { number: *number, request: pending.request.clone() });
+            let (request, quota) = (pending.request.clone(), pending.quota);
+            let _ = gate_tx.send(ToGate::RequestSlot { number: *number, request, quota });
         }
         rx
     }
--- a/lacewingspring_proxy/src/gate/message.rs
+++ b/lacewingspring_proxy/src/gate/message.rs
@@ -5,10 +5,10 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::SinkExt;
 use lacewingspring_core::{
-    dispatch::{End, Grant, HandOver, KnownStreams, Refusal, SlotRequest, StoredUsage},
+    dispatch::{End, Grant, HandOver, KnownStreams, Quota, Refusal, SlotRequest, StoredUsage},
     names::{InstanceName, UpstreamName},
 };
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
 use tokio::{net::TcpStream, sync::mpsc::UnboundedReceiver};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -20,6 +20,34 @@
 /// Maximum length of a message, in bytes; a value of the key-value service is at most half as long.
 const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
 
+/// Last field of a message, which earlier builds neither send nor read: a frame may end before it,
+/// and they ignore what follows the fields that they know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(transparent)]
+pub struct Trailing<T>(pub Option<T>);
+
+impl<'de, T> Deserialize<'de> for Trailing<T>
+where
+    T: Deserialize<'de>,
+{
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        // A frame holds one message, so the only error is that it ends before the field.
+        Ok(Self(Option::deserialize(deserializer).unwrap_or_default()))
+    }
+}
+
+/// Limit of a workspace by one version of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DeclaredQuota {
+    /// Version of the configuration.
+    pub version: u64,
+    /// The limit.
+    pub quota: Quota,
+}
+
 /// Message from an instance to the gate.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ToGate {
@@ -50,6 +78,8 @@
         /// The slot request.
         #[serde(rename = "ask")]
         request: SlotRequest,
+        /// Limit of the request's workspace by the configuration that it was admitted under.
+        quota: Trailing<DeclaredQuota>,
     },
     /// Reports that the first event of a response arrived.
     FirstOutput {
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -105,7 +105,7 @@
             quotas: QuotaBounds { quotas: quotas.collect(), window: bounds.quota_window() },
             retries: bounds.retries(),
         };
-        self.host.set_limits(limits);
+        self.host.set_limits(declared.version, limits);
         self.metrics.set_declared_version(declared.version);
         self.declared.store(Some(Arc::new(declared)));
         self.apply_upstreams(now);
--- a/lacewingspring_proxy/src/job.rs
+++ b/lacewingspring_proxy/src/job.rs
@@ -19,6 +19,7 @@
     admission::Admitted,
     answer::ResponseBody,
     clock,
+    gate::message::DeclaredQuota,
     protocol::CallerHead,
     refusal::{ErrorResponse, Failure},
     relay::UpstreamError,
@@ -122,6 +123,13 @@
         }
     }
 
+    /// Returns the limit of the request's workspace; `None` if it has no workspace.
+    pub fn quota(&self) -> Option<DeclaredQuota> {
+        let Admitted { version, workspace, .. } = &self.admitted;
+        let quota = workspace.as_ref()?.quota;
+        Some(DeclaredQuota { version: *version, quota })
+    }
+
     /// Returns the stream that the request begins or resumes; `None` if its response is none.
     fn stream(&self) -> Option<StreamRef> {
         let CallerHead { id, resumes, last_event, timeout, .. } = &self.caller;
--- a/lacewingspring_proxy/tests/ledger.rs
+++ b/lacewingspring_proxy/tests/ledger.rs
@@ -21,7 +21,7 @@
     gate::{
         host::GateHost,
         ledger::Ledger,
-        message::{FromGate, ToGate},
+        message::{FromGate, ToGate, Trailing},
     },
     members::{Member, Members, SharedMembers},
     replica::Replicas,
@@ -106,7 +106,7 @@
     let quota = Quota { rate: Some(1_000.0), burst: 2_000.0 };
     let quotas = HashMap::from([(WorkspaceName::from("w"), quota)]);
     let window = Duration::from_secs(8);
-    host.set_limits(Limits { quotas: QuotaBounds { quotas, window }, ..Limits::default() });
+    host.set_limits(1, Limits { quotas: QuotaBounds { quotas, window }, ..Limits::default() });
     let upstream = UpstreamInfo {
         name: UpstreamName::from("u"),
         service: ServiceName::from("models"),
@@ -142,6 +142,11 @@
     }
 }
 
+/// Returns the message that asks for a slot.
+fn slot_request(number: u64) -> ToGate {
+    ToGate::RequestSlot { number, request: request(), quota: Trailing(None) }
+}
+
 /// Returns the next published usage.
 async fn next_published(rx: &mut UnboundedReceiver<FromGate>) -> Vec<StoredUsage> {
     loop {
@@ -185,7 +190,7 @@
 fn use_limit(host: &GateHost, link: u64, round: u64) {
     for number in 0..5 {
         let number = round * 10 + number;
-        host.handle(clock::now(), link, ToGate::RequestSlot { number, request: request() });
+        host.handle(clock::now(), link, slot_request(number));
     }
 }
 
@@ -261,7 +266,7 @@
     let now = clock::now();
     let (link, mut rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
     let ask = |now, number| {
-        host.handle(now, link, ToGate::RequestSlot { number, request: request() });
+        host.handle(now, link, slot_request(number));
     };
     for step in 0..40 {
         host.beat(now + Duration::from_millis(step * 50));
@@ -282,7 +287,7 @@
     let link = host.connect(tx);
     let (instance, usage_age) = (InstanceName::from("i"), Duration::from_millis(50));
     host.handle(awake, link, ToGate::Hello { instance, usage, usage_age });
-    host.handle(awake, link, ToGate::RequestSlot { number: 4, request: request() });
+    host.handle(awake, link, slot_request(4));
     host.beat(awake + Duration::from_millis(50));
     assert_eq!(fate(&mut rx, 4), None);
     host.beat(awake + Duration::from_millis(100));
@@ -297,7 +302,7 @@
     let (link, mut rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
     host.beat(now);
     let awake = now + Duration::from_millis(400);
-    host.handle(awake, link, ToGate::RequestSlot { number: 1, request: request() });
+    host.handle(awake, link, slot_request(1));
     assert_eq!(fate(&mut rx, 1), None);
     host.beat(awake + Duration::from_millis(100));
     assert_eq!(fate(&mut rx, 1), Some("granted"));
@@ -314,7 +319,7 @@
         let awake = now + Duration::from_millis(300 * round);
         host.beat(awake);
         if round == 1 {
-            host.handle(awake, link, ToGate::RequestSlot { number: 1, request: request() });
+            host.handle(awake, link, slot_request(1));
         }
     }
     assert_eq!(fate(&mut rx, 1), Some("granted"));
