Defer a refusal for a limit while a gate's part of it is about to grow

Cause: after a kill of 8 of 9 instances the gates that decide in the first tenths of a second refuse for limits. One that has just started knows nothing of the usage, which then counts as used; the one that lived hands out a minority's part, until enough others are linked, some milliseconds later.

Change: a gate that has just started, or one of a minority that an instance has just linked to, defers such a request for 0.3 s at most. What is exceeded then is refused as before.

Failed try: to wait for the registry before the first choice of a gate.

--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -288,13 +288,18 @@
             return if is_allowed { Ok(None) } else { Err(refusal) };
         }
         self.retries.count_first_send(now, &request.service);
-        let Some(workspace) = &request.workspace else { return Ok(None) };
-        let charge = Charge { ticket, workspace: workspace.clone(), units: request.charge };
+        let Some(charge) = Charge::of(ticket, request) else { return Ok(None) };
         let taken = self.quotas.take(now, &charge);
         taken.map_err(|retry_after| Refusal::new(Reason::Limit, retry_after))?;
         Ok(Some(charge))
     }
 
+    /// Returns whether a request would be refused for the limit of its workspace.
+    pub fn is_over_limit(&mut self, now: Duration, ticket: Ticket, request: &SlotRequest) -> bool {
+        let charge = Charge::of(ticket, request).filter(|_| request.sends == 0);
+        charge.is_some_and(|charge| self.quotas.is_exceeded_by(now, &charge))
+    }
+
     /// Registers a request that already runs under a grant of another gate.
     pub fn adopt(
         &mut self,
--- a/lacewingspring_core/src/dispatch/open_request.rs
+++ b/lacewingspring_core/src/dispatch/open_request.rs
@@ -54,3 +54,11 @@
     pub workspace: WorkspaceName,
     pub units: u64,
 }
+
+impl Charge {
+    /// Returns what a request takes; `None` if it has no workspace.
+    pub fn of(ticket: Ticket, request: &SlotRequest) -> Option<Self> {
+        let workspace = request.workspace.clone()?;
+        Some(Self { ticket, workspace, units: request.charge })
+    }
+}
--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -309,10 +309,30 @@
     /// Takes the units of a request from the limit. The error is the time until enough units are
     /// available.
     pub fn take(&mut self, now: Duration, charge: &Charge) -> Result<(), Duration> {
+        if let Some(account) = self.account_with_room(now, charge)? {
+            let units = charge.units as f64;
+            account.insert(UsageEntry { at: now, ticket: Some(charge.ticket), units });
+            account.unpublished += units;
+        }
+        Ok(())
+    }
+
+    /// Returns whether the limit has too few units left for a request.
+    pub fn is_exceeded_by(&mut self, now: Duration, charge: &Charge) -> bool {
+        self.account_with_room(now, charge).is_err()
+    }
+
+    /// Returns the account that the units of a request are taken from; `None` if its workspace has
+    /// no limit. The error is the time until enough units are available.
+    fn account_with_room(
+        &mut self,
+        now: Duration,
+        charge: &Charge,
+    ) -> Result<Option<&mut Account>, Duration> {
         let window = self.bounds.window;
         let known = self.known_time(now).as_secs_f64();
-        let Some(quota) = self.bounds.quotas.get(&charge.workspace) else { return Ok(()) };
-        let Some(rate) = quota.rate else { return Ok(()) };
+        let Some(quota) = self.bounds.quotas.get(&charge.workspace) else { return Ok(None) };
+        let Some(rate) = quota.rate else { return Ok(None) };
         let whole = rate * window.as_secs_f64() + quota.burst;
         // Usage that is not known counts as if the rate had been used up.
         let known_limit = rate * known + quota.burst;
@@ -333,10 +353,7 @@
             let refill = Duration::try_from_secs_f64(excess / rate).unwrap_or(window);
             return Err(account.time_until_room(now, window, account.sum - excess).min(refill));
         }
-        let entry = UsageEntry { at: now, ticket: Some(charge.ticket), units };
-        account.insert(entry);
-        account.unpublished += units;
-        Ok(())
+        Ok(Some(account))
     }
 
     /// Refunds the units of a request that was not sent.
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -179,6 +179,7 @@
             ToGate::Hello { instance, usage, usage_age } => {
                 let hand_over = state.dispatcher.hand_over(now);
                 state.introduce(now, link, instance, !usage.is_empty());
+                state.pauses.record_link(now);
                 if !hand_over.is_empty() {
                     state.send(link, FromGate::HandOver(Arc::new(hand_over)));
                 }
@@ -207,7 +208,7 @@
             }
             ToGate::RequestSlot { number, request, quota } => {
                 state.apply_told_limit(&request, quota.0);
-                if let Some(request) = state.defer_while_settling(now, link, number, request) {
+                if let Some(request) = state.defer_if_unsettled(now, link, number, request) {
                     drop(state);
                     self.decide(now, link, number, request);
                 }
--- a/lacewingspring_proxy/src/gate/host/pause.rs
+++ b/lacewingspring_proxy/src/gate/host/pause.rs
@@ -3,10 +3,14 @@
 //!
 //! While a gate stands still, the other instances follow another one, which hands out limits. When
 //! it goes on, it finds requests of its own callers before it finds that its links are closed.
+//!
+//! A process that just started decides for its own callers until it is linked to the gate, and knows
+//! nothing of the usage of limits. A gate of a minority hands out a part of each limit, which grows
+//! while instances that start again link to it. Neither refuses for a limit at once.
 
 use std::{sync::Arc, time::Duration};
 
-use lacewingspring_core::dispatch::SlotRequest;
+use lacewingspring_core::dispatch::{SlotRequest, Ticket};
 use log::info;
 use tokio::time::sleep;
 
@@ -27,7 +31,11 @@
 /// pauses again and again.
 const MAX_DEFERRAL: Duration = Duration::from_millis(300);
 
-/// A slot request that arrived right after a pause.
+/// Time after the start of the process, or after an instance linked to the gate of a minority, in
+/// which further instances may link, or the usage of limits be loaded.
+const JOIN_TIME: Duration = Duration::from_millis(300);
+
+/// A slot request that arrived right after a pause or the start.
 #[derive(Debug)]
 struct Deferred {
     link: u64,
@@ -36,9 +44,13 @@
     since: Duration,
 }
 
-/// When the process stood still.
+/// When the process started and stood still.
 #[derive(Debug, Default)]
 pub(super) struct Pauses {
+    /// Time of the first heartbeat; `None` before it.
+    started_at: Option<Duration>,
+    /// Time at which an instance linked last; `None` before the first.
+    linked_at: Option<Duration>,
     /// Time of the last sign that the process runs; `None` before the first heartbeat.
     active_at: Option<Duration>,
     /// Time from which decisions are made again after the last pause.
@@ -66,9 +78,19 @@
         now < self.settled_at
     }
 
-    /// Keeps a slot request until the gate has settled.
-    pub(super) fn defer(&mut self, now: Duration, link: u64, number: u64, request: SlotRequest) {
-        self.deferred.push(Deferred { link, number, request, since: now });
+    /// Notes that an instance linked.
+    pub(super) fn record_link(&mut self, now: Duration) {
+        self.linked_at = Some(now);
+    }
+
+    /// Returns whether the process has just started.
+    fn is_starting(&self, now: Duration) -> bool {
+        self.started_at.is_some_and(|at| now.saturating_sub(at) < JOIN_TIME)
+    }
+
+    /// Returns whether an instance has just linked.
+    fn is_joined(&self, now: Duration) -> bool {
+        self.linked_at.is_some_and(|at| now.saturating_sub(at) < JOIN_TIME)
     }
 
     /// Removes a deferred request; returns whether there was one.
@@ -107,6 +129,7 @@
     /// pause once it is over.
     pub fn beat(&self, now: Duration) {
         let mut state = self.state();
+        state.pauses.started_at.get_or_insert(now);
         state.pauses.active_at.get_or_insert(now);
         state.pauses.observe(now);
         if !state.pauses.is_settling(now)
@@ -116,7 +139,14 @@
         }
         let due = state.pauses.take_due(now);
         drop(state);
-        for Deferred { link, number, mut request, since } in due {
+        for deferred in due {
+            let mut state = self.state();
+            if state.must_wait_for_usage(now, &deferred) {
+                state.pauses.deferred.push(deferred);
+                continue;
+            }
+            drop(state);
+            let Deferred { link, number, mut request, since } = deferred;
             request.shorten_times(now.saturating_sub(since));
             self.decide(now, link, number, request);
         }
@@ -138,18 +168,30 @@
         }
     }
 
-    /// Defers a slot request while the gate settles; returns it otherwise.
-    pub(super) fn defer_while_settling(
+    /// Returns whether a request would be refused for a limit of which more may soon be handed out
+    /// here, and has not been deferred for too long.
+    fn must_wait_for_usage(&mut self, now: Duration, deferred: &Deferred) -> bool {
+        let Deferred { link, number, ref request, since } = *deferred;
+        let is_growing = self.pauses.is_joined(now) && !self.dispatcher.fleet_share().is_majority();
+        (is_growing || self.pauses.is_starting(now))
+            && now.saturating_sub(since) < MAX_DEFERRAL
+            && self.dispatcher.is_over_limit(now, Ticket { link, number }, request)
+    }
+
+    /// Defers a slot request while the gate settles, or if it must wait for the usage of a limit;
+    /// returns it otherwise.
+    pub(super) fn defer_if_unsettled(
         &mut self,
         now: Duration,
         link: u64,
         number: u64,
         request: SlotRequest,
     ) -> Option<SlotRequest> {
-        if !self.pauses.is_settling(now) {
-            return Some(request);
+        let deferred = Deferred { link, number, request, since: now };
+        if !self.pauses.is_settling(now) && !self.must_wait_for_usage(now, &deferred) {
+            return Some(deferred.request);
         }
-        self.pauses.defer(now, link, number, request);
+        self.pauses.deferred.push(deferred);
         self.send(link, FromGate::Queued { number });
         None
     }
--- a/lacewingspring_proxy/tests/ledger.rs
+++ b/lacewingspring_proxy/tests/ledger.rs
@@ -88,10 +88,16 @@
     }
 }
 
+/// Creates a gate that knows itself only.
 fn host() -> Arc<GateHost> {
+    host_among(&["i"])
+}
+
+/// Creates a gate in a fleet of these instances.
+fn host_among(instances: &[&str]) -> Arc<GateHost> {
     let address = SocketAddr::from(([127, 0, 0, 1], 8000));
-    let member = Member {
-        instance: InstanceName::from("i"),
+    let member = |name: &&str| Member {
+        instance: InstanceName::from(*name),
         incarnation: 1,
         data_centre: DataCentreName::from("a"),
         millicores: 500,
@@ -99,7 +105,8 @@
         peer_address: address,
         is_leaving: false,
     };
-    let members = Members::from_iter([(Revision::default(), member)]);
+    let members = instances.iter().map(|name| (Revision::default(), member(name)));
+    let members = Members::from_iter(members);
     let members: SharedMembers = Arc::new(ArcSwap::from_pointee(members));
     let host = GateHost::new(members, Arc::new(Replicas::default()), None);
     host.on_members_changed(clock::now());
@@ -178,10 +185,20 @@
     host: &GateHost,
     usage: Vec<StoredUsage>,
     usage_age: Duration,
+) -> (u64, UnboundedReceiver<FromGate>) {
+    open_link_of("i", host, usage, usage_age)
+}
+
+/// Opens a link of an instance, which was told the usage `usage_age` ago.
+fn open_link_of(
+    instance: &str,
+    host: &GateHost,
+    usage: Vec<StoredUsage>,
+    usage_age: Duration,
 ) -> (u64, UnboundedReceiver<FromGate>) {
     let (tx, rx) = unbounded_channel();
     let link = host.connect(tx);
-    let hello = ToGate::Hello { instance: InstanceName::from("i"), usage, usage_age };
+    let hello = ToGate::Hello { instance: InstanceName::from(instance), usage, usage_age };
     host.handle(clock::now(), link, hello);
     (link, rx)
 }
@@ -259,6 +276,25 @@
     fate
 }
 
+/// Number of slot requests that were granted and refused.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Decided {
+    granted: usize,
+    refused: usize,
+}
+
+fn decided(rx: &mut UnboundedReceiver<FromGate>) -> Decided {
+    let mut decided = Decided::default();
+    while let Ok(message) = rx.try_recv() {
+        match message {
+            FromGate::Granted { .. } => decided.granted += 1,
+            FromGate::Refused { .. } => decided.refused += 1,
+            _ => {}
+        }
+    }
+    decided
+}
+
 /// Requests of the gate's own callers come before the ends of its links.
 #[test]
 fn a_gate_that_stood_still_decides_nothing_before_it_knows_what_was_handed_out() {
@@ -308,6 +344,49 @@
     assert_eq!(fate(&mut rx, 1), Some("granted"));
 }
 
+/// An instance that just started decides for its callers before it is linked to the gate.
+#[test]
+fn a_gate_that_just_started_refuses_for_no_limit_before_it_may_know_the_usage() {
+    let host = host();
+    let now = clock::now();
+    let later = |ms| now + Duration::from_millis(ms);
+    host.beat(now);
+    let (link, mut rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    for number in 0..30 {
+        host.handle(later(10), link, slot_request(number));
+    }
+    assert_eq!(decided(&mut rx), Decided { granted: 20, refused: 0 }, "2,000 units are free");
+    host.beat(later(100));
+    assert_eq!(decided(&mut rx).refused, 0);
+    host.beat(later(310));
+    let last = decided(&mut rx);
+    assert!(last.refused > 0, "a limit that is used up is kept");
+    assert_eq!(last.granted + last.refused, 10);
+}
+
+/// After a kill of all others, the instance that lives hands out its part only until they link.
+#[test]
+fn the_gate_of_a_minority_refuses_for_no_limit_while_others_link() {
+    let host = host_among(&["i0", "i1", "i2", "i3", "i4"]);
+    let now = clock::now();
+    let later = |ms| now + Duration::from_millis(ms);
+    let usage = vec![StoredUsage { workspace: WorkspaceName::from("w"), steps: Vec::new() }];
+    for ago in (0..=20).rev() {
+        host.beat(now - Duration::from_millis(50 * ago));
+    }
+    let (link, mut rx) = open_link_of("i0", &host, usage.clone(), Duration::ZERO);
+    for number in 0..30 {
+        host.handle(later(10), link, slot_request(number));
+    }
+    let before = decided(&mut rx);
+    assert!(before.granted < 30 && before.refused == 0, "{before:?}");
+    for other in ["i1", "i2", "i3", "i4"] {
+        open_link_of(other, &host, usage.clone(), Duration::ZERO);
+    }
+    host.beat(later(50));
+    assert_eq!(decided(&mut rx), Decided { granted: 30 - before.granted, refused: 0 });
+}
+
 /// A process with too little processor time stands still for 0.3 s again and again.
 #[test]
 fn a_gate_that_pauses_again_and_again_still_decides() {
