Read the records of streams only where slots are granted

So each start of a process costs two reads more.

Cause: every process read, at its start, what only one needs that grants slots. The gate of the fleet reads it again anyhow.

Change: an instance reads the streams when it has granted slots to a minority for 0.4 s, again after each time that it granted none; so one that is cut off from the others later knows them, too. Versions and the hand-over are still read at the start: without them an instance uses no upstream, or runs what crashes upstreams.

Evidence: an_instance_that_grants_no_slots_reads_no_streams failed before (one read of each record).

--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -260,6 +260,11 @@
         is_majority && !state.pauses.is_settling(now)
     }
 
+    /// Returns whether this instance grants slots, to its own callers at least.
+    pub fn grants_slots(&self) -> bool {
+        self.state().dispatcher.fleet_share().slots > 0.0
+    }
+
     /// Adds the usage of limits that an earlier gate stored.
     pub fn import_usage(&self, now: Duration, usage: &[StoredUsage]) {
         self.state().dispatcher.import_usage(now, Duration::ZERO, usage);
--- a/lacewingspring_proxy/src/gate/host/versions.rs
+++ b/lacewingspring_proxy/src/gate/host/versions.rs
@@ -38,9 +38,7 @@
     /// Returns the versions that are to be recorded before this instance can serve their services
     /// at all; none while it grants no slots.
     pub fn urgent_versions(&self, now: Duration) -> Vec<ServedVersion> {
-        let state = self.state();
-        let grants_slots = state.dispatcher.fleet_share().slots > 0.0;
-        if grants_slots { state.versions.urgent(now) } else { Vec::new() }
+        if self.grants_slots() { self.state().versions.urgent(now) } else { Vec::new() }
     }
 
     /// Notes that versions are recorded, and uses their upstreams.
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -47,6 +47,10 @@
 /// Interval of the checks whether this instance is the gate and whether something is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time for which an instance grants slots to a minority before it loads streams: one that has just
+/// started is linked to the gate by then, which knows them.
+const MIN_ALONE_TIME: Duration = Duration::from_millis(400);
+
 /// Publishes and stores what the next gate must know while this instance is the gate.
 pub struct Ledger<S> {
     /// The key-value service.
@@ -86,6 +90,27 @@
     streams_at: Duration,
 }
 
+/// State of an instance while it does not serve a majority.
+#[derive(Debug, Default)]
+struct Minority {
+    /// Time since which it grants slots; `None` if it does not.
+    granting_since: Option<Duration>,
+    /// Whether it has loaded the streams since then.
+    has_streams: bool,
+}
+
+impl Minority {
+    /// Returns whether the streams are to be loaded.
+    fn needs_streams(&mut self, now: Duration, grants_slots: bool) -> bool {
+        if !grants_slots {
+            *self = Self::default();
+            return false;
+        }
+        let since = *self.granting_since.get_or_insert(now);
+        !self.has_streams && now.saturating_sub(since) >= MIN_ALONE_TIME
+    }
+}
+
 /// Time up to which streams are stored; `None` before those of an earlier gate are loaded.
 type StoredUntil = Option<Duration>;
 
@@ -93,16 +118,20 @@
 where
     S: Store,
 {
-    /// Loads what is stored at the start and when this instance becomes the gate, and publishes and
-    /// stores what it knows while it is the gate. Never returns.
+    /// Loads what is stored at the start and when this instance becomes the gate, of a minority or of
+    /// the fleet, and publishes and stores what it knows while it is that of the fleet. Never returns.
     pub async fn run(self) {
         let versions = VersionRecorder { store: &*self.store, host: &self.host };
         // An instance that does not reach the others yet may serve requests before it is the gate.
         versions.load(|| true).await;
         self.load_hand_over(|| true).await;
-        self.load_streams(|| true).await;
         loop {
+            let mut minority = Minority::default();
             while !self.serves_majority() {
+                if minority.needs_streams(clock::now(), self.host.grants_slots()) {
+                    self.load_streams(|| self.host.grants_slots()).await;
+                    minority.has_streams = true;
+                }
                 versions.wait_for_majority(CHECK_INTERVAL).await;
             }
             // The service may be slow or away while the other instances are not.
--- a/lacewingspring_proxy/tests/ledger.rs
+++ b/lacewingspring_proxy/tests/ledger.rs
@@ -41,17 +41,22 @@
 /// Time in which a large use of a limit must be stored.
 const MAX_STORE_DELAY: Duration = Duration::from_millis(350);
 
-/// Store that is empty; it answers no write, or counts those of each key.
+/// Store that is empty; it answers no write, or counts those of each key, and counts the reads.
 #[derive(Default)]
 struct EmptyStore {
     is_silent: bool,
     puts: Mutex<HashMap<String, u64>>,
+    reads: Mutex<HashMap<String, u64>>,
 }
 
 impl EmptyStore {
     fn puts(&self, key: &str) -> u64 {
         self.puts.lock().expect("is not poisoned").get(key).copied().unwrap_or_default()
     }
+
+    fn reads(&self, key: &str) -> u64 {
+        self.reads.lock().expect("is not poisoned").get(key).copied().unwrap_or_default()
+    }
 }
 
 impl Store for EmptyStore {
@@ -59,7 +64,8 @@
         Era::default()
     }
 
-    async fn range(&self, _: &str, _: Option<&str>) -> Result<Page, StoreError> {
+    async fn range(&self, key: &str, _: Option<&str>) -> Result<Page, StoreError> {
+        *self.reads.lock().expect("is not poisoned").entry(key.into()).or_default() += 1;
         Ok(Page { items: Vec::new(), has_more: false, revision: Revision::default() })
     }
 
@@ -295,6 +301,29 @@
     decided
 }
 
+/// Returns how often an instance of a fleet of three reads each record of streams within a second.
+async fn stream_reads(is_linked_to_itself: bool) -> [u64; 2] {
+    let store = Arc::new(EmptyStore::default());
+    let host = host_among(&["i0", "i1", "i2"]);
+    let _link =
+        is_linked_to_itself.then(|| open_link_of("i0", &host, Vec::new(), Duration::from_secs(9)));
+    tokio::spawn(Ledger { store: store.clone(), host: host.clone() }.run());
+    sleep(Duration::from_secs(1)).await;
+    ["lacewingspring/streams", "lacewingspring/recent-streams"].map(|key| store.reads(key))
+}
+
+/// Guards against calls to the key-value service that grow with the fleet at each restart.
+#[tokio::test]
+async fn an_instance_that_grants_no_slots_reads_no_streams() {
+    assert_eq!(stream_reads(false).await, [0, 0]);
+}
+
+/// Guards against streams that can't go on at an instance that reaches no other one.
+#[tokio::test]
+async fn an_instance_that_grants_slots_alone_reads_the_streams() {
+    assert_eq!(stream_reads(true).await, [1, 1]);
+}
+
 /// Requests of the gate's own callers come before the ends of its links.
 #[test]
 fn a_gate_that_stood_still_decides_nothing_before_it_knows_what_was_handed_out() {
