--- a/lacewingspring_proxy/tests/messages.rs
+++ b/lacewingspring_proxy/tests/messages.rs
@@ -1,14 +1,12 @@
 //! Messages between the gate and instances, also of other builds.
 
-use std::{sync::Arc, time::Duration};
-
 use bytes::BytesMut;
-use lacewingspring_core::{
-    dispatch::{Quota, SlotRequest, Work},
-    names::{DataCentreName, ServiceName, WorkspaceName},
-};
+use lacewingspring_core::dispatch::{Quota, SlotRequest};
 use lacewingspring_proxy::gate::message::{DeclaredQuota, ToGate, Trailing, decode, encode};
 use serde::{Deserialize, Serialize};
+use support::request;
+
+mod support;
 
 /// The first messages as builds know them that do not tell the limit of a workspace.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -18,26 +16,6 @@
     RequestSlot { number: u64, request: Box<SlotRequest> },
 }
 
-fn request() -> SlotRequest {
-    SlotRequest {
-        service: ServiceName::from("models"),
-        class: Arc::from("a"),
-        rank: 0,
-        data_centre: DataCentreName::from("a"),
-        workspace: Some(WorkspaceName::from("w")),
-        work: Work::Plain,
-        target_left: Duration::from_secs(1),
-        time_left: Duration::from_secs(10),
-        first_output_left: Duration::from_secs(10),
-        charge: 1,
-        sends: 0,
-        avoid: Vec::new(),
-        fingerprint: 1,
-        stream: None,
-        software: None,
-    }
-}
-
 fn slot_request(quota: Option<DeclaredQuota>) -> ToGate {
     ToGate::RequestSlot { number: 7, request: request(), quota: Trailing(quota) }
 }
