Wait for the gate's own configuration before a limit that an instance tells is kept

What callers could see: 429 from a gate that just started and knows upstreams, but no configuration yet, for each request larger than the burst of its workspace.

Cause: the window in which limits count is set with the first configuration. Without it all that a limit has is its burst.

Change: such a gate remembers what it is told, and applies it with its own configuration.

--- a/lacewingspring_proxy/src/gate/host/declared_limits.rs
+++ b/lacewingspring_proxy/src/gate/host/declared_limits.rs
@@ -17,6 +17,7 @@
 /// Version of the gate's own configuration, and limits that instances told by later ones.
 #[derive(Debug, Default)]
 pub(super) struct DeclaredLimits {
+    /// 0 before the gate has a configuration.
     version: u64,
     later: HashMap<WorkspaceName, DeclaredQuota>,
 }
@@ -52,7 +53,9 @@
     /// Applies the limit of a request's workspace if the instance of the request knows a later one.
     pub(super) fn apply_told_limit(&mut self, request: &SlotRequest, told: Option<DeclaredQuota>) {
         let (Some(workspace), Some(told)) = (&request.workspace, told) else { return };
+        // Without a configuration of its own, the gate does not know in which window limits count.
         let is_changed = self.declared_limits.learn(workspace, told)
+            && self.declared_limits.version > 0
             && self.dispatcher.set_quota(workspace, told.quota);
         if !is_changed {
             return;
--- a/lacewingspring_proxy/tests/gate_pauses.rs
+++ b/lacewingspring_proxy/tests/gate_pauses.rs
@@ -3,12 +3,16 @@
 use std::time::Duration;
 
 use lacewingspring_core::{
-    dispatch::{End, StoredUsage},
+    dispatch::{End, Quota, StoredUsage},
     names::{InstanceName, WorkspaceName},
 };
-use lacewingspring_proxy::{clock, gate::message::ToGate};
+use lacewingspring_proxy::{
+    clock,
+    gate::message::{DeclaredQuota, ToGate, Trailing},
+};
 use support::{
-    CHARGE, Decided, decided, fate, host, host_among, open_link, open_link_of, slot_request,
+    CHARGE, Decided, decided, fate, host, host_among, host_without_configuration, open_link,
+    open_link_of, request, slot_request,
 };
 use tokio::sync::mpsc::unbounded_channel;
 
@@ -106,6 +110,18 @@
     assert_eq!(decided(&mut rx), Decided { granted: 30 - before.granted, refused: 0 });
 }
 
+/// A gate that just started may know upstreams before it knows the window of limits.
+#[test]
+fn a_gate_without_a_configuration_refuses_for_no_limit_that_an_instance_tells() {
+    let host = host_without_configuration(&["i"]);
+    let (link, mut rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    let told = DeclaredQuota { version: 5, quota: Quota { rate: Some(1_000.0), burst: 0.0 } };
+    let quota = Trailing(Some(told));
+    let message = ToGate::RequestSlot { number: 1, request: request(), quota };
+    host.handle(clock::now(), link, message);
+    assert_eq!(decided(&mut rx), Decided { granted: 1, refused: 0 });
+}
+
 /// A process with too little processor time stands still for 0.3 s again and again.
 #[test]
 fn a_gate_that_pauses_again_and_again_still_decides() {
--- a/lacewingspring_proxy/tests/support/mod.rs
+++ b/lacewingspring_proxy/tests/support/mod.rs
@@ -32,6 +32,16 @@
 
 /// Creates a gate in a fleet of these instances.
 pub fn host_among(instances: &[&str]) -> Arc<GateHost> {
+    let host = host_without_configuration(instances);
+    let quota = Quota { rate: Some(1_000.0), burst: 2_000.0 };
+    let quotas = HashMap::from([(WorkspaceName::from("w"), quota)]);
+    let window = Duration::from_secs(8);
+    host.set_limits(1, Limits { quotas: QuotaBounds { quotas, window }, ..Limits::default() });
+    host
+}
+
+/// Creates a gate in a fleet of these instances that knows upstreams, but no limits.
+pub fn host_without_configuration(instances: &[&str]) -> Arc<GateHost> {
     let address = SocketAddr::from(([127, 0, 0, 1], 8000));
     let member = |name: &&str| Member {
         instance: InstanceName::from(*name),
@@ -47,10 +57,6 @@
     let members: SharedMembers = Arc::new(ArcSwap::from_pointee(members));
     let host = GateHost::new(members, Arc::new(Replicas::default()), None);
     host.on_members_changed(clock::now());
-    let quota = Quota { rate: Some(1_000.0), burst: 2_000.0 };
-    let quotas = HashMap::from([(WorkspaceName::from("w"), quota)]);
-    let window = Duration::from_secs(8);
-    host.set_limits(1, Limits { quotas: QuotaBounds { quotas, window }, ..Limits::default() });
     let upstream = UpstreamInfo {
         name: UpstreamName::from("u"),
         service: ServiceName::from("models"),
