Report the outcome of a run again when its home missed the end

A home that was frozen registered the key after its runner had stopped waiting for it, and never learned of the end.

Change: a status query of a dispatched key asks the runner, and the runner of an ended run reports the outcome to the home again. Messages keep their form.

--- a/lacewingspring/src/callers/keys.rs
+++ b/lacewingspring/src/callers/keys.rs
@@ -86,8 +86,9 @@
 
 /// Returns the state of a run as the home of its key knows it. `None` if the home voided the key.
 ///
+/// The runner is asked whether it runs the key, since the home may have missed the end of the run.
 /// A run that waits at a dead runner, or at one that has refused it, is taken over and released, so
-/// that the key can be voided. A home that was frozen may have missed the refusal.
+/// that the key can be voided.
 async fn home_state(
     node: &Arc<Node>,
     id: &KeyId,
@@ -99,13 +100,12 @@
         let VoidVerdict::Running { runner, progress } = &verdict else {
             return Ok(state_from_verdict(verdict));
         };
-        let is_waiting = *progress == Progress::Waiting;
         if let Some(peer) = node.fleet.live_run(&runner.instance, runner.incarnation)
-            && (!is_waiting || is_running(node, &peer, id, runner.incarnation).await)
+            && is_running(node, &peer, id, runner.incarnation).await
         {
             return Ok(Some(State::InProgress));
         }
-        if !is_waiting {
+        if *progress != Progress::Waiting {
             return Ok(Some(State::MayHaveRun));
         }
         let taken = homes.take_over(id, runner, deadline).await?;
@@ -150,6 +150,9 @@
 }
 
 /// Asks a live instance whether it runs a key. An instance that doesn't answer is taken to run it.
+///
+/// A run that ended with an answer counts as running: its parts don't tell it from an ongoing one.
+/// The question makes its runner report the outcome to the home, which answers the next query.
 async fn is_running(node: &Arc<Node>, peer: &PeerAddress, id: &KeyId, incarnation: u64) -> bool {
     if node.is_run(&peer.instance, incarnation) {
         return node.runs.get(id).is_some_and(|run| !run.ended());
--- a/lacewingspring/src/daemon.rs
+++ b/lacewingspring/src/daemon.rs
@@ -23,7 +23,7 @@
     declared::DeclaredStore,
     entry::{Claims, RunTable, serve_follow},
     gates::GateHost,
-    homes::{self, KeyHome, announce_on_change},
+    homes::{self, HomeClient, KeyHome, announce_on_change},
     limits::{self, Limits, renew_shares},
     membership::{Fleet, follow_list, gossip},
     metrics::Metrics,
@@ -264,6 +264,9 @@
         Some(Message::Follow { workspace, key, incarnation }) => {
             let run = node.runs.get(&KeyId { workspace, key });
             let run = run.filter(|_| incarnation == node.incarnation);
+            if let Some(run) = &run {
+                HomeClient::new(&node).repeat_outcome(run);
+            }
             serve_follow(run, &exchange).await;
         }
         _ => {}
--- a/lacewingspring/src/entry/run.rs
+++ b/lacewingspring/src/entry/run.rs
@@ -10,8 +10,8 @@
 
 use lacewingspring_core::{
     claim::StoredAnswer,
-    error::ErrorKind,
-    key_index::{KeyId, Progress},
+    error::{ErrorKind, RunState},
+    key_index::{KeyId, Outcome, Progress},
     names::Fingerprint,
 };
 use tokio::sync::watch;
@@ -179,6 +179,16 @@
         }
     }
 
+    /// Returns the outcome of the run; `None` if it has none yet, or ended without running.
+    pub fn outcome(&self) -> Option<Outcome> {
+        let ended = self.ended();
+        match self.failure().map(|kind| kind.answer().run) {
+            None | Some(RunState::Ran) => ended.then_some(Outcome::Answered),
+            Some(RunState::MayHaveRun) => Some(Outcome::MayHaveRun),
+            Some(RunState::NotRun) => None,
+        }
+    }
+
     /// Follows the run from its first part.
     pub fn follow(self: &Arc<Self>) -> Follower {
         let count = self.followers.fetch_add(1, Ordering::AcqRel) + 1;
--- a/lacewingspring/src/homes/announce.rs
+++ b/lacewingspring/src/homes/announce.rs
@@ -7,8 +7,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use lacewingspring_core::{
-    error::RunState,
-    key_index::{Announcement, HandOver, KeyId, Outcome, Progress, Runner, SettledKey},
+    key_index::{Announcement, HandOver, KeyId, Progress, Runner, SettledKey},
     membership::{View, ViewMember},
     names::InstanceName,
 };
@@ -142,11 +141,7 @@
             progress,
         }));
     }
-    let outcome = match run.failure().map(|kind| kind.answer().run) {
-        None | Some(RunState::Ran) => Outcome::Answered,
-        Some(RunState::MayHaveRun) => Outcome::MayHaveRun,
-        Some(RunState::NotRun) => return None,
-    };
+    let outcome = run.outcome()?;
     let fingerprint = Some(fingerprint);
     let known = HandOver::Finished { fingerprint, runner: runner.clone(), outcome };
     Some(KeyUpdate::Settled(SettledKey { id, known, ttl: KEY_RETENTION }))
--- a/lacewingspring/src/homes/client.rs
+++ b/lacewingspring/src/homes/client.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock,
     daemon::Node,
-    entry::Refusal,
+    entry::{Refusal, Run},
     membership::peer,
     peers::{KeyCall, KeyReply, KeyUpdate, Message},
     settings::Mechanism,
@@ -171,6 +171,17 @@
         self.report_in_background(id, call);
     }
 
+    /// Reports the outcome of an ended run of this instance to its home again, in the background.
+    ///
+    /// Whoever follows an ended run may have its runner from a home that missed the end: the report
+    /// was lost, or the home executed the registration after the runner had stopped waiting for it,
+    /// as a home does that was frozen.
+    pub fn repeat_outcome(&self, run: &Run) {
+        if let Some(outcome) = run.outcome().filter(|_| self.is_on()) {
+            self.report_outcome(&run.id, outcome);
+        }
+    }
+
     /// Releases a run that was not dispatched, in the background.
     pub fn release(&self, id: &KeyId) {
         let call = KeyCall::Release { id: id.clone(), runner: self.runner() };
--- a/lacewingspring/tests/support/mod.rs
+++ b/lacewingspring/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use std::{
+    cmp::Reverse,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -15,7 +16,12 @@
     peers::Authority,
     platform::key_value::KeyValue,
 };
-use lacewingspring_core::catalog::digest_hex;
+use lacewingspring_core::{
+    catalog::digest_hex,
+    key_index::KeyId,
+    names::{InstanceName, RequestKey},
+    rendezvous,
+};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::time::{Instant, sleep, timeout};
@@ -56,6 +62,17 @@
         rustix::process::kill_process(pid, signal).expect("signals a process");
     }
 
+    /// Stops the process until it gets `Signal::CONT`, and waits until all threads have stopped.
+    ///
+    /// On a busy machine a process still handles requests for some milliseconds after the signal.
+    pub fn freeze(&self) {
+        let pid = rustix::process::Pid::from_child(&self.0);
+        self.signal(rustix::process::Signal::STOP);
+        let options = rustix::process::WaitOptions::UNTRACED;
+        let status = rustix::process::waitpid(Some(pid), options).expect("waits for a process");
+        assert!(status.is_some_and(|(_, status)| status.stopped()), "the process has ended");
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.0.kill();
@@ -434,6 +451,20 @@
     PathBuf::from(env!("CARGO_BIN_EXE_lacewingspring")).with_file_name(name)
 }
 
+/// Returns a key of the workspace `desk` whose holders are these instances, given by index: first
+/// its home, then its backup and the next ones.
+pub fn key_with_holders(fleet: &Fleet, holders: &[usize]) -> String {
+    let names: Vec<_> = fleet.instances.iter().map(|it| InstanceName::from(&*it.name)).collect();
+    let has_holders = |key: &String| {
+        let id = KeyId { workspace: "desk".into(), key: RequestKey::from(key.as_str()) };
+        let mut ranked: Vec<usize> = (0..names.len()).collect();
+        ranked.sort_by_key(|index| Reverse(rendezvous::weight(&id, &names[*index])));
+        ranked.starts_with(holders)
+    };
+    let mut keys = (0..).map(|n| format!("held-{n}"));
+    keys.find(has_holders).expect("a key of these holders")
+}
+
 /// Returns the current time. The lint against direct clock reads is for the code under test, whose
 /// deciding functions take `now` as an argument.
 #[allow(clippy::disallowed_methods)]
