Revert a dispatch that the key's home did not permit before it moved

The home had recorded the dispatch, its backup was stopping and did not confirm it, and an instance that had just started became the home. The runner took the recorded dispatch for an earlier one.

Change: the runner registers again and, if the home knows only the dispatch that it has just requested, reverts it and runs the request.

--- a/lacewingspring/src/entry/idempotent.rs
+++ b/lacewingspring/src/entry/idempotent.rs
@@ -81,9 +81,45 @@
         &self,
         homes: &HomeClient,
         request: Request<Accepted>,
+    ) -> Result<(), Refusal> {
+        let verdict = self.register(homes, request.facts().deadline).await?;
+        self.run_by_verdict(homes, request, verdict).await
+    }
+
+    /// Registers a run again whose request to dispatch to the upstream `requested` was answered by
+    /// a home that did not know the run.
+    ///
+    /// The previous home may have recorded the dispatch and handed it over without permitting it
+    /// here, for example because it left before its backup confirmed the dispatch. Nothing was
+    /// sent, so the dispatch is reverted.
+    async fn register_again(
+        &self,
+        homes: &HomeClient,
+        request: Request<Accepted>,
+        requested: UpstreamName,
     ) -> Result<(), Refusal> {
         let deadline = request.facts().deadline;
         let verdict = self.register(homes, deadline).await?;
+        let unsent = RegisterVerdict::Joined {
+            runner: homes.runner(),
+            progress: Progress::Dispatched { upstream: requested },
+        };
+        if verdict == unsent {
+            self.revert_dispatch(homes, deadline).await?;
+            return self.run_as_runner(homes, request).await;
+        }
+        self.run_by_verdict(homes, request, verdict).await
+    }
+
+    /// Runs the request, follows its existing run or fetches its answer, as the home of its key
+    /// decided.
+    async fn run_by_verdict(
+        &self,
+        homes: &HomeClient,
+        request: Request<Accepted>,
+        verdict: RegisterVerdict,
+    ) -> Result<(), Refusal> {
+        let deadline = request.facts().deadline;
         match verdict {
             RegisterVerdict::Registered => {
                 self.set_runner(Progress::Waiting);
@@ -158,9 +194,10 @@
                     return Box::pin(self.follow_or_take_over(homes, request, runner)).await;
                 }
                 DispatchPermission::Reregister => {
+                    let requested = permit.upstream.clone();
                     permit.release(gate::Outcome::Cancelled);
                     self.run.set_ownership(Ownership::None);
-                    return Box::pin(self.register_and_run(homes, request)).await;
+                    return Box::pin(self.register_again(homes, request, requested)).await;
                 }
             }
         }
--- a/lacewingspring/tests/graceful_stop.rs
+++ b/lacewingspring/tests/graceful_stop.rs
@@ -19,6 +19,7 @@
     caller::{complete, desk_credential, engine_runs, key_header, try_complete, upstream_id},
     get,
     history::CallerOutcome,
+    key_with_holders,
 };
 
 mod support;
@@ -26,6 +27,9 @@
 /// Number of rounds; each instance restarts once a round.
 const ROUNDS: usize = 2;
 
+/// Time for which a new home waits for announcements of open runs, with a margin.
+const LEARNING_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Sends completions until stopped, in turn to the addresses that the last response listed, and
 /// panics if one is interrupted or wrong. Counts the answers in `done`.
 async fn run_caller(id: usize, first: SocketAddr, stop: Arc<AtomicBool>, done: Arc<AtomicU64>) {
@@ -93,6 +97,45 @@
     assert!(done.load(Ordering::Relaxed) > 50, "{done:?} requests were answered");
 }
 
+/// Waits until an instance no longer lists the address of another one.
+async fn wait_until_unlisted(at: SocketAddr, other: SocketAddr) {
+    let unlisted = async {
+        while get(at, "/v1/addresses").await.is_ok_and(|it| it.body.contains(&other.to_string())) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(Duration::from_secs(10), unlisted).await.expect("the instance is not listed any more");
+}
+
+/// The home of a key records the dispatch of a completion, can't have its backup confirm it, and
+/// hands the key over as dispatched to an instance that starts. The completion was not sent, so
+/// its caller must not be told that the answer is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_a_completion_whose_home_moves_before_it_permits_the_dispatch() {
+    let config = FleetConfig { instances: 4, use_relays: true, ..FleetConfig::default() };
+    let mut fleet = Fleet::start(config).await;
+    let partition = fleet.partition.clone().expect("a fleet with relays");
+    let (home, backup, runner, next_home) = (0, 1, 2, 3);
+    let key = key_with_holders(&fleet, &[next_home, home, backup, runner]);
+    fleet.instances[next_home].process.kill();
+    for index in [home, backup, runner] {
+        let at = fleet.instances[index].caller_address;
+        wait_until_unlisted(at, fleet.instances[next_home].caller_address).await;
+    }
+    // The new home registers no key until it has learned of the open runs.
+    sleep(LEARNING_TIMEOUT).await;
+    partition.block(&fleet, home, backup);
+    let at = fleet.instances[runner].caller_address;
+    let completion = tokio::spawn(async move { try_complete(at, "lookup", &key, "plot", 5).await });
+    sleep(Duration::from_millis(300)).await;
+    fleet.restart(next_home);
+    let reply = completion.await.expect("a completion finishes");
+    assert!(matches!(reply.outcome, CallerOutcome::Answer(_)), "{reply:?}");
+    for run in engine_runs(&fleet).await {
+        assert_eq!(run["dispatches"], 1, "{run}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn drain_refuses_new_requests_with_another_address_and_completes_open_ones() {
     let config = FleetConfig { instances: 2, ..FleetConfig::default() };
