Wait until a frozen home has stopped before the test sends to it

Cause: `dispatches_once_what_waited_at_a_frozen_home` failed in 2 of 24 runs beside three busy processes: the instance handled requests after the stop signal and froze with permitted dispatches, so repeats were told that the answer is lost.

Change: the test waits until all threads of the process have stopped. What it requires is unchanged.

--- a/lacewingspring/tests/at_most_once.rs
+++ b/lacewingspring/tests/at_most_once.rs
@@ -156,7 +156,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn dispatches_once_what_waited_at_a_frozen_home() {
     let fleet = Fleet::start(FleetConfig::default()).await;
-    fleet.instances[0].process.signal(Signal::STOP);
+    fleet.instances[0].process.freeze();
     let (frozen, other) = (fleet.instances[0].caller_address, fleet.instances[1].caller_address);
     let send = |at, n| async move {
         try_complete(at, "lookup", &format!("frozen-{n}"), "plot seven of the cadastre", 5).await
