Add the decision whether the target of a roll-out is sound

Cause: operators had no way to move a service to another software version under a bound on what a bad version can harm (docs/REQUIREMENTS.md, section 1).

Change: `lacewingspring_core::roll_out` decides, without I/O and clock, how many requests the target gets (exposure with a margin, shares of routes) and compares its responses with those of the other versions, in total and by route. Nothing uses it yet.

--- a/lacewingspring_core/src/lib.rs
+++ b/lacewingspring_core/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod rendezvous;
 pub mod request;
 pub mod resources;
+pub mod roll_out;
