Use the load that upstreams report, shares and versions in dispatch

Cause: placement did not use `X-Lacewingspring-Server-Load`, so sudden slowness of an upstream and work that others placed there showed only in late responses. A workspace that sent many times its load took the slots of others, two gates filled the same slots, and a roll-out had no way to choose among versions.

Change: `dispatch` predicts first events and pauses from reports with four figures, orders and refuses waiting requests by the workspaces' shares of upstream time, leaves the slots that another gate's requests take, and chooses versions for a roll-out.

--- a/lacewingspring_core/src/dispatch/finding.rs
+++ b/lacewingspring_core/src/dispatch/finding.rs
@@ -1,5 +1,6 @@
 //! What a gate learns of upstreams and the requests that crash them, for its log.
 
+use super::{reported_load::UpstreamLoad, work::Ticket, workspace_shares::ShareUse};
 use crate::names::{ServiceName, UpstreamName};
 
 /// Something that the gate has learned.
@@ -50,6 +51,14 @@
         /// The service.
         service: ServiceName,
     },
+    /// The load that an upstream reported is implausible; reported once for each of its
+    /// processes.
+    LoadIgnored {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// The load.
+        load: UpstreamLoad,
+    },
     /// No connection to an upstream could be made from an instance.
     Unreachable {
         /// The upstream.
@@ -60,6 +69,15 @@
         /// the instance.
         backs_off: bool,
     },
+    /// A request was refused that waited for a service in which workspaces have shares.
+    RefusedUnderShares {
+        /// The service.
+        service: ServiceName,
+        /// The request.
+        ticket: Ticket,
+        /// What its workspace used, compared with its share.
+        share_use: ShareUse,
+    },
     /// A run with suspected parts broke off; requests with all of them are refused.
     Blocked {
         /// Digests of the parts.
--- a/lacewingspring_core/src/dispatch/fleet_share.rs
+++ b/lacewingspring_core/src/dispatch/fleet_share.rs
@@ -24,15 +24,18 @@
     pub slots: f64,
     /// Fraction of all limits.
     pub limits: f64,
+    /// Fraction of all slots that the gates of instances apart from this one may use at the same
+    /// time, as far as the gate of a majority knows. A minority keeps to its own fraction.
+    pub slots_of_others: f64,
 }
 
 impl FleetShare {
     /// The whole fleet.
-    pub const WHOLE: Self = Self { slots: 1.0, limits: 1.0 };
+    pub const WHOLE: Self = Self { slots: 1.0, limits: 1.0, slots_of_others: 0.0 };
 
     /// Creates the share of a gate that schedules a minority of the fleet.
     pub fn of_minority(fraction: f64) -> Self {
-        Self { slots: fraction, limits: fraction * MINORITY_LIMIT_FACTOR }
+        Self { slots: fraction, limits: fraction * MINORITY_LIMIT_FACTOR, slots_of_others: 0.0 }
     }
 
     /// Returns whether this is the share of a gate that schedules more than half of the fleet.
@@ -185,11 +188,18 @@
             is_apart && !instance.is_leaving
         });
         let missing = self.missing.values().filter(|known| known.is_apart(now, limit_window));
-        let apart = unlinked.count() + missing.count();
+        let unlinked = unlinked.count();
+        let apart = unlinked + missing.count();
+        // Limits stay reserved for a window after an instance links again; its slots do not.
+        let cut_off = self.missing.values().filter(|known| known.linked_since.is_none()).count();
         let unregistered = |name: &&InstanceName| !self.registered.contains_key(*name);
         let known = active + self.missing.keys().filter(unregistered).count();
         let reserved = MINORITY_LIMIT_FACTOR * apart as f64 / known.max(apart) as f64;
-        FleetShare { limits: FleetShare::WHOLE.limits - reserved, ..FleetShare::WHOLE }
+        FleetShare {
+            limits: FleetShare::WHOLE.limits - reserved,
+            slots_of_others: (unlinked + cut_off) as f64 / known.max(apart) as f64,
+            ..FleetShare::WHOLE
+        }
     }
 
     /// Notes which missing instances are linked, and forgets those that have been missing for long.
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    sync::Arc,
     time::Duration,
 };
 
@@ -19,10 +20,12 @@
     hand_over::{BlockedParts, BlockedRequest, CrashedPart, HandOver, UpstreamLimit},
     known_streams::{KnownStream, KnownStreams, ServedVersion, StreamGroup, UpstreamProcess},
     quota::{Quota, QuotaBounds, StoredUsage},
+    reported_load::{LoadReports, UpstreamLoad},
     upstream::UpstreamInfo,
     work::{
         Decision, End, Grant, PromptPart, Reason, Refusal, SlotRequest, StreamRef, Ticket, Work,
     },
+    workspace_shares::ShareUse,
 };
 use self::{
     budget::RetryBudgets,
@@ -33,7 +36,10 @@
     quota::Quotas,
     refusal_history::RefusalHistory,
     resumptions::Resumptions,
+    shares::pool_of,
+    workspace_shares::ShareConfig,
 };
+pub use self::{roll_outs::BarredVersions, version_choice::VersionUse};
 use crate::names::{ServiceName, UpstreamName, WorkspaceName};
 
 mod brittle;
@@ -54,16 +60,22 @@
 mod rate_limits;
 mod recent_parts;
 mod refusal_history;
+mod reported_load;
 mod reports;
 mod resumptions;
+mod roll_outs;
 mod served_versions;
+mod shares;
 mod sizes;
 mod stream_versions;
 mod streams;
 mod unframed_ends;
 mod upstream;
 mod upstream_state;
+mod version_choice;
+mod version_samples;
 mod work;
+mod workspace_shares;
 
 /// Longest interruption of the control over the whole fleet during which no other gate can have
 /// taken over.
@@ -102,6 +114,8 @@
     share: FleetShare,
     /// Latest time at which it was known to decide for the whole fleet.
     whole_fleet_at: Option<Duration>,
+    /// Weights of the workspaces.
+    shares: Arc<ShareConfig>,
 }
 
 impl Dispatcher {
@@ -119,8 +133,11 @@
         for service in self.pools.keys() {
             by_service.entry(service.clone()).or_default();
         }
+        let slots_of_others = self.share.slots_of_others;
         for (service, infos) in by_service {
-            self.pools.entry(service).or_default().set_upstreams(infos);
+            let pool = self.pool(&service);
+            pool.slots_of_others = slots_of_others;
+            pool.set_upstreams(infos);
         }
         self.tick(now)
     }
@@ -129,11 +146,16 @@
     pub fn set_limits(&mut self, limits: Limits) {
         self.retries.bound = limits.retries;
         self.quotas.set_bounds(limits.quotas);
+        self.update_weights();
     }
 
     /// Replaces the declared limit of one workspace; returns whether it was another one.
     pub fn set_quota(&mut self, workspace: &WorkspaceName, quota: Quota) -> bool {
-        self.quotas.set_quota(workspace, quota)
+        let is_changed = self.quotas.set_quota(workspace, quota);
+        if is_changed {
+            self.update_weights();
+        }
+        is_changed
     }
 
     /// Imports the usage that an earlier gate published `age` ago.
@@ -159,7 +181,7 @@
     pub fn take_over(&mut self, now: Duration, age: Duration, hand_over: &HandOver) {
         self.crashes.take_over(now, age, hand_over);
         for limit in &hand_over.rate_limits {
-            let pool = self.pools.entry(limit.service.clone()).or_default();
+            let pool = self.pool(&limit.service);
             pool.rate_limits.import(now, limit);
         }
     }
@@ -192,6 +214,9 @@
             self.quotas.begin(now);
         }
         self.quotas.set_share(share, self.whole_fleet_at.unwrap_or(now));
+        for pool in self.pools.values_mut() {
+            pool.slots_of_others = share.slots_of_others;
+        }
     }
 
     /// Records that more than half of the fleet was linked at the time `at`.
@@ -250,7 +275,7 @@
             request.target_left = request.target_left.min(late_at.saturating_sub(now));
         }
         let open = OpenRequest::new(now, &request, charge);
-        let pool = self.pools.entry(request.service.clone()).or_default();
+        let pool = pool_of(&mut self.pools, &self.shares, &request.service);
         let avoided = self.link_paths.to_avoid(now, ticket.link);
         if !avoided.is_empty() {
             pool.avoid_if_others(now, self.share.slots, &mut request, avoided);
@@ -310,10 +335,19 @@
     ) {
         let open = OpenRequest::new(now, request, None);
         self.open.insert(ticket, open);
-        let pool = self.pools.entry(request.service.clone()).or_default();
+        let pool = self.pool(&request.service);
         pool.adopt(now, ticket, upstream, &request.work);
     }
 
+    /// Records that the upstream of a request answers with a status that is an error of its own,
+    /// although its response is passed on as a complete one.
+    pub fn record_error_status(&mut self, ticket: Ticket, status: u16) {
+        let Some(open) = self.open.get(&ticket) else { return };
+        if let Some(pool) = self.pools.get_mut(&open.service) {
+            pool.record_error_status(ticket, status);
+        }
+    }
+
     /// Ends a request, whether it waits or runs, and dispatches to the slot that it frees.
     pub fn end(&mut self, now: Duration, ticket: Ticket, end: End) -> Vec<Decision> {
         self.resumptions.remove(ticket);
@@ -358,6 +392,7 @@
         let mut findings = std::mem::take(&mut self.findings);
         findings.extend(self.crashes.take_findings());
         findings.extend(self.resumptions.take_findings());
+        findings.extend(self.take_share_refusals());
         findings
     }
 
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -1,18 +1,27 @@
 //! Scheduler of one service: its upstreams, its running requests and its queue.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use self::overload::clamp_retry_after;
 use super::{
     brittle::BrittleUpstreams,
     queue::{Queue, WaitingRequest},
     rate_limits::RateLimits,
+    reported_load::LoadReports,
     upstream::UpstreamInfo,
     upstream_state::{Run, Speed, UpstreamState},
+    version_choice::{TargetRoom, VersionChoice, VersionPart},
     work::{Decision, End, Grant, Reason, Refusal, SlotRequest, Ticket, Work},
+    workspace_shares::{ShareConfig, ShareRefusal, SlotCharge},
 };
 use crate::names::UpstreamName;
 
 mod capacity;
+mod load;
+mod named_limits;
+mod overload;
+mod shares;
+mod versions;
 
 /// Weight of a new sample in the moving average of the service time.
 const SERVICE_TIME_SAMPLE_WEIGHT: f64 = 0.05;
@@ -38,27 +47,16 @@
 /// fast.
 const FASTEST_MARGIN_FACTOR: f64 = 1.2;
 
-/// Factor by which the expected wait is raised as a safety margin.
-const WAIT_MARGIN_FACTOR: f64 = 1.3;
-
-/// Shortest time that an overload is assumed to last; a caller that retries sooner would be refused
-/// again.
-const MIN_OVERLOAD: Duration = Duration::from_secs(3);
-
-/// Shortest retry-after time of a refusal.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
-
 /// Retry-after time of a refusal because no upstream is usable.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Number of upstreams from which the expected time to the first event is averaged.
-const MAX_SAMPLED_UPSTREAMS: usize = 32;
-
 /// A request that holds a slot.
 #[derive(Debug)]
 struct Running {
     upstream: UpstreamName,
     run: Run,
+    /// What its workspace was charged; `None` if no shares were kept at its grant.
+    charge: Option<SlotCharge>,
 }
 
 /// Upstreams, running requests and queue of one service; not to be confused with an engine pool.
@@ -75,23 +73,37 @@
     last_retry_at: Duration,
     /// Whether the upstreams may crash if they decline requests.
     pub brittle: BrittleUpstreams,
+    /// Software versions that may be used.
+    pub versions: VersionChoice,
+    /// Load reports of the upstreams.
+    pub load_reports: LoadReports,
+    /// Refusals that are not reported yet, with the use of shares at that time.
+    share_refusals: Vec<ShareRefusal>,
+    /// Time by which the requests are expected to be served that waited when one was refused.
+    contended_until: Duration,
+    /// Largest fraction of the slots that other gates may use at the same time.
+    pub slots_of_others: f64,
 }
 
-impl Default for Pool {
-    fn default() -> Self {
+impl Pool {
+    /// Creates the scheduler of a service whose workspaces have these shares.
+    pub fn new(shares: Arc<ShareConfig>) -> Self {
         Self {
             upstreams: HashMap::new(),
             runs: HashMap::new(),
-            queue: Queue::default(),
+            queue: Queue::new(shares),
             rate_limits: RateLimits::default(),
             service_time: ASSUMED_SERVICE_TIME,
             last_retry_at: Duration::ZERO,
             brittle: BrittleUpstreams::default(),
+            versions: VersionChoice::default(),
+            load_reports: LoadReports::default(),
+            share_refusals: Vec::new(),
+            contended_until: Duration::ZERO,
+            slots_of_others: 0.0,
         }
     }
-}
 
-impl Pool {
     /// Replaces the known upstreams. Upstreams that were not restarted keep their learned state.
     pub fn set_upstreams(&mut self, infos: Vec<UpstreamInfo>) {
         let speed = self.median_speed();
@@ -108,6 +120,7 @@
             state.info = info;
             self.upstreams.insert(state.info.name.clone(), state);
         }
+        self.update_reported();
     }
 
     /// Creates the state of an upstream. Requests that were already sent to an upstream of that
@@ -162,7 +175,11 @@
         if request.sends == 0 {
             self.queue.count_arrival(now, &request, band);
         }
-        if !self.upstreams.values().any(|state| is_eligible(state, &request)) {
+        let may_run = |state: &&UpstreamState| {
+            is_eligible(state, &request)
+                && self.versions.may_run(now, &state.info.software, &request)
+        };
+        if !self.upstreams.values().any(|state| may_run(&state)) {
             let retry_after = clamp_retry_after(NO_UPSTREAM_RETRY_AFTER, &request);
             let refusal = Refusal::new(Reason::NoUpstream, retry_after);
             return vec![Decision::Refused(ticket, refusal)];
@@ -171,90 +188,43 @@
         let first_output = Duration::from_secs_f64(first_output_ms / 1_000.0);
         let due = now + request.target_left.saturating_sub(first_output);
         let class = request.class.clone();
-        let is_late = request.target_left.is_zero();
-        let waiting =
-            WaitingRequest { ticket, due, expires: now + max_wait(&request), request, band };
-        self.queue.push(now, waiting);
+        let is_past_target = request.target_left.is_zero();
+        let expires = now + max_wait(&request);
+        let deadline = now.saturating_add(request.time_left);
+        let waiting = WaitingRequest {
+            ticket,
+            request,
+            band,
+            due,
+            expires,
+            deadline,
+            number: 0,
+            account: None,
+        };
+        let arrived = self.queue.push(now, waiting);
         let mut decisions = self.dispatch_waiting(now, fleet_fraction);
-        let waiting = self.queue.get(ticket).filter(|waiting| !waiting.request.is_resumed());
+        let waiting = self.queue.get(&class, &arrived);
         let refusal = waiting.and_then(|waiting| {
             self.unservable_wait(now, fleet_fraction, first_output, &waiting.request)
         });
         let Some(wait) = refusal else { return decisions };
-        let better = self.queue.newest_of_better_served(&class, band).filter(|_| !is_late);
-        let victim = better.unwrap_or(ticket);
+        let better = || {
+            let better = self.queue.newest_of_better_served(&class, band);
+            better.filter(|_| !is_past_target)
+        };
+        // By shares, the request competes with those beside which it is queued.
+        let is_late = due <= now;
+        let by_share = self.queue.newest_above_share(now, self.service_time, &class, band, is_late);
+        let victim = by_share.or_else(better).unwrap_or(ticket);
+        if !is_past_target {
+            self.contended_until = self.contended_until.max(now + wait);
+        }
         if let Some(waiting) = self.queue.remove(victim) {
             decisions.push(self.refuse(now, fleet_fraction, wait, &waiting));
         }
         decisions
     }
 
-    /// Returns the expected wait of a queued request if it can't be answered within its latency
-    /// target or, if that has passed already, before its caller leaves; else `None`.
-    ///
-    /// A caller that is refused at once can retry when there is room; one that waits in vain can't.
-    fn unservable_wait(
-        &self,
-        now: Duration,
-        fleet_fraction: f64,
-        first_output: Duration,
-        request: &SlotRequest,
-    ) -> Option<Duration> {
-        let slots = f64::from(self.total_slots(now, fleet_fraction).max(1));
-        let wait_for = |ahead: usize| self.service_time.mul_f64(ahead as f64 / slots);
-        if request.target_left.is_zero() {
-            let wait = wait_for(self.queue.len() - 1);
-            return (wait > max_wait(request)).then_some(wait);
-        }
-        let wait = wait_for(self.queue.timely_len().saturating_sub(1));
-        (wait.mul_f64(WAIT_MARGIN_FACTOR) + first_output > request.target_left)
-            .then(|| wait_for(self.queue.len() - 1))
-    }
-
-    /// Refuses a request and assigns its retry-after time.
-    ///
-    /// Each refused caller gets a time of its own. The times are as far apart as slots become free.
-    fn refuse(
-        &mut self,
-        now: Duration,
-        fleet_fraction: f64,
-        wait: Duration,
-        waiting: &WaitingRequest,
-    ) -> Decision {
-        let slots = f64::from(self.total_slots(now, fleet_fraction).max(1));
-        let soonest = now + wait.max(MIN_OVERLOAD);
-        self.last_retry_at = self.last_retry_at.max(soonest) + self.service_time.div_f64(slots);
-        let retry_after =
-            clamp_retry_after(self.last_retry_at.saturating_sub(now), &waiting.request);
-        let refusal = Refusal {
-            reason: Reason::Overload,
-            retry_after,
-            waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
-            expected_wait: wait,
-        };
-        Decision::Refused(waiting.ticket, refusal)
-    }
-
-    /// Returns the expected time from a send to the first event, in milliseconds, averaged over the
-    /// usable upstreams by how often their slots become free: a waiting request goes to the
-    /// upstream that has a free slot first, which is mostly a fast one.
-    ///
-    /// Of many upstreams it takes a sample, a different one for each request, so that its cost does
-    /// not grow with the fleet.
-    fn expected_first_output_ms(&self, now: Duration, ticket: Ticket, work: &Work) -> f64 {
-        let interval = self.upstreams.len().div_ceil(MAX_SAMPLED_UPSTREAMS).max(1);
-        let first = (ticket.number % interval as u64) as usize;
-        let sampled = self.upstreams.values().skip(first).step_by(interval);
-        let usable = sampled.filter(|state| state.is_usable(now));
-        let times =
-            usable.map(|state| (state.first_output_ms(now, work), state.slot_turnover(work)));
-        let (sum, weight) =
-            times.fold((0.0, 0.0), |(sum, weight), (first_output_ms, slot_turnover)| {
-                (sum + first_output_ms * slot_turnover, weight + slot_turnover)
-            });
-        if weight > 0.0 { sum / weight } else { 0.0 }
-    }
-
     /// Dispatches waiting requests until no upstream has a slot for one of them; refuses expired
     /// ones.
     pub fn dispatch_waiting(&mut self, now: Duration, fleet_fraction: f64) -> Vec<Decision> {
@@ -263,12 +233,12 @@
             if !self.has_free_slot(now, fleet_fraction) {
                 return decisions;
             }
-            let heads = self.queue.heads();
+            let heads = self.queue.heads(self.urgent_by(now, fleet_fraction));
             let next = heads.into_iter().find_map(|waiting| {
-                Some((waiting.ticket, self.choose_upstream(now, fleet_fraction, &waiting.request)?))
+                Some((waiting.head(), self.choose_upstream(now, fleet_fraction, &waiting.request)?))
             });
-            let Some((ticket, upstream)) = next else { return decisions };
-            let Some(waiting) = self.queue.dequeue(now, ticket) else { return decisions };
+            let Some((head, upstream)) = next else { return decisions };
+            let Some(waiting) = self.queue.dequeue(now, &head) else { return decisions };
             decisions.extend(self.grant(now, fleet_fraction, &waiting, upstream));
         }
     }
@@ -285,24 +255,28 @@
     fn has_free_slot(&self, now: Duration, fleet_fraction: f64) -> bool {
         let limit = self.in_progress_limit(now, fleet_fraction);
         self.upstreams.values().any(|state| {
-            state.has_slot(now, limit.of(state.info.slots))
+            state.has_slot(now, limit.of(now, state))
+                && self.versions.contains(VersionPart::Any, &state.info.software)
                 && self.rate_limits.allows(now, fleet_fraction, &state.info.name)
                 && !self.brittle.is_paused(now, &state.info.name)
         })
     }
 
-    fn choose_upstream(
+    /// Chooses an upstream among those of a part of the versions.
+    fn choose_among(
         &self,
         now: Duration,
         fleet_fraction: f64,
         request: &SlotRequest,
+        part: VersionPart,
     ) -> Option<UpstreamName> {
         let needed_tokens = memory_tokens(&request.work);
         // The conditions are ordered by their cost, as under load most upstreams have no room.
         let limit = self.in_progress_limit(now, fleet_fraction);
         let open = self.upstreams.values().filter(|state| {
-            state.has_room(now, limit.of(state.info.slots), needed_tokens)
+            state.has_room(now, limit.of(now, state), needed_tokens)
                 && is_eligible(state, request)
+                && self.versions.contains(part, &state.info.software)
                 && self.rate_limits.allows(now, fleet_fraction, &state.info.name)
                 && !self.brittle.is_paused(now, &state.info.name)
         });
@@ -311,9 +285,9 @@
             let completion_ms = state.completion_ms(now, &request.work);
             completion_ms <= longest_answer_ms(request)
                 || completion_ms
-                    <= *max_answer_ms.get_or_insert_with(|| self.max_answer_ms(now, request))
+                    <= *max_answer_ms.get_or_insert_with(|| self.max_answer_ms(now, request, part))
         });
-        let costs = candidates.map(|state| (state.cost_ms(now, request), &state.info.name));
+        let costs = candidates.map(|state| (cost(state, now, request, part), &state.info.name));
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)))?;
         Some(best.1.clone())
     }
@@ -323,9 +297,12 @@
     ///
     /// An answer that is cut off before its end has used a slot for nothing. If all upstreams are
     /// too slow, those about as fast as the fastest are still allowed.
-    fn max_answer_ms(&self, now: Duration, request: &SlotRequest) -> f64 {
-        let usable =
-            self.upstreams.values().filter(|state| state.is_usable(now) && runs(state, request));
+    fn max_answer_ms(&self, now: Duration, request: &SlotRequest, part: VersionPart) -> f64 {
+        let usable = self.upstreams.values().filter(|state| {
+            state.is_usable(now)
+                && runs(state, request)
+                && self.versions.contains(part, &state.info.software)
+        });
         let fastest =
             usable.map(|state| state.completion_ms(now, &request.work)).min_by(f64::total_cmp);
         longest_answer_ms(request).max(fastest.unwrap_or_default() * FASTEST_MARGIN_FACTOR)
@@ -338,11 +315,16 @@
         waiting: &WaitingRequest,
         upstream: UpstreamName,
     ) -> Option<Decision> {
+        let charge = self.charge(now, waiting, &upstream);
         let state = self.upstreams.get_mut(&upstream)?;
         let run = state.start_run(now, &waiting.request.work);
+        self.load_reports.count_use(state.reported.age(now));
         let UpstreamInfo { address, ref software, started_at_ms, .. } = state.info;
         let software = software.clone();
-        self.runs.insert(waiting.ticket, Running { upstream: upstream.clone(), run });
+        let slot_use = state.slot_use();
+        let tokens = run.prefill_tokens;
+        self.versions.record_grant(now, waiting, &state.info, tokens, slot_use);
+        self.runs.insert(waiting.ticket, Running { upstream: upstream.clone(), run, charge });
         self.rate_limits.take(now, fleet_fraction, &upstream);
         let is_limited = self.rate_limits.rate(&upstream).is_some();
         Some(Decision::Granted(
@@ -351,21 +333,21 @@
         ))
     }
 
-    /// Registers a request that already runs under a grant of another gate.
-    pub fn adopt(&mut self, now: Duration, ticket: Ticket, upstream: UpstreamName, work: &Work) {
-        let Some(state) = self.upstreams.get_mut(&upstream) else { return };
-        let run = state.start_run(now, work);
-        self.runs.insert(ticket, Running { upstream, run });
-    }
-
     /// Records that the first event of a run arrived `took` after its send.
-    pub fn first_output(&mut self, ticket: Ticket, took: Duration) {
+    pub fn first_output(&mut self, now: Duration, ticket: Ticket, took: Duration) {
         let Some(running) = self.runs.get_mut(&ticket) else { return };
+        self.versions.record_first_output(ticket, took);
         if let Some(state) = self.upstreams.get_mut(&running.upstream) {
-            state.first_output(&mut running.run, took);
+            self.load_reports.count_prediction(&running.run, took);
+            state.first_output(now, &mut running.run, took);
         }
     }
 
+    /// Records that the upstream answers a run with a status that is an error of its own.
+    pub fn record_error_status(&mut self, ticket: Ticket, status: u16) {
+        self.versions.record_error_status(ticket, status);
+    }
+
     /// Ends a request, whether it waits or runs, and dispatches to the slot that it frees.
     pub fn end(
         &mut self,
@@ -375,7 +357,10 @@
         end: End,
     ) -> Vec<Decision> {
         match self.runs.remove(&ticket) {
-            Some(running) => self.end_run(now, &running, end),
+            Some(running) => {
+                self.versions.record_end(now, ticket, end);
+                self.end_run(now, &running, end);
+            }
             None => {
                 self.queue.remove(ticket);
             }
@@ -389,6 +374,9 @@
             let mean = mean + (took.as_secs_f64() - mean) * SERVICE_TIME_SAMPLE_WEIGHT;
             self.service_time = Duration::from_secs_f64(mean);
         }
+        if let Some(charge) = running.charge {
+            self.queue.shares.correct(now, charge, end);
+        }
         if end == End::Declined {
             self.brittle.record_declined(now, &running.upstream);
         }
@@ -404,6 +392,7 @@
             self.runs.keys().filter(|ticket| ticket.link == link).copied().collect();
         for ticket in tickets {
             if let Some(running) = self.runs.remove(&ticket) {
+                self.versions.forget_run(ticket);
                 self.end_run(now, &running, End::Cancelled);
             }
         }
@@ -414,26 +403,6 @@
         self.queue.remove(ticket).is_some()
     }
 
-    /// Records that the response to a run named the requests a second that its upstream takes, or
-    /// named no limit; returns the upstream if that differs from what was known.
-    pub fn set_rate_limit(
-        &mut self,
-        now: Duration,
-        ticket: Ticket,
-        rate: Option<f64>,
-    ) -> Option<&UpstreamName> {
-        let upstream = &self.runs.get(&ticket)?.upstream;
-        let info = self.upstreams.get(upstream).map(|state| &state.info);
-        let is_changed = match rate {
-            Some(rate) => {
-                let started_at_ms = info.map(|info| info.started_at_ms);
-                self.rate_limits.set(now, upstream, started_at_ms, rate)
-            }
-            None => self.rate_limits.remove(upstream),
-        };
-        is_changed.then_some(upstream)
-    }
-
     /// Returns the upstream at which a request holds a slot.
     pub fn upstream_of(&self, ticket: Ticket) -> Option<&UpstreamName> {
         self.runs.get(&ticket).map(|running| &running.upstream)
@@ -454,6 +423,14 @@
     !state.info.draining && !request.avoid.contains(&state.info.name) && runs(state, request)
 }
 
+/// Returns the cost by which an upstream is chosen, the lowest first.
+fn cost(state: &UpstreamState, now: Duration, request: &SlotRequest, part: VersionPart) -> f64 {
+    match part {
+        VersionPart::PackedTarget => -f64::from(state.running),
+        VersionPart::Any | VersionPart::Target | VersionPart::Old => state.cost_ms(now, request),
+    }
+}
+
 /// Returns whether an upstream has the software version that must run a request.
 fn runs(state: &UpstreamState, request: &SlotRequest) -> bool {
     request.software.as_ref().is_none_or(|software| *software == state.info.software)
@@ -485,9 +462,3 @@
         }
     }
 }
-
-/// Returns the retry-after time for an expected wait. It is at most a third of the time that the
-/// request has left, so that the caller can still retry.
-fn clamp_retry_after(wait: Duration, request: &SlotRequest) -> Duration {
-    wait.max(MIN_RETRY_AFTER).min(request.time_left / 3)
-}
--- a/lacewingspring_core/src/dispatch/pool/capacity.rs
+++ b/lacewingspring_core/src/dispatch/pool/capacity.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Pool, UpstreamInfo};
+use super::{Pool, UpstreamState};
 
 /// Number of declared slots per extra request: an upstream with this many slots is sent one request
 /// more than it has slots, so that no slot is idle while the next request is on its way.
@@ -25,11 +25,26 @@
     is_brittle: bool,
     slots_per_extra: u32,
     fleet_fraction: f64,
+    slots_of_others: f64,
 }
 
 impl InProgressLimit {
-    /// Returns the number of requests for an upstream with so many slots.
-    pub(super) fn of(self, slots: u32) -> u32 {
+    /// Returns the number of requests for an upstream.
+    ///
+    /// Two gates that both use all slots fill the queues of the upstreams. So the gate of a
+    /// majority leaves the slots that requests of others take, at most as many as another gate may
+    /// use. It leaves none where no requests of others are reported, as when the instances that
+    /// are apart have ended.
+    pub(super) fn of(self, now: Duration, state: &UpstreamState) -> u32 {
+        let limit = self.without_others(state.info.slots);
+        if self.slots_of_others <= 0.0 {
+            return limit;
+        }
+        let max_others = (f64::from(limit) * self.slots_of_others) as u32;
+        limit.saturating_sub(state.reported.most_others(now).min(max_others)).max(1)
+    }
+
+    fn without_others(self, slots: u32) -> u32 {
         let sent = if self.is_brittle {
             slots.saturating_sub(1)
         } else {
@@ -50,20 +65,32 @@
         } else {
             SLOTS_PER_EXTRA_REQUEST
         };
-        InProgressLimit { is_brittle: self.brittle.holds(now), slots_per_extra, fleet_fraction }
+        InProgressLimit {
+            is_brittle: self.brittle.holds(now),
+            slots_per_extra,
+            fleet_fraction,
+            slots_of_others: self.slots_of_others,
+        }
     }
 
     /// Returns the number of requests that all upstreams together can have in progress.
     pub(super) fn total_slots(&self, now: Duration, fleet_fraction: f64) -> u32 {
         let limit = self.in_progress_limit(now, fleet_fraction);
-        let open = self.upstreams.values().filter(|state| !state.info.draining);
-        open.map(|state| self.expected_in_progress(limit, &state.info)).sum()
+        let open = self.upstreams.values().filter(|state| {
+            !state.info.draining && self.versions.serves(now, &state.info.software)
+        });
+        open.map(|state| self.expected_in_progress(now, limit, state)).sum()
     }
 
     /// Returns the number of requests that can be in progress at an upstream under its limit.
-    fn expected_in_progress(&self, limit: InProgressLimit, info: &UpstreamInfo) -> u32 {
-        let max = limit.of(info.slots);
-        let Some(rate) = self.rate_limits.rate(&info.name) else { return max };
+    fn expected_in_progress(
+        &self,
+        now: Duration,
+        limit: InProgressLimit,
+        state: &UpstreamState,
+    ) -> u32 {
+        let max = limit.of(now, state);
+        let Some(rate) = self.rate_limits.rate(&state.info.name) else { return max };
         let expected = rate * limit.fleet_fraction * self.service_time.as_secs_f64();
         max.min(expected.ceil() as u32)
     }
--- a/lacewingspring_core/src/dispatch/quota.rs
+++ b/lacewingspring_core/src/dispatch/quota.rs
@@ -186,6 +186,11 @@
         self.bounds.quotas.insert(workspace.clone(), quota) != Some(quota)
     }
 
+    /// Returns the declared limits.
+    pub fn declared(&self) -> &HashMap<WorkspaceName, Quota> {
+        &self.bounds.quotas
+    }
+
     /// Returns the length of the sliding window.
     pub fn window(&self) -> Duration {
         self.bounds.window
--- a/lacewingspring_core/src/dispatch/reports.rs
+++ b/lacewingspring_core/src/dispatch/reports.rs
@@ -6,6 +6,7 @@
     Dispatcher,
     finding::Finding,
     open_request::OpenRequest,
+    reported_load::{LoadReports, UpstreamLoad},
     work::{End, Ticket},
 };
 use crate::names::UpstreamName;
@@ -16,7 +17,7 @@
         let Some(open) = self.open.get_mut(&ticket) else { return };
         open.first_output_at.get_or_insert(now);
         let Some(pool) = self.pools.get_mut(&open.service) else { return };
-        pool.first_output(ticket, took);
+        pool.first_output(now, ticket, took);
         if let Some(upstream) = pool.upstream_of(ticket) {
             self.link_paths.record_response(ticket.link, upstream);
         }
@@ -35,6 +36,21 @@
         });
     }
 
+    /// Records the load that the upstream of a run reported in a response received at
+    /// `received_at`.
+    pub fn record_load(&mut self, received_at: Duration, ticket: Ticket, load: UpstreamLoad) {
+        let Some(open) = self.open.get(&ticket) else { return };
+        let Some(pool) = self.pools.get_mut(&open.service) else { return };
+        if let Some(upstream) = pool.record_load(received_at, ticket, &load) {
+            self.findings.push(Finding::LoadIgnored { upstream, load });
+        }
+    }
+
+    /// Returns how many load reports were received and used, and how well they fitted.
+    pub fn load_reports(&self) -> LoadReports {
+        self.pools.values().map(|pool| pool.load_reports).sum()
+    }
+
     /// Records that the upstream of a run may crash if it has to decline requests.
     pub fn set_brittle(&mut self, now: Duration, ticket: Ticket) {
         let Some(open) = self.open.get(&ticket) else { return };
--- a/lacewingspring_core/src/dispatch/upstream_state.rs
+++ b/lacewingspring_core/src/dispatch/upstream_state.rs
@@ -7,6 +7,7 @@
 };
 
 use super::{
+    reported_load::{ReportedLoad, RunForecast},
     upstream::UpstreamInfo,
     work::{End, PromptPart, SlotRequest, Work},
 };
@@ -61,6 +62,10 @@
 /// Factor on the cost of a request that crosses data centres.
 const REMOTE_COST_FACTOR: f64 = 1.1;
 
+/// Factor on the cost of an idle upstream whose latest report counts for nothing any more; it then
+/// gets a request unless another one is known to be more than twice as fast.
+const EXPLORATION_FACTOR: f64 = 0.5;
+
 /// Hasher for the ids of prompt parts, which are digests already.
 type BuildPartHasher = BuildHasherDefault<PartHasher>;
 
@@ -87,7 +92,7 @@
 /// Odd number whose multiples differ in their upper bits (from the golden ratio).
 const HASH_MULTIPLIER: u64 = 0x9E37_79B9_7F4A_7C15;
 
-/// Learned speeds of an upstream.
+/// Learned speeds of an upstream, at its usual pace if it reports one.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Speed {
     /// Milliseconds of prefill per prompt token.
@@ -121,6 +126,30 @@
     pub memory_tokens: u64,
     /// Whether its first event has arrived.
     pub has_output: bool,
+    /// Start of the process that it runs on, in Unix milliseconds.
+    pub started_at_ms: u64,
+    /// What was expected of it from the reports of the upstream.
+    pub forecast: RunForecast,
+}
+
+impl Run {
+    /// Creates a run on an upstream that is not known yet.
+    pub fn on_unknown(work: &Work) -> Self {
+        let memory_tokens = match work {
+            Work::Generation { prompt_tokens, output_tokens, .. } => {
+                u64::from(*prompt_tokens) + u64::from(*output_tokens)
+            }
+            _ => 0,
+        };
+        Self {
+            prefill_tokens: 0,
+            prefill_tokens_ahead: 0.0,
+            memory_tokens,
+            has_output: false,
+            started_at_ms: 0,
+            forecast: RunForecast::default(),
+        }
+    }
 }
 
 /// State of one upstream.
@@ -138,6 +167,8 @@
     pub memory_tokens: u64,
     /// Learned speeds.
     pub speed: Speed,
+    /// Load and pace that its process reports.
+    pub reported: ReportedLoad,
     /// Moving average of the fraction of failed runs, as of `failure_rate_at`.
     failure_rate: f64,
     failure_rate_at: Duration,
@@ -159,6 +190,7 @@
             prefill_done_at: Duration::ZERO,
             memory_tokens: 0,
             speed,
+            reported: ReportedLoad::default(),
             failure_rate: 0.0,
             failure_rate_at: Duration::ZERO,
             backoff_until: Duration::ZERO,
@@ -181,6 +213,11 @@
         self.is_usable(now) && self.running < slots
     }
 
+    /// Returns the fraction of its slots in use, at most 1.
+    pub fn slot_use(&self) -> f64 {
+        (f64::from(self.running) / f64::from(self.info.slots.max(1))).min(1.0)
+    }
+
     /// Returns whether it is neither draining nor in a back-off.
     pub fn is_usable(&self, now: Duration) -> bool {
         !self.info.draining && now >= self.backoff_until
@@ -200,58 +237,79 @@
 
     /// Returns the expected time until the first event of a request, in milliseconds.
     pub fn first_output_ms(&self, now: Duration, work: &Work) -> f64 {
-        match work {
-            Work::Plain => self.speed.plain_call_ms,
+        let slowdown = self.reported.slowdown(now);
+        let queue_ms = self.reported.queue_ms(now, self.running, self.info.slots);
+        let own_ms = match work {
+            Work::Plain => self.speed.plain_call_ms * slowdown,
             Work::Generation { prompt_tokens, parts, .. } => {
                 let own = self.uncached_tokens(now, *prompt_tokens, parts);
                 let own_ms = f64::from(own) * self.speed.prefill_ms_per_token;
-                self.backlog_ms(now) + own_ms + self.speed.startup_ms
+                self.backlog_ms(now) + own_ms * slowdown + self.speed.startup_ms * slowdown
             }
-        }
+        };
+        own_ms + queue_ms
     }
 
     /// Returns the expected time until all prompts that were sent are prefilled, in milliseconds.
     fn backlog_ms(&self, now: Duration) -> f64 {
         let all_ms = self.pending_prefill_tokens as f64 * self.speed.prefill_ms_per_token;
+        let all_ms = all_ms * self.reported.slowdown(now);
         all_ms.min(millis(self.prefill_done_at.saturating_sub(now)))
     }
 
     /// Returns how often a slot becomes free here, relative to other upstreams.
-    pub fn slot_turnover(&self, work: &Work) -> f64 {
+    pub fn slot_turnover(&self, now: Duration, work: &Work) -> f64 {
         let service_ms = match work {
             Work::Plain => self.speed.plain_call_ms,
             Work::Generation { .. } => self.speed.decode_ms_per_token,
         };
+        let service_ms = service_ms * self.reported.slowdown(now);
         f64::from(self.info.slots) / service_ms.max(MIN_SERVICE_MS)
     }
 
     /// Returns the expected time until the end of a request's answer, in milliseconds.
     pub fn completion_ms(&self, now: Duration, work: &Work) -> f64 {
+        let first_output_ms = self.first_output_ms(now, work);
         let rest = match work {
             Work::Plain => 0.0,
             Work::Generation { output_tokens, .. } => {
-                f64::from(*output_tokens) * self.speed.decode_ms_per_token
+                self.decode_ms(now, first_output_ms, *output_tokens)
             }
         };
-        self.first_output_ms(now, work) + rest
+        first_output_ms + rest
+    }
+
+    /// Returns the expected time from the first event, `first_output_ms` from now, to the end.
+    fn decode_ms(&self, now: Duration, first_output_ms: f64, output_tokens: u32) -> f64 {
+        let usual_ms = f64::from(output_tokens) * self.speed.decode_ms_per_token;
+        usual_ms * self.reported.slowdown_within(now, first_output_ms, usual_ms)
     }
 
     /// Returns the cost of a request here, in milliseconds. The scheduler chooses the lowest.
     pub fn cost_ms(&self, now: Duration, request: &SlotRequest) -> f64 {
         let work = &request.work;
-        let load = f64::from(self.running) / f64::from(self.info.slots.max(1));
+        let first_output_ms = self.first_output_ms(now, work);
+        let in_progress = f64::from(self.running) + self.reported.others(now);
+        let load = in_progress / f64::from(self.info.slots.max(1));
         let rest = match work {
-            Work::Plain => self.speed.plain_call_ms * load,
+            Work::Plain => self.speed.plain_call_ms * self.reported.slowdown(now) * load,
             Work::Generation { output_tokens, .. } => {
-                f64::from(*output_tokens) * self.speed.decode_ms_per_token * (1.0 + load / 2.0)
+                self.decode_ms(now, first_output_ms, *output_tokens) * (1.0 + load / 2.0)
             }
         };
         let is_remote = self.info.data_centre != request.data_centre;
         let distance_factor = if is_remote { REMOTE_COST_FACTOR } else { 1.0 };
-        (self.first_output_ms(now, work) + rest) * distance_factor
+        (first_output_ms + rest) * distance_factor * self.exploration_factor(now)
             + self.failure_rate(now) * FAILURE_COST_MS
     }
 
+    /// Returns the factor on the cost of an idle upstream whose latest report is old: only a
+    /// response brings another one.
+    fn exploration_factor(&self, now: Duration) -> f64 {
+        let is_unknown = self.running == 0 && self.reported.is_outdated(now);
+        if is_unknown { EXPLORATION_FACTOR } else { 1.0 }
+    }
+
     /// Returns the failure rate, decayed to the present.
     fn failure_rate(&self, now: Duration) -> f64 {
         let elapsed = now.saturating_sub(self.failure_rate_at).as_secs_f64();
@@ -262,10 +320,18 @@
     pub fn start_run(&mut self, now: Duration, work: &Work) -> Run {
         let mut run = Run {
             prefill_tokens: 0,
-            prefill_tokens_ahead: self.backlog_ms(now) / self.speed.prefill_ms_per_token,
+            prefill_tokens_ahead: self.backlog_ms(now)
+                / (self.speed.prefill_ms_per_token * self.reported.slowdown(now)),
             memory_tokens: 0,
             has_output: false,
+            started_at_ms: self.info.started_at_ms,
+            forecast: self.reported.forecast(now, self.running, self.info.slots),
         };
+        if self.reported.is_known() {
+            let expected_ms = self.first_output_ms(now, work);
+            run.forecast.first_output =
+                Duration::try_from_secs_f64(expected_ms / MILLIS_PER_SECOND).ok();
+        }
         if let Work::Generation { prompt_tokens, output_tokens, parts } = work {
             run.prefill_tokens = self.uncached_tokens(now, *prompt_tokens, parts);
             run.memory_tokens = u64::from(*prompt_tokens) + u64::from(*output_tokens);
@@ -273,10 +339,12 @@
                 self.track_cached(now, part.id);
             }
             let own_ms = f64::from(run.prefill_tokens) * self.speed.prefill_ms_per_token;
+            let own_ms = own_ms * self.reported.slowdown(now);
             self.prefill_done_at =
                 now.max(self.prefill_done_at) + Duration::from_secs_f64(own_ms / MILLIS_PER_SECOND);
         }
         self.add_run(&run);
+        self.reported.record_running(now, self.running);
         run
     }
 
@@ -302,28 +370,30 @@
 
     /// Records that the first event of a run arrived `took` after its send, and learns from that
     /// time.
-    pub fn first_output(&mut self, run: &mut Run, took: Duration) {
+    pub fn first_output(&mut self, now: Duration, run: &mut Run, took: Duration) {
         if std::mem::replace(&mut run.has_output, true) {
             return;
         }
         self.pending_prefill_tokens =
             self.pending_prefill_tokens.saturating_sub(u64::from(run.prefill_tokens));
         let tokens = run.prefill_tokens_ahead + f64::from(run.prefill_tokens);
+        let took_ms = self.usual_first_output_ms(now, run, tokens, millis(took));
         let Speed { prefill_ms_per_token, startup_ms, .. } = &mut self.speed;
         if run.prefill_tokens >= MIN_PREFILL_SAMPLE_TOKENS {
-            let prefill_ms = (millis(took) - *startup_ms).max(0.0);
+            let prefill_ms = (took_ms - *startup_ms).max(0.0);
             update_average(
                 prefill_ms_per_token,
                 (prefill_ms / tokens).max(MIN_PREFILL_MS_PER_TOKEN),
             );
         } else if tokens <= MAX_STARTUP_SAMPLE_TOKENS {
-            update_average(startup_ms, (millis(took) - tokens * *prefill_ms_per_token).max(0.0));
+            update_average(startup_ms, (took_ms - tokens * *prefill_ms_per_token).max(0.0));
         }
     }
 
     /// Ends a run, and learns from its outcome.
     pub fn end_run(&mut self, now: Duration, run: &Run, end: End) {
         self.running = self.running.saturating_sub(1);
+        self.reported.record_running(now, self.running);
         self.memory_tokens = self.memory_tokens.saturating_sub(run.memory_tokens);
         if !run.has_output {
             self.pending_prefill_tokens =
@@ -336,11 +406,14 @@
                 self.failure_rate_at = now;
                 if output_tokens >= MIN_DECODE_SAMPLE_TOKENS {
                     let sample = millis(decode) / f64::from(output_tokens);
+                    let sample = self.usual_decode_ms(now, run, sample);
                     update_average(&mut self.speed.decode_ms_per_token, sample);
                 }
                 if run.memory_tokens == 0 {
-                    update_average(&mut self.speed.plain_call_ms, millis(took));
+                    let sample = self.usual_plain_call_ms(now, run, millis(took));
+                    update_average(&mut self.speed.plain_call_ms, sample);
                 }
+                self.record_service_time(now, run, millis(took));
             }
             End::Failed | End::Broken => {
                 let failure_rate = self.failure_rate(now);
--- a/lacewingspring_proxy/src/gate/findings.rs
+++ b/lacewingspring_proxy/src/gate/findings.rs
@@ -1,6 +1,6 @@
 //! Log lines of what the gate learns.
 
-use lacewingspring_core::dispatch::Finding;
+use lacewingspring_core::{dispatch::Finding, names::WorkspaceName};
 use log::{info, warn};
 
 use crate::part_ids::PartIds;
@@ -36,10 +36,22 @@
             service = service.as_str();
             "The gate keeps a slot of each upstream free, as they may crash if they decline."
         ),
+        Finding::LoadIgnored { upstream, load } => warn!(
+            upstream = upstream.as_str(), running = load.running, waiting = load.waiting,
+            slots = load.slots, pace = load.pace;
+            "The load that an upstream reports is implausible and is ignored."
+        ),
         Finding::Unreachable { upstream, link, backs_off } => info!(
             upstream = upstream.as_str(), link, backs_off;
             "An instance can't connect to an upstream."
         ),
+        Finding::RefusedUnderShares { service, ticket, share_use } => info!(
+            service = service.as_str(), link = ticket.link, number = ticket.number,
+            workspace = share_use.workspace.as_ref().map_or("", WorkspaceName::as_str),
+            above_share = share_use.is_above(), used = share_use.used, share = share_use.share,
+            waiting = share_use.waiting;
+            "A waiting request is refused in a service where workspaces have shares."
+        ),
         Finding::Blocked { parts } => warn!(
             parts:% = PartIds(parts);
             "A run with suspected prompt parts broke off; requests with all of them are refused."
