Check by one topic whether the store is back, and bound the copies

The copy of a topic had no bound, and there was no write that depends on a key's revision, which the record of a roll-out needs.

A copy that needs more memory than its bound keeps its older state; the bound is set with the memory budget. `Store::put_if` writes at an expected revision. The matters share store.rs, replica.rs and follow.rs.

--- a/lacewingspring_proxy/src/counted.rs
+++ b/lacewingspring_proxy/src/counted.rs
@@ -74,4 +74,13 @@
     async fn put(&self, key: &str, value: Bytes, lease: Option<Lease>) -> Result<(), StoreError> {
         self.count("write", self.inner.put(key, value, lease)).await
     }
+
+    async fn put_if(
+        &self,
+        key: &str,
+        value: Bytes,
+        expected: Option<Revision>,
+    ) -> Result<Revision, StoreError> {
+        self.count("write_if", self.inner.put_if(key, value, expected)).await
+    }
 }
--- a/lacewingspring_proxy/src/follow.rs
+++ b/lacewingspring_proxy/src/follow.rs
@@ -10,9 +10,11 @@
 
 use crate::{
     clock,
+    log_interval::LogInterval,
     mirror::Mirror,
+    outage::{MAX_RETRY_DELAY, RETRY_DELAY},
     replica::{Replica, Replicas, Topic, Update},
-    store::{Item, Page, Revision, Store, StoreError},
+    store::{Batch, Item, Page, Revision, Store, StoreError},
 };
 
 /// Maximum time that one watch call waits for changes.
@@ -38,12 +40,8 @@
 /// Maximum number of attempts to read a page other than the first.
 const MAX_PAGE_ATTEMPTS: u32 = 10;
 
-/// Delay after a failed call, before jitter; it doubles with each further one, up to
-/// [`MAX_RETRY_DELAY`].
-const RETRY_DELAY: Duration = Duration::from_millis(300);
-
-/// Maximum delay after failed calls in a row, before jitter.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
+/// Delay before a page is read again, before jitter.
+const PAGE_RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// Task that keeps the copy of one topic up to date and passes on its changes.
 pub struct Follower<S, F> {
@@ -53,9 +51,11 @@
     prefix: &'static str,
     /// Called with the copy after each change of it, under its lock.
     on_change: F,
-    failed_calls: u32,
     /// Whether changes come from the gate instead of the service.
     follows_gate: bool,
+    /// Reads in a row whose keys needed too much memory.
+    too_large_reads: u32,
+    too_large_log: LogInterval,
 }
 
 impl<S, F> Follower<S, F>
@@ -71,7 +71,23 @@
         prefix: &'static str,
         on_change: F,
     ) -> Self {
-        Self { store, replicas, topic, prefix, on_change, failed_calls: 0, follows_gate: false }
+        Self {
+            store,
+            replicas,
+            topic,
+            prefix,
+            on_change,
+            follows_gate: false,
+            too_large_reads: 0,
+            too_large_log: LogInterval::default(),
+        }
+    }
+
+    /// Bounds the memory, in bytes, of the copy. Where more is needed, the older copy stays in
+    /// force.
+    pub fn with_max_bytes(self, max_bytes: usize) -> Self {
+        self.replica().set_max_bytes(max_bytes);
+        self
     }
 
     /// Keeps the copy up to date. Never returns.
@@ -84,10 +100,14 @@
         loop {
             let confirmed_until = replica.gate_confirmed_until(clock::now());
             self.log_source_change(confirmed_until.is_some());
-            let result = if !is_loaded {
-                self.load().await
-            } else if let Some(until) = confirmed_until {
+            let follow_until = confirmed_until.filter(|_| is_loaded);
+            let result = if let Some(until) = follow_until {
                 self.follow_gate(until, &mut updates, &mut confirmations).await
+            } else if !replicas.outage().is_turn(self.topic).await {
+                self.publish(clock::now(), Duration::ZERO, false);
+                continue;
+            } else if !is_loaded {
+                self.load().await
             } else {
                 self.watch().await
             };
@@ -97,6 +117,13 @@
                     info!(prefix = self.prefix; "Changes are missing; all keys are read again.");
                     is_loaded = false;
                 }
+                Err(StoreError::TooLarge(max_bytes)) => {
+                    // The changes may be too large to be read at once although the keys are not.
+                    is_loaded = false;
+                    replica.set_loaded(false);
+                    self.record_too_large(max_bytes);
+                    self.wait_until_smaller().await;
+                }
                 Err(e) => self.back_off(&e).await,
             }
             replica.set_loaded(is_loaded);
@@ -137,11 +164,18 @@
     }
 
     async fn load(&mut self) -> Result<(), StoreError> {
+        // What was dropped before is among the keys that are read now.
+        self.replica().take_lacks_update();
         let sent_at = clock::now();
         let (items, revision) = self.read_all().await?;
         let now = clock::now();
         self.mark_reachable(now);
-        self.replica().mirror().load(now, items, revision);
+        self.too_large_reads = 0;
+        {
+            let mut mirror = self.replica().mirror();
+            mirror.load(now, items, revision);
+            mirror.bound(self.replica().max_bytes());
+        }
         self.publish(now, now, true);
         self.replica().confirm_complete(sent_at);
         Ok(())
@@ -150,6 +184,7 @@
     async fn read_all(&self) -> Result<(Vec<Item>, Revision), StoreError> {
         let mut items: Vec<Item> = Vec::new();
         let mut first_revision = None;
+        let mut bytes = 0;
         loop {
             let after = items.last().map(|item| item.key.clone());
             let page = self.read_page(after.as_deref()).await?;
@@ -158,6 +193,11 @@
                 return Err(StoreError::Compacted);
             }
             let is_last = !page.has_more || page.items.is_empty();
+            bytes += page.items.iter().map(Item::held_bytes).sum::<usize>();
+            let max_bytes = self.replica().max_bytes();
+            if bytes > max_bytes {
+                return Err(StoreError::TooLarge(max_bytes));
+            }
             items.extend(page.items);
             if is_last {
                 return Ok((items, revision));
@@ -174,10 +214,11 @@
             let page = timeout(READ_TIMEOUT, self.store.range(self.prefix, after)).await;
             let page = page.unwrap_or_else(|_| Err(StoreError::NoAnswer("timed out".into())));
             attempts += 1;
+            self.note_response(&page);
             if page.is_ok() || after.is_none() || attempts == MAX_PAGE_ATTEMPTS {
                 return page;
             }
-            sleep(RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>())).await;
+            sleep(PAGE_RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>())).await;
         }
     }
 
@@ -202,14 +243,16 @@
         let sent_at = clock::now();
         let batch = self.store.watch(self.prefix, revision, wait);
         let batch = timeout(wait + WATCH_MARGIN, batch).await;
-        let batch = batch.map_err(|_| StoreError::NoAnswer("timed out".into()))??;
+        let batch = batch.unwrap_or_else(|_| Err(StoreError::NoAnswer("timed out".into())));
+        self.note_response(&batch);
+        let batch = batch?;
         let now = clock::now();
         self.mark_reachable(now);
         if batch.revision.era != revision.era {
             // The changes between the two eras are not known.
             return Err(StoreError::Compacted);
         }
-        let is_changed = self.replica().mirror().apply(now, batch);
+        let is_changed = self.apply(now, batch)?;
         self.publish(now, now, is_changed);
         self.replica().confirm_complete(sent_at);
         if is_changed {
@@ -218,6 +261,17 @@
         Ok(())
     }
 
+    /// Applies changes to the copy; returns whether it changed.
+    fn apply(&self, now: Duration, batch: Batch) -> Result<bool, StoreError> {
+        let max_bytes = self.replica().max_bytes();
+        let mut mirror = self.replica().mirror();
+        let is_bounded = max_bytes < usize::MAX && !batch.changes.is_empty();
+        if is_bounded && mirror.held_bytes_after(now, &batch) > max_bytes {
+            return Err(StoreError::TooLarge(max_bytes));
+        }
+        Ok(mirror.apply(now, batch))
+    }
+
     /// Waits for an update or a confirmation from the gate, until the last confirmation is too old
     /// or a deleted key is due for removal.
     async fn follow_gate(
@@ -228,7 +282,10 @@
     ) -> Result<(), StoreError> {
         let expiry = self.replica().mirror().next_expiry().unwrap_or(confirmed_until);
         tokio::select! {
-            Some(update) = updates.recv() => self.apply_update(clock::now(), update)?,
+            Some(update) = updates.recv() => {
+                self.replica().update_taken(&update);
+                self.apply_update(clock::now(), update)?;
+            }
             _ = confirmations.changed() => {}
             () = self.replica().confirmation_requested() => {
                 return self.watch_for(MIN_WATCH_WAIT).await;
@@ -236,6 +293,10 @@
             () = sleep_until(clock::instant(expiry.min(confirmed_until))) => {}
         }
         let confirmed_at = *confirmations.borrow_and_update();
+        if self.replica().take_lacks_update() {
+            // The confirmation is of a copy that has the update.
+            return Err(StoreError::Compacted);
+        }
         let now = clock::now();
         if self.replica().gate_confirmed_until(now).is_some() {
             self.mark_reachable(now);
@@ -245,23 +306,30 @@
     }
 
     fn apply_update(&mut self, now: Duration, update: Update) -> Result<(), StoreError> {
-        let is_changed = {
+        {
             let mut mirror = self.replica().mirror();
             if update.after > mirror.revision() {
                 // Changes between the two revisions are missing.
                 return Err(StoreError::Compacted);
             }
             mirror.extend_grace(now, update.grace);
-            mirror.apply(now, update.into_batch())
-        };
+        }
+        let is_changed = self.apply(now, update.into_batch())?;
         self.publish(now, Duration::ZERO, is_changed);
         Ok(())
     }
 
+    /// Tells the other topics if the service responded, also that history is missing.
+    fn note_response<T>(&self, result: &Result<T, StoreError>) {
+        if matches!(result, Ok(_) | Err(StoreError::Compacted)) {
+            self.replicas.outage().respond(clock::now());
+        }
+    }
+
     fn mark_reachable(&mut self, now: Duration) {
+        let failed_calls = self.replicas.outage().succeed(self.topic);
         let mut mirror = self.replicas.get(self.topic).mirror();
         if mirror.mark_reachable(now) {
-            let failed_calls = std::mem::take(&mut self.failed_calls);
             info!(
                 prefix = self.prefix, failed_calls, revision:% = mirror.revision();
                 "The key-value service answers again."
@@ -279,8 +347,23 @@
                 );
             }
         }
-        let delay = RETRY_DELAY * 2_u32.pow(self.failed_calls.min(2));
-        self.failed_calls += 1;
+        let until = self.replicas.outage().fail(clock::now(), self.topic);
+        sleep_until(clock::instant(until)).await;
+        self.publish(clock::now(), Duration::ZERO, false);
+    }
+
+    /// Counts and logs that the older copy stays in force because the keys need too much memory.
+    fn record_too_large(&self, max_bytes: usize) {
+        self.replica().count_too_large();
+        let held_bytes = self.replica().mirror().held_bytes();
+        self.too_large_log.warn_of_topic(self.topic.name(), held_bytes, max_bytes);
+    }
+
+    /// Waits before keys that need too much memory are read again, longer with each further time.
+    /// The service responds meanwhile, so the other topics go on.
+    async fn wait_until_smaller(&mut self) {
+        let delay = RETRY_DELAY * 2_u32.pow(self.too_large_reads.min(2));
+        self.too_large_reads = self.too_large_reads.saturating_add(1);
         sleep(delay.min(MAX_RETRY_DELAY).mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
         let now = clock::now();
         self.publish(now, Duration::ZERO, false);
--- a/lacewingspring_proxy/src/mirror.rs
+++ b/lacewingspring_proxy/src/mirror.rs
@@ -8,7 +8,7 @@
 //! returns the changes after any revision that it still covers.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     ops::Bound::{Excluded, Unbounded},
     time::Duration,
 };
@@ -52,6 +52,36 @@
         self.entries.values().map(|entry| &entry.item)
     }
 
+    /// Returns the memory that the copy takes, in bytes, with the deletions that are remembered.
+    pub fn held_bytes(&self) -> usize {
+        let items: usize = self.items().map(Item::held_bytes).sum();
+        items + self.deletions.values().map(|key| Change::deletion_bytes(key)).sum::<usize>()
+    }
+
+    /// Returns the memory that the copy would take after changes, in bytes.
+    pub fn held_bytes_after(&self, now: Duration, batch: &Batch) -> usize {
+        // What is kept of each key that changes.
+        let mut kept: HashMap<&str, usize> = HashMap::new();
+        let mut deletions = 0;
+        let known = |key: &str| self.entries.get(key).map_or(0, |entry| entry.item.held_bytes());
+        for change in &batch.changes {
+            match change {
+                change if change.revision() <= self.revision => {}
+                Change::Put(item) => {
+                    kept.insert(&item.key, item.held_bytes());
+                }
+                Change::Deleted { key, .. } => {
+                    deletions += change.held_bytes();
+                    let is_kept = now < self.grace_until;
+                    let before = kept.get(key.as_str()).copied().unwrap_or_else(|| known(key));
+                    kept.insert(key, if is_kept { before } else { 0 });
+                }
+            }
+        }
+        let before: usize = kept.keys().map(|key| known(key)).sum();
+        self.held_bytes().saturating_sub(before) + kept.values().sum::<usize>() + deletions
+    }
+
     /// Marks the service as unreachable; returns whether it was reachable before.
     pub fn mark_unreachable(&mut self) -> bool {
         !std::mem::replace(&mut self.is_unreachable, true)
@@ -179,6 +209,14 @@
         self.entries.len() != before
     }
 
+    /// Removes the keys that are kept in a grace period if the copy takes more memory than
+    /// `max_bytes`.
+    pub fn bound(&mut self, max_bytes: usize) {
+        if max_bytes < usize::MAX && self.held_bytes() > max_bytes {
+            self.entries.retain(|_, entry| entry.remove_at.is_none());
+        }
+    }
+
     /// Returns the earliest time at which a deleted key is removed.
     pub fn next_expiry(&self) -> Option<Duration> {
         self.entries.values().filter_map(|entry| entry.remove_at).min()
--- a/lacewingspring_proxy/src/replica.rs
+++ b/lacewingspring_proxy/src/replica.rs
@@ -12,7 +12,7 @@
 use std::{
     sync::{
         Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -26,7 +26,8 @@
 
 use crate::{
     mirror::Mirror,
-    store::{Batch, Change, Revision},
+    outage::Outage,
+    store::{Batch, Change, MEMORY_OVERHEAD_BYTES, Revision},
 };
 
 /// Maximum age of the state confirmed by the gate for which instances rely on the gate instead of
@@ -34,7 +35,7 @@
 pub const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(1_500);
 
 /// Approximate size of a change on a link without its key and value, in bytes.
-const CHANGE_OVERHEAD_BYTES: usize = 40;
+const LINK_OVERHEAD_BYTES: usize = 40;
 
 /// Group of keys that is replicated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -101,7 +102,7 @@
             Change::Put(item) => item.key.len() + item.value.len(),
             Change::Deleted { key, .. } => key.len(),
         });
-        each.map(|len| len + CHANGE_OVERHEAD_BYTES).sum()
+        each.map(|len| len + LINK_OVERHEAD_BYTES).sum()
     }
 
     /// Returns whether it holds no changes.
@@ -109,6 +110,11 @@
         self.changes.is_empty()
     }
 
+    /// Returns the memory that it takes, in bytes.
+    fn held_bytes(&self) -> usize {
+        self.changes.iter().map(Change::held_bytes).sum::<usize>() + MEMORY_OVERHEAD_BYTES
+    }
+
     /// Converts it into a batch of changes.
     pub fn into_batch(self) -> Batch {
         Batch { changes: self.changes, revision: self.revision }
@@ -133,6 +139,14 @@
     updates_tx: UnboundedSender<Update>,
     updates_rx: Mutex<Option<UnboundedReceiver<Update>>>,
     is_loaded: AtomicBool,
+    /// Largest memory, in bytes, of the copy, and of the updates that wait for it.
+    max_bytes: AtomicUsize,
+    /// Memory, in bytes, of the updates that wait.
+    waiting_bytes: AtomicUsize,
+    /// Whether an update was dropped, so that the copy must be read from the service again.
+    lacks_update: AtomicBool,
+    /// Number of times that keys were not taken because they need too much memory.
+    too_large: AtomicU64,
 }
 
 impl Default for Replica {
@@ -147,6 +161,10 @@
             updates_tx,
             updates_rx: Mutex::new(Some(updates_rx)),
             is_loaded: AtomicBool::new(false),
+            max_bytes: AtomicUsize::new(usize::MAX),
+            waiting_bytes: AtomicUsize::new(0),
+            lacks_update: AtomicBool::new(false),
+            too_large: AtomicU64::new(0),
         }
     }
 }
@@ -163,12 +181,50 @@
         updates_rx.take().unwrap_or_else(|| unbounded_channel().1)
     }
 
-    /// Passes an update from another instance to the task that keeps the copy up to date.
+    /// Passes an update from another instance to the task that keeps the copy up to date. If too
+    /// many wait for it, the update is dropped, and the copy is read from the service again.
     pub fn push_update(&self, update: Update) {
+        let bytes = update.held_bytes();
+        let waiting = self.waiting_bytes.fetch_add(bytes, Ordering::Relaxed);
+        if waiting.saturating_add(bytes) > self.max_bytes() {
+            self.waiting_bytes.fetch_sub(bytes, Ordering::Relaxed);
+            self.lacks_update.store(true, Ordering::Relaxed);
+            return;
+        }
         // Without that task nothing reads the copy.
         let _ = self.updates_tx.send(update);
     }
 
+    /// Notes that an update no longer waits.
+    pub fn update_taken(&self, update: &Update) {
+        self.waiting_bytes.fetch_sub(update.held_bytes(), Ordering::Relaxed);
+    }
+
+    /// Returns whether an update was dropped since the last call.
+    pub fn take_lacks_update(&self) -> bool {
+        self.lacks_update.swap(false, Ordering::Relaxed)
+    }
+
+    /// Returns the largest memory, in bytes, of the copy, and of the updates that wait for it.
+    pub fn max_bytes(&self) -> usize {
+        self.max_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Bounds the memory, in bytes, of the copy, and of the updates that wait for it.
+    pub fn set_max_bytes(&self, max_bytes: usize) {
+        self.max_bytes.store(max_bytes, Ordering::Relaxed);
+    }
+
+    /// Counts that keys were not taken because they need too much memory.
+    pub fn count_too_large(&self) {
+        self.too_large.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns how often keys were not taken because they need too much memory.
+    pub fn too_large(&self) -> u64 {
+        self.too_large.load(Ordering::Relaxed)
+    }
+
     /// Notes that the gate has sent all its changes and that its own copy was complete at the time
     /// `at`.
     pub fn confirm_by_gate(&self, at: Duration) {
@@ -246,6 +302,7 @@
     is_followed: AtomicBool,
     /// Number of changes of any copy so far.
     changes: watch::Sender<u64>,
+    outage: Outage,
 }
 
 impl Replicas {
@@ -254,6 +311,11 @@
         &self.replicas[topic as usize]
     }
 
+    /// Returns which topics check whether the service is available again.
+    pub fn outage(&self) -> &Outage {
+        &self.outage
+    }
+
     /// Returns the revision of each copy; `None` before it was read from the service.
     pub fn revisions(&self) -> ByTopic<Option<Revision>> {
         ByTopic(Topic::ALL.map(|topic| self.get(topic).revision()))
--- a/lacewingspring_proxy/src/store.rs
+++ b/lacewingspring_proxy/src/store.rs
@@ -6,6 +6,9 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+/// Memory of a key beyond its bytes and those of its value, in bytes.
+pub const MEMORY_OVERHEAD_BYTES: usize = 128;
+
 /// Era of the service's content. It rises each time that the service is restored from a copy, which
 /// lacks the latest writes and leases; revisions and lease ids are then given out again.
 #[derive(
@@ -52,6 +55,13 @@
     pub created_revision: Revision,
 }
 
+impl Item {
+    /// Returns the memory that it takes, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.key.len() + self.value.len() + MEMORY_OVERHEAD_BYTES
+    }
+}
+
 /// Change of one key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
@@ -74,6 +84,19 @@
             Self::Deleted { revision, .. } => *revision,
         }
     }
+
+    /// Returns the memory that it takes, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        match self {
+            Self::Put(item) => item.held_bytes(),
+            Self::Deleted { key, .. } => Self::deletion_bytes(key),
+        }
+    }
+
+    /// Returns the memory that the deletion of a key takes, in bytes.
+    pub fn deletion_bytes(key: &str) -> usize {
+        key.len() + MEMORY_OVERHEAD_BYTES
+    }
 }
 
 /// Some of the keys below a prefix.
@@ -105,9 +128,15 @@
     /// The answer is from an earlier era than one before it.
     #[error("the answer is from before the key-value service was restored")]
     EarlierEra,
+    /// The key had another revision than expected; nothing was written.
+    #[error("the key was changed by another writer")]
+    Conflict(Option<Item>),
     /// The lease has ended or never existed, or is from an earlier era.
     #[error("lease does not exist or has ended")]
     NoLease,
+    /// The answer, or all keys of a topic together, are larger than the process may hold.
+    #[error("the answer has more than {0} bytes")]
+    TooLarge(usize),
     /// The service rejected the call, with this HTTP status.
     #[error("key-value service answered with status {0}")]
     Refused(u16),
@@ -155,4 +184,14 @@
         value: Bytes,
         lease: Option<Lease>,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Writes a key without a lease if its revision is `expected`, or if it does not exist and
+    /// `expected` is `None`; returns its new revision. A write without an answer may have been
+    /// executed.
+    fn put_if(
+        &self,
+        key: &str,
+        value: Bytes,
+        expected: Option<Revision>,
+    ) -> impl Future<Output = Result<Revision, StoreError>> + Send;
 }
--- a/lacewingspring_proxy/tests/ledger.rs
+++ b/lacewingspring_proxy/tests/ledger.rs
@@ -12,11 +12,13 @@
 use lacewingspring_proxy::{
     clock,
     gate::{host::GateHost, ledger::Ledger, message::FromGate},
+    record_checks::RETRY_DELAY,
     store::{Batch, Era, Lease, Page, Revision, Store, StoreError},
 };
 use support::{CHARGE, host, host_among, open_link, open_link_of, slot_request};
 use tokio::{
     sync::mpsc::UnboundedReceiver,
+    task::JoinHandle,
     time::{sleep, timeout},
 };
 
@@ -28,15 +30,47 @@
 /// Time in which a large use of a limit must be stored.
 const MAX_STORE_DELAY: Duration = Duration::from_millis(350);
 
+/// Keys, or prefixes of keys, of the records that a gate reads.
+const RECORDS: [&str; 5] = [
+    "lacewingspring/usage",
+    "lacewingspring/hand-over",
+    "lacewingspring/streams",
+    "lacewingspring/recent-streams",
+    "lacewingspring/versions/",
+];
+
+/// Places in [`RECORDS`].
+const USAGE: usize = 0;
+const VERSIONS: usize = 4;
+
 /// Store that is empty; it answers no write, or counts those of each key, and counts the reads.
 #[derive(Default)]
 struct EmptyStore {
     is_silent: bool,
+    /// Whether reads are rejected, of all records or of one only.
+    rejects: Mutex<Rejects>,
     puts: Mutex<HashMap<String, u64>>,
     reads: Mutex<HashMap<String, u64>>,
 }
 
+/// Reads that the store rejects.
+#[derive(Clone, Copy, Default, PartialEq)]
+enum Rejects {
+    #[default]
+    Nothing,
+    Everything,
+    Only(&'static str),
+}
+
 impl EmptyStore {
+    fn set_rejects(&self, rejects: Rejects) {
+        *self.rejects.lock().expect("is not poisoned") = rejects;
+    }
+
+    fn all_reads(&self) -> [u64; 5] {
+        RECORDS.map(|key| self.reads(key))
+    }
+
     fn puts(&self, key: &str) -> u64 {
         self.puts.lock().expect("is not poisoned").get(key).copied().unwrap_or_default()
     }
@@ -53,6 +87,11 @@
 
     async fn range(&self, key: &str, _: Option<&str>) -> Result<Page, StoreError> {
         *self.reads.lock().expect("is not poisoned").entry(key.into()).or_default() += 1;
+        match *self.rejects.lock().expect("is not poisoned") {
+            Rejects::Everything => return Err(StoreError::Refused(503)),
+            Rejects::Only(rejected) if rejected == key => return Err(StoreError::Refused(503)),
+            _ => {}
+        }
         Ok(Page { items: Vec::new(), has_more: false, revision: Revision::default() })
     }
 
@@ -79,6 +118,10 @@
         *self.puts.lock().expect("is not poisoned").entry(key.into()).or_default() += 1;
         Ok(())
     }
+
+    async fn put_if(&self, _: &str, _: Bytes, _: Option<Revision>) -> Result<Revision, StoreError> {
+        pending().await
+    }
 }
 
 /// Returns the next published usage.
@@ -189,3 +232,68 @@
 async fn an_instance_that_grants_slots_alone_reads_the_streams() {
     assert_eq!(stream_reads(true).await, [1, 1]);
 }
+
+/// Starts a gate of a fleet of one whose store begins to reject reads when it has started.
+async fn start_new_gate(rejects: Rejects) -> (Arc<EmptyStore>, impl Drop) {
+    let store = Arc::new(EmptyStore::default());
+    let host = host();
+    let ledger = tokio::spawn(Ledger { store: store.clone(), host: host.clone() }.run());
+    sleep(Duration::from_millis(200)).await;
+    store.set_rejects(rejects);
+    store.reads.lock().expect("is not poisoned").clear();
+    let link = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    (store, Ended { ledger, _link: link })
+}
+
+/// Ends a ledger when it is dropped.
+struct Ended {
+    ledger: JoinHandle<()>,
+    _link: (u64, UnboundedReceiver<FromGate>),
+}
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        self.ledger.abort();
+    }
+}
+
+/// Guards against reads of several records that each check whether the store is back, and against
+/// a gate that uses a record which it has not read since it began.
+#[tokio::test]
+async fn one_read_checks_for_all_records_while_the_store_rejects_calls() {
+    let (store, _gate) = start_new_gate(Rejects::Everything).await;
+    let began_at = clock::now();
+    sleep(Duration::from_secs(2)).await;
+    let reads: u64 = store.all_reads().iter().sum();
+    // The first read of each of two records is made at once, side by side.
+    let max = (clock::now() - began_at).as_millis() as u64 / RETRY_DELAY.as_millis() as u64 + 2;
+    println!("{reads} reads of records, {max} at most");
+    assert!((4..=max).contains(&reads), "{reads} reads, {max} at most");
+
+    store.reads.lock().expect("is not poisoned").clear();
+    store.set_rejects(Rejects::Nothing);
+    sleep(Duration::from_secs(1)).await;
+    let reads = store.all_reads();
+    assert!(reads.iter().all(|reads| *reads > 0), "records that are not read again: {reads:?}");
+    // After a pause of the test process, a gate reads its records once more.
+    assert!(reads.iter().all(|reads| *reads <= 2), "reads while the store responds: {reads:?}");
+}
+
+/// Guards against a record that is not read because the reads of another one fail.
+#[tokio::test]
+async fn records_are_read_while_the_store_rejects_the_reads_of_one() {
+    // The ledger reads the first four one after another; a task of its own reads the versions.
+    for rejected in [USAGE, VERSIONS] {
+        let (store, _gate) = start_new_gate(Rejects::Everything).await;
+        sleep(Duration::from_millis(500)).await;
+        store.set_rejects(Rejects::Only(RECORDS[rejected]));
+        let before = store.all_reads();
+        sleep(Duration::from_secs(1)).await;
+        let after = store.all_reads();
+        let expected = if rejected == USAGE { VERSIONS..RECORDS.len() } else { USAGE..VERSIONS };
+        for record in expected {
+            assert_eq!(after[record], before[record] + 1, "{}", RECORDS[record]);
+        }
+        assert!(after[rejected] >= before[rejected] + 4, "the rejected read is repeated");
+    }
+}
--- a/lacewingspring_proxy/tests/members.rs
+++ b/lacewingspring_proxy/tests/members.rs
@@ -63,6 +63,10 @@
             _ => Err(StoreError::Refused(503)),
         }
     }
+
+    async fn put_if(&self, _: &str, _: Bytes, _: Option<Revision>) -> Result<Revision, StoreError> {
+        std::future::pending().await
+    }
 }
 
 fn member(name: &str, data_centre: &str, octet: u8) -> Member {
--- a/lacewingspring_proxy/tests/replica.rs
+++ b/lacewingspring_proxy/tests/replica.rs
@@ -88,6 +88,10 @@
     async fn put(&self, _: &str, _: Bytes, _: Option<Lease>) -> Result<(), StoreError> {
         Err(StoreError::Refused(503))
     }
+
+    async fn put_if(&self, _: &str, _: Bytes, _: Option<Revision>) -> Result<Revision, StoreError> {
+        std::future::pending().await
+    }
 }
 
 fn rev(number: u64) -> Revision {
@@ -419,3 +423,28 @@
     assert!(*replica.confirmations().borrow() >= requested_at);
     assert_eq!(store.watches.load(Ordering::Relaxed), 1);
 }
+
+/// Guards against changes that are larger than a message may be, which would end the link.
+#[tokio::test]
+async fn a_host_sends_no_update_that_a_link_does_not_take() {
+    let (host, replicas) = host(Duration::ZERO);
+    let (tx, mut rx) = unbounded_channel();
+    let link = host.connect(tx);
+    host.handle(clock::now(), link, ping(1, 5));
+    assert!(matches!(next(&mut rx).await, FromGate::Pong { .. }));
+    let change = |number: u64| {
+        let value = Bytes::from(vec![0; 500_000]);
+        Change::Put(Item { value, ..item(&number.to_string(), number) })
+    };
+    let batch = Batch { changes: (6..12).map(change).collect(), revision: rev(11) };
+    replicas.get(Topic::Members).mirror().apply(Duration::ZERO, batch);
+    host.handle(clock::now(), link, ping(2, 5));
+    let FromGate::Pong { number: 2, ages } = next(&mut rx).await else {
+        panic!("an update of 3 MB was sent")
+    };
+    assert_eq!(*ages.get(Topic::Members), None, "the instance watches the service itself");
+    let batch = Batch { changes: vec![put("b", 12)], revision: rev(12) };
+    replicas.get(Topic::Members).mirror().apply(Duration::ZERO, batch);
+    host.handle(clock::now(), link, ping(3, 11));
+    assert!(matches!(next(&mut rx).await, FromGate::Update(_)), "small updates go on");
+}
