Add a memory budget and bounds on connections

Change: modules for shares of a budget that holders acquire and release by a guard, for the arriving bodies that are given up when memory is short, for buffers of bodies and responses, for connections and descriptors, and for readers that accept no byte.

--- a/lacewingspring_proxy/src/lib.rs
+++ b/lacewingspring_proxy/src/lib.rs
@@ -5,7 +5,8 @@
 //! through [`exchange`], [`relay`] passes the response on as a body of [`answer`], and [`track`]
 //! logs each step. While the [`upstream_path`] of this instance is lost, [`pass_on`] sends requests
 //! through another instance. [`framing`] and [`events`] tell whether a body is complete. Error
-//! responses of the proxy itself come from [`refusal`].
+//! responses of the proxy itself come from [`refusal`]. What callers can make the process hold is
+//! bounded by [`memory_budget`], [`connections`] and [`reader_timeout`].
 //!
 //! Separate tasks keep the configuration and the lists of upstreams and instances up to date;
 //! requests read them through shared snapshots.
@@ -14,8 +15,10 @@
 pub mod answer;
 pub mod attempt;
 pub mod clock;
+pub mod connections;
 pub mod counted;
 pub mod declared;
+pub mod descriptors;
 pub mod directory;
 pub mod events;
 pub mod exchange;
@@ -29,6 +32,7 @@
 pub mod logging;
 pub mod mark;
 pub mod members;
+pub mod memory_budget;
 pub mod metrics;
 pub mod mirror;
 pub mod net;
@@ -36,6 +40,7 @@
 mod part_ids;
 pub mod pass_on;
 pub mod protocol;
+pub mod reader_timeout;
 pub mod record_checks;
 pub mod refusal;
 pub mod relay;
--- a/lacewingspring_proxy/src/refusal.rs
+++ b/lacewingspring_proxy/src/refusal.rs
@@ -22,6 +22,10 @@
     NotFound,
     /// The request body exceeds the size limit.
     TooLarge,
+    /// No byte of the request body came for too long.
+    BodyStalled,
+    /// There is too little memory for the request, or its body was given up for others.
+    NoMemory,
     /// The declared configuration has not been read yet.
     NotConfigured,
     /// Another instance, which this one does not know, passed the request on and has admitted it
@@ -60,6 +64,8 @@
             Self::Unauthenticated => (StatusCode::UNAUTHORIZED, "unauthenticated", true),
             Self::NotFound => (StatusCode::NOT_FOUND, "not_found", true),
             Self::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "too_large", true),
+            Self::BodyStalled => (StatusCode::REQUEST_TIMEOUT, "body_stalled", true),
+            Self::NoMemory => (StatusCode::SERVICE_UNAVAILABLE, "memory", true),
             Self::NotConfigured => (StatusCode::SERVICE_UNAVAILABLE, "not_configured", true),
             Self::Outdated => (StatusCode::SERVICE_UNAVAILABLE, "outdated", true),
             Self::Refused(Reason::Limit) => (StatusCode::TOO_MANY_REQUESTS, "limit", true),
@@ -117,7 +123,11 @@
                 headers.insert(RETRY_AFTER, value);
             }
         }
-        if matches!(self.failure, Failure::Malformed | Failure::TooLarge) {
+        let is_unread = matches!(
+            self.failure,
+            Failure::Malformed | Failure::TooLarge | Failure::BodyStalled | Failure::NoMemory
+        );
+        if is_unread {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/lacewingspring_proxy/src/settings.rs
+++ b/lacewingspring_proxy/src/settings.rs
@@ -5,6 +5,7 @@
 use lacewingspring_core::{
     dispatch::RetryBound,
     names::{DataCentreName, InstanceName},
+    roll_out,
 };
 use serde::Deserialize;
 use thiserror::Error;
@@ -15,6 +16,16 @@
 /// Bytes in one megabit.
 const BYTES_PER_MEGABIT: f64 = 1_000_000.0 / 8.0;
 
+/// Bytes in one megabyte.
+pub(crate) const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
+
+/// One part in so many of the memory may be held for one topic, or for one answer of the store.
+const TOPIC_DIVISOR: usize = 16;
+
+/// Smallest bound on the memory of a topic, in bytes, so that the keys of a fleet of some hundred
+/// upstreams can be read on any machine.
+const MIN_TOPIC_BYTES: usize = 1_000_000;
+
 /// Largest count or ratio that a setting may have.
 const MAX_NUMBER: f64 = 1_000_000.0;
 
@@ -49,6 +60,16 @@
     pub store: SocketAddr,
     /// Limits that hold for the whole fleet.
     pub bounds: Bounds,
+    /// Bounds on roll-outs of software versions; `None` if roll-outs are not handled.
+    #[serde(default)]
+    pub roll_out: Option<RollOutBounds>,
+    /// Whether workspaces have shares of all services, also of those whose upstreams do not report
+    /// their load with a pace.
+    #[serde(default)]
+    pub shares: bool,
+    /// Limits of connections that differ from the defaults.
+    #[serde(default)]
+    pub connections: ConnectionSettings,
 }
 
 impl Settings {
@@ -58,7 +79,8 @@
     ///
     /// Fails with the first setting that is out of its range.
     pub fn check(&self) -> Result<(), SettingsError> {
-        let Machine { cores, speed, link_mbps } = self.machine;
+        let Machine { cores, speed, link_mbps, memory_mb, descriptors } = self.machine;
+        let memory_mb = memory_mb.unwrap_or_default();
         let bounds = &self.bounds;
         let count = 0.0..=MAX_NUMBER;
         let time = 0.0..=MAX_TIME_S;
@@ -66,6 +88,8 @@
             ("machine.cores", cores, &count),
             ("machine.speed", speed, &count),
             ("machine.link_mbps", link_mbps, &count),
+            ("machine.memory_mb", memory_mb, &count),
+            ("machine.descriptors", descriptors.unwrap_or_default().into(), &count),
             ("bounds.grace_s", bounds.grace_s, &time),
             ("bounds.retry_ratio", bounds.retry_ratio, &count),
             ("bounds.retry_slack", bounds.retry_slack, &count),
@@ -73,7 +97,8 @@
             ("bounds.quota_window_s", bounds.quota_window_s, &time),
             ("bounds.directory_ttl_s", bounds.directory_ttl_s, &time),
         ];
-        checks.into_iter().try_for_each(|(key, value, range)| in_range(key, value, range))
+        checks.into_iter().try_for_each(|(key, value, range)| in_range(key, value, range))?;
+        self.roll_out.map_or(Ok(()), |roll_out| roll_out.check())
     }
 }
 
@@ -99,6 +124,12 @@
     /// Bandwidth of the network link, in megabits per second; 0 if not known.
     #[serde(default)]
     pub link_mbps: f64,
+    /// Memory that the process may use, in millions of bytes; `None` if it is not bounded.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// Descriptors that the process may open; `None` if they are not bounded.
+    #[serde(default)]
+    pub descriptors: Option<u32>,
 }
 
 impl Machine {
@@ -107,12 +138,31 @@
         (self.cores * self.speed * 1_000.0) as u32
     }
 
+    /// Returns the largest size, in bytes, of all keys of a topic of the store, and of one of its
+    /// answers; `usize::MAX` if memory is not bounded.
+    pub fn max_topic_bytes(&self) -> usize {
+        let bytes = self.memory_mb.map(|memory| (memory * BYTES_PER_MEGABYTE) as usize);
+        bytes.map_or(usize::MAX, |bytes| (bytes / TOPIC_DIVISOR).max(MIN_TOPIC_BYTES))
+    }
+
     /// Returns the bandwidth of the network link in bytes per second; `None` if not known.
     pub fn link_bytes_per_s(&self) -> Option<f64> {
         (self.link_mbps > 0.0).then_some(self.link_mbps * BYTES_PER_MEGABIT)
     }
 }
 
+/// Limits of connections; without a value, each is derived from the descriptors of the machine.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConnectionSettings {
+    /// Largest number of connections of callers.
+    #[serde(default)]
+    pub callers: Option<usize>,
+    /// Largest number of connections of callers from one address.
+    #[serde(default)]
+    pub callers_per_address: Option<usize>,
+}
+
 /// Addresses that an instance listens on.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -170,6 +220,37 @@
     }
 }
 
+/// Bounds on what a bad software version may get in a roll-out.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RollOutBounds {
+    /// Largest part of a service's requests that the version may get, from 0 to 1.
+    pub share: f64,
+    /// Requests that it may get in addition.
+    pub tolerance: f64,
+    /// Time after its fiftieth bad response from which on it may get no request, in milliseconds.
+    /// No decision depends on it: a bad version is rolled back as soon as the evidence is certain.
+    pub rollback_timeout_ms: f64,
+}
+
+impl RollOutBounds {
+    fn check(&self) -> Result<(), SettingsError> {
+        let time_ms = 0.0..=MAX_TIME_S * 1_000.0;
+        in_range("roll_out.share", self.share, &(0.0..=1.0))?;
+        in_range("roll_out.tolerance", self.tolerance, &(0.0..=MAX_NUMBER))?;
+        in_range("roll_out.rollback_timeout_ms", self.rollback_timeout_ms, &time_ms)
+    }
+
+    /// Returns the bounds by which a roll-out is decided.
+    pub fn bounds(&self) -> roll_out::Bounds {
+        roll_out::Bounds {
+            share: self.share,
+            tolerance: self.tolerance,
+            rollback_timeout: seconds(self.rollback_timeout_ms / 1_000.0),
+        }
+    }
+}
+
 /// Converts a number of seconds; yields zero for a number that [`Settings::check`] rejects.
 fn seconds(number: f64) -> Duration {
     Duration::try_from_secs_f64(number).unwrap_or_default()
--- a/lacewingspring_proxy/tests/settings.rs
+++ b/lacewingspring_proxy/tests/settings.rs
@@ -58,8 +58,55 @@
 
 #[test]
 fn converts_the_resources_of_a_machine() {
-    assert_eq!(Machine { cores: 0.12, speed: 2.0, link_mbps: 8.0 }.millicores(), 240);
-    assert_eq!(Machine { cores: 0.12, speed: 2.0, link_mbps: 8.0 }.link_bytes_per_s(), Some(1e6));
+    let machine = Machine { cores: 0.12, speed: 2.0, link_mbps: 8.0, ..Machine::default() };
+    assert_eq!(machine.millicores(), 240);
+    assert_eq!(machine.link_bytes_per_s(), Some(1e6));
     assert_eq!(Machine::default().millicores(), 0, "the processor is not known");
     assert_eq!(Machine::default().link_bytes_per_s(), None);
 }
+
+/// Guards against bounds on roll-outs that would allow anything.
+#[test]
+fn checks_the_optional_bounds_of_roll_outs() {
+    let roll_out = |share: f64| {
+        let mut settings = valid_settings();
+        settings["roll_out"] =
+            json!({"share": share, "tolerance": 50, "rollback_timeout_ms": 5000});
+        let settings: Settings = serde_json::from_value(settings).expect("valid settings");
+        settings.check().map_err(|e| e.to_string())
+    };
+    assert_eq!(roll_out(0.1), Ok(()));
+    let error = "roll_out.share is 1.5, expected a value from 0 to 1".to_owned();
+    assert_eq!(roll_out(1.5), Err(error));
+    let settings: Settings = serde_json::from_value(valid_settings()).expect("valid settings");
+    assert!(settings.roll_out.is_none());
+}
+
+/// Guards against a bound on the store's keys that no configuration fits in, where the settings
+/// state too little memory.
+#[test]
+fn leaves_room_for_the_keys_of_a_small_fleet() {
+    let max_bytes = |memory_mb| Machine { memory_mb, ..Machine::default() }.max_topic_bytes();
+    assert_eq!(max_bytes(None), usize::MAX);
+    assert_eq!(max_bytes(Some(112.0)), 7_000_000);
+    for memory_mb in [0.0, 0.001, 1.0, 16.0] {
+        assert_eq!(max_bytes(Some(memory_mb)), 1_000_000, "{memory_mb} MB");
+    }
+}
+
+/// Guards against shares in services whose upstreams report no pace, where the settings do not ask
+/// for them.
+#[test]
+fn shares_are_off_unless_the_settings_ask_for_them() {
+    let shares = |value: Option<Value>| {
+        let mut settings = valid_settings();
+        if let Some(value) = value {
+            settings["shares"] = value;
+        }
+        let settings: Result<Settings, _> = serde_json::from_value(settings);
+        settings.map(|settings| settings.shares).map_err(|e| e.to_string())
+    };
+    assert_eq!(shares(None), Ok(false));
+    assert_eq!(shares(Some(json!(true))), Ok(true));
+    assert!(shares(Some(json!(1))).is_err());
+}
