--- a/lacewingspring_proxy/examples/gate_cost.rs
+++ b/lacewingspring_proxy/examples/gate_cost.rs
@@ -4,6 +4,8 @@
 //! The gate runs in a thread of its own, the instances in another one. Each instance reports
 //! running and waiting requests when it links, then asks for slots at a steady rate, in all about
 //! as many as the upstreams can serve.
+//!
+//! Usage: `gate_cost [INSTANCES [UPSTREAMS [REQUESTS_PER_SECOND]]]`
 
 use std::{
     net::SocketAddr,
@@ -25,7 +27,7 @@
     clock,
     gate::{
         host::GateHost,
-        message::{FromGate, ToGate, Trailing, decode, encode, frames},
+        message::{EndDetails, FromGate, ToGate, Trailing, decode, encode, frames},
     },
     members::{Member, Members, SharedMembers},
     replica::Replicas,
@@ -39,8 +41,8 @@
     time::{MissedTickBehavior, interval, sleep},
 };
 
-/// Number of upstreams.
-const UPSTREAMS: usize = 240;
+/// Number of upstreams unless the command line names another one.
+const DEFAULT_UPSTREAMS: usize = 240;
 
 /// Slots of each upstream.
 const SLOTS: u32 = 6;
@@ -51,8 +53,8 @@
 /// Requests that each instance reports as waiting when it links.
 const WAITING: u64 = 4;
 
-/// Requests a second of all instances.
-const RATE: f64 = 4_000.0;
+/// Requests a second of all instances unless the command line names another number.
+const DEFAULT_RATE: f64 = 4_000.0;
 
 /// Time for which a request holds its slot.
 const SERVICE_TIME: Duration = Duration::from_millis(350);
@@ -125,6 +127,15 @@
     (0..instances).map(|index| (Revision::default(), member(index))).collect()
 }
 
+/// Size of the fleet and its load.
+#[derive(Clone, Copy, Debug)]
+struct Size {
+    instances: usize,
+    upstreams: usize,
+    /// Requests a second.
+    rate: f64,
+}
+
 /// Counts of all instances.
 #[derive(Debug, Default)]
 struct Counts {
@@ -134,7 +145,7 @@
 }
 
 /// Plays one instance.
-async fn play(index: usize, instances: usize, gate: SocketAddr, counts: Arc<Counts>) {
+async fn play(index: usize, size: Size, gate: SocketAddr, counts: Arc<Counts>) {
     let stream = TcpStream::connect(gate).await.expect("connects to the gate");
     stream.set_nodelay(true).expect("sets an option");
     let mut frames = frames(stream);
@@ -144,7 +155,7 @@
     send(ToGate::Hello { instance, usage: Vec::new(), usage_age: Duration::from_secs(60) });
     let base = index as u64 * 1_000_000;
     for number in 0..RUNNING {
-        let upstream = (index as u64 * RUNNING + number) as usize % UPSTREAMS;
+        let upstream = (index as u64 * RUNNING + number) as usize % size.upstreams;
         let upstream = UpstreamName::from(format!("upstream-{upstream}"));
         send(ToGate::Running { number, request: request(base + number), upstream });
     }
@@ -161,11 +172,11 @@
         for number in 0..RUNNING {
             let (took, decode) = (SERVICE_TIME, SERVICE_TIME * 3 / 4);
             let end = End::Finished { took, output_tokens: 60, decode, is_framed: true };
-            let _ = reported.send(ToGate::End { number, end });
+            let _ = reported.send(ToGate::End { number, end, details: EndDetails::NONE });
         }
     });
     let mut next = RUNNING + WAITING;
-    let mut ticks = interval(Duration::from_secs_f64(instances as f64 / RATE));
+    let mut ticks = interval(Duration::from_secs_f64(size.instances as f64 / size.rate));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut is_acknowledged = false;
     loop {
@@ -182,12 +193,13 @@
                         tokio::spawn(async move {
                             sleep(SERVICE_TIME / 4).await;
                             let took = SERVICE_TIME / 4;
-                            let _ = tx.send(ToGate::FirstOutput { number, took });
+                            let load = Trailing(None);
+                            let _ = tx.send(ToGate::FirstOutput { number, took, load });
                             sleep(SERVICE_TIME * 3 / 4).await;
                             let (took, decode) = (SERVICE_TIME, SERVICE_TIME * 3 / 4);
                             let end =
                                 End::Finished { took, output_tokens: 60, decode, is_framed: true };
-                            let _ = tx.send(ToGate::End { number, end });
+                            let _ = tx.send(ToGate::End { number, end, details: EndDetails::NONE });
                         });
                     }
                     FromGate::Refused { .. } => {
@@ -214,7 +226,8 @@
     }
 }
 
-fn measure(instances: usize) {
+fn measure(size: Size) {
+    let Size { instances, upstreams, .. } = size;
     let address: SocketAddr = ([127, 0, 0, 1], 7_391).into();
     let counts = Arc::new(Counts::default());
     let shared = counts.clone();
@@ -223,7 +236,7 @@
         runtime.block_on(async {
             sleep(Duration::from_millis(100)).await;
             for index in 0..instances {
-                tokio::spawn(play(index, instances, address, shared.clone()));
+                tokio::spawn(play(index, size, address, shared.clone()));
             }
             sleep(MEASURED_TIME + Duration::from_secs(3)).await;
         });
@@ -234,7 +247,7 @@
         let host = GateHost::new(members, Arc::new(Replicas::default()), None);
         let host = Arc::new(host);
         host.on_members_changed(clock::now());
-        host.set_upstreams(clock::now(), (0..UPSTREAMS).map(upstream));
+        host.set_upstreams(clock::now(), (0..upstreams).map(upstream));
         tokio::spawn(host.clone().serve(address));
         tokio::spawn(host.clone().run_ticks());
         while counts.linked.load(Ordering::Relaxed) < instances as u64 {
@@ -259,7 +272,11 @@
 }
 
 fn main() {
-    let instances =
-        std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_INSTANCES);
-    measure(instances);
+    let argument = |index| std::env::args().nth(index);
+    let count = |index| argument(index).and_then(|text| text.parse().ok());
+    measure(Size {
+        instances: count(1).unwrap_or(DEFAULT_INSTANCES),
+        upstreams: count(2).unwrap_or(DEFAULT_UPSTREAMS),
+        rate: argument(3).and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_RATE),
+    });
 }
--- a/lacewingspring_proxy/src/answer.rs
+++ b/lacewingspring_proxy/src/answer.rs
@@ -101,7 +101,7 @@
     fn record_data(&mut self, now: Duration, data: &Bytes) {
         if self.first_output_at.is_none() {
             self.first_output_at = Some(now);
-            if let Some(attempt) = &self.attempt {
+            if let Some(attempt) = &mut self.attempt {
                 attempt.first_output(now);
             }
         }
--- a/lacewingspring_proxy/src/attempt.rs
+++ b/lacewingspring_proxy/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lacewingspring_core::dispatch::{End, Grant};
+use lacewingspring_core::dispatch::{End, Grant, UpstreamLoad};
 
 use crate::{
     framing::{BodyProgress, Framing},
@@ -36,9 +36,14 @@
     }
 
     /// Records the first output of the response.
-    pub fn first_output(&self, now: Duration) {
+    pub fn first_output(&mut self, now: Duration) {
         self.trace.first_output(now);
-        self.slot.first_output(now.saturating_sub(self.started_at));
+        self.slot.first_output(now, now.saturating_sub(self.started_at));
+    }
+
+    /// Records the load that the upstream reported in a response received at `now`.
+    pub fn upstream_load(&mut self, now: Duration, load: UpstreamLoad) {
+        self.slot.record_load(now, load);
     }
 
     /// Records that the upstream said that it leaves.
@@ -83,7 +88,7 @@
     /// Ends the attempt after a complete response; `output_tokens` are those after the first event,
     /// and `decode` is the time that they took.
     pub fn finish(
-        self,
+        mut self,
         now: Duration,
         status: u16,
         progress: &BodyProgress,
@@ -92,6 +97,10 @@
     ) {
         let took = now.saturating_sub(self.started_at);
         self.trace.answered(now, status, self.upstream(), progress);
+        // A 5xx is an error of the upstream, although its response is passed on.
+        if status >= 500 {
+            self.slot.record_error_status(status);
+        }
         let is_framed = progress.framing != Framing::Close;
         self.slot.end(End::Finished { took, output_tokens, decode, is_framed });
     }
--- a/lacewingspring_proxy/src/counted.rs
+++ b/lacewingspring_proxy/src/counted.rs
@@ -7,16 +7,20 @@
 use crate::{
     clock,
     metrics::SharedMetrics,
+    replica::Replicas,
     store::{Batch, Era, Lease, Page, Revision, Store, StoreError},
 };
 
-/// A [`Store`] that counts its calls by purpose and records when the service last responded.
+/// A [`Store`] that counts its calls by purpose and records when the service last responded, which
+/// ends the wait of the topics that check whether it is available again.
 #[derive(Debug)]
 pub struct CountedStore<S> {
     /// Client that makes the calls.
     pub inner: Arc<S>,
     /// Metrics that the calls are counted in.
     pub metrics: SharedMetrics,
+    /// Copies whose topics are told of responses.
+    pub replicas: Arc<Replicas>,
 }
 
 impl<S> CountedStore<S>
@@ -32,7 +36,9 @@
         let result = call.await;
         self.metrics.set_store_era(self.inner.era());
         if result.is_ok() {
-            self.metrics.store_responded(clock::now());
+            let now = clock::now();
+            self.metrics.store_responded(now);
+            self.replicas.outage().respond(now);
         }
         result
     }
--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -1,7 +1,7 @@
 //! Server side of the gate: schedules the requests of all instances linked to it.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, BTreeSet, HashMap},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -11,10 +11,10 @@
 use futures_util::StreamExt;
 use lacewingspring_core::{
     dispatch::{
-        Decision, Dispatcher, FleetRoster, FleetShare, HandOver, Limits, ServiceCounts,
-        SlotRequest, StoredUsage, Ticket,
+        Decision, Dispatcher, FleetRoster, FleetShare, HandOver, Limits, LoadReports,
+        ServiceCounts, SlotRequest, StoredUsage, Ticket,
     },
-    names::{InstanceName, ServiceName},
+    names::{InstanceName, ServiceName, WorkspaceName},
 };
 use log::{info, warn};
 use tokio::{
@@ -26,23 +26,29 @@
     time::{sleep, timeout},
 };
 
-use self::{declared_limits::DeclaredLimits, pause::Pauses};
+use self::{
+    declared_limits::DeclaredLimits, deferral::Deferral, pause::Pauses, roll_outs::RollOuts,
+};
 use super::{
     allowance::Allowance,
     findings::log_finding,
-    message::{Frames, FromGate, ToGate, decode, frames, send_all},
+    message::{Frames, FromGate, ReceivedLoad, ToGate, Trailing, decode, frames, send_all},
     recorded_versions::RecordedVersions,
 };
 use crate::{
     clock,
+    connections::Connections,
     members::SharedMembers,
     net,
+    outage::Outage,
     replica::{ByTopic, Replicas},
     store::Revision,
 };
 
 mod declared_limits;
+mod deferral;
 mod pause;
+mod roll_outs;
 mod share;
 mod streams;
 mod updates;
@@ -77,16 +83,21 @@
     declared_limits: DeclaredLimits,
     roster: FleetRoster,
     pauses: Pauses,
+    deferral: Deferral,
     versions: RecordedVersions,
     /// Time at which upstreams whose version is not recorded are used all the same; `None` if none
     /// is withheld.
     withheld_until: Option<Duration>,
+    /// Services all of whose upstreams for new requests are withheld.
+    withheld_services: BTreeSet<ServiceName>,
     /// Share that was logged last.
     logged_share: FleetShare,
     links: HashMap<u64, Link>,
     next_link: u64,
     /// Bandwidth for replica updates.
     allowance: Allowance,
+    /// Roll-outs; `None` where they are not handled.
+    roll_outs: Option<RollOuts>,
 }
 
 /// Schedules the dispatch of requests for the instances linked to this one.
@@ -116,12 +127,15 @@
             declared_limits: DeclaredLimits::default(),
             roster: FleetRoster::default(),
             pauses: Pauses::default(),
+            deferral: Deferral::default(),
             versions: RecordedVersions::default(),
             withheld_until: None,
+            withheld_services: BTreeSet::new(),
             logged_share: FleetShare::default(),
             links: HashMap::new(),
             next_link: 0,
             allowance: Allowance::new(link_bytes_per_s),
+            roll_outs: None,
         };
         Self {
             state: Mutex::new(state),
@@ -142,6 +156,16 @@
         self.state().set_limits(version, limits);
     }
 
+    /// Keeps shares of workspaces in all services from now on.
+    pub fn enable_shares(&self) {
+        self.state().dispatcher.enable_shares();
+    }
+
+    /// Returns the upstream time of the runs that ended in services with shares, by workspace.
+    pub fn granted_time(&self) -> BTreeMap<Option<WorkspaceName>, Duration> {
+        self.state().dispatcher.granted_time()
+    }
+
     /// Opens a link whose messages are sent to `tx`; returns its number.
     pub fn connect(&self, tx: UnboundedSender<FromGate>) -> u64 {
         let mut state = self.state();
@@ -155,7 +179,7 @@
     pub fn disconnect(&self, now: Duration, id: u64) {
         let mut state = self.state();
         let link = state.links.remove(&id);
-        state.pauses.end_link(id);
+        state.deferral.end_link(id);
         if let Some(instance) = link.and_then(|link| link.instance) {
             state.roster.unlink(&instance);
         }
@@ -179,7 +203,7 @@
             ToGate::Hello { instance, usage, usage_age } => {
                 let hand_over = state.dispatcher.hand_over(now);
                 state.introduce(now, link, instance, !usage.is_empty());
-                state.pauses.record_link(now);
+                state.deferral.record_link(now);
                 if !hand_over.is_empty() {
                     state.send(link, FromGate::HandOver(Arc::new(hand_over)));
                 }
@@ -201,27 +225,35 @@
                 state.dispatcher.take_over(now, age, &hand_over);
                 Vec::new()
             }
-            ToGate::Streams(known) => state.dispatcher.take_over_streams(now, &known),
+            ToGate::Streams(known, roll_outs) => {
+                state.learn_roll_outs(&roll_outs, false);
+                state.dispatcher.take_over_streams(now, &known)
+            }
             ToGate::Running { number, request, upstream } => {
                 state.dispatcher.adopt(now, ticket(number), &request, upstream);
                 Vec::new()
             }
             ToGate::RequestSlot { number, request, quota } => {
                 state.apply_told_limit(&request, quota.0);
-                if let Some(request) = state.defer_if_unsettled(now, link, number, request) {
+                if let Some(request) = state.defer(now, link, number, request) {
                     drop(state);
                     self.decide(now, link, number, request);
                 }
                 return;
             }
-            ToGate::FirstOutput { number, took } => {
+            ToGate::FirstOutput { number, took, load } => {
+                state.record_load(now, ticket(number), load);
                 state.dispatcher.first_output(now, ticket(number), took);
                 Vec::new()
             }
-            ToGate::End { number, end } => {
-                if state.pauses.remove(link, number) {
+            ToGate::End { number, end, details } => {
+                if state.deferral.remove(link, number) {
                     return;
                 }
+                state.record_load(now, ticket(number), details.load);
+                if let Some(status) = details.error_status.0 {
+                    state.dispatcher.record_error_status(ticket(number), status);
+                }
                 state.dispatcher.end(now, ticket(number), end)
             }
             ToGate::Ping { .. } => Vec::new(),
@@ -317,12 +349,23 @@
         Arc::unwrap_or_clone(hand_over)
     }
 
+    /// Returns the schedules of the calls that check whether the key-value service is available
+    /// again.
+    pub fn outage(&self) -> &Outage {
+        self.replicas.outage()
+    }
+
     /// Returns the request counts of each service.
     pub fn counts(&self) -> Vec<(ServiceName, ServiceCounts)> {
         let state = self.state();
         state.dispatcher.counts().map(|(name, counts)| (name.clone(), counts)).collect()
     }
 
+    /// Returns how the loads that upstreams reported were used.
+    pub fn load_reports(&self) -> LoadReports {
+        self.state().dispatcher.load_reports()
+    }
+
     /// Ticks the dispatcher while requests are queued. Never returns.
     pub async fn run_ticks(self: Arc<Self>) {
         loop {
@@ -349,11 +392,30 @@
     ///
     /// Fails if the address can't be bound.
     pub async fn serve(self: Arc<Self>, address: SocketAddr) -> io::Result<()> {
+        self.serve_within(address, Arc::default()).await
+    }
+
+    /// As [`Self::serve`], with bounds on the number of links.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn serve_within(
+        self: Arc<Self>,
+        address: SocketAddr,
+        connections: Arc<Connections>,
+    ) -> io::Result<()> {
         let listener = TcpListener::bind(address).await?;
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(self.clone().serve_link(stream));
+                Ok((stream, peer)) => {
+                    let admitted = connections.admit(clock::now(), peer.ip());
+                    let Some((connection, _)) = admitted else { continue };
+                    let host = self.clone();
+                    tokio::spawn(async move {
+                        let _link = connection.requests().begin();
+                        host.serve_link(stream).await;
+                    });
                 }
                 Err(e) => {
                     warn!(
@@ -382,23 +444,31 @@
     }
 
     /// Exchanges messages until the link ends; returns the reason for the log.
+    ///
+    /// A peer that was not heard for [`LINK_TIMEOUT`] is sent nothing more until it is. An instance
+    /// that is alive pings a silent gate; the link of another one ends after the same time again.
     async fn exchange(
         &self,
         link: u64,
         mut frames: Frames,
         mut rx: UnboundedReceiver<FromGate>,
     ) -> &'static str {
+        let mut heard_at = clock::now();
         loop {
+            let is_heard = clock::now().saturating_sub(heard_at) < LINK_TIMEOUT;
             tokio::select! {
                 next = timeout(LINK_TIMEOUT, frames.next()) => match next {
                     Ok(Some(Ok(bytes))) => match decode(&bytes) {
-                        Ok(message) => self.handle(clock::now(), link, message),
+                        Ok(message) => {
+                            heard_at = clock::now();
+                            self.handle(heard_at, link, message);
+                        }
                         Err(_) => return "unreadable",
                     },
                     Ok(Some(Err(_)) | None) => return "closed",
                     Err(_) => return "silent",
                 },
-                Some(message) = rx.recv() => {
+                Some(message) = rx.recv(), if is_heard => {
                     let sent = timeout(LINK_TIMEOUT, send_all(&mut frames, message, &mut rx));
                     if !matches!(sent.await, Ok(Ok(()))) {
                         return "unwritable";
@@ -428,6 +498,11 @@
         }
     }
 
+    fn record_load(&mut self, now: Duration, ticket: Ticket, load: Trailing<ReceivedLoad>) {
+        let Some(ReceivedLoad { load, age }) = load.0 else { return };
+        self.dispatcher.record_load(now.saturating_sub(age), ticket, load);
+    }
+
     fn send(&mut self, link: u64, message: FromGate) {
         let Some(target) = self.links.get(&link) else { return };
         // A closed receiver means that the link is about to be removed.
--- a/lacewingspring_proxy/src/gate/host/share.rs
+++ b/lacewingspring_proxy/src/gate/host/share.rs
@@ -50,6 +50,7 @@
         }
         self.log_share_change(share);
         self.dispatcher.set_fleet_share(now, share);
+        self.limit_roll_outs(now);
     }
 
     /// Logs a share unless it is close to the last one that was logged, as each link of a new gate
--- a/lacewingspring_proxy/src/gate/host/streams.rs
+++ b/lacewingspring_proxy/src/gate/host/streams.rs
@@ -6,7 +6,7 @@
 use lacewingspring_core::dispatch::{Grant, KnownStreams, SlotRequest};
 use tokio::time::sleep;
 
-use super::{FromGate, GateHost, Link, State};
+use super::{FromGate, GateHost, Link, State, Trailing};
 use crate::{clock, replica::Topic};
 
 /// Time for which streams are gathered before other instances are told of them.
@@ -107,7 +107,7 @@
         } else {
             self.dispatcher.served_versions(now)
         };
-        self.send(link, FromGate::Streams(Arc::new(known)));
+        self.send(link, FromGate::Streams(Arc::new(known), self.told_roll_outs()));
     }
 
     fn publish_streams(&self, known: Arc<KnownStreams>) {
@@ -115,7 +115,7 @@
         links.sort_unstable_by_key(|(id, _)| **id);
         for (_, link) in links.into_iter().take(MAX_RECEIVERS) {
             // A closed receiver means that the link is about to be removed.
-            let _ = link.tx.send(FromGate::Streams(known.clone()));
+            let _ = link.tx.send(FromGate::Streams(known.clone(), Trailing(None)));
         }
     }
 }
--- a/lacewingspring_proxy/src/gate/host/updates.rs
+++ b/lacewingspring_proxy/src/gate/host/updates.rs
@@ -5,7 +5,7 @@
 use super::{FromGate, GateHost, Link, State};
 use crate::{
     clock,
-    gate::allowance::Allowance,
+    gate::{allowance::Allowance, message::MAX_UPDATE_BYTES},
     replica::{ByTopic, Topic, Update},
     store::Revision,
 };
@@ -105,7 +105,7 @@
     }
 
     /// Sends an update unless it is empty; returns `false` if the bandwidth budget does not allow
-    /// it.
+    /// it, or if it is too large for a message.
     ///
     /// The link then no longer follows the topic here. The instance watches the key-value service
     /// itself until one of its next pings subscribes to the topic again.
@@ -118,7 +118,7 @@
         if update.is_empty() {
             return true;
         }
-        let is_sent = allowance.try_spend(now, update.len());
+        let is_sent = update.len() <= MAX_UPDATE_BYTES && allowance.try_spend(now, update.len());
         *self.sent_revisions.get_mut(update.topic) = is_sent.then_some(update.revision);
         if is_sent {
             // A closed receiver means that the link is about to be removed.
--- a/lacewingspring_proxy/src/gate/host/versions.rs
+++ b/lacewingspring_proxy/src/gate/host/versions.rs
@@ -1,12 +1,13 @@
 //! Withholds upstreams until their software versions are recorded, and tells the dispatcher which
 //! are.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use lacewingspring_core::dispatch::{ServedVersion, UpstreamInfo};
 use log::warn;
 
 use super::{GateHost, State};
+use crate::replica::Topic;
 
 impl GateHost {
     /// Withholds upstreams of versions that are not recorded from now on, for a second at most.
@@ -19,9 +20,14 @@
     where
         I: IntoIterator<Item = UpstreamInfo>,
     {
+        let orders_age = self.replicas.get(Topic::Declared).age(now);
         let mut state = self.state();
         state.versions.set_registered(now, upstreams.into_iter().collect());
+        state.note_registered_versions(now, orders_age);
         state.apply_upstreams(now);
+        drop(state);
+        self.request_order_confirmation(now);
+        self.decide_deferred(now);
         self.versions_changed.notify_one();
     }
 
@@ -46,6 +52,8 @@
         let mut state = self.state();
         state.versions.set_recorded(now, versions);
         state.apply_upstreams(now);
+        drop(state);
+        self.decide_deferred(now);
     }
 
     /// Adds the versions that earlier gates recorded, as loaded at `now`: of some services all, of
@@ -61,6 +69,8 @@
         let decisions = state.dispatcher.learn_recorded(now, complete, incomplete);
         state.send_decisions(decisions);
         state.apply_upstreams(now);
+        drop(state);
+        self.decide_deferred(now);
     }
 
     /// Notes that no version is known to be recorded.
@@ -94,6 +104,10 @@
     fn apply_upstreams(&mut self, now: Duration) {
         let usable = self.versions.usable(now);
         self.withheld_until = self.versions.withheld_until(now);
+        self.withheld_services = match self.withheld_until {
+            Some(_) => self.versions.withheld_services(now),
+            None => BTreeSet::new(),
+        };
         self.dispatcher.note_registered(now, self.versions.registered());
         let decisions = self.dispatcher.set_upstreams(now, usable);
         self.send_decisions(decisions);
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -14,7 +14,7 @@
 use tokio::{sync::watch, time::sleep};
 
 use super::{host::GateHost, record::Record, version_recorder::VersionRecorder};
-use crate::{clock, store::Store};
+use crate::{clock, record_checks::RecordReader, store::Store};
 
 /// Key of the stored usage.
 const USAGE_KEY: &str = "lacewingspring/usage";
@@ -118,8 +118,9 @@
 where
     S: Store,
 {
-    /// Loads what is stored at the start and when this instance becomes the gate, of a minority or of
-    /// the fleet, and publishes and stores what it knows while it is that of the fleet. Never returns.
+    /// Loads what is stored at the start, and when this instance becomes the gate of a minority or
+    /// of the fleet. Publishes and stores what it knows while it is the gate of the fleet. Never
+    /// returns.
     pub async fn run(self) {
         let versions = VersionRecorder { store: &*self.store, host: &self.host };
         // An instance that does not reach the others yet may serve requests before it is the gate.
@@ -297,15 +298,22 @@
         T: Clone + Default + PartialEq + Serialize + DeserializeOwned,
         F: Fn() -> bool,
     {
-        while is_needed() {
+        let reader = RecordReader::new(self.host.outage());
+        loop {
+            reader.turn().await;
+            if !is_needed() {
+                return None;
+            }
             match record.read(&*self.store).await {
-                Ok(value) => return value,
+                Ok(value) => {
+                    reader.succeed();
+                    return value;
+                }
                 Err(e) => {
                     warn!(error:% = e; "Reading a record of an earlier gate failed; trying again.");
-                    sleep(CHECK_INTERVAL).await;
+                    reader.fail();
                 }
             }
         }
-        None
     }
 }
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -20,7 +20,7 @@
 
 use super::{
     host::GateHost,
-    message::{DeclaredQuota, FromGate, ToGate, Trailing},
+    message::{DeclaredQuota, EndDetails, FromGate, ReceivedLoad, ToGate, Trailing},
     slot::PendingSlot,
 };
 use crate::{
@@ -35,6 +35,10 @@
 /// Time without a message from the gate after which it is pinged.
 const PING_AFTER: Duration = Duration::from_millis(400);
 
+/// Time without a message to the gate after which it is pinged, even if the gate sends messages: a
+/// gate sends nothing to an instance that it has not heard for its link timeout of 1.5 s.
+const PING_AFTER_UNSENT: Duration = Duration::from_millis(1_000);
+
 /// Interval of the pings that have the gate confirm how fresh its replicas are.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -138,7 +142,7 @@
         let (tx, rx) = oneshot::channel();
         let mut state = self.state();
         if let Some(known) = known {
-            state.send(ToGate::Streams(known));
+            state.send(ToGate::Streams(known, Trailing(None)));
         }
         state.send(ToGate::RequestSlot { number, request: request.clone(), quota });
         let pending = Pending { request, quota, requested_at: now, is_acknowledged: false, tx };
@@ -161,9 +165,9 @@
         self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Reports the first event of a response.
-    pub(super) fn first_output(&self, number: u64, took: Duration) {
-        self.state().send(ToGate::FirstOutput { number, took });
+    /// Reports the first event of a response, and the load in it.
+    pub(super) fn first_output(&self, number: u64, took: Duration, load: Option<ReceivedLoad>) {
+        self.state().send(ToGate::FirstOutput { number, took, load: Trailing(load) });
     }
 
     /// Reports the limit in the head of a response; `None` if it names none.
@@ -176,13 +180,22 @@
         self.state().send(ToGate::Brittle { number });
     }
 
-    /// Ends a request that waits or has a slot.
-    pub(super) fn end(&self, number: u64, end: End) {
+    /// Ends a request that waits or has a slot; tells the load in its response, and its status if
+    /// it is an error of the upstream.
+    pub(super) fn end(
+        &self,
+        number: u64,
+        end: End,
+        load: Option<ReceivedLoad>,
+        error_status: Option<u16>,
+    ) {
+        let error_status = error_status.filter(|_| self.host.handles_roll_outs());
+        let details = EndDetails { load: Trailing(load), error_status: Trailing(error_status) };
         let mut state = self.state();
         let was_pending = state.pending.remove(&number).is_some();
         let was_running = state.running.remove(&number).is_some();
         if was_pending || was_running {
-            state.send(ToGate::End { number, end });
+            state.send(ToGate::End { number, end, details });
         }
     }
 
@@ -216,7 +229,10 @@
             FromGate::HandOver(hand_over) => {
                 state.hand_over = Some(ReceivedHandOver { hand_over, at: clock::now() });
             }
-            FromGate::Streams(known) => self.host.learn_streams(clock::now(), &known),
+            FromGate::Streams(known, roll_outs) => {
+                self.host.learn_streams(clock::now(), &known);
+                self.host.learn_roll_outs(&roll_outs);
+            }
             FromGate::Update(update) => {
                 let update = Arc::unwrap_or_clone(update);
                 self.replicas.get(update.topic).push_update(update);
@@ -258,13 +274,13 @@
         state.send(ToGate::Ping { number, follow });
     }
 
-    /// Returns whether the gate must be pinged: it sent nothing for [`PING_AFTER`], or its
-    /// confirmation is due.
-    fn is_ping_due(&self, now: Duration, silence: Duration) -> bool {
+    /// Returns whether the gate must be pinged: it sent nothing for [`PING_AFTER`], it was sent
+    /// nothing for [`PING_AFTER_UNSENT`], or its confirmation is due.
+    fn is_ping_due(&self, now: Duration, silence: Duration, unsent: Duration) -> bool {
         let last = self.state().last_ping.map_or(Duration::ZERO, |ping| ping.at);
         let since = now.saturating_sub(last);
         let is_confirmation_due = since >= CONFIRMATION_INTERVAL && self.follows_gate();
-        silence >= PING_AFTER || is_confirmation_due
+        silence >= PING_AFTER || unsent >= PING_AFTER_UNSENT || is_confirmation_due
     }
 
     /// Opens a link and reports all running and queued requests on it.
@@ -283,7 +299,7 @@
             let age = now.saturating_sub(received.at);
             state.send(ToGate::HandOver { hand_over: received.hand_over, age });
         }
-        state.send(ToGate::Streams(self.host.known_streams(now)));
+        state.send(ToGate::Streams(self.host.known_streams(now), self.host.told_roll_outs()));
         let State { pending, running, gate_tx, .. } = &mut *state;
         let Some(gate_tx) = gate_tx else { return rx };
         for (number, running) in running.iter() {
--- a/lacewingspring_proxy/src/gate/link/connection.rs
+++ b/lacewingspring_proxy/src/gate/link/connection.rs
@@ -90,6 +90,7 @@
     ) -> &'static str {
         let mut check = interval(CHECK_INTERVAL);
         let mut liveness = Liveness::new(clock::now());
+        let mut sent_at = clock::now();
         loop {
             tokio::select! {
                 next = frames.next() => match next {
@@ -107,6 +108,7 @@
                     if !matches!(sent, Ok(Ok(()))) {
                         return "unwritable";
                     }
+                    sent_at = clock::now();
                 }
                 _ = check.tick() => {
                     let now = clock::now();
@@ -116,7 +118,8 @@
                     if !self.is_first_candidate(now, member, suspects) {
                         return MOVED;
                     }
-                    if self.is_ping_due(now, liveness.silence(now)) {
+                    let unsent = now.saturating_sub(sent_at);
+                    if self.is_ping_due(now, liveness.silence(now), unsent) {
                         self.ping(now);
                     }
                 }
--- a/lacewingspring_proxy/src/gate/message.rs
+++ b/lacewingspring_proxy/src/gate/message.rs
@@ -5,10 +5,12 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::SinkExt;
 use lacewingspring_core::{
-    dispatch::{End, Grant, HandOver, KnownStreams, Quota, Refusal, SlotRequest, StoredUsage},
+    dispatch::{
+        End, Grant, HandOver, KnownStreams, Quota, Refusal, SlotRequest, StoredUsage, UpstreamLoad,
+    },
     names::{InstanceName, UpstreamName},
 };
-use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::DeserializeOwned};
 use tokio::{net::TcpStream, sync::mpsc::UnboundedReceiver};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -20,6 +22,10 @@
 /// Maximum length of a message, in bytes; a value of the key-value service is at most half as long.
 const MAX_MESSAGE_BYTES: usize = 2 * 1024 * 1024;
 
+/// Largest update, in bytes, that is sent in one message. The rest of [`MAX_MESSAGE_BYTES`] is for
+/// the encoding, which the length of an update only approximates.
+pub const MAX_UPDATE_BYTES: usize = MAX_MESSAGE_BYTES / 4 * 3;
+
 /// Last field of a message, which earlier builds neither send nor read: a frame may end before it,
 /// and they ignore what follows the fields that they know.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -39,6 +45,57 @@
     }
 }
 
+impl<T> Trailing<T> {
+    /// Returns whether there is no value. A field that skips its serialisation then leaves the
+    /// frame as earlier builds send it.
+    pub fn is_none(&self) -> bool {
+        self.0.is_none()
+    }
+}
+
+/// Load that an upstream reported in a response.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReceivedLoad {
+    /// The load.
+    pub load: UpstreamLoad,
+    /// Time since the instance received it; clocks of instances differ.
+    pub age: Duration,
+}
+
+/// Last fields of the message that ends a request.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+pub struct EndDetails {
+    /// Load in the response, with its pace; not if `FirstOutput` told it.
+    pub load: Trailing<ReceivedLoad>,
+    /// Status of a response that was passed on although it is an error of the upstream. It is sent
+    /// only by instances that handle roll-outs.
+    pub error_status: Trailing<u16>,
+}
+
+impl EndDetails {
+    /// No details.
+    pub const NONE: Self = Self { load: Trailing(None), error_status: Trailing(None) };
+}
+
+impl Serialize for EndDetails {
+    /// Leaves out the fields after the last one with a value, as the frames of earlier builds do.
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        let Self { load, error_status } = self;
+        match (load.0, error_status.0) {
+            (_, Some(_)) => (load, error_status).serialize(serializer),
+            (Some(_), None) => load.serialize(serializer),
+            (None, None) => ().serialize(serializer),
+        }
+    }
+}
+
+/// Records of roll-outs, each as JSON as in the key-value service. Builds with more or fewer fields
+/// can read them.
+pub type EncodedRollOuts = Vec<Vec<u8>>;
+
 /// Limit of a workspace by one version of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DeclaredQuota {
@@ -87,6 +144,9 @@
         number: u64,
         /// Time from sending the request to the event.
         took: Duration,
+        /// Load in the response, with its pace.
+        #[serde(skip_serializing_if = "Trailing::is_none")]
+        load: Trailing<ReceivedLoad>,
     },
     /// Ends a request, whether it is queued or running.
     End {
@@ -94,6 +154,8 @@
         number: u64,
         /// How it ended.
         end: End,
+        /// What the response told besides.
+        details: EndDetails,
     },
     /// Shows that the link is alive and asks the gate for a pong.
     Ping {
@@ -123,8 +185,11 @@
         /// Time since the instance received it.
         age: Duration,
     },
-    /// Tells what the instance knows of streams and software versions.
-    Streams(KnownStreams),
+    /// Tells what the instance knows of streams, software versions and roll-outs.
+    Streams(
+        KnownStreams,
+        #[serde(skip_serializing_if = "Trailing::is_none")] Trailing<EncodedRollOuts>,
+    ),
 }
 
 /// Message from the gate to an instance.
@@ -164,8 +229,11 @@
     },
     /// What the instance is to pass on to the next gate.
     HandOver(Arc<HandOver>),
-    /// Tells what the gate knows of streams and software versions.
-    Streams(Arc<KnownStreams>),
+    /// Tells what the gate knows of streams, software versions and roll-outs.
+    Streams(
+        Arc<KnownStreams>,
+        #[serde(skip_serializing_if = "Trailing::is_none")] Trailing<EncodedRollOuts>,
+    ),
 }
 
 /// Length-delimited frames of a link.
--- a/lacewingspring_proxy/src/gate/mod.rs
+++ b/lacewingspring_proxy/src/gate/mod.rs
@@ -16,6 +16,7 @@
 pub mod message;
 mod record;
 pub mod recorded_versions;
+pub mod roll_out;
 pub mod slot;
 mod suspects;
 mod version_record;
--- a/lacewingspring_proxy/src/gate/recorded_versions.rs
+++ b/lacewingspring_proxy/src/gate/recorded_versions.rs
@@ -133,6 +133,15 @@
         self.upstreams.iter().filter(is_usable).cloned().collect()
     }
 
+    /// Returns the services that have upstreams for new requests, but only withheld ones.
+    pub fn withheld_services(&self, now: Duration) -> BTreeSet<ServiceName> {
+        let services = |upstreams: &[UpstreamInfo]| -> BTreeSet<ServiceName> {
+            let open = upstreams.iter().filter(|info| !info.draining);
+            open.map(|info| info.service.clone()).collect()
+        };
+        &services(&self.upstreams) - &services(&self.usable(now))
+    }
+
     /// Returns the time at which the next upstream that is withheld at `now` is used all the same;
     /// `None` if none is withheld.
     pub fn withheld_until(&self, now: Duration) -> Option<Duration> {
--- /dev/null
+++ b/lacewingspring_proxy/src/gate/roll_out/keeper.rs
@@ -0,0 +1,124 @@
+//! Follows the orders of roll-outs while this instance is the gate of a majority.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use lacewingspring_core::names::ServiceName;
+use log::{info, warn};
+use tokio::time::{sleep, timeout};
+
+use super::{
+    known_key::CALL_TIMEOUT,
+    record::{PREFIX, RollOutRecord},
+    service_keeper::ServiceKeeper,
+};
+use crate::{
+    clock,
+    gate::host::GateHost,
+    instance::StateDecoder,
+    metrics::SharedMetrics,
+    store::{Store, StoreError},
+};
+
+/// Interval of the decisions on roll-outs in progress.
+const DECISION_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Delay after a failed read of the records.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// What the keepers of all services share.
+pub(super) struct Context<S, T> {
+    pub store: Arc<S>,
+    pub decoder: Arc<T>,
+    pub host: Arc<GateHost>,
+    pub metrics: SharedMetrics,
+}
+
+/// Follows the orders of roll-outs.
+pub struct Keeper<S, T> {
+    context: Context<S, T>,
+    services: BTreeMap<ServiceName, ServiceKeeper>,
+}
+
+impl<S, T> Keeper<S, T>
+where
+    S: Store,
+    T: StateDecoder,
+{
+    /// Creates a keeper, which does nothing until this instance is the gate of a majority.
+    pub fn new(
+        store: Arc<S>,
+        decoder: Arc<T>,
+        host: Arc<GateHost>,
+        metrics: SharedMetrics,
+    ) -> Self {
+        let context = Context { store, decoder, host, metrics };
+        Self { context, services: BTreeMap::new() }
+    }
+
+    /// Follows the orders. Never returns.
+    pub async fn run(mut self) {
+        let mut is_failing = false;
+        loop {
+            while !self.is_gate() {
+                sleep(DECISION_INTERVAL).await;
+            }
+            if let Err(e) = self.load_all().await {
+                if !std::mem::replace(&mut is_failing, true) {
+                    warn!(error:% = e; "Reading the records of roll-outs failed; trying again.");
+                }
+                sleep(RETRY_DELAY).await;
+                continue;
+            }
+            is_failing = false;
+            self.context.host.begin_roll_out_tenure(clock::now());
+            while self.is_gate() {
+                self.step().await;
+                sleep(DECISION_INTERVAL).await;
+            }
+            info!("This instance no longer decides for a majority; it holds no roll-out.");
+            self.context.host.end_roll_out_tenure(clock::now());
+            self.services.retain(|_, service| service.end_tenure());
+            self.context.metrics.clear_roll_outs();
+        }
+    }
+
+    fn is_gate(&self) -> bool {
+        self.context.host.serves_majority(clock::now())
+    }
+
+    /// Reads which services have a record, so that orders that were deleted meanwhile are noticed.
+    async fn load_all(&mut self) -> Result<(), StoreError> {
+        let mut after: Option<String> = None;
+        loop {
+            let page = timeout(CALL_TIMEOUT, self.context.store.range(PREFIX, after.as_deref()));
+            let page = page.await.map_err(|_| StoreError::NoAnswer("timed out".into()))??;
+            for item in &page.items {
+                match serde_json::from_slice::<RollOutRecord>(&item.value) {
+                    Ok(record) => self.add(record.service),
+                    Err(e) => warn!(
+                        key = item.key.as_str(), error:% = e;
+                        "The record of a roll-out can't be parsed; it is ignored."
+                    ),
+                }
+            }
+            after = page.items.last().map(|item| item.key.clone());
+            if !page.has_more || after.is_none() {
+                return Ok(());
+            }
+        }
+    }
+
+    fn add(&mut self, service: ServiceName) {
+        self.services.entry(service.clone()).or_insert_with(|| ServiceKeeper::new(service));
+    }
+
+    async fn step(&mut self) {
+        let host = &self.context.host;
+        for service in [host.ordered_services(), host.known_roll_outs()].concat() {
+            self.add(service);
+        }
+        let context = &self.context;
+        join_all(self.services.values_mut().map(|keeper| keeper.step(context))).await;
+    }
+}
--- a/lacewingspring_proxy/src/gate/slot.rs
+++ b/lacewingspring_proxy/src/gate/slot.rs
@@ -2,10 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use lacewingspring_core::dispatch::{End, Grant, Reason, Refusal};
+use lacewingspring_core::dispatch::{End, Grant, Reason, Refusal, UpstreamLoad};
 use tokio::sync::oneshot;
 
-use super::link::GateClient;
+use super::{link::GateClient, message::ReceivedLoad};
+use crate::clock;
 
 /// Time after which the caller may retry if its request got no decision because the process ends.
 const UNDECIDED_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -25,6 +26,10 @@
     gate: Arc<GateClient>,
     number: u64,
     grant: Grant,
+    /// Load in the response that the gate was not told yet, with the time of its receipt.
+    load: Option<(Duration, UpstreamLoad)>,
+    /// Status of the response if it is an error of the upstream.
+    error_status: Option<u16>,
     is_ended: bool,
 }
 
@@ -44,14 +49,15 @@
         self.is_decided = true;
         let lost = Refusal::new(Reason::Overload, UNDECIDED_RETRY_AFTER);
         let grant = decided.unwrap_or(Err(lost))?;
-        Ok(Slot { gate: self.gate.clone(), number: self.number, grant, is_ended: false })
+        let (gate, number) = (self.gate.clone(), self.number);
+        Ok(Slot { gate, number, grant, load: None, error_status: None, is_ended: false })
     }
 }
 
 impl Drop for PendingSlot {
     fn drop(&mut self) {
         if !self.is_decided {
-            self.gate.end(self.number, End::Cancelled);
+            self.gate.end(self.number, End::Cancelled, None, None);
         }
     }
 }
@@ -63,8 +69,24 @@
     }
 
     /// Reports the first event of the response, `took` after the request was sent.
-    pub fn first_output(&self, took: Duration) {
-        self.gate.first_output(self.number, took);
+    pub fn first_output(&mut self, now: Duration, took: Duration) {
+        let load = self.take_load(now);
+        self.gate.first_output(self.number, took, load);
+    }
+
+    /// Keeps the load in the response, received at `now`, for the next message to the gate.
+    pub fn record_load(&mut self, now: Duration, load: UpstreamLoad) {
+        self.load = Some((now, load));
+    }
+
+    /// Keeps the status of a response that is an error of the upstream for the end.
+    pub fn record_error_status(&mut self, status: u16) {
+        self.error_status = Some(status);
+    }
+
+    fn take_load(&mut self, now: Duration) -> Option<ReceivedLoad> {
+        let (received_at, load) = self.load.take()?;
+        Some(ReceivedLoad { load, age: now.saturating_sub(received_at) })
     }
 
     /// Reports the requests a second that the upstream takes; `None` if its response names none.
@@ -80,14 +102,19 @@
     /// Releases the slot.
     pub fn end(mut self, end: End) {
         self.is_ended = true;
-        self.gate.end(self.number, end);
+        self.report_end(end);
+    }
+
+    fn report_end(&mut self, end: End) {
+        let load = self.take_load(clock::now());
+        self.gate.end(self.number, end, load, self.error_status);
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         if !self.is_ended {
-            self.gate.end(self.number, End::Cancelled);
+            self.report_end(End::Cancelled);
         }
     }
 }
--- a/lacewingspring_proxy/src/gate/version_recorder.rs
+++ b/lacewingspring_proxy/src/gate/version_recorder.rs
@@ -4,20 +4,18 @@
 
 use lacewingspring_core::dispatch::ServedVersion;
 use log::{info, warn};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use super::{host::GateHost, version_record};
 use crate::{
     clock,
+    record_checks::RecordReader,
     store::{Store, StoreError},
 };
 
 /// Interval of the checks for versions to be recorded, if no change of the upstreams tells of one.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Delay after a failed read.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
-
 /// Records the versions of a gate's upstreams.
 #[derive(Debug)]
 pub(super) struct VersionRecorder<'a, S> {
@@ -92,9 +90,15 @@
     where
         F: Fn() -> bool,
     {
-        while is_needed() {
+        let reader = RecordReader::new(self.host.outage());
+        loop {
+            reader.turn().await;
+            if !is_needed() {
+                return;
+            }
             match version_record::load(self.store).await {
                 Ok(loaded) => {
+                    reader.succeed();
                     info!(
                         versions = loaded.complete.len(), incomplete = loaded.incomplete.len();
                         "The recorded software versions of upstreams are loaded."
@@ -108,7 +112,7 @@
                         error:% = e;
                         "Reading the recorded software versions failed; trying again."
                     );
-                    sleep(RETRY_DELAY).await;
+                    reader.fail();
                 }
             }
         }
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -3,7 +3,11 @@
 use std::{io, sync::Arc, time::Duration};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use lacewingspring_core::dispatch::{Limits, QuotaBounds, UpstreamInfo};
+use bytes::Bytes;
+use lacewingspring_core::{
+    dispatch::{Limits, QuotaBounds, UpstreamInfo},
+    names::ServiceName,
+};
 use log::{info, warn};
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -14,17 +18,24 @@
 use self::serve::{log_bind_error, serve_callers, serve_directory, serve_metrics};
 use crate::{
     clock,
+    connections::{Connections, MaxConnections},
     counted::CountedStore,
     declared::{CallerLimits, Declared},
+    descriptors::DescriptorShares,
     exchange::Connect,
     follow::Follower,
-    gate::{host::GateHost, ledger::Ledger, link::GateClient},
+    gate::{
+        host::GateHost,
+        ledger::Ledger,
+        link::GateClient,
+        roll_out::{ColdUpstream, DeclaredOrders, RollOutStatus, keeper::Keeper},
+    },
     members::{MEMBERS_PREFIX, Member, Members, Registration, SharedMembers, random_incarnation},
+    memory_budget::{MemoryBudget, SharedBudget},
     metrics::SharedMetrics,
     mirror::Mirror,
     protocol::Protocol,
     replica::{Replicas, Topic},
-    server::OpenConnections,
     settings::Settings,
     store::Store,
     unavailable::UnavailableUpstreams,
@@ -51,6 +62,9 @@
     /// Key prefix of the operators' configuration.
     const DECLARED_PREFIX: &'static str;
 
+    /// Key prefix of all that operators write: the configuration and the orders of roll-outs.
+    const OPERATORS_PREFIX: &'static str;
+
     /// Key prefix of the upstreams' entries.
     const UPSTREAMS_PREFIX: &'static str;
 
@@ -59,6 +73,18 @@
 
     /// Decodes the upstreams' entries and leaves out those that are invalid.
     fn upstreams(&self, mirror: &Mirror) -> Vec<UpstreamInfo>;
+
+    /// Decodes the orders of roll-outs.
+    fn orders(&self, mirror: &Mirror) -> DeclaredOrders;
+
+    /// Decodes which upstreams are slow after their start.
+    fn cold_upstreams(&self, mirror: &Mirror) -> Vec<ColdUpstream>;
+
+    /// Returns the key of the status of a service's roll-out.
+    fn status_key(&self, service: &ServiceName) -> String;
+
+    /// Encodes the status of a roll-out.
+    fn status(&self, status: &RollOutStatus) -> Bytes;
 }
 
 /// Components of an instance that depend on the platform.
@@ -84,6 +110,8 @@
     host: Arc<GateHost>,
     is_ready: watch::Sender<bool>,
     metrics: SharedMetrics,
+    budget: SharedBudget,
+    descriptors: DescriptorShares,
     settings: Settings,
 }
 
@@ -137,6 +165,18 @@
         self.host.on_members_changed(now);
     }
 
+    /// Creates the connections of a server, which the metrics show.
+    fn connections(
+        &self,
+        server: &'static str,
+        max: MaxConnections,
+        budget: Option<SharedBudget>,
+    ) -> Arc<Connections> {
+        let connections = Connections::new(server, max, budget);
+        self.metrics.add_connections(connections.clone());
+        connections
+    }
+
     fn caller_limits(&self) -> CallerLimits {
         self.declared.load().as_ref().map_or_else(CallerLimits::default, |known| known.limits)
     }
@@ -176,14 +216,20 @@
     let (shutdown_tx, shutdown) = watch::channel(false);
     let members = SharedMembers::default();
     let metrics = SharedMetrics::default();
-    let store = CountedStore { inner: components.store.clone(), metrics: metrics.clone() };
+    let replicas = Arc::new(Replicas::default());
+    let store = CountedStore {
+        inner: components.store.clone(),
+        metrics: metrics.clone(),
+        replicas: replicas.clone(),
+    };
     let components = Components {
         store: Arc::new(store),
         protocol: components.protocol,
         decoder: components.decoder,
         upstreams: components.upstreams,
     };
-    let replicas = Arc::new(Replicas::default());
+    let descriptors = DescriptorShares::new(&settings.machine, &settings.connections);
+    let budget = MemoryBudget::new(settings.machine.memory_mb, descriptors.callers.total);
     let host = Arc::new(GateHost::new(
         members.clone(),
         replicas.clone(),
@@ -202,9 +248,23 @@
         host: host.clone(),
         is_ready: ready_tx,
         metrics: metrics.clone(),
+        budget: budget.clone(),
+        descriptors,
         settings: settings.clone(),
     });
+    metrics.bound_by(budget.clone());
+    metrics.show_replicas(replicas.clone());
+    tokio::spawn(async move { budget.arrivals().run_sweeps().await });
     host.require_recorded_versions();
+    if settings.shares {
+        host.enable_shares();
+    }
+    if let Some(roll_out) = settings.roll_out {
+        host.enable_roll_outs(roll_out.bounds());
+        tokio::spawn(host.clone().follow_order_confirmations());
+        let (store, decoder) = (components.store.clone(), components.decoder.clone());
+        tokio::spawn(Keeper::new(store, decoder, host.clone(), metrics.clone()).run());
+    }
     follow_store(&state, &components, &replicas);
     tokio::spawn(host.clone().run_ticks());
     tokio::spawn(host.clone().run_heartbeat());
@@ -214,7 +274,8 @@
     tokio::spawn(state.path.clone().run_probes(components.upstreams.clone()));
     tokio::spawn(Ledger { store: components.store.clone(), host: host.clone() }.run());
     tokio::spawn(gate.clone().run());
-    tokio::spawn(log_bind_error("peers", host.serve(settings.listen.peers)));
+    let links = state.connections("links", descriptors.links, None);
+    tokio::spawn(log_bind_error("peers", host.serve_within(settings.listen.peers, links)));
     let registration = Registration {
         store: components.store.clone(),
         member: member.clone(),
@@ -222,7 +283,8 @@
         shutdown,
     };
     let registration = tokio::spawn(registration.run());
-    let open = Arc::new(OpenConnections::default());
+    let callers_budget = state.budget.is_bounded().then(|| state.budget.clone());
+    let open = state.connections("callers", descriptors.callers, callers_budget);
     serve_directory(&settings, &components, &state, &member, is_ready, &closing);
     serve_callers(&settings, &components, &state, &member, gate, &closing, &open);
     serve_metrics(&settings, &state, &closing);
@@ -246,7 +308,7 @@
     settings: &Settings,
     member: &watch::Sender<Member>,
     closing: &watch::Sender<bool>,
-    open: &OpenConnections,
+    open: &Connections,
 ) {
     let began = clock::now();
     info!(connections = open.count(); "SIGTERM received; the instance leaves the fleet.");
@@ -270,32 +332,48 @@
     S: Store,
     T: StateDecoder,
 {
+    let max_bytes = state.settings.machine.max_topic_bytes();
     let decoder = components.decoder.clone();
     let shared = state.clone();
+    let handles_roll_outs = state.settings.roll_out.is_some();
     let declared = move |now: Duration, mirror: &Mirror| {
+        if handles_roll_outs {
+            shared.host.set_orders(now, decoder.orders(mirror), mirror.revision());
+        }
         if let Some(declared) = decoder.declared(mirror) {
             shared.apply_declared(now, declared);
         }
     };
-    spawn_follow(components, replicas, Topic::Declared, T::DECLARED_PREFIX, declared);
+    let prefix = if handles_roll_outs { T::OPERATORS_PREFIX } else { T::DECLARED_PREFIX };
+    spawn_follow(components, replicas, (Topic::Declared, prefix), max_bytes, declared);
     let decoder = components.decoder.clone();
     let shared = state.clone();
     let upstreams = move |now: Duration, mirror: &Mirror| {
+        if handles_roll_outs {
+            shared.host.set_registry_revision(mirror.revision());
+            shared.host.set_cold_upstreams(now, decoder.cold_upstreams(mirror));
+        }
         shared.update_upstreams(now, decoder.upstreams(mirror));
     };
-    spawn_follow(components, replicas, Topic::Upstreams, T::UPSTREAMS_PREFIX, upstreams);
+    spawn_follow(
+        components,
+        replicas,
+        (Topic::Upstreams, T::UPSTREAMS_PREFIX),
+        max_bytes,
+        upstreams,
+    );
     let shared = state.clone();
     let members = move |now: Duration, mirror: &Mirror| {
         shared.update_members(now, Members::from_mirror(mirror));
     };
-    spawn_follow(components, replicas, Topic::Members, MEMBERS_PREFIX, members);
+    spawn_follow(components, replicas, (Topic::Members, MEMBERS_PREFIX), max_bytes, members);
 }
 
 fn spawn_follow<S, P, T, F>(
     components: &Components<S, P, T>,
     replicas: &Arc<Replicas>,
-    topic: Topic,
-    prefix: &'static str,
+    (topic, prefix): (Topic, &'static str),
+    max_bytes: usize,
     on_change: F,
 ) where
     S: Store,
@@ -303,5 +381,5 @@
 {
     let follow =
         Follower::new(components.store.clone(), replicas.clone(), topic, prefix, on_change);
-    tokio::spawn(follow.run());
+    tokio::spawn(follow.with_max_bytes(max_bytes).run());
 }
--- a/lacewingspring_proxy/src/instance/serve.rs
+++ b/lacewingspring_proxy/src/instance/serve.rs
@@ -17,6 +17,7 @@
 use crate::{
     answer::ResponseBody,
     clock,
+    connections::Connections,
     declared::CallerLimits,
     directory::Directory,
     forward::Forwarder,
@@ -25,7 +26,7 @@
     members::Member,
     pass_on::OtherInstances,
     protocol::Protocol,
-    server::{ConnectionLimits, OpenConnections, Server},
+    server::{ConnectionLimits, Server},
     settings::Settings,
 };
 
@@ -43,6 +44,7 @@
 ) where
     P: Protocol,
 {
+    let shares = state.descriptors;
     let directory = Arc::new(Directory {
         protocol: components.protocol.clone(),
         members: state.members.clone(),
@@ -51,8 +53,13 @@
         max_ttl: Duration::try_from_secs_f64(settings.bounds.directory_ttl_s)
             .unwrap_or(Duration::MAX),
     });
-    for address in [settings.listen.directory, settings.listen.readiness] {
-        let server = Server { address, closing: closing.clone(), open: Arc::default() };
+    let addresses = [
+        ("directory", settings.listen.directory, shares.directory),
+        ("readiness", settings.listen.readiness, shares.readiness),
+    ];
+    for (name, address, max) in addresses {
+        let server =
+            Server { address, closing: closing.clone(), open: state.connections(name, max, None) };
         let directory = directory.clone();
         let handler = move |req: Request<Incoming>| {
             let response = directory.answer(&req);
@@ -72,7 +79,7 @@
     member: &watch::Receiver<Member>,
     gate: Arc<GateClient>,
     closing: &watch::Receiver<bool>,
-    open: &Arc<OpenConnections>,
+    open: &Arc<Connections>,
 ) where
     P: Protocol,
 {
@@ -117,11 +124,16 @@
     state: &Arc<SharedState>,
     closing: &watch::Receiver<bool>,
 ) {
-    let server =
-        Server { address: settings.listen.metrics, closing: closing.clone(), open: Arc::default() };
+    let server = Server {
+        address: settings.listen.metrics,
+        closing: closing.clone(),
+        open: state.connections("metrics", state.descriptors.metrics, None),
+    };
     let state = state.clone();
     let handler = move |_: Request<Incoming>| {
         let counts = state.host.counts();
+        state.metrics.set_load_reports(&state.host.load_reports());
+        state.metrics.set_granted_time(&state.host.granted_time());
         let text = state.metrics.text(clock::now(), &counts);
         let mut response = Response::new(Full::<Bytes>::default());
         match text {
--- a/lacewingspring_proxy/src/mark.rs
+++ b/lacewingspring_proxy/src/mark.rs
@@ -1,4 +1,4 @@
-//! What an instance tells another one about a request that it passes on, in headers.
+//! Headers by which an instance tells another one about a request that it passes on.
 //!
 //! Builds that do not know a header ignore it, as they do unknown fields of its value.
 
@@ -7,15 +7,15 @@
 
 use crate::{admission::Admitted, refusal::Failure};
 
-/// Present in a request that another instance has passed on: the incarnation of that instance, which
-/// only instances know, and the number of its last attempt to get a slot.
+/// Present in a request that another instance has passed on: the incarnation of that instance,
+/// which only instances know, and the number of its last attempt to get a slot.
 const PASSED_ON: HeaderName = HeaderName::from_static("lacewingspring-passed-on");
 
 /// How the instance that passed the request on has admitted it, as JSON.
 const ADMISSION: HeaderName = HeaderName::from_static("lacewingspring-admission");
 
-/// `Connection` of a request that is passed on. It names the admission, so that no instance forwards
-/// it to an upstream, even if its build does not know it.
+/// `Connection` of a request that is passed on. It names the admission, so that no instance
+/// forwards it to an upstream, even if its build does not know it.
 const CONNECTION_VALUE: HeaderValue = HeaderValue::from_static("close, lacewingspring-admission");
 
 /// Present in the refusal of such a request by an instance that can't take it, where others may.
--- a/lacewingspring_proxy/src/metrics.rs
+++ b/lacewingspring_proxy/src/metrics.rs
@@ -3,23 +3,35 @@
 //! Every name is listed in `docs/LOGS.md`.
 
 use std::{
-    collections::HashSet,
+    collections::{BTreeMap, HashSet},
     fmt,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, OnceLock, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
 
-use lacewingspring_core::{dispatch::ServiceCounts, names::ServiceName};
+use lacewingspring_core::{
+    dispatch::{LoadReports, ServiceCounts},
+    names::{ServiceName, SoftwareVersion, WorkspaceName},
+    roll_out::{Counts, Stage},
+};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
 
-use crate::{declared::RequestKind, framing::Framing, logging, store::Era};
+use self::{load_reports::LoadReportMetrics, roll_outs::RollOutMetrics, shares::ShareMetrics};
+use crate::{
+    connections::Connections, declared::RequestKind, framing::Framing, limit_metrics::LimitMetrics,
+    logging, memory_budget::SharedBudget, replica::Replicas, store::Era,
+};
+
+mod load_reports;
+mod roll_outs;
+mod shares;
 
 /// Number of request series from which on new workspaces are counted together, so that the metrics
 /// stay bounded in size.
@@ -105,14 +117,20 @@
     wait: Family<Series, Histogram>,
     total: Family<Series, Histogram>,
     store_calls: Family<PurposeLabels, Counter>,
+    omitted_store_calls: Counter,
+    replicas: OnceLock<Arc<Replicas>>,
     waiting: Family<ServiceLabels, Gauge>,
     running: Family<ServiceLabels, Gauge>,
+    load_reports: LoadReportMetrics,
+    shares: ShareMetrics,
     version: Gauge,
     members: Gauge,
     store_era: Gauge,
     view_age: Gauge<f64, AtomicU64>,
     dropped_log_lines: Gauge,
     store_responded_at_ms: AtomicU64,
+    roll_outs: RollOutMetrics,
+    limits: LimitMetrics,
 }
 
 impl fmt::Debug for Metrics {
@@ -137,14 +155,20 @@
             wait: Family::new_with_constructor(histogram),
             total: Family::new_with_constructor(histogram),
             store_calls: Family::default(),
+            omitted_store_calls: Counter::default(),
+            replicas: OnceLock::new(),
             waiting: Family::default(),
             running: Family::default(),
+            load_reports: LoadReportMetrics::default(),
+            shares: ShareMetrics::default(),
             version: Gauge::default(),
             members: Gauge::default(),
             store_era: Gauge::default(),
             view_age: Gauge::default(),
             dropped_log_lines: Gauge::default(),
             store_responded_at_ms: AtomicU64::new(0),
+            roll_outs: RollOutMetrics::default(),
+            limits: LimitMetrics::default(),
         };
         metrics.register();
         metrics
@@ -158,6 +182,7 @@
 impl Metrics {
     fn register(&mut self) {
         let registry = &mut self.registry;
+        self.roll_outs.register(registry);
         registry.register("requests", "Requests by their outcome", self.requests.clone());
         registry.register("refusals", "Refusals by their reason", self.refusals.clone());
         registry.register("on_time", "Answers that began on time", self.on_time.clone());
@@ -183,8 +208,15 @@
         registry.register("total_seconds", "From arrival to the end", self.total.clone());
         let calls = self.store_calls.clone();
         registry.register("store_calls", "Calls to the key-value service", calls);
+        registry.register(
+            "omitted_store_calls",
+            "Calls to the key-value service that were omitted because another topic made the check",
+            self.omitted_store_calls.clone(),
+        );
         registry.register("queue", "Requests that wait, at the gate", self.waiting.clone());
         registry.register("running", "Requests that run, at the gate", self.running.clone());
+        self.load_reports.register(registry);
+        self.shares.register(registry);
         registry.register("declared_version", "Version in force", self.version.clone());
         registry.register("instances", "Instances that stay", self.members.clone());
         registry.register("store_era", "Era of the key-value service", self.store_era.clone());
@@ -193,6 +225,7 @@
             "Time since the key-value service answered last",
             self.view_age.clone(),
         );
+        self.limits.register(registry);
         registry.register("dropped_log_lines", "Lines not written", self.dropped_log_lines.clone());
     }
 
@@ -264,6 +297,23 @@
         self.store_calls.get_or_create(&PurposeLabels { purpose }).inc();
     }
 
+    /// Shows what is held and refused by a memory budget.
+    pub fn bound_by(&self, budget: SharedBudget) {
+        self.limits.bound_by(budget);
+    }
+
+    /// Shows the memory of the copies of topics and the number of omitted calls; only the first
+    /// call has an effect.
+    pub fn show_replicas(&self, replicas: Arc<Replicas>) {
+        self.limits.add_replicas(replicas.clone());
+        self.replicas.get_or_init(|| replicas);
+    }
+
+    /// Shows the connections of a server.
+    pub fn add_connections(&self, connections: Arc<Connections>) {
+        self.limits.add_connections(connections);
+    }
+
     /// Records that the key-value service responded at `now`.
     pub fn store_responded(&self, now: Duration) {
         self.store_responded_at_ms.store(now.as_millis() as u64, Ordering::Relaxed);
@@ -279,11 +329,37 @@
         self.store_era.set(i64::try_from(era.0).unwrap_or(i64::MAX));
     }
 
+    /// Sets how the loads that upstreams reported were used by the dispatcher at this instance.
+    pub fn set_load_reports(&self, counts: &LoadReports) {
+        self.load_reports.set(counts);
+    }
+
+    /// Counts the upstream time that the dispatcher at this instance granted to each workspace.
+    pub fn set_granted_time(&self, granted: &BTreeMap<Option<WorkspaceName>, Duration>) {
+        self.shares.update(granted);
+    }
+
     /// Sets the number of instances that are not leaving.
     pub fn set_instances(&self, count: usize) {
         self.members.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the stage and the counts of a roll-out that is held here.
+    pub fn set_roll_out(
+        &self,
+        service: &ServiceName,
+        target: &SoftwareVersion,
+        stage: &Stage,
+        counts: &Counts,
+    ) {
+        self.roll_outs.set(service, target, stage, counts);
+    }
+
+    /// Removes the metrics of roll-outs, as this instance holds none any more.
+    pub fn clear_roll_outs(&self) {
+        self.roll_outs.clear();
+    }
+
     /// Returns all metrics as text; `counts` are those of the dispatcher at this instance.
     ///
     /// # Errors
@@ -299,6 +375,11 @@
             self.waiting.get_or_create(&labels).set(counts.waiting as i64);
             self.running.get_or_create(&labels).set(counts.running as i64);
         }
+        self.limits.update();
+        if let Some(replicas) = self.replicas.get() {
+            let omitted = replicas.outage().omitted_calls();
+            self.omitted_store_calls.inner().store(omitted, Ordering::Relaxed);
+        }
         let responded_at =
             Duration::from_millis(self.store_responded_at_ms.load(Ordering::Relaxed));
         self.view_age.set(now.saturating_sub(responded_at).as_secs_f64());
--- a/lacewingspring_proxy/src/protocol.rs
+++ b/lacewingspring_proxy/src/protocol.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use lacewingspring_core::{
-    dispatch::Work,
+    dispatch::{UpstreamLoad, Work},
     names::{DataCentreName, UpstreamName, WorkspaceName},
 };
 
@@ -72,6 +72,8 @@
     /// Requests in a second above which the upstream crashes if it must decline them for lack of
     /// room; `None` if it states none.
     pub max_declined: Option<u32>,
+    /// Load that the upstream reports; `None` if it reports none.
+    pub load: Option<UpstreamLoad>,
 }
 
 /// Query of a caller for the addresses of instances.
--- a/lacewingspring_proxy/src/relay.rs
+++ b/lacewingspring_proxy/src/relay.rs
@@ -78,13 +78,14 @@
 {
     /// Validates the head of a response and passes the response on, unless it is not an answer to
     /// the request.
-    pub async fn pass_on(&self, attempt: Attempt, received: UpstreamResponse) -> Outcome {
+    pub async fn pass_on(&self, mut attempt: Attempt, received: UpstreamResponse) -> Outcome {
         let status = received.head.status;
         let upstream_head = self.protocol.response_head(status.as_u16(), &received.head.headers);
         let now = clock::now();
         let is_own = upstream_head.id.as_deref().is_none_or(|id| id == self.id);
         if is_own && !upstream_head.is_misdirected {
             self.record_announcements(now, &attempt, &received.head, &upstream_head);
+            record_load(now, &mut attempt, &upstream_head);
         }
         if let Some(rejection) = self.rejection(status, &upstream_head) {
             let Rejection { end, reason, outcome } = rejection;
@@ -209,6 +210,15 @@
     }
 }
 
+/// Records the load that the upstream reports if its report has a pace (four figures).
+fn record_load(now: Duration, attempt: &mut Attempt, head: &ResponseHead) {
+    // A response that is not the upstream's own says nothing of it.
+    let is_of_upstream = head.is_signed || head.is_declined;
+    if let Some(load) = head.load.filter(|load| is_of_upstream && load.pace.is_some()) {
+        attempt.upstream_load(now, load);
+    }
+}
+
 fn streamed(response: Response<()>, body: StreamedBody) -> Outcome {
     Outcome::Answered(response.map(|()| ResponseBody::Streamed(Box::new(body))))
 }
--- a/lacewingspring_proxy/src/server.rs
+++ b/lacewingspring_proxy/src/server.rs
@@ -4,28 +4,29 @@
     convert::Infallible,
     io,
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
     time::Duration,
 };
 
 use http::{Request, Response};
 use hyper::{
-    body::{Body, Incoming},
+    body::{Body, Frame, Incoming, SizeHint},
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, warn};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::watch,
-    time::sleep,
-};
+use socket2::SockRef;
+use tokio::{net::TcpListener, sync::watch, task::yield_now, time::sleep};
 
-use crate::net;
+use crate::{
+    clock,
+    connections::{Connections, InProgress, OpenConnection},
+    net,
+    reader_timeout::ReaderTimeout,
+};
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -33,6 +34,11 @@
 /// Smallest read buffer, in bytes, that hyper accepts for a connection.
 const MIN_BUF_BYTES: usize = 8 * 1024;
 
+/// Send and receive buffer of the system for each connection, in bytes, where connections are
+/// bounded. It does not slow down a link of 10 Mbit/s with a round trip of up to 100 ms; by itself
+/// the system uses some megabytes for a peer that does not read.
+const SOCKET_BUFFER_BYTES: usize = 128 * 1024;
+
 /// Limits of a server's connections.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
@@ -42,25 +48,14 @@
     pub idle_timeout: Duration,
 }
 
-/// Count of a server's open connections.
-#[derive(Debug, Default)]
-pub struct OpenConnections(AtomicUsize);
-
-impl OpenConnections {
-    /// Returns how many connections are open.
-    pub fn count(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
 /// A server on one address.
 pub struct Server {
     /// Address that it listens on.
     pub address: SocketAddr,
     /// Becomes true at shutdown: each connection is closed after its response in progress.
     pub closing: watch::Receiver<bool>,
-    /// Count of open connections, kept up to date by the server.
-    pub open: Arc<OpenConnections>,
+    /// Open connections, kept up to date by the server, and their bounds.
+    pub open: Arc<Connections>,
 }
 
 impl Server {
@@ -75,12 +70,18 @@
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
         F: Future<Output = Response<B>> + Send + 'static,
-        B: Body + Send + 'static,
+        B: Body + Send + Unpin + 'static,
         B::Data: Send,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
         L: Fn() -> ConnectionLimits,
     {
         let listener = TcpListener::bind(self.address).await?;
+        if self.open.is_bounded() {
+            // Accepted connections inherit the sizes.
+            let socket = SockRef::from(&listener);
+            socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)?;
+            socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)?;
+        }
         let mut closing = self.closing.clone();
         loop {
             let accepted = tokio::select! {
@@ -88,11 +89,22 @@
                 () = shutdown_requested(&mut closing) => return Ok(()),
             };
             match accepted {
-                Ok((stream, _)) => {
+                Ok((stream, peer)) => {
+                    let admitted = self.open.admit(clock::now(), peer.ip());
+                    let Some((connection, has_closed)) = admitted else {
+                        drop(stream);
+                        continue;
+                    };
+                    let is_limited = self.open.is_bounded();
+                    let stream = ReaderTimeout::new(stream, is_limited);
+                    let accepted = Accepted { stream, connection };
                     let closing = self.closing.clone();
-                    let open = self.open.clone();
-                    let serving = serve(stream, limits(), closing, open, handler.clone());
+                    let serving = serve(accepted, limits(), closing, handler.clone());
                     tokio::spawn(serving);
+                    if has_closed {
+                        // The task of the closed connection ends before another one is accepted.
+                        yield_now().await;
+                    }
                 }
                 Err(e) => {
                     warn!(error:% = e; "Accepting a connection failed; retrying after a delay.");
@@ -104,26 +116,32 @@
 }
 
 async fn serve<H, F, B>(
-    stream: TcpStream,
+    accepted: Accepted,
     limits: ConnectionLimits,
     mut closing: watch::Receiver<bool>,
-    open: Arc<OpenConnections>,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Send,
     F: Future<Output = Response<B>> + Send,
-    B: Body + Send + 'static,
+    B: Body + Send + Unpin + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    if let Err(e) = net::set_socket_options(&stream) {
+    let Accepted { stream, connection: open_connection } = accepted;
+    if let Err(e) = net::set_socket_options(stream.get_ref()) {
         debug!(error:% = e; "Setting the options of a connection failed; closing it.");
         return;
     }
-    open.0.fetch_add(1, Ordering::Relaxed);
+    let requests = open_connection.requests();
     let service = service_fn(move |req| {
+        let in_progress = requests.begin();
         let response = handler(req);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            Ok::<_, Infallible>(
+                response.map(|inner| TrackedBody { inner, _in_progress: in_progress }),
+            )
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -134,6 +152,7 @@
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
+        () = open_connection.must_close() => Ok(()),
         () = shutdown_requested(&mut closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
@@ -142,7 +161,41 @@
     if let Err(e) = result {
         debug!(error:% = e; "A connection ended with an error.");
     }
-    open.0.fetch_sub(1, Ordering::Relaxed);
+}
+
+/// A connection that was accepted.
+struct Accepted {
+    stream: ReaderTimeout,
+    connection: OpenConnection,
+}
+
+/// Body of a response, whose request is in progress until it is dropped.
+struct TrackedBody<B> {
+    inner: B,
+    _in_progress: InProgress,
+}
+
+impl<B> Body for TrackedBody<B>
+where
+    B: Body + Unpin,
+{
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.inner).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
 }
 
 /// Waits until `closing` becomes true.
--- a/lacewingspring_proxy/tests/gate_links.rs
+++ b/lacewingspring_proxy/tests/gate_links.rs
@@ -72,7 +72,7 @@
     let cost = (processor_time() - before) / LINKS;
     let told = receivers.iter_mut().map(|rx| rx.try_recv().expect("each link is answered"));
     let with_streams = told.filter(|message| match message {
-        FromGate::Streams(known) => !known.groups.is_empty(),
+        FromGate::Streams(known, _) => !known.groups.is_empty(),
         _ => false,
     });
     assert_eq!(with_streams.count(), 0, "with one version nobody needs to know which one it was");
--- a/lacewingspring_proxy/tests/gate_pauses.rs
+++ b/lacewingspring_proxy/tests/gate_pauses.rs
@@ -8,7 +8,7 @@
 };
 use lacewingspring_proxy::{
     clock,
-    gate::message::{DeclaredQuota, ToGate, Trailing},
+    gate::message::{DeclaredQuota, EndDetails, ToGate, Trailing},
 };
 use support::{
     CHARGE, Decided, decided, fate, host, host_among, host_without_configuration, open_link,
@@ -38,7 +38,8 @@
     assert_eq!(fate(&mut rx, 2), None, "another gate may have handed out the limit");
     assert!(!host.serves_majority(awake), "it stores nothing over what another gate stored");
     ask(awake, 3);
-    host.handle(awake, link, ToGate::End { number: 3, end: End::Cancelled });
+    let details = EndDetails::NONE;
+    host.handle(awake, link, ToGate::End { number: 3, end: End::Cancelled, details });
     host.disconnect(awake, link);
     let steps = vec![(100, 100 * CHARGE)];
     let usage = vec![StoredUsage { workspace: WorkspaceName::from("w"), steps }];
--- /dev/null
+++ b/lacewingspring_proxy/tests/roll_out_restored_record.rs
@@ -0,0 +1,112 @@
+//! A key-value service that is restored from an older copy and then does not answer a write, or
+//! while the gate ends that knew more.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use lacewingspring_core::dispatch::KnownStreams;
+use lacewingspring_proxy::{
+    clock,
+    gate::message::{EncodedRollOuts, FromGate, ToGate, Trailing},
+};
+use roll_out_support::{RECORD, STATUS, SharedStore, record, start_keeper};
+use support::{host, open_link};
+use tokio::{sync::mpsc::UnboundedReceiver, time::sleep};
+
+mod roll_out_support;
+mod support;
+
+/// Guards against a roll-out that begins again because the write after a restore failed: the next
+/// read took the older copy for the truth.
+#[tokio::test]
+async fn a_rolled_back_version_stays_so_when_the_write_after_a_restore_fails() {
+    let store = Arc::new(SharedStore::default());
+    store.set(STATUS, Bytes::from("RolledBack"));
+    store.set(RECORD, record(r#"{"RolledBack":"DeadlinePassed"}"#));
+    let host = host();
+    let (_link, _rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    start_keeper(&store, &host);
+    sleep(Duration::from_secs(1)).await;
+    store.begin_era();
+    store.failing_writes.store(1, Ordering::Relaxed);
+    store.set(STATUS, Bytes::from("InProgress"));
+    store.set(RECORD, record(r#""Observing""#));
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(store.text(STATUS), "RolledBack");
+    assert!(store.text(RECORD).contains("DeadlinePassed"), "{}", store.text(RECORD));
+}
+
+const ROLLED_BACK: &str = r#"{"RolledBack":"DeadlinePassed"}"#;
+
+/// Returns the records that a link was told last.
+fn told(rx: &mut UnboundedReceiver<FromGate>) -> EncodedRollOuts {
+    let messages = std::iter::from_fn(|| rx.try_recv().ok());
+    let told = messages.filter_map(|message| match message {
+        FromGate::Streams(_, told) => told.0,
+        _ => None,
+    });
+    told.last().unwrap_or_default()
+}
+
+/// Guards against a new gate that takes an older copy of the record for the truth although another
+/// instance knows of the roll-back, also if a gate before did and wrote the record of the order
+/// with the order's new revision.
+#[tokio::test]
+async fn a_new_gate_learns_of_a_roll_back_from_another_instance() {
+    let older = record(r#""Observing""#);
+    let text = String::from_utf8_lossy(&older);
+    let rewritten = text.replace(r#""era":0,"revision":5"#, r#""era":1,"revision":4"#);
+    assert_ne!(rewritten, text);
+    for stored in [older.clone(), Bytes::from(rewritten)] {
+        let store = Arc::new(SharedStore::default());
+        store.begin_era();
+        store.set(STATUS, Bytes::from("InProgress"));
+        store.set(RECORD, stored);
+        let host = host();
+        let (link, _rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+        start_keeper(&store, &host);
+        let told = Trailing(Some(vec![record(ROLLED_BACK).to_vec()]));
+        host.handle(clock::now(), link, ToGate::Streams(KnownStreams::default(), told));
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(store.text(STATUS), "RolledBack");
+        assert!(store.text(RECORD).contains("DeadlinePassed"), "{}", store.text(RECORD));
+    }
+}
+
+/// Guards against a roll-back that only the gate knows, and against an instance that does not learn
+/// of it because it was linked later.
+#[tokio::test]
+async fn the_gate_tells_all_instances_of_a_roll_back() {
+    let store = Arc::new(SharedStore::default());
+    store.set(STATUS, Bytes::from("InProgress"));
+    store.set(RECORD, record(ROLLED_BACK));
+    let host = host();
+    let (_link, mut rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    start_keeper(&store, &host);
+    sleep(Duration::from_secs(1)).await;
+    let (_link, mut later) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    for rx in [&mut rx, &mut later] {
+        let [record] = &told(rx)[..] else { panic!("one record is told") };
+        assert!(String::from_utf8_lossy(record).contains("DeadlinePassed"));
+    }
+}
+
+/// Guards against a roll-back that was told before another gate recorded the completion, and that
+/// instances would go on telling.
+#[tokio::test]
+async fn a_recorded_completion_replaces_a_roll_back_that_was_told() {
+    let store = Arc::new(SharedStore::default());
+    store.set(STATUS, Bytes::from("Completed"));
+    store.set(RECORD, record(r#""Completed""#));
+    let host = host();
+    let (link, mut rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    let rolled_back = Trailing(Some(vec![record(ROLLED_BACK).to_vec()]));
+    host.handle(clock::now(), link, ToGate::Streams(KnownStreams::default(), rolled_back));
+    start_keeper(&store, &host);
+    sleep(Duration::from_secs(1)).await;
+    let [record] = &told(&mut rx)[..] else { panic!("one record is told") };
+    assert!(String::from_utf8_lossy(record).contains("Completed"));
+}
--- /dev/null
+++ b/lacewingspring_proxy/tests/roll_out_support/mod.rs
@@ -0,0 +1,242 @@
+//! A key-value service in the test process that fails as told, and a keeper of roll-outs on it.
+
+#![allow(dead_code)]
+
+use std::{
+    collections::BTreeMap,
+    future::pending,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use lacewingspring_core::{
+    dispatch::{SlotRequest, UpstreamInfo},
+    names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName},
+    roll_out::Bounds,
+};
+use lacewingspring_proxy::{
+    clock,
+    declared::Declared,
+    gate::{
+        host::GateHost,
+        message::{FromGate, ToGate, Trailing},
+        roll_out::{ColdUpstream, DeclaredOrder, DeclaredOrders, RollOutStatus, keeper::Keeper},
+    },
+    instance::StateDecoder,
+    mirror::Mirror,
+    store::{Batch, Era, Item, Lease, Page, Revision, Store, StoreError},
+};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::support::{fate, request};
+
+/// Key of the record.
+pub const RECORD: &str = "lacewingspring/roll-outs/app";
+
+/// Key of the status.
+pub const STATUS: &str = "status";
+
+const BOUNDS: Bounds =
+    Bounds { share: 0.1, tolerance: 50.0, rollback_timeout: Duration::from_secs(5) };
+
+/// Returns a revision of the first era.
+pub fn rev(number: u64) -> Revision {
+    Revision { era: Era(0), number }
+}
+
+/// Returns a record of the order of revision 5 in a stage, which is given as JSON.
+pub fn record(stage: &str) -> Bytes {
+    record_with(stage, r#""left":[]"#)
+}
+
+/// Returns a record of the order of revision 5 in a stage and with a further field, as JSON.
+pub fn record_with(stage: &str, field: &str) -> Bytes {
+    let wall = clock::wall().as_millis();
+    Bytes::from(format!(
+        r#"{{"service":"app","target":"v2","order":{{"era":0,"revision":5}},"allowed_ms":60000,
+        "age_ms":1000,"wall_ms":{wall},"stage":{stage},"counts":{{}},{field}}}"#
+    ))
+}
+
+/// Returns an order of a version.
+pub fn order(target: &str, revision: u64) -> DeclaredOrder {
+    DeclaredOrder {
+        service: ServiceName::from("app"),
+        target: SoftwareVersion::from(target),
+        allowed: Duration::from_secs(60),
+        revision: rev(revision),
+    }
+}
+
+/// Returns the order of revision 5.
+pub fn orders() -> DeclaredOrders {
+    DeclaredOrders { orders: vec![order("v2", 5)], unreadable: Vec::new() }
+}
+
+/// Returns an upstream of a version, which has the version's name.
+pub fn upstream(version: &str, started_at_ms: u64) -> UpstreamInfo {
+    UpstreamInfo {
+        name: UpstreamName::from(version),
+        service: ServiceName::from("app"),
+        software: SoftwareVersion::from(version),
+        address: SocketAddr::from(([10, 0, 0, 1], 8000)),
+        data_centre: DataCentreName::from("a"),
+        slots: 4,
+        memory_tokens: u64::MAX,
+        draining: false,
+        started_at_ms,
+    }
+}
+
+/// Returns whether a request to the service gets a slot.
+pub fn is_granted(
+    host: &GateHost,
+    link: u64,
+    number: u64,
+    rx: &mut UnboundedReceiver<FromGate>,
+) -> bool {
+    let request = SlotRequest { service: ServiceName::from("app"), ..request() };
+    host.handle(clock::now(), link, ToGate::RequestSlot { number, request, quota: Trailing(None) });
+    fate(rx, number) == Some("granted")
+}
+
+/// Runs a keeper at a gate that knows the order.
+pub fn start_keeper(store: &Arc<SharedStore>, host: &Arc<GateHost>) {
+    host.enable_roll_outs(BOUNDS);
+    host.set_orders(clock::now(), orders(), rev(8));
+    tokio::spawn(host.clone().run_heartbeat());
+    let keeper = Keeper::new(store.clone(), Arc::new(Decoder), host.clone(), Arc::default());
+    tokio::spawn(keeper.run());
+}
+
+/// Decoder of a status in the form of its debug output.
+pub struct Decoder;
+
+impl StateDecoder for Decoder {
+    const DECLARED_PREFIX: &'static str = "c";
+    const OPERATORS_PREFIX: &'static str = "o";
+    const UPSTREAMS_PREFIX: &'static str = "u";
+
+    fn declared(&self, _: &Mirror) -> Option<Declared> {
+        None
+    }
+    fn upstreams(&self, _: &Mirror) -> Vec<UpstreamInfo> {
+        Vec::new()
+    }
+    fn orders(&self, _: &Mirror) -> DeclaredOrders {
+        DeclaredOrders::default()
+    }
+    fn cold_upstreams(&self, _: &Mirror) -> Vec<ColdUpstream> {
+        Vec::new()
+    }
+    fn status_key(&self, _: &ServiceName) -> String {
+        "status".into()
+    }
+    fn status(&self, status: &RollOutStatus) -> Bytes {
+        Bytes::from(format!("{:?}", status.state))
+    }
+}
+
+/// Key-value service in memory.
+#[derive(Default)]
+pub struct SharedStore {
+    keys: Mutex<BTreeMap<String, Item>>,
+    era: AtomicU64,
+    /// Number of the next writes that are not executed.
+    pub failing_writes: AtomicU64,
+    /// Number of the next writes that are executed without an answer.
+    pub unanswered_writes: AtomicU64,
+    /// Values that another holder writes right after the next read of the record.
+    written_after_read: Mutex<Vec<(&'static str, Bytes)>>,
+}
+
+impl SharedStore {
+    fn keys(&self) -> MutexGuard<'_, BTreeMap<String, Item>> {
+        self.keys.lock().expect("no test panics while holding the lock")
+    }
+
+    /// Begins an era, as after a restore from an older copy.
+    pub fn begin_era(&self) {
+        self.era.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Sets a key; returns its revision.
+    pub fn set(&self, key: &str, value: Bytes) -> Revision {
+        let mut keys = self.keys();
+        let number = keys.values().map(|item| item.revision.number).max().unwrap_or(8) + 1;
+        let revision = Revision { era: self.era(), number };
+        let item = Item { key: key.into(), value, revision, created_revision: revision };
+        keys.insert(key.into(), item);
+        revision
+    }
+
+    /// Has another holder write these values right after the next read of the record.
+    pub fn set_after_read(&self, values: Vec<(&'static str, Bytes)>) {
+        *self.written_after_read.lock().expect("no test panics while holding it") = values;
+    }
+
+    /// Returns the value of a key as text.
+    pub fn text(&self, key: &str) -> String {
+        String::from_utf8_lossy(&self.keys()[key].value).into_owned()
+    }
+}
+
+fn take_one(number: &AtomicU64) -> bool {
+    number.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| n.checked_sub(1)).is_ok()
+}
+
+impl Store for SharedStore {
+    fn era(&self) -> Era {
+        Era(self.era.load(Ordering::Relaxed))
+    }
+
+    async fn range(&self, key: &str, _: Option<&str>) -> Result<Page, StoreError> {
+        let items: Vec<Item> =
+            self.keys().values().filter(|item| item.key.starts_with(key)).cloned().collect();
+        if key == RECORD {
+            let mut written = self.written_after_read.lock().expect("no test panics holding it");
+            for (key, value) in written.drain(..) {
+                self.set(key, value);
+            }
+        }
+        Ok(Page { items, has_more: false, revision: rev(12) })
+    }
+    async fn watch(&self, _: &str, _: Revision, _: Duration) -> Result<Batch, StoreError> {
+        pending().await
+    }
+    async fn grant_lease(&self, _: Duration) -> Result<Lease, StoreError> {
+        pending().await
+    }
+    async fn keep_lease(&self, _: Lease) -> Result<(), StoreError> {
+        pending().await
+    }
+    async fn end_lease(&self, _: Lease) -> Result<(), StoreError> {
+        pending().await
+    }
+    async fn put(&self, _: &str, _: Bytes, _: Option<Lease>) -> Result<(), StoreError> {
+        pending().await
+    }
+    async fn put_if(
+        &self,
+        key: &str,
+        value: Bytes,
+        expected: Option<Revision>,
+    ) -> Result<Revision, StoreError> {
+        if take_one(&self.failing_writes) {
+            return Err(StoreError::NoAnswer("timed out".into()));
+        }
+        if self.keys().get(key).map(|item| item.revision) != expected {
+            return Err(StoreError::Conflict(None));
+        }
+        let revision = self.set(key, value);
+        if take_one(&self.unanswered_writes) {
+            return Err(StoreError::NoAnswer("timed out".into()));
+        }
+        Ok(revision)
+    }
+}
