Hold bodies and responses on the request path within the memory budget

Cause: request bodies while they arrive and are kept for a retry, and responses to slow readers, were held without a bound for the process.

--- a/lacewingspring_proxy/src/answer.rs
+++ b/lacewingspring_proxy/src/answer.rs
@@ -18,6 +18,7 @@
     clock,
     exchange::{ConnectionGuard, UpstreamResponse},
     framing::BodyProgress,
+    memory_budget::{body::HeldMessage, flow::FlowShare},
     pass_on::PassedBody,
 };
 
@@ -33,6 +34,9 @@
     /// An event of the stream has no end.
     #[error("the upstream sent an event that is too long in its response body")]
     EventTooLong,
+    /// There is too little memory for the response.
+    #[error("there is too little memory to pass the response on")]
+    Memory,
     /// The deadline of the request passed.
     #[error("the deadline of the request passed before its response was complete")]
     Timeout,
@@ -43,6 +47,8 @@
 pub enum ResponseBody {
     /// A body that is complete in memory.
     Buffered(Full<Bytes>),
+    /// A body that is complete in memory, in parts.
+    Held(HeldMessage),
     /// A body that is passed on as the upstream sends it.
     Streamed(Box<StreamedBody>),
     /// A body that another instance sends.
@@ -61,6 +67,7 @@
     progress: BodyProgress,
     tokens_per_event: u32,
     status: u16,
+    share: FlowShare,
     _connection: ConnectionGuard,
 }
 
@@ -72,8 +79,10 @@
         progress: BodyProgress,
         attempt: Attempt,
         deadline: Instant,
+        share: FlowShare,
     ) -> Self {
         Self {
+            share,
             status: response.head.status.as_u16(),
             start: None,
             body: response.body,
@@ -106,6 +115,7 @@
             }
         }
         self.progress.push(data);
+        self.share.record(data);
     }
 
     fn is_end_stream(&self) -> bool {
@@ -130,6 +140,10 @@
             self.fail(clock::now(), End::Cancelled, "time");
             return Poll::Ready(Some(Err(BodyError::Timeout)));
         }
+        if !ready!(self.share.poll_ready(cx)) {
+            self.fail(clock::now(), End::Cancelled, "memory");
+            return Poll::Ready(Some(Err(BodyError::Memory)));
+        }
         let next = match self.start.take() {
             Some(data) => Some(Ok(Frame::data(data))),
             None => ready!(Pin::new(&mut self.body).poll_frame(cx)),
@@ -187,6 +201,10 @@
                 let next = ready!(Pin::new(body).poll_frame(cx));
                 Poll::Ready(next.map(|frame| frame.map_err(|never| match never {})))
             }
+            Self::Held(body) => {
+                let next = ready!(Pin::new(body).poll_frame(cx));
+                Poll::Ready(next.map(|frame| frame.map_err(|never| match never {})))
+            }
             Self::Streamed(body) => body.poll(cx),
             Self::PassedOn(body) => body.poll(cx),
         }
@@ -195,6 +213,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(body) => body.is_end_stream(),
+            Self::Held(body) => body.is_end_stream(),
             Self::Streamed(body) => body.is_end_stream(),
             Self::PassedOn(body) => body.is_end_stream(),
         }
@@ -203,6 +222,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Buffered(body) => body.size_hint(),
+            Self::Held(body) => body.size_hint(),
             Self::Streamed(body) => body.body.size_hint(),
             Self::PassedOn(body) => body.size_hint(),
         }
--- a/lacewingspring_proxy/src/exchange.rs
+++ b/lacewingspring_proxy/src/exchange.rs
@@ -12,15 +12,13 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1, ext::on_informational};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::{net::TcpStream, sync::Notify, task::AbortHandle};
 
-use crate::{framing::Framing, net};
+use crate::{framing::Framing, memory_budget::body::HeldMessage, net};
 
 /// Time limit for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -99,7 +97,7 @@
 /// responses come before it.
 pub async fn send(
     stream: TcpStream,
-    mut req: Request<Full<Bytes>>,
+    mut req: Request<HeldMessage>,
 ) -> Result<UpstreamResponse, ExchangeError> {
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_RESPONSE_HEAD_BYTES).preserve_header_case(true);
@@ -121,7 +119,7 @@
 
 /// Counts the informational responses to a request; returns what is notified when there are more
 /// than [`MAX_INFORMATIONAL`].
-fn notify_of_too_many_informational(req: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+fn notify_of_too_many_informational(req: &mut Request<HeldMessage>) -> Arc<Notify> {
     let has_too_many = Arc::new(Notify::new());
     let notify = has_too_many.clone();
     let count = AtomicU32::new(0);
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use http::{Request, Response, Version, request::Parts};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use lacewingspring_core::{
     dispatch::{End, Reason, Refusal},
@@ -22,8 +22,13 @@
     declared::Declared,
     exchange::{self, Connect, ExchangeError, UpstreamResponse},
     gate::{link::GateClient, slot::Slot},
-    job::{Attempts, Job, fingerprint, read_body},
+    job::{Attempts, Job, fingerprint},
     mark::{Mark, mark_refusal},
+    memory_budget::{
+        Kind, SharedBudget,
+        body::{Collector, HeldMessage, read_request},
+        flow::FlowShare,
+    },
     metrics::SharedMetrics,
     pass_on::{OtherInstances, PassedOn},
     protocol::{CallerHead, Protocol, SendHead},
@@ -62,6 +67,8 @@
     pub others: OtherInstances,
     /// Client of the gate, which grants slots.
     pub gate: Arc<GateClient>,
+    /// Budget of the memory that callers can make this instance hold.
+    pub budget: SharedBudget,
     /// Metrics of this instance.
     pub metrics: SharedMetrics,
 }
@@ -83,7 +90,10 @@
     pub async fn serve(&self, began: Duration, req: Request<Incoming>) -> Response<ResponseBody> {
         let version = req.version();
         let response = self.respond(began, req).await;
-        if version >= Version::HTTP_11 { response } else { buffer_for_http_1_0(response).await }
+        if version >= Version::HTTP_11 {
+            return response;
+        }
+        buffer_for_http_1_0(&self.budget, response).await
     }
 
     async fn respond(&self, began: Duration, req: Request<Incoming>) -> Response<ResponseBody> {
@@ -97,11 +107,8 @@
         let admitted = match self.admit(&head, &caller, mark.as_ref()) {
             Ok(admitted) => admitted,
             Err(failure) => {
-                let mut response = self.refuse_unadmitted(began, &caller, failure);
-                if is_passed_on {
-                    mark_refusal(response.headers_mut(), failure);
-                }
-                return response;
+                self.log_unadmitted(began, &caller, failure);
+                return refusal(failure.into(), is_passed_on);
             }
         };
         let trace = Arc::new(RequestTrace::new(began, &caller, &admitted, self.metrics.clone()));
@@ -109,11 +116,7 @@
         let result = self.forward(began, received, trace.clone()).await;
         result.unwrap_or_else(|error| {
             trace.refused(clock::now(), &error);
-            let mut response = error.into_response();
-            if is_passed_on {
-                mark_refusal(response.headers_mut(), error.failure);
-            }
-            buffered(response)
+            refusal(error, is_passed_on)
         })
     }
 
@@ -130,14 +133,9 @@
         }
     }
 
-    /// Refuses a request that is malformed, has no route or credential, or arrives before the
-    /// configuration has been read.
-    fn refuse_unadmitted(
-        &self,
-        began: Duration,
-        caller: &CallerHead,
-        failure: Failure,
-    ) -> Response<ResponseBody> {
+    /// Logs and counts a request that is malformed, has no route or credential, or arrives before
+    /// the configuration has been read.
+    fn log_unadmitted(&self, began: Duration, caller: &CallerHead, failure: Failure) {
         let spec = failure.spec();
         self.metrics.refused(spec.name);
         let took_ms = clock::now().saturating_sub(began).as_millis() as u64;
@@ -147,10 +145,9 @@
             not_run = spec.is_not_run, took_ms;
             "The request is not admitted."
         );
-        buffered(ErrorResponse::from(failure).into_response())
     }
 
-    /// Reads the body, routes the request to a service and sends it.
+    /// Reads the body and sends the request.
     async fn forward(
         &self,
         began: Duration,
@@ -159,8 +156,8 @@
     ) -> Result<Response<ResponseBody>, ErrorResponse> {
         let Received { head, body, caller, admitted, is_passed_on } = received;
         let deadline = began + admitted.timeout;
-        let body =
-            timeout_at(clock::instant(deadline), read_body(body, admitted.max_body_bytes)).await;
+        let body = read_request(&self.budget, body, admitted.max_body_bytes);
+        let body = timeout_at(clock::instant(deadline), body).await;
         let body = body.map_err(|_| Failure::TimeoutBeforeSend)??;
         let fingerprint = fingerprint(head, &admitted, &body);
         let job =
@@ -176,6 +173,7 @@
         let request = PassedOn {
             head: job.head,
             body: job.body.clone(),
+            share: FlowShare::acquire(&self.budget).await.ok_or(Failure::NoMemory)?,
             admitted: &job.admitted,
             deadline: job.deadline,
             last_attempt: self.gate.last_attempt(),
@@ -262,6 +260,10 @@
             slot.end(reason.end());
             return Outcome::NotRun(Failure::Unreachable);
         }
+        let Some(share) = FlowShare::acquire(&self.budget).await else {
+            slot.end(End::Cancelled);
+            return Outcome::NotRun(Failure::NoMemory);
+        };
         let attempt = Attempt::new(now, slot, job.trace.clone());
         let exchange = timeout_at(clock::instant(job.deadline), self.exchange(job, &attempt)).await;
         let now = clock::now();
@@ -275,7 +277,7 @@
                     tokens_per_event: job.admitted.service.tokens_per_event,
                     deadline: clock::instant(job.deadline),
                 };
-                relay.pass_on(attempt, response).await
+                relay.pass_on(attempt, response, share).await
             }
             Ok(Err(e)) => {
                 job.trace.exchange_failed(now, attempt.upstream(), &e);
@@ -312,7 +314,7 @@
             time_left: job.deadline.saturating_sub(clock::now()),
             last_event: None,
         };
-        let mut req = Request::new(Full::new(job.body.clone()));
+        let mut req = Request::new(job.body.to_message());
         *req.method_mut() = job.head.method.clone();
         let path = job.head.uri.path_and_query().cloned();
         *req.uri_mut() = path.map(http::Uri::from).unwrap_or_default();
@@ -333,20 +335,53 @@
 ///
 /// HTTP/1.0 has no chunks: without a length, a caller can't tell a body that breaks off from a
 /// complete one.
-async fn buffer_for_http_1_0(response: Response<ResponseBody>) -> Response<ResponseBody> {
+async fn buffer_for_http_1_0(
+    budget: &SharedBudget,
+    response: Response<ResponseBody>,
+) -> Response<ResponseBody> {
+    if matches!(response.body(), ResponseBody::Buffered(_)) {
+        return response;
+    }
     let (head, body) = response.into_parts();
-    match Limited::new(body, MAX_HTTP_1_0_BODY_BYTES).collect().await {
-        Ok(body) => buffered(Response::from_parts(head, body.to_bytes())),
-        Err(e) => {
-            let is_timeout = matches!(e.downcast_ref(), Some(BodyError::Timeout));
-            let failure =
-                if is_timeout { Failure::TimeoutAfterSend } else { Failure::ResponseLost };
-            warn!(error:% = e; "A response to a caller of HTTP/1.0 is replaced by an error.");
+    match collect(budget, body).await {
+        Ok(body) => Response::from_parts(head, ResponseBody::Held(body)),
+        Err(failure) => {
+            let reason = failure.spec().name;
+            warn!(reason; "A response to a caller of HTTP/1.0 is replaced by an error.");
             buffered(ErrorResponse::from(failure).into_response())
         }
     }
 }
 
+/// Reads a whole response body within the memory budget.
+async fn collect(budget: &SharedBudget, body: ResponseBody) -> Result<HeldMessage, Failure> {
+    let mut body = body;
+    let mut collector = Collector::new(budget, Kind::Responses, None);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| match e {
+            BodyError::Timeout => Failure::TimeoutAfterSend,
+            _ => Failure::ResponseLost,
+        })?;
+        let Ok(data) = frame.into_data() else { continue };
+        if collector.len() + data.len() > MAX_HTTP_1_0_BODY_BYTES {
+            return Err(Failure::ResponseLost);
+        }
+        // The request has run, so that it is not refused for want of memory.
+        collector.push(&data).await.ok_or(Failure::ResponseLost)?;
+    }
+    Ok(collector.finish().to_message())
+}
+
+/// Returns the response that refuses a request; it tells an instance that passed the request on
+/// whether others may take it.
+fn refusal(error: ErrorResponse, is_passed_on: bool) -> Response<ResponseBody> {
+    let mut response = error.into_response();
+    if is_passed_on {
+        mark_refusal(response.headers_mut(), error.failure);
+    }
+    buffered(response)
+}
+
 fn buffered(response: Response<Bytes>) -> Response<ResponseBody> {
     response.map(|body| ResponseBody::Buffered(Full::new(body)))
 }
--- a/lacewingspring_proxy/src/instance/serve.rs
+++ b/lacewingspring_proxy/src/instance/serve.rs
@@ -98,6 +98,7 @@
             avoided: Mutex::default(),
         },
         gate,
+        budget: state.budget.clone(),
         metrics: state.metrics.clone(),
     });
     let server =
--- a/lacewingspring_proxy/src/job.rs
+++ b/lacewingspring_proxy/src/job.rs
@@ -6,10 +6,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http::{Response, request::Parts, uri::PathAndQuery};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
 use lacewingspring_core::{
     dispatch::{SlotRequest, StreamRef},
     names::{DataCentreName, UpstreamName},
@@ -20,6 +17,7 @@
     answer::ResponseBody,
     clock,
     gate::message::DeclaredQuota,
+    memory_budget::body::HeldBody,
     protocol::CallerHead,
     refusal::{ErrorResponse, Failure},
     relay::UpstreamError,
@@ -35,7 +33,7 @@
     /// Head of the caller's request.
     pub head: &'a Parts,
     /// Its body.
-    pub body: Bytes,
+    pub body: HeldBody,
     /// What its headers state.
     pub caller: CallerHead,
     /// Its route and workspace.
@@ -142,17 +140,6 @@
     }
 }
 
-pub(crate) async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Failure> {
-    if body.size_hint().lower() > limit as u64 {
-        return Err(Failure::TooLarge);
-    }
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Failure::TooLarge),
-        Err(_) => Err(Failure::Malformed),
-    }
-}
-
 fn digest(id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     id.hash(&mut hasher);
@@ -161,7 +148,7 @@
 
 /// Returns a digest of method, path, query, workspace and body, by which the gate recognises a
 /// repeated request, also one that was passed on.
-pub(crate) fn fingerprint(head: &Parts, admitted: &Admitted, body: &Bytes) -> u64 {
+pub(crate) fn fingerprint(head: &Parts, admitted: &Admitted, body: &HeldBody) -> u64 {
     let mut hasher = DefaultHasher::new();
     head.method.hash(&mut hasher);
     head.uri.path_and_query().map(PathAndQuery::as_str).hash(&mut hasher);
--- a/lacewingspring_proxy/src/pass_on.rs
+++ b/lacewingspring_proxy/src/pass_on.rs
@@ -10,7 +10,6 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, request::Parts};
-use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming};
 use lacewingspring_core::names::{DataCentreName, InstanceName};
 use rand::seq::SliceRandom;
@@ -23,6 +22,10 @@
     exchange::{self, ConnectionGuard, UpstreamResponse},
     mark::{self, Mark},
     members::{Member, SharedMembers},
+    memory_budget::{
+        body::{HeldBody, HeldMessage},
+        flow::FlowShare,
+    },
     net,
     protocol::Protocol,
     refusal::{ErrorResponse, Failure},
@@ -62,7 +65,9 @@
     /// Head of the caller's request.
     pub head: &'a Parts,
     /// Its body.
-    pub body: Bytes,
+    pub body: HeldBody,
+    /// Share of the memory that the response is passed on by.
+    pub share: FlowShare,
     /// How this instance has admitted it.
     pub admitted: &'a Admitted,
     /// Time by which its response must be complete.
@@ -109,18 +114,18 @@
                 self.avoid(clock::now(), &member);
                 continue;
             }
-            return Ok(pass_back(protocol, response, &request, &member));
+            return Ok(pass_back(protocol, response, request, &member));
         }
         Err(ErrorResponse { retry_after: Some(RETRY_AFTER), ..Failure::Unreachable.into() })
     }
 
     /// Returns a request as it is sent to another instance.
-    fn message<P>(&self, protocol: &P, request: &PassedOn<'_>) -> Request<Full<Bytes>>
+    fn message<P>(&self, protocol: &P, request: &PassedOn<'_>) -> Request<HeldMessage>
     where
         P: Protocol,
     {
         let time_left = request.deadline.saturating_sub(clock::now());
-        let mut message = Request::new(Full::new(request.body.clone()));
+        let mut message = Request::new(request.body.to_message());
         *message.method_mut() = request.head.method.clone();
         let path = request.head.uri.path_and_query().cloned();
         *message.uri_mut() = path.map(http::Uri::from).unwrap_or_default();
@@ -162,7 +167,7 @@
 fn pass_back<P>(
     protocol: &P,
     received: UpstreamResponse,
-    request: &PassedOn<'_>,
+    request: PassedOn<'_>,
     member: &Member,
 ) -> Response<ResponseBody>
 where
@@ -174,6 +179,7 @@
         body,
         deadline: Box::pin(sleep_until(clock::instant(request.deadline))),
         trace: request.trace.clone(),
+        share: request.share,
         _connection: connection,
     };
     let mut response = Response::new(ResponseBody::PassedOn(Box::new(body)));
@@ -188,6 +194,7 @@
     body: Incoming,
     deadline: Pin<Box<Sleep>>,
     trace: Arc<RequestTrace>,
+    share: FlowShare,
     _connection: ConnectionGuard,
 }
 
@@ -208,7 +215,16 @@
             self.trace.passed_back_cut(clock::now(), "time");
             return Poll::Ready(Some(Err(BodyError::Timeout)));
         }
+        if !ready!(self.share.poll_ready(cx)) {
+            self.trace.passed_back_cut(clock::now(), "memory");
+            return Poll::Ready(Some(Err(BodyError::Memory)));
+        }
         let next = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(Ok(frame)) = &next
+            && let Some(data) = frame.data_ref()
+        {
+            self.share.record(data);
+        }
         if matches!(next, Some(Err(_))) {
             self.trace.passed_back_cut(clock::now(), "instance");
         }
--- a/lacewingspring_proxy/src/relay.rs
+++ b/lacewingspring_proxy/src/relay.rs
@@ -15,6 +15,7 @@
     clock,
     exchange::UpstreamResponse,
     framing::{BodyProgress, Framing, is_event_stream},
+    memory_budget::flow::FlowShare,
     protocol::{Protocol, RateLimit, ResponseHead},
     refusal::Failure,
     retry_after::parse_retry_after,
@@ -78,7 +79,12 @@
 {
     /// Validates the head of a response and passes the response on, unless it is not an answer to
     /// the request.
-    pub async fn pass_on(&self, mut attempt: Attempt, received: UpstreamResponse) -> Outcome {
+    pub async fn pass_on(
+        &self,
+        mut attempt: Attempt,
+        received: UpstreamResponse,
+        share: FlowShare,
+    ) -> Outcome {
         let status = received.head.status;
         let upstream_head = self.protocol.response_head(status.as_u16(), &received.head.headers);
         let now = clock::now();
@@ -99,7 +105,7 @@
         let is_event_stream = is_event_stream(&received.head.headers, is_stream);
         let progress = BodyProgress::new(received.framing, is_event_stream);
         if is_stream {
-            let body = StreamedBody::new(received, progress, attempt, self.deadline)
+            let body = StreamedBody::new(received, progress, attempt, self.deadline, share)
                 .with_tokens_per_event(self.tokens_per_event);
             return streamed(response, body);
         }
@@ -107,9 +113,9 @@
             && received.body.size_hint().lower() <= MAX_BUFFERED_BODY_BYTES as u64;
         let may_be_short = received.framing != Framing::Length && !is_event_stream;
         if has_short_length || may_be_short {
-            return self.buffer(attempt, received, progress, response).await;
+            return self.buffer(attempt, received, progress, response, share).await;
         }
-        streamed(response, StreamedBody::new(received, progress, attempt, self.deadline))
+        streamed(response, StreamedBody::new(received, progress, attempt, self.deadline, share))
     }
 
     /// Returns why a response is not passed on by its head; `None` if it may be.
@@ -175,13 +181,15 @@
         mut received: UpstreamResponse,
         mut progress: BodyProgress,
         response: Response<()>,
+        mut share: FlowShare,
     ) -> Outcome {
-        let read = timeout_at(self.deadline, read_start(&mut received.body)).await;
+        let read = read_start(&mut received.body, &mut share);
+        let read = timeout_at(self.deadline, read).await;
         let now = clock::now();
         let data = match read {
             Ok(Ok(BodyStart::Complete(data))) => data,
             Ok(Ok(BodyStart::Long(data))) => {
-                let body = StreamedBody::new(received, progress, attempt, self.deadline);
+                let body = StreamedBody::new(received, progress, attempt, self.deadline, share);
                 return streamed(response, body.with_start(data));
             }
             Ok(Err(e)) => {
@@ -199,7 +207,7 @@
             return Outcome::MayHaveRun(None);
         }
         let status = response.status();
-        let response = response.map(|()| ResponseBody::Buffered(Full::new(data)));
+        let response = response.map(|()| ResponseBody::Buffered(Full::new(share.attach(data))));
         if status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT {
             let upstream = attempt.grant().upstream.clone();
             attempt.fail(now, End::Failed, status.as_str());
@@ -227,17 +235,18 @@
 enum BodyStart {
     /// All of the body.
     Complete(Bytes),
-    /// More than [`MAX_BUFFERED_BODY_BYTES`]; the rest has not been read.
+    /// More than [`MAX_BUFFERED_BODY_BYTES`], or more than there is memory for; the rest has not
+    /// been read.
     Long(Bytes),
 }
 
-async fn read_start(body: &mut Incoming) -> Result<BodyStart, hyper::Error> {
+async fn read_start(body: &mut Incoming, share: &mut FlowShare) -> Result<BodyStart, hyper::Error> {
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
             buf.extend_from_slice(&data);
         }
-        if buf.len() > MAX_BUFFERED_BODY_BYTES {
+        if buf.len() > MAX_BUFFERED_BODY_BYTES || !share.grow(buf.len()).await {
             return Ok(BodyStart::Long(buf.freeze()));
         }
     }
