Keep the fleet share in each pool instead of passing a fraction along

What stopped a reader: the dispatcher had a field `share` (part of the fleet) and a field `shares` (weights of workspaces). Fifteen functions of the pool passed `fleet_fraction` on to the next one, while `slots_of_others`, of the same value, was a field that three places had to set.

Change: the dispatcher has `fleet_share` and `share_config`. Each pool has the fleet share, which is set when the pool is created and when the share changes. A pool is created in one place.

--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -36,7 +36,6 @@
     quota::Quotas,
     refusal_history::RefusalHistory,
     resumptions::Resumptions,
-    shares::pool_of,
     workspace_shares::ShareConfig,
 };
 pub use self::{roll_outs::BarredVersions, version_choice::VersionUse};
@@ -111,11 +110,12 @@
     link_paths: LinkPaths,
     findings: Vec<Finding>,
     refusals: RefusalHistory,
-    share: FleetShare,
+    /// Part of the fleet's slots and limits that may be used here.
+    fleet_share: FleetShare,
     /// Latest time at which it was known to decide for the whole fleet.
     whole_fleet_at: Option<Duration>,
-    /// Weights of the workspaces.
-    shares: Arc<ShareConfig>,
+    /// Weights of the workspaces in each service.
+    share_config: Arc<ShareConfig>,
 }
 
 impl Dispatcher {
@@ -133,11 +133,8 @@
         for service in self.pools.keys() {
             by_service.entry(service.clone()).or_default();
         }
-        let slots_of_others = self.share.slots_of_others;
         for (service, infos) in by_service {
-            let pool = self.pool(&service);
-            pool.slots_of_others = slots_of_others;
-            pool.set_upstreams(infos);
+            self.pool(&service).set_upstreams(infos);
         }
         self.tick(now)
     }
@@ -204,7 +201,7 @@
     /// Waiting requests get further slots at the next tick: a gate that takes over gets a larger
     /// share with each instance that links to it.
     pub fn set_fleet_share(&mut self, now: Duration, share: FleetShare) {
-        let before = std::mem::replace(&mut self.share, share);
+        let before = std::mem::replace(&mut self.fleet_share, share);
         if share.is_majority() != before.is_majority() {
             self.resumptions.outdate_recorded();
         }
@@ -215,7 +212,7 @@
         }
         self.quotas.set_share(share, self.whole_fleet_at.unwrap_or(now));
         for pool in self.pools.values_mut() {
-            pool.slots_of_others = share.slots_of_others;
+            pool.fleet_share = share;
         }
     }
 
@@ -224,7 +221,7 @@
     /// A gate notices only later that it was cut off or stood still, and that others followed
     /// another gate meanwhile. So its role ends when it was last confirmed.
     pub fn confirm_whole_fleet(&mut self, at: Duration) {
-        if self.share.is_majority() {
+        if self.fleet_share.is_majority() {
             self.whole_fleet_at = self.whole_fleet_at.max(Some(at));
         }
     }
@@ -240,7 +237,7 @@
 
     /// Returns the part of all slots and limits that may be used here.
     pub fn fleet_share(&self) -> FleetShare {
-        self.share
+        self.fleet_share
     }
 
     /// Queues a request for a slot and dispatches what can be sent.
@@ -275,13 +272,13 @@
             request.target_left = request.target_left.min(late_at.saturating_sub(now));
         }
         let open = OpenRequest::new(now, &request, charge);
-        let pool = pool_of(&mut self.pools, &self.shares, &request.service);
         let avoided = self.link_paths.to_avoid(now, ticket.link);
+        let pool = self.pool(&request.service);
         if !avoided.is_empty() {
-            pool.avoid_if_others(now, self.share.slots, &mut request, avoided);
+            pool.avoid_if_others(now, &mut request, avoided);
         }
+        let decisions = pool.request_slot(now, ticket, request);
         self.open.insert(ticket, open);
-        let decisions = pool.request_slot(now, self.share.slots, ticket, request);
         self.settle(now, decisions)
     }
 
@@ -308,7 +305,7 @@
     ) -> Result<Option<Charge>, Refusal> {
         if request.sends > 0 {
             let is_allowed =
-                self.retries.take_repeated_send(now, self.share.slots, &request.service);
+                self.retries.take_repeated_send(now, self.fleet_share.slots, &request.service);
             let refusal = Refusal::new(Reason::RetryBudget, request.time_left / 3);
             return if is_allowed { Ok(None) } else { Err(refusal) };
         }
@@ -367,7 +364,7 @@
         let mut decisions =
             if is_new_crash { self.refuse_crashing_waiting(now) } else { Vec::new() };
         if let Some(pool) = self.pools.get_mut(&open.service) {
-            decisions.extend(pool.end(now, self.share.slots, ticket, end));
+            decisions.extend(pool.end(now, ticket, end));
         }
         self.settle(now, decisions)
     }
@@ -410,12 +407,8 @@
 
     /// Refuses requests that have waited too long and dispatches those for which there is a slot.
     pub fn tick(&mut self, now: Duration) -> Vec<Decision> {
-        let fleet_fraction = self.share.slots;
-        let dispatched = self
-            .pools
-            .values_mut()
-            .flat_map(|pool| pool.dispatch_waiting(now, fleet_fraction))
-            .collect();
+        let dispatched =
+            self.pools.values_mut().flat_map(|pool| pool.dispatch_waiting(now)).collect();
         let mut decisions = self.settle(now, dispatched);
         decisions.extend(self.queue_resolved(now));
         decisions
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -5,6 +5,7 @@
 use self::overload::clamp_retry_after;
 use super::{
     brittle::BrittleUpstreams,
+    fleet_share::FleetShare,
     queue::{Queue, WaitingRequest},
     rate_limits::RateLimits,
     reported_load::LoadReports,
@@ -81,17 +82,17 @@
     share_refusals: Vec<ShareRefusal>,
     /// Time by which the requests are expected to be served that waited when one was refused.
     contended_until: Duration,
-    /// Largest fraction of the slots that other gates may use at the same time.
-    pub slots_of_others: f64,
+    /// Part of the slots and limits that this gate may use.
+    pub fleet_share: FleetShare,
 }
 
 impl Pool {
-    /// Creates the scheduler of a service whose workspaces have these shares.
-    pub fn new(shares: Arc<ShareConfig>) -> Self {
+    /// Creates the scheduler of a service whose workspaces have these weights.
+    pub fn new(fleet_share: FleetShare, share_config: Arc<ShareConfig>) -> Self {
         Self {
             upstreams: HashMap::new(),
             runs: HashMap::new(),
-            queue: Queue::new(shares),
+            queue: Queue::new(share_config),
             rate_limits: RateLimits::default(),
             service_time: ASSUMED_SERVICE_TIME,
             last_retry_at: Duration::ZERO,
@@ -100,7 +101,7 @@
             load_reports: LoadReports::default(),
             share_refusals: Vec::new(),
             contended_until: Duration::ZERO,
-            slots_of_others: 0.0,
+            fleet_share,
         }
     }
 
@@ -146,7 +147,6 @@
     pub fn avoid_if_others(
         &self,
         now: Duration,
-        fleet_fraction: f64,
         request: &mut SlotRequest,
         avoided: Vec<UpstreamName>,
     ) {
@@ -154,7 +154,7 @@
             avoid: request.avoid.iter().cloned().chain(avoided).collect(),
             ..request.clone()
         };
-        if self.choose_upstream(now, fleet_fraction, &avoided_too).is_some() {
+        if self.choose_upstream(now, &avoided_too).is_some() {
             *request = avoided_too;
         }
     }
@@ -167,7 +167,6 @@
     pub fn request_slot(
         &mut self,
         now: Duration,
-        fleet_fraction: f64,
         ticket: Ticket,
         request: SlotRequest,
     ) -> Vec<Decision> {
@@ -202,11 +201,10 @@
             account: None,
         };
         let arrived = self.queue.push(now, waiting);
-        let mut decisions = self.dispatch_waiting(now, fleet_fraction);
+        let mut decisions = self.dispatch_waiting(now);
         let waiting = self.queue.get(&class, &arrived);
-        let refusal = waiting.and_then(|waiting| {
-            self.unservable_wait(now, fleet_fraction, first_output, &waiting.request)
-        });
+        let refusal =
+            waiting.and_then(|waiting| self.unservable_wait(now, first_output, &waiting.request));
         let Some(wait) = refusal else { return decisions };
         let better = || {
             let better = self.queue.newest_of_better_served(&class, band);
@@ -220,44 +218,41 @@
             self.contended_until = self.contended_until.max(now + wait);
         }
         if let Some(waiting) = self.queue.remove(victim) {
-            decisions.push(self.refuse(now, fleet_fraction, wait, &waiting));
+            decisions.push(self.refuse(now, wait, &waiting));
         }
         decisions
     }
 
     /// Dispatches waiting requests until no upstream has a slot for one of them; refuses expired
     /// ones.
-    pub fn dispatch_waiting(&mut self, now: Duration, fleet_fraction: f64) -> Vec<Decision> {
-        let mut decisions = self.expire(now, fleet_fraction);
+    pub fn dispatch_waiting(&mut self, now: Duration) -> Vec<Decision> {
+        let mut decisions = self.expire(now);
         loop {
-            if !self.has_free_slot(now, fleet_fraction) {
+            if !self.has_free_slot(now) {
                 return decisions;
             }
-            let heads = self.queue.heads(self.urgent_by(now, fleet_fraction));
+            let heads = self.queue.heads(self.urgent_by(now));
             let next = heads.into_iter().find_map(|waiting| {
-                Some((waiting.head(), self.choose_upstream(now, fleet_fraction, &waiting.request)?))
+                Some((waiting.head(), self.choose_upstream(now, &waiting.request)?))
             });
             let Some((head, upstream)) = next else { return decisions };
             let Some(waiting) = self.queue.dequeue(now, &head) else { return decisions };
-            decisions.extend(self.grant(now, fleet_fraction, &waiting, upstream));
+            decisions.extend(self.grant(now, &waiting, upstream));
         }
     }
 
-    fn expire(&mut self, now: Duration, fleet_fraction: f64) -> Vec<Decision> {
+    fn expire(&mut self, now: Duration) -> Vec<Decision> {
         let expired = self.queue.expire(now);
-        expired
-            .iter()
-            .map(|waiting| self.refuse(now, fleet_fraction, Duration::ZERO, waiting))
-            .collect()
+        expired.iter().map(|waiting| self.refuse(now, Duration::ZERO, waiting)).collect()
     }
 
     /// Returns whether any upstream has a free slot.
-    fn has_free_slot(&self, now: Duration, fleet_fraction: f64) -> bool {
-        let limit = self.in_progress_limit(now, fleet_fraction);
+    fn has_free_slot(&self, now: Duration) -> bool {
+        let limit = self.in_progress_limit(now);
         self.upstreams.values().any(|state| {
             state.has_slot(now, limit.of(now, state))
                 && self.versions.contains(VersionPart::Any, &state.info.software)
-                && self.rate_limits.allows(now, fleet_fraction, &state.info.name)
+                && self.rate_limits.allows(now, self.fleet_share.slots, &state.info.name)
                 && !self.brittle.is_paused(now, &state.info.name)
         })
     }
@@ -266,18 +261,17 @@
     fn choose_among(
         &self,
         now: Duration,
-        fleet_fraction: f64,
         request: &SlotRequest,
         part: VersionPart,
     ) -> Option<UpstreamName> {
         let needed_tokens = memory_tokens(&request.work);
         // The conditions are ordered by their cost, as under load most upstreams have no room.
-        let limit = self.in_progress_limit(now, fleet_fraction);
+        let limit = self.in_progress_limit(now);
         let open = self.upstreams.values().filter(|state| {
             state.has_room(now, limit.of(now, state), needed_tokens)
                 && is_eligible(state, request)
                 && self.versions.contains(part, &state.info.software)
-                && self.rate_limits.allows(now, fleet_fraction, &state.info.name)
+                && self.rate_limits.allows(now, self.fleet_share.slots, &state.info.name)
                 && !self.brittle.is_paused(now, &state.info.name)
         });
         let mut max_answer_ms = None;
@@ -311,7 +305,6 @@
     fn grant(
         &mut self,
         now: Duration,
-        fleet_fraction: f64,
         waiting: &WaitingRequest,
         upstream: UpstreamName,
     ) -> Option<Decision> {
@@ -325,7 +318,7 @@
         let tokens = run.prefill_tokens;
         self.versions.record_grant(now, waiting, &state.info, tokens, slot_use);
         self.runs.insert(waiting.ticket, Running { upstream: upstream.clone(), run, charge });
-        self.rate_limits.take(now, fleet_fraction, &upstream);
+        self.rate_limits.take(now, self.fleet_share.slots, &upstream);
         let is_limited = self.rate_limits.rate(&upstream).is_some();
         Some(Decision::Granted(
             waiting.ticket,
@@ -349,13 +342,7 @@
     }
 
     /// Ends a request, whether it waits or runs, and dispatches to the slot that it frees.
-    pub fn end(
-        &mut self,
-        now: Duration,
-        fleet_fraction: f64,
-        ticket: Ticket,
-        end: End,
-    ) -> Vec<Decision> {
+    pub fn end(&mut self, now: Duration, ticket: Ticket, end: End) -> Vec<Decision> {
         match self.runs.remove(&ticket) {
             Some(running) => {
                 self.versions.record_end(now, ticket, end);
@@ -365,7 +352,7 @@
                 self.queue.remove(ticket);
             }
         }
-        self.dispatch_waiting(now, fleet_fraction)
+        self.dispatch_waiting(now)
     }
 
     fn end_run(&mut self, now: Duration, running: &Running, end: End) {
--- a/lacewingspring_core/src/dispatch/pool/capacity.rs
+++ b/lacewingspring_core/src/dispatch/pool/capacity.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Pool, UpstreamState};
+use super::{FleetShare, Pool, UpstreamState};
 
 /// Number of declared slots per extra request: an upstream with this many slots is sent one request
 /// more than it has slots, so that no slot is idle while the next request is on its way.
@@ -15,17 +15,13 @@
 /// Mean service time up to which calls count as short.
 const SHORT_SERVICE_TIME: Duration = Duration::from_millis(150);
 
-/// Fleet fraction from which on all slots may be used.
-const WHOLE_FLEET: f64 = 1.0;
-
 /// Number of requests that this gate may have in progress at an upstream, by its slots. It is the
 /// same for all upstreams of a service, so that a search over them determines it once.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct InProgressLimit {
     is_brittle: bool,
     slots_per_extra: u32,
-    fleet_fraction: f64,
-    slots_of_others: f64,
+    fleet_share: FleetShare,
 }
 
 impl InProgressLimit {
@@ -37,10 +33,11 @@
     /// are apart have ended.
     pub(super) fn of(self, now: Duration, state: &UpstreamState) -> u32 {
         let limit = self.without_others(state.info.slots);
-        if self.slots_of_others <= 0.0 {
+        let slots_of_others = self.fleet_share.slots_of_others;
+        if slots_of_others <= 0.0 {
             return limit;
         }
-        let max_others = (f64::from(limit) * self.slots_of_others) as u32;
+        let max_others = (f64::from(limit) * slots_of_others) as u32;
         limit.saturating_sub(state.reported.most_others(now).min(max_others)).max(1)
     }
 
@@ -50,16 +47,16 @@
         } else {
             slots + slots / self.slots_per_extra
         };
-        if self.fleet_fraction >= WHOLE_FLEET {
+        if self.fleet_share.is_majority() {
             return sent.max(1);
         }
-        ((f64::from(sent) * self.fleet_fraction) as u32).max(1)
+        ((f64::from(sent) * self.fleet_share.slots) as u32).max(1)
     }
 }
 
 impl Pool {
     /// Returns how many requests this gate may have in progress at the upstreams.
-    pub(super) fn in_progress_limit(&self, now: Duration, fleet_fraction: f64) -> InProgressLimit {
+    pub(super) fn in_progress_limit(&self, now: Duration) -> InProgressLimit {
         let slots_per_extra = if self.service_time <= SHORT_SERVICE_TIME {
             SLOTS_PER_EXTRA_SHORT_CALL
         } else {
@@ -68,14 +65,13 @@
         InProgressLimit {
             is_brittle: self.brittle.holds(now),
             slots_per_extra,
-            fleet_fraction,
-            slots_of_others: self.slots_of_others,
+            fleet_share: self.fleet_share,
         }
     }
 
     /// Returns the number of requests that all upstreams together can have in progress.
-    pub(super) fn total_slots(&self, now: Duration, fleet_fraction: f64) -> u32 {
-        let limit = self.in_progress_limit(now, fleet_fraction);
+    pub(super) fn total_slots(&self, now: Duration) -> u32 {
+        let limit = self.in_progress_limit(now);
         let open = self.upstreams.values().filter(|state| {
             !state.info.draining && self.versions.serves(now, &state.info.software)
         });
@@ -91,7 +87,7 @@
     ) -> u32 {
         let max = limit.of(now, state);
         let Some(rate) = self.rate_limits.rate(&state.info.name) else { return max };
-        let expected = rate * limit.fleet_fraction * self.service_time.as_secs_f64();
+        let expected = rate * limit.fleet_share.slots * self.service_time.as_secs_f64();
         max.min(expected.ceil() as u32)
     }
 }
--- a/lacewingspring_core/src/dispatch/pool/overload.rs
+++ b/lacewingspring_core/src/dispatch/pool/overload.rs
@@ -31,11 +31,10 @@
     pub(super) fn unservable_wait(
         &self,
         now: Duration,
-        fleet_fraction: f64,
         first_output: Duration,
         request: &SlotRequest,
     ) -> Option<Duration> {
-        let wait_for = |ahead| self.expected_wait(now, fleet_fraction, ahead);
+        let wait_for = |ahead| self.expected_wait(now, ahead);
         if request.target_left.is_zero() {
             let wait = wait_for(self.queue.len() - 1);
             return (wait > max_wait(request)).then_some(wait);
@@ -46,13 +45,8 @@
     }
 
     /// Returns the expected wait of a request with so many others ahead of it.
-    pub(super) fn expected_wait(
-        &self,
-        now: Duration,
-        fleet_fraction: f64,
-        ahead: usize,
-    ) -> Duration {
-        let slots = f64::from(self.total_slots(now, fleet_fraction).max(1));
+    pub(super) fn expected_wait(&self, now: Duration, ahead: usize) -> Duration {
+        let slots = f64::from(self.total_slots(now).max(1));
         self.service_time.mul_f64(ahead as f64 / slots)
     }
 
@@ -62,11 +56,10 @@
     pub(super) fn refuse(
         &mut self,
         now: Duration,
-        fleet_fraction: f64,
         wait: Duration,
         waiting: &WaitingRequest,
     ) -> Decision {
-        let slots = f64::from(self.total_slots(now, fleet_fraction).max(1));
+        let slots = f64::from(self.total_slots(now).max(1));
         let soonest = now + wait.max(MIN_OVERLOAD);
         self.last_retry_at = self.last_retry_at.max(soonest) + self.service_time.div_f64(slots);
         let retry_after =
--- a/lacewingspring_core/src/dispatch/pool/shares.rs
+++ b/lacewingspring_core/src/dispatch/pool/shares.rs
@@ -38,11 +38,11 @@
     ///
     /// It is that of a request which can't wait for all others that are on time. While requests
     /// are refused, some can't be on time anyway, and only the shares count.
-    pub(super) fn urgent_by(&self, now: Duration, fleet_fraction: f64) -> Duration {
+    pub(super) fn urgent_by(&self, now: Duration) -> Duration {
         if !self.queue.shares.are_active() || now < self.contended_until {
             return Duration::ZERO;
         }
-        now + self.expected_wait(now, fleet_fraction, self.queue.timely_len())
+        now + self.expected_wait(now, self.queue.timely_len())
     }
 
     /// Notes how much the workspace of a refused request used of its share.
--- a/lacewingspring_core/src/dispatch/pool/versions.rs
+++ b/lacewingspring_core/src/dispatch/pool/versions.rs
@@ -11,12 +11,11 @@
     pub(super) fn choose_upstream(
         &self,
         now: Duration,
-        fleet_fraction: f64,
         request: &SlotRequest,
     ) -> Option<UpstreamName> {
         let parts = self.versions.parts(now, request, || self.target_room(now));
         let mut parts = parts.into_iter().flatten();
-        parts.find_map(|part| self.choose_among(now, fleet_fraction, request, part))
+        parts.find_map(|part| self.choose_among(now, request, part))
     }
 
     fn target_room(&self, now: Duration) -> TargetRoom {
--- a/lacewingspring_core/src/dispatch/shares.rs
+++ b/lacewingspring_core/src/dispatch/shares.rs
@@ -1,10 +1,6 @@
 //! Shares of the workspaces in each service.
 
-use std::{
-    collections::{BTreeMap, btree_map::Entry},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use super::{Dispatcher, finding::Finding, pool::Pool, workspace_shares::ShareConfig};
 use crate::names::{ServiceName, WorkspaceName};
@@ -13,24 +9,25 @@
     /// Keeps shares for all services from now on, also for those whose upstreams do not report
     /// their load with a pace.
     pub fn enable_shares(&mut self) {
-        self.set_share_config(self.shares.with_shares_enabled());
+        self.set_share_config(self.share_config.with_shares_enabled());
     }
 
     /// Derives the weights of the workspaces from their declared limits.
     pub(super) fn update_weights(&mut self) {
-        self.set_share_config(self.shares.with_quotas(self.quotas.declared()));
+        self.set_share_config(self.share_config.with_quotas(self.quotas.declared()));
     }
 
     fn set_share_config(&mut self, config: ShareConfig) {
-        self.shares = Arc::new(config);
+        self.share_config = Arc::new(config);
         for pool in self.pools.values_mut() {
-            pool.set_share_config(self.shares.clone());
+            pool.set_share_config(self.share_config.clone());
         }
     }
 
-    /// Returns the scheduler of a service.
+    /// Returns the scheduler of a service, which is created if there is none.
     pub(super) fn pool(&mut self, service: &ServiceName) -> &mut Pool {
-        pool_of(&mut self.pools, &self.shares, service)
+        let create = || Pool::new(self.fleet_share, self.share_config.clone());
+        self.pools.entry(service.clone()).or_insert_with(create)
     }
 
     /// Returns the refusals since the last call in services with shares.
@@ -56,15 +53,3 @@
         granted
     }
 }
-
-/// Returns the scheduler of a service, which is created if there is none.
-pub(super) fn pool_of<'a>(
-    pools: &'a mut BTreeMap<ServiceName, Pool>,
-    shares: &Arc<ShareConfig>,
-    service: &ServiceName,
-) -> &'a mut Pool {
-    match pools.entry(service.clone()) {
-        Entry::Occupied(pool) => pool.into_mut(),
-        Entry::Vacant(vacant) => vacant.insert(Pool::new(shares.clone())),
-    }
-}
