Split the choice of an upstream and the refusals off the pool

`Pool::request_slot` did five things in 55 lines. "Part" meant a part of a prompt, a part of the versions and a fraction.

Change: `pool/choice.rs` has the choice, `pool/overload.rs` all refusals, `pool/versions.rs` the state for the decision on a roll-out. `request_slot` names its steps. The condition on limits and brittle upstreams is in one function. `VersionPart` is `VersionSet`.

--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use self::overload::clamp_retry_after;
+use self::overload::{max_wait, refuse_without_upstream};
 use super::{
     brittle::BrittleUpstreams,
     fleet_share::FleetShare,
@@ -11,13 +11,14 @@
     reported_load::LoadReports,
     upstream::UpstreamInfo,
     upstream_state::{Run, Speed, UpstreamState},
-    version_choice::{TargetRoom, VersionChoice, VersionPart},
-    work::{Decision, End, Grant, Reason, Refusal, SlotRequest, Ticket, Work},
+    version_choice::{TargetRoom, VersionChoice, VersionSet},
+    work::{Decision, End, Grant, SlotRequest, Ticket, Work},
     workspace_shares::{ShareConfig, ShareRefusal, SlotCharge},
 };
 use crate::names::UpstreamName;
 
 mod capacity;
+mod choice;
 mod load;
 mod named_limits;
 mod overload;
@@ -30,27 +31,6 @@
 /// Service time assumed until a request has finished.
 const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(500);
 
-/// Longest wait of a request, as a fraction of the time left until its caller must have the first
-/// output.
-const MAX_WAIT_FRACTION: f64 = 0.6;
-
-/// As [`MAX_WAIT_FRACTION`], for a request whose latency target has passed.
-const LATE_MAX_WAIT_FRACTION: f64 = 0.1;
-
-/// Longest wait of a request, as a multiple of the time left to its latency target.
-const MAX_WAIT_TARGET_FACTOR: f64 = 1.5;
-
-/// Fraction of a request's remaining time that its answer may be expected to take. The margin is
-/// wide because output lengths are known only roughly.
-const MAX_ANSWER_TIME_FRACTION: f64 = 0.5;
-
-/// Upstreams whose completion time exceeds that of the fastest by no more than this factor count as
-/// fast.
-const FASTEST_MARGIN_FACTOR: f64 = 1.2;
-
-/// Retry-after time of a refusal because no upstream is usable.
-const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// A request that holds a slot.
 #[derive(Debug)]
 struct Running {
@@ -143,27 +123,10 @@
         speeds.get(speeds.len() / 2).copied().unwrap_or(Speed::ASSUMED)
     }
 
-    /// Keeps a request from some upstreams if another one has a free slot for it.
-    pub fn avoid_if_others(
-        &self,
-        now: Duration,
-        request: &mut SlotRequest,
-        avoided: Vec<UpstreamName>,
-    ) {
-        let avoided_too = SlotRequest {
-            avoid: request.avoid.iter().cloned().chain(avoided).collect(),
-            ..request.clone()
-        };
-        if self.choose_upstream(now, &avoided_too).is_some() {
-            *request = avoided_too;
-        }
-    }
-
     /// Queues a request and dispatches what can be sent.
     ///
-    /// If the request still waits and can't be answered on time, one request is refused: the newest
-    /// of a better served class if there is one and this request isn't late, else this request. One
-    /// that resumes a stream waits ahead of the others, for the slots of one software version.
+    /// If the request still waits and can't be answered on time, one request is refused. One that
+    /// resumes a stream waits ahead of the others, for the slots of one software version.
     pub fn request_slot(
         &mut self,
         now: Duration,
@@ -174,52 +137,25 @@
         if request.sends == 0 {
             self.queue.count_arrival(now, &request, band);
         }
-        let may_run = |state: &&UpstreamState| {
-            is_eligible(state, &request)
-                && self.versions.may_run(now, &state.info.software, &request)
-        };
-        if !self.upstreams.values().any(|state| may_run(&state)) {
-            let retry_after = clamp_retry_after(NO_UPSTREAM_RETRY_AFTER, &request);
-            let refusal = Refusal::new(Reason::NoUpstream, retry_after);
-            return vec![Decision::Refused(ticket, refusal)];
+        if !self.has_upstream_for(now, &request) {
+            return vec![refuse_without_upstream(ticket, &request)];
         }
         let first_output_ms = self.expected_first_output_ms(now, ticket, &request.work);
         let first_output = Duration::from_secs_f64(first_output_ms / 1_000.0);
-        let due = now + request.target_left.saturating_sub(first_output);
         let class = request.class.clone();
-        let is_past_target = request.target_left.is_zero();
-        let expires = now + max_wait(&request);
-        let deadline = now.saturating_add(request.time_left);
         let waiting = WaitingRequest {
             ticket,
-            request,
             band,
-            due,
-            expires,
-            deadline,
+            due: now + request.target_left.saturating_sub(first_output),
+            expires: now + max_wait(&request),
+            deadline: now.saturating_add(request.time_left),
             number: 0,
             account: None,
+            request,
         };
         let arrived = self.queue.push(now, waiting);
         let mut decisions = self.dispatch_waiting(now);
-        let waiting = self.queue.get(&class, &arrived);
-        let refusal =
-            waiting.and_then(|waiting| self.unservable_wait(now, first_output, &waiting.request));
-        let Some(wait) = refusal else { return decisions };
-        let better = || {
-            let better = self.queue.newest_of_better_served(&class, band);
-            better.filter(|_| !is_past_target)
-        };
-        // By shares, the request competes with those beside which it is queued.
-        let is_late = due <= now;
-        let by_share = self.queue.newest_above_share(now, self.service_time, &class, band, is_late);
-        let victim = by_share.or_else(better).unwrap_or(ticket);
-        if !is_past_target {
-            self.contended_until = self.contended_until.max(now + wait);
-        }
-        if let Some(waiting) = self.queue.remove(victim) {
-            decisions.push(self.refuse(now, wait, &waiting));
-        }
+        decisions.extend(self.refuse_if_unservable(now, &class, &arrived, first_output));
         decisions
     }
 
@@ -246,62 +182,6 @@
         expired.iter().map(|waiting| self.refuse(now, Duration::ZERO, waiting)).collect()
     }
 
-    /// Returns whether any upstream has a free slot.
-    fn has_free_slot(&self, now: Duration) -> bool {
-        let limit = self.in_progress_limit(now);
-        self.upstreams.values().any(|state| {
-            state.has_slot(now, limit.of(now, state))
-                && self.versions.contains(VersionPart::Any, &state.info.software)
-                && self.rate_limits.allows(now, self.fleet_share.slots, &state.info.name)
-                && !self.brittle.is_paused(now, &state.info.name)
-        })
-    }
-
-    /// Chooses an upstream among those of a part of the versions.
-    fn choose_among(
-        &self,
-        now: Duration,
-        request: &SlotRequest,
-        part: VersionPart,
-    ) -> Option<UpstreamName> {
-        let needed_tokens = memory_tokens(&request.work);
-        // The conditions are ordered by their cost, as under load most upstreams have no room.
-        let limit = self.in_progress_limit(now);
-        let open = self.upstreams.values().filter(|state| {
-            state.has_room(now, limit.of(now, state), needed_tokens)
-                && is_eligible(state, request)
-                && self.versions.contains(part, &state.info.software)
-                && self.rate_limits.allows(now, self.fleet_share.slots, &state.info.name)
-                && !self.brittle.is_paused(now, &state.info.name)
-        });
-        let mut max_answer_ms = None;
-        let candidates = open.filter(|state| {
-            let completion_ms = state.completion_ms(now, &request.work);
-            completion_ms <= longest_answer_ms(request)
-                || completion_ms
-                    <= *max_answer_ms.get_or_insert_with(|| self.max_answer_ms(now, request, part))
-        });
-        let costs = candidates.map(|state| (cost(state, now, request, part), &state.info.name));
-        let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)))?;
-        Some(best.1.clone())
-    }
-
-    /// Returns the longest expected answer time, in milliseconds, with which an answer is likely to
-    /// be complete before its request times out.
-    ///
-    /// An answer that is cut off before its end has used a slot for nothing. If all upstreams are
-    /// too slow, those about as fast as the fastest are still allowed.
-    fn max_answer_ms(&self, now: Duration, request: &SlotRequest, part: VersionPart) -> f64 {
-        let usable = self.upstreams.values().filter(|state| {
-            state.is_usable(now)
-                && runs(state, request)
-                && self.versions.contains(part, &state.info.software)
-        });
-        let fastest =
-            usable.map(|state| state.completion_ms(now, &request.work)).min_by(f64::total_cmp);
-        longest_answer_ms(request).max(fastest.unwrap_or_default() * FASTEST_MARGIN_FACTOR)
-    }
-
     fn grant(
         &mut self,
         now: Duration,
@@ -326,6 +206,16 @@
         ))
     }
 
+    /// Registers a request that already runs under a grant of another gate. Its upstream may be
+    /// unknown, as instances report before the registry is read.
+    pub fn adopt(&mut self, now: Duration, ticket: Ticket, upstream: UpstreamName, work: &Work) {
+        let run = match self.upstreams.get_mut(&upstream) {
+            Some(state) => state.start_run(now, work),
+            None => Run::on_unknown(work),
+        };
+        self.runs.insert(ticket, Running { upstream, run, charge: None });
+    }
+
     /// Records that the first event of a run arrived `took` after its send.
     pub fn first_output(&mut self, now: Duration, ticket: Ticket, took: Duration) {
         let Some(running) = self.runs.get_mut(&ticket) else { return };
@@ -405,47 +295,3 @@
         self.runs.len()
     }
 }
-
-fn is_eligible(state: &UpstreamState, request: &SlotRequest) -> bool {
-    !state.info.draining && !request.avoid.contains(&state.info.name) && runs(state, request)
-}
-
-/// Returns the cost by which an upstream is chosen, the lowest first.
-fn cost(state: &UpstreamState, now: Duration, request: &SlotRequest, part: VersionPart) -> f64 {
-    match part {
-        VersionPart::PackedTarget => -f64::from(state.running),
-        VersionPart::Any | VersionPart::Target | VersionPart::Old => state.cost_ms(now, request),
-    }
-}
-
-/// Returns whether an upstream has the software version that must run a request.
-fn runs(state: &UpstreamState, request: &SlotRequest) -> bool {
-    request.software.as_ref().is_none_or(|software| *software == state.info.software)
-}
-
-/// Returns the longest expected answer time of a request, in milliseconds, at an upstream that is
-/// not too slow for it.
-fn longest_answer_ms(request: &SlotRequest) -> f64 {
-    request.time_left.as_secs_f64() * 1_000.0 * MAX_ANSWER_TIME_FRACTION
-}
-
-/// Returns the longest time that a request may wait in the queue before it is refused.
-fn max_wait(request: &SlotRequest) -> Duration {
-    let first_left = request.first_output_left.min(request.time_left);
-    if request.is_resumed() {
-        return first_left.mul_f64(MAX_WAIT_FRACTION);
-    }
-    if request.target_left.is_zero() {
-        return first_left.mul_f64(LATE_MAX_WAIT_FRACTION);
-    }
-    request.target_left.mul_f64(MAX_WAIT_TARGET_FACTOR).min(first_left.mul_f64(MAX_WAIT_FRACTION))
-}
-
-fn memory_tokens(work: &Work) -> u64 {
-    match work {
-        Work::Plain => 0,
-        Work::Generation { prompt_tokens, output_tokens, .. } => {
-            u64::from(*prompt_tokens) + u64::from(*output_tokens)
-        }
-    }
-}
--- a/lacewingspring_core/src/dispatch/pool/overload.rs
+++ b/lacewingspring_core/src/dispatch/pool/overload.rs
@@ -1,15 +1,25 @@
 //! Refusals of requests that can't be served in time.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use super::{
     super::{
-        queue::WaitingRequest,
+        queue::{Arrived, WaitingRequest},
         work::{Decision, Reason, Refusal, SlotRequest, Ticket, Work},
     },
-    Pool, max_wait,
+    Pool,
 };
 
+/// Longest wait of a request, as a fraction of the time left until its caller must have the first
+/// output.
+const MAX_WAIT_FRACTION: f64 = 0.6;
+
+/// As [`MAX_WAIT_FRACTION`], for a request whose latency target has passed.
+const LATE_MAX_WAIT_FRACTION: f64 = 0.1;
+
+/// Longest wait of a request, as a multiple of the time left to its latency target.
+const MAX_WAIT_TARGET_FACTOR: f64 = 1.5;
+
 /// Factor by which the expected wait is raised as a safety margin.
 const WAIT_MARGIN_FACTOR: f64 = 1.3;
 
@@ -20,15 +30,50 @@
 /// Shortest retry-after time of a refusal.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Retry-after time of a refusal because no upstream is usable.
+const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Number of upstreams from which the expected time to the first event is averaged.
 const MAX_SAMPLED_UPSTREAMS: usize = 32;
 
 impl Pool {
+    /// Refuses one request if a request of `class` that has just arrived still waits and can't be
+    /// answered on time.
+    ///
+    /// It is the newest one of the workspace that is furthest above its share, where shares are
+    /// kept; else the newest one of a better served class if there is one and the arrived request
+    /// isn't late; else the arrived request.
+    pub(super) fn refuse_if_unservable(
+        &mut self,
+        now: Duration,
+        class: &Arc<str>,
+        arrived: &Arrived,
+        first_output: Duration,
+    ) -> Option<Decision> {
+        let waiting = self.queue.get(class, arrived)?;
+        let wait = self.unservable_wait(now, first_output, &waiting.request)?;
+        let WaitingRequest { ticket, band, due, .. } = *waiting;
+        let is_past_target = waiting.request.target_left.is_zero();
+        // By shares, the request competes with those beside which it is queued.
+        let is_late = due <= now;
+        let by_share = self.queue.newest_above_share(now, self.service_time, class, band, is_late);
+        let better = || {
+            let better = self.queue.newest_of_better_served(class, band);
+            better.filter(|_| !is_past_target)
+        };
+        let refused = by_share.or_else(better).unwrap_or(ticket);
+        if !is_past_target {
+            self.contended_until = self.contended_until.max(now + wait);
+        }
+        let refused = self.queue.remove(refused)?;
+        Some(self.refuse(now, wait, &refused))
+    }
+
     /// Returns the expected wait of a queued request if it can't be answered within its latency
     /// target or, if that has passed already, before its caller leaves; else `None`.
     ///
     /// A caller that is refused at once can retry when there is room; one that waits in vain can't.
-    pub(super) fn unservable_wait(
+    fn unservable_wait(
         &self,
         now: Duration,
         first_output: Duration,
@@ -100,8 +145,26 @@
     }
 }
 
+/// Returns the longest time that a request may wait in the queue before it is refused.
+pub(super) fn max_wait(request: &SlotRequest) -> Duration {
+    let first_left = request.first_output_left.min(request.time_left);
+    if request.is_resumed() {
+        return first_left.mul_f64(MAX_WAIT_FRACTION);
+    }
+    if request.target_left.is_zero() {
+        return first_left.mul_f64(LATE_MAX_WAIT_FRACTION);
+    }
+    request.target_left.mul_f64(MAX_WAIT_TARGET_FACTOR).min(first_left.mul_f64(MAX_WAIT_FRACTION))
+}
+
+/// Refuses a request that no upstream may run.
+pub(super) fn refuse_without_upstream(ticket: Ticket, request: &SlotRequest) -> Decision {
+    let retry_after = clamp_retry_after(NO_UPSTREAM_RETRY_AFTER, request);
+    Decision::Refused(ticket, Refusal::new(Reason::NoUpstream, retry_after))
+}
+
 /// Returns the retry-after time for an expected wait. It is at most a third of the time that the
 /// request has left, so that the caller can still retry.
-pub(super) fn clamp_retry_after(wait: Duration, request: &SlotRequest) -> Duration {
+fn clamp_retry_after(wait: Duration, request: &SlotRequest) -> Duration {
     wait.max(MIN_RETRY_AFTER).min(request.time_left / 3)
 }
--- a/lacewingspring_core/src/dispatch/pool/versions.rs
+++ b/lacewingspring_core/src/dispatch/pool/versions.rs
@@ -1,38 +1,42 @@
-//! Choice of an upstream by software version, what a roll-out must know of the runs, and runs that
-//! another gate granted.
+//! State of a service by software version, for the decision on its roll-out.
 
 use std::time::Duration;
 
-use super::{Pool, Run, Running, SlotRequest, TargetRoom, Ticket, UpstreamInfo, VersionPart, Work};
-use crate::names::{SoftwareVersion, UpstreamName};
+use super::{Pool, UpstreamInfo};
+use crate::{names::SoftwareVersion, roll_out::FleetState};
 
 impl Pool {
-    /// Chooses the upstream for a request, among the versions that may run it.
-    pub(super) fn choose_upstream(
-        &self,
-        now: Duration,
-        request: &SlotRequest,
-    ) -> Option<UpstreamName> {
-        let parts = self.versions.parts(now, request, || self.target_room(now));
-        let mut parts = parts.into_iter().flatten();
-        parts.find_map(|part| self.choose_among(now, request, part))
-    }
-
-    fn target_room(&self, now: Duration) -> TargetRoom {
-        let slots_of = |part| {
-            let is_in_part = |info: &&UpstreamInfo| self.versions.contains(part, &info.software);
-            let upstreams = self.usable_upstreams(now).filter(is_in_part);
-            upstreams.map(|info| info.slots).fold(0, u32::saturating_add)
+    /// Returns the state of the service for the decision on its roll-out; `None` without one.
+    pub(in crate::dispatch) fn roll_out_state(&self, now: Duration) -> Option<FleetState> {
+        let active = self.versions.active.as_ref()?;
+        let target = &active.roll_out.order().target;
+        let mut state = FleetState {
+            drain_time: active.samples.drain_time().unwrap_or(self.service_time),
+            old_running: self.resumed_waiting_except(target),
+            ..FleetState::default()
         };
-        let running = u32::try_from(self.runs.len()).unwrap_or(u32::MAX);
-        TargetRoom::of(slots_of(VersionPart::Target), slots_of(VersionPart::Old), running)
+        for software in self.running_versions() {
+            if software == Some(target) {
+                state.target_running += 1;
+            } else {
+                state.old_running += 1;
+            }
+        }
+        for upstream in self.usable_upstreams(now) {
+            if self.versions.barred.contains(&upstream.software) {
+                continue;
+            }
+            if upstream.software != *target {
+                state.old_usable_slots += upstream.slots;
+            } else if !active.samples.is_cold(now, &upstream.name) {
+                state.target_usable_slots += upstream.slots;
+            }
+        }
+        Some(state)
     }
 
     /// Returns the upstreams that are neither draining nor in a back-off.
-    pub(in crate::dispatch) fn usable_upstreams(
-        &self,
-        now: Duration,
-    ) -> impl Iterator<Item = &UpstreamInfo> {
+    pub(super) fn usable_upstreams(&self, now: Duration) -> impl Iterator<Item = &UpstreamInfo> {
         let usable = self.upstreams.values().filter(move |state| state.is_usable(now));
         usable.map(|state| &state.info)
     }
@@ -49,19 +53,4 @@
     pub(in crate::dispatch) fn resumed_waiting_except(&self, software: &SoftwareVersion) -> u32 {
         u32::try_from(self.queue.resumed_len_except(software)).unwrap_or(u32::MAX)
     }
-
-    /// Returns the moving average of the service times.
-    pub(in crate::dispatch) fn mean_service_time(&self) -> Duration {
-        self.service_time
-    }
-
-    /// Registers a request that already runs under a grant of another gate. Its upstream may be
-    /// unknown, as instances report before the registry is read.
-    pub fn adopt(&mut self, now: Duration, ticket: Ticket, upstream: UpstreamName, work: &Work) {
-        let run = match self.upstreams.get_mut(&upstream) {
-            Some(state) => state.start_run(now, work),
-            None => Run::on_unknown(work),
-        };
-        self.runs.insert(ticket, Running { upstream, run, charge: None });
-    }
 }
--- a/lacewingspring_core/src/dispatch/roll_outs.rs
+++ b/lacewingspring_core/src/dispatch/roll_outs.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use super::{Dispatcher, pool::Pool, version_choice::VersionUse, work::Decision};
+use super::{Dispatcher, version_choice::VersionUse, work::Decision};
 use crate::{
     names::{ServiceName, SoftwareVersion, UpstreamName},
     roll_out::{Block, FleetState, RollOut, Stage},
@@ -146,34 +146,3 @@
         Some(self.roll_out_mut(service)?.decide(now, &state))
     }
 }
-
-impl Pool {
-    /// Returns the state of the service for the decision on its roll-out; `None` without one.
-    fn roll_out_state(&self, now: Duration) -> Option<FleetState> {
-        let active = self.versions.active.as_ref()?;
-        let target = &active.roll_out.order().target;
-        let mut state = FleetState {
-            drain_time: active.samples.drain_time().unwrap_or(self.mean_service_time()),
-            old_running: self.resumed_waiting_except(target),
-            ..FleetState::default()
-        };
-        for software in self.running_versions() {
-            if software == Some(target) {
-                state.target_running += 1;
-            } else {
-                state.old_running += 1;
-            }
-        }
-        for upstream in self.usable_upstreams(now) {
-            if self.versions.barred.contains(&upstream.software) {
-                continue;
-            }
-            if upstream.software != *target {
-                state.old_usable_slots += upstream.slots;
-            } else if !active.samples.is_cold(now, &upstream.name) {
-                state.target_usable_slots += upstream.slots;
-            }
-        }
-        Some(state)
-    }
-}
--- a/lacewingspring_core/src/dispatch/version_choice.rs
+++ b/lacewingspring_core/src/dispatch/version_choice.rs
@@ -25,16 +25,16 @@
     TargetOnly,
 }
 
-/// The upstreams among which one is chosen for a request.
+/// Software versions among whose upstreams one is chosen for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum VersionPart {
+pub(super) enum VersionSet {
     /// All that are not barred.
     Any,
-    /// Those of the target.
+    /// The target.
     Target,
-    /// Those of the target, the one with the most requests first, so that few get many.
+    /// The target; the upstream with the most requests comes first, so that few get many.
     PackedTarget,
-    /// Those of the other versions.
+    /// The other versions.
     Old,
 }
 
@@ -125,53 +125,53 @@
         self.active.is_none() && self.barred.is_empty()
     }
 
-    /// Returns whether upstreams of a version belong to a part.
-    pub fn contains(&self, part: VersionPart, software: &SoftwareVersion) -> bool {
+    /// Returns whether a version belongs to a set.
+    pub fn contains(&self, set: VersionSet, software: &SoftwareVersion) -> bool {
         if self.is_trivial() {
             return true;
         }
         let is_target = self.active.as_ref().is_some_and(|active| active.is_target(software));
-        let is_in_part = match part {
-            VersionPart::Any => true,
-            VersionPart::Target | VersionPart::PackedTarget => is_target,
-            VersionPart::Old => !is_target,
+        let is_in_set = match set {
+            VersionSet::Any => true,
+            VersionSet::Target | VersionSet::PackedTarget => is_target,
+            VersionSet::Old => !is_target,
         };
-        is_in_part && !self.barred.contains(software)
+        is_in_set && !self.barred.contains(software)
     }
 
-    /// Returns the parts in which a slot for a request is looked for, in this order.
-    pub fn parts<F>(
+    /// Returns the sets in which a slot for a request is looked for, in this order.
+    pub fn search_order<F>(
         &self,
         now: Duration,
         request: &SlotRequest,
         target_room: F,
-    ) -> [Option<VersionPart>; 2]
+    ) -> [Option<VersionSet>; 2]
     where
         F: Fn() -> TargetRoom,
     {
-        let Some(active) = &self.active else { return [Some(VersionPart::Any), None] };
+        let Some(active) = &self.active else { return [Some(VersionSet::Any), None] };
         let resumes_target = request.software.as_ref().map(|software| active.is_target(software));
         match active.version_use {
             VersionUse::Observing => match resumes_target {
-                Some(true) => [Some(VersionPart::Target).filter(|_| active.has_block(now)), None],
-                Some(false) => [Some(VersionPart::Old), None],
+                Some(true) => [Some(VersionSet::Target).filter(|_| active.has_block(now)), None],
+                Some(false) => [Some(VersionSet::Old), None],
                 None if active.takes(now, request) => {
-                    [Some(VersionPart::PackedTarget), Some(VersionPart::Old)]
+                    [Some(VersionSet::PackedTarget), Some(VersionSet::Old)]
                 }
-                None => [Some(VersionPart::Old), None],
+                None => [Some(VersionSet::Old), None],
             },
-            VersionUse::Shifting if !active.is_held(now) => [Some(VersionPart::Old), None],
+            VersionUse::Shifting if !active.is_held(now) => [Some(VersionSet::Old), None],
             VersionUse::Shifting => match resumes_target {
-                Some(false) => [Some(VersionPart::Old), None],
-                Some(true) => [Some(VersionPart::Target), None],
+                Some(false) => [Some(VersionSet::Old), None],
+                Some(true) => [Some(VersionSet::Target), None],
                 None => match target_room() {
-                    TargetRoom::None => [Some(VersionPart::Old), None],
-                    TargetRoom::TooLittle => [Some(VersionPart::Target), Some(VersionPart::Old)],
-                    TargetRoom::Enough => [Some(VersionPart::Target), None],
+                    TargetRoom::None => [Some(VersionSet::Old), None],
+                    TargetRoom::TooLittle => [Some(VersionSet::Target), Some(VersionSet::Old)],
+                    TargetRoom::Enough => [Some(VersionSet::Target), None],
                 },
             },
             VersionUse::TargetOnly => {
-                [Some(VersionPart::Target).filter(|_| active.is_held(now)), None]
+                [Some(VersionSet::Target).filter(|_| active.is_held(now)), None]
             }
         }
     }
@@ -203,15 +203,15 @@
         if self.is_trivial() {
             return true;
         }
-        let part = match &self.active {
-            None => VersionPart::Any,
+        let set = match &self.active {
+            None => VersionSet::Any,
             Some(active) => match active.version_use {
-                VersionUse::Shifting if active.is_held(now) => VersionPart::Target,
-                VersionUse::TargetOnly => VersionPart::Target,
-                VersionUse::Observing | VersionUse::Shifting => VersionPart::Old,
+                VersionUse::Shifting if active.is_held(now) => VersionSet::Target,
+                VersionUse::TargetOnly => VersionSet::Target,
+                VersionUse::Observing | VersionUse::Shifting => VersionSet::Old,
             },
         };
-        self.contains(part, software)
+        self.contains(set, software)
     }
 
     /// Records that a request was granted a slot at an upstream, of whose slots the part `load` is
--- a/lacewingspring_core/src/dispatch/work.rs
+++ b/lacewingspring_core/src/dispatch/work.rs
@@ -32,6 +32,16 @@
 }
 
 impl Work {
+    /// Returns the tokens of memory that it needs at the upstream.
+    pub fn memory_tokens(&self) -> u64 {
+        match self {
+            Self::Plain => 0,
+            Self::Generation { prompt_tokens, output_tokens, .. } => {
+                u64::from(*prompt_tokens) + u64::from(*output_tokens)
+            }
+        }
+    }
+
     /// Returns the ids of the prompt parts that other requests may share: all but the last one,
     /// which belongs to the request or its session.
     pub fn shared_parts(&self) -> Vec<u64> {
