Count the memory of a request in one place

What stopped a reader: three functions added prompt and output tokens, one of them with a catch-all arm.

Change: `Work::memory_tokens`.

--- a/lacewingspring_core/src/dispatch/upstream_state.rs
+++ b/lacewingspring_core/src/dispatch/upstream_state.rs
@@ -135,16 +135,10 @@
 impl Run {
     /// Creates a run on an upstream that is not known yet.
     pub fn on_unknown(work: &Work) -> Self {
-        let memory_tokens = match work {
-            Work::Generation { prompt_tokens, output_tokens, .. } => {
-                u64::from(*prompt_tokens) + u64::from(*output_tokens)
-            }
-            _ => 0,
-        };
         Self {
             prefill_tokens: 0,
             prefill_tokens_ahead: 0.0,
-            memory_tokens,
+            memory_tokens: work.memory_tokens(),
             has_output: false,
             started_at_ms: 0,
             forecast: RunForecast::default(),
@@ -322,7 +316,7 @@
             prefill_tokens: 0,
             prefill_tokens_ahead: self.backlog_ms(now)
                 / (self.speed.prefill_ms_per_token * self.reported.slowdown(now)),
-            memory_tokens: 0,
+            memory_tokens: work.memory_tokens(),
             has_output: false,
             started_at_ms: self.info.started_at_ms,
             forecast: self.reported.forecast(now, self.running, self.info.slots),
@@ -332,9 +326,8 @@
             run.forecast.first_output =
                 Duration::try_from_secs_f64(expected_ms / MILLIS_PER_SECOND).ok();
         }
-        if let Work::Generation { prompt_tokens, output_tokens, parts } = work {
+        if let Work::Generation { prompt_tokens, parts, .. } = work {
             run.prefill_tokens = self.uncached_tokens(now, *prompt_tokens, parts);
-            run.memory_tokens = u64::from(*prompt_tokens) + u64::from(*output_tokens);
             for part in parts {
                 self.track_cached(now, part.id);
             }
