Move the gate's connections and its hand-over to files of their own

What stopped a reader: `host.rs` held the gate's state, the handling of messages, the TCP server of the links and what is published for the next gate; `handle` greeted an instance in nine lines between one-line arms.

Change: `host/serve.rs` has the connections, `host/next_gate.rs` the usage of limits and the hand-over. `State::greet` and `State::record_details` are steps of `handle`. The part in the log lines stays `gate`.

Result: no behaviour changes. fmt and clippy of the libraries pass at this commit.

--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -2,28 +2,20 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
-    io,
-    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use futures_util::StreamExt;
 use lacewingspring_core::{
     dispatch::{
-        Decision, Dispatcher, FleetRoster, FleetShare, HandOver, Limits, LoadReports,
-        ServiceCounts, SlotRequest, StoredUsage, Ticket,
+        Decision, Dispatcher, FleetRoster, FleetShare, Limits, LoadReports, ServiceCounts,
+        SlotRequest, Ticket,
     },
     names::{InstanceName, ServiceName, WorkspaceName},
 };
-use log::{info, warn};
 use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::{
-        Notify,
-        mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
-    },
-    time::{sleep, timeout},
+    sync::{Notify, mpsc::UnboundedSender},
+    time::sleep,
 };
 
 use self::{
@@ -32,14 +24,12 @@
 use super::{
     allowance::Allowance,
     findings::log_finding,
-    message::{Frames, FromGate, ReceivedLoad, ToGate, Trailing, decode, frames, send_all},
+    message::{EndDetails, FromGate, ReceivedLoad, ToGate, Trailing},
     recorded_versions::RecordedVersions,
 };
 use crate::{
     clock,
-    connections::Connections,
     members::SharedMembers,
-    net,
     outage::Outage,
     replica::{ByTopic, Replicas},
     store::Revision,
@@ -47,8 +37,10 @@
 
 mod declared_limits;
 mod deferral;
+mod next_gate;
 mod pause;
 mod roll_outs;
+mod serve;
 mod share;
 mod streams;
 mod updates;
@@ -57,15 +49,6 @@
 /// Interval of the dispatcher's ticks while requests are queued.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time without a message from an instance, or for writing to it, after which its link is closed.
-const LINK_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Maximum number of links over which the usage of limits is sent, the longest open first.
-const MAX_USAGE_RECEIVERS: usize = 10;
-
-/// Delay after a failed accept.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Link from an instance.
 #[derive(Debug)]
 struct Link {
@@ -201,15 +184,7 @@
         let ticket = |number| Ticket { link, number };
         let decisions = match message {
             ToGate::Hello { instance, usage, usage_age } => {
-                let hand_over = state.dispatcher.hand_over(now);
-                state.introduce(now, link, instance, !usage.is_empty());
-                state.deferral.record_link(now);
-                if !hand_over.is_empty() {
-                    state.send(link, FromGate::HandOver(Arc::new(hand_over)));
-                }
-                state.tell_streams(now, link);
-                state.dispatcher.record_link(now);
-                state.update_fleet_share(now);
+                state.greet(now, link, instance, !usage.is_empty());
                 state.dispatcher.import_usage(now, usage_age, &usage);
                 Vec::new()
             }
@@ -250,10 +225,7 @@
                 if state.deferral.remove(link, number) {
                     return;
                 }
-                state.record_load(now, ticket(number), details.load);
-                if let Some(status) = details.error_status.0 {
-                    state.dispatcher.record_error_status(ticket(number), status);
-                }
+                state.record_details(now, ticket(number), details);
                 state.dispatcher.end(now, ticket(number), end)
             }
             ToGate::Ping { .. } => Vec::new(),
@@ -297,58 +269,6 @@
         self.state().dispatcher.fleet_share().slots > 0.0
     }
 
-    /// Adds the usage of limits that an earlier gate stored.
-    pub fn import_usage(&self, now: Duration, usage: &[StoredUsage]) {
-        self.state().dispatcher.import_usage(now, Duration::ZERO, usage);
-    }
-
-    /// Returns whether so much of a limit was used that the usage must be published at once.
-    pub fn is_usage_due(&self) -> bool {
-        self.state().dispatcher.must_publish_usage()
-    }
-
-    /// Returns the usage of limits, and sends it to a few instances, which report it to the next
-    /// gate.
-    pub fn publish_usage(&self, now: Duration) -> Vec<StoredUsage> {
-        let mut state = self.state();
-        // What is reserved for missing instances ends with time.
-        state.update_fleet_share(now);
-        let usage = state.dispatcher.export_usage(now);
-        let mut links: Vec<(&u64, &Link)> = state.links.iter().collect();
-        links.sort_unstable_by_key(|(id, _)| **id);
-        for (_, link) in links.into_iter().take(MAX_USAGE_RECEIVERS) {
-            // A closed receiver means that the link is about to be removed.
-            let _ = link.tx.send(FromGate::Usage(usage.clone()));
-        }
-        usage
-    }
-
-    /// Adds what an earlier gate stored.
-    pub fn take_over(&self, now: Duration, hand_over: &HandOver) {
-        self.state().dispatcher.take_over(now, Duration::ZERO, hand_over);
-    }
-
-    /// Returns what the next gate must know, besides the usage of limits.
-    pub fn hand_over(&self, now: Duration) -> HandOver {
-        self.state().dispatcher.hand_over(now)
-    }
-
-    /// Returns a number that changes when the next gate must know something else.
-    pub fn hand_over_version(&self) -> u64 {
-        self.state().dispatcher.hand_over_version()
-    }
-
-    /// Sends what the next gate must know to all instances, and returns it.
-    pub fn publish_hand_over(&self, now: Duration) -> HandOver {
-        let state = self.state();
-        let hand_over = Arc::new(state.dispatcher.hand_over(now));
-        for link in state.links.values() {
-            // A closed receiver means that the link is about to be removed.
-            let _ = link.tx.send(FromGate::HandOver(hand_over.clone()));
-        }
-        Arc::unwrap_or_clone(hand_over)
-    }
-
     /// Returns the schedules of the calls that check whether the key-value service is available
     /// again.
     pub fn outage(&self) -> &Outage {
@@ -385,101 +305,22 @@
             }
         }
     }
+}
 
-    /// Accepts links from other instances. Returns only on an error.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the address can't be bound.
-    pub async fn serve(self: Arc<Self>, address: SocketAddr) -> io::Result<()> {
-        self.serve_within(address, Arc::default()).await
-    }
-
-    /// As [`Self::serve`], with bounds on the number of links.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the address can't be bound.
-    pub async fn serve_within(
-        self: Arc<Self>,
-        address: SocketAddr,
-        connections: Arc<Connections>,
-    ) -> io::Result<()> {
-        let listener = TcpListener::bind(address).await?;
-        loop {
-            match listener.accept().await {
-                Ok((stream, peer)) => {
-                    let admitted = connections.admit(clock::now(), peer.ip());
-                    let Some((connection, _)) = admitted else { continue };
-                    let host = self.clone();
-                    tokio::spawn(async move {
-                        let _link = connection.requests().begin();
-                        host.serve_link(stream).await;
-                    });
-                }
-                Err(e) => {
-                    warn!(
-                        error:% = e;
-                        "Accepting a connection from an instance failed; retrying after a delay."
-                    );
-                    sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
-    async fn serve_link(self: Arc<Self>, stream: TcpStream) {
-        if let Err(e) = net::set_socket_options(&stream) {
-            warn!(
-                error:% = e;
-                "Setting the options of a connection from an instance failed; closing it."
-            );
-            return;
-        }
-        let (tx, rx) = unbounded_channel();
-        let link = self.connect(tx);
-        let reason = self.exchange(link, frames(stream), rx).await;
-        info!(link, reason; "The link from an instance is closed.");
-        self.disconnect(clock::now(), link);
-    }
-
-    /// Exchanges messages until the link ends; returns the reason for the log.
-    ///
-    /// A peer that was not heard for [`LINK_TIMEOUT`] is sent nothing more until it is. An instance
-    /// that is alive pings a silent gate; the link of another one ends after the same time again.
-    async fn exchange(
-        &self,
-        link: u64,
-        mut frames: Frames,
-        mut rx: UnboundedReceiver<FromGate>,
-    ) -> &'static str {
-        let mut heard_at = clock::now();
-        loop {
-            let is_heard = clock::now().saturating_sub(heard_at) < LINK_TIMEOUT;
-            tokio::select! {
-                next = timeout(LINK_TIMEOUT, frames.next()) => match next {
-                    Ok(Some(Ok(bytes))) => match decode(&bytes) {
-                        Ok(message) => {
-                            heard_at = clock::now();
-                            self.handle(heard_at, link, message);
-                        }
-                        Err(_) => return "unreadable",
-                    },
-                    Ok(Some(Err(_)) | None) => return "closed",
-                    Err(_) => return "silent",
-                },
-                Some(message) = rx.recv(), if is_heard => {
-                    let sent = timeout(LINK_TIMEOUT, send_all(&mut frames, message, &mut rx));
-                    if !matches!(sent.await, Ok(Ok(()))) {
-                        return "unwritable";
-                    }
-                }
-            }
+impl State {
+    /// Takes in an instance that has just linked, and tells it what the next gate must know.
+    fn greet(&mut self, now: Duration, link: u64, instance: InstanceName, knows_usage: bool) {
+        let hand_over = self.dispatcher.hand_over(now);
+        self.introduce(now, link, instance, knows_usage);
+        self.deferral.record_link(now);
+        if !hand_over.is_empty() {
+            self.send(link, FromGate::HandOver(Arc::new(hand_over)));
         }
+        self.tell_streams(now, link);
+        self.dispatcher.record_link(now);
+        self.update_fleet_share(now);
     }
-}
 
-impl State {
     fn send_decisions(&mut self, decisions: Vec<Decision>) {
         for finding in self.dispatcher.take_findings() {
             log_finding(&finding);
@@ -503,6 +344,14 @@
         self.dispatcher.record_load(now.saturating_sub(age), ticket, load);
     }
 
+    /// Records what the response to a request told besides its end.
+    fn record_details(&mut self, now: Duration, ticket: Ticket, details: EndDetails) {
+        self.record_load(now, ticket, details.load);
+        if let Some(status) = details.error_status.0 {
+            self.dispatcher.record_error_status(ticket, status);
+        }
+    }
+
     fn send(&mut self, link: u64, message: FromGate) {
         let Some(target) = self.links.get(&link) else { return };
         // A closed receiver means that the link is about to be removed.
