Keep all metrics of an instance in one directory and bound series in one place

What stopped a reader: `limit_metrics.rs` stood beside `metrics/`, which has the other groups. The bound on series by workspace was written twice, the conversion to a gauge's number seven times. `Metrics::bound_by` bounds nothing; it shows a budget.

Change: `metrics/limits.rs`, `metrics/series.rs` (`OwnSeries`), `set_gauge`, `show_budget`. Names, labels and the order of the metrics stay.

--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -252,7 +252,7 @@
         descriptors,
         settings: settings.clone(),
     });
-    metrics.bound_by(budget.clone());
+    metrics.show_budget(budget.clone());
     metrics.show_replicas(replicas.clone());
     tokio::spawn(async move { budget.arrivals().run_sweeps().await });
     host.require_recorded_versions();
--- a/lacewingspring_proxy/src/lib.rs
+++ b/lacewingspring_proxy/src/lib.rs
@@ -28,7 +28,6 @@
 pub mod gate;
 pub mod instance;
 mod job;
-mod limit_metrics;
 pub mod log_interval;
 pub mod logging;
 pub mod mark;
--- a/lacewingspring_proxy/src/metrics.rs
+++ b/lacewingspring_proxy/src/metrics.rs
@@ -3,10 +3,10 @@
 //! Every name is listed in `docs/LOGS.md`.
 
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::BTreeMap,
     fmt,
     sync::{
-        Arc, Mutex, OnceLock, PoisonError,
+        Arc, OnceLock,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -23,23 +23,24 @@
     registry::Registry,
 };
 
-use self::{load_reports::LoadReportMetrics, roll_outs::RollOutMetrics, shares::ShareMetrics};
+use self::{
+    limits::LimitMetrics,
+    load_reports::LoadReportMetrics,
+    roll_outs::RollOutMetrics,
+    series::{OTHER_WORKSPACES, OwnSeries},
+    shares::ShareMetrics,
+};
 use crate::{
-    connections::Connections, declared::RequestKind, framing::Framing, limit_metrics::LimitMetrics,
-    logging, memory_budget::SharedBudget, replica::Replicas, store::Era,
+    connections::Connections, declared::RequestKind, framing::Framing, logging,
+    memory_budget::SharedBudget, replica::Replicas, store::Era,
 };
 
+mod limits;
 mod load_reports;
 mod roll_outs;
+mod series;
 mod shares;
 
-/// Number of request series from which on new workspaces are counted together, so that the metrics
-/// stay bounded in size.
-const MAX_SERIES: usize = 256;
-
-/// Workspace label of the series beyond [`MAX_SERIES`].
-const OTHER_WORKSPACES: &str = "other";
-
 /// Upper bounds of the histograms' buckets, in seconds.
 const BUCKETS_S: [f64; 14] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.5, 5.0, 15.0];
@@ -105,7 +106,7 @@
 /// Metrics of one instance.
 pub struct Metrics {
     registry: Registry,
-    known_series: Mutex<HashSet<Series>>,
+    own_series: OwnSeries<Series>,
     requests: Family<OutcomeLabels, Counter>,
     refusals: Family<ReasonLabels, Counter>,
     on_time: Family<Series, Counter>,
@@ -143,7 +144,7 @@
     fn default() -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix("lacewingspring"),
-            known_series: Mutex::default(),
+            own_series: OwnSeries::default(),
             requests: Family::default(),
             refusals: Family::default(),
             on_time: Family::default(),
@@ -179,6 +180,14 @@
     Histogram::new(BUCKETS_S)
 }
 
+/// Sets a gauge to a number, or to the largest one that it can show.
+fn set_gauge<N>(gauge: &Gauge, number: N)
+where
+    N: TryInto<i64>,
+{
+    gauge.set(number.try_into().unwrap_or(i64::MAX));
+}
+
 impl Metrics {
     fn register(&mut self) {
         let registry = &mut self.registry;
@@ -229,15 +238,10 @@
         registry.register("dropped_log_lines", "Lines not written", self.dropped_log_lines.clone());
     }
 
-    /// Returns the series to count in: the given one, or that of the other workspaces if
-    /// [`MAX_SERIES`] series exist already.
+    /// Returns the series to count in: the given one, or that of the other workspaces if there are
+    /// too many already.
     fn bounded_series(&self, series: &Series) -> Series {
-        let mut known_series = self.known_series.lock().unwrap_or_else(PoisonError::into_inner);
-        if known_series.contains(series) {
-            return series.clone();
-        }
-        if known_series.len() < MAX_SERIES {
-            known_series.insert(series.clone());
+        if self.own_series.admit(series) {
             return series.clone();
         }
         Series { workspace: OTHER_WORKSPACES.to_owned(), ..series.clone() }
@@ -298,14 +302,14 @@
     }
 
     /// Shows what is held and refused by a memory budget.
-    pub fn bound_by(&self, budget: SharedBudget) {
-        self.limits.bound_by(budget);
+    pub fn show_budget(&self, budget: SharedBudget) {
+        self.limits.show_budget(budget);
     }
 
     /// Shows the memory of the copies of topics and the number of omitted calls; only the first
     /// call has an effect.
     pub fn show_replicas(&self, replicas: Arc<Replicas>) {
-        self.limits.add_replicas(replicas.clone());
+        self.limits.show_replicas(replicas.clone());
         self.replicas.get_or_init(|| replicas);
     }
 
@@ -321,12 +325,12 @@
 
     /// Sets the version of the configuration in force.
     pub fn set_declared_version(&self, version: u64) {
-        self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        set_gauge(&self.version, version);
     }
 
     /// Sets the era of the key-value service.
     pub fn set_store_era(&self, era: Era) {
-        self.store_era.set(i64::try_from(era.0).unwrap_or(i64::MAX));
+        set_gauge(&self.store_era, era.0);
     }
 
     /// Sets how the loads that upstreams reported were used by the dispatcher at this instance.
@@ -341,7 +345,7 @@
 
     /// Sets the number of instances that are not leaving.
     pub fn set_instances(&self, count: usize) {
-        self.members.set(i64::try_from(count).unwrap_or(i64::MAX));
+        set_gauge(&self.members, count);
     }
 
     /// Sets the stage and the counts of a roll-out that is held here.
@@ -372,8 +376,8 @@
     ) -> Result<String, fmt::Error> {
         for (service, counts) in counts {
             let labels = ServiceLabels { service: service.as_str().to_owned() };
-            self.waiting.get_or_create(&labels).set(counts.waiting as i64);
-            self.running.get_or_create(&labels).set(counts.running as i64);
+            set_gauge(&self.waiting.get_or_create(&labels), counts.waiting);
+            set_gauge(&self.running.get_or_create(&labels), counts.running);
         }
         self.limits.update();
         if let Some(replicas) = self.replicas.get() {
@@ -383,7 +387,7 @@
         let responded_at =
             Duration::from_millis(self.store_responded_at_ms.load(Ordering::Relaxed));
         self.view_age.set(now.saturating_sub(responded_at).as_secs_f64());
-        self.dropped_log_lines.set(i64::try_from(logging::dropped()).unwrap_or(i64::MAX));
+        set_gauge(&self.dropped_log_lines, logging::dropped());
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
--- a/lacewingspring_proxy/src/limit_metrics.rs
+++ b/lacewingspring_proxy/src/metrics/limits.rs
@@ -1,6 +1,9 @@
 //! Metrics of the limits of memory and connections.
 
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::{
+    hash::Hash,
+    sync::{Arc, Mutex, OnceLock, PoisonError},
+};
 
 use prometheus_client::{
     encoding::EncodeLabelSet,
@@ -8,6 +11,7 @@
     registry::Registry,
 };
 
+use super::set_gauge;
 use crate::{
     connections::{Connections, Limit},
     memory_budget::{Kind, SharedBudget},
@@ -37,7 +41,7 @@
 
 /// Metrics of the limits of memory and connections; brought up to date when they are read.
 #[derive(Debug, Default)]
-pub(crate) struct LimitMetrics {
+pub(super) struct LimitMetrics {
     budget: OnceLock<SharedBudget>,
     connections: Mutex<Vec<Arc<Connections>>>,
     replicas: OnceLock<Arc<Replicas>>,
@@ -52,7 +56,7 @@
 }
 
 impl LimitMetrics {
-    pub fn register(&self, registry: &mut Registry) {
+    pub(super) fn register(&self, registry: &mut Registry) {
         registry.register("held_bytes", "Memory held for callers, by kind", self.held.clone());
         let refused = self.refused.clone();
         registry.register("refused_shares", "Shares of the memory that were refused", refused);
@@ -84,20 +88,20 @@
         );
     }
 
-    pub fn bound_by(&self, budget: SharedBudget) {
+    pub(super) fn show_budget(&self, budget: SharedBudget) {
         self.budget.get_or_init(|| budget);
     }
 
-    pub fn add_replicas(&self, replicas: Arc<Replicas>) {
+    pub(super) fn show_replicas(&self, replicas: Arc<Replicas>) {
         self.replicas.get_or_init(|| replicas);
     }
 
-    pub fn add_connections(&self, connections: Arc<Connections>) {
+    pub(super) fn add_connections(&self, connections: Arc<Connections>) {
         self.connections.lock().unwrap_or_else(PoisonError::into_inner).push(connections);
     }
 
     /// Reads the counts.
-    pub fn update(&self) {
+    pub(super) fn update(&self) {
         if let Some(budget) = self.budget.get() {
             for kind in Kind::ALL {
                 let labels = KindLabels { kind: kind.name() };
@@ -131,15 +135,15 @@
 
 fn set<L>(family: &Family<L, Gauge>, labels: &L, value: u64)
 where
-    L: Clone + std::hash::Hash + Eq,
+    L: Clone + Hash + Eq,
 {
-    family.get_or_create(labels).set(i64::try_from(value).unwrap_or(i64::MAX));
+    set_gauge(&family.get_or_create(labels), value);
 }
 
 /// Raises a counter to a value that only grows.
 fn count<L>(family: &Family<L, Counter>, labels: &L, value: u64)
 where
-    L: Clone + std::hash::Hash + Eq,
+    L: Clone + Hash + Eq,
 {
     let counter = family.get_or_create(labels);
     counter.inc_by(value.saturating_sub(counter.get()));
--- a/lacewingspring_proxy/src/metrics/load_reports.rs
+++ b/lacewingspring_proxy/src/metrics/load_reports.rs
@@ -1,6 +1,9 @@
 //! Metrics of the loads that upstreams report, at the gate.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use lacewingspring_core::dispatch::LoadReports;
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
@@ -57,7 +60,7 @@
         store(&self.ignored, counts.ignored);
         store(&self.used, counts.used);
         store(&self.predicted, counts.predicted);
-        let store = |counter: &Seconds, time: std::time::Duration| {
+        let store = |counter: &Seconds, time: Duration| {
             counter.inner().store(time.as_secs_f64().to_bits(), Ordering::Relaxed);
         };
         store(&self.age_at_use, counts.age_at_use);
--- a/lacewingspring_proxy/src/metrics/roll_outs.rs
+++ b/lacewingspring_proxy/src/metrics/roll_outs.rs
@@ -10,6 +10,8 @@
     registry::Registry,
 };
 
+use super::set_gauge;
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct VersionLabels {
     service: String,
@@ -55,7 +57,7 @@
     ) {
         let labels = VersionLabels { service: service.to_string(), version: target.to_string() };
         let set = |family: &Family<VersionLabels, Gauge>, value: u64| {
-            family.get_or_create(&labels).set(i64::try_from(value).unwrap_or(i64::MAX));
+            set_gauge(&family.get_or_create(&labels), value);
         };
         let stage = match stage {
             Stage::Observing => 0,
--- a/lacewingspring_proxy/src/metrics/shares.rs
+++ b/lacewingspring_proxy/src/metrics/shares.rs
@@ -1,7 +1,7 @@
 //! Metric of the upstream time that workspaces were granted, at the gate.
 
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::BTreeMap,
     sync::{Mutex, PoisonError, atomic::AtomicU64},
     time::Duration,
 };
@@ -13,7 +13,7 @@
     registry::Registry,
 };
 
-use super::{MAX_SERIES, OTHER_WORKSPACES};
+use super::series::{OTHER_WORKSPACES, OwnSeries};
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct WorkspaceLabels {
@@ -21,11 +21,10 @@
     workspace: String,
 }
 
-/// Upstream time by workspace. The first [`MAX_SERIES`] labels, the empty one included, have series
-/// of their own.
+/// Upstream time by workspace.
 #[derive(Default)]
 pub(super) struct ShareMetrics {
-    known: Mutex<HashSet<String>>,
+    own_series: OwnSeries<WorkspaceLabels>,
     /// Upstream time at the last update. The dispatcher forgets that of workspaces that are no
     /// longer declared, and a counter must not fall.
     last: Mutex<BTreeMap<Option<WorkspaceName>, Duration>>,
@@ -44,18 +43,16 @@
 
     /// Adds what was granted since the last update.
     pub fn update(&self, granted: &BTreeMap<Option<WorkspaceName>, Duration>) {
-        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
         for (workspace, time) in granted {
             let before = last.get(workspace).copied().unwrap_or_default();
             // Less than before is granted to a workspace that was declared again.
             let added = time.checked_sub(before).unwrap_or(*time);
             let name = workspace.as_ref().map_or("", WorkspaceName::as_str);
-            if known.len() < MAX_SERIES {
-                known.insert(name.to_owned());
+            let mut labels = WorkspaceLabels { workspace: name.to_owned() };
+            if !self.own_series.admit(&labels) {
+                OTHER_WORKSPACES.clone_into(&mut labels.workspace);
             }
-            let label = if known.contains(name) { name } else { OTHER_WORKSPACES };
-            let labels = WorkspaceLabels { workspace: label.to_owned() };
             self.granted.get_or_create(&labels).inc_by(added.as_secs_f64());
         }
         last.clone_from(granted);
