Split the start of an instance into steps

What stopped a reader: `instance::run` assembled the state, wrapped the store, started some fifteen tasks and served until the end in 110 lines.

Change: `SharedState::new`, `Components::with_counted_store`, `own_member`, `start_roll_outs`, `start_gate`; `Followers` has what the tasks of the topics share. The tasks start in the same order.

--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -100,6 +100,30 @@
     pub upstreams: Arc<dyn Connect>,
 }
 
+impl<S, P, T> Components<S, P, T>
+where
+    S: Store,
+{
+    /// Returns the same components with a store whose calls are counted.
+    fn with_counted_store(
+        self,
+        metrics: &SharedMetrics,
+        replicas: &Arc<Replicas>,
+    ) -> Components<CountedStore<S>, P, T> {
+        let store = CountedStore {
+            inner: self.store,
+            metrics: metrics.clone(),
+            replicas: replicas.clone(),
+        };
+        Components {
+            store: Arc::new(store),
+            protocol: self.protocol,
+            decoder: self.decoder,
+            upstreams: self.upstreams,
+        }
+    }
+}
+
 /// State of the fleet as this instance knows it, shared by its tasks.
 struct SharedState {
     declared: Arc<ArcSwapOption<Declared>>,
@@ -116,6 +140,28 @@
 }
 
 impl SharedState {
+    /// Creates the state of an instance that knows nothing of the fleet yet.
+    fn new(settings: &Settings, replicas: &Arc<Replicas>, is_ready: watch::Sender<bool>) -> Self {
+        let members = SharedMembers::default();
+        let link_bytes_per_s = settings.machine.link_bytes_per_s();
+        let host = GateHost::new(members.clone(), replicas.clone(), link_bytes_per_s);
+        let upstreams = Arc::<ArcSwap<Vec<UpstreamInfo>>>::default();
+        let descriptors = DescriptorShares::new(&settings.machine, &settings.connections);
+        Self {
+            declared: Arc::default(),
+            path: Arc::new(UpstreamPath::new(upstreams.clone())),
+            upstreams,
+            unavailable: Arc::default(),
+            members,
+            host: Arc::new(host),
+            is_ready,
+            metrics: SharedMetrics::default(),
+            budget: MemoryBudget::new(settings.machine.memory_mb, descriptors.callers.total),
+            descriptors,
+            settings: settings.clone(),
+        }
+    }
+
     /// Applies a declared configuration unless its version is in force already or older.
     fn apply_declared(&self, now: Duration, declared: Declared) {
         let known = self.declared.load().as_ref().map_or(0, |known| known.version);
@@ -195,87 +241,34 @@
 {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let incarnation = random_incarnation();
-    let member = Member {
-        instance: settings.instance.clone(),
-        incarnation,
-        data_centre: settings.data_centre.clone(),
-        millicores: settings.machine.millicores(),
-        caller_address: settings.listen.callers,
-        peer_address: settings.listen.peers,
-        is_leaving: false,
-    };
+    let member = own_member(&settings);
     info!(
-        instance = settings.instance.as_str(), incarnation, callers:% = settings.listen.callers,
-        peers:% = settings.listen.peers, metrics:% = settings.listen.metrics;
+        instance = settings.instance.as_str(), incarnation = member.incarnation,
+        callers:% = settings.listen.callers, peers:% = settings.listen.peers,
+        metrics:% = settings.listen.metrics;
         "The instance starts."
     );
     let (member_tx, member) = watch::channel(member);
     let (closing_tx, closing) = watch::channel(false);
     let (ready_tx, is_ready) = watch::channel(false);
     let (shutdown_tx, shutdown) = watch::channel(false);
-    let members = SharedMembers::default();
-    let metrics = SharedMetrics::default();
     let replicas = Arc::new(Replicas::default());
-    let store = CountedStore {
-        inner: components.store.clone(),
-        metrics: metrics.clone(),
-        replicas: replicas.clone(),
-    };
-    let components = Components {
-        store: Arc::new(store),
-        protocol: components.protocol,
-        decoder: components.decoder,
-        upstreams: components.upstreams,
-    };
-    let descriptors = DescriptorShares::new(&settings.machine, &settings.connections);
-    let budget = MemoryBudget::new(settings.machine.memory_mb, descriptors.callers.total);
-    let host = Arc::new(GateHost::new(
-        members.clone(),
-        replicas.clone(),
-        settings.machine.link_bytes_per_s(),
-    ));
-    let name = settings.instance.clone();
-    let gate = GateClient::new(name, members.clone(), replicas.clone(), host.clone());
+    let state = Arc::new(SharedState::new(&settings, &replicas, ready_tx));
+    let components = components.with_counted_store(&state.metrics, &replicas);
+    let (name, members) = (settings.instance.clone(), state.members.clone());
+    let gate = GateClient::new(name, members, replicas.clone(), state.host.clone());
     let gate = Arc::new(gate);
-    let upstreams = Arc::<ArcSwap<Vec<UpstreamInfo>>>::default();
-    let state = Arc::new(SharedState {
-        declared: Arc::default(),
-        path: Arc::new(UpstreamPath::new(upstreams.clone())),
-        upstreams,
-        unavailable: Arc::default(),
-        members: members.clone(),
-        host: host.clone(),
-        is_ready: ready_tx,
-        metrics: metrics.clone(),
-        budget: budget.clone(),
-        descriptors,
-        settings: settings.clone(),
-    });
-    metrics.show_budget(budget.clone());
-    metrics.show_replicas(replicas.clone());
+    state.metrics.show_budget(state.budget.clone());
+    state.metrics.show_replicas(replicas.clone());
+    let budget = state.budget.clone();
     tokio::spawn(async move { budget.arrivals().run_sweeps().await });
-    host.require_recorded_versions();
+    state.host.require_recorded_versions();
     if settings.shares {
-        host.enable_shares();
-    }
-    if let Some(roll_out) = settings.roll_out {
-        host.enable_roll_outs(roll_out.bounds());
-        tokio::spawn(host.clone().follow_order_confirmations());
-        let (store, decoder) = (components.store.clone(), components.decoder.clone());
-        tokio::spawn(Keeper::new(store, decoder, host.clone(), metrics.clone()).run());
+        state.host.enable_shares();
     }
+    start_roll_outs(&state, &components);
     follow_store(&state, &components, &replicas);
-    tokio::spawn(host.clone().run_ticks());
-    tokio::spawn(host.clone().run_heartbeat());
-    tokio::spawn(host.clone().push_updates());
-    tokio::spawn(host.clone().publish_streams());
-    tokio::spawn(host.clone().follow_confirmations());
-    tokio::spawn(state.path.clone().run_probes(components.upstreams.clone()));
-    tokio::spawn(Ledger { store: components.store.clone(), host: host.clone() }.run());
-    tokio::spawn(gate.clone().run());
-    let links = state.connections("links", descriptors.links, None);
-    tokio::spawn(log_bind_error("peers", host.serve_within(settings.listen.peers, links)));
+    start_gate(&state, &components, gate.clone());
     let registration = Registration {
         store: components.store.clone(),
         member: member.clone(),
@@ -284,7 +277,7 @@
     };
     let registration = tokio::spawn(registration.run());
     let callers_budget = state.budget.is_bounded().then(|| state.budget.clone());
-    let open = state.connections("callers", descriptors.callers, callers_budget);
+    let open = state.connections("callers", state.descriptors.callers, callers_budget);
     serve_directory(&settings, &components, &state, &member, is_ready, &closing);
     serve_callers(&settings, &components, &state, &member, gate, &closing, &open);
     serve_metrics(&settings, &state, &closing);
@@ -302,6 +295,53 @@
     Ok(())
 }
 
+/// Returns the entry of this instance, with a new incarnation.
+fn own_member(settings: &Settings) -> Member {
+    Member {
+        instance: settings.instance.clone(),
+        incarnation: random_incarnation(),
+        data_centre: settings.data_centre.clone(),
+        millicores: settings.machine.millicores(),
+        caller_address: settings.listen.callers,
+        peer_address: settings.listen.peers,
+        is_leaving: false,
+    }
+}
+
+/// Starts the tasks that handle roll-outs, if the settings ask for it.
+fn start_roll_outs<S, P, T>(state: &SharedState, components: &Components<S, P, T>)
+where
+    S: Store,
+    T: StateDecoder,
+{
+    let Some(roll_out) = state.settings.roll_out else { return };
+    let host = &state.host;
+    host.enable_roll_outs(roll_out.bounds());
+    tokio::spawn(host.clone().follow_order_confirmations());
+    let (store, decoder) = (components.store.clone(), components.decoder.clone());
+    tokio::spawn(Keeper::new(store, decoder, host.clone(), state.metrics.clone()).run());
+}
+
+/// Starts the tasks of both sides of the gate, the probes of the path to upstreams, and the task
+/// that stores what the next gate must know.
+fn start_gate<S, P, T>(state: &SharedState, components: &Components<S, P, T>, gate: Arc<GateClient>)
+where
+    S: Store,
+{
+    let host = &state.host;
+    tokio::spawn(host.clone().run_ticks());
+    tokio::spawn(host.clone().run_heartbeat());
+    tokio::spawn(host.clone().push_updates());
+    tokio::spawn(host.clone().publish_streams());
+    tokio::spawn(host.clone().follow_confirmations());
+    tokio::spawn(state.path.clone().run_probes(components.upstreams.clone()));
+    tokio::spawn(Ledger { store: components.store.clone(), host: host.clone() }.run());
+    tokio::spawn(gate.run());
+    let links = state.connections("links", state.descriptors.links, None);
+    let serving = host.clone().serve_within(state.settings.listen.peers, links);
+    tokio::spawn(log_bind_error("peers", serving));
+}
+
 /// Shuts down in steps: the instance is marked as leaving and accepts requests for a while, closes
 /// its listeners, and waits until its connections are closed or the grace period is nearly over.
 async fn stop(
@@ -332,10 +372,14 @@
     S: Store,
     T: StateDecoder,
 {
-    let max_bytes = state.settings.machine.max_topic_bytes();
+    let followers = Followers {
+        store: components.store.clone(),
+        replicas: replicas.clone(),
+        max_bytes: state.settings.machine.max_topic_bytes(),
+    };
+    let handles_roll_outs = state.settings.roll_out.is_some();
     let decoder = components.decoder.clone();
     let shared = state.clone();
-    let handles_roll_outs = state.settings.roll_out.is_some();
     let declared = move |now: Duration, mirror: &Mirror| {
         if handles_roll_outs {
             shared.host.set_orders(now, decoder.orders(mirror), mirror.revision());
@@ -345,7 +389,7 @@
         }
     };
     let prefix = if handles_roll_outs { T::OPERATORS_PREFIX } else { T::DECLARED_PREFIX };
-    spawn_follow(components, replicas, (Topic::Declared, prefix), max_bytes, declared);
+    followers.start(Topic::Declared, prefix, declared);
     let decoder = components.decoder.clone();
     let shared = state.clone();
     let upstreams = move |now: Duration, mirror: &Mirror| {
@@ -355,31 +399,33 @@
         }
         shared.update_upstreams(now, decoder.upstreams(mirror));
     };
-    spawn_follow(
-        components,
-        replicas,
-        (Topic::Upstreams, T::UPSTREAMS_PREFIX),
-        max_bytes,
-        upstreams,
-    );
+    followers.start(Topic::Upstreams, T::UPSTREAMS_PREFIX, upstreams);
     let shared = state.clone();
     let members = move |now: Duration, mirror: &Mirror| {
         shared.update_members(now, Members::from_mirror(mirror));
     };
-    spawn_follow(components, replicas, (Topic::Members, MEMBERS_PREFIX), max_bytes, members);
+    followers.start(Topic::Members, MEMBERS_PREFIX, members);
 }
 
-fn spawn_follow<S, P, T, F>(
-    components: &Components<S, P, T>,
-    replicas: &Arc<Replicas>,
-    (topic, prefix): (Topic, &'static str),
+/// What the tasks that follow the topics have in common.
+struct Followers<S> {
+    store: Arc<S>,
+    replicas: Arc<Replicas>,
+    /// Largest memory of the copy of a topic, in bytes.
     max_bytes: usize,
-    on_change: F,
-) where
+}
+
+impl<S> Followers<S>
+where
     S: Store,
-    F: FnMut(Duration, &Mirror) + Send + Sync + 'static,
 {
-    let follow =
-        Follower::new(components.store.clone(), replicas.clone(), topic, prefix, on_change);
-    tokio::spawn(follow.with_max_bytes(max_bytes).run());
+    /// Starts the task that follows a topic, whose keys begin with `prefix`.
+    fn start<F>(&self, topic: Topic, prefix: &'static str, on_change: F)
+    where
+        F: FnMut(Duration, &Mirror) + Send + Sync + 'static,
+    {
+        let (store, replicas) = (self.store.clone(), self.replicas.clone());
+        let follower = Follower::new(store, replicas, topic, prefix, on_change);
+        tokio::spawn(follower.with_max_bytes(self.max_bytes).run());
+    }
 }
--- a/lacewingspring_proxy/src/instance/serve.rs
+++ b/lacewingspring_proxy/src/instance/serve.rs
@@ -44,7 +44,7 @@
 ) where
     P: Protocol,
 {
-    let shares = state.descriptors;
+    let descriptors = state.descriptors;
     let directory = Arc::new(Directory {
         protocol: components.protocol.clone(),
         members: state.members.clone(),
@@ -54,8 +54,8 @@
             .unwrap_or(Duration::MAX),
     });
     let addresses = [
-        ("directory", settings.listen.directory, shares.directory),
-        ("readiness", settings.listen.readiness, shares.readiness),
+        ("directory", settings.listen.directory, descriptors.directory),
+        ("readiness", settings.listen.readiness, descriptors.readiness),
     ];
     for (name, address, max) in addresses {
         let server =
