Read records of earlier gates by one loop

What stopped a reader: the ledger and the recorder of versions had the same loop of turn, check, read, log and delay, in which each call of the reader had to come at its place.

Change: `RecordReader::read` is the loop; the callers give the read and the log line. The steps are no longer public.

--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -299,21 +299,10 @@
         F: Fn() -> bool,
     {
         let reader = RecordReader::new(self.host.outage());
-        loop {
-            reader.turn().await;
-            if !is_needed() {
-                return None;
-            }
-            match record.read(&*self.store).await {
-                Ok(value) => {
-                    reader.succeed();
-                    return value;
-                }
-                Err(e) => {
-                    warn!(error:% = e; "Reading a record of an earlier gate failed; trying again.");
-                    reader.fail();
-                }
-            }
-        }
+        let read = || record.read(&*self.store);
+        let value = reader.read(is_needed, read, |e| {
+            warn!(error:% = e; "Reading a record of an earlier gate failed; trying again.");
+        });
+        value.await.flatten()
     }
 }
--- a/lacewingspring_proxy/src/gate/version_recorder.rs
+++ b/lacewingspring_proxy/src/gate/version_recorder.rs
@@ -91,30 +91,19 @@
         F: Fn() -> bool,
     {
         let reader = RecordReader::new(self.host.outage());
-        loop {
-            reader.turn().await;
-            if !is_needed() {
-                return;
-            }
-            match version_record::load(self.store).await {
-                Ok(loaded) => {
-                    reader.succeed();
-                    info!(
-                        versions = loaded.complete.len(), incomplete = loaded.incomplete.len();
-                        "The recorded software versions of upstreams are loaded."
-                    );
-                    let now = clock::now();
-                    self.host.learn_recorded_versions(now, &loaded.complete, &loaded.incomplete);
-                    return;
-                }
-                Err(e) => {
-                    warn!(
-                        error:% = e;
-                        "Reading the recorded software versions failed; trying again."
-                    );
-                    reader.fail();
-                }
-            }
-        }
+        let loaded = reader.read(
+            is_needed,
+            || version_record::load(self.store),
+            |e| {
+                warn!(error:% = e; "Reading the recorded software versions failed; trying again.");
+            },
+        );
+        let Some(loaded) = loaded.await else { return };
+        info!(
+            versions = loaded.complete.len(), incomplete = loaded.incomplete.len();
+            "The recorded software versions of upstreams are loaded."
+        );
+        let now = clock::now();
+        self.host.learn_recorded_versions(now, &loaded.complete, &loaded.incomplete);
     }
 }
--- a/lacewingspring_proxy/src/record_checks.rs
+++ b/lacewingspring_proxy/src/record_checks.rs
@@ -12,7 +12,7 @@
 
 use tokio::{sync::watch, time::sleep_until};
 
-use crate::{clock, outage::Outage};
+use crate::{clock, outage::Outage, store::StoreError};
 
 /// Delay after a failed read.
 pub const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -143,8 +143,37 @@
         Self { reads, outage, number }
     }
 
+    /// Reads the record until a read succeeds; `None` if the record is no longer needed.
+    ///
+    /// `log_failure` is called with the error of each failed read.
+    pub async fn read<T, N, R, F, L>(self, is_needed: N, read: R, log_failure: L) -> Option<T>
+    where
+        N: Fn() -> bool,
+        R: Fn() -> F,
+        F: Future<Output = Result<T, StoreError>>,
+        L: Fn(&StoreError),
+    {
+        loop {
+            self.turn().await;
+            if !is_needed() {
+                return None;
+            }
+            match read().await {
+                Ok(record) => {
+                    // Other readers go on, as the service responds.
+                    self.outage.respond(clock::now());
+                    return Some(record);
+                }
+                Err(e) => {
+                    log_failure(&e);
+                    self.fail();
+                }
+            }
+        }
+    }
+
     /// Waits until the reader is to call the service, and notes that it does.
-    pub async fn turn(&self) {
+    async fn turn(&self) {
         let mut changes = self.reads.changes.subscribe();
         let mut responses = self.outage.responses();
         loop {
@@ -170,15 +199,10 @@
     }
 
     /// Notes that the call failed.
-    pub fn fail(&self) {
+    fn fail(&self) {
         self.reads.checks().fail(clock::now(), self.number);
         self.reads.changes.send_modify(|count| *count += 1);
     }
-
-    /// Notes that the service responded, so that other readers go on.
-    pub fn succeed(&self) {
-        self.outage.respond(clock::now());
-    }
 }
 
 impl Drop for RecordReader<'_> {
