Split the admission of a connection into steps

What stopped a reader: `Connections::admit` checked three limits with nested conditions, and counted a refusal for memory in the innermost one.

Change: `Connections::acquire_share` and `State::add`; whether an idle connection was closed follows from the two limits.

--- a/lacewingspring_proxy/src/connections.rs
+++ b/lacewingspring_proxy/src/connections.rs
@@ -85,6 +85,17 @@
 }
 
 impl State {
+    /// Adds a connection; returns its number, and what is notified when it must be closed.
+    fn add(&mut self, now: Duration, address: IpAddr) -> (u64, Arc<Notify>) {
+        let number = self.next;
+        self.next += 1;
+        let close = Arc::new(Notify::new());
+        let entry = Entry { address, requests: 0, idle_since: now, close: close.clone() };
+        self.open.insert(number, entry);
+        *self.by_address.entry(address).or_default() += 1;
+        (number, close)
+    }
+
     fn remove(&mut self, number: u64) {
         let Some(entry) = self.open.remove(&number) else { return };
         if let Some(count) = self.by_address.get_mut(&entry.address) {
@@ -201,44 +212,38 @@
         address: IpAddr,
     ) -> Option<(OpenConnection, bool)> {
         let mut state = self.state();
-        let mut has_closed = false;
         let of_address = state.by_address.get(&address).copied().unwrap_or_default();
-        if of_address >= self.max.per_address {
-            if !self.make_room(&mut state, now, Limit::Address, Some(address)) {
-                return None;
-            }
-            has_closed = true;
+        let is_address_full = of_address >= self.max.per_address;
+        if is_address_full && !self.make_room(&mut state, now, Limit::Address, Some(address)) {
+            return None;
         }
-        if state.open.len() >= self.max.total {
-            if !self.make_room(&mut state, now, Limit::Process, None) {
-                return None;
-            }
-            has_closed = true;
+        let is_process_full = state.open.len() >= self.max.total;
+        if is_process_full && !self.make_room(&mut state, now, Limit::Process, None) {
+            return None;
         }
         let share = match &self.budget {
-            Some(budget) => {
-                match budget.try_acquire(Kind::Connections, Claim::General, CONNECTION_BYTES) {
-                    Some(share) => Some(share),
-                    // The share of the connection that is closed is released with its task, so that
-                    // the caller has to connect again.
-                    None => {
-                        if self.make_room(&mut state, now, Limit::Memory, None) {
-                            self.refused[Limit::Memory as usize].fetch_add(1, Ordering::Relaxed);
-                        }
-                        return None;
-                    }
-                }
-            }
+            Some(budget) => Some(self.acquire_share(&mut state, now, budget)?),
             None => None,
         };
-        let number = state.next;
-        state.next += 1;
-        let close = Arc::new(Notify::new());
-        let entry = Entry { address, requests: 0, idle_since: now, close: close.clone() };
-        state.open.insert(number, entry);
-        *state.by_address.entry(address).or_default() += 1;
+        let (number, close) = state.add(now, address);
         let connection = OpenConnection { connections: self.clone(), number, close, _share: share };
-        Some((connection, has_closed))
+        Some((connection, is_address_full || is_process_full))
+    }
+
+    /// Acquires the share of a new connection. If there is too little memory, an idle connection is
+    /// closed and the new one refused: the share of the closed one is released with its task, so
+    /// the caller has to connect again.
+    fn acquire_share(
+        &self,
+        state: &mut State,
+        now: Duration,
+        budget: &SharedBudget,
+    ) -> Option<Share> {
+        let share = budget.try_acquire(Kind::Connections, Claim::General, CONNECTION_BYTES);
+        if share.is_none() && self.make_room(state, now, Limit::Memory, None) {
+            self.refused[Limit::Memory as usize].fetch_add(1, Ordering::Relaxed);
+        }
+        share
     }
 
     /// Closes an idle connection because of a limit; returns whether there was one. If there was
