Pass the details of an end in their message

What stopped a reader: `GateClient::end(number, end, None, None)`; which two things are absent was told at its definition only.

Change: it takes `EndDetails`, the field of the message that is sent.

--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -180,17 +180,12 @@
         self.state().send(ToGate::Brittle { number });
     }
 
-    /// Ends a request that waits or has a slot; tells the load in its response, and its status if
-    /// it is an error of the upstream.
-    pub(super) fn end(
-        &self,
-        number: u64,
-        end: End,
-        load: Option<ReceivedLoad>,
-        error_status: Option<u16>,
-    ) {
-        let error_status = error_status.filter(|_| self.host.handles_roll_outs());
-        let details = EndDetails { load: Trailing(load), error_status: Trailing(error_status) };
+    /// Ends a request that waits or has a slot. The status of an error response is told only where
+    /// roll-outs are handled.
+    pub(super) fn end(&self, number: u64, end: End, mut details: EndDetails) {
+        if !self.host.handles_roll_outs() {
+            details.error_status = Trailing(None);
+        }
         let mut state = self.state();
         let was_pending = state.pending.remove(&number).is_some();
         let was_running = state.running.remove(&number).is_some();
--- a/lacewingspring_proxy/src/gate/slot.rs
+++ b/lacewingspring_proxy/src/gate/slot.rs
@@ -5,7 +5,10 @@
 use lacewingspring_core::dispatch::{End, Grant, Reason, Refusal, UpstreamLoad};
 use tokio::sync::oneshot;
 
-use super::{link::GateClient, message::ReceivedLoad};
+use super::{
+    link::GateClient,
+    message::{EndDetails, ReceivedLoad, Trailing},
+};
 use crate::clock;
 
 /// Time after which the caller may retry if its request got no decision because the process ends.
@@ -57,7 +60,7 @@
 impl Drop for PendingSlot {
     fn drop(&mut self) {
         if !self.is_decided {
-            self.gate.end(self.number, End::Cancelled, None, None);
+            self.gate.end(self.number, End::Cancelled, EndDetails::NONE);
         }
     }
 }
@@ -106,8 +109,9 @@
     }
 
     fn report_end(&mut self, end: End) {
-        let load = self.take_load(clock::now());
-        self.gate.end(self.number, end, load, self.error_status);
+        let load = Trailing(self.take_load(clock::now()));
+        let details = EndDetails { load, error_status: Trailing(self.error_status) };
+        self.gate.end(self.number, end, details);
     }
 }
 
