Name the functions that learn from the times of runs by that

What stopped a reader: `usual_first_output_ms` and its two kin looked like getters, but changed the fit of the reports and the learned speeds. The mean pace of a run was written out four times. `load` was a fraction of slots in one file and the four figures of an upstream in the next.

Change: `learn_first_output_ms`, `learn_decode_ms`, `learn_plain_call_ms`, `mean_log_pace`, and `slot_use` for the fraction.

--- a/lacewingspring_core/src/dispatch/reported_load/learning.rs
+++ b/lacewingspring_core/src/dispatch/reported_load/learning.rs
@@ -11,9 +11,9 @@
 const MIN_EXPECTED_MS: f64 = 0.1;
 
 impl UpstreamState {
-    /// Returns the time to the first event that a run would have taken at the usual pace and
-    /// without requests of others, in milliseconds, and learns how well the reports fitted it.
-    pub(in crate::dispatch) fn usual_first_output_ms(
+    /// Learns how well the reports fitted the time to the first event of a run. Returns the time, in
+    /// milliseconds, that it would have taken at the usual pace and without requests of others.
+    pub(in crate::dispatch) fn learn_first_output_ms(
         &mut self,
         now: Duration,
         run: &mut Run,
@@ -23,9 +23,8 @@
         if !self.learns_pace_from(run) {
             return took_ms;
         }
-        let end = self.reported.log_pace(now);
-        let log_pace = f64::midpoint(run.forecast.log_pace_at_start, end);
-        run.forecast.log_pace_at_output = end;
+        let log_pace = self.mean_log_pace(now, run.forecast.log_pace_at_start);
+        run.forecast.log_pace_at_output = self.reported.log_pace(now);
         if run.memory_tokens > 0 {
             let expected_ms = tokens * self.speed.prefill_ms_per_token + self.speed.startup_ms;
             self.learn_fit(run, log_pace, expected_ms, took_ms);
@@ -45,8 +44,9 @@
         self.learn_pace(log_pace, own_ms / expected_ms);
     }
 
-    /// Returns the time per output token that a run would have taken at the usual pace.
-    pub(in crate::dispatch) fn usual_decode_ms(
+    /// Learns how well the reports fitted the time per output token of a run. Returns the time, in
+    /// milliseconds, that it would have taken at the usual pace.
+    pub(in crate::dispatch) fn learn_decode_ms(
         &mut self,
         now: Duration,
         run: &Run,
@@ -55,15 +55,15 @@
         if !self.learns_pace_from(run) {
             return ms_per_token;
         }
-        let log_pace = f64::midpoint(run.forecast.log_pace_at_output, self.reported.log_pace(now));
+        let log_pace = self.mean_log_pace(now, run.forecast.log_pace_at_output);
         let expected_ms = self.speed.decode_ms_per_token.max(MIN_EXPECTED_MS);
         self.learn_pace(log_pace, ms_per_token / expected_ms);
         ms_per_token / self.reported.slowdown_of_run(log_pace)
     }
 
-    /// Returns the time that a plain call would have taken at the usual pace and without requests
-    /// of others, in milliseconds.
-    pub(in crate::dispatch) fn usual_plain_call_ms(
+    /// Learns how well the reports fitted the time of a plain call. Returns the time, in
+    /// milliseconds, that it would have taken at the usual pace and without requests of others.
+    pub(in crate::dispatch) fn learn_plain_call_ms(
         &mut self,
         now: Duration,
         run: &Run,
@@ -72,7 +72,7 @@
         if !self.learns_pace_from(run) {
             return took_ms;
         }
-        let log_pace = f64::midpoint(run.forecast.log_pace_at_start, self.reported.log_pace(now));
+        let log_pace = self.mean_log_pace(now, run.forecast.log_pace_at_start);
         self.learn_fit(run, log_pace, self.speed.plain_call_ms, took_ms);
         let own_ms = without_queue_ms(run, took_ms);
         own_ms / self.reported.slowdown_of_run(log_pace)
@@ -86,8 +86,7 @@
         took_ms: f64,
     ) {
         if self.learns_pace_from(run) {
-            let end = self.reported.log_pace(now);
-            let log_pace = f64::midpoint(run.forecast.log_pace_at_start, end);
+            let log_pace = self.mean_log_pace(now, run.forecast.log_pace_at_start);
             self.reported.learn_service_time(took_ms / self.reported.slowdown_of_run(log_pace));
         }
     }
@@ -97,6 +96,11 @@
         self.reported.is_known() && run.started_at_ms == self.info.started_at_ms
     }
 
+    /// Returns the mean logarithm of the pace from a time when it was `log_pace_before` until now.
+    fn mean_log_pace(&self, now: Duration, log_pace_before: f64) -> f64 {
+        f64::midpoint(log_pace_before, self.reported.log_pace(now))
+    }
+
     fn learn_pace(&mut self, log_pace: f64, time_ratio: f64) {
         let factor = self.reported.learn_pace(log_pace, time_ratio);
         self.speed.prefill_ms_per_token *= factor;
--- a/lacewingspring_core/src/dispatch/upstream_state.rs
+++ b/lacewingspring_core/src/dispatch/upstream_state.rs
@@ -66,6 +66,8 @@
 /// gets a request unless another one is known to be more than twice as fast.
 const EXPLORATION_FACTOR: f64 = 0.5;
 
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
 /// Hasher for the ids of prompt parts, which are digests already.
 type BuildPartHasher = BuildHasherDefault<PartHasher>;
 
@@ -370,7 +372,7 @@
         self.pending_prefill_tokens =
             self.pending_prefill_tokens.saturating_sub(u64::from(run.prefill_tokens));
         let tokens = run.prefill_tokens_ahead + f64::from(run.prefill_tokens);
-        let took_ms = self.usual_first_output_ms(now, run, tokens, millis(took));
+        let took_ms = self.learn_first_output_ms(now, run, tokens, millis(took));
         let Speed { prefill_ms_per_token, startup_ms, .. } = &mut self.speed;
         if run.prefill_tokens >= MIN_PREFILL_SAMPLE_TOKENS {
             let prefill_ms = (took_ms - *startup_ms).max(0.0);
@@ -399,11 +401,11 @@
                 self.failure_rate_at = now;
                 if output_tokens >= MIN_DECODE_SAMPLE_TOKENS {
                     let sample = millis(decode) / f64::from(output_tokens);
-                    let sample = self.usual_decode_ms(now, run, sample);
+                    let sample = self.learn_decode_ms(now, run, sample);
                     update_average(&mut self.speed.decode_ms_per_token, sample);
                 }
                 if run.memory_tokens == 0 {
-                    let sample = self.usual_plain_call_ms(now, run, millis(took));
+                    let sample = self.learn_plain_call_ms(now, run, millis(took));
                     update_average(&mut self.speed.plain_call_ms, sample);
                 }
                 self.record_service_time(now, run, millis(took));
@@ -432,8 +434,6 @@
     *value += (sample - *value) * SPEED_SAMPLE_WEIGHT;
 }
 
-const MILLIS_PER_SECOND: f64 = 1_000.0;
-
 fn millis(time: Duration) -> f64 {
     time.as_secs_f64() * MILLIS_PER_SECOND
 }
--- a/lacewingspring_core/src/dispatch/version_choice.rs
+++ b/lacewingspring_core/src/dispatch/version_choice.rs
@@ -214,15 +214,15 @@
         self.contains(set, software)
     }
 
-    /// Records that a request was granted a slot at an upstream, of whose slots the part `load` is
-    /// in use.
+    /// Records that a request was granted a slot at an upstream, of whose slots the fraction
+    /// `slot_use` is in use.
     pub fn record_grant(
         &mut self,
         now: Duration,
         waiting: &WaitingRequest,
         info: &UpstreamInfo,
         prefill_tokens: u32,
-        load: f64,
+        slot_use: f64,
     ) {
         let Some(active) = &mut self.active else { return };
         let request = &waiting.request;
@@ -233,7 +233,7 @@
         let is_repeat = request.sends > 0 || request.is_resumed();
         let granted = GrantedRequest { is_target, route: request.class.clone(), is_repeat };
         active.roll_out.record_grant(now, &granted);
-        active.samples.begin(now, waiting, info, is_target, prefill_tokens, load);
+        active.samples.begin(now, waiting, info, is_target, prefill_tokens, slot_use);
     }
 
     /// Records that the first event of a run arrived `took` after its send.
--- a/lacewingspring_core/src/dispatch/version_samples.rs
+++ b/lacewingspring_core/src/dispatch/version_samples.rs
@@ -35,7 +35,8 @@
     is_target: bool,
     upstream: UpstreamName,
     route: Arc<str>,
-    load: f64,
+    /// Fraction of the upstream's slots in use when it was sent.
+    slot_use: f64,
     is_cold: bool,
     sent_at: Duration,
     deadline: Duration,
@@ -67,7 +68,7 @@
         info: &UpstreamInfo,
         is_target: bool,
         prefill_tokens: u32,
-        load: f64,
+        slot_use: f64,
     ) {
         let WaitingRequest { ticket, ref request, deadline, .. } = *waiting;
         let (prompt_tokens, expected_tokens) = match request.work {
@@ -78,7 +79,7 @@
             is_target,
             upstream: info.name.clone(),
             route: request.class.clone(),
-            load,
+            slot_use,
             is_cold: self.is_cold(now, &info.name),
             sent_at: now,
             deadline,
@@ -121,8 +122,8 @@
             self.times.push_back(took);
         }
         let outcome = run.outcome(now, end)?;
-        let SampledRun { is_target, upstream, route, load, is_cold, sent_at, .. } = run;
-        Some(Sample { is_target, upstream, route, sent_at, outcome, load, is_cold })
+        let SampledRun { is_target, upstream, route, slot_use, is_cold, sent_at, .. } = run;
+        Some(Sample { is_target, upstream, route, sent_at, outcome, load: slot_use, is_cold })
     }
 
     /// Returns the time within which most running requests end; `None` without a sample.
