Reword what was not clear after two readings

What stopped a reader: five comments on the order of waiting requests and on checks during an outage; a comparison of tuples by `a.0` to `a.3`; `Entry::rate`, which measures the rate and returns nothing.

Change: the comments, `RefusalCandidate::compare` with named fields in the same order, `measure_rate`, `stands_for_call`.

--- a/lacewingspring_core/src/dispatch/pool/shares.rs
+++ b/lacewingspring_core/src/dispatch/pool/shares.rs
@@ -33,11 +33,11 @@
         self.queue.shares.charge(now, Some(account), predicted)
     }
 
-    /// Returns the due time up to which the request that is due first goes before those of
-    /// workspaces that were served less, so that requests that can all be served on time are.
+    /// Returns the due time up to which a waiting request is urgent: it goes first, whatever its
+    /// workspace has used, so that requests that can all be served on time are.
     ///
-    /// It is that of a request which can't wait for all others that are on time. While requests
-    /// are refused, some can't be on time anyway, and only the shares count.
+    /// An urgent request would be late if it waited for all others that can still be on time. While
+    /// requests are refused, some can't be on time anyway, and only the shares count.
     pub(super) fn urgent_by(&self, now: Duration) -> Duration {
         if !self.queue.shares.are_active() || now < self.contended_until {
             return Duration::ZERO;
--- a/lacewingspring_core/src/dispatch/queue.rs
+++ b/lacewingspring_core/src/dispatch/queue.rs
@@ -10,6 +10,7 @@
 //! least relative to its share.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, VecDeque},
     sync::Arc,
     time::Duration,
@@ -104,6 +105,30 @@
     }
 }
 
+/// Newest request of the workspace that is furthest above its share in one class queue.
+#[derive(Debug)]
+struct RefusalCandidate {
+    /// Level of the workspace, as if all that waits had been served.
+    level: f64,
+    /// Served fraction of the class queue beyond that of the arrived request.
+    excess: f64,
+    /// Whether the arrived request is in the same class queue.
+    is_own: bool,
+    ticket: Ticket,
+}
+
+impl RefusalCandidate {
+    /// Compares two candidates; the greatest is refused.
+    fn compare(&self, other: &Self) -> Ordering {
+        let by_excess = || {
+            let is_better_served = (self.excess >= 0.0).cmp(&(other.excess >= 0.0));
+            is_better_served.then(self.excess.total_cmp(&other.excess))
+        };
+        let by_level = self.level.total_cmp(&other.level);
+        by_level.then_with(by_excess).then(self.is_own.cmp(&other.is_own))
+    }
+}
+
 /// Request class and size band.
 type ClassKey = (Arc<str>, SizeBand);
 
@@ -221,7 +246,8 @@
     }
 
     /// Returns the first request that resumes a stream of each version, and the first one of each
-    /// class queue, in the order in which they are to be dispatched.
+    /// class queue, in the order in which they are to be dispatched. In a class queue, requests that
+    /// are due by `urgent_by` go before those of workspaces that were served less.
     pub fn heads(&self, urgent_by: Duration) -> Vec<&WaitingRequest> {
         let mut heads: Vec<(bool, f64, &WaitingRequest)> = Vec::new();
         for class in self.classes.values() {
@@ -250,8 +276,8 @@
 
     /// Returns the newest request of the workspace that is furthest above its share; `None` if no
     /// shares are kept. It is refused if a request of `class` and `band` that has arrived leaves
-    /// more than can be served on time. A late request has only those of its class and band against
-    /// it that are as late.
+    /// more than can be served on time. If that one is late (`is_late`), only late requests of its
+    /// class and band are compared.
     ///
     /// If several requests are as far above their shares, as those of one workspace are, it is the
     /// one that is refused without shares.
@@ -279,13 +305,9 @@
             // preferred.
             let excess = other.served_fraction() - served_fraction;
             let is_own = key.0 == *class && key.1 == band;
-            Some((level, excess >= 0.0, excess, is_own, waiting.ticket))
-        });
-        let furthest = newest.max_by(|a, b| {
-            let by_class = a.1.cmp(&b.1).then(a.2.total_cmp(&b.2));
-            a.0.total_cmp(&b.0).then(by_class).then(a.3.cmp(&b.3))
+            Some(RefusalCandidate { level, excess, is_own, ticket: waiting.ticket })
         });
-        furthest.map(|(.., ticket)| ticket)
+        newest.max_by(|a, b| a.compare(b)).map(|candidate| candidate.ticket)
     }
 
     /// Removes the head of a class queue that is sent now, or one that resumes a stream, and counts
--- a/lacewingspring_core/src/dispatch/queue/lanes.rs
+++ b/lacewingspring_core/src/dispatch/queue/lanes.rs
@@ -87,7 +87,7 @@
     }
 
     /// Returns the first request of the workspace that was served least, the oldest one of several;
-    /// or the one that is due first, if it is by `urgent_by`.
+    /// or the one that is due first, if it is due by `urgent_by`.
     pub fn front(&self, shares: &WorkspaceShares, urgent_by: Duration) -> Option<&WaitingRequest> {
         let due_first = || self.lanes.iter().min_by_key(|lane| (lane.first_due, lane.first_number));
         let is_urgent = self.earliest_due <= urgent_by;
@@ -218,7 +218,7 @@
         all
     }
 
-    /// Returns a request of a workspace, which is likely to be a new one.
+    /// Returns a request of a workspace; the newest ones are searched first.
     pub fn get(&self, account: Option<AccountId>, ticket: Ticket) -> Option<&WaitingRequest> {
         let lane = self.lanes.iter().find(|lane| lane.account == account)?;
         lane.requests.iter().rev().find(|waiting| waiting.ticket == ticket)
--- a/lacewingspring_proxy/src/memory_budget/arrivals.rs
+++ b/lacewingspring_proxy/src/memory_budget/arrivals.rs
@@ -72,7 +72,7 @@
 
 impl Entry {
     /// Measures the rate if the time for it has passed; `received` is the number of bytes so far.
-    fn rate(&mut self, now: Duration, received: u64) {
+    fn measure_rate(&mut self, now: Duration, received: u64) {
         let (since, before) = self.rated_since;
         let time = now.saturating_sub(since);
         if time >= RATED_TIME {
@@ -276,7 +276,7 @@
             if has_progress {
                 entry.progressed_at = now;
             }
-            entry.rate(now, received);
+            entry.measure_rate(now, received);
             let is_below_rate = entry.rate.is_some_and(|rate| rate < LOWEST_RATE as f64);
             // A body that started just before this look had no time for a byte.
             let has_paused = now.saturating_sub(entry.progressed_at) >= SWEEP_INTERVAL;
--- a/lacewingspring_proxy/src/outage.rs
+++ b/lacewingspring_proxy/src/outage.rs
@@ -56,7 +56,8 @@
     failed_at: Duration,
     /// Time that its own last check took to fail; zero before the first.
     check_time: Duration,
-    /// Time of the latest failure, also of another topic's check; a check sent before is counted.
+    /// Time of the latest failure that was counted, also of another topic's check. A check that was
+    /// sent before it does not stand for another call.
     counted_until: Duration,
     /// Time of the next call if no other topic checks before.
     due_at: Duration,
@@ -135,8 +136,9 @@
         if now < schedule.due_at {
             return schedule.due_at;
         }
-        let stands = |check: &Check| check.topic != topic && check.sent_at > schedule.counted_until;
-        let Some(check) = self.last_check.filter(stands) else { return now };
+        let stands_for_call =
+            |check: &Check| check.topic != topic && check.sent_at > schedule.counted_until;
+        let Some(check) = self.last_check.filter(stands_for_call) else { return now };
         let Some(failed_at) = check.failed_at else { return check.sent_at + CHECK_TIMEOUT };
         // A check that fails more slowly than those of this topic must not prolong its delay.
         let failed_at = failed_at.min(check.sent_at + schedule.check_time);
