--- a/lacewingspring_proxy/src/connections.rs
+++ b/lacewingspring_proxy/src/connections.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock,
     log_interval::LogInterval,
-    memory_budget::{CONNECTION_BYTES, Claim, Kind, Share, SharedBudget},
+    memory_budget::{Access, CONNECTION_BYTES, Kind, Share, SharedBudget},
 };
 
 /// Idle time from which on a connection may be closed in favour of a new one. The response before
@@ -239,7 +239,7 @@
         now: Duration,
         budget: &SharedBudget,
     ) -> Option<Share> {
-        let share = budget.try_acquire(Kind::Connections, Claim::General, CONNECTION_BYTES);
+        let share = budget.try_acquire(Kind::Connections, Access::General, CONNECTION_BYTES);
         if share.is_none() && self.make_room(state, now, Limit::Memory, None) {
             self.refused[Limit::Memory as usize].fetch_add(1, Ordering::Relaxed);
         }
--- a/lacewingspring_proxy/src/memory_budget/body.rs
+++ b/lacewingspring_proxy/src/memory_budget/body.rs
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use super::{Claim, Kind, Share, SharedBudget, arrivals::Arrival};
+use super::{Access, Kind, Share, SharedBudget, arrivals::Arrival};
 use crate::{clock, refusal::Failure};
 
 /// Smallest buffer, in bytes, for a body whose length is not known.
@@ -140,7 +140,7 @@
         && let (Some(data), true) = (frame.data_ref(), body.is_end_stream())
     {
         // The body arrived in one piece: it is neither copied nor watched.
-        let share = budget.acquire(Kind::Bodies, Claim::Complete, data.len()).await;
+        let share = budget.acquire(Kind::Bodies, Access::Reserve, data.len()).await;
         let share = share.ok_or(Failure::NoMemory)?;
         return Ok(HeldBody { _share: Some(Arc::new(share)), ..data.clone().into() });
     }
@@ -244,7 +244,7 @@
                 Some(segment) => segment,
                 None => {
                     let bytes = self.next_segment_bytes(data.len());
-                    let share = self.budget.acquire(self.kind, Claim::General, bytes).await?;
+                    let share = self.budget.acquire(self.kind, Access::General, bytes).await?;
                     self.held += bytes;
                     let data = Vec::with_capacity(bytes);
                     self.last.insert(Segment { data, _share: share })
--- a/lacewingspring_proxy/src/memory_budget/flow.rs
+++ b/lacewingspring_proxy/src/memory_budget/flow.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 
-use super::{Claim, Kind, Share, SharedBudget};
+use super::{Access, Kind, Share, SharedBudget};
 
 /// Memory, in bytes, of an exchange with an upstream: its connection, buffers and tasks.
 pub const EXCHANGE_BYTES: usize = 32 * 1_024;
@@ -37,7 +37,7 @@
 impl FlowShare {
     /// Acquires the share of an exchange; `None` if there is too little memory.
     pub async fn acquire(budget: &SharedBudget) -> Option<Self> {
-        let exchange = budget.acquire(Kind::Responses, Claim::Complete, EXCHANGE_BYTES).await?;
+        let exchange = budget.acquire(Kind::Responses, Access::Reserve, EXCHANGE_BYTES).await?;
         Some(Self { exchange, large: None, acquiring: None })
     }
 
@@ -48,7 +48,7 @@
         if buffered <= LARGE_PART_BYTES || self.large.is_some() || !budget.is_bounded() {
             return true;
         }
-        self.large = budget.acquire(Kind::Responses, Claim::General, LARGE_BUFFERS_BYTES).await;
+        self.large = budget.acquire(Kind::Responses, Access::General, LARGE_BUFFERS_BYTES).await;
         self.large.is_some()
     }
 
@@ -61,7 +61,7 @@
         }
         let budget = budget.clone();
         self.acquiring = Some(Box::pin(async move {
-            budget.acquire(Kind::Responses, Claim::General, LARGE_BUFFERS_BYTES).await
+            budget.acquire(Kind::Responses, Access::General, LARGE_BUFFERS_BYTES).await
         }));
     }
 
--- a/lacewingspring_proxy/src/memory_budget/mod.rs
+++ b/lacewingspring_proxy/src/memory_budget/mod.rs
@@ -83,13 +83,13 @@
     }
 }
 
-/// Who may use the reserve.
+/// From which part of the budget a share may be taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Claim {
-    /// Whoever may be slow or stop; uses what is not reserved.
+pub enum Access {
+    /// From what is not reserved, for whoever may be slow or stop.
     General,
-    /// A request whose body is complete; may use the reserve.
-    Complete,
+    /// Also from the reserve, for a request whose body is complete.
+    Reserve,
 }
 
 /// Semaphores from which shares are acquired.
@@ -176,7 +176,12 @@
     }
 
     /// Acquires a share without waiting; `None` if there is too little memory.
-    pub fn try_acquire(self: &Arc<Self>, kind: Kind, claim: Claim, bytes: usize) -> Option<Share> {
+    pub fn try_acquire(
+        self: &Arc<Self>,
+        kind: Kind,
+        access: Access,
+        bytes: usize,
+    ) -> Option<Share> {
         let Some(pools) = &self.pools else { return Some(self.share(kind, None)) };
         let units = units(bytes);
         if kind == Kind::Connections {
@@ -184,7 +189,7 @@
             return Some(self.share(kind, Some(permit)));
         }
         let mut permit = pools.general.clone().try_acquire_many_owned(units);
-        if permit.is_err() && claim == Claim::Complete {
+        if permit.is_err() && access == Access::Reserve {
             permit = pools.reserve.clone().try_acquire_many_owned(units);
         }
         permit.ok().map(|permit| self.share(kind, Some(permit)))
@@ -197,11 +202,11 @@
     pub async fn acquire(
         self: &Arc<Self>,
         kind: Kind,
-        claim: Claim,
+        access: Access,
         bytes: usize,
     ) -> Option<Share> {
         for _ in 0..MAX_ATTEMPTS {
-            if let Some(share) = self.try_acquire(kind, claim, bytes) {
+            if let Some(share) = self.try_acquire(kind, access, bytes) {
                 return Some(share);
             }
             self.arrivals.shed(bytes as u64);
--- a/lacewingspring_proxy/tests/body_memory.rs
+++ b/lacewingspring_proxy/tests/body_memory.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use lacewingspring_proxy::{
-    memory_budget::{Claim, Kind, MemoryBudget, Share, SharedBudget, body::read_request},
+    memory_budget::{Access, Kind, MemoryBudget, Share, SharedBudget, body::read_request},
     server::{ConnectionLimits, Server},
 };
 use tokio::{
@@ -62,7 +62,7 @@
 
 /// Returns how many KiB are left for bodies that are not complete.
 fn left(budget: &SharedBudget) -> usize {
-    let next = || budget.try_acquire(Kind::Responses, Claim::General, KIB);
+    let next = || budget.try_acquire(Kind::Responses, Access::General, KIB);
     std::iter::from_fn(next).collect::<Vec<Share>>().len()
 }
 
--- a/lacewingspring_proxy/tests/memory_budget.rs
+++ b/lacewingspring_proxy/tests/memory_budget.rs
@@ -9,7 +9,7 @@
 use futures_util::FutureExt;
 use lacewingspring_proxy::{
     memory_budget::{
-        Claim, Kind, MemoryBudget, SharedBudget,
+        Access, Kind, MemoryBudget, SharedBudget,
         arrivals::{Arrivals, LOWEST_RATE, STALL_TIMEOUT},
         body::{Collector, HeldBody},
     },
@@ -41,7 +41,7 @@
 #[test]
 fn hands_out_the_budget_once_and_takes_it_back() {
     let budget = budget();
-    let acquire = || budget.try_acquire(Kind::Bodies, Claim::General, 1_000 * KIB);
+    let acquire = || budget.try_acquire(Kind::Bodies, Access::General, 1_000 * KIB);
     let shares: Vec<_> = std::iter::from_fn(acquire).collect();
     assert_eq!(shares.len(), 25);
     assert_eq!(budget.held_bytes(Kind::Bodies), 25_000 * KIB as u64);
@@ -54,10 +54,10 @@
 #[test]
 fn keeps_a_reserve_for_complete_bodies() {
     let budget = budget();
-    let general = || budget.try_acquire(Kind::Bodies, Claim::General, KIB);
+    let general = || budget.try_acquire(Kind::Bodies, Access::General, KIB);
     let _crowd: Vec<_> = std::iter::from_fn(general).collect();
-    assert!(budget.try_acquire(Kind::Bodies, Claim::Complete, 1_000 * KIB).is_some());
-    assert!(budget.try_acquire(Kind::Bodies, Claim::Complete, 10_000 * KIB).is_none());
+    assert!(budget.try_acquire(Kind::Bodies, Access::Reserve, 1_000 * KIB).is_some());
+    assert!(budget.try_acquire(Kind::Bodies, Access::Reserve, 10_000 * KIB).is_none());
 }
 
 /// Guards against a bound where the settings state no memory.
@@ -65,7 +65,7 @@
 fn bounds_nothing_without_a_stated_memory() {
     let budget = MemoryBudget::new(None, usize::MAX);
     assert!(!budget.is_bounded());
-    assert!(budget.try_acquire(Kind::Bodies, Claim::General, usize::MAX).is_some());
+    assert!(budget.try_acquire(Kind::Bodies, Access::General, usize::MAX).is_some());
 }
 
 /// Guards against a chunk that costs more memory than its bytes, and against a digest by which an
