Log an attempt that fails for lack of memory

What stopped a reader: a request could have a line for its slot and none for the end of that attempt, where the memory budget had no share for the response. Only the refusal after the last attempt was logged.

Change: the line of failed attempts is logged for it, with the reason `memory`. Nothing else changes.

--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -261,6 +261,9 @@
             return Outcome::NotRun(Failure::Unreachable);
         }
         let Some(share) = FlowShare::acquire(&self.budget).await else {
+            let (upstream, reason) =
+                (slot.grant().upstream.as_str(), Failure::NoMemory.spec().name);
+            job.trace.attempt_failed(clock::now(), upstream, reason, false);
             slot.end(End::Cancelled);
             return Outcome::NotRun(Failure::NoMemory);
         };
