Send an upstream that breaks its connections one request at a time

Cause: on a deployment with two services, 559 and 724 requests failed in 2 s each while one of the three servers of the plain service went down and up. Traced with the logs of all instances: it accepted each connection and broke it after about 5 ms. So it had free slots at all times and got each request that the other two had no room for: 889 of its 4,064 runs broke, up to 100 in 0.2 s, and those that may run only once got 502. The failure rate only orders upstreams with free slots; a back-off began for connections that could not be made, not for those that broke.

Change: three runs that broke one after the other without output, each granted after the one before broke, open the circuit of the upstream. It gets nothing for 0.25 s (doubled up to 2 s), then one request at a time, until it responds. Runs that one crash breaks together count once. Two log lines.

--- a/lacewingspring_core/src/dispatch/finding.rs
+++ b/lacewingspring_core/src/dispatch/finding.rs
@@ -59,6 +59,14 @@
         /// The load.
         load: UpstreamLoad,
     },
+    /// The connections of an upstream break one after the other, so that it gets one request at a
+    /// time; or it has responded since.
+    CircuitChanged {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// Whether it gets one request at a time.
+        is_open: bool,
+    },
     /// No connection to an upstream could be made from an instance.
     Unreachable {
         /// The upstream.
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -32,7 +32,7 @@
     crashes::Crashes,
     link_paths::LinkPaths,
     open_request::{Charge, OpenRequest},
-    pool::Pool,
+    pool::{CircuitChange, Pool},
     quota::Quotas,
     refusal_history::RefusalHistory,
     resumptions::Resumptions,
@@ -43,6 +43,7 @@
 
 mod brittle;
 mod budget;
+mod circuit_breaker;
 mod crash_events;
 mod crash_history;
 mod crashes;
@@ -390,6 +391,10 @@
         findings.extend(self.crashes.take_findings());
         findings.extend(self.resumptions.take_findings());
         findings.extend(self.take_share_refusals());
+        let changes = self.pools.values_mut().flat_map(Pool::take_circuit_changes);
+        findings.extend(changes.map(|CircuitChange { upstream, is_open }| {
+            Finding::CircuitChanged { upstream, is_open }
+        }));
         findings
     }
 
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -31,6 +31,21 @@
 /// Service time assumed until a request has finished.
 const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(500);
 
+/// A circuit that opened or closed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct CircuitChange {
+    pub upstream: UpstreamName,
+    pub is_open: bool,
+}
+
+impl CircuitChange {
+    /// Returns the change of an upstream's circuit since it `was_open`, if there is one.
+    fn since(was_open: bool, state: &UpstreamState) -> Option<Self> {
+        let is_open = state.circuit.is_open();
+        (is_open != was_open).then(|| Self { upstream: state.info.name.clone(), is_open })
+    }
+}
+
 /// A request that holds a slot.
 #[derive(Debug)]
 struct Running {
@@ -64,6 +79,8 @@
     contended_until: Duration,
     /// Part of the slots and limits that this gate may use.
     pub fleet_share: FleetShare,
+    /// Circuits that opened or closed and are not reported yet.
+    circuit_changes: Vec<CircuitChange>,
 }
 
 impl Pool {
@@ -82,6 +99,7 @@
             share_refusals: Vec::new(),
             contended_until: Duration::ZERO,
             fleet_share,
+            circuit_changes: Vec::new(),
         }
     }
 
@@ -222,7 +240,9 @@
         self.versions.record_first_output(ticket, took);
         if let Some(state) = self.upstreams.get_mut(&running.upstream) {
             self.load_reports.count_prediction(&running.run, took);
+            let was_open = state.circuit.is_open();
             state.first_output(now, &mut running.run, took);
+            self.circuit_changes.extend(CircuitChange::since(was_open, state));
         }
     }
 
@@ -258,10 +278,17 @@
             self.brittle.record_declined(now, &running.upstream);
         }
         if let Some(state) = self.upstreams.get_mut(&running.upstream) {
+            let was_open = state.circuit.is_open();
             state.end_run(now, &running.run, end);
+            self.circuit_changes.extend(CircuitChange::since(was_open, state));
         }
     }
 
+    /// Returns the circuits of upstreams that opened or closed since the last call.
+    pub fn take_circuit_changes(&mut self) -> Vec<CircuitChange> {
+        std::mem::take(&mut self.circuit_changes)
+    }
+
     /// Ends all requests of an instance whose connection to the gate is lost.
     pub fn end_link(&mut self, now: Duration, link: u64) {
         self.queue.remove_link(link);
--- a/lacewingspring_core/src/dispatch/pool/capacity.rs
+++ b/lacewingspring_core/src/dispatch/pool/capacity.rs
@@ -31,7 +31,13 @@
     /// majority leaves the slots that requests of others take, at most as many as another gate may
     /// use. It leaves none where no requests of others are reported, as when the instances that
     /// are apart have ended.
+    ///
+    /// An upstream whose connections break one after the other gets one request at a time, which
+    /// shows whether it responds again.
     pub(super) fn of(self, now: Duration, state: &UpstreamState) -> u32 {
+        if state.circuit.is_open() {
+            return 1;
+        }
         let limit = self.without_others(state.info.slots);
         let slots_of_others = self.fleet_share.slots_of_others;
         if slots_of_others <= 0.0 {
--- a/lacewingspring_core/src/dispatch/upstream_state.rs
+++ b/lacewingspring_core/src/dispatch/upstream_state.rs
@@ -7,6 +7,7 @@
 };
 
 use super::{
+    circuit_breaker::CircuitBreaker,
     reported_load::{ReportedLoad, RunForecast},
     upstream::UpstreamInfo,
     work::{End, PromptPart, SlotRequest, Work},
@@ -130,6 +131,8 @@
     pub has_output: bool,
     /// Start of the process that it runs on, in Unix milliseconds.
     pub started_at_ms: u64,
+    /// Time of the grant.
+    pub granted_at: Duration,
     /// What was expected of it from the reports of the upstream.
     pub forecast: RunForecast,
 }
@@ -143,6 +146,7 @@
             memory_tokens: work.memory_tokens(),
             has_output: false,
             started_at_ms: 0,
+            granted_at: Duration::ZERO,
             forecast: RunForecast::default(),
         }
     }
@@ -170,6 +174,8 @@
     failure_rate_at: Duration,
     backoff_until: Duration,
     next_backoff: Duration,
+    /// Whether its connections break one after the other.
+    pub circuit: CircuitBreaker,
     /// Time of the latest run with each prompt part.
     cached_parts: HashMap<u64, Duration, BuildPartHasher>,
     /// Ids of the cached parts in the order in which they were added.
@@ -191,6 +197,7 @@
             failure_rate_at: Duration::ZERO,
             backoff_until: Duration::ZERO,
             next_backoff: INITIAL_BACKOFF,
+            circuit: CircuitBreaker::default(),
             cached_parts: HashMap::default(),
             cache_order: VecDeque::new(),
         }
@@ -321,6 +328,7 @@
             memory_tokens: work.memory_tokens(),
             has_output: false,
             started_at_ms: self.info.started_at_ms,
+            granted_at: now,
             forecast: self.reported.forecast(now, self.running, self.info.slots),
         };
         if self.reported.is_known() {
@@ -369,6 +377,7 @@
         if std::mem::replace(&mut run.has_output, true) {
             return;
         }
+        self.circuit.record_response();
         self.pending_prefill_tokens =
             self.pending_prefill_tokens.saturating_sub(u64::from(run.prefill_tokens));
         let tokens = run.prefill_tokens_ahead + f64::from(run.prefill_tokens);
@@ -397,6 +406,7 @@
         match end {
             End::Finished { took, output_tokens, decode, .. } => {
                 self.next_backoff = INITIAL_BACKOFF;
+                self.circuit.record_response();
                 self.failure_rate = self.failure_rate(now) * (1.0 - FAILURE_SAMPLE_WEIGHT);
                 self.failure_rate_at = now;
                 if output_tokens >= MIN_DECODE_SAMPLE_TOKENS {
@@ -410,18 +420,39 @@
                 }
                 self.record_service_time(now, run, millis(took));
             }
-            End::Failed | End::Broken => {
-                let failure_rate = self.failure_rate(now);
-                self.failure_rate = failure_rate + (1.0 - failure_rate) * FAILURE_SAMPLE_WEIGHT;
-                self.failure_rate_at = now;
+            End::Failed => {
+                self.circuit.record_response();
+                self.record_failure(now);
+            }
+            End::Broken => {
+                self.record_failure(now);
+                if !run.has_output {
+                    self.record_broken(now, run.granted_at);
+                }
+            }
+            End::Declined => {
+                self.circuit.record_response();
+                self.backoff_until = self.backoff_until.max(now + DECLINED_PAUSE);
             }
-            End::Declined => self.backoff_until = self.backoff_until.max(now + DECLINED_PAUSE),
             End::Unreachable | End::Misdirected => self.back_off(now),
             End::Leaving => self.info.draining = true,
             End::Cancelled | End::Unused => {}
         }
     }
 
+    fn record_failure(&mut self, now: Duration) {
+        let failure_rate = self.failure_rate(now);
+        self.failure_rate = failure_rate + (1.0 - failure_rate) * FAILURE_SAMPLE_WEIGHT;
+        self.failure_rate_at = now;
+    }
+
+    fn record_broken(&mut self, now: Duration, granted_at: Duration) {
+        self.circuit.record_broken(now, granted_at);
+        if self.circuit.is_open() {
+            self.back_off(now);
+        }
+    }
+
     fn back_off(&mut self, now: Duration) {
         if now >= self.backoff_until {
             self.backoff_until = now + self.next_backoff;
--- a/lacewingspring_core/tests/upstream_trouble.rs
+++ b/lacewingspring_core/tests/upstream_trouble.rs
@@ -2,9 +2,10 @@
 
 use std::{ops::Range, time::Duration};
 
-use dispatch_support::{LINK, granted, ms, request, ticket, upstream};
-use lacewingspring_core::dispatch::{
-    Dispatcher, End, Finding, FleetShare, SlotRequest, Ticket, UpstreamInfo, Work,
+use dispatch_support::{LINK, finished, granted, ms, request, ticket, upstream};
+use lacewingspring_core::{
+    dispatch::{Dispatcher, End, Finding, FleetShare, SlotRequest, Ticket, UpstreamInfo, Work},
+    names::UpstreamName,
 };
 
 mod dispatch_support;
@@ -130,3 +131,81 @@
     dispatcher.end_link(ms(950), LINK);
     assert_eq!(fill(&mut dispatcher, ms(1_020), 3..4), 1);
 }
+
+/// Time of a call at an upstream that responds, in milliseconds.
+const CALL_MS: u64 = 30;
+
+/// Time after which an upstream that accepts connections breaks them, in milliseconds.
+const BREAK_MS: u64 = 5;
+
+/// Time between two requests, in milliseconds: more than two of three upstreams can serve.
+const REQUEST_INTERVAL_MS: u64 = 2;
+
+/// Time in which one upstream breaks all connections, in milliseconds.
+const BREAKING_MS: Range<u64> = 500..2_500;
+
+/// Time for which the play lasts, in milliseconds.
+const PLAY_MS: u64 = 5_500;
+
+/// Largest number of requests that may be sent to the upstream while it breaks connections: as many
+/// as it has slots, three times, before it counts as broken, and one after each back-off.
+const MAX_BROKEN: usize = 3 * 6 + 5;
+
+/// Plays calls to three upstreams with 6 slots; connections to `s1` break for a while. Returns the
+/// time at which each call to `s1` was granted, in milliseconds, and the changes of circuits.
+fn play_breaking_upstream() -> (Vec<u64>, Vec<Finding>) {
+    let names = ["s1", "s2", "s3"];
+    let mut dispatcher = dispatcher(&names.map(|name| upstream(name, 6)));
+    let mut running: Vec<(u64, u64, End)> = Vec::new();
+    let mut granted_to_breaking = Vec::new();
+    let plain = |number| SlotRequest { work: Work::Plain, fingerprint: number, ..request("a") };
+    for now in 0..PLAY_MS {
+        let mut decisions = dispatcher.tick(ms(now));
+        let ended = running.extract_if(.., |(end, ..)| *end <= now).collect::<Vec<_>>();
+        for (_, number, end) in ended {
+            decisions.extend(dispatcher.end(ms(now), ticket(number), end));
+        }
+        if now.is_multiple_of(REQUEST_INTERVAL_MS) {
+            decisions.extend(dispatcher.request_slot(ms(now), ticket(now), plain(now)));
+        }
+        for (number, upstream) in granted(&decisions) {
+            let is_breaking = upstream == "s1" && BREAKING_MS.contains(&now);
+            running.push(if is_breaking {
+                (now + BREAK_MS, number, End::Broken)
+            } else {
+                (now + CALL_MS, number, finished(CALL_MS, 0))
+            });
+            if upstream == "s1" {
+                granted_to_breaking.push(now);
+            }
+        }
+    }
+    let mut findings = dispatcher.take_findings();
+    findings.retain(|finding| matches!(finding, Finding::CircuitChanged { .. }));
+    (granted_to_breaking, findings)
+}
+
+/// Guards against an upstream that breaks all connections and gets all requests that the others
+/// have no room for, as its slots are always free. Their callers cannot be told that nothing ran.
+#[test]
+fn an_upstream_that_breaks_all_connections_gets_few_requests_until_it_responds() {
+    let (granted_at, changes) = play_breaking_upstream();
+    let broken = granted_at.iter().filter(|at| BREAKING_MS.contains(at)).count();
+    assert!(broken <= MAX_BROKEN, "{broken} requests were sent to it");
+    let after = granted_at.iter().filter(|at| **at >= BREAKING_MS.end + 2_000).count();
+    assert!(after > 100, "it got {after} requests after it had responded again");
+    let change = |is_open| Finding::CircuitChanged { upstream: UpstreamName::from("s1"), is_open };
+    assert_eq!(changes, [change(true), change(false)]);
+}
+
+/// Guards against an upstream that is left alone because one crash broke several runs.
+#[test]
+fn a_crash_that_breaks_several_runs_does_not_back_the_upstream_off() {
+    let mut dispatcher = dispatcher(&[upstream("s1", 6)]);
+    assert_eq!(fill(&mut dispatcher, ms(0), 0..6), 6);
+    for number in 0..6 {
+        dispatcher.end(ms(100), ticket(number), End::Broken);
+    }
+    let other = SlotRequest { fingerprint: 8, ..request("a") };
+    assert_eq!(granted(&dispatcher.request_slot(ms(101), ticket(7), other)).len(), 1);
+}
--- a/lacewingspring_proxy/src/gate/findings.rs
+++ b/lacewingspring_proxy/src/gate/findings.rs
@@ -41,6 +41,15 @@
             slots = load.slots, pace = load.pace;
             "The load that an upstream reports is implausible and is ignored."
         ),
+        Finding::CircuitChanged { upstream, is_open: true } => warn!(
+            upstream = upstream.as_str();
+            "The connections of an upstream break one after the other; it gets one request at a \
+             time."
+        ),
+        Finding::CircuitChanged { upstream, is_open: false } => info!(
+            upstream = upstream.as_str();
+            "An upstream whose connections broke responds again."
+        ),
         Finding::Unreachable { upstream, link, backs_off } => info!(
             upstream = upstream.as_str(), link, backs_off;
             "An instance can't connect to an upstream."
