Count the broken runs of an upstream within a second as one crash

Cause: a request whose runs broke off twice in a row is refused as `crashes` for two minutes, so that it crashes no further upstreams. Both runs may be at one upstream that breaks all its connections for a while, and then say nothing of the request. A refused probe returns at once, so that it is sent about twice as often.

Change: broken runs of one upstream within a second count as one crash of the request, as they do for prompt parts. A request is still blocked by its second crash at another upstream, or at the same one a second or more after the first.

Test: blocks_a_request_that_crashes_upstreams took two runs that one upstream broke within a millisecond for two crashes; such an upstream has not crashed in between. It now checks two upstreams, and one a second apart. counts_the_broken_runs_of_an_upstream_within_a_second_as_one_crash fails before.

--- a/lacewingspring_core/src/dispatch/crash_history.rs
+++ b/lacewingspring_core/src/dispatch/crash_history.rs
@@ -2,7 +2,11 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use super::hand_over::{BlockedRequest, MAX_ENTRIES};
+use super::{
+    crash_events::CRASH_DURATION,
+    hand_over::{BlockedRequest, MAX_ENTRIES},
+};
+use crate::names::UpstreamName;
 
 /// Number of consecutive crashes after which a request is blocked.
 const MAX_CONSECUTIVE_CRASHES: u32 = 2;
@@ -14,10 +18,12 @@
 const CLEANUP_THRESHOLD: usize = 4_096;
 
 /// Consecutive crashes of one fingerprint.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct CrashRecord {
     count: u32,
     last: Duration,
+    /// Upstream of the last crash; `None` if an earlier gate counted it.
+    upstream: Option<UpstreamName>,
 }
 
 impl CrashRecord {
@@ -42,12 +48,26 @@
         self.records.get(&fingerprint).is_some_and(|record| record.blocked_left(now).is_some())
     }
 
-    /// Counts a run that ended with a broken connection; returns the number of consecutive ones.
-    pub fn record_crash(&mut self, now: Duration, fingerprint: u64) -> u32 {
+    /// Counts a run that ended with a broken connection; returns the number of consecutive crashes.
+    ///
+    /// Broken runs of one upstream within [`CRASH_DURATION`] count as one crash: an upstream that
+    /// breaks them all for a while breaks a sound request that is sent often more than once.
+    pub fn record_crash(
+        &mut self,
+        now: Duration,
+        fingerprint: u64,
+        upstream: &UpstreamName,
+    ) -> u32 {
         if self.records.len() >= CLEANUP_THRESHOLD {
             self.records.retain(|_, record| now.saturating_sub(record.last) < CRASH_RETENTION);
         }
-        let record = self.records.entry(fingerprint).or_insert(CrashRecord { count: 0, last: now });
+        let new = CrashRecord { count: 0, last: now, upstream: None };
+        let record = self.records.entry(fingerprint).or_insert(new);
+        let is_same_upstream = record.upstream.as_ref() == Some(upstream);
+        if is_same_upstream && now.saturating_sub(record.last) < CRASH_DURATION {
+            return record.count;
+        }
+        record.upstream = Some(upstream.clone());
         record.count += 1;
         record.last = now;
         if record.count >= MAX_CONSECUTIVE_CRASHES {
@@ -86,8 +106,11 @@
         for request in blocked {
             let left = Duration::from_millis(request.left_ms).saturating_sub(age);
             let passed = CRASH_RETENTION.saturating_sub(left);
-            let record =
-                CrashRecord { count: MAX_CONSECUTIVE_CRASHES, last: now.saturating_sub(passed) };
+            let record = CrashRecord {
+                count: MAX_CONSECUTIVE_CRASHES,
+                last: now.saturating_sub(passed),
+                upstream: None,
+            };
             if record.blocked_left(now).is_some() && !self.is_blocked(now, request.fingerprint) {
                 self.records.insert(request.fingerprint, record);
                 self.version += 1;
--- a/lacewingspring_core/src/dispatch/crashes.rs
+++ b/lacewingspring_core/src/dispatch/crashes.rs
@@ -119,7 +119,7 @@
             self.requests.clear(fingerprint);
             (0, false)
         } else {
-            let crashes = self.requests.record_crash(now, fingerprint);
+            let crashes = self.requests.record_crash(now, fingerprint, &upstream);
             (crashes, self.parts.record_crash(now, ticket, &upstream, &open.parts))
         };
         self.findings.push(Finding::RunBroken { upstream, fingerprint, crashes });
