Refuse no request before the entries of upstreams have been read

Cause: a process that has started reads three topics of the store by itself, each with its own retries. If it knows the configuration and the instances before the entries of upstreams, it can become the gate, and refuses all requests of the fleet as `no_upstream` although other instances have copies. It reported that it was ready as soon as it had the configuration.

Change: until it has read the entries once, a process - is not ready, - lets a link of another instance wait for 0.25 s and closes it then, so that the other one tries the next candidate, - links to another instance that can be the gate, and - defers the requests of its own callers if there is none, until the entries are read or the requests time out.

An instance that fails as the gate in this way is tried again after 1.5 s, as any other; requests of the instances that try it wait for 0.25 s then.

Test: a_request_waits_until_the_entries_of_servers_are_read and a_process_that_has_not_read_the_entries_of_servers_is_not_the_gate fail before (503). The stand-in store can reject the reads of one prefix for them.

Result: both pass, and so do all tests of lacewingspring_proxy.

--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, Once, PoisonError},
     time::Duration,
 };
 
@@ -14,7 +14,7 @@
     names::{InstanceName, ServiceName, WorkspaceName},
 };
 use tokio::{
-    sync::{Notify, mpsc::UnboundedSender},
+    sync::{Notify, mpsc::UnboundedSender, watch},
     time::sleep,
 };
 
@@ -37,6 +37,7 @@
 
 mod declared_limits;
 mod deferral;
+mod entries;
 mod next_gate;
 mod pause;
 mod roll_outs;
@@ -95,6 +96,10 @@
     streams_changed: Notify,
     /// Wakes the task that records versions.
     versions_changed: Notify,
+    /// Whether the entries of upstreams have been read, or need not be.
+    has_entries: watch::Sender<bool>,
+    /// Logs that links are refused because the entries have not been read.
+    log_refused_link: Once,
 }
 
 impl GateHost {
@@ -127,6 +132,8 @@
             queued: Notify::new(),
             streams_changed: Notify::new(),
             versions_changed: Notify::new(),
+            has_entries: watch::Sender::new(true),
+            log_refused_link: Once::new(),
         }
     }
 
@@ -210,7 +217,8 @@
             }
             ToGate::RequestSlot { number, request, quota } => {
                 state.apply_told_limit(&request, quota.0);
-                if let Some(request) = state.defer(now, link, number, request) {
+                let has_entries = self.has_entries();
+                if let Some(request) = state.defer(now, link, number, request, has_entries) {
                     drop(state);
                     self.decide(now, link, number, request);
                 }
--- a/lacewingspring_proxy/src/gate/host/deferral.rs
+++ b/lacewingspring_proxy/src/gate/host/deferral.rs
@@ -9,6 +9,9 @@
 //! A gate that has known the upstreams of a service for less than a second may not have recorded
 //! their software versions yet, as when it takes over right after its start. It does not refuse a
 //! request because these upstreams are [withheld](super::versions).
+//!
+//! A process that has not read the entries of upstreams yet defers all requests, until it has read
+//! them or the requests end.
 
 use std::time::Duration;
 
@@ -80,7 +83,7 @@
 impl GateHost {
     /// Decides on the deferred requests that are due.
     pub(super) fn decide_deferred(&self, now: Duration) {
-        let due = self.state().take_due(now);
+        let due = self.state().take_due(now, self.has_entries());
         for Deferred { link, number, mut request, since } in due {
             request.shorten_times(now.saturating_sub(since));
             self.decide(now, link, number, request);
@@ -96,10 +99,11 @@
         link: u64,
         number: u64,
         request: SlotRequest,
+        has_entries: bool,
     ) -> Option<SlotRequest> {
         self.use_overdue_upstreams(now);
         let deferred = Deferred { link, number, request, since: now };
-        if !self.must_wait(now, &deferred) {
+        if has_entries && !self.must_wait(now, &deferred) {
             return Some(deferred.request);
         }
         self.deferral.deferred.push(deferred);
@@ -108,7 +112,10 @@
     }
 
     /// Removes the requests that are to be decided on.
-    fn take_due(&mut self, now: Duration) -> Vec<Deferred> {
+    fn take_due(&mut self, now: Duration, has_entries: bool) -> Vec<Deferred> {
+        if !has_entries {
+            return Vec::new();
+        }
         let deferred = std::mem::take(&mut self.deferral.deferred);
         if deferred.is_empty() {
             return deferred;
--- a/lacewingspring_proxy/src/gate/host/serve.rs
+++ b/lacewingspring_proxy/src/gate/host/serve.rs
@@ -75,6 +75,9 @@
             );
             return;
         }
+        if !self.wait_for_entries().await {
+            return;
+        }
         let (tx, rx) = unbounded_channel();
         let link = self.connect(tx);
         let reason = self.exchange(link, frames(stream), rx).await;
--- a/lacewingspring_proxy/src/gate/link/connection.rs
+++ b/lacewingspring_proxy/src/gate/link/connection.rs
@@ -136,11 +136,14 @@
     }
 
     /// Returns the instance that is to act as the gate: the first one that is neither leaving nor
-    /// suspected.
+    /// suspected. This one is left out until it has read the entries of upstreams.
     fn first_candidate(&self, now: Duration, suspects: &Suspects) -> Option<Member> {
         let members = self.members.load();
-        let first = members.active().find(|member| !suspects.contains(now, member));
-        first.cloned()
+        let is_usable = |member: &&Member| {
+            !suspects.contains(now, member)
+                && (member.instance != self.instance || self.host.has_entries())
+        };
+        members.active().find(is_usable).cloned()
     }
 
     /// Returns the time at which the oldest request without an acknowledgement was sent.
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -183,13 +183,23 @@
         self.metrics.set_declared_version(declared.version);
         self.declared.store(Some(Arc::new(declared)));
         self.apply_upstreams(now);
-        self.is_ready.send_replace(true);
+        self.update_readiness();
     }
 
     fn update_upstreams(&self, now: Duration, upstreams: Vec<UpstreamInfo>) {
         self.unavailable.update(&upstreams);
         self.upstreams.store(Arc::new(upstreams));
         self.apply_upstreams(now);
+        self.host.set_entries_read(now);
+        self.update_readiness();
+    }
+
+    /// Reports that the instance is ready once the configuration and the entries of upstreams have
+    /// been read.
+    fn update_readiness(&self) {
+        if self.declared.load().is_some() && self.host.has_entries() {
+            self.is_ready.send_replace(true);
+        }
     }
 
     /// Passes the upstreams to the dispatcher, each with the memory declared for its service.
@@ -263,6 +273,7 @@
     let budget = state.budget.clone();
     tokio::spawn(async move { budget.arrivals().run_sweeps().await });
     state.host.require_recorded_versions();
+    state.host.require_entries();
     if settings.shares {
         state.host.enable_shares();
     }
