Refuse a stream that was forgotten instead of continuing it at the recorded version

A gate that took over when one version was recorded infers that version for streams of which it has no record, for 20 s. It forgets a stream two seconds after its caller's time, and earlier if it remembers more than 65,536.

No message, stored value or call changes.

--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -50,6 +50,7 @@
 mod crashing_parts;
 mod finding;
 mod fleet_share;
+mod forgotten_versions;
 mod hand_over;
 mod known_streams;
 mod link_paths;
--- a/lacewingspring_core/src/dispatch/resumptions.rs
+++ b/lacewingspring_core/src/dispatch/resumptions.rs
@@ -164,21 +164,27 @@
             return None;
         }
         let only = self.streams.only_version(now, service);
-        only.or_else(|| self.only_recorded_version(now, service))
+        only.or_else(|| self.only_recorded_version(now, service, stream.id))
     }
 
     fn only_recorded_version(
         &self,
         now: Duration,
         service: &ServiceName,
+        stream: u64,
     ) -> Option<&SoftwareVersion> {
         let is_lasting = |past: &&RecordedPast| {
             past.is_current
                 && self.sees_all
                 && now.saturating_sub(past.at) < self.streams.retention()
         };
-        let recorded = self.recorded.as_ref().filter(is_lasting)?.services.get(service)?;
-        recorded.first().filter(|_| recorded.len() == 1)
+        let past = self.recorded.as_ref().filter(is_lasting)?;
+        let recorded = past.services.get(service)?;
+        let only = recorded.first().filter(|_| recorded.len() == 1)?;
+        // A caller who returns after its time may ask for a stream that began since and of which
+        // there is no record any more.
+        let may_be_other = self.streams.may_be_forgotten(past.at, service, stream, only);
+        (!may_be_other).then_some(only)
     }
 
     /// Adds the versions that are recorded as ones at which streams may have begun, as they were
--- a/lacewingspring_core/src/dispatch/stream_versions.rs
+++ b/lacewingspring_core/src/dispatch/stream_versions.rs
@@ -8,6 +8,7 @@
 };
 
 use super::{
+    forgotten_versions::ForgottenVersions,
     known_streams::{KnownStream, KnownStreams, ServedVersion, StreamGroup, UpstreamProcess},
     served_versions::ServedVersions,
     upstream::UpstreamInfo,
@@ -67,6 +68,7 @@
 pub(super) struct StreamVersions {
     streams: HashMap<u64, StreamRecord>,
     served: ServedVersions,
+    forgotten: ForgottenVersions,
     /// Streams of mixed services that were not published yet.
     unpublished: Vec<u64>,
     pruned_at: Duration,
@@ -153,16 +155,30 @@
     fn prune(&mut self, now: Duration) {
         if now.saturating_sub(self.pruned_at) >= PRUNE_INTERVAL {
             self.pruned_at = now;
-            self.streams.retain(|_, stream| stream.expires > now);
+            self.forgotten.prune(now, self.retention());
+            self.forget_until(now, now);
         }
         if self.streams.len() >= MAX_STREAMS {
             let mut ends: Vec<Duration> = self.streams.values().map(|s| s.expires).collect();
             let (_, last_evicted, _) = ends.select_nth_unstable(MAX_STREAMS / EVICTED_FRACTION);
             let last_evicted = *last_evicted;
-            self.streams.retain(|_, stream| stream.expires > last_evicted);
+            self.forget_until(now, last_evicted);
         }
     }
 
+    /// Forgets the streams whose time ends at `until` or earlier, and notes their versions.
+    fn forget_until(&mut self, now: Duration, until: Duration) {
+        let Self { streams, forgotten, .. } = self;
+        streams.retain(|_, stream| {
+            let is_kept = stream.expires > until;
+            if !is_kept {
+                let software = (!stream.is_ambiguous).then_some(&stream.process.software);
+                forgotten.record(now, &stream.process.service, software);
+            }
+            is_kept
+        });
+    }
+
     /// Returns the version that began a stream; `None` if it is not known.
     pub fn version_of(&self, now: Duration, id: u64) -> Option<&SoftwareVersion> {
         let stream = self.streams.get(&id).filter(|stream| stream.is_known(now))?;
@@ -174,6 +190,22 @@
         self.streams.get(&id).is_some_and(|stream| stream.is_ambiguous)
     }
 
+    /// Returns whether another version than `software` may have begun a stream that is forgotten
+    /// here since the time `since`: that stream itself if its time is over, or if there is no
+    /// record of it any stream of the service.
+    pub fn may_be_forgotten(
+        &self,
+        since: Duration,
+        service: &ServiceName,
+        id: u64,
+        software: &SoftwareVersion,
+    ) -> bool {
+        match self.streams.get(&id) {
+            Some(stream) => stream.process.software != *software,
+            None => self.forgotten.has_others(since, service, software),
+        }
+    }
+
     /// Returns the version of a service if no other one served within the longest time in which a
     /// caller may take a stream up.
     pub fn only_version(&self, now: Duration, service: &ServiceName) -> Option<&SoftwareVersion> {
--- a/lacewingspring_core/tests/resumed_streams.rs
+++ b/lacewingspring_core/tests/resumed_streams.rs
@@ -295,6 +295,69 @@
     assert_eq!(fate, refused(Reason::UnknownSoftware), "it began after the gate took over");
 }
 
+/// Guards against a stream that goes on at another version because its caller returns after its
+/// time: the gate had forgotten that it was begun by a version that is newer than its records.
+#[test]
+fn infers_no_recorded_version_once_a_stream_of_a_newer_one_is_forgotten() {
+    let (old, both) = (upstream("a", "v1", 4), [upstream("a", "v1", 4), upstream("b", "v2", 4)]);
+    let short = |request: SlotRequest| {
+        let stream = request.stream.map(|s| StreamRef { lifetime: ms(3_000), ..s });
+        SlotRequest { stream, ..request }
+    };
+    // Whether a later stream has the forgotten one removed from memory.
+    for is_removed in [false, true] {
+        let mut gate = restarted(std::slice::from_ref(&old), &[recorded("v1")]);
+        gate.set_upstreams(ms(100), both.to_vec());
+        let at_new = SlotRequest { avoid: vec![UpstreamName::from("a")], ..short(begin(1)) };
+        assert_eq!(request(&mut gate, ms(200), 1, at_new), granted("b"));
+        gate.end(ms(300), ticket(1), End::Broken);
+        let last = ms(200) + ms(3_000) + ms(1_900);
+        assert_eq!(request(&mut gate, last, 2, short(resume(1))), granted("b"), "it is known");
+        gate.end(last, ticket(2), End::Broken);
+        let late = last + ms(5_600);
+        if is_removed {
+            request(&mut gate, late, 3, begin(3));
+        }
+        let fate = request_confirmed(&mut gate, late, 4, short(resume(1)));
+        assert_eq!(fate, refused(Reason::UnknownSoftware), "removed: {is_removed}");
+        if !is_removed {
+            let fate = request_confirmed(&mut gate, late, 5, short(resume(9)));
+            assert_eq!(fate, granted("a"), "no stream that began since is forgotten");
+        }
+    }
+}
+
+/// Guards against the same if it was not known which of two versions began the forgotten stream.
+#[test]
+fn infers_no_recorded_version_once_a_stream_of_two_possible_versions_is_forgotten() {
+    let mut gate = restarted(&[upstream("a", "v1", 4)], &[recorded("v1")]);
+    let lifetime = ms(3_000);
+    let stream = Some(StreamRef { id: 1, is_resumed: false, attempt: 0, lifetime });
+    assert_eq!(request(&mut gate, ms(200), 1, SlotRequest { stream, ..begin(1) }), granted("a"));
+    let reborn = UpstreamInfo { started_at_ms: 2, ..upstream("a", "v2", 4) };
+    gate.set_upstreams(ms(300), vec![reborn, upstream("b", "v1", 4)]);
+    gate.end(ms(300), ticket(1), End::Broken);
+    request(&mut gate, ms(6_000), 2, begin(2));
+    let fate = request_confirmed(&mut gate, ms(6_100), 3, resume(1));
+    assert_eq!(fate, refused(Reason::UnknownSoftware));
+}
+
+/// Guards against the same if the stream is forgotten within its time, as too many are remembered.
+#[test]
+fn infers_no_recorded_version_once_too_many_streams_of_a_newer_one_are_remembered() {
+    let (old, new) = (upstream("a", "v1", 1_000), upstream("b", "v2", 1_000));
+    let mut gate = restarted(std::slice::from_ref(&old), &[recorded("v1")]);
+    gate.set_upstreams(ms(100), vec![old, new]);
+    for id in 0..70_000 {
+        let now = ms(200 + id / 100);
+        let at_new = SlotRequest { avoid: vec![UpstreamName::from("a")], ..begin(id) };
+        assert_eq!(request(&mut gate, now, id, at_new), granted("b"));
+        gate.end(now, ticket(id), End::Cancelled);
+    }
+    let fate = request_confirmed(&mut gate, ms(1_000), 70_000, resume(0));
+    assert_eq!(fate, refused(Reason::UnknownSoftware));
+}
+
 /// Another gate may send streams to an upstream that this one does not use yet.
 #[test]
 fn infers_no_version_while_another_one_is_registered_but_not_used() {
