Tell the present age of an order to the next gate

An instance told the next gate a record with the age of its order as in the last message of the gate. A reader adds the wall-clock time since, an hour at most, as a longer one is a fault of a clock. After more than an hour in one stage the next gate took the order to be younger than it was, and so did a gate that read its own record again.

An instance now adds the time that it measures by its clock without steps to the age and to the time of the record. A gate goes by the later age of the stored and the known record when it reads them. A record that was read and differs in nothing but the age is not told again. The form of messages and stored values is as before.

--- a/lacewingspring_proxy/src/gate/host.rs
+++ b/lacewingspring_proxy/src/gate/host.rs
@@ -208,7 +208,7 @@
                 Vec::new()
             }
             ToGate::Streams(known, roll_outs) => {
-                state.learn_roll_outs(&roll_outs, false);
+                state.learn_roll_outs(now, &roll_outs, false);
                 state.dispatcher.take_over_streams(now, &known)
             }
             ToGate::Running { number, request, upstream } => {
--- a/lacewingspring_proxy/src/gate/host/roll_outs.rs
+++ b/lacewingspring_proxy/src/gate/host/roll_outs.rs
@@ -51,12 +51,27 @@
     pub orders_revision: Revision,
 }
 
+/// Record of a roll-out that this instance wrote or was told of.
+#[derive(Debug)]
+struct KnownRecord {
+    record: RollOutRecord,
+    /// Time at which the order had the age that the record states.
+    at: Duration,
+}
+
+impl KnownRecord {
+    /// Returns the record with the present age of its order.
+    fn at(&self, now: Duration) -> RollOutRecord {
+        self.record.aged(now.saturating_sub(self.at))
+    }
+}
+
 /// Roll-outs at this instance.
 #[derive(Debug)]
 pub(super) struct RollOuts {
     rules: RollOutRules,
     /// Records that this instance wrote or was told of, with decisions that are not recorded yet.
-    known: BTreeMap<ServiceName, RollOutRecord>,
+    known: BTreeMap<ServiceName, KnownRecord>,
     /// Time since which this instance holds the roll-outs.
     tenure_since: Option<Duration>,
     /// Revision of the copy of the registry.
@@ -174,18 +189,35 @@
         known.map_or_else(Vec::new, |known| known.keys().cloned().collect())
     }
 
-    /// Returns the record of a service as this instance knows it.
-    pub(in crate::gate) fn known_roll_out(&self, service: &ServiceName) -> Option<RollOutRecord> {
-        self.state().roll_outs.as_ref()?.known.get(service).cloned()
+    /// Returns the record of a service as this instance knows it, with the present age of the
+    /// order.
+    pub(in crate::gate) fn known_roll_out(
+        &self,
+        now: Duration,
+        service: &ServiceName,
+    ) -> Option<RollOutRecord> {
+        Some(self.state().roll_outs.as_ref()?.known.get(service)?.at(now))
     }
 
     /// Tells all instances a record that says more than the one known so far, so that the next gate
-    /// knows it although the key-value service is restored from an older copy.
-    pub(in crate::gate) fn tell_roll_out(&self, record: &RollOutRecord) {
+    /// knows it although the key-value service is restored from an older copy. One that was just
+    /// written is told in any case: what it says may be known from one instance only.
+    pub(in crate::gate) fn tell_roll_out(
+        &self,
+        now: Duration,
+        record: &RollOutRecord,
+        is_written: bool,
+    ) {
         let mut state = self.state();
-        if !state.learn_roll_out(record.clone(), true) {
+        let is_changed = state.learn_roll_out(now, record.clone(), true);
+        if !is_changed && !is_written {
             return;
         }
+        let mut record = record.clone();
+        let known = state.roll_outs.as_ref().and_then(|known| known.known.get(&record.service));
+        if let Some(known) = known {
+            record.take_later_age(&known.record);
+        }
         let told = Trailing(encode_records([record]));
         for link in state.links.values() {
             let streams = Arc::new(KnownStreams::default());
@@ -195,13 +227,13 @@
     }
 
     /// Adds records that the gate told.
-    pub(in crate::gate) fn learn_roll_outs(&self, told: &Trailing<EncodedRollOuts>) {
-        self.state().learn_roll_outs(told, true);
+    pub(in crate::gate) fn learn_roll_outs(&self, now: Duration, told: &Trailing<EncodedRollOuts>) {
+        self.state().learn_roll_outs(now, told, true);
     }
 
     /// Returns the records that this instance knows, for the gate.
-    pub(in crate::gate) fn told_roll_outs(&self) -> Trailing<EncodedRollOuts> {
-        self.state().told_roll_outs()
+    pub(in crate::gate) fn told_roll_outs(&self, now: Duration) -> Trailing<EncodedRollOuts> {
+        self.state().told_roll_outs(now)
     }
 
     /// Returns what the copy of the orders has for a service.
@@ -385,44 +417,53 @@
 }
 
 /// Encodes records as in the key-value service; `None` if there is none.
-fn encode_records<'a, I>(records: I) -> Option<EncodedRollOuts>
+fn encode_records<I>(records: I) -> Option<EncodedRollOuts>
 where
-    I: IntoIterator<Item = &'a RollOutRecord>,
+    I: IntoIterator<Item = RollOutRecord>,
 {
-    let encoded = records.into_iter().filter_map(|record| serde_json::to_vec(record).ok());
+    let encoded = records.into_iter().filter_map(|record| serde_json::to_vec(&record).ok());
     Some(encoded.collect::<EncodedRollOuts>()).filter(|records| !records.is_empty())
 }
 
 impl State {
-    /// Returns the records that this instance knows.
-    pub(super) fn told_roll_outs(&self) -> Trailing<EncodedRollOuts> {
+    /// Returns the records that this instance knows, with the present age of each order.
+    pub(super) fn told_roll_outs(&self, now: Duration) -> Trailing<EncodedRollOuts> {
         let known = self.roll_outs.iter().flat_map(|roll_outs| roll_outs.known.values());
-        Trailing(encode_records(known))
+        Trailing(encode_records(known.map(|known| known.at(now))))
     }
 
     /// Adds records of another instance. One that can't be read is ignored: it is of a later build,
     /// and this build could not act on it.
-    pub(super) fn learn_roll_outs(&mut self, told: &Trailing<EncodedRollOuts>, is_from_gate: bool) {
+    pub(super) fn learn_roll_outs(
+        &mut self,
+        now: Duration,
+        told: &Trailing<EncodedRollOuts>,
+        is_from_gate: bool,
+    ) {
         for record in told.0.iter().flatten() {
             if let Ok(record) = serde_json::from_slice(record) {
-                self.learn_roll_out(record, is_from_gate);
+                self.learn_roll_out(now, record, is_from_gate);
             }
         }
     }
 
-    /// Adds a record; returns whether it says more than the one known so far. What the gate tells
-    /// replaces another final stage of the same order, as only a gate writes records.
-    fn learn_roll_out(&mut self, record: RollOutRecord, is_from_gate: bool) -> bool {
+    /// Adds a record; returns whether it says more than the one known so far, besides the age of
+    /// the order. What the gate tells replaces another final stage of the same order, as only a
+    /// gate writes records.
+    fn learn_roll_out(&mut self, now: Duration, told: RollOutRecord, is_from_gate: bool) -> bool {
         let Some(roll_outs) = &mut self.roll_outs else { return false };
-        let service = record.service.clone();
-        let before = roll_outs.known.remove(&service);
-        let known = if is_from_gate {
-            RollOutRecord::merged(Some(record), before.clone())
+        let before = roll_outs.known.get(&told.service).map(|known| known.at(now));
+        let (first, second) = if is_from_gate {
+            (Some(told.clone()), before.clone())
         } else {
-            RollOutRecord::merged(before.clone(), Some(record))
+            (before.clone(), Some(told.clone()))
         };
-        let is_changed = known != before;
-        roll_outs.known.extend(known.map(|known| (service, known)));
+        let Some(mut record) = RollOutRecord::merged(first, second) else { return false };
+        for other in before.iter().chain([&told]) {
+            record.take_later_age(other);
+        }
+        let is_changed = before.is_none_or(|before| !record.is_equal_but_for_age(&before));
+        roll_outs.known.insert(told.service, KnownRecord { record, at: now });
         is_changed
     }
 
--- a/lacewingspring_proxy/src/gate/host/streams.rs
+++ b/lacewingspring_proxy/src/gate/host/streams.rs
@@ -107,7 +107,7 @@
         } else {
             self.dispatcher.served_versions(now)
         };
-        self.send(link, FromGate::Streams(Arc::new(known), self.told_roll_outs()));
+        self.send(link, FromGate::Streams(Arc::new(known), self.told_roll_outs(now)));
     }
 
     fn publish_streams(&self, known: Arc<KnownStreams>) {
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -225,8 +225,9 @@
                 state.hand_over = Some(ReceivedHandOver { hand_over, at: clock::now() });
             }
             FromGate::Streams(known, roll_outs) => {
-                self.host.learn_streams(clock::now(), &known);
-                self.host.learn_roll_outs(&roll_outs);
+                let now = clock::now();
+                self.host.learn_streams(now, &known);
+                self.host.learn_roll_outs(now, &roll_outs);
             }
             FromGate::Update(update) => {
                 let update = Arc::unwrap_or_clone(update);
@@ -294,7 +295,8 @@
             let age = now.saturating_sub(received.at);
             state.send(ToGate::HandOver { hand_over: received.hand_over, age });
         }
-        state.send(ToGate::Streams(self.host.known_streams(now), self.host.told_roll_outs()));
+        let known = self.host.known_streams(now);
+        state.send(ToGate::Streams(known, self.host.told_roll_outs(now)));
         let State { pending, running, gate_tx, .. } = &mut *state;
         let Some(gate_tx) = gate_tx else { return rx };
         for (number, running) in running.iter() {
--- a/lacewingspring_proxy/src/gate/roll_out/record.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/record.rs
@@ -126,6 +126,30 @@
         Duration::from_millis(self.age_ms + since_ms.min(MAX_CLOCK_STEP_MS))
     }
 
+    /// Returns the record as it is when `passed` has gone by, measured by a clock without steps.
+    /// The time that its reader adds by wall clocks begins then.
+    pub fn aged(&self, passed: Duration) -> Self {
+        let passed_ms = passed.as_millis() as u64;
+        Self {
+            age_ms: self.age_ms.saturating_add(passed_ms),
+            wall_ms: self.wall_ms.saturating_add(passed_ms),
+            ..self.clone()
+        }
+    }
+
+    /// Takes the age of the order from another record of it in which the order is older: the age
+    /// was measured later there.
+    pub fn take_later_age(&mut self, other: &Self) {
+        if self.order == other.order && self.age_ms < other.age_ms {
+            (self.age_ms, self.wall_ms) = (other.age_ms, other.wall_ms);
+        }
+    }
+
+    /// Returns whether two records are equal but for the age of the order.
+    pub fn is_equal_but_for_age(&self, other: &Self) -> bool {
+        *self == Self { age_ms: self.age_ms, wall_ms: self.wall_ms, ..other.clone() }
+    }
+
     /// Returns the record as it is written when the order is of this age.
     pub fn stamped(&self, age: Duration, wall: Duration) -> Self {
         let (age_ms, wall_ms) = (age.as_millis() as u64, wall.as_millis() as u64);
--- a/lacewingspring_proxy/src/gate/roll_out/service_keeper.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/service_keeper.rs
@@ -139,7 +139,8 @@
     /// Returns the record that instances told each other; `None` while a roll-back of this instance
     /// is not recorded yet, which must not be merged into what is read.
     fn known<S, T>(&self, context: &Context<S, T>) -> Option<RollOutRecord> {
-        context.host.known_roll_out(&self.service).filter(|_| self.undone.is_none())
+        let known = context.host.known_roll_out(clock::now(), &self.service);
+        known.filter(|_| self.undone.is_none())
     }
 
     /// Returns whether this instance was told a later stage, higher counts or a newer order than
@@ -179,8 +180,8 @@
         let known = RollOutRecord::merged(self.record.take(), self.known(context));
         self.record = RollOutRecord::merged(stored.clone(), known);
         if let Some(record) = &self.record {
-            self.received_at = record.order_at(clock::now(), clock::wall()).received_at;
-            context.host.tell_roll_out(record);
+            self.received_at = self.order_received_at(context, record);
+            context.host.tell_roll_out(clock::now(), record, false);
         }
         // What is known holds also if its write fails.
         self.apply_record(context);
@@ -193,6 +194,17 @@
         }
     }
 
+    /// Returns the time of this process at which the order of a record was acknowledged, by that
+    /// record and by what instances told each other, who measure the time since the last write.
+    fn order_received_at<S, T>(&self, context: &Context<S, T>, record: &RollOutRecord) -> Duration {
+        let (now, wall) = (clock::now(), clock::wall());
+        let mut record = record.clone();
+        if let Some(known) = context.host.known_roll_out(now, &self.service) {
+            record.take_later_age(&known);
+        }
+        record.order_at(now, wall).received_at
+    }
+
     /// Logs that the key-value service lacks the latest stage of the roll-out, as after a restore.
     fn log_older(&self, stored: Option<&RollOutRecord>, record: &RollOutRecord) {
         let stored = stored.map(|stored| &stored.stage);
@@ -240,7 +252,7 @@
         self.record_key.write(&*context.store, &key, value).await?;
         self.unanswered.clear();
         context.host.note_roll_out_written(&self.service, record.order, record.counts);
-        context.host.tell_roll_out(&record);
+        context.host.tell_roll_out(clock::now(), &record, true);
         self.record = Some(record);
         Ok(())
     }
@@ -409,18 +421,20 @@
         T: StateDecoder,
     {
         let Some(record) = self.record.clone() else { return };
+        let now = clock::now();
+        let age = now.saturating_sub(self.received_at);
         let counts = self.counts(context, &record);
         context.host.release_roll_out(&self.service);
         self.apply_rule(context, &record, false);
         info!(
             service = self.service.as_str(), target = record.target.as_str(),
             requests = counts.requests, target_requests = counts.target_requests,
-            bad = counts.bad, cause:? = cause,
-            age_ms = clock::now().saturating_sub(self.received_at).as_millis() as u64;
+            bad = counts.bad, cause:? = cause, age_ms = age.as_millis() as u64;
             "The roll-out is rolled back; the target gets no more requests."
         );
         let undone = RollOutRecord { stage: Stage::RolledBack(cause), counts, ..record };
-        context.host.tell_roll_out(&undone);
+        let undone = undone.stamped(age, clock::wall());
+        context.host.tell_roll_out(now, &undone, false);
         self.undone = Some(undone);
     }
 
--- a/lacewingspring_proxy/tests/roll_out_restored_record.rs
+++ b/lacewingspring_proxy/tests/roll_out_restored_record.rs
@@ -7,14 +7,17 @@
 };
 
 use bytes::Bytes;
-use lacewingspring_core::dispatch::KnownStreams;
+use lacewingspring_core::{dispatch::KnownStreams, names::InstanceName};
 use lacewingspring_proxy::{
     clock,
     gate::message::{EncodedRollOuts, FromGate, ToGate, Trailing},
 };
-use roll_out_support::{RECORD, STATUS, SharedStore, record, start_keeper};
+use roll_out_support::{BOUNDS, RECORD, STATUS, SharedStore, aged_record, record, start_keeper};
 use support::{host, open_link};
-use tokio::{sync::mpsc::UnboundedReceiver, time::sleep};
+use tokio::{
+    sync::mpsc::{UnboundedReceiver, unbounded_channel},
+    time::sleep,
+};
 
 mod roll_out_support;
 mod support;
@@ -110,3 +113,52 @@
     let [record] = &told(&mut rx)[..] else { panic!("one record is told") };
     assert!(String::from_utf8_lossy(record).contains("Completed"));
 }
+
+/// Guards against an instance that tells the age that an order had when the gate told it last, which
+/// is hours ago if the roll-out has stayed in one stage since.
+#[test]
+fn an_instance_tells_the_present_age_of_an_order() {
+    let host = host();
+    host.enable_roll_outs(BOUNDS);
+    let (link, _rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    let told_at = clock::now();
+    let before = record(r#""Shifting""#);
+    let streams = ToGate::Streams(KnownStreams::default(), Trailing(Some(vec![before.to_vec()])));
+    host.handle(told_at, link, streams.clone());
+    // A late copy of what was told does not make the order younger.
+    host.handle(told_at + Duration::from_secs(3_600), link, streams);
+    let (tx, mut rx) = unbounded_channel();
+    let later = host.connect(tx);
+    let hello = ToGate::Hello {
+        instance: InstanceName::from("j"),
+        usage: Vec::new(),
+        usage_age: Duration::ZERO,
+    };
+    host.handle(told_at + Duration::from_secs(3 * 3_600), later, hello);
+    let [record] = &told(&mut rx)[..] else { panic!("one record is told") };
+    let parse =
+        |record: &[u8]| -> serde_json::Value { serde_json::from_slice(record).expect("a record") };
+    let (before, record) = (parse(&before), parse(record));
+    let passed_ms = |field: &str| record[field].as_u64().zip(before[field].as_u64());
+    assert_eq!(passed_ms("age_ms"), Some((3 * 3_600_000 + 1_000, 1_000)));
+    let (wall_ms, wall_ms_before) = passed_ms("wall_ms").expect("a wall-clock time");
+    assert_eq!(wall_ms - wall_ms_before, 3 * 3_600_000, "its reader adds the rest");
+}
+
+/// Guards against a new gate that takes an order to be younger than it is: a record that was written
+/// more than an hour ago tells no more than that hour, and the roll-out went on past its deadline.
+#[tokio::test]
+async fn a_new_gate_learns_the_age_of_an_order_from_another_instance() {
+    let hours = |count: u64| Duration::from_secs(count * 3_600);
+    let store = Arc::new(SharedStore::default());
+    store.set(STATUS, Bytes::from("InProgress"));
+    store.set(RECORD, aged_record(r#""Observing""#, Duration::from_secs(1), hours(3), hours(2)));
+    let host = host();
+    let (link, _rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    start_keeper(&store, &host);
+    let present = aged_record(r#""Observing""#, hours(3), Duration::ZERO, hours(2));
+    let told = Trailing(Some(vec![present.to_vec()]));
+    host.handle(clock::now(), link, ToGate::Streams(KnownStreams::default(), told));
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(store.text(STATUS), "RolledBack", "{}", store.text(RECORD));
+}
--- a/lacewingspring_proxy/tests/roll_out_support/mod.rs
+++ b/lacewingspring_proxy/tests/roll_out_support/mod.rs
@@ -41,7 +41,8 @@
 /// Key of the status.
 pub const STATUS: &str = "status";
 
-const BOUNDS: Bounds =
+/// Bounds on what a bad version may get.
+pub const BOUNDS: Bounds =
     Bounds { share: 0.1, tolerance: 50.0, rollback_timeout: Duration::from_secs(5) };
 
 /// Returns a revision of the first era.
@@ -63,6 +64,18 @@
     ))
 }
 
+/// Returns a record of the order of revision 5 in a stage, as it was written `written_ago` when the
+/// order had this age, with the time that the operator allows.
+pub fn aged_record(stage: &str, age: Duration, written_ago: Duration, allowed: Duration) -> Bytes {
+    let wall_ms = clock::wall().saturating_sub(written_ago).as_millis();
+    let (age_ms, allowed_ms) = (age.as_millis(), allowed.as_millis());
+    Bytes::from(format!(
+        r#"{{"service":"app","target":"v2","order":{{"era":0,"revision":5}},
+        "allowed_ms":{allowed_ms},"age_ms":{age_ms},"wall_ms":{wall_ms},"stage":{stage},
+        "counts":{{}}}}"#
+    ))
+}
+
 /// Returns an order of a version.
 pub fn order(target: &str, revision: u64) -> DeclaredOrder {
     DeclaredOrder {
