Let two instances agree before the circuit of an upstream opens

Cause: the circuit of an upstream opened after three broken runs, whoever sent them. An instance whose own path breaks its connections could open the circuits of sound upstreams.

Change: three runs that broke one after the other within two seconds open the circuit if two instances sent them, or if there is one instance only. They are counted where the links are known (`broken_runs`), and a completed run ends the row.

Test: one instance of two, a crash, and single broken runs open no circuit.

--- a/lacewingspring_core/src/dispatch/finding.rs
+++ b/lacewingspring_core/src/dispatch/finding.rs
@@ -59,8 +59,8 @@
         /// The load.
         load: UpstreamLoad,
     },
-    /// The connections of an upstream break one after the other, so that it gets one request at a
-    /// time; or it has responded since.
+    /// An upstream breaks one run after the other, so that it gets one request at a time; or it has
+    /// responded since.
     CircuitChanged {
         /// The upstream.
         upstream: UpstreamName,
--- a/lacewingspring_core/src/dispatch/link_paths.rs
+++ b/lacewingspring_core/src/dispatch/link_paths.rs
@@ -51,6 +51,11 @@
         self.0.entry(link).or_default();
     }
 
+    /// Returns the number of instances that asked for slots.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Records that an instance could not connect to an upstream; returns whether that is taken for
     /// a fault of the upstream.
     pub fn record_failure(&mut self, now: Duration, link: u64, upstream: &UpstreamName) -> bool {
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -13,6 +13,18 @@
     time::Duration,
 };
 
+use self::{
+    broken_runs::BrokenRuns,
+    budget::RetryBudgets,
+    crashes::Crashes,
+    link_paths::LinkPaths,
+    open_request::{Charge, OpenRequest},
+    pool::{CircuitChange, Pool},
+    quota::Quotas,
+    refusal_history::RefusalHistory,
+    resumptions::Resumptions,
+    workspace_shares::ShareConfig,
+};
 pub use self::{
     budget::RetryBound,
     finding::Finding,
@@ -27,23 +39,12 @@
     },
     workspace_shares::ShareUse,
 };
-use self::{
-    budget::RetryBudgets,
-    crashes::Crashes,
-    link_paths::LinkPaths,
-    open_request::{Charge, OpenRequest},
-    pool::{CircuitChange, Pool},
-    quota::Quotas,
-    refusal_history::RefusalHistory,
-    resumptions::Resumptions,
-    workspace_shares::ShareConfig,
-};
 pub use self::{roll_outs::BarredVersions, version_choice::VersionUse};
 use crate::names::{ServiceName, UpstreamName, WorkspaceName};
 
 mod brittle;
+mod broken_runs;
 mod budget;
-mod circuit_breaker;
 mod crash_events;
 mod crash_history;
 mod crashes;
@@ -110,6 +111,7 @@
     crashes: Crashes,
     resumptions: Resumptions,
     link_paths: LinkPaths,
+    broken_runs: BrokenRuns,
     findings: Vec<Finding>,
     refusals: RefusalHistory,
     /// Part of the fleet's slots and limits that may be used here.
@@ -365,7 +367,12 @@
         }
         let mut decisions =
             if is_new_crash { self.refuse_crashing_waiting(now) } else { Vec::new() };
+        let breaks_runs =
+            upstream.filter(|upstream| self.breaks_runs(now, ticket, &open, upstream, end));
         if let Some(pool) = self.pools.get_mut(&open.service) {
+            if let Some(upstream) = breaks_runs {
+                pool.open_circuit(now, upstream);
+            }
             decisions.extend(pool.end(now, ticket, end));
         }
         self.settle(now, decisions)
@@ -425,7 +432,12 @@
     fn settle(&mut self, now: Duration, decisions: Vec<Decision>) -> Vec<Decision> {
         for decision in &decisions {
             match decision {
-                Decision::Granted(ticket, grant) => self.record_stream(now, *ticket, grant),
+                Decision::Granted(ticket, grant) => {
+                    if let Some(open) = self.open.get_mut(ticket) {
+                        open.granted_at = Some(now);
+                    }
+                    self.record_stream(now, *ticket, grant);
+                }
                 Decision::Refused(ticket, _) => self.close_refused(now, *ticket),
             }
         }
--- a/lacewingspring_core/src/dispatch/open_request.rs
+++ b/lacewingspring_core/src/dispatch/open_request.rs
@@ -18,6 +18,9 @@
     pub parts: Vec<u64>,
     /// Stream that it is for.
     pub stream: Option<StreamRef>,
+    /// Time at which it was granted a slot here; `None` while it waits, and if an earlier gate
+    /// granted it.
+    pub granted_at: Option<Duration>,
     /// Time of the first event of its answer.
     pub first_output_at: Option<Duration>,
     /// Time at which its latency target passes.
@@ -34,6 +37,7 @@
             fingerprint: request.fingerprint,
             parts: request.work.shared_parts(),
             stream: request.stream,
+            granted_at: None,
             first_output_at: None,
             late_at: now + request.target_left,
             charge,
--- a/lacewingspring_core/src/dispatch/pool.rs
+++ b/lacewingspring_core/src/dispatch/pool.rs
@@ -41,7 +41,7 @@
 impl CircuitChange {
     /// Returns the change of an upstream's circuit since it `was_open`, if there is one.
     fn since(was_open: bool, state: &UpstreamState) -> Option<Self> {
-        let is_open = state.circuit.is_open();
+        let is_open = state.is_circuit_open;
         (is_open != was_open).then(|| Self { upstream: state.info.name.clone(), is_open })
     }
 }
@@ -240,7 +240,7 @@
         self.versions.record_first_output(ticket, took);
         if let Some(state) = self.upstreams.get_mut(&running.upstream) {
             self.load_reports.count_prediction(&running.run, took);
-            let was_open = state.circuit.is_open();
+            let was_open = state.is_circuit_open;
             state.first_output(now, &mut running.run, took);
             self.circuit_changes.extend(CircuitChange::since(was_open, state));
         }
@@ -265,6 +265,16 @@
         self.dispatch_waiting(now)
     }
 
+    /// Sends an upstream nothing for a while, and then one request at a time until it responds, as
+    /// it breaks one run after the other.
+    pub fn open_circuit(&mut self, now: Duration, upstream: &UpstreamName) {
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            let was_open = state.is_circuit_open;
+            state.open_circuit(now);
+            self.circuit_changes.extend(CircuitChange::since(was_open, state));
+        }
+    }
+
     fn end_run(&mut self, now: Duration, running: &Running, end: End) {
         if let End::Finished { took, .. } = end {
             let mean = self.service_time.as_secs_f64();
@@ -278,7 +288,7 @@
             self.brittle.record_declined(now, &running.upstream);
         }
         if let Some(state) = self.upstreams.get_mut(&running.upstream) {
-            let was_open = state.circuit.is_open();
+            let was_open = state.is_circuit_open;
             state.end_run(now, &running.run, end);
             self.circuit_changes.extend(CircuitChange::since(was_open, state));
         }
--- a/lacewingspring_core/src/dispatch/pool/capacity.rs
+++ b/lacewingspring_core/src/dispatch/pool/capacity.rs
@@ -32,10 +32,10 @@
     /// use. It leaves none where no requests of others are reported, as when the instances that
     /// are apart have ended.
     ///
-    /// An upstream whose connections break one after the other gets one request at a time, which
-    /// shows whether it responds again.
+    /// An upstream that broke one run after the other gets one request at a time, which shows
+    /// whether it responds again.
     pub(super) fn of(self, now: Duration, state: &UpstreamState) -> u32 {
-        if state.circuit.is_open() {
+        if state.is_circuit_open {
             return 1;
         }
         let limit = self.without_others(state.info.slots);
--- a/lacewingspring_core/src/dispatch/reports.rs
+++ b/lacewingspring_core/src/dispatch/reports.rs
@@ -88,4 +88,28 @@
             _ => end,
         }
     }
+
+    /// Records what the end of a run says of its upstream; returns whether the upstream breaks one
+    /// run after the other.
+    pub(super) fn breaks_runs(
+        &mut self,
+        now: Duration,
+        ticket: Ticket,
+        open: &OpenRequest,
+        upstream: &UpstreamName,
+        end: End,
+    ) -> bool {
+        match end {
+            End::Broken => {
+                let is_only_link = self.link_paths.len() <= 1;
+                let (runs, link) = (&mut self.broken_runs, ticket.link);
+                runs.record(now, link, upstream, open, is_only_link)
+            }
+            End::Finished { .. } => {
+                self.broken_runs.record_completed(upstream);
+                false
+            }
+            _ => false,
+        }
+    }
 }
--- a/lacewingspring_core/src/dispatch/upstream_state.rs
+++ b/lacewingspring_core/src/dispatch/upstream_state.rs
@@ -7,7 +7,6 @@
 };
 
 use super::{
-    circuit_breaker::CircuitBreaker,
     reported_load::{ReportedLoad, RunForecast},
     upstream::UpstreamInfo,
     work::{End, PromptPart, SlotRequest, Work},
@@ -131,8 +130,6 @@
     pub has_output: bool,
     /// Start of the process that it runs on, in Unix milliseconds.
     pub started_at_ms: u64,
-    /// Time of the grant.
-    pub granted_at: Duration,
     /// What was expected of it from the reports of the upstream.
     pub forecast: RunForecast,
 }
@@ -146,7 +143,6 @@
             memory_tokens: work.memory_tokens(),
             has_output: false,
             started_at_ms: 0,
-            granted_at: Duration::ZERO,
             forecast: RunForecast::default(),
         }
     }
@@ -174,8 +170,9 @@
     failure_rate_at: Duration,
     backoff_until: Duration,
     next_backoff: Duration,
-    /// Whether its connections break one after the other.
-    pub circuit: CircuitBreaker,
+    /// Whether it gets one request at a time, as it broke one run after the other and has not
+    /// responded since.
+    pub is_circuit_open: bool,
     /// Time of the latest run with each prompt part.
     cached_parts: HashMap<u64, Duration, BuildPartHasher>,
     /// Ids of the cached parts in the order in which they were added.
@@ -197,7 +194,7 @@
             failure_rate_at: Duration::ZERO,
             backoff_until: Duration::ZERO,
             next_backoff: INITIAL_BACKOFF,
-            circuit: CircuitBreaker::default(),
+            is_circuit_open: false,
             cached_parts: HashMap::default(),
             cache_order: VecDeque::new(),
         }
@@ -328,7 +325,6 @@
             memory_tokens: work.memory_tokens(),
             has_output: false,
             started_at_ms: self.info.started_at_ms,
-            granted_at: now,
             forecast: self.reported.forecast(now, self.running, self.info.slots),
         };
         if self.reported.is_known() {
@@ -377,7 +373,7 @@
         if std::mem::replace(&mut run.has_output, true) {
             return;
         }
-        self.circuit.record_response();
+        self.is_circuit_open = false;
         self.pending_prefill_tokens =
             self.pending_prefill_tokens.saturating_sub(u64::from(run.prefill_tokens));
         let tokens = run.prefill_tokens_ahead + f64::from(run.prefill_tokens);
@@ -406,7 +402,7 @@
         match end {
             End::Finished { took, output_tokens, decode, .. } => {
                 self.next_backoff = INITIAL_BACKOFF;
-                self.circuit.record_response();
+                self.is_circuit_open = false;
                 self.failure_rate = self.failure_rate(now) * (1.0 - FAILURE_SAMPLE_WEIGHT);
                 self.failure_rate_at = now;
                 if output_tokens >= MIN_DECODE_SAMPLE_TOKENS {
@@ -421,17 +417,17 @@
                 self.record_service_time(now, run, millis(took));
             }
             End::Failed => {
-                self.circuit.record_response();
+                self.is_circuit_open = false;
                 self.record_failure(now);
             }
             End::Broken => {
                 self.record_failure(now);
-                if !run.has_output {
-                    self.record_broken(now, run.granted_at);
+                if self.is_circuit_open {
+                    self.back_off(now);
                 }
             }
             End::Declined => {
-                self.circuit.record_response();
+                self.is_circuit_open = false;
                 self.backoff_until = self.backoff_until.max(now + DECLINED_PAUSE);
             }
             End::Unreachable | End::Misdirected => self.back_off(now),
@@ -446,11 +442,11 @@
         self.failure_rate_at = now;
     }
 
-    fn record_broken(&mut self, now: Duration, granted_at: Duration) {
-        self.circuit.record_broken(now, granted_at);
-        if self.circuit.is_open() {
-            self.back_off(now);
-        }
+    /// Sends nothing for a while, and then one request at a time until it responds, as it breaks
+    /// one run after the other.
+    pub fn open_circuit(&mut self, now: Duration) {
+        self.is_circuit_open = true;
+        self.back_off(now);
     }
 
     fn back_off(&mut self, now: Duration) {
--- a/lacewingspring_core/tests/upstream_trouble.rs
+++ b/lacewingspring_core/tests/upstream_trouble.rs
@@ -198,14 +198,69 @@
     assert_eq!(changes, [change(true), change(false)]);
 }
 
-/// Guards against an upstream that is left alone because one crash broke several runs.
+/// Requests a slot of the instance with a link and ends its run with a broken connection; returns
+/// its upstream, `None` if the request waits.
+fn break_run(dispatcher: &mut Dispatcher, at: u64, link: u64) -> Option<String> {
+    let mut request = request("a");
+    request.fingerprint = at;
+    let ticket = Ticket { link, number: at };
+    let decisions = dispatcher.request_slot(ms(at), ticket, request);
+    let upstream = granted(&decisions).first().map(|(_, upstream)| (*upstream).to_owned());
+    dispatcher.end(ms(at), ticket, End::Broken);
+    upstream
+}
+
+/// Occupies all slots of the upstream `busy`, so that requests go to the other one.
+fn with_busy_upstream(links: u64) -> Dispatcher {
+    let mut dispatcher = dispatcher(&[upstream("busy", 1)]);
+    for link in 1..=links {
+        dispatcher.request_slot(ms(0), Ticket { link, number: 0 }, request("a"));
+    }
+    for link in 2..=links {
+        dispatcher.end(ms(0), Ticket { link, number: 0 }, End::Cancelled);
+    }
+    dispatcher.set_upstreams(ms(0), [upstream("busy", 1), upstream("broken", 4)]);
+    dispatcher
+}
+
+/// Guards against the loss of all requests that find no other slot at an upstream that breaks each
+/// run at once.
 #[test]
-fn a_crash_that_breaks_several_runs_does_not_back_the_upstream_off() {
-    let mut dispatcher = dispatcher(&[upstream("s1", 6)]);
-    assert_eq!(fill(&mut dispatcher, ms(0), 0..6), 6);
-    for number in 0..6 {
-        dispatcher.end(ms(100), ticket(number), End::Broken);
+fn pauses_an_upstream_that_breaks_one_run_after_the_other() {
+    let mut dispatcher = with_busy_upstream(2);
+    let broken = (1..=100).filter(|at| {
+        break_run(&mut dispatcher, *at, 1 + at % 2).is_some_and(|upstream| upstream == "broken")
+    });
+    assert_eq!(broken.count(), 3);
+    assert_eq!(break_run(&mut dispatcher, 253, 1).as_deref(), Some("broken"), "after the pause");
+    assert_eq!(break_run(&mut dispatcher, 254, 2), None, "it still breaks runs");
+}
+
+/// Guards against a pause by an instance whose own path breaks its connections.
+#[test]
+fn one_of_several_instances_does_not_pause_an_upstream() {
+    let mut dispatcher = with_busy_upstream(2);
+    for at in 1..=10 {
+        assert_eq!(break_run(&mut dispatcher, at, 1).as_deref(), Some("broken"));
+    }
+}
+
+/// Guards against a pause after a crash, which breaks all runs of an upstream at once, and after
+/// broken runs between completed ones.
+#[test]
+fn a_crash_or_single_broken_runs_do_not_pause_an_upstream() {
+    let mut dispatcher = with_busy_upstream(1);
+    let numbered = |number| SlotRequest { fingerprint: number, ..request("a") };
+    for number in 1..=4 {
+        dispatcher.request_slot(ms(10), ticket(number), numbered(number));
+    }
+    for number in 1..=4 {
+        dispatcher.end(ms(20 + number), ticket(number), End::Broken);
+    }
+    assert_eq!(break_run(&mut dispatcher, 30, LINK).as_deref(), Some("broken"));
+    for at in [40, 50, 60] {
+        dispatcher.request_slot(ms(at), ticket(at), numbered(at));
+        dispatcher.end(ms(at), ticket(at), finished(1, 0));
+        assert_eq!(break_run(&mut dispatcher, at + 1, LINK).as_deref(), Some("broken"));
     }
-    let other = SlotRequest { fingerprint: 8, ..request("a") };
-    assert_eq!(granted(&dispatcher.request_slot(ms(101), ticket(7), other)).len(), 1);
 }
--- a/lacewingspring_proxy/src/gate/findings.rs
+++ b/lacewingspring_proxy/src/gate/findings.rs
@@ -43,12 +43,11 @@
         ),
         Finding::CircuitChanged { upstream, is_open: true } => warn!(
             upstream = upstream.as_str();
-            "The connections of an upstream break one after the other; it gets one request at a \
-             time."
+            "An upstream breaks one run after the other; it gets one request at a time."
         ),
         Finding::CircuitChanged { upstream, is_open: false } => info!(
             upstream = upstream.as_str();
-            "An upstream whose connections broke responds again."
+            "An upstream that broke runs responds again."
         ),
         Finding::Unreachable { upstream, link, backs_off } => info!(
             upstream = upstream.as_str(), link, backs_off;
