--- a/lacewingspring_core/src/dispatch/broken_runs.rs
+++ b/lacewingspring_core/src/dispatch/broken_runs.rs
@@ -21,6 +21,8 @@
     at: Duration,
     /// Link of the instance that sent it.
     link: u64,
+    /// Digest of its request.
+    fingerprint: u64,
 }
 
 /// Runs that each upstream broke in a row, the oldest first.
@@ -50,11 +52,23 @@
         {
             return false;
         }
-        runs.push(BrokenRun { at: now, link });
+        runs.push(BrokenRun { at: now, link, fingerprint: open.fingerprint });
         let is_agreed = is_only_link || runs.iter().any(|run| run.link != link);
         runs.len() >= MAX_IN_A_ROW && is_agreed
     }
 
+    /// Returns whether an upstream broke a run of another request from `since` on, and completed
+    /// none.
+    pub fn broke_other_since(
+        &self,
+        since: Duration,
+        upstream: &UpstreamName,
+        fingerprint: u64,
+    ) -> bool {
+        let mut runs = self.0.get(upstream).into_iter().flatten();
+        runs.any(|run| run.at >= since && run.fingerprint != fingerprint)
+    }
+
     /// Records that an upstream completed a run.
     pub fn record_completed(&mut self, upstream: &UpstreamName) {
         self.0.remove(upstream);
--- a/lacewingspring_core/src/dispatch/crashes.rs
+++ b/lacewingspring_core/src/dispatch/crashes.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use super::{
+    broken_runs::BrokenRuns,
     crash_history::CrashHistory,
     crashing_parts::{BLOCKED_RETRY_AFTER, CrashingParts},
     finding::Finding,
@@ -62,11 +63,12 @@
         open: &OpenRequest,
         upstream: Option<&UpstreamName>,
         end: End,
+        broken_runs: &BrokenRuns,
     ) -> bool {
         self.settle_unframed_ends(now);
         let is_new = match (end, upstream) {
             (End::Broken, Some(upstream)) => {
-                let is_new = self.record_crash(now, ticket, open, upstream);
+                let is_new = self.record_crash(now, ticket, open, upstream, broken_runs);
                 self.record_crash_of_unframed(now, upstream) | is_new
             }
             (End::Unreachable, Some(upstream)) => self.record_crash_of_unframed(now, upstream),
@@ -113,13 +115,14 @@
         ticket: Ticket,
         open: &OpenRequest,
         upstream: &UpstreamName,
+        broken_runs: &BrokenRuns,
     ) -> bool {
         let (fingerprint, upstream) = (open.fingerprint, upstream.clone());
         let (crashes, is_new) = if open.is_survived(now) {
             self.requests.clear(fingerprint);
             (0, false)
         } else {
-            let crashes = self.requests.record_crash(now, fingerprint, &upstream);
+            let crashes = self.requests.record_crash(now, fingerprint, &upstream, broken_runs);
             (crashes, self.parts.record_crash(now, ticket, &upstream, &open.parts))
         };
         self.findings.push(Finding::RunBroken { upstream, fingerprint, crashes });
--- a/lacewingspring_core/src/dispatch/finding.rs
+++ b/lacewingspring_core/src/dispatch/finding.rs
@@ -12,7 +12,7 @@
         upstream: UpstreamName,
         /// Digest of the request.
         fingerprint: u64,
-        /// Number of consecutive runs of the request that ended so.
+        /// Number of consecutive runs of the request that ended so and count.
         crashes: u32,
     },
     /// A prompt part is among those with the most crashes; requests with it are run one at a time.
--- a/lacewingspring_core/src/dispatch/mod.rs
+++ b/lacewingspring_core/src/dispatch/mod.rs
@@ -357,7 +357,8 @@
         let upstream = pool.upstream_of(ticket).cloned();
         let end = self.judge_connection(now, ticket, &open, upstream.as_ref(), end);
         let upstream = upstream.as_ref();
-        let is_new_crash = self.crashes.record_end(now, ticket, &open, upstream, end);
+        let is_new_crash =
+            self.crashes.record_end(now, ticket, &open, upstream, end, &self.broken_runs);
         let is_unsent =
             matches!(end, End::Unreachable | End::Misdirected | End::Leaving | End::Unused);
         if let Some(charge) = &open.charge
