Wait for the other instances before a roll-out is continued after a restore

A gate that was killed around a restore of the store and started again at once found only itself registered, as the copy lacks the entries of the others. It took itself for the whole fleet, continued a roll-out from the copy, and sent requests to a version that was rolled back since.

A process that has just started, finds only itself registered and reads a record whose order is of an earlier era now takes up no roll-out until another instance is registered or has told the records, and at most until 3 s after its start. Meanwhile it serves requests, but uses neither the targets of orders that are not completed nor the versions that the records exclude. No message and no call is added.

--- a/lacewingspring_proxy/src/gate/host/share.rs
+++ b/lacewingspring_proxy/src/gate/host/share.rs
@@ -23,6 +23,11 @@
         state.roster.set_registered(now, members.all().iter().map(registered));
         state.update_fleet_share(now);
     }
+
+    /// Returns whether no other instance than this one is registered.
+    pub(in crate::gate) fn is_only_member(&self) -> bool {
+        self.members.load().len() <= 1
+    }
 }
 
 impl State {
--- a/lacewingspring_proxy/src/gate/roll_out/keeper.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/keeper.rs
@@ -26,6 +26,11 @@
 /// Delay after a failed read of the records.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Time after the start of the process up to which it waits for instances whose entries the
+/// key-value service has lost. They register again within 2.2 s: the interval of renewals, the time
+/// limit of a call and the delay before the next one.
+const MAX_WAIT_FOR_OTHERS: Duration = Duration::from_secs(3);
+
 /// What the keepers of all services share.
 pub(super) struct Context<S, T> {
     pub store: Arc<S>,
@@ -38,6 +43,7 @@
 pub struct Keeper<S, T> {
     context: Context<S, T>,
     services: BTreeMap<ServiceName, ServiceKeeper>,
+    started_at: Duration,
 }
 
 impl<S, T> Keeper<S, T>
@@ -53,7 +59,7 @@
         metrics: SharedMetrics,
     ) -> Self {
         let context = Context { store, decoder, host, metrics };
-        Self { context, services: BTreeMap::new() }
+        Self { context, services: BTreeMap::new(), started_at: clock::now() }
     }
 
     /// Follows the orders. Never returns.
@@ -63,14 +69,18 @@
             while !self.is_gate() {
                 sleep(DECISION_INTERVAL).await;
             }
-            if let Err(e) = self.load_all().await {
-                if !std::mem::replace(&mut is_failing, true) {
-                    warn!(error:% = e; "Reading the records of roll-outs failed; trying again.");
+            let records = match self.load_all().await {
+                Ok(records) => records,
+                Err(e) => {
+                    if !std::mem::replace(&mut is_failing, true) {
+                        warn!(error:% = e; "Reading the records of roll-outs failed; trying again.");
+                    }
+                    sleep(RETRY_DELAY).await;
+                    continue;
                 }
-                sleep(RETRY_DELAY).await;
-                continue;
-            }
+            };
             is_failing = false;
+            self.wait_for_others(&records).await;
             self.context.host.begin_roll_out_tenure(clock::now());
             while self.is_gate() {
                 self.step().await;
@@ -87,15 +97,58 @@
         self.context.host.serves_majority(clock::now())
     }
 
+    /// Waits, right after the start of the process, while it finds only itself registered and one of
+    /// the orders is of an earlier era of the key-value service. That was restored from an older
+    /// copy, which lacks the entries of the other instances and may lack what they know of the
+    /// roll-outs. Meanwhile the versions that the records exclude and their targets get nothing.
+    async fn wait_for_others(&self, records: &[RollOutRecord]) {
+        let host = &self.context.host;
+        let (began_at, era) = (clock::now(), self.context.store.era().0);
+        let must_wait = || {
+            let known = host.known_roll_outs();
+            let is_unsure =
+                |record: &RollOutRecord| record.order.era < era && !known.contains(&record.service);
+            clock::now() < self.started_at + MAX_WAIT_FOR_OTHERS
+                && host.is_only_member()
+                && records.iter().any(is_unsure)
+        };
+        if !must_wait() {
+            return;
+        }
+        host.begin_roll_out_tenure(began_at);
+        for record in records {
+            if let Some(keeper) = self.services.get(&record.service) {
+                keeper.exclude(&self.context, record);
+            }
+        }
+        info!(
+            services = records.len(), era,
+            uptime_ms = began_at.saturating_sub(self.started_at).as_millis() as u64;
+            "The key-value service was restored and has no other instance; roll-outs wait for the others."
+        );
+        while self.is_gate() && must_wait() {
+            sleep(DECISION_INTERVAL).await;
+        }
+        info!(
+            is_alone = host.is_only_member(), known = host.known_roll_outs().len(),
+            waited_ms = clock::now().saturating_sub(began_at).as_millis() as u64;
+            "The wait of roll-outs for the other instances has ended."
+        );
+    }
+
     /// Reads which services have a record, so that orders that were deleted meanwhile are noticed.
-    async fn load_all(&mut self) -> Result<(), StoreError> {
+    async fn load_all(&mut self) -> Result<Vec<RollOutRecord>, StoreError> {
+        let mut records = Vec::new();
         let mut after: Option<String> = None;
         loop {
             let page = timeout(CALL_TIMEOUT, self.context.store.range(PREFIX, after.as_deref()));
             let page = page.await.map_err(|_| StoreError::NoAnswer("timed out".into()))??;
             for item in &page.items {
                 match serde_json::from_slice::<RollOutRecord>(&item.value) {
-                    Ok(record) => self.add(record.service),
+                    Ok(record) => {
+                        self.add(record.service.clone());
+                        records.push(record);
+                    }
                     Err(e) => warn!(
                         key = item.key.as_str(), error:% = e;
                         "The record of a roll-out can't be parsed; it is ignored."
@@ -104,7 +157,7 @@
             }
             after = page.items.last().map(|item| item.key.clone());
             if !page.has_more || after.is_none() {
-                return Ok(());
+                return Ok(records);
             }
         }
     }
--- a/lacewingspring_proxy/src/gate/roll_out/service_keeper.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/service_keeper.rs
@@ -292,6 +292,15 @@
         self.apply_rule(context, record, !matches!(record.stage, Stage::RolledBack(_)));
     }
 
+    /// Bars the versions that a record excludes, and its target unless it is in service, before the
+    /// roll-out is taken up.
+    pub fn exclude<S, T>(&self, context: &Context<S, T>, record: &RollOutRecord)
+    where
+        T: StateDecoder,
+    {
+        self.apply_rule(context, record, record.stage == Stage::Completed);
+    }
+
     fn order(&self, record: &RollOutRecord) -> lacewingspring_core::roll_out::Order {
         let order = record.order_at(clock::now(), clock::wall());
         let deadline = self.received_at + Duration::from_millis(record.allowed_ms);
--- a/lacewingspring_proxy/tests/roll_out_restored_record.rs
+++ b/lacewingspring_proxy/tests/roll_out_restored_record.rs
@@ -6,14 +6,18 @@
     time::Duration,
 };
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
 use lacewingspring_core::{dispatch::KnownStreams, names::InstanceName};
 use lacewingspring_proxy::{
     clock,
     gate::message::{EncodedRollOuts, FromGate, ToGate, Trailing},
 };
-use roll_out_support::{BOUNDS, RECORD, STATUS, SharedStore, aged_record, record, start_keeper};
-use support::{host, open_link};
+use roll_out_support::{
+    BOUNDS, RECORD, STATUS, SharedStore, aged_record, is_granted, record, record_with, rev,
+    start_keeper, upstream,
+};
+use support::{host, host_in, members, open_link, open_link_of};
 use tokio::{
     sync::mpsc::{UnboundedReceiver, unbounded_channel},
     time::sleep,
@@ -162,3 +166,88 @@
     sleep(Duration::from_secs(2)).await;
     assert_eq!(store.text(STATUS), "RolledBack", "{}", store.text(RECORD));
 }
+
+/// Guards against a process that starts right after the store was restored from an older copy and
+/// takes itself for the whole fleet: it continued a roll-out that was rolled back since.
+#[tokio::test]
+async fn a_gate_that_starts_alone_after_a_restore_waits_for_the_other_instances() {
+    let store = Arc::new(SharedStore::default());
+    store.begin_era();
+    store.set(STATUS, Bytes::from("InProgress"));
+    store.set(RECORD, record(r#""Observing""#));
+    let fleet = Arc::new(ArcSwap::from_pointee(members(&["i"])));
+    let host = host_in(fleet.clone());
+    let (_link, mut rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    start_keeper(&store, &host);
+    sleep(Duration::from_millis(900)).await;
+    assert!(told(&mut rx).is_empty(), "the roll-out is not taken up");
+    fleet.store(Arc::new(members(&["i", "j", "k"])));
+    host.on_members_changed(clock::now());
+    sleep(Duration::from_millis(300)).await;
+    assert!(told(&mut rx).is_empty(), "most instances are not linked");
+    let (other, _rx) = open_link_of("j", &host, Vec::new(), Duration::from_secs(3_600));
+    let rolled_back = Trailing(Some(vec![record(ROLLED_BACK).to_vec()]));
+    host.handle(clock::now(), other, ToGate::Streams(KnownStreams::default(), rolled_back));
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(store.text(STATUS), "RolledBack");
+    let told = told(&mut rx);
+    let is_rolled_back =
+        |record: &Vec<u8>| String::from_utf8_lossy(record).contains("DeadlinePassed");
+    assert!(told.len() == 1 && told.iter().all(is_rolled_back), "all instances are told");
+}
+
+/// Guards against requests to a version that an earlier order rolled back while the gate waits.
+#[tokio::test]
+async fn a_waiting_gate_uses_no_version_that_the_record_excludes() {
+    let store = Arc::new(SharedStore::default());
+    store.begin_era();
+    store.set(STATUS, Bytes::from("InProgress"));
+    store.set(RECORD, record_with(r#""Observing""#, r#""rolled_back":["v0"]"#));
+    let host = host();
+    let (link, mut rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    start_keeper(&store, &host);
+    host.set_registry_revision(rev(7));
+    host.set_upstreams(clock::now(), [upstream("v1", 1), upstream("v0", 2), upstream("v2", 3)]);
+    sleep(Duration::from_secs(1)).await;
+    let granted = (1..=12).filter(|number| is_granted(&host, link, *number, &mut rx)).count();
+    assert_eq!(granted, 4, "only the slots of v1 are used");
+}
+
+/// Guards against a wait without end in a fleet of one instance, or if the instances that know more
+/// have ended.
+#[tokio::test]
+async fn a_gate_that_stays_alone_after_a_restore_continues_from_the_record() {
+    let store = Arc::new(SharedStore::default());
+    store.begin_era();
+    store.set(STATUS, Bytes::from("InProgress"));
+    store.set(RECORD, record(r#""Observing""#));
+    let host = host();
+    let (_link, mut rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    start_keeper(&store, &host);
+    sleep(Duration::from_secs(4)).await;
+    let [record] = &told(&mut rx)[..] else { panic!("one record is told") };
+    assert!(String::from_utf8_lossy(record).contains("Observing"));
+}
+
+/// Guards against a wait where the store was not restored, or where another instance is registered.
+#[tokio::test]
+async fn a_gate_that_starts_waits_only_if_the_store_was_restored_and_it_is_alone() {
+    for (is_restored, instances) in [(false, &["i"][..]), (true, &["i", "j"])] {
+        let store = Arc::new(SharedStore::default());
+        if is_restored {
+            store.begin_era();
+        }
+        store.set(STATUS, Bytes::from("InProgress"));
+        store.set(RECORD, record(r#""Observing""#));
+        let host = host_in(Arc::new(ArcSwap::from_pointee(members(instances))));
+        let links: Vec<_> = instances
+            .iter()
+            .map(|name| open_link_of(name, &host, Vec::new(), Duration::from_secs(3_600)))
+            .collect();
+        start_keeper(&store, &host);
+        sleep(Duration::from_secs(1)).await;
+        for (_, mut rx) in links {
+            assert_eq!(told(&mut rx).len(), 1, "restored: {is_restored}");
+        }
+    }
+}
--- a/lacewingspring_proxy/tests/support/mod.rs
+++ b/lacewingspring_proxy/tests/support/mod.rs
@@ -40,8 +40,8 @@
     host
 }
 
-/// Creates a gate in a fleet of these instances that knows upstreams, but no limits.
-pub fn host_without_configuration(instances: &[&str]) -> Arc<GateHost> {
+/// Returns a fleet of these instances.
+pub fn members(instances: &[&str]) -> Members {
     let address = SocketAddr::from(([127, 0, 0, 1], 8000));
     let member = |name: &&str| Member {
         instance: InstanceName::from(*name),
@@ -52,9 +52,17 @@
         peer_address: address,
         is_leaving: false,
     };
-    let members = instances.iter().map(|name| (Revision::default(), member(name)));
-    let members = Members::from_iter(members);
-    let members: SharedMembers = Arc::new(ArcSwap::from_pointee(members));
+    Members::from_iter(instances.iter().map(|name| (Revision::default(), member(name))))
+}
+
+/// Creates a gate in a fleet of these instances that knows upstreams, but no limits.
+pub fn host_without_configuration(instances: &[&str]) -> Arc<GateHost> {
+    host_in(Arc::new(ArcSwap::from_pointee(members(instances))))
+}
+
+/// Creates a gate in a fleet that knows upstreams, but no limits.
+pub fn host_in(members: SharedMembers) -> Arc<GateHost> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 8000));
     let host = GateHost::new(members, Arc::new(Replicas::default()), None);
     host.on_members_changed(clock::now());
     let upstream = UpstreamInfo {
