Count slow responses that one stall delays together once in the decision on a roll-out

Cause: on a busy machine processes stand still for some 100 ms. The requests that waited at the gate are granted within 3 ms, and as the target gets its requests in bursts, one stall of an instance delays several of its responses at once and few of the many of the other versions in the same period of 250 ms. Each counted as evidence of its own. Traced: twice, 5 of 13 and 14 responses of a sound version took 160 and 120 ms and ended within 0.2 ms of each other; with 1 and 4 of the old version beside, that was certain evidence (log ratio 8.3 to 9.7). Change: slow responses of one version that were sent within 5 ms and ended within 1 ms of each other count once, as broken connections of one crash do. All count as bad responses in the record.

--- a/lacewingspring_core/src/roll_out/comparison.rs
+++ b/lacewingspring_core/src/roll_out/comparison.rs
@@ -10,6 +10,7 @@
     reference::Reference,
     sample::{Sample, SampleOutcome},
     stage::{Defect, Evidence},
+    stalls::Stalls,
 };
 
 fn failure_rate(tally: Tally) -> Rate {
@@ -37,6 +38,8 @@
 pub(super) struct Comparison {
     reference: Reference,
     breaks: Breaks,
+    target_stalls: Stalls,
+    old_stalls: Stalls,
     pub failures: DefectSeries,
     pub slowness: DefectSeries,
     /// Responses that reach their deadline, also where there is no reference for their times. They
@@ -58,6 +61,8 @@
         Self {
             reference: Reference::default(),
             breaks: Breaks::default(),
+            target_stalls: Stalls::default(),
+            old_stalls: Stalls::default(),
             failures: DefectSeries::inherited(failed, failure_rate(target), failure_rate(old)),
             slowness: DefectSeries::inherited(slow, slow_rate(target), slow_rate(old)),
             time_outs: DefectSeries::inherited(slow, Rate::default(), Rate::default()),
@@ -97,15 +102,15 @@
         }
         self.bad += u64::from(sample.is_target && (is_broken || has_failed == Some(true)));
         if sample.is_target {
-            self.record_time(&sample);
+            self.record_time(now, &sample);
             if self.reference.is_missing(&sample) && self.untimed.len() < MAX_UNTIMED {
                 self.untimed.push(sample);
             }
             return;
         }
-        self.record_time(&sample);
+        self.record_time(now, &sample);
         self.reference.record(&sample);
-        self.record_untimed();
+        self.record_untimed(now);
     }
 
     fn tally(&mut self, sample: &Sample) -> &mut Tally {
@@ -119,25 +124,29 @@
         }
     }
 
-    fn record_time(&mut self, sample: &Sample) {
+    fn record_time(&mut self, now: Duration, sample: &Sample) {
         let Some(is_slow) = self.reference.is_slow(sample) else { return };
+        // One that reached its deadline is counted already.
+        let has_timed_out = matches!(sample.outcome, SampleOutcome::TimedOut(_));
+        self.bad += u64::from(sample.is_target && is_slow && !has_timed_out);
+        let stalls = if sample.is_target { &mut self.target_stalls } else { &mut self.old_stalls };
+        if is_slow && !stalls.record(now, sample.sent_at) {
+            return;
+        }
         let tally = self.tally(sample);
         tally.timed += 1;
         tally.slow += u64::from(is_slow);
         self.slowness.record(sample, is_slow);
-        // One that reached its deadline is counted already.
-        let has_timed_out = matches!(sample.outcome, SampleOutcome::TimedOut(_));
-        self.bad += u64::from(sample.is_target && is_slow && !has_timed_out);
     }
 
     /// Judges the times of earlier responses for which there is a reference now.
-    fn record_untimed(&mut self) {
+    fn record_untimed(&mut self, now: Duration) {
         let untimed = std::mem::take(&mut self.untimed);
         for sample in untimed {
             if self.reference.is_missing(&sample) {
                 self.untimed.push(sample);
             } else {
-                self.record_time(&sample);
+                self.record_time(now, &sample);
             }
         }
     }
--- a/lacewingspring_core/src/roll_out/mod.rs
+++ b/lacewingspring_core/src/roll_out/mod.rs
@@ -30,6 +30,7 @@
 mod sample;
 mod series;
 mod stage;
+mod stalls;
 mod sufficiency;
 
 /// Time between the last decision to shift and the deadline, besides that in which running requests
--- /dev/null
+++ b/lacewingspring_core/src/roll_out/stalls.rs
@@ -0,0 +1,32 @@
+//! Slow responses that one stall of a machine delays together.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// Time within which slow responses were sent that count once. Requests that wait while the gate
+/// stands still are granted within 3 ms of each other.
+const SAME_SEND: Duration = Duration::from_millis(5);
+
+/// Time within which they ended. The ends of responses that an instance had under way while it stood
+/// still reach the gate within 0.2 ms. With a longer time, requests that are merely sent one shortly
+/// after another to a slow version count once.
+const SAME_END: Duration = Duration::from_millis(1);
+
+/// Slow responses of one version.
+#[derive(Debug, Default)]
+pub(super) struct Stalls {
+    /// Times at which the latest ones that counted were sent and ended.
+    latest: VecDeque<(Duration, Duration)>,
+}
+
+impl Stalls {
+    /// Returns whether a slow response that ends now counts: none that counted was sent and ended
+    /// at about the same times.
+    pub fn record(&mut self, now: Duration, sent_at: Duration) -> bool {
+        self.latest.retain(|(_, ended_at)| now.abs_diff(*ended_at) <= SAME_END);
+        if self.latest.iter().any(|(sent, _)| sent.abs_diff(sent_at) <= SAME_SEND) {
+            return false;
+        }
+        self.latest.push_back((sent_at, now));
+        true
+    }
+}
--- a/lacewingspring_core/tests/roll_out.rs
+++ b/lacewingspring_core/tests/roll_out.rs
@@ -380,3 +380,21 @@
     }
     assert_eq!(taken, 20);
 }
+
+/// Guards against a slow version that is kept because its requests are sent at the same time: their
+/// responses end at different times.
+#[test]
+fn a_slow_version_is_rolled_back_if_its_requests_are_sent_together() {
+    let mut roll_out = observing();
+    for number in 0..100 {
+        exchange(&mut roll_out, ms(10 * number), false, plain(50));
+    }
+    for number in 0..6 {
+        let (sent_at, took) = (ms(1_000), 150 + 2 * number);
+        let sample = sample(sent_at + ms(took), true, plain(took));
+        grant(&mut roll_out, sent_at, true);
+        roll_out.record_sample(sent_at + ms(took), Sample { sent_at, ..sample });
+    }
+    let stage = roll_out.decide(ms(1_200), &STATE);
+    assert!(matches!(stage, Stage::RolledBack(RollBackCause::Bad(_))), "{stage:?}");
+}
