--- a/lacewingspring_core/src/dispatch/queue.rs
+++ b/lacewingspring_core/src/dispatch/queue.rs
@@ -246,8 +246,8 @@
     }
 
     /// Returns the first request that resumes a stream of each version, and the first one of each
-    /// class queue, in the order in which they are to be dispatched. In a class queue, requests that
-    /// are due by `urgent_by` go before those of workspaces that were served less.
+    /// class queue, in the order in which they are to be dispatched. In a class queue, requests
+    /// that are due by `urgent_by` go before those of workspaces that were served less.
     pub fn heads(&self, urgent_by: Duration) -> Vec<&WaitingRequest> {
         let mut heads: Vec<(bool, f64, &WaitingRequest)> = Vec::new();
         for class in self.classes.values() {
--- a/lacewingspring_core/src/dispatch/reported_load/learning.rs
+++ b/lacewingspring_core/src/dispatch/reported_load/learning.rs
@@ -11,8 +11,8 @@
 const MIN_EXPECTED_MS: f64 = 0.1;
 
 impl UpstreamState {
-    /// Learns how well the reports fitted the time to the first event of a run. Returns the time, in
-    /// milliseconds, that it would have taken at the usual pace and without requests of others.
+    /// Learns how well the reports fitted the time to the first event of a run. Returns the time,
+    /// in milliseconds, that it would have taken at the usual pace and without requests of others.
     pub(in crate::dispatch) fn learn_first_output_ms(
         &mut self,
         now: Duration,
--- a/lacewingspring_core/src/roll_out/stalls.rs
+++ b/lacewingspring_core/src/roll_out/stalls.rs
@@ -6,9 +6,9 @@
 /// stands still are granted within 3 ms of each other.
 const SAME_SEND: Duration = Duration::from_millis(5);
 
-/// Time within which they ended. The ends of responses that an instance had under way while it stood
-/// still reach the gate within 0.2 ms. With a longer time, requests that are merely sent one shortly
-/// after another to a slow version count once.
+/// Time within which they ended. The ends of responses that an instance had under way while it
+/// stood still reach the gate within 0.2 ms. With a longer time, requests that are merely sent one
+/// shortly after another to a slow version count once.
 const SAME_END: Duration = Duration::from_millis(1);
 
 /// Slow responses of one version.
--- a/lacewingspring_core/tests/dispatch.rs
+++ b/lacewingspring_core/tests/dispatch.rs
@@ -373,8 +373,8 @@
     }
 }
 
-/// Guards against refusals of a sound request for two minutes after an upstream that breaks all runs
-/// for a while has broken two of its runs.
+/// Guards against refusals of a sound request for two minutes after an upstream that breaks all
+/// runs for a while has broken two of its runs.
 #[test]
 fn does_not_block_a_request_for_an_upstream_that_breaks_others_too() {
     let mut dispatcher = dispatcher(&[upstream("u", 10)]);
--- a/lacewingspring_core/tests/roll_out_stalls.rs
+++ b/lacewingspring_core/tests/roll_out_stalls.rs
@@ -12,8 +12,8 @@
 
 mod roll_out_support;
 
-/// Responses that a gate received in a test of a sound version, with 15 instances on one core, until
-/// it rolled the version back. On each line: time of the end and of the send in microseconds,
+/// Responses that a gate received in a test of a sound version, with 15 instances on one core,
+/// until it rolled the version back. On each line: time of the end and of the send in microseconds,
 /// version, route, slots in use in percent, and duration in microseconds.
 const RESPONSES: &str = include_str!("data/stalls.txt");
 
@@ -34,8 +34,8 @@
 }
 
 /// Guards against responses that one stall of a machine delays together counting as evidence each.
-/// Twice, the gate had stood still and granted 13 requests of the target within 3 ms, and an instance
-/// that stood still then delayed five of them and one or four of the other version.
+/// Twice, the gate had stood still and granted 13 requests of the target within 3 ms, and an
+/// instance that stood still then delayed five of them and one or four of the other version.
 #[test]
 fn a_sound_version_is_not_rolled_back_by_stalls_of_a_machine() {
     let order = order(Duration::ZERO, ms(12_000));
--- a/lacewingspring_proxy/src/gate/roll_out/keeper.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/keeper.rs
@@ -73,7 +73,10 @@
                 Ok(records) => records,
                 Err(e) => {
                     if !std::mem::replace(&mut is_failing, true) {
-                        warn!(error:% = e; "Reading the records of roll-outs failed; trying again.");
+                        warn!(
+                            error:% = e;
+                            "Reading the records of roll-outs failed; trying again."
+                        );
                     }
                     sleep(RETRY_DELAY).await;
                     continue;
@@ -97,8 +100,8 @@
         self.context.host.serves_majority(clock::now())
     }
 
-    /// Waits, right after the start of the process, while it finds only itself registered and one of
-    /// the orders is of an earlier era of the key-value service. That was restored from an older
+    /// Waits, right after the start of the process, while it finds only itself registered and one
+    /// of the orders is of an earlier era of the key-value service. That was restored from an older
     /// copy, which lacks the entries of the other instances and may lack what they know of the
     /// roll-outs. Meanwhile the versions that the records exclude and their targets get nothing.
     async fn wait_for_others(&self, records: &[RollOutRecord]) {
@@ -124,7 +127,8 @@
         info!(
             services = records.len(), era,
             uptime_ms = began_at.saturating_sub(self.started_at).as_millis() as u64;
-            "The key-value service was restored and has no other instance; roll-outs wait for the others."
+            "The key-value service was restored and has no other instance; roll-outs wait for the \
+             others."
         );
         while self.is_gate() && must_wait() {
             sleep(DECISION_INTERVAL).await;
--- a/lacewingspring_proxy/src/gate/roll_out/service_keeper.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/service_keeper.rs
@@ -214,7 +214,8 @@
         info!(
             service = self.service.as_str(), target = record.target.as_str(),
             stored_stage:? = stored, stage:? = record.stage, bad = record.counts.bad;
-            "The key-value service lacks the latest stage of the roll-out; the record is written again."
+            "The key-value service lacks the latest stage of the roll-out; the record is written \
+             again."
         );
     }
 
--- a/lacewingspring_proxy/tests/roll_out_restored_record.rs
+++ b/lacewingspring_proxy/tests/roll_out_restored_record.rs
@@ -118,8 +118,8 @@
     assert!(String::from_utf8_lossy(record).contains("Completed"));
 }
 
-/// Guards against an instance that tells the age that an order had when the gate told it last, which
-/// is hours ago if the roll-out has stayed in one stage since.
+/// Guards against an instance that tells the age that an order had when the gate told it last,
+/// which is hours ago if the roll-out has stayed in one stage since.
 #[test]
 fn an_instance_tells_the_present_age_of_an_order() {
     let host = host();
@@ -149,8 +149,9 @@
     assert_eq!(wall_ms - wall_ms_before, 3 * 3_600_000, "its reader adds the rest");
 }
 
-/// Guards against a new gate that takes an order to be younger than it is: a record that was written
-/// more than an hour ago tells no more than that hour, and the roll-out went on past its deadline.
+/// Guards against a new gate that takes an order to be younger than it is: a record that was
+/// written more than an hour ago tells no more than that hour, and the roll-out went on past its
+/// deadline.
 #[tokio::test]
 async fn a_new_gate_learns_the_age_of_an_order_from_another_instance() {
     let hours = |count: u64| Duration::from_secs(count * 3_600);
