Compare slow responses for stalls by the time at which they ended

Responses of the target that came before there was a reference for their times were judged together when the reference was complete. The evidence against a slow target whose requests are sent in bursts came too low.

The time of the end is kept with such a response. A response that is judged late is compared with all that are kept, by both times.

--- a/lacewingspring_core/src/roll_out/comparison.rs
+++ b/lacewingspring_core/src/roll_out/comparison.rs
@@ -49,8 +49,9 @@
     target: Tally,
     old: Tally,
     bad: u64,
-    /// Responses of the target that came before there was a reference for their times.
-    untimed: Vec<Sample>,
+    /// Responses of the target that came before there was a reference for their times, with the
+    /// times at which they ended.
+    untimed: Vec<(Duration, Sample)>,
 }
 
 impl Comparison {
@@ -104,13 +105,13 @@
         if sample.is_target {
             self.record_time(now, &sample);
             if self.reference.is_missing(&sample) && self.untimed.len() < MAX_UNTIMED {
-                self.untimed.push(sample);
+                self.untimed.push((now, sample));
             }
             return;
         }
         self.record_time(now, &sample);
         self.reference.record(&sample);
-        self.record_untimed(now);
+        self.record_untimed();
     }
 
     fn tally(&mut self, sample: &Sample) -> &mut Tally {
@@ -124,13 +125,13 @@
         }
     }
 
-    fn record_time(&mut self, now: Duration, sample: &Sample) {
+    fn record_time(&mut self, ended_at: Duration, sample: &Sample) {
         let Some(is_slow) = self.reference.is_slow(sample) else { return };
         // One that reached its deadline is counted already.
         let has_timed_out = matches!(sample.outcome, SampleOutcome::TimedOut(_));
         self.bad += u64::from(sample.is_target && is_slow && !has_timed_out);
         let stalls = if sample.is_target { &mut self.target_stalls } else { &mut self.old_stalls };
-        if is_slow && !stalls.record(now, sample.sent_at) {
+        if is_slow && !stalls.record(ended_at, sample.sent_at) {
             return;
         }
         let tally = self.tally(sample);
@@ -140,13 +141,13 @@
     }
 
     /// Judges the times of earlier responses for which there is a reference now.
-    fn record_untimed(&mut self, now: Duration) {
+    fn record_untimed(&mut self) {
         let untimed = std::mem::take(&mut self.untimed);
-        for sample in untimed {
+        for (ended_at, sample) in untimed {
             if self.reference.is_missing(&sample) {
-                self.untimed.push(sample);
+                self.untimed.push((ended_at, sample));
             } else {
-                self.record_time(now, &sample);
+                self.record_time(ended_at, &sample);
             }
         }
     }
--- a/lacewingspring_core/src/roll_out/stalls.rs
+++ b/lacewingspring_core/src/roll_out/stalls.rs
@@ -19,14 +19,19 @@
 }
 
 impl Stalls {
-    /// Returns whether a slow response that ends now counts: none that counted was sent and ended
-    /// at about the same times.
-    pub fn record(&mut self, now: Duration, sent_at: Duration) -> bool {
-        self.latest.retain(|(_, ended_at)| now.abs_diff(*ended_at) <= SAME_END);
-        if self.latest.iter().any(|(sent, _)| sent.abs_diff(sent_at) <= SAME_SEND) {
+    /// Returns whether a slow response counts: none that counted was sent and ended at about the
+    /// same times.
+    ///
+    /// Those that ended later are kept, as a response that had no reference is judged after them.
+    pub fn record(&mut self, ended_at: Duration, sent_at: Duration) -> bool {
+        self.latest.retain(|(_, ended)| ended_at.saturating_sub(*ended) <= SAME_END);
+        let is_same = |(sent, ended): &(Duration, Duration)| {
+            sent.abs_diff(sent_at) <= SAME_SEND && ended.abs_diff(ended_at) <= SAME_END
+        };
+        if self.latest.iter().any(is_same) {
             return false;
         }
-        self.latest.push_back((sent_at, now));
+        self.latest.push_back((sent_at, ended_at));
         true
     }
 }
--- a/lacewingspring_core/tests/roll_out.rs
+++ b/lacewingspring_core/tests/roll_out.rs
@@ -398,3 +398,20 @@
     let stage = roll_out.decide(ms(1_200), &STATE);
     assert!(matches!(stage, Stage::RolledBack(RollBackCause::Bad(_))), "{stage:?}");
 }
+
+/// Guards against responses that came at different times, before there was a reference for their
+/// times, being taken for ones that one stall delayed together because they are judged together.
+#[test]
+fn slow_responses_before_those_of_the_other_version_count_each() {
+    let mut roll_out = observing();
+    for number in 0..6 {
+        let (sent_at, took) = (ms(0), 200 + 2 * number);
+        let sample = sample(sent_at + ms(took), true, plain(took));
+        grant(&mut roll_out, sent_at, true);
+        roll_out.record_sample(sent_at + ms(took), Sample { sent_at, ..sample });
+    }
+    for number in 0..100 {
+        exchange(&mut roll_out, ms(300 + 10 * number), false, plain(50));
+    }
+    assert_eq!(roll_out.counts().target.slow, 6);
+}
