Count broken runs in a row only between two responses of an upstream

Three broken runs within two seconds opened the circuit of an upstream unless it had completed a run between them. First events of streams, 5xx responses and refusals did not count as responses, although each of them closes the circuit. So an upstream with long streams was paused when three requests, each of them at fault itself, broke off there, and after a 5xx had closed the circuit one further broken run opened it again.

Any response now ends the row. Whether a request is blocked for its crashes still depends on completed runs only.

The new test got no slot at the third broken run before.

--- a/lacewingspring_core/src/dispatch/broken_runs.rs
+++ b/lacewingspring_core/src/dispatch/broken_runs.rs
@@ -23,9 +23,11 @@
     link: u64,
     /// Digest of its request.
     fingerprint: u64,
+    /// Whether the upstream has responded since, so that the run no longer counts as one in a row.
+    is_before_response: bool,
 }
 
-/// Runs that each upstream broke in a row, the oldest first.
+/// Runs that each upstream broke since it completed one, the oldest first.
 #[derive(Debug, Default)]
 pub(super) struct BrokenRuns(HashMap<UpstreamName, Vec<BrokenRun>>);
 
@@ -52,9 +54,11 @@
         {
             return false;
         }
-        runs.push(BrokenRun { at: now, link, fingerprint: open.fingerprint });
-        let is_agreed = is_only_link || runs.iter().any(|run| run.link != link);
-        runs.len() >= MAX_IN_A_ROW && is_agreed
+        let fingerprint = open.fingerprint;
+        runs.push(BrokenRun { at: now, link, fingerprint, is_before_response: false });
+        let in_a_row = || runs.iter().filter(|run| !run.is_before_response);
+        let is_agreed = is_only_link || in_a_row().any(|run| run.link != link);
+        in_a_row().count() >= MAX_IN_A_ROW && is_agreed
     }
 
     /// Returns whether an upstream broke a run of another request from `since` on, and completed
@@ -69,6 +73,14 @@
         runs.any(|run| run.at >= since && run.fingerprint != fingerprint)
     }
 
+    /// Records that an upstream responded to a run, if only with the first event, an error or a
+    /// refusal.
+    pub fn record_response(&mut self, upstream: &UpstreamName) {
+        for run in self.0.get_mut(upstream).into_iter().flatten() {
+            run.is_before_response = true;
+        }
+    }
+
     /// Records that an upstream completed a run.
     pub fn record_completed(&mut self, upstream: &UpstreamName) {
         self.0.remove(upstream);
--- a/lacewingspring_core/src/dispatch/reports.rs
+++ b/lacewingspring_core/src/dispatch/reports.rs
@@ -20,6 +20,7 @@
         pool.first_output(now, ticket, took);
         if let Some(upstream) = pool.upstream_of(ticket) {
             self.link_paths.record_response(ticket.link, upstream);
+            self.broken_runs.record_response(upstream);
         }
     }
 
@@ -109,6 +110,10 @@
                 self.broken_runs.record_completed(upstream);
                 false
             }
+            End::Failed | End::Declined => {
+                self.broken_runs.record_response(upstream);
+                false
+            }
             _ => false,
         }
     }
--- a/lacewingspring_core/tests/upstream_trouble.rs
+++ b/lacewingspring_core/tests/upstream_trouble.rs
@@ -264,3 +264,22 @@
         assert_eq!(break_run(&mut dispatcher, at + 1, LINK).as_deref(), Some("broken"));
     }
 }
+
+/// Guards against a pause of an upstream that responds between the runs that break, as when the
+/// requests are the cause and its other responses are streams that take longer.
+#[test]
+fn broken_runs_between_responses_do_not_pause_an_upstream() {
+    let mut dispatcher = with_busy_upstream(2);
+    let failed = ticket(1_000);
+    for at in [10, 20, 30, 40, 50, 60] {
+        assert_eq!(break_run(&mut dispatcher, at, 1 + at / 10 % 2).as_deref(), Some("broken"));
+        if at < 30 {
+            let stream = ticket(at + 1);
+            dispatcher.request_slot(ms(at + 1), stream, request("a"));
+            dispatcher.first_output(ms(at + 2), stream, ms(1));
+        } else {
+            dispatcher.request_slot(ms(at + 1), failed, request("a"));
+            dispatcher.end(ms(at + 2), failed, End::Failed);
+        }
+    }
+}
