Try an upstream with an open circuit while its earlier streams go on

An upstream with an open circuit was granted a request only if none ran there. Streams that it had begun before it broke others count as running, so it got nothing until one of them ended, which may take minutes, although it responded again.

Runs whose first event has arrived are no longer counted in the limit of one request.

The new test got no slot after the pause before.

--- a/lacewingspring_core/src/dispatch/pool/capacity.rs
+++ b/lacewingspring_core/src/dispatch/pool/capacity.rs
@@ -33,12 +33,12 @@
     /// are apart have ended.
     ///
     /// An upstream that broke one run after the other gets one request at a time, which shows
-    /// whether it responds again.
+    /// whether it responds again. Streams that it began earlier may go on meanwhile.
     pub(super) fn of(self, now: Duration, state: &UpstreamState) -> u32 {
+        let limit = self.without_others(state.info.slots);
         if state.is_circuit_open {
-            return 1;
+            return limit.min(1 + state.running_with_output);
         }
-        let limit = self.without_others(state.info.slots);
         let slots_of_others = self.fleet_share.slots_of_others;
         if slots_of_others <= 0.0 {
             return limit;
--- a/lacewingspring_core/src/dispatch/upstream_state.rs
+++ b/lacewingspring_core/src/dispatch/upstream_state.rs
@@ -155,6 +155,8 @@
     pub info: UpstreamInfo,
     /// Number of requests that run on it.
     pub running: u32,
+    /// Number of these whose first event has arrived.
+    pub running_with_output: u32,
     /// Prompt tokens of the runs that have no output yet.
     pub pending_prefill_tokens: u64,
     /// Time by which all prompts that were sent are expected to be prefilled.
@@ -185,6 +187,7 @@
         Self {
             info,
             running: 0,
+            running_with_output: 0,
             pending_prefill_tokens: 0,
             prefill_done_at: Duration::ZERO,
             memory_tokens: 0,
@@ -351,7 +354,9 @@
     pub fn add_run(&mut self, run: &Run) {
         self.running += 1;
         self.memory_tokens += run.memory_tokens;
-        if !run.has_output {
+        if run.has_output {
+            self.running_with_output += 1;
+        } else {
             self.pending_prefill_tokens += u64::from(run.prefill_tokens);
         }
     }
@@ -374,6 +379,7 @@
             return;
         }
         self.is_circuit_open = false;
+        self.running_with_output += 1;
         self.pending_prefill_tokens =
             self.pending_prefill_tokens.saturating_sub(u64::from(run.prefill_tokens));
         let tokens = run.prefill_tokens_ahead + f64::from(run.prefill_tokens);
@@ -395,7 +401,9 @@
         self.running = self.running.saturating_sub(1);
         self.reported.record_running(now, self.running);
         self.memory_tokens = self.memory_tokens.saturating_sub(run.memory_tokens);
-        if !run.has_output {
+        if run.has_output {
+            self.running_with_output = self.running_with_output.saturating_sub(1);
+        } else {
             self.pending_prefill_tokens =
                 self.pending_prefill_tokens.saturating_sub(u64::from(run.prefill_tokens));
         }
--- a/lacewingspring_core/tests/upstream_trouble.rs
+++ b/lacewingspring_core/tests/upstream_trouble.rs
@@ -283,3 +283,22 @@
         }
     }
 }
+
+/// Guards against an upstream that gets no request for as long as streams go on that it began before
+/// it broke others, although it responds again.
+#[test]
+fn a_paused_upstream_is_tried_while_earlier_streams_go_on() {
+    let mut dispatcher = with_busy_upstream(2);
+    let stream = ticket(1_000);
+    assert_eq!(granted(&dispatcher.request_slot(ms(1), stream, request("a"))), [(1_000, "broken")]);
+    dispatcher.first_output(ms(2), stream, ms(1));
+    for at in [10, 20, 30] {
+        assert_eq!(break_run(&mut dispatcher, at, 1 + at / 10 % 2).as_deref(), Some("broken"));
+    }
+    assert_eq!(break_run(&mut dispatcher, 40, 1), None);
+    let probe = dispatcher.request_slot(ms(300), ticket(2), request("a"));
+    assert_eq!(granted(&probe), [(2, "broken")]);
+    assert_eq!(granted(&dispatcher.request_slot(ms(301), ticket(3), request("a"))), []);
+    let responded = dispatcher.end(ms(310), ticket(2), finished(10, 0));
+    assert_eq!(granted(&responded), [(3, "broken")]);
+}
