Decide on a roll-out only after the entries of upstreams are read

A process that has read the orders, but not the entries of upstreams, links to itself if it knows no other instance, and counts as the gate of a majority. Its keeper took up a new order then: it wrote the record without the versions that are in service and set the status, although the process decides on no request.

--- a/lacewingspring_proxy/src/gate/roll_out/keeper.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/keeper.rs
@@ -96,8 +96,11 @@
         }
     }
 
+    /// Returns whether this instance decides on roll-outs. A process that has not read the entries
+    /// of upstreams does not know which versions are registered.
     fn is_gate(&self) -> bool {
-        self.context.host.serves_majority(clock::now())
+        let host = &self.context.host;
+        host.has_entries() && host.serves_majority(clock::now())
     }
 
     /// Waits, right after the start of the process, while it finds only itself registered and one
--- a/lacewingspring_proxy/tests/roll_out_in_service.rs
+++ b/lacewingspring_proxy/tests/roll_out_in_service.rs
@@ -41,6 +41,29 @@
     assert!(is_granted(&host, link, 1, &mut rx), "the version in service serves");
 }
 
+/// Guards against an order that is taken up by a process that has not read the entries of upstreams:
+/// it knows no version in service.
+#[tokio::test]
+async fn an_order_is_taken_up_only_after_the_entries_of_upstreams_are_read() {
+    let store = Arc::new(SharedStore::default());
+    store.set(STATUS, Bytes::from("RolledBack"));
+    store.set(RECORD, record(r#"{"RolledBack":"DeadlinePassed"}"#));
+    let host = host();
+    host.require_entries();
+    let (_link, _rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    host.set_upstreams(clock::now(), []);
+    start_keeper(&store, &host);
+    let orders = DeclaredOrders { orders: vec![order("v3", 9)], unreadable: Vec::new() };
+    host.set_orders(clock::now(), orders, rev(10));
+    sleep(STEPS_TIME).await;
+    assert_eq!(store.text(STATUS), "RolledBack", "{}", store.text(RECORD));
+    assert_ne!(stage(&store), "Observing");
+    host.set_upstreams(clock::now(), [upstream("v1", 1), upstream("v3", 2)]);
+    host.set_entries_read(clock::now());
+    sleep(STEPS_TIME).await;
+    assert_eq!(stage(&store), "Observing");
+}
+
 /// Guards against a service of which all versions were rolled back, as the version in service was
 /// ordered and the order deleted.
 #[tokio::test]
