Clarify comments and private names of the roll-outs

Cause: a newcomer could not follow some places after two readings. `undone` held a roll-back that was decided but not yet recorded, `is_left` told that nothing runs at the versions left, and `only_first` added versions in place of replacing them. Comments named the time of the latest change, "ordinary" targets, and "as many responses as that rate is certain by". Change: the names are `unrecorded_roll_back`, `are_left_versions_idle` and `includes_beside`; two times in seconds say so. Two fields have a doc comment, and nine comments say what the code does, as that `TooLittle` includes as many slots as running requests. Fifteen places in all, all private items, locals or comments. Result: no change of behaviour intended.

--- a/lacewingspring_core/src/dispatch/broken_runs.rs
+++ b/lacewingspring_core/src/dispatch/broken_runs.rs
@@ -11,8 +11,8 @@
 /// Number of broken runs in a row after which an upstream is paused.
 const MAX_IN_A_ROW: usize = 3;
 
-/// Time within which they must have broken. Two instances must agree in it that the fault is the
-/// upstream's.
+/// Time within which they must have broken. They must be of at least two instances, unless only one
+/// asks for slots: the fault may be that of a single instance.
 const AGREEMENT_TIME: Duration = Duration::from_secs(2);
 
 /// Run that an upstream broke.
--- a/lacewingspring_core/src/dispatch/version_choice.rs
+++ b/lacewingspring_core/src/dispatch/version_choice.rs
@@ -43,7 +43,7 @@
 pub(super) enum TargetRoom {
     /// There is no usable slot.
     None,
-    /// There are fewer slots than requests and than the other versions have.
+    /// There are no more slots than running requests, and fewer than the other versions have.
     TooLittle,
     /// There is as much as the service had before.
     Enough,
--- a/lacewingspring_core/src/roll_out/comparison.rs
+++ b/lacewingspring_core/src/roll_out/comparison.rs
@@ -162,9 +162,9 @@
         }
     }
 
-    /// Returns the strongest evidence against the target, of which this number of requests run.
-    /// They count as good ones for failures, which often come sooner than complete responses; slow
-    /// responses come later.
+    /// Returns the strongest evidence against the target, at which `running` requests run. They
+    /// count as good ones for failures, which often come sooner than complete responses, but not
+    /// for slowness, as slow responses come later.
     pub fn worst(&self, running: u32) -> Option<Evidence> {
         let failures = self.failures.worst(running, MIN_DIFFERENCE).into_iter();
         let slowness = self.slowness.worst(0, MIN_DIFFERENCE);
--- a/lacewingspring_core/src/roll_out/defect_series.rs
+++ b/lacewingspring_core/src/roll_out/defect_series.rs
@@ -96,8 +96,8 @@
         (expected / total.portion()).max(1.0)
     }
 
-    /// Returns the strongest evidence against the target in any scope, if that many requests that
-    /// run at it count as good ones and the portions of bad responses differ that much.
+    /// Returns the strongest evidence against the target in any scope. The `running` requests at it
+    /// count as good ones; the portions of bad responses must differ by `min_difference`.
     pub fn worst(&self, running: u32, min_difference: f64) -> Option<Evidence> {
         let expected = |usual, load_factor, series: &Series| {
             let part = series.target().responses / self.total.target().responses.max(1.0);
--- a/lacewingspring_core/src/roll_out/route_grants.rs
+++ b/lacewingspring_core/src/roll_out/route_grants.rs
@@ -56,11 +56,12 @@
         if !own.may_take() {
             return false;
         }
-        let elapsed = now.saturating_sub(self.since).as_secs_f64();
-        let left = block.expires_at.saturating_sub(now).as_secs_f64();
+        let elapsed_s = now.saturating_sub(self.since).as_secs_f64();
+        let remaining_s = block.expires_at.saturating_sub(now).as_secs_f64();
         let is_scarcer = |other: &&RouteCounts| other.target + MIN_DEFICIT <= own.target;
         let reserved = self.routes.values().filter(is_scarcer).map(|other| {
-            let expected = MAX_ROUTE_SHARE * other.requests as f64 * left / elapsed.max(left);
+            let expected =
+                MAX_ROUTE_SHARE * other.requests as f64 * remaining_s / elapsed_s.max(remaining_s);
             expected.ceil().min((own.target - other.target) as f64)
         });
         let most = (MAX_RESERVED * block.size as f64).ceil();
--- a/lacewingspring_core/src/roll_out/series.rs
+++ b/lacewingspring_core/src/roll_out/series.rs
@@ -89,8 +89,8 @@
         self.variance += responses * responses / old.responses;
     }
 
-    /// Returns the rate of the other versions in the periods of the target's responses, and as many
-    /// responses as that rate is certain by.
+    /// Returns the rate of the other versions in the periods of the target's responses, with the
+    /// number of responses that would give a rate of the same variance, and the prior added.
     fn old(self, overall: Rate) -> Rate {
         let responses = self.target.responses * self.target.responses / self.variance;
         let portion = self.weighted_portion / self.target.responses;
--- a/lacewingspring_proxy/src/gate/host/roll_outs.rs
+++ b/lacewingspring_proxy/src/gate/host/roll_outs.rs
@@ -167,7 +167,7 @@
         self.change_rules(now, RollOutRules::begin_tenure);
     }
 
-    /// Ends to hold roll-outs.
+    /// Stops holding roll-outs.
     pub(in crate::gate) fn end_roll_out_tenure(&self, now: Duration) {
         self.state().dispatcher.release_roll_outs();
         self.change_rules(now, |rules| {
@@ -302,7 +302,7 @@
         state.send_decisions(decisions);
     }
 
-    /// Ends to hold the roll-out of a service.
+    /// Stops holding the roll-out of a service.
     pub(in crate::gate) fn release_roll_out(&self, service: &ServiceName) {
         self.state().dispatcher.release_roll_out(service);
     }
--- a/lacewingspring_proxy/src/gate/roll_out/confirmations.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/confirmations.rs
@@ -22,6 +22,8 @@
     is_beside: bool,
     /// The versions that it appeared beside.
     appeared_beside: BTreeSet<SoftwareVersion>,
+    /// Whether the copy of the orders was complete at a revision not earlier than `seen_at`, or the
+    /// version was the only one of its service.
     is_confirmed: bool,
     /// Start of its oldest upstream, in Unix milliseconds.
     started_at_ms: u64,
@@ -99,15 +101,15 @@
         self.versions().any(|(.., state)| !state.is_confirmed)
     }
 
-    /// Returns the versions that are not confirmed or, if `only_first`, those that appeared beside
-    /// another one.
+    /// Returns the versions that are not confirmed and, if `includes_beside`, also the confirmed
+    /// ones that appeared beside another version.
     pub fn doubtful(
         &self,
-        only_first: bool,
+        includes_beside: bool,
     ) -> impl Iterator<Item = (&ServiceName, &SoftwareVersion)> {
         let versions = self.versions();
         let doubtful = versions
-            .filter(move |(.., state)| !state.is_confirmed || (only_first && state.is_beside));
+            .filter(move |(.., state)| !state.is_confirmed || (includes_beside && state.is_beside));
         doubtful.map(|(service, version, _)| (service, version))
     }
 
--- a/lacewingspring_proxy/src/gate/roll_out/rules.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/rules.rs
@@ -54,7 +54,7 @@
     orders: DeclaredOrders,
     /// Time at which each order was seen first.
     seen: BTreeMap<OrderId, Duration>,
-    /// Time of the latest change.
+    /// Latest time given to [`Self::advance`], by which orders are past their deadline.
     now: Duration,
     /// Orders whose target has served alone since.
     freed: BTreeSet<OrderId>,
@@ -64,6 +64,8 @@
     orders_revision: Revision,
     /// What the keeper knows of each service; `None` before it has read the records.
     kept: Option<BTreeMap<ServiceName, KeptRule>>,
+    /// Upstreams that are slow after their start: the revision of the entry, and the time until
+    /// which the upstream stays slow.
     cold: BTreeMap<UpstreamName, (Revision, Duration)>,
 }
 
@@ -106,7 +108,9 @@
         self.confirm(revision);
     }
 
-    /// Notes which targets serve alone: their roll-outs are completed and they are ordinary.
+    /// Notes the orders whose target is the only registered version of its service. An instance
+    /// without records then no longer bars the target, also if other versions are registered later,
+    /// unless [`Self::restrict_targets`] withdraws that.
     fn free_targets(&mut self) {
         let Self { freed, orders, confirmations, .. } = self;
         freed.retain(|id| orders.orders.iter().any(|order| order.id() == *id));
@@ -321,11 +325,11 @@
     fn bar_doubtful(
         &self,
         barred: &mut BarredVersions,
-        only_first: bool,
+        includes_beside: bool,
         kept: Option<&BTreeMap<ServiceName, KeptRule>>,
     ) {
         let named = barred.clone();
-        for (service, version) in self.confirmations.doubtful(only_first) {
+        for (service, version) in self.confirmations.doubtful(includes_beside) {
             barred.entry(service.clone()).or_default().insert(version.clone());
         }
         for (service, versions) in &mut *barred {
--- a/lacewingspring_proxy/src/gate/roll_out/service_keeper.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/service_keeper.rs
@@ -58,7 +58,7 @@
     /// Time of this process at which the order was acknowledged.
     received_at: Duration,
     /// Decision to roll back that is not recorded yet.
-    undone: Option<RollOutRecord>,
+    unrecorded_roll_back: Option<RollOutRecord>,
     /// Records whose write has had no answer; one of them may be in the store.
     unanswered: VecDeque<RollOutRecord>,
     block_written_at: Duration,
@@ -77,7 +77,7 @@
             status_key: KnownKey::default(),
             read_in: None,
             received_at: Duration::ZERO,
-            undone: None,
+            unrecorded_roll_back: None,
             unanswered: VecDeque::new(),
             block_written_at: Duration::ZERO,
             logged_order: None,
@@ -89,7 +89,7 @@
     /// instance is the gate again, as the gates between may not have seen what led to it.
     pub fn end_tenure(&mut self) -> bool {
         self.read_in = None;
-        self.undone.is_some()
+        self.unrecorded_roll_back.is_some()
     }
 
     /// Takes the next step. A call that failed is made again at a later step, after the keys were
@@ -133,14 +133,15 @@
 
     /// Returns whether the roll-out is to be held.
     fn must_hold(&self) -> bool {
-        self.undone.is_none() && self.record.as_ref().is_some_and(|record| !record.stage.is_final())
+        self.unrecorded_roll_back.is_none()
+            && self.record.as_ref().is_some_and(|record| !record.stage.is_final())
     }
 
     /// Returns the record that instances told each other; `None` while a roll-back of this instance
     /// is not recorded yet, which must not be merged into what is read.
     fn known<S, T>(&self, context: &Context<S, T>) -> Option<RollOutRecord> {
         let known = context.host.known_roll_out(clock::now(), &self.service);
-        known.filter(|_| self.undone.is_none())
+        known.filter(|_| self.unrecorded_roll_back.is_none())
     }
 
     /// Returns whether this instance was told a later stage, higher counts or a newer order than
@@ -271,7 +272,7 @@
             host.release_roll_out(&self.service);
             return self.apply_rule(context, record, record.stage == Stage::Completed);
         }
-        if self.is_undone(record) {
+        if self.has_unrecorded_roll_back(record) {
             host.release_roll_out(&self.service);
             return self.apply_rule(context, record, false);
         }
@@ -369,7 +370,7 @@
             Revision { era: Era(record.order.era), number: record.order.revision };
         let is_known =
             orders_revision.era == acknowledged_at.era && orders_revision >= acknowledged_at;
-        if record.stage.is_final() || self.undone.is_some() || !is_known {
+        if record.stage.is_final() || self.unrecorded_roll_back.is_some() || !is_known {
             return;
         }
         self.begin_roll_back(context, RollBackCause::OrderDeleted);
@@ -398,7 +399,7 @@
             self.apply_rule(context, before, false);
         }
         host.release_roll_out(&self.service);
-        self.undone = None;
+        self.unrecorded_roll_back = None;
         self.received_at = seen_at;
         let versions = host.registered_versions(&self.service);
         let serving_again = host.versions_serving_again(&self.service);
@@ -442,10 +443,10 @@
             bad = counts.bad, cause:? = cause, age_ms = age.as_millis() as u64;
             "The roll-out is rolled back; the target gets no more requests."
         );
-        let undone = RollOutRecord { stage: Stage::RolledBack(cause), counts, ..record };
-        let undone = undone.stamped(age, clock::wall());
-        context.host.tell_roll_out(now, &undone, false);
-        self.undone = Some(undone);
+        let rolled_back = RollOutRecord { stage: Stage::RolledBack(cause), counts, ..record };
+        let rolled_back = rolled_back.stamped(age, clock::wall());
+        context.host.tell_roll_out(now, &rolled_back, false);
+        self.unrecorded_roll_back = Some(rolled_back);
     }
 
     fn counts<S, T>(&self, context: &Context<S, T>, record: &RollOutRecord) -> Counts {
@@ -453,9 +454,12 @@
     }
 
     /// Returns whether a roll-back of the order of a record was decided and is not recorded.
-    fn is_undone(&self, record: &RollOutRecord) -> bool {
+    fn has_unrecorded_roll_back(&self, record: &RollOutRecord) -> bool {
         !record.stage.is_final()
-            && self.undone.as_ref().is_some_and(|undone| undone.order == record.order)
+            && self
+                .unrecorded_roll_back
+                .as_ref()
+                .is_some_and(|rolled_back| rolled_back.order == record.order)
     }
 
     /// Records a roll-back that was decided, unless another holder has ended the roll-out.
@@ -464,14 +468,16 @@
         S: Store,
         T: StateDecoder,
     {
-        let Some(undone) = self.undone.clone() else { return Ok(()) };
-        if let Some(current) = self.record.clone().filter(|record| self.is_undone(record)) {
+        let Some(rolled_back) = self.unrecorded_roll_back.clone() else { return Ok(()) };
+        if let Some(current) =
+            self.record.clone().filter(|record| self.has_unrecorded_roll_back(record))
+        {
             sleep(GRANT_TRANSIT_TIME).await;
             // Another holder may have counted more meanwhile.
-            let record = RollOutRecord::merged(Some(current), Some(undone.clone()));
-            self.write_record(context, record.unwrap_or(undone)).await?;
+            let record = RollOutRecord::merged(Some(current), Some(rolled_back.clone()));
+            self.write_record(context, record.unwrap_or(rolled_back)).await?;
         }
-        self.undone = None;
+        self.unrecorded_roll_back = None;
         self.apply_record(context);
         Ok(())
     }
@@ -481,7 +487,7 @@
     where
         T: StateDecoder,
     {
-        if self.undone.is_some() {
+        if self.unrecorded_roll_back.is_some() {
             return;
         }
         let decided = context.host.decide_roll_out(clock::now(), &self.service);
--- a/lacewingspring_proxy/src/gate/roll_out/service_keeper/final_status.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/service_keeper/final_status.rs
@@ -32,7 +32,7 @@
             // A version that was left may have been registered again.
             self.apply_rule(context, &record, true);
         }
-        if is_completed && !self.is_left(context, &record) {
+        if is_completed && !self.are_left_versions_idle(context, &record) {
             return Ok(());
         }
         let key = context.decoder.status_key(&self.service);
@@ -62,7 +62,11 @@
     /// Returns whether no request runs or waits at the versions that a completed roll-out has left.
     /// The holder that recorded the completion may have ended since. Versions that appeared later
     /// don't matter: the service may have moved on.
-    fn is_left<S, T>(&self, context: &Context<S, T>, record: &RollOutRecord) -> bool {
+    fn are_left_versions_idle<S, T>(
+        &self,
+        context: &Context<S, T>,
+        record: &RollOutRecord,
+    ) -> bool {
         let host = &context.host;
         let has_left = host.has_left(&self.service, &record.target, &record.left);
         host.knows_all_runs(clock::now()) && has_left
