Judge the target of a roll-out until its completion is recorded

Once `Completed` was decided, no later evidence counted, although the gate records it only when it knows all runs and nothing runs at the old version. While an instance is not linked that can take long, and a target that proved bad meanwhile, or lost its last usable slot, was completed all the same.

Change: `decide` returns `Completed` without keeping it, so that the next decision is made anew until the record is written and the roll-out released. The log line of the shift tells the present age of the order.

--- a/lacewingspring_core/src/roll_out/mod.rs
+++ b/lacewingspring_core/src/roll_out/mod.rs
@@ -195,15 +195,18 @@
         self.comparison.record(now, sample);
     }
 
-    /// Decides on the stage. A final stage stays.
+    /// Decides on the stage. A final stage stays, but for `Completed`, which is decided anew until
+    /// its holder has recorded it and releases the roll-out: the target may prove bad until then.
     pub fn decide(&mut self, now: Duration, state: &FleetState) -> Stage {
         let next = match self.stage {
             Stage::Observing => self.decide_observing(now, state),
             Stage::Shifting => self.decide_shifting(now, state),
             Stage::Completed | Stage::RolledBack(_) => None,
         };
-        if let Some(next) = next {
-            self.stage = next;
+        match next {
+            Some(Stage::Completed) => return Stage::Completed,
+            Some(next) => self.stage = next,
+            None => {}
         }
         self.stage.clone()
     }
--- a/lacewingspring_core/src/roll_out/stalls.rs
+++ b/lacewingspring_core/src/roll_out/stalls.rs
@@ -2,11 +2,11 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-/// Time within which slow responses were sent that count once. Requests that wait while the gate
-/// stands still are granted within 3 ms of each other.
+/// Longest time between the sends of slow responses that count once. Requests that wait while the
+/// gate stands still are granted within 3 ms of each other.
 const SAME_SEND: Duration = Duration::from_millis(5);
 
-/// Time within which they ended. The ends of responses that an instance had under way while it
+/// Longest time between their ends. The ends of responses that an instance had under way while it
 /// stood still reach the gate within 0.2 ms. With a longer time, requests that are merely sent one
 /// shortly after another to a slow version count once.
 const SAME_END: Duration = Duration::from_millis(1);
--- a/lacewingspring_core/tests/roll_out.rs
+++ b/lacewingspring_core/tests/roll_out.rs
@@ -85,6 +85,24 @@
     assert_eq!(roll_out.decide(ms(14_001), &drained), Stage::Completed);
 }
 
+/// Guards against a target that proves bad while its completion is decided but can't be recorded
+/// yet, as when an instance is not linked, and is completed all the same.
+#[test]
+fn rolls_back_a_target_that_proves_bad_before_its_completion_is_recorded() {
+    let mut roll_out = observing();
+    observe_sound(&mut roll_out);
+    roll_out.decide(ms(9_000), &STATE);
+    let drained = FleetState { old_running: 0, ..STATE };
+    assert_eq!(roll_out.decide(ms(11_000), &drained), Stage::Completed);
+    let no_slots = FleetState { target_usable_slots: 0, ..drained };
+    assert_eq!(roll_out.decide(ms(11_100), &no_slots), Stage::Shifting, "nothing would serve");
+    for number in 0..20 {
+        exchange(&mut roll_out, ms(11_200 + 10 * number), true, SampleOutcome::Failed);
+    }
+    let stage = roll_out.decide(ms(11_500), &drained);
+    assert!(matches!(stage, Stage::RolledBack(RollBackCause::Bad(_))), "{stage:?}");
+}
+
 #[test]
 fn does_not_shift_by_an_old_copy_of_the_entries() {
     let mut roll_out = observing();
--- a/lacewingspring_core/tests/upstream_trouble.rs
+++ b/lacewingspring_core/tests/upstream_trouble.rs
@@ -284,8 +284,8 @@
     }
 }
 
-/// Guards against an upstream that gets no request for as long as streams go on that it began before
-/// it broke others, although it responds again.
+/// Guards against an upstream that gets no request for as long as streams go on that it began
+/// before it broke others, although it responds again.
 #[test]
 fn a_paused_upstream_is_tried_while_earlier_streams_go_on() {
     let mut dispatcher = with_busy_upstream(2);
--- a/lacewingspring_proxy/src/gate/roll_out/service_keeper/decisions.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/service_keeper/decisions.rs
@@ -104,7 +104,7 @@
             service = self.service.as_str(), target = record.target.as_str(),
             requests = counts.requests, target_requests = counts.target_requests,
             bad = counts.bad, target_responses:? = counts.target, old_responses:? = counts.old,
-            age_ms = record.age_ms;
+            age_ms = clock::now().saturating_sub(self.received_at).as_millis() as u64;
             "The target is judged sound; new requests go to it only."
         );
         Ok(())
--- a/lacewingspring_proxy/tests/roll_out_in_service.rs
+++ b/lacewingspring_proxy/tests/roll_out_in_service.rs
@@ -41,8 +41,8 @@
     assert!(is_granted(&host, link, 1, &mut rx), "the version in service serves");
 }
 
-/// Guards against an order that is taken up by a process that has not read the entries of upstreams:
-/// it knows no version in service.
+/// Guards against an order that is taken up by a process that has not read the entries of
+/// upstreams: it knows no version in service.
 #[tokio::test]
 async fn an_order_is_taken_up_only_after_the_entries_of_upstreams_are_read() {
     let store = Arc::new(SharedStore::default());
