Show a machine that stays unregistered after a late write of its entry

Cause: a write without an answer is done late, with the lease of the first try, and takes the entry with it when that lease ends; the process renews its second lease and never looks for its entry.

--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -66,17 +66,6 @@
         }
     }
 
-    /// Returns the bytes that were read and belong to no message yet.
-    pub fn rest(&self) -> &[u8] {
-        &self.buf
-    }
-
-    /// Returns all bytes that come until the connection ends or the time limit.
-    pub fn drain(&mut self, until: Instant) -> Vec<u8> {
-        while self.fill(Some(until)).is_some() {}
-        std::mem::take(&mut self.buf)
-    }
-
     /// Reads the head of a message; `None` if the connection ends before.
     pub fn head(&mut self, until: Option<Instant>) -> Option<Message> {
         let end = loop {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,11 +4,14 @@
 //! rule was kept, 1 if it was broken and 2 if the case couldn't run. With `TROUBLE=0` in the
 //! environment the case is played without its disruption.
 
+mod crowd;
 mod http;
 mod json;
+mod log;
 mod memory;
 mod platform;
 mod record;
+mod registration;
 mod store;
 mod versions;
 
@@ -30,6 +33,9 @@
     platform::limit_time(TIME_LIMIT, COULD_NOT_RUN.into());
     let record = Record::create(Path::new(&path));
     let play = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
+        "crowd" => crowd::run(trouble, &record),
+        "registration" => registration::run(trouble, &record),
+        "log" => log::run(trouble, &record),
         "memory" => memory::run(trouble, &record),
         "versions" => versions::run(trouble, &record),
         _ => None,
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -146,6 +146,19 @@
         answer.map_or(0, |answer| answer.status())
     }
 
+    /// Asks it for addresses; returns whether it names itself.
+    pub fn resolves(&self) -> bool {
+        let request = format!(
+            "GET /lacewingspring/resolution?name={HOST}&region=ro-centru&zone=cluj-a HTTP/1.1\r\n\
+             Host: x\r\nConnection: close\r\n\r\n"
+        );
+        let address = SocketAddr::new(IpAddr::V4(self.ip), 8220);
+        let answer =
+            exchange(address, request.as_bytes(), Duration::from_secs(1)).unwrap_or_default();
+        answer.status() == 200
+            && String::from_utf8_lossy(&answer.body).contains(&self.callers().to_string())
+    }
+
     /// Waits until it is ready; `false` if it is not within the time limit.
     pub fn wait_ready(&self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
@@ -158,9 +171,15 @@
         false
     }
 
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-s", name, &pid]).status();
+    /// Returns its resident memory now and at most, in kB.
+    pub fn memory_kb(&self) -> (u64, u64) {
+        let status =
+            fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = |name: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap_or_default();
+            line.trim().trim_end_matches(" kB").parse().unwrap_or(0)
+        };
+        (line("VmRSS:"), line("VmHWM:"))
     }
 
     /// Kills the process.
@@ -221,8 +240,7 @@
 
     /// Notes that the server runs the request.
     pub fn run(&self) {
-        let run = Run { id: self.id(), target: self.request.target().into(), at: Instant::now() };
-        self.server.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run);
+        self.server.runs.lock().unwrap_or_else(PoisonError::into_inner).push(self.id());
     }
 
     /// Sends a signed response with a length.
@@ -260,14 +278,6 @@
     format!("X-Lacewingspring-Response-Signature: {server}.07.5a2\r\n")
 }
 
-/// A request that a server ran.
-#[derive(Clone, Debug)]
-pub struct Run {
-    pub id: String,
-    pub target: String,
-    pub at: Instant,
-}
-
 /// Handles a request; `false` if the connection ends after it.
 pub type Handler = Arc<dyn Fn(&mut Call<'_>) -> bool + Send + Sync>;
 
@@ -280,7 +290,8 @@
     pub slots: u32,
     pub version: String,
     pub born: u64,
-    pub runs: Arc<Mutex<Vec<Run>>>,
+    /// Ids of the requests that it ran.
+    pub runs: Arc<Mutex<Vec<String>>>,
     pub is_down: Arc<AtomicBool>,
     store: Store,
     handler: Handler,
@@ -335,16 +346,6 @@
         self.store.put(&format!("servers/{}", self.name), &entry);
     }
 
-    pub fn handler(&self) -> Handler {
-        self.handler.clone()
-    }
-
-    /// Returns how often it ran a request.
-    pub fn runs_of(&self, id: &str) -> usize {
-        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
-        runs.iter().filter(|run| run.id == id).count()
-    }
-
     fn serve(&self, mut reader: Reader) {
         while let Some(request) = reader.request() {
             let expected = request.header("x-lacewingspring-expected-instance");
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -35,6 +35,11 @@
     is_silent: bool,
     /// Time at which calls began to get no answer.
     silent_since: Option<Instant>,
+    /// Transactions still to be done late and not answered, and how late.
+    late: (usize, Duration),
+    /// Writing calls: those that were answered, and those that were not.
+    answered: usize,
+    lost: usize,
 }
 
 /// The store.
@@ -80,14 +85,6 @@
         self.shared.1.notify_all();
     }
 
-    /// Removes a key as the operator or a server does.
-    pub fn remove(&self, key: &str) {
-        let mut state = self.state();
-        state.delete(key);
-        drop(state);
-        self.shared.1.notify_all();
-    }
-
     /// Sets whether calls get no answer (`platform_down`, silent). Leases pause meanwhile.
     pub fn set_silent(&self, is_silent: bool) {
         let mut state = self.state();
@@ -102,6 +99,49 @@
         self.shared.1.notify_all();
     }
 
+    /// Has the next transactions on keys of the system done late and not answered (`platform_lost`,
+    /// late). Writing calls are counted from here.
+    pub fn lose_answers(&self, transactions: usize, late: Duration) {
+        let mut state = self.state();
+        state.late = (transactions, late);
+        (state.answered, state.lost) = (0, 0);
+    }
+
+    /// Returns how many writing calls were answered and how many not.
+    pub fn writes(&self) -> (usize, usize) {
+        let state = self.state();
+        (state.answered, state.lost)
+    }
+
+    /// Returns the keys with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        self.state().items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
+    /// Does a transaction late if it is one to be lost; returns whether it is.
+    fn lose(&self, request: &Message) -> bool {
+        let is_write = request.start.starts_with("POST") && !request.start.contains("kv-keep");
+        if !is_write {
+            return false;
+        }
+        let mut state = self.state();
+        let body = String::from_utf8_lossy(&request.body).into_owned();
+        let is_entry =
+            request.start.contains("kv-txn") && body.contains("lacewingspring/instances/");
+        if state.late.0 == 0 || !is_entry {
+            state.answered += 1;
+            return false;
+        }
+        state.late.0 -= 1;
+        state.lost += 1;
+        let (store, late) = (self.clone(), state.late.1);
+        thread::spawn(move || {
+            thread::sleep(late);
+            store.transact(&Json::parse(&body).unwrap_or(Json::Null));
+        });
+        true
+    }
+
     /// Returns whether calls get no answer.
     pub fn is_silent(&self) -> bool {
         self.state().is_silent
@@ -127,6 +167,11 @@
     fn serve(&self, stream: TcpStream) {
         let mut reader = Reader::new(stream);
         while let Some(request) = reader.request() {
+            if self.lose(&request) {
+                // "A connection on which a response is lost returns nothing further."
+                while reader.request().is_some() {}
+                return;
+            }
             let (status, body) = self.answer(&request);
             while self.state().is_silent {
                 thread::sleep(Duration::from_millis(20));
