Log the lease of a registration and the changes of an instance's own entry

Change: the registration has a module of its own. Its line names the lease. A line and the metric registered tell when the entry changes in the instance's copy of the fleet, with its revision and whether it is that of this process. No other behaviour changes.

--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -30,11 +30,12 @@
         link::GateClient,
         roll_out::{ColdUpstream, DeclaredOrders, RollOutStatus, keeper::Keeper},
     },
-    members::{MEMBERS_PREFIX, Member, Members, Registration, SharedMembers, random_incarnation},
+    members::{MEMBERS_PREFIX, Member, Members, SharedMembers, random_incarnation},
     memory_budget::{MemoryBudget, SharedBudget},
     metrics::SharedMetrics,
     mirror::Mirror,
     protocol::Protocol,
+    registration::{OwnEntryObserver, Registration},
     replica::{Replicas, Topic},
     settings::Settings,
     store::Store,
@@ -278,7 +279,8 @@
         state.host.enable_shares();
     }
     start_roll_outs(&state, &components);
-    follow_store(&state, &components, &replicas);
+    let own_entry = OwnEntryObserver::new(member.borrow().clone(), state.metrics.clone());
+    follow_store(&state, &components, &replicas, own_entry);
     start_gate(&state, &components, gate.clone());
     let registration = Registration {
         store: components.store.clone(),
@@ -379,6 +381,7 @@
     state: &Arc<SharedState>,
     components: &Components<S, P, T>,
     replicas: &Arc<Replicas>,
+    mut own_entry: OwnEntryObserver,
 ) where
     S: Store,
     T: StateDecoder,
@@ -413,6 +416,7 @@
     followers.start(Topic::Upstreams, T::UPSTREAMS_PREFIX, upstreams);
     let shared = state.clone();
     let members = move |now: Duration, mirror: &Mirror| {
+        own_entry.observe(mirror);
         shared.update_members(now, Members::from_mirror(mirror));
     };
     followers.start(Topic::Members, MEMBERS_PREFIX, members);
--- a/lacewingspring_proxy/src/lib.rs
+++ b/lacewingspring_proxy/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod reader_timeout;
 pub mod record_checks;
 pub mod refusal;
+pub mod registration;
 pub mod relay;
 pub mod replica;
 pub mod retry_after;
--- a/lacewingspring_proxy/src/members.rs
+++ b/lacewingspring_proxy/src/members.rs
@@ -1,38 +1,21 @@
-//! The instances of the fleet, and their registration in the key-value service.
+//! The instances of the fleet.
 
-use std::{cmp::Reverse, net::SocketAddr, sync::Arc, time::Duration};
+use std::{cmp::Reverse, net::SocketAddr, sync::Arc};
 
 use arc_swap::ArcSwap;
-use bytes::Bytes;
 use lacewingspring_core::names::{DataCentreName, InstanceName};
-use log::{info, warn};
+use log::warn;
 use serde::{Deserialize, Serialize};
-use tokio::{
-    sync::watch,
-    time::{sleep, timeout},
-};
 
 use crate::{
     clock,
     mirror::Mirror,
-    store::{Item, Lease, Revision, Store, StoreError},
+    store::{Item, Revision},
 };
 
 /// Prefix of the keys of instances.
 pub const MEMBERS_PREFIX: &str = "lacewingspring/instances/";
 
-/// Lease of an instance's key; longer if the service requires it.
-const LEASE_TTL: Duration = Duration::from_millis(3_500);
-
-/// Interval of lease renewals.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_100);
-
-/// Time limit of a call to the key-value service.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-
-/// Delay after a failed call.
-const RETRY_DELAY: Duration = Duration::from_millis(400);
-
 /// Maximum number of addresses returned to a caller.
 const MAX_ADDRESSES: usize = 64;
 
@@ -61,6 +44,13 @@
     pub is_leaving: bool,
 }
 
+impl Member {
+    /// Returns the key of its entry.
+    pub fn key(&self) -> String {
+        format!("{MEMBERS_PREFIX}{}", self.instance)
+    }
+}
+
 /// The instances of the fleet, ordered by processor share, the largest first, then by age, the
 /// oldest first.
 ///
@@ -143,116 +133,6 @@
 /// The current instances, shared between tasks.
 pub type SharedMembers = Arc<ArcSwap<Members>>;
 
-/// Task that keeps the entry of this instance in the key-value service.
-pub struct Registration<S> {
-    /// The key-value service.
-    pub store: Arc<S>,
-    /// Current entry of this instance.
-    pub member: watch::Receiver<Member>,
-    /// Minimum lease that the service grants.
-    pub min_lease: Duration,
-    /// Becomes `true` when the process is about to end.
-    pub shutdown: watch::Receiver<bool>,
-}
-
-impl<S> Registration<S>
-where
-    S: Store,
-{
-    /// Registers this instance, renews its lease until the process ends, and ends the lease then.
-    pub async fn run(mut self) {
-        let mut lease = None;
-        let mut failed_calls = 0_u32;
-        while !*self.shutdown.borrow() {
-            let result = match lease {
-                None => self.register().await.map(|granted| lease = Some(granted)),
-                Some(granted) => self.renew(granted).await,
-            };
-            match result {
-                Ok(()) => {
-                    if std::mem::take(&mut failed_calls) > 0 {
-                        info!("The registration of this instance works again.");
-                    }
-                    self.wait_for_change(RENEWAL_INTERVAL).await;
-                }
-                Err(e) => {
-                    if failed_calls == 0 {
-                        warn!(
-                            error:% = e;
-                            "Registering this instance or renewing its lease failed; retrying."
-                        );
-                    }
-                    failed_calls += 1;
-                    if matches!(e, StoreError::NoLease) {
-                        lease = None;
-                    }
-                    self.wait_for_shutdown(RETRY_DELAY).await;
-                }
-            }
-        }
-        if let Some(granted) = lease
-            && let Err(e) = with_timeout(self.store.end_lease(granted)).await
-        {
-            warn!(
-                error:% = e;
-                "Ending the lease of this instance failed; its entry stays until the lease expires."
-            );
-        }
-    }
-
-    /// Waits until the lease is due for renewal, the entry changes or the process ends.
-    async fn wait_for_change(&mut self, limit: Duration) {
-        tokio::select! {
-            () = sleep(limit) => {}
-            _ = self.member.changed() => self.member.mark_changed(),
-            _ = self.shutdown.changed() => {}
-        }
-    }
-
-    async fn wait_for_shutdown(&mut self, limit: Duration) {
-        // After a time-out as well as a change the caller checks whether the process ends.
-        let _ = timeout(limit, self.shutdown.changed()).await;
-    }
-
-    async fn register(&mut self) -> Result<Lease, StoreError> {
-        let granted = self.store.grant_lease(LEASE_TTL.max(self.min_lease));
-        let granted = with_timeout(granted).await?;
-        self.write(granted).await?;
-        info!("This instance is registered.");
-        Ok(granted)
-    }
-
-    /// Writes the entry of this instance; it counts as changed until the write succeeded.
-    async fn write(&mut self, lease: Lease) -> Result<(), StoreError> {
-        let member = self.member.borrow_and_update().clone();
-        self.member.mark_changed();
-        let value = serde_json::to_vec(&member);
-        let value = value.map_err(|e| StoreError::Malformed(e.to_string()))?;
-        let key = format!("{MEMBERS_PREFIX}{}", member.instance);
-        with_timeout(self.store.put(&key, Bytes::from(value), Some(lease))).await?;
-        if *self.member.borrow() == member {
-            self.member.mark_unchanged();
-        }
-        Ok(())
-    }
-
-    /// Renews the lease, and writes the entry if it changed.
-    async fn renew(&mut self, lease: Lease) -> Result<(), StoreError> {
-        if self.member.has_changed().unwrap_or(false) {
-            self.write(lease).await?;
-        }
-        with_timeout(self.store.keep_lease(lease)).await
-    }
-}
-
-async fn with_timeout<T, F>(call: F) -> Result<T, StoreError>
-where
-    F: Future<Output = Result<T, StoreError>>,
-{
-    let done = timeout(CALL_TIMEOUT, call).await;
-    done.unwrap_or_else(|_| Err(StoreError::NoAnswer("timed out".into())))
-}
-
 /// Returns a random number that distinguishes this process from earlier ones of the instance.
 pub fn random_incarnation() -> u64 {
     clock::wall().as_millis() as u64 ^ rand::random::<u64>()
--- a/lacewingspring_proxy/src/metrics.rs
+++ b/lacewingspring_proxy/src/metrics.rs
@@ -126,6 +126,7 @@
     shares: ShareMetrics,
     version: Gauge,
     members: Gauge,
+    is_registered: Gauge,
     store_era: Gauge,
     view_age: Gauge<f64, AtomicU64>,
     dropped_log_lines: Gauge,
@@ -164,6 +165,7 @@
             shares: ShareMetrics::default(),
             version: Gauge::default(),
             members: Gauge::default(),
+            is_registered: Gauge::default(),
             store_era: Gauge::default(),
             view_age: Gauge::default(),
             dropped_log_lines: Gauge::default(),
@@ -228,6 +230,11 @@
         self.shares.register(registry);
         registry.register("declared_version", "Version in force", self.version.clone());
         registry.register("instances", "Instances that stay", self.members.clone());
+        registry.register(
+            "registered",
+            "1 if the copy of the fleet has the entry of this process, else 0",
+            self.is_registered.clone(),
+        );
         registry.register("store_era", "Era of the key-value service", self.store_era.clone());
         registry.register(
             "view_age_seconds",
@@ -348,6 +355,11 @@
         set_gauge(&self.members, count);
     }
 
+    /// Sets whether the copy of the fleet has the entry of this process.
+    pub fn set_registered(&self, is_registered: bool) {
+        self.is_registered.set(is_registered.into());
+    }
+
     /// Sets the stage and the counts of a roll-out that is held here.
     pub fn set_roll_out(
         &self,
--- a/lacewingspring_proxy/src/mirror.rs
+++ b/lacewingspring_proxy/src/mirror.rs
@@ -52,6 +52,12 @@
         self.entries.values().map(|entry| &entry.item)
     }
 
+    /// Returns a key that exists, without those that are kept although they were deleted.
+    pub fn get(&self, key: &str) -> Option<&Item> {
+        let entry = self.entries.get(key).filter(|entry| entry.remove_at.is_none());
+        entry.map(|entry| &entry.item)
+    }
+
     /// Returns the memory that the copy takes, in bytes, with the deletions that are remembered.
     pub fn held_bytes(&self) -> usize {
         let items: usize = self.items().map(Item::held_bytes).sum();
--- a/lacewingspring_proxy/tests/members.rs
+++ b/lacewingspring_proxy/tests/members.rs
@@ -12,8 +12,9 @@
 use bytes::Bytes;
 use lacewingspring_core::names::{DataCentreName, InstanceName};
 use lacewingspring_proxy::{
-    members::{Member, Members, Registration},
+    members::{Member, Members},
     mirror::{LEASE_EXPIRY_GRACE, Mirror},
+    registration::Registration,
     store::{Batch, Change, Era, Item, Lease, Page, Revision, Store, StoreError},
 };
 use tokio::{
