Write an instance's entry under a condition, and again if it is gone or replaced

After a restart of the only instance all requests got 429 and all address queries 503, readiness 200, until the next restart.

Cause: the write of the entry had no answer and was executed 2 s later, after the next one had been acknowledged. It tied the entry to the first lease, which nobody renewed; nothing compared the entry with the store afterwards.

Change: each write names the revision that it replaces, so that an earlier one fails once it is acknowledged. The revision comes from the last write or from the copy of the fleet, which the first write waits for (0.3 s at most); a conflict is written over once at the revision that the store names. A lease is kept if the write fails. After each renewal the entry is compared with the copy of the fleet, and written again if it is missing or another one.

Why it works: a late write holds its condition only before the next one is executed, which then conflicts and replaces it. What still replaces or removes the entry, as a write of an earlier build, is seen in the copy, without a call.

No call in calm is new; a lost write costs one grant less.

--- a/lacewingspring_proxy/src/counted.rs
+++ b/lacewingspring_proxy/src/counted.rs
@@ -86,7 +86,8 @@
         key: &str,
         value: Bytes,
         expected: Option<Revision>,
+        lease: Option<Lease>,
     ) -> Result<Revision, StoreError> {
-        self.count("write_if", self.inner.put_if(key, value, expected)).await
+        self.count("write_if", self.inner.put_if(key, value, expected, lease)).await
     }
 }
--- a/lacewingspring_proxy/src/gate/roll_out/known_key.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/known_key.rs
@@ -36,7 +36,7 @@
     where
         S: Store,
     {
-        let put = store.put_if(key, value.clone(), self.revision);
+        let put = store.put_if(key, value.clone(), self.revision, None);
         let written = timeout(CALL_TIMEOUT, put).await;
         let revision = written.map_err(|_| StoreError::NoAnswer("timed out".into()))??;
         *self = Self { revision: Some(revision), value: Some(value) };
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -34,8 +34,9 @@
     memory_budget::{MemoryBudget, SharedBudget},
     metrics::SharedMetrics,
     mirror::Mirror,
+    own_entry::OwnEntryObserver,
     protocol::Protocol,
-    registration::{OwnEntryObserver, Registration},
+    registration::Registration,
     replica::{Replicas, Topic},
     settings::Settings,
     store::Store,
@@ -282,12 +283,14 @@
     let own_entry = OwnEntryObserver::new(member.borrow().clone(), state.metrics.clone());
     follow_store(&state, &components, &replicas, own_entry);
     start_gate(&state, &components, gate.clone());
-    let registration = Registration {
-        store: components.store.clone(),
-        member: member.clone(),
-        min_lease: Duration::from_millis(settings.bounds.min_lease_ms),
+    let registration = Registration::new(
+        components.store.clone(),
+        member.clone(),
+        Duration::from_millis(settings.bounds.min_lease_ms),
         shutdown,
-    };
+        replicas.clone(),
+        state.metrics.clone(),
+    );
     let registration = tokio::spawn(registration.run());
     let callers_budget = state.budget.is_bounded().then(|| state.budget.clone());
     let open = state.connections("callers", state.descriptors.callers, callers_budget);
--- a/lacewingspring_proxy/src/lib.rs
+++ b/lacewingspring_proxy/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod mirror;
 pub mod net;
 pub mod outage;
+pub mod own_entry;
 mod part_ids;
 pub mod pass_on;
 pub mod protocol;
--- a/lacewingspring_proxy/src/metrics.rs
+++ b/lacewingspring_proxy/src/metrics.rs
@@ -32,7 +32,7 @@
 };
 use crate::{
     connections::Connections, declared::RequestKind, framing::Framing, logging,
-    memory_budget::SharedBudget, replica::Replicas, store::Era,
+    memory_budget::SharedBudget, own_entry::Difference, replica::Replicas, store::Era,
 };
 
 mod limits;
@@ -93,6 +93,11 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DifferenceLabels {
+    difference: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PurposeLabels {
     purpose: &'static str,
@@ -127,6 +132,7 @@
     version: Gauge,
     members: Gauge,
     is_registered: Gauge,
+    registration_repairs: Family<DifferenceLabels, Counter>,
     store_era: Gauge,
     view_age: Gauge<f64, AtomicU64>,
     dropped_log_lines: Gauge,
@@ -166,6 +172,7 @@
             version: Gauge::default(),
             members: Gauge::default(),
             is_registered: Gauge::default(),
+            registration_repairs: Family::default(),
             store_era: Gauge::default(),
             view_age: Gauge::default(),
             dropped_log_lines: Gauge::default(),
@@ -235,6 +242,11 @@
             "1 if the copy of the fleet has the entry of this process, else 0",
             self.is_registered.clone(),
         );
+        registry.register(
+            "registration_repairs",
+            "Writes of the entry of this process because it was no longer as it was written",
+            self.registration_repairs.clone(),
+        );
         registry.register("store_era", "Era of the key-value service", self.store_era.clone());
         registry.register(
             "view_age_seconds",
@@ -360,6 +372,12 @@
         self.is_registered.set(is_registered.into());
     }
 
+    /// Counts that the entry of this process is written because it was no longer as it was written.
+    pub fn registration_repaired(&self, difference: Difference) {
+        let labels = DifferenceLabels { difference: difference.name() };
+        self.registration_repairs.get_or_create(&labels).inc();
+    }
+
     /// Sets the stage and the counts of a roll-out that is held here.
     pub fn set_roll_out(
         &self,
--- a/lacewingspring_proxy/src/registration.rs
+++ b/lacewingspring_proxy/src/registration.rs
@@ -10,16 +10,18 @@
 };
 
 use crate::{
+    clock,
     members::Member,
     metrics::SharedMetrics,
-    mirror::Mirror,
-    store::{Item, Lease, Revision, Store, StoreError},
+    own_entry::{Difference, OwnEntry},
+    replica::{Replica, Replicas, Topic},
+    store::{Lease, Revision, Store, StoreError},
 };
 
 /// Lease of an instance's key; longer if the service requires it.
 const LEASE_TTL: Duration = Duration::from_millis(3_500);
 
-/// Interval of lease renewals.
+/// Interval of lease renewals, and of the comparisons of the entry with the copy of the fleet.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_100);
 
 /// Time limit of a call to the key-value service.
@@ -28,30 +30,54 @@
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Maximum time that the first write waits for the copy of the fleet, which shows the entry of an
+/// earlier process. Without it, that entry costs a call that is rejected.
+const MAX_COPY_WAIT: Duration = Duration::from_millis(300);
+
 /// Task that keeps the entry of this instance in the key-value service.
 pub struct Registration<S> {
-    /// The key-value service.
-    pub store: Arc<S>,
-    /// Current entry of this instance.
-    pub member: watch::Receiver<Member>,
+    store: Arc<S>,
+    /// Current entry of this instance; marked as changed until it is written.
+    member: watch::Receiver<Member>,
+    /// Key of the entry.
+    key: String,
+    entry: OwnEntry,
+    /// Lease of the entry; `None` before it is granted and after it has ended.
+    lease: Option<Lease>,
     /// Minimum lease that the service grants.
-    pub min_lease: Duration,
+    min_lease: Duration,
     /// Becomes `true` when the process is about to end.
-    pub shutdown: watch::Receiver<bool>,
+    shutdown: watch::Receiver<bool>,
+    replicas: Arc<Replicas>,
+    metrics: SharedMetrics,
 }
 
 impl<S> Registration<S>
 where
     S: Store,
 {
+    /// Creates the registration of an instance whose entry is `member`, until `shutdown` becomes
+    /// `true`; `min_lease` is the minimum lease that the service grants.
+    pub fn new(
+        store: Arc<S>,
+        member: watch::Receiver<Member>,
+        min_lease: Duration,
+        shutdown: watch::Receiver<bool>,
+        replicas: Arc<Replicas>,
+        metrics: SharedMetrics,
+    ) -> Self {
+        let key = member.borrow().key();
+        let (entry, lease) = (OwnEntry::default(), None);
+        Self { store, member, key, entry, lease, min_lease, shutdown, replicas, metrics }
+    }
+
     /// Registers this instance, renews its lease until the process ends, and ends the lease then.
     pub async fn run(mut self) {
-        let mut lease = None;
         let mut failed_calls = 0_u32;
         while !*self.shutdown.borrow() {
-            let result = match lease {
-                None => self.register().await.map(|granted| lease = Some(granted)),
-                Some(granted) => self.renew(granted).await,
+            let result = match self.lease {
+                None => self.register().await,
+                Some(lease) => self.renew(lease).await,
             };
             match result {
                 Ok(()) => {
@@ -69,14 +95,15 @@
                     }
                     failed_calls += 1;
                     if matches!(e, StoreError::NoLease) {
-                        lease = None;
+                        self.lease = None;
+                        self.entry.set_deleted();
                     }
                     self.wait_for_shutdown(RETRY_DELAY).await;
                 }
             }
         }
-        if let Some(granted) = lease
-            && let Err(e) = with_timeout(self.store.end_lease(granted)).await
+        if let Some(lease) = self.lease
+            && let Err(e) = with_timeout(self.store.end_lease(lease)).await
         {
             warn!(
                 error:% = e;
@@ -99,12 +126,54 @@
         let _ = timeout(limit, self.shutdown.changed()).await;
     }
 
-    async fn register(&mut self) -> Result<Lease, StoreError> {
-        let granted = self.store.grant_lease(LEASE_TTL.max(self.min_lease));
-        let granted = with_timeout(granted).await?;
-        self.write(granted).await?;
-        info!(lease = granted.id, era = granted.era.0; "This instance is registered.");
-        Ok(granted)
+    /// Gets a lease, which is kept if the write fails: that write may be executed later.
+    async fn register(&mut self) -> Result<(), StoreError> {
+        let lease = self.store.grant_lease(LEASE_TTL.max(self.min_lease));
+        let lease = with_timeout(lease).await?;
+        self.lease = Some(lease);
+        if self.entry.is_unknown() {
+            self.wait_for_copy().await;
+        }
+        self.write(lease).await
+    }
+
+    /// Waits until the copy of the fleet has been read for the first time.
+    async fn wait_for_copy(&self) {
+        let mut confirmations = self.copy().confirmations();
+        // Without the copy the entry is written all the same.
+        let _ = timeout(MAX_COPY_WAIT, confirmations.wait_for(|at| !at.is_zero())).await;
+    }
+
+    /// Renews the lease, and writes the entry if it changed or is no longer as it was written.
+    async fn renew(&mut self, lease: Lease) -> Result<(), StoreError> {
+        if self.member.has_changed().unwrap_or(false) {
+            self.write(lease).await?;
+        }
+        with_timeout(self.store.keep_lease(lease)).await?;
+        let difference = self.entry.difference(&self.copy().mirror(), &self.key);
+        match difference {
+            Some(difference) => {
+                self.record_difference(clock::now(), difference);
+                self.write(lease).await
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// Logs and counts that the entry is no longer as it was written.
+    fn record_difference(&mut self, now: Duration, difference: Difference) {
+        let copy_age_ms = self.copy().age(now).unwrap_or_default().as_millis() as u64;
+        let copy_revision = self.copy().mirror().revision();
+        let written = self.entry.written().map_or("none".into(), |revision| revision.to_string());
+        warn!(
+            difference = difference.name(), written_revision:% = written, copy_revision:%,
+            copy_age_ms;
+            "The registration of this instance is not as it was written; it is written again."
+        );
+        self.metrics.registration_repaired(difference);
+        if difference == Difference::Missing {
+            self.entry.set_deleted();
+        }
     }
 
     /// Writes the entry of this instance; it counts as changed until the write succeeded.
@@ -112,20 +181,49 @@
         let member = self.member.borrow_and_update().clone();
         self.member.mark_changed();
         let value = serde_json::to_vec(&member);
-        let value = value.map_err(|e| StoreError::Malformed(e.to_string()))?;
-        with_timeout(self.store.put(&member.key(), Bytes::from(value), Some(lease))).await?;
+        let value = Bytes::from(value.map_err(|e| StoreError::Malformed(e.to_string()))?);
+        let revision = self.put(lease, value).await?;
+        self.entry.set_written(revision);
+        info!(
+            lease = lease.id, revision:%, is_leaving = member.is_leaving;
+            "This instance is registered."
+        );
         if *self.member.borrow() == member {
             self.member.mark_unchanged();
         }
         Ok(())
     }
 
-    /// Renews the lease, and writes the entry if it changed.
-    async fn renew(&mut self, lease: Lease) -> Result<(), StoreError> {
-        if self.member.has_changed().unwrap_or(false) {
-            self.write(lease).await?;
+    /// Writes a value in place of the entry that is known, or of the one that the service has
+    /// instead: a write of this process that had no answer, or one of an earlier process.
+    async fn put(&mut self, lease: Lease, value: Bytes) -> Result<Revision, StoreError> {
+        let expected = self.entry.expected(&self.copy().mirror(), &self.key);
+        match self.put_at(expected, lease, value.clone()).await {
+            Err(StoreError::Conflict(present)) => {
+                let present = present.map(|item| item.revision);
+                self.entry.set_present(present);
+                self.put_at(present, lease, value).await
+            }
+            Err(StoreError::EarlierEra) => {
+                self.entry.set_deleted();
+                self.put_at(None, lease, value).await
+            }
+            result => result,
         }
-        with_timeout(self.store.keep_lease(lease)).await
+    }
+
+    async fn put_at(
+        &self,
+        expected: Option<Revision>,
+        lease: Lease,
+        value: Bytes,
+    ) -> Result<Revision, StoreError> {
+        with_timeout(self.store.put_if(&self.key, value, expected, Some(lease))).await
+    }
+
+    /// Returns the copy of the fleet.
+    fn copy(&self) -> &Replica {
+        self.replicas.get(Topic::Members)
     }
 }
 
@@ -136,41 +234,3 @@
     let done = timeout(CALL_TIMEOUT, call).await;
     done.unwrap_or_else(|_| Err(StoreError::NoAnswer("timed out".into())))
 }
-
-/// Shows in the log and the metrics what the copy of the fleet holds of this instance's entry.
-pub struct OwnEntryObserver {
-    member: Member,
-    metrics: SharedMetrics,
-    /// Revision of the entry in the copy; `None` if the copy does not have it.
-    revision: Option<Revision>,
-}
-
-impl OwnEntryObserver {
-    /// Creates an observer of the entry of `member`, which the copy does not have yet.
-    pub fn new(member: Member, metrics: SharedMetrics) -> Self {
-        Self { member, metrics, revision: None }
-    }
-
-    /// Records what a copy of the fleet has of the entry.
-    pub fn observe(&mut self, mirror: &Mirror) {
-        let entry = mirror.get(&self.member.key());
-        let revision = entry.map(|item| item.revision);
-        if self.revision == revision {
-            return;
-        }
-        self.revision = revision;
-        let is_of_this_process = entry.is_some_and(|item| self.is_own(item));
-        self.metrics.set_registered(is_of_this_process);
-        info!(
-            entry_revision:% = revision.map_or("none".into(), |revision| revision.to_string()),
-            is_of_this_process, copy_revision:% = mirror.revision();
-            "The registration of this instance has changed in its copy of the fleet."
-        );
-    }
-
-    /// Returns whether an entry is that of this process.
-    fn is_own(&self, item: &Item) -> bool {
-        let member: Result<Member, _> = serde_json::from_slice(&item.value);
-        member.is_ok_and(|member| member.incarnation == self.member.incarnation)
-    }
-}
--- a/lacewingspring_proxy/src/store.rs
+++ b/lacewingspring_proxy/src/store.rs
@@ -185,13 +185,15 @@
         lease: Option<Lease>,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Writes a key without a lease if its revision is `expected`, or if it does not exist and
-    /// `expected` is `None`; returns its new revision. A write without an answer may have been
-    /// executed.
+    /// Writes a key if its revision is `expected`, or if it does not exist and `expected` is `None`;
+    /// returns its new revision. If a lease is given, the key is deleted when the lease ends.
+    ///
+    /// A write without an answer may be executed seconds later, if its condition holds then.
     fn put_if(
         &self,
         key: &str,
         value: Bytes,
         expected: Option<Revision>,
+        lease: Option<Lease>,
     ) -> impl Future<Output = Result<Revision, StoreError>> + Send;
 }
--- a/lacewingspring_proxy/tests/roll_out_support/mod.rs
+++ b/lacewingspring_proxy/tests/roll_out_support/mod.rs
@@ -239,6 +239,7 @@
         key: &str,
         value: Bytes,
         expected: Option<Revision>,
+        _: Option<Lease>,
     ) -> Result<Revision, StoreError> {
         if take_one(&self.failing_writes) {
             return Err(StoreError::NoAnswer("timed out".into()));
