Write the records for the next gate under a condition

A write without an answer was taken for one that did not happen; executed late, it replaced the record that was acknowledged after it, and nothing wrote that again.

Change: Record names the revision that it read or wrote last. After a conflict it takes the present revision and writes at the next round, if this instance is still the gate. The revisions come from the reads of a new gate, so that no call is new.

--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -13,8 +13,16 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{sync::watch, time::sleep};
 
-use super::{host::GateHost, record::Record, version_recorder::VersionRecorder};
-use crate::{clock, record_checks::RecordReader, store::Store};
+use super::{
+    host::GateHost,
+    record::{Record, Stored},
+    version_recorder::VersionRecorder,
+};
+use crate::{
+    clock,
+    record_checks::RecordReader,
+    store::{Revision, Store},
+};
 
 /// Key of the stored usage.
 const USAGE_KEY: &str = "lacewingspring/usage";
@@ -82,7 +90,7 @@
 
 /// What is to be stored, each the latest that was published.
 #[derive(Clone, Debug, Default)]
-struct Stored {
+struct Latest {
     usage: Vec<StoredUsage>,
     hand_over: HandOver,
     streams: KnownStreams,
@@ -111,8 +119,26 @@
     }
 }
 
-/// Time up to which streams are stored; `None` before those of an earlier gate are loaded.
-type StoredUntil = Option<Duration>;
+/// The streams that are stored.
+#[derive(Clone, Copy, Debug)]
+struct StoredStreams {
+    /// Time up to which they are stored under [`STREAMS_KEY`].
+    until: Duration,
+    /// Revision that the record under [`RECENT_STREAMS_KEY`] had when it was loaded.
+    recent_revision: Option<Revision>,
+}
+
+/// Revisions of the records of streams; `None` for a record that does not exist.
+#[derive(Clone, Copy, Debug)]
+struct StreamRevisions {
+    /// That of [`STREAMS_KEY`].
+    all: Option<Revision>,
+    /// That of [`RECENT_STREAMS_KEY`].
+    recent: Option<Revision>,
+}
+
+/// What is stored of streams; `None` before those of an earlier gate are loaded.
+type KnownStored = Option<StoredStreams>;
 
 impl<S> Ledger<S>
 where
@@ -136,13 +162,13 @@
                 versions.wait_for_majority(CHECK_INTERVAL).await;
             }
             // The service may be slow or away while the other instances are not.
-            let (tx, rx) = watch::channel(Stored::default());
-            let (until_tx, until_rx) = watch::channel(None);
+            let (tx, rx) = watch::channel(Latest::default());
+            let (stored_tx, stored_rx) = watch::channel(None);
             // All end with the role; the one that notices first ends the others.
             tokio::select! {
                 () = self.publish(tx) => {}
-                () = self.load_and_write(rx, until_tx) => {}
-                () = self.write_recent_streams(until_rx) => {}
+                () = self.load_and_write(rx, stored_tx) => {}
+                () = self.write_recent_streams(stored_rx) => {}
                 () = versions.run() => {}
             }
         }
@@ -153,16 +179,19 @@
     }
 
     /// Stores streams soon after they begin, so that few are lost if all instances end together.
-    async fn write_recent_streams(&self, mut stored_until: watch::Receiver<StoredUntil>) {
+    async fn write_recent_streams(&self, mut stored: watch::Receiver<KnownStored>) {
         let mut recent: Record<KnownStreams> =
             Record::new(RECENT_STREAMS_KEY, MIN_RECENT_WRITE_INTERVAL);
         let mut version = None;
         while self.serves_majority() {
-            let until = *stored_until.borrow_and_update();
+            let known = *stored.borrow_and_update();
             let latest = Some(self.host.streams_version());
-            if let Some(until) = until.filter(|_| latest != version) {
+            if let Some(known) = known.filter(|_| latest != version) {
+                if version.is_none() {
+                    recent.set_revision(known.recent_revision);
+                }
                 version = latest;
-                recent.set(self.host.mixed_streams_since(clock::now(), until));
+                recent.set(self.host.mixed_streams_since(clock::now(), known.until));
             }
             recent.write(clock::now(), &*self.store).await;
             sleep(MIN_RECENT_WRITE_INTERVAL).await;
@@ -170,7 +199,7 @@
     }
 
     /// Publishes what the next gate must know while this instance is the gate.
-    async fn publish(&self, stored: watch::Sender<Stored>) {
+    async fn publish(&self, stored: watch::Sender<Latest>) {
         let mut published = Published::default();
         while self.serves_majority() {
             self.wait_until_due(&published).await;
@@ -201,20 +230,22 @@
     /// gate.
     async fn load_and_write(
         &self,
-        stored: watch::Receiver<Stored>,
-        stored_until: watch::Sender<StoredUntil>,
+        latest: watch::Receiver<Latest>,
+        stored: watch::Sender<KnownStored>,
     ) {
-        self.load_usage().await;
-        self.load_hand_over(|| self.serves_majority()).await;
-        self.load_streams(|| self.serves_majority()).await;
-        stored_until.send_replace(Some(Duration::ZERO));
-        // What was loaded is published before anything of an earlier gate is overwritten.
-        sleep(MIN_HAND_OVER_INTERVAL + CHECK_INTERVAL).await;
         let mut usage: Record<Vec<StoredUsage>> = Record::new(USAGE_KEY, MIN_USAGE_WRITE_INTERVAL);
         let mut hand_over: Record<HandOver> = Record::new(HAND_OVER_KEY, MIN_WRITE_INTERVAL);
         let mut streams: Record<KnownStreams> = Record::new(STREAMS_KEY, MIN_WRITE_INTERVAL);
+        usage.set_revision(self.load_usage().await);
+        hand_over.set_revision(self.load_hand_over(|| self.serves_majority()).await);
+        let revisions = self.load_streams(|| self.serves_majority()).await;
+        streams.set_revision(revisions.all);
+        let recent_revision = revisions.recent;
+        stored.send_replace(Some(StoredStreams { until: Duration::ZERO, recent_revision }));
+        // What was loaded is published before anything of an earlier gate is overwritten.
+        sleep(MIN_HAND_OVER_INTERVAL + CHECK_INTERVAL).await;
         while self.serves_majority() {
-            let latest = stored.borrow().clone();
+            let latest = latest.borrow().clone();
             usage.set(latest.usage);
             hand_over.set(latest.hand_over);
             streams.set(latest.streams);
@@ -222,7 +253,8 @@
             hand_over.write(clock::now(), &*self.store).await;
             streams.write(clock::now(), &*self.store).await;
             if streams.is_written() {
-                stored_until.send_replace(Some(latest.streams_at));
+                let until = latest.streams_at;
+                stored.send_replace(Some(StoredStreams { until, recent_revision }));
             }
             sleep(CHECK_INTERVAL).await;
         }
@@ -252,35 +284,51 @@
         published.streams.is_due(now, self.host.streams_version())
     }
 
-    async fn load_usage(&self) {
-        let usage = self
-            .read(Record::new(USAGE_KEY, MIN_USAGE_WRITE_INTERVAL), || self.serves_majority())
-            .await;
-        let Some(usage): Option<Vec<StoredUsage>> = usage else { return };
-        info!(workspaces = usage.len(); "The stored usage of limits is loaded.");
-        self.host.import_usage(clock::now(), &usage);
+    /// Loads the usage of limits; returns the revision of the record.
+    async fn load_usage(&self) -> Option<Revision> {
+        let usage: Record<Vec<StoredUsage>> = Record::new(USAGE_KEY, MIN_USAGE_WRITE_INTERVAL);
+        let stored = self.read(usage, || self.serves_majority()).await?;
+        if let Some(usage) = stored.value {
+            info!(workspaces = usage.len(); "The stored usage of limits is loaded.");
+            self.host.import_usage(clock::now(), &usage);
+        }
+        stored.revision
+    }
+
+    /// Loads what else an earlier gate handed over; returns the revision of the record.
+    async fn load_hand_over<F>(&self, is_needed: F) -> Option<Revision>
+    where
+        F: Fn() -> bool,
+    {
+        let hand_over: Record<HandOver> = Record::new(HAND_OVER_KEY, MIN_WRITE_INTERVAL);
+        let stored = self.read(hand_over, is_needed).await?;
+        if let Some(hand_over) = stored.value {
+            info!(
+                requests = hand_over.blocked_requests.len(), parts = hand_over.blocked_parts.len();
+                "The stored hand-over of an earlier gate is loaded."
+            );
+            self.host.take_over(clock::now(), &hand_over);
+        }
+        stored.revision
     }
 
-    async fn load_hand_over<F>(&self, is_needed: F)
+    /// Loads the streams; returns the revisions of their records.
+    async fn load_streams<F>(&self, is_needed: F) -> StreamRevisions
     where
         F: Fn() -> bool,
     {
-        let hand_over = self.read(Record::new(HAND_OVER_KEY, MIN_WRITE_INTERVAL), is_needed).await;
-        let Some(hand_over): Option<HandOver> = hand_over else { return };
-        info!(
-            requests = hand_over.blocked_requests.len(), parts = hand_over.blocked_parts.len();
-            "The stored hand-over of an earlier gate is loaded."
-        );
-        self.host.take_over(clock::now(), &hand_over);
+        let all = self.load_streams_of(STREAMS_KEY, &is_needed).await;
+        let recent = self.load_streams_of(RECENT_STREAMS_KEY, &is_needed).await;
+        StreamRevisions { all, recent }
     }
 
-    async fn load_streams<F>(&self, is_needed: F)
+    async fn load_streams_of<F>(&self, key: &'static str, is_needed: F) -> Option<Revision>
     where
         F: Fn() -> bool,
     {
-        for key in [STREAMS_KEY, RECENT_STREAMS_KEY] {
-            let streams = self.read(Record::new(key, MIN_WRITE_INTERVAL), &is_needed).await;
-            let Some(streams): Option<KnownStreams> = streams else { continue };
+        let streams: Record<KnownStreams> = Record::new(key, MIN_WRITE_INTERVAL);
+        let stored = self.read(streams, is_needed).await?;
+        if let Some(streams) = stored.value {
             info!(
                 key, versions = streams.versions.len(), processes = streams.groups.len();
                 "The stored software versions of streams are loaded."
@@ -289,20 +337,20 @@
             let streams = KnownStreams { knows_past: false, ..streams };
             self.host.take_over_streams(clock::now(), &streams);
         }
+        stored.revision
     }
 
-    /// Reads a record until the service answers; `None` if its value can't be parsed or it is no
-    /// longer needed.
-    async fn read<T, F>(&self, record: Record<T>, is_needed: F) -> Option<T>
+    /// Reads a record until the service answers; `None` if it is no longer needed.
+    async fn read<T, F>(&self, record: Record<T>, is_needed: F) -> Option<Stored<T>>
     where
         T: Clone + Default + PartialEq + Serialize + DeserializeOwned,
         F: Fn() -> bool,
     {
         let reader = RecordReader::new(self.host.outage());
         let read = || record.read(&*self.store);
-        let value = reader.read(is_needed, read, |e| {
+        let stored = reader.read(is_needed, read, |e| {
             warn!(error:% = e; "Reading a record of an earlier gate failed; trying again.");
         });
-        value.await.flatten()
+        stored.await
     }
 }
--- a/lacewingspring_proxy/tests/ledger.rs
+++ b/lacewingspring_proxy/tests/ledger.rs
@@ -75,6 +75,14 @@
         self.puts.lock().expect("is not poisoned").get(key).copied().unwrap_or_default()
     }
 
+    /// Counts a write of a key; returns the number of those so far.
+    fn count_put(&self, key: &str) -> u64 {
+        let mut puts = self.puts.lock().expect("is not poisoned");
+        let count = puts.entry(key.into()).or_default();
+        *count += 1;
+        *count
+    }
+
     fn reads(&self, key: &str) -> u64 {
         self.reads.lock().expect("is not poisoned").get(key).copied().unwrap_or_default()
     }
@@ -115,18 +123,21 @@
         if self.is_silent {
             pending::<()>().await;
         }
-        *self.puts.lock().expect("is not poisoned").entry(key.into()).or_default() += 1;
+        self.count_put(key);
         Ok(())
     }
 
     async fn put_if(
         &self,
-        _: &str,
+        key: &str,
         _: Bytes,
         _: Option<Revision>,
         _: Option<Lease>,
     ) -> Result<Revision, StoreError> {
-        pending().await
+        if self.is_silent {
+            pending::<()>().await;
+        }
+        Ok(Revision { era: Era::default(), number: self.count_put(key) })
     }
 }
 
