Write the records of software versions under a condition

The record that a version has left had no answer and was executed after the version was back and recorded as serving; the next gate did not know that streams had begun at it.

Change: each write names the revision that it replaces, as it was read at the start of the tenure or written last. A conflict with the same record counts as done, as several instances may record a version at once. The unconditional write is gone from Store; store_calls_total counts all writes as write.

--- a/lacewingspring_proxy/src/counted.rs
+++ b/lacewingspring_proxy/src/counted.rs
@@ -77,10 +77,6 @@
         self.count("end_lease", self.inner.end_lease(lease)).await
     }
 
-    async fn put(&self, key: &str, value: Bytes, lease: Option<Lease>) -> Result<(), StoreError> {
-        self.count("write", self.inner.put(key, value, lease)).await
-    }
-
     async fn put_if(
         &self,
         key: &str,
@@ -88,6 +84,6 @@
         expected: Option<Revision>,
         lease: Option<Lease>,
     ) -> Result<Revision, StoreError> {
-        self.count("write_if", self.inner.put_if(key, value, expected, lease)).await
+        self.count("write", self.inner.put_if(key, value, expected, lease)).await
     }
 }
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -148,7 +148,7 @@
     /// of the fleet. Publishes and stores what it knows while it is the gate of the fleet. Never
     /// returns.
     pub async fn run(self) {
-        let versions = VersionRecorder { store: &*self.store, host: &self.host };
+        let versions = VersionRecorder::new(&*self.store, &self.host);
         // An instance that does not reach the others yet may serve requests before it is the gate.
         versions.load(|| true).await;
         self.load_hand_over(|| true).await;
--- a/lacewingspring_proxy/src/gate/version_recorder.rs
+++ b/lacewingspring_proxy/src/gate/version_recorder.rs
@@ -4,9 +4,12 @@
 
 use lacewingspring_core::dispatch::ServedVersion;
 use log::{info, warn};
-use tokio::time::timeout;
+use tokio::{sync::Mutex, time::timeout};
 
-use super::{host::GateHost, version_record};
+use super::{
+    host::GateHost,
+    version_record::{self, RecordRevisions},
+};
 use crate::{
     clock,
     record_checks::RecordReader,
@@ -20,9 +23,18 @@
 #[derive(Debug)]
 pub(super) struct VersionRecorder<'a, S> {
     /// The key-value service.
-    pub store: &'a S,
+    store: &'a S,
     /// Gate host of this instance.
-    pub host: &'a GateHost,
+    host: &'a GateHost,
+    /// Revisions of the records as they were read or written last.
+    revisions: Mutex<RecordRevisions>,
+}
+
+impl<'a, S> VersionRecorder<'a, S> {
+    /// Creates a recorder that has read no records.
+    pub(super) fn new(store: &'a S, host: &'a GateHost) -> Self {
+        Self { store, host, revisions: Mutex::default() }
+    }
 }
 
 impl<S> VersionRecorder<'_, S>
@@ -69,17 +81,22 @@
 
     async fn write_new(&self, versions: Vec<ServedVersion>) -> Result<(), StoreError> {
         for version in versions {
-            version_record::write(self.store, &version, false).await?;
+            self.write(&version, false).await?;
             self.host.set_versions_recorded(clock::now(), &[version]);
         }
         Ok(())
     }
 
+    async fn write(&self, version: &ServedVersion, has_left: bool) -> Result<(), StoreError> {
+        let mut revisions = self.revisions.lock().await;
+        version_record::write(self.store, &mut revisions, version, has_left).await
+    }
+
     /// Records the new versions, and that others left.
     async fn write_all(&self) -> Result<(), StoreError> {
         self.write_new(self.host.unrecorded_versions()).await?;
         for version in self.host.take_expired_versions(clock::now()) {
-            version_record::write(self.store, &version, true).await?;
+            self.write(&version, true).await?;
             self.host.remove_version(&version);
         }
         Ok(())
@@ -98,7 +115,8 @@
                 warn!(error:% = e; "Reading the recorded software versions failed; trying again.");
             },
         );
-        let Some(loaded) = loaded.await else { return };
+        let Some((loaded, revisions)) = loaded.await else { return };
+        *self.revisions.lock().await = revisions;
         info!(
             versions = loaded.complete.len(), incomplete = loaded.incomplete.len();
             "The recorded software versions of upstreams are loaded."
--- a/lacewingspring_proxy/src/store.rs
+++ b/lacewingspring_proxy/src/store.rs
@@ -177,14 +177,6 @@
     /// Ends a lease, which deletes its keys.
     fn end_lease(&self, lease: Lease) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Writes a key; if a lease is given, the key is deleted when the lease ends.
-    fn put(
-        &self,
-        key: &str,
-        value: Bytes,
-        lease: Option<Lease>,
-    ) -> impl Future<Output = Result<(), StoreError>> + Send;
-
     /// Writes a key if its revision is `expected`, or if it does not exist and `expected` is `None`;
     /// returns its new revision. If a lease is given, the key is deleted when the lease ends.
     ///
--- a/lacewingspring_proxy/tests/late_records.rs
+++ b/lacewingspring_proxy/tests/late_records.rs
@@ -3,12 +3,16 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     future::pending,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 use bytes::Bytes;
-use lacewingspring_core::dispatch::{BlockedRequest, HandOver};
+use lacewingspring_core::{
+    dispatch::{BlockedRequest, HandOver, UpstreamInfo},
+    names::{DataCentreName, ServiceName, SoftwareVersion, UpstreamName},
+};
 use lacewingspring_proxy::{
     clock,
     gate::{host::GateHost, ledger::Ledger, message::ToGate},
@@ -118,11 +122,6 @@
         pending().await
     }
 
-    async fn put(&self, key: &str, value: Bytes, _: Option<Lease>) -> Result<(), StoreError> {
-        self.writes_anew(key, std::str::from_utf8(&value).expect("JSON"));
-        Ok(())
-    }
-
     async fn put_if(
         &self,
         key: &str,
@@ -227,3 +226,39 @@
     assert_eq!(store.content().calls, calls + 1);
     ledger.abort();
 }
+
+fn upstream() -> UpstreamInfo {
+    UpstreamInfo {
+        name: UpstreamName::from("u"),
+        service: ServiceName::from("models"),
+        software: SoftwareVersion::from("v1"),
+        address: SocketAddr::from(([127, 0, 0, 1], 8000)),
+        data_centre: DataCentreName::from("a"),
+        slots: 1_000,
+        memory_tokens: 100_000,
+        draining: false,
+        started_at_ms: 1,
+    }
+}
+
+/// Guards against a successor that does not know at which version streams began, as the record that
+/// the version has left was written after it came back.
+#[tokio::test]
+async fn a_late_write_does_not_remove_a_version_that_came_back() {
+    let (store, host) = (LateStore::default(), host());
+    let _link = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    let ledger = start(&store, &host);
+    let has_left = || store.value(VERSION)["has_left"].as_bool();
+    wait_until("the version to be recorded", || has_left() == Some(false)).await;
+    store.delay_next_write(VERSION, LATE);
+    let long_ago = clock::now() - Duration::from_secs(7_200);
+    host.set_upstreams(long_ago, []);
+    wait_until("the late write", || store.content().late[VERSION].is_empty()).await;
+    let revision = store.content().revision;
+    host.set_upstreams(clock::now(), [upstream()]);
+    sleep(UNANSWERED).await;
+    wait_until("the next write", || store.content().revision > revision).await;
+    sleep(LATE).await;
+    assert_eq!(has_left(), Some(false), "the version serves");
+    ledger.abort();
+}
--- a/lacewingspring_proxy/tests/ledger.rs
+++ b/lacewingspring_proxy/tests/ledger.rs
@@ -119,14 +119,6 @@
         pending().await
     }
 
-    async fn put(&self, key: &str, _: Bytes, _: Option<Lease>) -> Result<(), StoreError> {
-        if self.is_silent {
-            pending::<()>().await;
-        }
-        self.count_put(key);
-        Ok(())
-    }
-
     async fn put_if(
         &self,
         key: &str,
--- a/lacewingspring_proxy/tests/registration.rs
+++ b/lacewingspring_proxy/tests/registration.rs
@@ -65,10 +65,6 @@
         Ok(())
     }
 
-    async fn put(&self, _: &str, _: Bytes, _: Option<Lease>) -> Result<(), StoreError> {
-        std::future::pending().await
-    }
-
     async fn put_if(
         &self,
         _: &str,
--- a/lacewingspring_proxy/tests/roll_out_support/mod.rs
+++ b/lacewingspring_proxy/tests/roll_out_support/mod.rs
@@ -231,9 +231,6 @@
     async fn end_lease(&self, _: Lease) -> Result<(), StoreError> {
         pending().await
     }
-    async fn put(&self, _: &str, _: Bytes, _: Option<Lease>) -> Result<(), StoreError> {
-        pending().await
-    }
     async fn put_if(
         &self,
         key: &str,
--- a/lacewingspring_proxy/tests/topic_bounds.rs
+++ b/lacewingspring_proxy/tests/topic_bounds.rs
@@ -95,10 +95,6 @@
         Err(StoreError::Refused(503))
     }
 
-    async fn put(&self, _: &str, _: Bytes, _: Option<Lease>) -> Result<(), StoreError> {
-        Err(StoreError::Refused(503))
-    }
-
     async fn put_if(
         &self,
         _: &str,
