Report that an instance is not ready while it is not registered and alone

Cause: readiness became true once and stayed so. A gate that knows no instance hands out nothing, and stated the limit of the workspace as the reason.

Refusals have the reason not_registered and 503 then. Nothing else is refused or granted than before.

--- a/lacewingspring_proxy/src/directory.rs
+++ b/lacewingspring_proxy/src/directory.rs
@@ -11,6 +11,7 @@
 use crate::{
     members::{Member, SharedMembers},
     protocol::{AddressQuery, Protocol},
+    readiness::{Readiness, ReadinessCheck},
 };
 
 /// Time for which callers may cache the addresses.
@@ -25,7 +26,7 @@
     /// Current entry of this instance.
     pub member: watch::Receiver<Member>,
     /// Whether this instance can serve requests.
-    pub is_ready: watch::Receiver<bool>,
+    pub readiness: ReadinessCheck,
     /// Maximum time for which callers may cache the addresses.
     pub max_ttl: Duration,
 }
@@ -66,10 +67,11 @@
     }
 
     fn readiness(&self) -> StatusCode {
-        if *self.is_ready.borrow() && !self.member.borrow().is_leaving {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
+        match self.readiness.check() {
+            Readiness::Ready => StatusCode::OK,
+            Readiness::NotRead | Readiness::NotRegistered | Readiness::Leaving => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
         }
     }
 }
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -245,11 +245,21 @@
         let pending = self.gate.request_slot(now, request, job.quota());
         let decision = timeout_at(clock::instant(job.deadline), pending.wait()).await;
         let decision: Result<Slot, Refusal> = decision.map_err(|_| Failure::TimeoutBeforeSend)?;
-        let slot = decision?;
+        let slot = decision.map_err(|refusal| self.explain(refusal))?;
         job.trace.slot_granted(clock::now(), attempts.counted, slot.grant());
         Ok(slot)
     }
 
+    /// Returns the response to a refusal of the gate. One that knows no instance of the fleet hands
+    /// out nothing of a limit, and would state that limit as its reason.
+    fn explain(&self, refusal: Refusal) -> ErrorResponse {
+        let error = ErrorResponse::from(refusal);
+        if self.gate.can_get_slots() {
+            return error;
+        }
+        ErrorResponse { failure: Failure::NotRegistered, ..error }
+    }
+
     /// Sends a request to the upstream of its slot, unless this instance knows that the upstream
     /// takes none.
     async fn send(&self, job: &Job<'_>, slot: Slot) -> Outcome {
--- a/lacewingspring_proxy/src/gate/link.rs
+++ b/lacewingspring_proxy/src/gate/link.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -96,6 +96,8 @@
     members: SharedMembers,
     replicas: Arc<Replicas>,
     host: Arc<GateHost>,
+    /// Whether the gate is at this instance.
+    is_gate_here: AtomicBool,
 }
 
 /// Last ping sent on a link.
@@ -120,6 +122,7 @@
             members,
             replicas,
             host,
+            is_gate_here: AtomicBool::new(false),
         }
     }
 
@@ -127,6 +130,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether the gate hands out slots and limits. It does not if it is at this instance
+    /// and knows no instance of the fleet.
+    pub fn can_get_slots(&self) -> bool {
+        !self.is_gate_here.load(Ordering::Relaxed) || self.host.grants_slots()
+    }
+
     /// Asks for a slot for a request, whose workspace has this limit if it is known; the request is
     /// sent again on the next link if this one fails.
     pub fn request_slot(
--- a/lacewingspring_proxy/src/gate/link/connection.rs
+++ b/lacewingspring_proxy/src/gate/link/connection.rs
@@ -1,7 +1,10 @@
 //! Chooses the gate, connects to it and exchanges messages with it until the link fails or another
 //! instance takes precedence.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use futures_util::StreamExt;
 use log::{info, warn};
@@ -158,6 +161,7 @@
         info!("The gate is at this instance.");
         let (tx, mut from_gate) = unbounded_channel();
         let link = self.host.connect(tx);
+        self.is_gate_here.store(true, Ordering::Relaxed);
         let mut rx = self.open_link();
         let mut check = interval(CHECK_INTERVAL);
         loop {
@@ -174,6 +178,7 @@
             }
         }
         self.state().gate_tx = None;
+        self.is_gate_here.store(false, Ordering::Relaxed);
         self.host.disconnect(clock::now(), link);
     }
 
--- a/lacewingspring_proxy/src/instance.rs
+++ b/lacewingspring_proxy/src/instance.rs
@@ -36,6 +36,7 @@
     mirror::Mirror,
     own_entry::OwnEntryObserver,
     protocol::Protocol,
+    readiness::ReadinessCheck,
     registration::Registration,
     replica::{Replicas, Topic},
     settings::Settings,
@@ -134,7 +135,8 @@
     unavailable: Arc<UnavailableUpstreams>,
     members: SharedMembers,
     host: Arc<GateHost>,
-    is_ready: watch::Sender<bool>,
+    /// Whether the configuration and the entries of upstreams have been read.
+    is_read: watch::Sender<bool>,
     metrics: SharedMetrics,
     budget: SharedBudget,
     descriptors: DescriptorShares,
@@ -143,7 +145,7 @@
 
 impl SharedState {
     /// Creates the state of an instance that knows nothing of the fleet yet.
-    fn new(settings: &Settings, replicas: &Arc<Replicas>, is_ready: watch::Sender<bool>) -> Self {
+    fn new(settings: &Settings, replicas: &Arc<Replicas>, is_read: watch::Sender<bool>) -> Self {
         let members = SharedMembers::default();
         let link_bytes_per_s = settings.machine.link_bytes_per_s();
         let host = GateHost::new(members.clone(), replicas.clone(), link_bytes_per_s);
@@ -156,7 +158,7 @@
             unavailable: Arc::default(),
             members,
             host: Arc::new(host),
-            is_ready,
+            is_read,
             metrics: SharedMetrics::default(),
             budget: MemoryBudget::new(settings.machine.memory_mb, descriptors.callers.total),
             descriptors,
@@ -196,11 +198,10 @@
         self.update_readiness();
     }
 
-    /// Reports that the instance is ready once the configuration and the entries of upstreams have
-    /// been read.
+    /// Notes that the configuration and the entries of upstreams have been read once both are.
     fn update_readiness(&self) {
         if self.declared.load().is_some() && self.host.has_entries() {
-            self.is_ready.send_replace(true);
+            self.is_read.send_replace(true);
         }
     }
 
@@ -262,10 +263,10 @@
     );
     let (member_tx, member) = watch::channel(member);
     let (closing_tx, closing) = watch::channel(false);
-    let (ready_tx, is_ready) = watch::channel(false);
+    let (read_tx, is_read) = watch::channel(false);
     let (shutdown_tx, shutdown) = watch::channel(false);
     let replicas = Arc::new(Replicas::default());
-    let state = Arc::new(SharedState::new(&settings, &replicas, ready_tx));
+    let state = Arc::new(SharedState::new(&settings, &replicas, read_tx));
     let components = components.with_counted_store(&state.metrics, &replicas);
     let (name, members) = (settings.instance.clone(), state.members.clone());
     let gate = GateClient::new(name, members, replicas.clone(), state.host.clone());
@@ -294,7 +295,8 @@
     let registration = tokio::spawn(registration.run());
     let callers_budget = state.budget.is_bounded().then(|| state.budget.clone());
     let open = state.connections("callers", state.descriptors.callers, callers_budget);
-    serve_directory(&settings, &components, &state, &member, is_ready, &closing);
+    let readiness = ReadinessCheck::new(is_read, member.clone(), gate.clone());
+    serve_directory(&settings, &components, &state, &member, readiness, &closing);
     serve_callers(&settings, &components, &state, &member, gate, &closing, &open);
     serve_metrics(&settings, &state, &closing);
     loop {
--- a/lacewingspring_proxy/src/instance/serve.rs
+++ b/lacewingspring_proxy/src/instance/serve.rs
@@ -26,6 +26,7 @@
     members::Member,
     pass_on::OtherInstances,
     protocol::Protocol,
+    readiness::ReadinessCheck,
     server::{ConnectionLimits, Server},
     settings::Settings,
 };
@@ -39,7 +40,7 @@
     components: &Components<S, P, T>,
     state: &Arc<SharedState>,
     member: &watch::Receiver<Member>,
-    is_ready: watch::Receiver<bool>,
+    readiness: ReadinessCheck,
     closing: &watch::Receiver<bool>,
 ) where
     P: Protocol,
@@ -49,7 +50,7 @@
         protocol: components.protocol.clone(),
         members: state.members.clone(),
         member: member.clone(),
-        is_ready,
+        readiness,
         max_ttl: Duration::try_from_secs_f64(settings.bounds.directory_ttl_s)
             .unwrap_or(Duration::MAX),
     });
--- a/lacewingspring_proxy/src/lib.rs
+++ b/lacewingspring_proxy/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod pass_on;
 pub mod protocol;
 pub mod reader_timeout;
+pub mod readiness;
 pub mod record_checks;
 pub mod refusal;
 pub mod registration;
--- a/lacewingspring_proxy/src/mark.rs
+++ b/lacewingspring_proxy/src/mark.rs
@@ -75,8 +75,10 @@
 
 /// Marks the refusal of a request that was passed on, if another instance may take it.
 pub fn mark_refusal(headers: &mut HeaderMap, failure: Failure) {
-    let others_may =
-        matches!(failure, Failure::Unreachable | Failure::NotConfigured | Failure::Outdated);
+    let others_may = matches!(
+        failure,
+        Failure::Unreachable | Failure::NotConfigured | Failure::NotRegistered | Failure::Outdated
+    );
     if others_may {
         headers.insert(NO_PATH, HeaderValue::from_static("1"));
     }
--- a/lacewingspring_proxy/src/refusal.rs
+++ b/lacewingspring_proxy/src/refusal.rs
@@ -28,6 +28,8 @@
     NoMemory,
     /// The declared configuration has not been read yet.
     NotConfigured,
+    /// The gate is at this instance, which is not registered and knows no other one.
+    NotRegistered,
     /// Another instance, which this one does not know, passed the request on and has admitted it
     /// under a later version of the configuration than this one has.
     Outdated,
@@ -67,6 +69,7 @@
             Self::BodyStalled => (StatusCode::REQUEST_TIMEOUT, "body_stalled", true),
             Self::NoMemory => (StatusCode::SERVICE_UNAVAILABLE, "memory", true),
             Self::NotConfigured => (StatusCode::SERVICE_UNAVAILABLE, "not_configured", true),
+            Self::NotRegistered => (StatusCode::SERVICE_UNAVAILABLE, "not_registered", true),
             Self::Outdated => (StatusCode::SERVICE_UNAVAILABLE, "outdated", true),
             Self::Refused(Reason::Limit) => (StatusCode::TOO_MANY_REQUESTS, "limit", true),
             Self::Refused(reason) => (StatusCode::SERVICE_UNAVAILABLE, reason.name(), true),
