Let instances that all leave together serve until they stop

What callers saw: after SIGTERM at all instances every request of a workspace with a limit got 429 in the 2.6 s in which the instances still accept requests.

Cause: the roster counted instances that stay only; with none of them the share was nothing, and no instance was a candidate for the gate, so that each became its own.

Change: if all registered instances leave, shares are relative to these, and the first of them stays the gate. A majority's gate reserves for leaving instances without a link then, so that two gates have no more than the whole together.

--- a/lacewingspring_core/src/dispatch/fleet_share.rs
+++ b/lacewingspring_core/src/dispatch/fleet_share.rs
@@ -147,7 +147,7 @@
     pub fn majority_heard_at(&self) -> Option<Duration> {
         let mut heard: Vec<Duration> = self.linked.values().map(|linked| linked.heard_at).collect();
         heard.sort_unstable_by_key(|at| Reverse(*at));
-        heard.get(self.active() / 2).copied()
+        heard.get(self.counted().count() / 2).copied()
     }
 
     /// Records that a link of an instance was closed.
@@ -169,23 +169,29 @@
         self.registered.values().filter(|instance| !instance.is_leaving).count()
     }
 
+    /// Returns the registered instances that shares are relative to: those that stay or, if all
+    /// leave, those that leave, as they serve until they stop.
+    fn counted(&self) -> impl Iterator<Item = &RegisteredInstance> {
+        let all_leave = self.active() == 0;
+        self.registered.values().filter(move |instance| all_leave || !instance.is_leaving)
+    }
+
     /// Returns the share of the gate with these links, where limits are counted in windows of
     /// `limit_window`.
     pub fn share(&mut self, now: Duration, limit_window: Duration) -> FleetShare {
         self.track_missing(now);
-        let active = self.active();
-        if active == 0 {
+        let counted = self.counted().count();
+        if counted == 0 {
             // Before it knows the fleet, each instance of it might take itself for the only one.
             return FleetShare::of_minority(0.0);
         }
         let linked = self.linked.len();
-        if linked * 2 <= active {
-            return FleetShare::of_minority(linked as f64 / active as f64);
+        if linked * 2 <= counted {
+            return FleetShare::of_minority(linked as f64 / counted as f64);
         }
-        let unlinked = self.registered.values().filter(|instance| {
+        let unlinked = self.counted().filter(|instance| {
             let name = &instance.name;
-            let is_apart = !self.linked.contains_key(name) && !self.missing.contains_key(name);
-            is_apart && !instance.is_leaving
+            !self.linked.contains_key(name) && !self.missing.contains_key(name)
         });
         let missing = self.missing.values().filter(|known| known.is_apart(now, limit_window));
         let unlinked = unlinked.count();
@@ -193,7 +199,7 @@
         // Limits stay reserved for a window after an instance links again; its slots do not.
         let cut_off = self.missing.values().filter(|known| known.linked_since.is_none()).count();
         let unregistered = |name: &&InstanceName| !self.registered.contains_key(*name);
-        let known = active + self.missing.keys().filter(unregistered).count();
+        let known = counted + self.missing.keys().filter(unregistered).count();
         let reserved = MINORITY_LIMIT_FACTOR * apart as f64 / known.max(apart) as f64;
         FleetShare {
             limits: FleetShare::WHOLE.limits - reserved,
