Take a response with an invalid status for a lost one

Cause: the HTTP library parses any three digits from 100 on, and nothing checked them after it.

Change: an exchange fails unless the status is from 200 to 599, with upstreams as with other instances: the request may have run. It goes to another upstream if it may be repeated, else the caller gets 502.

--- a/lacewingspring_proxy/src/exchange.rs
+++ b/lacewingspring_proxy/src/exchange.rs
@@ -4,6 +4,7 @@
     fmt::Debug,
     io,
     net::SocketAddr,
+    ops::Range,
     pin::Pin,
     sync::{
         Arc,
@@ -12,7 +13,7 @@
     time::Duration,
 };
 
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use hyper::{body::Incoming, client::conn::http1, ext::on_informational};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
@@ -26,6 +27,9 @@
 /// Largest response head, in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
+/// Statuses of final responses (RFC 9110, section 15). Upgrades are not asked for, so 101 is none.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Largest number of informational responses (1xx) before a response.
 const MAX_INFORMATIONAL: u32 = 16;
 
@@ -41,6 +45,9 @@
     /// The upstream sent informational responses without end; the request may have run.
     #[error("more than {MAX_INFORMATIONAL} informational responses from the upstream")]
     Informational,
+    /// The response has a status that no final response has; the request may have run.
+    #[error("the upstream responded with the invalid status {0}")]
+    InvalidStatus(StatusCode),
 }
 
 /// Closes the connection of an exchange when dropped.
@@ -93,8 +100,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the connection breaks, the response is not valid HTTP/1.1, or too many informational
-/// responses come before it.
+/// Fails if the connection breaks, the response is not valid HTTP/1.1 or has an invalid status, or
+/// too many informational responses come before it.
 pub async fn send(
     stream: TcpStream,
     mut req: Request<HeldMessage>,
@@ -112,6 +119,9 @@
         response = sender.send_request(req) => response?,
         () = has_too_many.notified() => return Err(ExchangeError::Informational),
     };
+    if !FINAL_STATUSES.contains(&response.status().as_u16()) {
+        return Err(ExchangeError::InvalidStatus(response.status()));
+    }
     let (head, body) = response.into_parts();
     let framing = Framing::of(&head.headers, &body);
     Ok(UpstreamResponse { head, framing, body, connection })
--- a/lacewingspring_proxy/src/forward.rs
+++ b/lacewingspring_proxy/src/forward.rs
@@ -298,9 +298,9 @@
                     ExchangeError::Unreachable(_) => {
                         (End::Unreachable, Outcome::NotRun(Failure::Unreachable))
                     }
-                    ExchangeError::Broken(_) | ExchangeError::Informational => {
-                        (End::Broken, Outcome::MayHaveRun(None))
-                    }
+                    ExchangeError::Broken(_)
+                    | ExchangeError::Informational
+                    | ExchangeError::InvalidStatus(_) => (End::Broken, Outcome::MayHaveRun(None)),
                 };
                 attempt.end(end);
                 outcome
--- a/lacewingspring_proxy/src/track.rs
+++ b/lacewingspring_proxy/src/track.rs
@@ -179,7 +179,7 @@
             ExchangeError::Broken(e) => {
                 self.attempt_failed(now, upstream, &format!("broken: {e}"), true);
             }
-            ExchangeError::Informational => {
+            ExchangeError::Informational | ExchangeError::InvalidStatus(_) => {
                 self.attempt_failed(now, upstream, &format!("broken: {e}"), true);
             }
         }
