Write a status again after a write of it that had no answer

After a write without an answer the status was read again, and if what was read was the one due nothing was written. The late write's condition still held then.

Change: KnownKey remembers a write that may still replace the revision that it has; until the key has another one its value does not count as held, so that the status is written once more.

Result: a_late_status_of_an_order_that_was_replaced_does_not_stay failed before (in progress for v3 in place of v2) and passes.

--- a/lacewingspring_proxy/src/gate/roll_out/known_key.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/known_key.rs
@@ -17,6 +17,8 @@
     pub revision: Option<Revision>,
     /// Its value.
     pub value: Option<Bytes>,
+    /// Whether a write had no answer that replaces this revision, and may still be executed.
+    is_unsettled: bool,
 }
 
 impl KnownKey {
@@ -31,6 +33,18 @@
         Ok(page.items.into_iter().find(|item| item.key == key).map(Self::from).unwrap_or_default())
     }
 
+    /// Takes over what was read later. If the key has changed since, a write without an answer was
+    /// executed or never will be.
+    pub fn refresh(&mut self, read: Self) {
+        let is_unsettled = self.is_unsettled && self.revision == read.revision;
+        *self = Self { is_unsettled, ..read };
+    }
+
+    /// Returns whether the key has a value and keeps it, as far as this process knows.
+    pub fn holds(&self, value: Option<&Bytes>) -> bool {
+        !self.is_unsettled && self.value.as_ref() == value
+    }
+
     /// Writes a key unless another writer has changed it.
     pub async fn write<S>(&mut self, store: &S, key: &str, value: Bytes) -> Result<(), StoreError>
     where
@@ -38,14 +52,22 @@
     {
         let put = store.put_if(key, value.clone(), self.revision, None);
         let written = timeout(CALL_TIMEOUT, put).await;
-        let revision = written.map_err(|_| StoreError::NoAnswer("timed out".into()))??;
-        *self = Self { revision: Some(revision), value: Some(value) };
-        Ok(())
+        let written = written.unwrap_or_else(|_| Err(StoreError::NoAnswer("timed out".into())));
+        match written {
+            Ok(revision) => {
+                *self = Self { revision: Some(revision), value: Some(value), is_unsettled: false };
+                Ok(())
+            }
+            Err(e) => {
+                self.is_unsettled |= !matches!(e, StoreError::Conflict(_) | StoreError::Refused(_));
+                Err(e)
+            }
+        }
     }
 }
 
 impl From<Item> for KnownKey {
     fn from(item: Item) -> Self {
-        Self { revision: Some(item.revision), value: Some(item.value) }
+        Self { revision: Some(item.revision), value: Some(item.value), is_unsettled: false }
     }
 }
--- a/lacewingspring_proxy/src/gate/roll_out/service_keeper.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/service_keeper.rs
@@ -171,7 +171,8 @@
             return Err(StoreError::EarlierEra);
         }
         let stored = record_key.value.as_deref().and_then(|value| self.parse(value));
-        (self.record_key, self.status_key) = (record_key, status_key);
+        self.record_key.refresh(record_key);
+        self.status_key.refresh(status_key);
         self.read_in = Some(era);
         if let Some(own) = stored.as_ref().filter(|stored| self.unanswered.contains(stored)) {
             // Taken for a record of another holder, its counts would be added to the same counts.
--- a/lacewingspring_proxy/src/gate/roll_out/service_keeper/final_status.rs
+++ b/lacewingspring_proxy/src/gate/roll_out/service_keeper/final_status.rs
@@ -56,7 +56,7 @@
         T: StateDecoder,
     {
         let wanted = self.record.as_ref().map(|record| status(context, record));
-        self.status_key.value == wanted
+        self.status_key.holds(wanted.as_ref())
     }
 
     /// Returns whether no request runs or waits at the versions that a completed roll-out has left.
--- a/lacewingspring_proxy/tests/roll_out_status_order.rs
+++ b/lacewingspring_proxy/tests/roll_out_status_order.rs
@@ -1,9 +1,12 @@
-//! Another holder completes a roll-out between the reads of the record and of the status.
+//! Writes of a status that come between the reads of a holder, or late.
 
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use roll_out_support::{RECORD, STATUS, SharedStore, record, start_keeper};
+use lacewingspring_proxy::{clock, gate::roll_out::DeclaredOrders};
+use roll_out_support::{
+    Decoder, RECORD, STATUS, SharedStore, order, record, rev, start_keeper, start_keeper_with,
+};
 use support::{host, open_link};
 use tokio::time::sleep;
 
@@ -27,3 +30,26 @@
     sleep(Duration::from_secs(2)).await;
     assert_eq!(store.text(STATUS), "Completed");
 }
+
+/// Guards against the status of an order that was replaced, as its write was executed late and the
+/// status that was read before is that of the present order.
+#[tokio::test]
+async fn a_late_status_of_an_order_that_was_replaced_does_not_stay() {
+    let store = Arc::new(SharedStore::default());
+    store.set(STATUS, Bytes::from("InProgressv2"));
+    store.set(RECORD, record(r#""Observing""#));
+    let host = host();
+    let (_link, _rx) = open_link(&host, Vec::new(), Duration::from_secs(3_600));
+    start_keeper_with(Decoder { names_target: true }, &store, &host);
+    sleep(Duration::from_secs(1)).await;
+    let order_of = |target, revision| {
+        let orders = DeclaredOrders { orders: vec![order(target, revision)], unreadable: vec![] };
+        host.set_orders(clock::now(), orders, rev(revision));
+    };
+    store.delay_next_write(STATUS, Duration::from_millis(1_500));
+    order_of("v3", 20);
+    sleep(Duration::from_millis(300)).await;
+    order_of("v2", 21);
+    sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(store.text(STATUS), "InProgressv2");
+}
--- a/lacewingspring_proxy/tests/roll_out_support/mod.rs
+++ b/lacewingspring_proxy/tests/roll_out_support/mod.rs
@@ -120,15 +120,24 @@
 
 /// Runs a keeper at a gate that knows the order.
 pub fn start_keeper(store: &Arc<SharedStore>, host: &Arc<GateHost>) {
+    start_keeper_with(Decoder::default(), store, host);
+}
+
+/// Runs a keeper with this form of the status at a gate that knows the order.
+pub fn start_keeper_with(decoder: Decoder, store: &Arc<SharedStore>, host: &Arc<GateHost>) {
     host.enable_roll_outs(BOUNDS);
     host.set_orders(clock::now(), orders(), rev(8));
     tokio::spawn(host.clone().run_heartbeat());
-    let keeper = Keeper::new(store.clone(), Arc::new(Decoder), host.clone(), Arc::default());
+    let keeper = Keeper::new(store.clone(), Arc::new(decoder), host.clone(), Arc::default());
     tokio::spawn(keeper.run());
 }
 
 /// Decoder of a status in the form of its debug output.
-pub struct Decoder;
+#[derive(Default)]
+pub struct Decoder {
+    /// Whether the status names the target.
+    pub names_target: bool,
+}
 
 impl StateDecoder for Decoder {
     const DECLARED_PREFIX: &'static str = "c";
@@ -151,10 +160,19 @@
         "status".into()
     }
     fn status(&self, status: &RollOutStatus) -> Bytes {
-        Bytes::from(format!("{:?}", status.state))
+        let target = if self.names_target { status.target.as_str() } else { "" };
+        Bytes::from(format!("{:?}{target}", status.state))
     }
 }
 
+/// Write that is executed at a time if its condition holds then.
+struct DueWrite {
+    at: Duration,
+    key: String,
+    value: Bytes,
+    expected: Option<Revision>,
+}
+
 /// Key-value service in memory.
 #[derive(Default)]
 pub struct SharedStore {
@@ -164,6 +182,10 @@
     pub failing_writes: AtomicU64,
     /// Number of the next writes that are executed without an answer.
     pub unanswered_writes: AtomicU64,
+    /// Key whose next write is executed late and without an answer, and how late.
+    late_write: Mutex<Option<(&'static str, Duration)>>,
+    /// Writes that are executed when they are due.
+    due_writes: Mutex<Vec<DueWrite>>,
     /// Values that another holder writes right after the next read of the record.
     written_after_read: Mutex<Vec<(&'static str, Bytes)>>,
 }
@@ -193,8 +215,36 @@
         *self.written_after_read.lock().expect("no test panics while holding it") = values;
     }
 
+    /// Executes the next write of a key so late, without an answer.
+    pub fn delay_next_write(&self, key: &'static str, delay: Duration) {
+        *self.late_write.lock().expect("no test panics holding it") = Some((key, delay));
+    }
+
+    /// Takes a write that is executed late; returns whether it is.
+    fn takes_late(&self, key: &str, value: &Bytes, expected: Option<Revision>) -> bool {
+        let mut late = self.late_write.lock().expect("no test panics holding it");
+        let Some((_, delay)) = late.filter(|(late_key, _)| *late_key == key) else { return false };
+        *late = None;
+        let (at, key, value) = (clock::now() + delay, key.to_owned(), value.clone());
+        let mut due = self.due_writes.lock().expect("no test panics holding it");
+        due.push(DueWrite { at, key, value, expected });
+        true
+    }
+
+    /// Executes the late writes that are due.
+    fn execute_due(&self) {
+        let now = clock::now();
+        let mut due = self.due_writes.lock().expect("no test panics holding it");
+        for write in due.extract_if(.., |write| write.at <= now) {
+            if self.keys().get(&write.key).map(|item| item.revision) == write.expected {
+                self.set(&write.key, write.value);
+            }
+        }
+    }
+
     /// Returns the value of a key as text.
     pub fn text(&self, key: &str) -> String {
+        self.execute_due();
         String::from_utf8_lossy(&self.keys()[key].value).into_owned()
     }
 }
@@ -209,6 +259,7 @@
     }
 
     async fn range(&self, key: &str, _: Option<&str>) -> Result<Page, StoreError> {
+        self.execute_due();
         let items: Vec<Item> =
             self.keys().values().filter(|item| item.key.starts_with(key)).cloned().collect();
         if key == RECORD {
@@ -238,6 +289,10 @@
         expected: Option<Revision>,
         _: Option<Lease>,
     ) -> Result<Revision, StoreError> {
+        self.execute_due();
+        if self.takes_late(key, &value, expected) {
+            return pending().await;
+        }
         if take_one(&self.failing_writes) {
             return Err(StoreError::NoAnswer("timed out".into()));
         }
