Name the candidates for the gate, and test the share of a fleet that leaves

Cause: reading the diff as a newcomer: the choice of the gate among leaving instances took two iterators to read, a type had two meanings of known, and the share while all leave was tested with processes only.

Change: Members::gate_candidates, LoadedStreams, a test of FleetRoster::share. No behaviour changes.

Result: leaving_instances_count_if_none_stays passes; formatter and linter clean.

--- a/lacewingspring_core/tests/limits_of_two_gates.rs
+++ b/lacewingspring_core/tests/limits_of_two_gates.rs
@@ -450,3 +450,26 @@
     roster.link(ms(60), name(3), false);
     assert_eq!(roster.majority_heard_at(), Some(ms(30)));
 }
+
+/// Guards against a fleet that hands out nothing while all of its instances leave, and against two
+/// gates of it that hand out more than the whole together.
+#[test]
+fn leaving_instances_count_if_none_stays() {
+    let instance =
+        |index, is_leaving| RegisteredInstance { name: name(index), incarnation: 1, is_leaving };
+    let share_of = |linked: std::ops::Range<usize>, leaving: [bool; 3]| {
+        let mut roster = FleetRoster::default();
+        let registered = leaving.into_iter().enumerate();
+        let registered = registered.map(|(index, is_leaving)| instance(index, is_leaving));
+        roster.set_registered(ms(0), registered);
+        linked.for_each(|index| roster.link(ms(0), name(index), false));
+        roster.share(ms(0), WINDOW)
+    };
+    assert_eq!(share_of(0..3, [true; 3]), FleetShare::WHOLE);
+    assert_eq!(share_of(0..1, [true; 3]), FleetShare::of_minority(1.0 / 3.0));
+    let majority = share_of(0..2, [true; 3]);
+    assert!(majority.is_majority());
+    let minority = share_of(2..3, [true; 3]);
+    assert!(majority.limits + minority.limits <= 1.0, "{majority:?} {minority:?}");
+    assert_eq!(share_of(0..1, [false, true, true]), FleetShare::WHOLE, "the one that stays");
+}
--- a/lacewingspring_proxy/src/gate/ledger.rs
+++ b/lacewingspring_proxy/src/gate/ledger.rs
@@ -137,8 +137,8 @@
     recent: Option<Revision>,
 }
 
-/// What is stored of streams; `None` before those of an earlier gate are loaded.
-type KnownStored = Option<StoredStreams>;
+/// The streams that are stored; `None` before those of an earlier gate are loaded.
+type LoadedStreams = Option<StoredStreams>;
 
 impl<S> Ledger<S>
 where
@@ -179,7 +179,7 @@
     }
 
     /// Stores streams soon after they begin, so that few are lost if all instances end together.
-    async fn write_recent_streams(&self, mut stored: watch::Receiver<KnownStored>) {
+    async fn write_recent_streams(&self, mut stored: watch::Receiver<LoadedStreams>) {
         let mut recent: Record<KnownStreams> =
             Record::new(RECENT_STREAMS_KEY, MIN_RECENT_WRITE_INTERVAL);
         let mut version = None;
@@ -231,7 +231,7 @@
     async fn load_and_write(
         &self,
         latest: watch::Receiver<Latest>,
-        stored: watch::Sender<KnownStored>,
+        stored: watch::Sender<LoadedStreams>,
     ) {
         let mut usage: Record<Vec<StoredUsage>> = Record::new(USAGE_KEY, MIN_USAGE_WRITE_INTERVAL);
         let mut hand_over: Record<HandOver> = Record::new(HAND_OVER_KEY, MIN_WRITE_INTERVAL);
--- a/lacewingspring_proxy/src/gate/link/connection.rs
+++ b/lacewingspring_proxy/src/gate/link/connection.rs
@@ -138,17 +138,15 @@
         })
     }
 
-    /// Returns the instance that is to act as the gate: the first one that is neither leaving nor
-    /// suspected, or the first one that is not suspected if all leave. This one is left out until it
-    /// has read the entries of upstreams.
+    /// Returns the instance that is to act as the gate: the first candidate that is not suspected.
+    /// This one is left out until it has read the entries of upstreams.
     fn first_candidate(&self, now: Duration, suspects: &Suspects) -> Option<Member> {
         let members = self.members.load();
         let is_usable = |member: &&Member| {
             !suspects.contains(now, member)
                 && (member.instance != self.instance || self.host.has_entries())
         };
-        let mut leaving = members.all().iter().filter(|_| members.is_empty());
-        members.active().find(is_usable).or_else(|| leaving.find(is_usable)).cloned()
+        members.gate_candidates().find(is_usable).cloned()
     }
 
     /// Returns the time at which the oldest request without an acknowledgement was sent.
--- a/lacewingspring_proxy/src/members.rs
+++ b/lacewingspring_proxy/src/members.rs
@@ -84,6 +84,13 @@
         self.0.iter().filter(|member| !member.is_leaving)
     }
 
+    /// Returns the instances that may act as the gate, in the order of the fleet: those that stay
+    /// or, if all leave, those that leave, as they serve until they stop.
+    pub fn gate_candidates(&self) -> impl Iterator<Item = &Member> {
+        let all_leave = self.is_empty();
+        self.0.iter().filter(move |member| all_leave || !member.is_leaving)
+    }
+
     /// Returns whether an instance has this incarnation.
     pub fn has_incarnation(&self, incarnation: u64) -> bool {
         self.0.iter().any(|member| member.incarnation == incarnation)
--- a/lacewingspring_proxy/src/readiness.rs
+++ b/lacewingspring_proxy/src/readiness.rs
@@ -46,8 +46,8 @@
 }
 
 impl ReadinessCheck {
-    /// Creates a check; `is_read` becomes `true` when the configuration and the entries of upstreams
-    /// have been read.
+    /// Creates a check; `is_read` becomes `true` when the configuration and the entries of
+    /// upstreams have been read.
     pub fn new(
         is_read: watch::Receiver<bool>,
         member: watch::Receiver<Member>,
--- a/lacewingspring_proxy/src/registration.rs
+++ b/lacewingspring_proxy/src/registration.rs
@@ -126,7 +126,8 @@
         let _ = timeout(limit, self.shutdown.changed()).await;
     }
 
-    /// Gets a lease, which is kept if the write fails: that write may be executed later.
+    /// Gets a lease and writes the entry. The lease is kept if the write fails, so that the entry
+    /// has the lease that is renewed if that write is executed late.
     async fn register(&mut self) -> Result<(), StoreError> {
         let lease = self.store.grant_lease(LEASE_TTL.max(self.min_lease));
         let lease = with_timeout(lease).await?;
--- a/lacewingspring_proxy/src/store.rs
+++ b/lacewingspring_proxy/src/store.rs
@@ -177,8 +177,8 @@
     /// Ends a lease, which deletes its keys.
     fn end_lease(&self, lease: Lease) -> impl Future<Output = Result<(), StoreError>> + Send;
 
-    /// Writes a key if its revision is `expected`, or if it does not exist and `expected` is `None`;
-    /// returns its new revision. If a lease is given, the key is deleted when the lease ends.
+    /// Writes a key if its revision is `expected`, or if it does not exist and `expected` is
+    /// `None`; returns its new revision. If a lease is given, the key is deleted when it ends.
     ///
     /// A write without an answer may be executed seconds later, if its condition holds then.
     fn put_if(
