Keep no revisions of keys that are no records of software versions

Cause: since the records of software versions are written under a condition, a read of them kept the revision of each key, also of one that can't be parsed.

Change: only the revisions of records are kept; a key that can't be parsed costs a conflict if it is to be written.

--- a/lacewingspring_proxy/src/gate/version_record.rs
+++ b/lacewingspring_proxy/src/gate/version_record.rs
@@ -106,7 +106,8 @@
     }
 }
 
-/// Reads all records, and notes their revisions.
+/// Reads all records, and notes their revisions. Nothing is kept of keys that can't be parsed, so
+/// that a list of these without end needs no memory.
 pub(super) async fn load<S>(store: &S) -> Result<(LoadedVersions, RecordRevisions), StoreError>
 where
     S: Store,
@@ -118,9 +119,10 @@
         let page = timeout(CALL_TIMEOUT, store.range(PREFIX, after.as_deref())).await;
         let page = page.map_err(|_| StoreError::NoAnswer("timed out".into()))??;
         for item in &page.items {
+            let Some(record) = parse(item) else { continue };
             revisions.set(page.revision.era, &item.key, Some(item.revision));
+            records.push(record);
         }
-        records.extend(page.items.iter().filter_map(parse));
         after = page.items.last().map(|item| item.key.clone());
         if !page.has_more || after.is_none() {
             return Ok((sort(store.era(), &records), revisions));
