--- a/review/standins-3/src/bin/parts.rs
+++ b/review/standins-3/src/bin/parts.rs
@@ -26,11 +26,11 @@
 const MARGIN: Duration = Duration::from_millis(500);
 
 /// Length of the test after its start.
-const LENGTH: Duration = Duration::from_secs(95);
+const LENGTH: Duration = Duration::from_secs(75);
 
 /// Time from one crash of servers to the next, and for which they are away.
-const CRASH_INTERVAL: Duration = Duration::from_secs(4);
-const CRASH_TIME: Duration = Duration::from_secs(2);
+const CRASH_INTERVAL: Duration = Duration::from_millis(2_000);
+const CRASH_TIME: Duration = Duration::from_millis(1_500);
 
 /// Largest length of the header with the parts.
 const PARTS_BYTES: usize = 15_900;
--- a/review/standins-3/src/bin/streams.rs
+++ b/review/standins-3/src/bin/streams.rs
@@ -40,6 +40,9 @@
 const MAX_ROUNDS: usize = 5;
 const LENGTH: Duration = Duration::from_secs(113);
 
+/// First parts of prompts that ordinary requests share, as on the sheet.
+const THINGS: usize = 40;
+
 /// Output tokens of an ordinary stream: 115 events, of which one comes in 100 ms.
 const ORDINARY_TOKENS: u32 = 575;
 
@@ -103,7 +106,10 @@
         Request::new("POST", RESUMABLE_PATH, id, ORDINARY_KEY, 12_000)
             .with("X-Lacewingspring-Model", "m")
             .with("X-Lacewingspring-Token-Usage", &format!("628,{ORDINARY_TOKENS}"))
-            .with("X-Lacewingspring-Prompt-Prefix", &format!("aa:60,{:x}:568", number + 0x1000))
+            .with(
+                "X-Lacewingspring-Prompt-Prefix",
+                &format!("{:x}:60,{:x}:568", 0xa0 + number % THINGS, number + 0x1000),
+            )
             .with_body(id.as_bytes())
     };
     let to = callers[number % callers.len()];
--- a/review/standins-3/src/platform.rs
+++ b/review/standins-3/src/platform.rs
@@ -67,6 +67,10 @@
                 Ok(answer) => (&self.refused, answer.status().to_string()),
                 Err(e) => (&self.lost, e.to_string()),
             };
+            if is_over.load(Ordering::Relaxed) {
+                // The test ends the processes.
+                return;
+            }
             count.fetch_add(1, Ordering::Relaxed);
             record.line(&format!("request {id} to {to}: {text}"));
             thread::sleep(Duration::from_millis(500));
--- a/review/standins-3/src/server.rs
+++ b/review/standins-3/src/server.rs
@@ -51,6 +51,8 @@
     up: AtomicBool,
     /// Whether new connections are refused, as behind a partition.
     refusing: AtomicBool,
+    /// Whether it writes no entry any more.
+    silent: AtomicBool,
     running: AtomicU64,
     next: AtomicU64,
     open: Mutex<HashMap<u64, TcpStream>>,
@@ -75,6 +77,7 @@
             leaving: AtomicBool::new(false),
             up: AtomicBool::new(true),
             refusing: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
             running: AtomicU64::new(0),
             next: AtomicU64::new(0),
             open: Mutex::default(),
@@ -100,7 +103,7 @@
 
     /// Writes its entry, if the store takes it.
     pub fn beat(&self, store: &Arc<Store>) {
-        if store.mode() != crate::store::Mode::Up {
+        if store.mode() != crate::store::Mode::Up || self.silent.load(Ordering::SeqCst) {
             return;
         }
         let Kind { id, service, zone, version, slots, .. } = &self.kind;
@@ -135,6 +138,13 @@
         self.refusing.store(refusing, Ordering::SeqCst);
     }
 
+    /// Leaves without reporting that it drains: its entry is removed, and it serves on.
+    pub fn leave_unreported(&self, store: &Arc<Store>) {
+        self.silent.store(true, Ordering::SeqCst);
+        store.remove(&format!("servers/{}", self.kind.id));
+        self.record.line(&format!("the entry of server {} is removed", self.kind.id));
+    }
+
     /// Leaves: all its answers say so from now on.
     pub fn leave(&self) {
         self.record.line(&format!("server {} leaves", self.kind.id));
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -42,6 +42,8 @@
 #[derive(Debug)]
 struct State {
     mode: Mode,
+    /// Number of times that all waiting watches were cut.
+    cuts: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
     events: Vec<Event>,
@@ -49,6 +51,9 @@
     next_lease: u64,
 }
 
+/// Stands for the status of a call whose connection is closed without an answer.
+const CUT: &str = "cut";
+
 /// A store that is linearizable and keeps its whole history.
 pub struct Store {
     state: Mutex<State>,
@@ -125,6 +130,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let state = State {
             mode: Mode::Up,
+            cuts: 0,
             revision: 100,
             items: BTreeMap::new(),
             events: Vec::new(),
@@ -176,6 +182,12 @@
         self.state.lock().expect("state").mode
     }
 
+    /// Cuts all watches that wait.
+    pub fn cut_watches(&self) {
+        self.state.lock().expect("state").cuts += 1;
+        self.changed.notify_all();
+    }
+
     /// Writes a key as the operator or a server does.
     pub fn put(&self, key: &str, value: &str) {
         let value = json::base64(value.as_bytes());
@@ -233,6 +245,9 @@
                 thread::sleep(Duration::from_secs(60));
                 return;
             };
+            if status == CUT {
+                return;
+            }
             let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
             if http::respond(&mut writer, status, &headers, body.as_bytes()).is_err() {
                 return;
@@ -288,10 +303,14 @@
                 let after: u64 = text("after").parse().unwrap_or(0);
                 let wait = Duration::from_millis(text("waitTimeoutMs").parse().unwrap_or(0));
                 let until = Instant::now() + wait;
+                let cuts = state.cuts;
                 loop {
                     if state.mode == Mode::Silent {
                         return None;
                     }
+                    if state.cuts != cuts {
+                        return Some((CUT, String::new()));
+                    }
                     let found = state
                         .events
                         .iter()
