Case 13: crash twice two servers; restarted servers have another born

A stand-in server that came back after a crash kept its `born`. In case 13 two further servers crash after the first two, as too few streams were taken up in one run of five.

--- a/review/standins-3/src/bin/parts.rs
+++ b/review/standins-3/src/bin/parts.rs
@@ -101,6 +101,7 @@
     }
     // Servers crash with and without the client, two of nine at a time.
     let (models, crashing) = (deployment.models.clone(), is_over.clone());
+    let store = deployment.store.clone();
     thread::spawn(move || {
         let mut next = 0;
         while !crashing.load(Ordering::Relaxed) {
@@ -108,7 +109,7 @@
             let crashed = [&models[next % 9], &models[(next + 4) % 9]];
             crashed.iter().for_each(|server| server.crash());
             thread::sleep(CRASH_TIME);
-            crashed.iter().for_each(|server| server.restart());
+            crashed.iter().for_each(|server| server.restart(&store));
             next += 1;
         }
     });
--- a/review/standins-3/src/bin/streams.rs
+++ b/review/standins-3/src/bin/streams.rs
@@ -34,7 +34,7 @@
 const ROUND: Duration = Duration::from_millis(13_500);
 
 /// Time for which crashed servers are away.
-const CRASH_TIME: Duration = Duration::from_secs(2);
+const CRASH_TIME: Duration = Duration::from_millis(500);
 
 /// Rounds, and the time by which the last one must end.
 const MAX_ROUNDS: usize = 5;
@@ -215,11 +215,14 @@
             }));
         }
         thread::sleep(CRASH_AFTER);
-        // One server of each version.
-        let crashed = [&deployment.models[round * 2 % 8], &deployment.models[(round * 2 + 1) % 8]];
-        crashed.iter().for_each(|server| server.crash());
-        thread::sleep(CRASH_TIME);
-        crashed.iter().for_each(|server| server.restart());
+        // One server of each version, and then another one of each.
+        for pair in 0..2 {
+            let first = (round * 4 + pair * 2) % 8;
+            let crashed = [&deployment.models[first], &deployment.models[first + 1]];
+            crashed.iter().for_each(|server| server.crash());
+            thread::sleep(CRASH_TIME);
+            crashed.iter().for_each(|server| server.restart(&deployment.store));
+        }
         thread::sleep(ROUND.saturating_sub(round_began.elapsed()));
     }
     is_over.store(true, Ordering::Relaxed);
--- a/review/standins-3/src/server.rs
+++ b/review/standins-3/src/server.rs
@@ -58,10 +58,15 @@
     open: Mutex<HashMap<u64, TcpStream>>,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
-    born: u64,
+    /// Unix millisecond of its start.
+    born: AtomicU64,
     sequence: AtomicU64,
 }
 
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("time").as_millis() as u64
+}
+
 /// Runs of all servers.
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
@@ -70,7 +75,6 @@
     pub fn start(kind: Kind, store: &Arc<Store>, record: &Record, runs: &Runs) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("its address");
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("time").as_millis() as u64;
         let server = Arc::new(Self {
             kind,
             address,
@@ -83,7 +87,7 @@
             open: Mutex::default(),
             runs: runs.clone(),
             record: record.clone(),
-            born,
+            born: AtomicU64::new(unix_ms()),
             sequence: AtomicU64::new(0),
         });
         server.beat(store);
@@ -113,7 +117,8 @@
             "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\
              \"version\":\"{version}\",\"slots\":{slots},\"state\":\"{state}\",\
              \"coldRemainingMs\":0,\"sequenceNumber\":{sequence},\"born\":{}}}",
-            self.address, self.born
+            self.address,
+            self.born.load(Ordering::SeqCst)
         );
         store.put(&format!("servers/{id}"), &entry);
     }
@@ -127,10 +132,12 @@
         }
     }
 
-    /// Is back after a crash.
-    pub fn restart(&self) {
+    /// Is back after a crash, as another process of the same id.
+    pub fn restart(&self, store: &Arc<Store>) {
         self.record.line(&format!("server {} is back", self.kind.id));
+        self.born.store(unix_ms(), Ordering::SeqCst);
         self.up.store(true, Ordering::SeqCst);
+        self.beat(store);
     }
 
     /// Refuses new connections, or takes them again.
